--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test demo lint format
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+test: setup
+	$(BIN)/python -m devtools.run_tests
+
+demo: setup
+	$(BIN)/python -m devtools.demo
+
+lint: setup
+	$(BIN)/python -m pyink --quiet --check bamboorouter devtools tests
+	$(BIN)/python -m ruff check --quiet .
+	$(BIN)/python -m mypy --strict
+
+format: setup
+	$(BIN)/python -m ruff check --quiet --fix-only .
+	$(BIN)/python -m pyink --quiet bamboorouter devtools tests
--- /dev/null
+++ b/bamboorouter/clock.py
@@ -0,0 +1,72 @@
+"""Time in milliseconds.
+
+All durations and points in time inside the process are `Millis`. Leases,
+timeouts and queues use the monotonic clock, which keeps counting while the
+process is stopped. Wall time is used only for records that people read and
+for the retention of idempotency keys.
+"""
+
+import time
+from typing import Final, NewType, Protocol
+
+Millis = NewType("Millis", int)
+
+MS_PER_SECOND: Final = 1000
+NS_PER_MS: Final = 1_000_000
+
+
+class Clock(Protocol):
+    """Source of monotonic and wall time."""
+
+    def now(self) -> Millis:
+        """Returns monotonic time in ms; comparable in this process only."""
+        ...
+
+    def wall(self) -> Millis:
+        """Returns wall time in ms since the Unix epoch."""
+        ...
+
+
+class SystemClock:
+    """Reads the clocks of the operating system."""
+
+    def now(self) -> Millis:
+        """Returns CLOCK_MONOTONIC in ms."""
+        return Millis(time.monotonic_ns() // NS_PER_MS)
+
+    def wall(self) -> Millis:
+        """Returns wall time in ms since the Unix epoch."""
+        return Millis(time.time_ns() // NS_PER_MS)
+
+
+class ManualClock:
+    """A clock for tests that moves only when told to.
+
+    Attributes:
+        monotonic_ms: The monotonic time in ms.
+        wall_ms: The wall time in ms since the Unix epoch.
+    """
+
+    def __init__(
+        self, *, monotonic_ms: int = 0, wall_ms: int = 1_700_000_000_000
+    ) -> None:
+        self.monotonic_ms = monotonic_ms
+        self.wall_ms = wall_ms
+
+    def now(self) -> Millis:
+        """Returns the monotonic time in ms."""
+        return Millis(self.monotonic_ms)
+
+    def wall(self) -> Millis:
+        """Returns the wall time in ms since the Unix epoch."""
+        return Millis(self.wall_ms)
+
+    def advance(self, ms: int) -> None:
+        """Moves both clocks forward by `ms` milliseconds."""
+        self.monotonic_ms += ms
+        self.wall_ms += ms
+
+
+def seconds(ms: int) -> float:
+    """Converts milliseconds to the seconds that asyncio takes."""
+    return ms / MS_PER_SECOND
--- /dev/null
+++ b/bamboorouter/error_texts.py
@@ -0,0 +1,58 @@
+"""All texts of errors that callers and operators see, and their codes.
+
+A code is stable and machine-readable; a text is a format string for people.
+"""
+
+from typing import Final
+
+# Codes of refusals: nothing of the refused request was executed.
+NOT_READY: Final = "not_ready"
+NO_SUCH_SERVICE: Final = "no_such_service"
+NO_UPSTREAM: Final = "no_upstream"
+QUEUE_FULL: Final = "queue_full"
+DEADLINE: Final = "deadline"
+BODY_TOO_LARGE: Final = "body_too_large"
+DRAINING: Final = "draining"
+UNCONFIRMED_ROUTE: Final = "unconfirmed_route"
+KEY_REQUIRED: Final = "key_required"
+KEY_MALFORMED: Final = "key_malformed"
+KEY_REUSED: Final = "key_reused"
+KEY_TABLE_FULL: Final = "key_table_full"
+NO_CAPACITY: Final = "no_capacity"
+BAD_DIGEST: Final = "bad_digest"
+REVISION_CONFLICT: Final = "revision_conflict"
+SHEET_INVALID: Final = "sheet_invalid"
+NO_SUCH_JOB: Final = "no_such_job"
+JOB_EXISTS: Final = "job_exists"
+JOB_CANNOT_RUN: Final = "job_cannot_run"
+STALE_EPOCH: Final = "stale_epoch"
+
+TEXTS: Final[dict[str, str]] = {
+    NOT_READY: "the process has no confirmed configuration yet",
+    NO_SUCH_SERVICE: "service {service!r} is not in the sheet in force",
+    NO_UPSTREAM: "no upstream of service {service!r} takes work",
+    QUEUE_FULL: "the queue of class {urgency} is full",
+    DEADLINE: "the request cannot start before its deadline",
+    BODY_TOO_LARGE: "the body exceeds {limit} bytes",
+    DRAINING: "the upstream is leaving",
+    UNCONFIRMED_ROUTE: "neither entry nor agent has confirmed the route",
+    KEY_REQUIRED: "service {service!r} requires an Idempotency-Key header",
+    KEY_MALFORMED: "Idempotency-Key must be a UUID version 7",
+    KEY_REUSED: "the key was used for another request",
+    KEY_TABLE_FULL: "no more idempotency keys can be kept",
+    NO_CAPACITY: "the worker has no capacity left",
+    BAD_DIGEST: "length or digest of the body does not match",
+    REVISION_CONFLICT: (
+        "revision {offered} conflicts; revision {holds} is in force"
+    ),
+    SHEET_INVALID: "the sheet has faulty rows",
+    NO_SUCH_JOB: "job {job!r} does not exist",
+    JOB_EXISTS: "job {job!r} exists with other content",
+    JOB_CANNOT_RUN: "job {job!r} is larger than any worker",
+    STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+}
+
+
+def text_for(code: str, **values: object) -> str:
+    """Returns the text of a code with its values filled in."""
+    return TEXTS[code].format(**values)
