--- /dev/null
+++ b/bamboorouter/coordination/control_client.py
@@ -0,0 +1,128 @@
+"""Calls to the leader of the control group.
+
+The client keeps one link to the replica it believes to lead. A redirect moves
+it to the named leader; a closed link or a missing reply moves it to the next
+address. Every call is safe to resend: heartbeats and polls carry state,
+reservations an attempt, operator calls an operation ID.
+"""
+
+import asyncio
+import random
+from typing import Final
+
+from bamboorouter import clock, errors
+from bamboorouter.protocol import messages
+from bamboorouter.transport import link
+
+# Below the election timeout, so that a silently cut leader is left in time.
+ATTEMPT_TIMEOUT_MS: Final = 800
+RETRY_PAUSE_MS: Final = 50
+
+
+class ControlClient:
+    """Finds the leader and sends calls to it.
+
+    Attributes:
+        addresses: Addresses of the control replicas from the settings.
+        clock: Source of time.
+        last_contact: Monotonic time in ms at which the last answered call to
+            a leader was sent; None before the first.
+    """
+
+    def __init__(
+        self,
+        *,
+        addresses: tuple[str, ...],
+        time: clock.Clock,
+        handler: link.Handler = link.no_requests,
+        attempt_timeout_ms: int = ATTEMPT_TIMEOUT_MS,
+    ) -> None:
+        self.addresses = addresses
+        self.clock = time
+        self.last_contact: clock.Millis | None = None
+        self._handler = handler
+        self._attempt_timeout_ms = attempt_timeout_ms
+        self._link: link.Link | None = None
+        self._target = random.choice(addresses) if addresses else ""
+        self._opening = asyncio.Lock()
+
+    async def call(
+        self, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        """Sends a call to the leader until it is answered.
+
+        Args:
+            message: A message that is safe to resend.
+            timeout_ms: How long to keep trying.
+
+        Returns:
+            The leader's answer; never a Redirect.
+
+        Raises:
+            RequestTimeoutError: No leader answered in time; a replica may
+                have acted.
+        """
+        deadline = self.clock.now() + timeout_ms
+        last_error: errors.RouterError | None = None
+        while (remaining := deadline - self.clock.now()) > 0:
+            sent = self.clock.now()
+            try:
+                current = await self._connect(min(remaining, timeout_ms))
+                reply = await current.request(
+                    message, timeout_ms=min(remaining, self._attempt_timeout_ms)
+                )
+            except errors.RouterError as err:
+                last_error = err
+                await self._move_on("")
+                continue
+            if not isinstance(reply, messages.Redirect):
+                self.last_contact = sent
+                return reply
+            await self._move_on(reply.leader)
+        raise errors.RequestTimeoutError(
+            text=f"no leader answered within {timeout_ms} ms",
+            step=type(message).__name__,
+            peer=self._target,
+        ) from last_error
+
+    def contact_age_ms(self) -> int | None:
+        """Returns the time since the last contact with a leader, in ms."""
+        if self.last_contact is None:
+            return None
+        return self.clock.now() - self.last_contact
+
+    async def close(self) -> None:
+        """Closes the link."""
+        if self._link is not None:
+            await self._link.close()
+
+    async def _connect(self, timeout_ms: int) -> link.Link:
+        async with self._opening:
+            current = self._link
+            if current is not None and not current.closed.is_set():
+                return current
+            self._link = await link.open_link(
+                address=self._target,
+                handler=self._handler,
+                timeout_ms=min(timeout_ms, self._attempt_timeout_ms),
+            )
+            return self._link
+
+    async def _move_on(self, leader: str) -> None:
+        """Leaves the current replica for the leader or the next address."""
+        if leader == self._target and leader:
+            await asyncio.sleep(clock.seconds(RETRY_PAUSE_MS))
+            return
+        if self._link is not None:
+            abandoned, self._link = self._link, None
+            await abandoned.close()
+        self._target = leader or self._next_address()
+        if not leader:
+            pause = RETRY_PAUSE_MS * (0.5 + random.random())
+            await asyncio.sleep(clock.seconds(int(pause)))
+
+    def _next_address(self) -> str:
+        if self._target not in self.addresses:
+            return random.choice(self.addresses)
+        position = self.addresses.index(self._target) + 1
+        return self.addresses[position % len(self.addresses)]
--- /dev/null
+++ b/bamboorouter/coordination/replicated_log.py
@@ -0,0 +1,75 @@
+"""The interface between the replicated log and those who decide.
+
+`replica.Replica` implements it; tests of the scheduler use a fake that applies
+each command at once.
+"""
+
+import dataclasses
+from typing import Protocol
+
+import reactivex
+
+from bamboorouter.protocol import commands
+from bamboorouter.state import machine
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Leadership:
+    """A change of leadership as one replica sees it.
+
+    Attributes:
+        leads: Whether this replica leads and has applied its first entry.
+        term: Term of the leader.
+        leader_address: Address of the leader; empty if unknown.
+    """
+
+    leads: bool
+    term: int
+    leader_address: str
+
+
+class ReplicatedLog(Protocol):
+    """One replica of the log, with its state machine.
+
+    Attributes:
+        machine: State after all applied entries; read-only for others.
+        applied: Emits the index after each applied entry.
+        leadership: Emits each change of leadership.
+    """
+
+    machine: machine.Machine
+    applied: "reactivex.Observable[int]"
+    leadership: "reactivex.Observable[Leadership]"
+
+    def lease_valid(self) -> bool:
+        """Whether this replica leads and heard a quorum within 800 ms.
+
+        Decisions, renewals and reads are allowed only while this holds. It is
+        False until the first entry of the leader's own term is applied.
+        """
+        ...
+
+    def term(self) -> int:
+        """Returns the current term."""
+        ...
+
+    def leader_address(self) -> str:
+        """Returns the address of the leader; empty if unknown."""
+        ...
+
+    async def propose(
+        self, command: commands.Command, *, timeout_ms: int
+    ) -> commands.Result:
+        """Commits and applies a command.
+
+        Commands that arrive while an entry is being written share the next
+        entry (group commit).
+
+        Returns:
+            The result of applying it.
+
+        Raises:
+            NotLeaderError: Nothing was proposed.
+            UnknownResultError: Proposed, but the result isn't known.
+        """
+        ...
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -56,6 +56,12 @@
 PROCESS_STOPPED: Final = _event(
     3, "process_stopped", logging.INFO, "All roles stopped."
 )
+STOP_TIMED_OUT: Final = _event(
+    4,
+    "stop_timed_out",
+    logging.ERROR,
+    "A role did not finish its graceful stop in time and was abandoned.",
+)
 LINK_OPENED: Final = _event(
     10, "link_opened", logging.INFO, "A link to a peer opened."
 )
@@ -74,3 +80,6 @@
     logging.ERROR,
     "The handler of a message raised an unexpected error.",
 )
+
+# 100-199: consensus and storage. 200-299: control role. 300-399: agent.
+# 400-499: entry. 500-599: operators.
--- /dev/null
+++ b/bamboorouter/metrics.py
@@ -0,0 +1,67 @@
+"""Prometheus metrics of one process.
+
+Histograms carry the urgency class and the team, so that the tail latency of
+each tenant and class can be read on its own.
+"""
+
+from typing import Final
+
+import prometheus_client
+
+# Bounds in seconds; quick requests are judged below 100 ms, batch in minutes.
+_REQUEST_BUCKETS_S: Final = (
+    *(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1),
+    *(0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0),
+)
+_TASK_BUCKETS_S: Final = (0.1, 0.5, 1.0, 3.2, 10.0, 60.0, 600.0, 3600.0)
+
+REQUEST_SECONDS: Final = prometheus_client.Histogram(
+    "bamboorouter_request_seconds",
+    "Time from a caller's request to its answer, in seconds.",
+    ("service", "team", "urgency", "outcome"),
+    buckets=_REQUEST_BUCKETS_S,
+)
+QUEUE_SECONDS: Final = prometheus_client.Histogram(
+    "bamboorouter_queue_seconds",
+    "Time a request waited for admission, in seconds.",
+    ("team", "urgency"),
+    buckets=_REQUEST_BUCKETS_S,
+)
+REFUSALS: Final = prometheus_client.Counter(
+    "bamboorouter_refusals_total",
+    "Requests refused before they started.",
+    ("service", "team", "urgency", "code"),
+)
+TASK_WAIT_SECONDS: Final = prometheus_client.Histogram(
+    "bamboorouter_task_wait_seconds",
+    "Time from submission of a task to its assignment, in seconds.",
+    ("kind", "team", "urgency"),
+    buckets=_TASK_BUCKETS_S,
+)
+TASKS_ENDED: Final = prometheus_client.Counter(
+    "bamboorouter_tasks_ended_total",
+    "Ended assignments.",
+    ("kind", "team", "outcome"),
+)
+COMMIT_SECONDS: Final = prometheus_client.Histogram(
+    "bamboorouter_commit_seconds",
+    "Time from a proposal to its application on the leader, in seconds.",
+    buckets=_REQUEST_BUCKETS_S,
+)
+APPLIED_REVISION: Final = prometheus_client.Gauge(
+    "bamboorouter_applied_revision",
+    "Configuration revision that this process applies.",
+)
+LEADS: Final = prometheus_client.Gauge(
+    "bamboorouter_leads", "1 if this replica leads its group."
+)
+REPLICAS_BEHIND: Final = prometheus_client.Gauge(
+    "bamboorouter_replica_lag_entries",
+    "Entries by which a follower is behind, as the leader sees it.",
+    ("replica",),
+)
+
+
+def page() -> bytes:
+    """Returns all metrics in the text format of Prometheus."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/bamboorouter/transport/files.py
@@ -0,0 +1,158 @@
+"""The one interface to the data folder.
+
+Everything durable goes through `Folder`, so that tests can replace the disk by
+one that loses what was not synced, fills up or fails.
+"""
+
+import os
+import pathlib
+from typing import Protocol
+
+from bamboorouter import errors
+
+
+class Folder(Protocol):
+    """Files of one data folder, by name. Errors are StorageError."""
+
+    def names(self) -> list[str]:
+        """Returns the names of all files, sorted."""
+        ...
+
+    def read(self, name: str) -> bytes:
+        """Returns the whole content of a file."""
+        ...
+
+    def append(self, name: str, data: bytes) -> None:
+        """Appends to a file, creating it; durable only after sync."""
+        ...
+
+    def sync(self, name: str) -> None:
+        """Makes the appended data, and the file's name, durable."""
+        ...
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces a file atomically and durably."""
+        ...
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file to `size` bytes, durably."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        ...
+
+
+class DiskFolder:
+    """A folder on disk.
+
+    Attributes:
+        path: The data folder.
+    """
+
+    def __init__(self, *, path: pathlib.Path) -> None:
+        self.path = path
+        self._open: dict[str, int] = {}
+        self._unsynced_names: set[str] = set()
+        try:
+            path.mkdir(parents=True, exist_ok=True)
+        except OSError as err:
+            raise self._error("open folder", "", err) from err
+
+    def names(self) -> list[str]:
+        """Returns the names of all files, sorted."""
+        return sorted(
+            entry.name
+            for entry in self.path.iterdir()
+            if entry.is_file() and not entry.name.endswith(".new")
+        )
+
+    def read(self, name: str) -> bytes:
+        """Returns the whole content of a file."""
+        try:
+            return (self.path / name).read_bytes()
+        except OSError as err:
+            raise self._error("read file", name, err) from err
+
+    def append(self, name: str, data: bytes) -> None:
+        """Appends to a file, creating it; durable only after sync."""
+        try:
+            handle = self._handle(name)
+            view = memoryview(data)
+            while view:
+                view = view[os.write(handle, view) :]
+        except OSError as err:
+            raise self._error("append to file", name, err) from err
+
+    def sync(self, name: str) -> None:
+        """Makes the appended data, and the file's name, durable."""
+        try:
+            os.fdatasync(self._handle(name))
+            if name in self._unsynced_names:
+                self._sync_folder()
+                self._unsynced_names.discard(name)
+        except OSError as err:
+            raise self._error("sync file", name, err) from err
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Replaces a file atomically and durably."""
+        self._close(name)
+        temporary = self.path / f"{name}.new"
+        try:
+            with open(temporary, "wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            temporary.replace(self.path / name)
+            self._sync_folder()
+        except OSError as err:
+            raise self._error("replace file", name, err) from err
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cuts a file to `size` bytes, durably."""
+        try:
+            handle = self._handle(name)
+            os.ftruncate(handle, size)
+            os.fsync(handle)
+        except OSError as err:
+            raise self._error("truncate file", name, err) from err
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        self._close(name)
+        try:
+            (self.path / name).unlink()
+            self._sync_folder()
+        except OSError as err:
+            raise self._error("remove file", name, err) from err
+
+    def _handle(self, name: str) -> int:
+        handle = self._open.get(name)
+        if handle is None:
+            path = self.path / name
+            if not path.exists():
+                self._unsynced_names.add(name)
+            handle = os.open(
+                path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644
+            )
+            self._open[name] = handle
+        return handle
+
+    def _close(self, name: str) -> None:
+        handle = self._open.pop(name, None)
+        if handle is not None:
+            os.close(handle)
+
+    def _sync_folder(self) -> None:
+        handle = os.open(self.path, os.O_RDONLY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+    def _error(self, step: str, name: str, err: OSError) -> errors.StorageError:
+        return errors.StorageError(
+            text=err.strerror or str(err),
+            step=step,
+            peer=str(self.path / name),
+        )
