--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -26,6 +26,11 @@
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
+LOG_BUSY: Final = "log_busy"
+MEMBERS_BUSY: Final = "members_busy"
+NO_SUCH_MEMBER: Final = "no_such_member"
+NOT_CAUGHT_UP: Final = "not_caught_up"
+QUORUM_AT_RISK: Final = "quorum_at_risk"
 
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
@@ -49,6 +54,13 @@
     NO_SUCH_JOB: "job {job!r} does not exist",
     JOB_EXISTS: "job {job!r} exists with other content",
     JOB_CANNOT_RUN: "job {job!r} is larger than any worker",
+    LOG_BUSY: "too many commands wait for the log",
+    MEMBERS_BUSY: "another change of members is not committed yet",
+    NO_SUCH_MEMBER: "replica {replica!r} is not a member",
+    NOT_CAUGHT_UP: "replica {replica!r} lacks {lag} committed entries",
+    QUORUM_AT_RISK: (
+        "without replica {replica!r} only {alive} of {voters} voters answer"
+    ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
 }
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -81,5 +81,73 @@
     "The handler of a message raised an unexpected error.",
 )
 
-# 100-199: consensus and storage. 200-299: control role. 300-399: agent.
+# 100-199: consensus and storage.
+TORN_TAIL_CUT: Final = _event(
+    100,
+    "torn_tail_cut",
+    logging.WARNING,
+    "An incomplete last record of the log, never acknowledged, was removed.",
+)
+STORAGE_FAILED: Final = _event(
+    101,
+    "storage_failed",
+    logging.ERROR,
+    "A write or sync failed; the replica acknowledges nothing until it is"
+    " restarted.",
+)
+LEADER_ELECTED: Final = _event(
+    102, "leader_elected", logging.INFO, "This replica leads its group."
+)
+LEADER_STEPPED_DOWN: Final = _event(
+    103,
+    "leader_stepped_down",
+    logging.WARNING,
+    "This replica no longer leads its group.",
+)
+LEADER_CHANGED: Final = _event(
+    104, "leader_changed", logging.INFO, "This replica follows a new leader."
+)
+GROUP_FORMED: Final = _event(
+    105, "group_formed", logging.INFO, "The first members formed the group."
+)
+WAITING_TO_JOIN: Final = _event(
+    106,
+    "waiting_to_join",
+    logging.WARNING,
+    "The data folder is empty but the group exists; an operator must add"
+    " this replica.",
+)
+MEMBERS_CHANGED: Final = _event(
+    107, "members_changed", logging.INFO, "The members of the group changed."
+)
+SNAPSHOT_WRITTEN: Final = _event(
+    108, "snapshot_written", logging.INFO, "A snapshot was written."
+)
+SNAPSHOT_INSTALLED: Final = _event(
+    109,
+    "snapshot_installed",
+    logging.INFO,
+    "A snapshot of the leader replaced this replica's state.",
+)
+SNAPSHOT_SKIPPED: Final = _event(
+    110,
+    "snapshot_skipped",
+    logging.WARNING,
+    "A snapshot on disk is damaged; an older one is used.",
+)
+APPLY_FAILED: Final = _event(
+    111,
+    "apply_failed",
+    logging.ERROR,
+    "The state machine raised an error; the replica stopped taking part.",
+)
+PEER_REPLACED: Final = _event(
+    112,
+    "peer_replaced",
+    logging.WARNING,
+    "Another replica answers at the address of a member, which has lost its"
+    " data folder or was moved.",
+)
+
+# 200-299: control role. 300-399: agent.
 # 400-499: entry. 500-599: operators.
--- a/bamboorouter/protocol/messages.py
+++ b/bamboorouter/protocol/messages.py
@@ -10,6 +10,10 @@
 
 # --- Consensus ---------------------------------------------------------------
 
+KIND_COMMANDS: Final = 0
+KIND_NO_OP: Final = 1
+KIND_MEMBERS: Final = 2
+
 
 class LogEntry(base.Wire, frozen=True, kw_only=True):
     """One entry of the replicated log.
@@ -28,7 +32,12 @@
 
 
 class VoteRequest(base.Wire, frozen=True, kw_only=True, tag=1):
-    """Asks for a vote, or with `pre` whether a vote would be given."""
+    """Asks for a vote, or with `pre` whether a vote would be given.
+
+    Attributes:
+        transfer: The leader handed leadership over and holds no lease, so
+            the vote may be given at once.
+    """
 
     group: str
     term: int
@@ -36,6 +45,7 @@
     last_index: int
     last_term: int
     pre: bool
+    transfer: bool = False
 
 
 class VoteReply(base.Wire, frozen=True, kw_only=True, tag=2):
@@ -52,8 +62,10 @@
     """Replicates entries; without entries it is a heartbeat.
 
     Attributes:
-        sequence: Counter of the leader, echoed by the reply; the leader uses
-            it to date the quorum check by the time of sending.
+        sequence: Monotonic time in ms of the leader when it sent this,
+            echoed by the reply; it dates the quorum check and the lease. The
+            term tells runs of a leader's process apart.
+        prev_chain: First bytes of the chain hash at `prev_index`.
     """
 
     group: str
@@ -65,6 +77,7 @@
     sequence: int
     entries: tuple[LogEntry, ...] = ()
     leader_address: str = ""
+    prev_chain: bytes = b""
 
 
 class AppendReply(base.Wire, frozen=True, kw_only=True, tag=4):
@@ -98,6 +111,7 @@
     data: bytes
     done: bool
     sequence: int = 0
+    leader_address: str = ""
 
 
 class SnapshotReply(base.Wire, frozen=True, kw_only=True, tag=6):
@@ -118,6 +132,25 @@
     term: int
 
 
+class Identify(base.Wire, frozen=True, kw_only=True, tag=8):
+    """Asks a replica for its identity before a group is formed."""
+
+    group: str
+
+
+class Identity(base.Wire, frozen=True, kw_only=True, tag=9):
+    """Answers Identify.
+
+    Attributes:
+        replica: ID from the replica's data folder.
+        formed: Whether its log holds anything, so that a group exists.
+    """
+
+    group: str
+    replica: str
+    formed: bool
+
+
 # --- Agent and leader --------------------------------------------------------
 
 
@@ -524,6 +557,8 @@
     | SnapshotRequest
     | SnapshotReply
     | TimeoutNow
+    | Identify
+    | Identity
     | Heartbeat
     | HeartbeatReply
     | Dispatch
--- /dev/null
+++ b/bamboorouter/state/hard_state.py
@@ -0,0 +1,81 @@
+"""What a replica must never forget: its identity, its term and its vote.
+
+The identity is drawn when the data folder is first used and is lost with it,
+so a vote that was given under a lost identity can never be given again.
+"""
+
+import dataclasses
+import secrets
+from typing import Final
+
+import cbor2
+import xxhash
+
+from bamboorouter import errors
+from bamboorouter.transport import files
+
+_IDENTITY: Final = "identity"
+_VOTE: Final = "vote"
+_ID_BYTES: Final = 8
+_CHECKSUM_BYTES: Final = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HardState:
+    """Term and vote of a replica.
+
+    Attributes:
+        term: Latest term the replica has seen.
+        voted_for: ID it voted for in this term; empty if none.
+    """
+
+    term: int = 0
+    voted_for: str = ""
+
+
+def open_identity(folder: files.Folder) -> str:
+    """Returns the replica ID of a data folder, drawing one if it is empty.
+
+    Raises:
+        StorageError: The folder holds data but no identity.
+    """
+    names = folder.names()
+    if _IDENTITY in names:
+        return folder.read(_IDENTITY).decode("ascii")
+    if any(name != _VOTE for name in names):
+        raise errors.StorageError(
+            text="the data folder has files but no identity",
+            step="open identity",
+            peer=_IDENTITY,
+        )
+    # The vote goes first: an identity without a vote would be a lost vote.
+    save(folder, HardState())
+    replica_id = secrets.token_hex(_ID_BYTES)
+    folder.replace(_IDENTITY, replica_id.encode("ascii"))
+    return replica_id
+
+
+def load(folder: files.Folder) -> HardState:
+    """Returns the saved term and vote.
+
+    Raises:
+        StorageError: They are missing or damaged.
+    """
+    data = folder.read(_VOTE)
+    body = data[_CHECKSUM_BYTES:]
+    if _checksum(body) != data[:_CHECKSUM_BYTES]:
+        raise errors.StorageError(
+            text="term and vote are damaged", step="open vote", peer=_VOTE
+        )
+    term, voted_for = cbor2.loads(body)
+    return HardState(term=term, voted_for=voted_for)
+
+
+def save(folder: files.Folder, state: HardState) -> None:
+    """Saves term and vote durably."""
+    body = cbor2.dumps([state.term, state.voted_for])
+    folder.replace(_VOTE, _checksum(body) + body)
+
+
+def _checksum(body: bytes) -> bytes:
+    return xxhash.xxh3_64_digest(body)
--- /dev/null
+++ b/bamboorouter/state/log_store.py
@@ -0,0 +1,447 @@
+"""The log on disk: segments of checksummed, hash-chained records.
+
+Entries are appended to the newest segment; older segments are sealed and never
+change. `append` only stages records, `write` hands them to the file and `sync`
+makes them durable, so that a leader can send entries between the two.
+
+On opening, every record is checked. An incomplete record at the very end was
+never acknowledged: it is cut off. Damage in a sealed segment, or damage that
+an undamaged record follows, is refused with file and offset, because entries
+that were acknowledged may be missing.
+"""
+
+import array
+import bisect
+import dataclasses
+from collections.abc import Iterator
+from typing import Final
+
+from bamboorouter import errors, events
+from bamboorouter.protocol import messages
+from bamboorouter.state import records
+from bamboorouter.transport import files
+
+SEGMENT_BYTES: Final = 4 * 1024 * 1024
+# Recent entries serve replication; older ones are read from the files.
+RECENT_ENTRIES: Final = 512
+RECENT_BYTES: Final = 1024 * 1024
+# Every 128th offset is kept, which bounds both memory and the search.
+MARK_EVERY: Final = 128
+_READ_BYTES: Final = 256 * 1024
+_PREFIX: Final = "log-"
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Segment:
+    """One file of the log.
+
+    Attributes:
+        name: File name.
+        base: Position before the first entry.
+        size: Bytes of undamaged records, the staged ones included.
+        count: Entries.
+        marks: Offset of every `MARK_EVERY`th entry.
+    """
+
+    name: str
+    base: records.Base
+    size: int = records.SEGMENT_HEAD_BYTES
+    count: int = 0
+    marks: "array.array[int]" = dataclasses.field(
+        default_factory=lambda: array.array("Q")
+    )
+
+    @property
+    def last_index(self) -> int:
+        return self.base.index + self.count
+
+    def add(self, size: int) -> None:
+        if self.count % MARK_EVERY == 0:
+            self.marks.append(self.size)
+        self.count += 1
+        self.size += size
+
+    def cut(self, *, count: int, size: int) -> None:
+        self.count = count
+        self.size = size
+        del self.marks[-(-count // MARK_EVERY) :]
+
+
+class LogStore:
+    """The entries of one replica.
+
+    Attributes:
+        folder: The data folder.
+        base: Position before the first stored entry.
+        last_index: Index of the newest entry, staged ones included.
+        last_term: Term of the newest entry.
+        last_chain: Chain hash of the newest entry.
+        synced_index: Newest index that survives a crash.
+    """
+
+    def __init__(
+        self, *, folder: files.Folder, segment_bytes: int = SEGMENT_BYTES
+    ) -> None:
+        self.folder = folder
+        self.base = records.Base()
+        self.last_index = 0
+        self.last_term = 0
+        self.last_chain = records.FIRST_CHAIN
+        self.synced_index = 0
+        self._segment_bytes = segment_bytes
+        self._segments: list[_Segment] = []
+        self._recent: list[records.StoredEntry] = []
+        self._recent_bytes = 0
+        self._staged: list[tuple[str, bytearray]] = []
+        self._open()
+
+    @property
+    def first_index(self) -> int:
+        """Index of the oldest stored entry, or of the next if empty."""
+        return self.base.index + 1
+
+    @property
+    def total_bytes(self) -> int:
+        """Size of all segments in bytes."""
+        return sum(segment.size for segment in self._segments)
+
+    def append(self, entry: messages.LogEntry) -> None:
+        """Stages an entry that follows the newest one."""
+        if entry.index != self.last_index + 1:
+            raise ValueError(
+                f"entry {entry.index} does not follow {self.last_index}"
+            )
+        stored = records.StoredEntry(
+            entry, records.chain_after(self.last_chain, entry)
+        )
+        record = records.pack_entry(stored)
+        segment = self._segment_for(len(record))
+        self._stage(segment.name, record)
+        segment.add(len(record))
+        self._remember(stored, len(record))
+
+    def write(self) -> None:
+        """Hands staged entries to the files; they aren't durable yet.
+
+        Raises:
+            StorageError: The store must not be used any more.
+        """
+        staged, self._staged = self._staged, []
+        for position, (name, data) in enumerate(staged):
+            self.folder.append(name, bytes(data))
+            if position < len(staged) - 1:
+                # A sealed segment must be whole before the next one exists.
+                self.folder.sync(name)
+                self.folder.release(name)
+
+    def sync(self) -> None:
+        """Makes all entries durable.
+
+        Raises:
+            StorageError: The store must not be used any more.
+        """
+        self.write()
+        if self.synced_index < self.last_index:
+            self.folder.sync(self._segments[-1].name)
+            self.synced_index = self.last_index
+
+    def truncate(self, last_index: int) -> None:
+        """Removes all entries after `last_index`, durably."""
+        if last_index == self.last_index:
+            return
+        self.write()
+        while self._segments and self._segments[-1].base.index >= last_index:
+            if len(self._segments) == 1:
+                break
+            self.folder.remove(self._segments.pop().name)
+        segment = self._segments[-1]
+        kept = last_index - segment.base.index
+        offset = self._offset(segment, last_index + 1)
+        self.folder.truncate(segment.name, offset)
+        segment.cut(count=kept, size=offset)
+        self._recent = [
+            stored
+            for stored in self._recent
+            if stored.entry.index <= last_index
+        ]
+        self._recent_bytes = sum(
+            len(stored.entry.payload) + records.ENTRY_OVERHEAD_BYTES
+            for stored in self._recent
+        )
+        self._set_last(last_index)
+        self.synced_index = min(self.synced_index, last_index)
+
+    def reset(self, base: records.Base) -> None:
+        """Removes all entries; the next one follows `base`.
+
+        The newest segment goes first, so that a crash on the way leaves a
+        log that ends before the snapshot which makes it superfluous.
+        """
+        self._staged = []
+        while self._segments:
+            self.folder.remove(self._segments.pop().name)
+        self._recent = []
+        self._recent_bytes = 0
+        self.base = base
+        self.last_index = base.index
+        self.last_term = base.term
+        self.last_chain = base.chain
+        self.synced_index = base.index
+
+    def drop_before(self, index: int) -> None:
+        """Removes whole oldest segments that end before `index`."""
+        while len(self._segments) > 1 and self._segments[0].last_index < index:
+            self.folder.remove(self._segments.pop(0).name)
+            self.base = self._segments[0].base
+
+    def term_at(self, index: int) -> int:
+        """Returns the term of an entry or of the base."""
+        if index == self.last_index:
+            return self.last_term
+        if index == self.base.index:
+            return self.base.term
+        return self.stored_at(index).entry.term
+
+    def position_at(self, index: int) -> records.Base:
+        """Returns index, term and chain hash of an entry or of the base."""
+        if index == self.base.index:
+            return self.base
+        if index == self.last_index:
+            term, chain = self.last_term, self.last_chain
+        else:
+            stored = self.stored_at(index)
+            term, chain = stored.entry.term, stored.chain
+        return records.Base(index=index, term=term, chain=chain)
+
+    def stored_at(self, index: int) -> records.StoredEntry:
+        """Returns one entry with its chain hash."""
+        if not self.first_index <= index <= self.last_index:
+            raise IndexError(f"entry {index} is not stored")
+        position = self._recent_position(index)
+        if position is not None:
+            return self._recent[position]
+        return next(self._read_files(index, index))
+
+    def read(
+        self, first_index: int, *, max_bytes: int
+    ) -> list[messages.LogEntry]:
+        """Returns entries from `first_index` on, at least one if stored."""
+        entries: list[messages.LogEntry] = []
+        size = 0
+        position = self._recent_position(first_index)
+        source = (
+            iter(self._recent[position:])
+            if position is not None
+            else self._read_files(first_index, self.last_index)
+        )
+        for stored in source:
+            size += len(stored.entry.payload) + records.ENTRY_OVERHEAD_BYTES
+            if entries and size > max_bytes:
+                break
+            entries.append(stored.entry)
+        return entries
+
+    def entries(self, first_index: int) -> Iterator[records.StoredEntry]:
+        """Iterates over the entries stored at the time of the call.
+
+        Raises:
+            IndexError: `first_index` was removed by retention.
+        """
+        if first_index < self.first_index:
+            raise IndexError(f"entry {first_index} is not stored")
+        self.write()
+        return self._read_files(first_index, self.last_index)
+
+    def _remember(self, stored: records.StoredEntry, size: int) -> None:
+        self.last_index = stored.entry.index
+        self.last_term = stored.entry.term
+        self.last_chain = stored.chain
+        self._recent.append(stored)
+        self._recent_bytes += size
+        if (
+            len(self._recent) > 2 * RECENT_ENTRIES
+            or self._recent_bytes > 2 * RECENT_BYTES
+        ):
+            self._forget()
+
+    def _forget(self) -> None:
+        """Drops the older half of the recent entries, but never the last."""
+        kept = self._recent[max(1, len(self._recent) // 2) :]
+        self._recent = kept or self._recent[-1:]
+        self._recent_bytes = sum(
+            len(stored.entry.payload) + records.ENTRY_OVERHEAD_BYTES
+            for stored in self._recent
+        )
+
+    def _recent_position(self, index: int) -> int | None:
+        if not self._recent:
+            return None
+        position = index - self._recent[0].entry.index
+        return position if 0 <= position < len(self._recent) else None
+
+    def _segment_for(self, size: int) -> _Segment:
+        if self._segments and (
+            self._segments[-1].size + size <= self._segment_bytes
+            or self._segments[-1].count == 0
+        ):
+            return self._segments[-1]
+        base = records.Base(
+            index=self.last_index, term=self.last_term, chain=self.last_chain
+        )
+        segment = _Segment(name=f"{_PREFIX}{base.index + 1:020d}", base=base)
+        self._segments.append(segment)
+        self._staged.append(
+            (segment.name, bytearray(records.pack_segment_head(base)))
+        )
+        return segment
+
+    def _stage(self, name: str, record: bytes) -> None:
+        if not self._staged or self._staged[-1][0] != name:
+            self._staged.append((name, bytearray()))
+        self._staged[-1][1].extend(record)
+
+    def _set_last(self, index: int) -> None:
+        if index == self.base.index:
+            self.last_index = index
+            self.last_term = self.base.term
+            self.last_chain = self.base.chain
+            return
+        stored = self.stored_at(index)
+        self.last_index = index
+        self.last_term = stored.entry.term
+        self.last_chain = stored.chain
+
+    def _segment_of(self, index: int) -> int:
+        """Returns the position of the segment that holds `index`."""
+        return (
+            bisect.bisect_left(
+                self._segments, index, key=lambda segment: segment.base.index
+            )
+            - 1
+        )
+
+    def _offset(self, segment: _Segment, index: int) -> int:
+        """Returns the offset at which entry `index` starts or would start."""
+        number = index - segment.base.index - 1
+        if number >= segment.count:
+            return segment.size
+        mark = number // MARK_EVERY
+        offset = segment.marks[mark]
+        data = self._read_from(segment, offset, mark)
+        position = 0
+        for _ in range(number % MARK_EVERY):
+            parsed = records.parse_entry(data, position)
+            if parsed is None:
+                raise _damage(segment.name, offset + position)
+            position = parsed[1]
+        return offset + position
+
+    def _read_from(self, segment: _Segment, offset: int, mark: int) -> bytes:
+        """Reads from `offset` to the mark after `mark`."""
+        marks = segment.marks
+        end = marks[mark + 1] if mark + 1 < len(marks) else segment.size
+        return self.folder.read_at(segment.name, offset, end - offset)
+
+    def _read_files(
+        self, first_index: int, last_index: int
+    ) -> Iterator[records.StoredEntry]:
+        if first_index > last_index:
+            return
+        for segment in self._segments[self._segment_of(first_index) :]:
+            if segment.base.index >= last_index:
+                return
+            start = max(0, first_index - segment.base.index - 1) // MARK_EVERY
+            yield from (
+                stored
+                for stored in self._read_segment(segment, start)
+                if first_index <= stored.entry.index <= last_index
+            )
+
+    def _read_segment(
+        self, segment: _Segment, mark: int
+    ) -> Iterator[records.StoredEntry]:
+        """Yields the entries from a mark on, reading mark by mark."""
+        while mark < len(segment.marks):
+            offset = segment.marks[mark]
+            data = self._read_from(segment, offset, mark)
+            position = 0
+            while position < len(data):
+                parsed = records.parse_entry(data, position)
+                if parsed is None:
+                    raise _damage(segment.name, offset + position)
+                stored, position = parsed
+                yield stored
+            mark += 1
+
+    def _open(self) -> None:
+        names = [
+            name for name in self.folder.names() if name.startswith(_PREFIX)
+        ]
+        for position, name in enumerate(names):
+            self._open_segment(name, newest=position == len(names) - 1)
+        self.synced_index = self.last_index
+
+    def _open_segment(self, name: str, *, newest: bool) -> None:
+        data = self.folder.read(name)
+        base = records.parse_segment_head(data)
+        if base is None:
+            self._open_headless(name, data, newest=newest)
+            return
+        if not self._segments:
+            self.base = base
+            self.last_index = base.index
+            self.last_term = base.term
+            self.last_chain = base.chain
+        elif base.index != self.last_index or base.chain != self.last_chain:
+            raise _damage(name, 0, "does not continue the segment before")
+        segment = _Segment(name=name, base=base)
+        self._segments.append(segment)
+        self._scan(segment, data, newest=newest)
+
+    def _open_headless(self, name: str, data: bytes, *, newest: bool) -> None:
+        """Removes a segment whose creation a crash interrupted."""
+        if not newest or records.find_entry(data, 0) is not None:
+            raise _damage(name, 0)
+        events.log(events.TORN_TAIL_CUT, file=name, offset=0, removed=len(data))
+        self.folder.remove(name)
+
+    def _scan(self, segment: _Segment, data: bytes, *, newest: bool) -> None:
+        position = segment.size
+        while position < len(data):
+            parsed = records.parse_entry(data, position)
+            if parsed is None:
+                self._cut_tail(segment, data, position, newest=newest)
+                return
+            stored, end = parsed
+            if (
+                stored.entry.index != self.last_index + 1
+                or records.chain_after(self.last_chain, stored.entry)
+                != stored.chain
+            ):
+                raise _damage(segment.name, position, "breaks the hash chain")
+            segment.add(end - position)
+            self._remember(stored, end - position)
+            position = end
+
+    def _cut_tail(
+        self, segment: _Segment, data: bytes, position: int, *, newest: bool
+    ) -> None:
+        if not newest or records.find_entry(data, position + 1) is not None:
+            raise _damage(segment.name, position)
+        events.log(
+            events.TORN_TAIL_CUT,
+            file=segment.name,
+            offset=position,
+            removed=len(data) - position,
+        )
+        self.folder.truncate(segment.name, position)
+
+
+def _damage(
+    name: str, offset: int, text: str = "is damaged"
+) -> errors.StorageError:
+    return errors.StorageError(
+        text=f"the record at offset {offset} of {name} {text}",
+        step="open log",
+        peer=name,
+    )
--- /dev/null
+++ b/bamboorouter/state/snapshot_store.py
@@ -0,0 +1,92 @@
+"""Snapshots of the state machine on disk.
+
+The two newest are kept, so that a damaged one can be passed over as long as
+the log reaches back to the one before.
+"""
+
+import dataclasses
+from typing import Final
+
+import cbor2
+import xxhash
+
+from bamboorouter import events
+from bamboorouter.state import records
+from bamboorouter.transport import files
+
+_PREFIX: Final = "snapshot-"
+_KEPT: Final = 2
+_CHECKSUM_BYTES: Final = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Snapshot:
+    """The state after an entry.
+
+    Attributes:
+        position: Index, term and chain hash of that entry.
+        members: Encoded members in force at that entry.
+        data: Snapshot of the state machine.
+    """
+
+    position: records.Base
+    members: bytes
+    data: bytes
+
+
+class SnapshotStore:
+    """Reads and writes snapshots.
+
+    Attributes:
+        folder: The data folder.
+        position: Position of the newest snapshot; None if there is none.
+    """
+
+    def __init__(self, *, folder: files.Folder) -> None:
+        self.folder = folder
+        self.position: records.Base | None = None
+
+    def save(self, snapshot: Snapshot) -> None:
+        """Writes a snapshot durably and removes all but the newest two."""
+        position = snapshot.position
+        body = cbor2.dumps(
+            [
+                position.index,
+                position.term,
+                position.chain,
+                snapshot.members,
+                snapshot.data,
+            ]
+        )
+        name = f"{_PREFIX}{position.index:020d}"
+        self.folder.replace(name, xxhash.xxh3_64_digest(body) + body)
+        self.position = position
+        for old in self._names()[:-_KEPT]:
+            self.folder.remove(old)
+
+    def load(self) -> Snapshot | None:
+        """Returns the newest undamaged snapshot."""
+        for name in reversed(self._names()):
+            snapshot = _parse(self.folder.read(name))
+            if snapshot is not None:
+                self.position = snapshot.position
+                return snapshot
+            events.log(events.SNAPSHOT_SKIPPED, file=name)
+        return None
+
+    def _names(self) -> list[str]:
+        return [
+            name for name in self.folder.names() if name.startswith(_PREFIX)
+        ]
+
+
+def _parse(data: bytes) -> Snapshot | None:
+    body = data[_CHECKSUM_BYTES:]
+    if xxhash.xxh3_64_digest(body) != data[:_CHECKSUM_BYTES]:
+        return None
+    index, term, chain, members, state = cbor2.loads(body)
+    return Snapshot(
+        position=records.Base(index=index, term=term, chain=chain),
+        members=members,
+        data=state,
+    )
--- a/bamboorouter/transport/files.py
+++ b/bamboorouter/transport/files.py
@@ -22,6 +22,14 @@
         """Returns the whole content of a file."""
         ...
 
+    def size(self, name: str) -> int:
+        """Returns the size of a file in bytes."""
+        ...
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Returns up to `size` bytes from `offset`; fewer at the end."""
+        ...
+
     def append(self, name: str, data: bytes) -> None:
         """Appends to a file, creating it; durable only after sync."""
         ...
@@ -39,7 +47,11 @@
         ...
 
     def remove(self, name: str) -> None:
-        """Removes a file."""
+        """Removes a file, durably."""
+        ...
+
+    def release(self, name: str) -> None:
+        """Frees what is held open for a file that isn't appended to."""
         ...
 
 
@@ -74,6 +86,22 @@
         except OSError as err:
             raise self._error("read file", name, err) from err
 
+    def size(self, name: str) -> int:
+        """Returns the size of a file in bytes."""
+        try:
+            return (self.path / name).stat().st_size
+        except OSError as err:
+            raise self._error("read file size", name, err) from err
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """Returns up to `size` bytes from `offset`; fewer at the end."""
+        try:
+            with open(self.path / name, "rb", buffering=0) as file:
+                file.seek(offset)
+                return file.read(size) or b""
+        except OSError as err:
+            raise self._error("read file", name, err) from err
+
     def append(self, name: str, data: bytes) -> None:
         """Appends to a file, creating it; durable only after sync."""
         try:
@@ -118,7 +146,7 @@
             raise self._error("truncate file", name, err) from err
 
     def remove(self, name: str) -> None:
-        """Removes a file."""
+        """Removes a file, durably."""
         self._close(name)
         try:
             (self.path / name).unlink()
@@ -126,6 +154,10 @@
         except OSError as err:
             raise self._error("remove file", name, err) from err
 
+    def release(self, name: str) -> None:
+        """Closes the handle of a file that isn't appended to."""
+        self._close(name)
+
     def _handle(self, name: str) -> int:
         handle = self._open.get(name)
         if handle is None:
--- /dev/null
+++ b/tests/replica_site.py
@@ -0,0 +1,153 @@
+"""Replicas on loopback links in one process, with a small state machine."""
+
+import asyncio
+import pathlib
+import socket
+from collections.abc import Callable
+
+import cbor2
+
+from bamboorouter import clock, options
+from bamboorouter.coordination import replica
+from bamboorouter.protocol import commands
+from bamboorouter.state import machine
+from bamboorouter.transport import files, link
+
+
+class ListMachine(machine.Machine):
+    """Keeps the jobs that were cancelled, in order.
+
+    Attributes:
+        jobs: Job of each applied command.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.jobs: list[str] = []
+
+    def apply(
+        self, index: int, batch: commands.CommandBatch
+    ) -> list[commands.Result]:
+        results = []
+        for command in batch.commands:
+            assert isinstance(command, commands.CancelJob)
+            self.jobs.append(command.job)
+            self.config_revision += 1
+            results.append(
+                commands.Result(ok=True, data={"position": len(self.jobs)})
+            )
+        return results
+
+    def snapshot(self) -> bytes:
+        return cbor2.dumps([self.config_revision, self.jobs])
+
+    def restore(self, data: bytes) -> None:
+        self.config_revision, self.jobs = cbor2.loads(data)
+
+
+def cancel(job: str) -> commands.CancelJob:
+    return commands.CancelJob(operation_id=job, operator="test", job=job)
+
+
+def free_port() -> int:
+    """Returns a port that the kernel chose and nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Node:
+    """One replica with its link server.
+
+    Attributes:
+        address: Address of the link server.
+        folder: The data folder.
+        replica: The running replica.
+        machine: Its state machine.
+    """
+
+    replica: replica.Replica
+    machine: ListMachine
+
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        port: int,
+        bootstrap: tuple[str, ...],
+        snapshot_entries: int = 4096,
+    ) -> None:
+        self.path = path
+        self.address = f"127.0.0.1:{port}"
+        self.bootstrap = bootstrap
+        self.snapshot_entries = snapshot_entries
+        self._server: link.LinkServer | None = None
+
+    async def start(
+        self, *, folder: files.Folder | None = None, **arguments: int
+    ) -> None:
+        self.machine = ListMachine()
+        self.replica = replica.Replica(
+            process=options.ProcessOptions(
+                name="control", zone="a", roles=("control",)
+            ),
+            settings=options.ControlOptions(
+                data_dir=str(self.path),
+                bootstrap=self.bootstrap,
+                snapshot_entries=self.snapshot_entries,
+            ),
+            folder=folder or files.DiskFolder(path=self.path),
+            machine=self.machine,
+            time=clock.SystemClock(),
+            **arguments,
+        )
+        host, _, port = self.address.rpartition(":")
+        self._server = await link.serve_links(
+            host=host, port=int(port), handler=self.replica.handle
+        )
+        await self.replica.start(self.address)
+
+    async def stop(self) -> None:
+        """Stops gracefully."""
+        await self.replica.stop()
+        if self._server is not None:
+            await self._server.close()
+            self._server = None
+
+
+def make_nodes(
+    path: pathlib.Path, count: int, *, snapshot_entries: int = 4096
+) -> list[Node]:
+    """Returns nodes that will form a group."""
+    ports = [free_port() for _ in range(count)]
+    bootstrap = tuple(f"127.0.0.1:{port}" for port in ports)
+    return [
+        Node(
+            path=path / f"replica-{number}",
+            port=port,
+            bootstrap=bootstrap,
+            snapshot_entries=snapshot_entries,
+        )
+        for number, port in enumerate(ports)
+    ]
+
+
+async def until(
+    condition: Callable[[], bool], *, timeout_s: float = 10
+) -> None:
+    """Waits until a condition holds; TimeoutError if it never does."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
+async def leader_of(nodes: list[Node], *, timeout_s: float = 10) -> Node:
+    """Waits until one of the nodes holds a valid lease."""
+    await until(
+        lambda: any(node.replica.lease_valid() for node in nodes),
+        timeout_s=timeout_s,
+    )
+    return next(node for node in nodes if node.replica.lease_valid())
