--- a/bamboorouter/metrics.py
+++ b/bamboorouter/metrics.py
@@ -61,6 +61,17 @@
     ("replica",),
 )
 
+LINK_BYTES: Final = prometheus_client.Counter(
+    "bamboorouter_link_bytes_total",
+    "Bytes of frames on links between processes, without transport headers.",
+    ("direction",),
+)
+LINK_FRAMES: Final = prometheus_client.Counter(
+    "bamboorouter_link_frames_total",
+    "Frames on links between processes.",
+    ("direction",),
+)
+
 
 def page() -> bytes:
     """Returns all metrics in the text format of Prometheus."""
--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -31,6 +31,11 @@
 _REPLY: Final = 1
 _PUSH: Final = 2
 
+_BYTES_SENT: Final = metrics.LINK_BYTES.labels("sent")
+_BYTES_RECEIVED: Final = metrics.LINK_BYTES.labels("received")
+_FRAMES_SENT: Final = metrics.LINK_FRAMES.labels("sent")
+_FRAMES_RECEIVED: Final = metrics.LINK_FRAMES.labels("received")
+
 Handler = Callable[
     [messages.Message, "Link"], Awaitable[messages.Message | None]
 ]
@@ -143,12 +148,17 @@
         self, kind: int, request_id: int, message: messages.Message
     ) -> None:
         plain = messages.CODEC.to_plain(message)
+        frame = cbor2.dumps([kind, request_id, plain])
+        _BYTES_SENT.inc(len(frame))
+        _FRAMES_SENT.inc()
         try:
-            await self._socket.send(cbor2.dumps([kind, request_id, plain]))
+            await self._socket.send(frame)
         except websockets.exceptions.ConnectionClosed as err:
             raise self._closed_error() from err
 
     def _receive(self, frame: Any) -> None:
+        _BYTES_RECEIVED.inc(len(frame))
+        _FRAMES_RECEIVED.inc()
         kind, request_id, message = _decode_frame(frame)
         if kind == _REPLY:
             future = self._waiting.get(request_id)
