--- a/bamboorouter/__main__.py
+++ b/bamboorouter/__main__.py
@@ -6,7 +6,9 @@
 
 from absl import logging
 
-from bamboorouter import daemon, errors, options
+from bamboorouter import daemon
+from bamboorouter import errors
+from bamboorouter import options
 
 
 def main() -> int:
--- a/bamboorouter/clock.py
+++ b/bamboorouter/clock.py
@@ -7,7 +7,9 @@
 """
 
 import time
-from typing import Final, NewType, Protocol
+from typing import Final
+from typing import NewType
+from typing import Protocol
 
 Millis = NewType("Millis", int)
 
--- a/bamboorouter/coordination/control_client.py
+++ b/bamboorouter/coordination/control_client.py
@@ -10,7 +10,8 @@
 import random
 from typing import Final
 
-from bamboorouter import clock, errors
+from bamboorouter import clock
+from bamboorouter import errors
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
--- a/bamboorouter/daemon.py
+++ b/bamboorouter/daemon.py
@@ -9,9 +9,14 @@
 import json
 import pathlib
 import signal
-from typing import Final, Protocol
-
-from bamboorouter import clock, errors, events, metrics, options
+from typing import Final
+from typing import Protocol
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import metrics
+from bamboorouter import options
 from bamboorouter.transport import link
 
 # Requests in progress keep their deadlines; a role that hangs beyond this is
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -6,7 +6,8 @@
 
 import pathlib
 import tomllib
-from typing import Annotated, Literal
+from typing import Annotated
+from typing import Literal
 
 import msgspec
 
--- a/bamboorouter/protocol/codec.py
+++ b/bamboorouter/protocol/codec.py
@@ -5,7 +5,9 @@
 wrong shape never reaches a handler.
 """
 
-from typing import Any, Generic, TypeVar
+from typing import Any
+from typing import Generic
+from typing import TypeVar
 
 import cbor2
 import msgspec
--- a/bamboorouter/protocol/commands.py
+++ b/bamboorouter/protocol/commands.py
@@ -3,9 +3,12 @@
 A log entry carries one `CommandBatch`. Tags never change meaning.
 """
 
-from typing import Any, Final
+from typing import Any
+from typing import Final
 
-from bamboorouter.protocol import base, codec, common
+from bamboorouter.protocol import base
+from bamboorouter.protocol import codec
+from bamboorouter.protocol import common
 
 
 class AcceptSheet(base.Wire, frozen=True, kw_only=True, tag=1):
--- a/bamboorouter/protocol/messages.py
+++ b/bamboorouter/protocol/messages.py
@@ -4,9 +4,13 @@
 entry and leader, 80-99 operators. A tag never changes meaning.
 """
 
-from typing import Any, Final, Literal
+from typing import Any
+from typing import Final
+from typing import Literal
 
-from bamboorouter.protocol import base, codec, common
+from bamboorouter.protocol import base
+from bamboorouter.protocol import codec
+from bamboorouter.protocol import common
 
 # --- Consensus ---------------------------------------------------------------
 
--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -7,10 +7,12 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import logging as std_logging
-from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any
+from typing import Final
 
 import cbor2
 import websockets.asyncio.client
@@ -20,8 +22,12 @@
 import websockets.exceptions
 import websockets.http11
 
-from bamboorouter import clock, errors, events
-from bamboorouter.protocol import codec, messages
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import metrics
+from bamboorouter.protocol import codec
+from bamboorouter.protocol import messages
 
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
 OPEN_TIMEOUT_MS: Final = 1000
--- a/devtools/run_tests.py
+++ b/devtools/run_tests.py
@@ -12,8 +12,8 @@
 import pathlib
 import sys
 import time
-import unittest
 from typing import Final
+import unittest
 
 ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED: Final = ROOT / "KNOWN-RED.txt"
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -4,7 +4,8 @@
 import tempfile
 import unittest
 
-from bamboorouter import errors, options
+from bamboorouter import errors
+from bamboorouter import options
 
 VALID = """
 [process]
