--- a/bamboorouter/coordination/consensus.py
+++ b/bamboorouter/coordination/consensus.py
@@ -21,10 +21,14 @@
 from typing import Final
 
 from bamboorouter import errors
-from bamboorouter.coordination import membership, progress
+from bamboorouter.coordination import membership
+from bamboorouter.coordination import progress
 from bamboorouter.protocol import membership as members_protocol
 from bamboorouter.protocol import messages
-from bamboorouter.state import hard_state, log_store, records, snapshot_store
+from bamboorouter.state import hard_state
+from bamboorouter.state import log_store
+from bamboorouter.state import records
+from bamboorouter.state import snapshot_store
 
 APPEND_BYTES: Final = 256 * 1024
 SNAPSHOT_CHUNK_BYTES: Final = 256 * 1024
--- a/bamboorouter/coordination/formation.py
+++ b/bamboorouter/coordination/formation.py
@@ -11,8 +11,11 @@
 import asyncio
 from typing import Final
 
-from bamboorouter import clock, errors, events
-from bamboorouter.protocol import membership, messages
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter.protocol import membership
+from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
 ASK_PAUSE_MS: Final = 200
--- a/bamboorouter/coordination/membership.py
+++ b/bamboorouter/coordination/membership.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable
 
-from bamboorouter.protocol import membership, messages
+from bamboorouter.protocol import membership
+from bamboorouter.protocol import messages
 from bamboorouter.state import records
 
 
--- a/bamboorouter/coordination/peers.py
+++ b/bamboorouter/coordination/peers.py
@@ -10,7 +10,9 @@
 from collections.abc import Callable
 from typing import Final
 
-from bamboorouter import clock, errors, events
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/replica.py
@@ -10,35 +10,38 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import functools
 import random
-from collections.abc import Callable
 from typing import Final
 
 import reactivex
 from reactivex import subject
 
-from bamboorouter import clock, error_texts, errors, events, metrics, options
-from bamboorouter.coordination import (
-    consensus,
-    formation,
-    membership,
-    peers,
-    proposals,
-    replicated_log,
-)
-from bamboorouter.protocol import commands, messages
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import metrics
+from bamboorouter import options
+from bamboorouter.coordination import consensus
+from bamboorouter.coordination import formation
+from bamboorouter.coordination import membership
+from bamboorouter.coordination import peers
+from bamboorouter.coordination import proposals
+from bamboorouter.coordination import replicated_log
+from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership as members_protocol
-from bamboorouter.state import (
-    hard_state,
-    log_store,
-    machine,
-    records,
-    snapshot_store,
-)
-from bamboorouter.transport import files, link
+from bamboorouter.protocol import messages
+from bamboorouter.state import hard_state
+from bamboorouter.state import log_store
+from bamboorouter.state import machine
+from bamboorouter.state import records
+from bamboorouter.state import snapshot_store
+from bamboorouter.transport import files
+from bamboorouter.transport import link
 
 BATCH_COMMANDS: Final = 256
 BATCH_BYTES: Final = 512 * 1024
--- a/bamboorouter/protocol/membership.py
+++ b/bamboorouter/protocol/membership.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from bamboorouter.protocol import base, codec
+from bamboorouter.protocol import base
+from bamboorouter.protocol import codec
 
 
 class Member(base.Wire, frozen=True, kw_only=True):
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -12,11 +12,12 @@
 
 import array
 import bisect
-import dataclasses
 from collections.abc import Iterator
+import dataclasses
 from typing import Final
 
-from bamboorouter import errors, events
+from bamboorouter import errors
+from bamboorouter import events
 from bamboorouter.protocol import messages
 from bamboorouter.state import records
 from bamboorouter.transport import files
--- a/tests/replica_site.py
+++ b/tests/replica_site.py
@@ -1,17 +1,19 @@
 """Replicas on loopback links in one process, with a small state machine."""
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import socket
-from collections.abc import Callable
 
 import cbor2
 
-from bamboorouter import clock, options
+from bamboorouter import clock
+from bamboorouter import options
 from bamboorouter.coordination import replica
 from bamboorouter.protocol import commands
 from bamboorouter.state import machine
-from bamboorouter.transport import files, link
+from bamboorouter.transport import files
+from bamboorouter.transport import link
 
 
 class ListMachine(machine.Machine):
