--- a/bamboorouter/coordination/consensus.py
+++ b/bamboorouter/coordination/consensus.py
@@ -234,7 +234,7 @@
         elif self._owed is not None:
             self._pay(self._owed)
 
-    def installed(self, snapshot: snapshot_store.Snapshot, now: int) -> None:
+    def installed(self, snapshot: snapshot_store.Snapshot) -> None:
         """Takes note that log and state machine start from a snapshot."""
         index = snapshot.position.index
         self.commit = index
@@ -242,8 +242,7 @@
             index, members_protocol.CODEC.decode(snapshot.members)
         )
         self._owed = None
-        self._await_leader(now)
-        self._reply_snapshot(offset=len(snapshot.data), done=True, sequence=now)
+        self._reply_snapshot(offset=len(snapshot.data), done=True, sequence=0)
 
     def link_lost(self, replica_id: str) -> None:
         """Takes note that messages to a replica may have been lost."""
--- a/bamboorouter/coordination/peers.py
+++ b/bamboorouter/coordination/peers.py
@@ -8,11 +8,15 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 from typing import Final
 
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
+from bamboorouter.coordination import consensus
+from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
@@ -21,6 +25,110 @@
 # A link that swallows data without an error is replaced after this silence.
 SILENCE_MS: Final = 2000
 
+_REPLIES_UNDER_WAY: Final = 64
+
+
+class Peers:
+    """Sends messages of a replica to the others.
+
+    Requests go over links that this replica dials. Replies go back over the
+    link on which the request came, because a replica that isn't a member yet
+    knows no addresses.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        handler: link.Handler,
+        on_lost: Callable[[str], None],
+        time: clock.Clock,
+    ) -> None:
+        self._group = group
+        self._handler = handler
+        self._on_lost = on_lost
+        self._clock = time
+        self._peers: dict[str, Peer] = {}
+        self._routes: dict[str, link.Link] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def heard(self, message: messages.Message, source: link.Link) -> None:
+        """Notes on which link the sender of a request gets its replies."""
+        match message:
+            case messages.VoteRequest():
+                self._routes[message.candidate] = source
+            case messages.AppendRequest() | messages.SnapshotRequest():
+                self._routes[message.leader] = source
+
+    def post(
+        self, envelope: consensus.Envelope, members: membership.Members
+    ) -> None:
+        """Sends a message; `members` gives the addresses."""
+        match envelope.message:
+            case (
+                messages.VoteReply()
+                | messages.AppendReply()
+                | messages.SnapshotReply()
+            ):
+                self._reply(envelope)
+            case _:
+                peer = self._peer(members.find(envelope.to))
+                if peer is not None:
+                    peer.send(envelope.message)
+
+    def keep_only(self, members: membership.Members) -> None:
+        """Closes links to replicas that are no members any more."""
+        for replica_id in list(self._peers):
+            if members.find(replica_id) is None:
+                self._spawn(self._peers.pop(replica_id).close())
+
+    async def drained(self) -> None:
+        """Waits until all queued requests were sent or dropped."""
+        await asyncio.gather(*(p.drained() for p in self._peers.values()))
+
+    async def close(self) -> None:
+        """Closes all links."""
+        await asyncio.gather(*(p.close() for p in self._peers.values()))
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _peer(self, member: membership.Member | None) -> "Peer | None":
+        if member is None:
+            return None
+        peer = self._peers.get(member.id)
+        if peer is None:
+            peer = self._peers[member.id] = Peer(
+                replica_id=member.id,
+                address=member.address,
+                group=self._group,
+                handler=self._handler,
+                on_lost=self._on_lost,
+                time=self._clock,
+            )
+        return peer
+
+    def _reply(self, envelope: consensus.Envelope) -> None:
+        route = self._routes.get(envelope.to)
+        if route is None or route.closed.is_set():
+            self._routes.pop(envelope.to, None)
+        elif len(self._tasks) < _REPLIES_UNDER_WAY:
+            self._spawn(_push(route, envelope.message))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _push(route: link.Link, message: messages.Message) -> None:
+    try:
+        async with asyncio.timeout(clock.seconds(SILENCE_MS)):
+            await route.push(message)
+    except (errors.RouterError, TimeoutError):
+        # A lost reply shows at the leader, which sends again.
+        return
+
 
 class Peer:
     """Sends messages to one replica, in order.
--- a/bamboorouter/coordination/proposals.py
+++ b/bamboorouter/coordination/proposals.py
@@ -68,9 +68,11 @@
 
     def applied(self, index: int, results: list[commands.Result]) -> None:
         """Passes the results of an applied entry on."""
-        for waiting, result in zip(
-            self.open.pop(index, ()), results, strict=False
-        ):
+        batch = self.open.pop(index, [])
+        if batch and not results:
+            # An entry without commands, such as a change of members.
+            results = [commands.Result(ok=True)] * len(batch)
+        for waiting, result in zip(batch, results, strict=False):
             if not waiting.result.done():
                 waiting.result.set_result(result)
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -148,6 +148,13 @@
     "Another replica answers at the address of a member, which has lost its"
     " data folder or was moved.",
 )
+LOG_SHORTENED: Final = _event(
+    113,
+    "log_shortened",
+    logging.WARNING,
+    "Retention removed the oldest entries of the log; the account starts"
+    " later.",
+)
 
 # 200-299: control role. 300-399: agent.
 # 400-499: entry. 500-599: operators.
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -189,11 +189,27 @@
         self.last_chain = base.chain
         self.synced_index = base.index
 
-    def drop_before(self, index: int) -> None:
-        """Removes whole oldest segments that end before `index`."""
-        while len(self._segments) > 1 and self._segments[0].last_index < index:
+    def drop_oldest(self, *, max_bytes: int, covered_index: int) -> bool:
+        """Removes whole oldest segments while the log is larger than allowed.
+
+        Args:
+            max_bytes: Allowed size of all segments.
+            covered_index: Newest entry that a snapshot makes superfluous for
+                a restart; later entries are kept.
+
+        Returns:
+            Whether a segment was removed.
+        """
+        removed = False
+        while (
+            len(self._segments) > 1
+            and self.total_bytes > max_bytes
+            and self._segments[0].last_index <= covered_index
+        ):
             self.folder.remove(self._segments.pop(0).name)
             self.base = self._segments[0].base
+            removed = True
+        return removed
 
     def term_at(self, index: int) -> int:
         """Returns the term of an entry or of the base."""
--- a/bamboorouter/state/snapshot_store.py
+++ b/bamboorouter/state/snapshot_store.py
@@ -74,6 +74,11 @@
             events.log(events.SNAPSHOT_SKIPPED, file=name)
         return None
 
+    def oldest_index(self) -> int:
+        """Returns the index of the oldest kept snapshot; 0 without any."""
+        names = self._names()
+        return int(names[0].removeprefix(_PREFIX)) if names else 0
+
     def _names(self) -> list[str]:
         return [
             name for name in self.folder.names() if name.startswith(_PREFIX)
