Add randomised test of the consensus core over simulated faults

Clock, network and disk come from one seed; each event is followed by checks for one lease, equal commits and nothing acknowledged lost. It found two faults, fixed here: - A segment could be sealed with unsynced records.

--- a/bamboorouter/coordination/consensus.py
+++ b/bamboorouter/coordination/consensus.py
@@ -489,7 +489,7 @@
     ) -> None:
         """Sends what the follower lacks, as far as its window allows."""
         if follower.next < self.log.first_index:
-            if follower.snapshot_offset is None:
+            if follower.snapshot_offset is None and _answers(follower, now):
                 self._send_chunk(replica_id, follower, now)
             return
         follower.snapshot_offset = None
@@ -729,9 +729,12 @@
     def _send_chunk(
         self, replica_id: str, follower: progress.Progress, now: int
     ) -> None:
-        if self._outgoing is None:
-            self._outgoing = self.snapshots.load()
         snapshot = self._outgoing
+        if snapshot is None or snapshot.position.index < self.log.base.index:
+            # An older snapshot would end before the first entry to send. A
+            # follower that has a part of it asks for the new one from the
+            # start.
+            snapshot = self._outgoing = self.snapshots.load()
         if snapshot is None:
             return
         offset = follower.snapshot_offset or 0
@@ -758,12 +761,19 @@
     def _resend_chunk(
         self, replica_id: str, follower: progress.Progress, now: int
     ) -> None:
-        waited = now - follower.snapshot_sent_ms
-        if follower.snapshot_offset is not None and (
-            waited >= SNAPSHOT_RESEND_MS
-        ):
+        if follower.snapshot_offset is None:
+            return
+        if not _answers(follower, now):
+            follower.snapshot_offset = None
+            self._free_snapshot()
+        elif now - follower.snapshot_sent_ms >= SNAPSHOT_RESEND_MS:
             self._send_chunk(replica_id, follower, now)
 
+    def _free_snapshot(self) -> None:
+        """Frees the snapshot once it is sent to nobody."""
+        if all(f.snapshot_offset is None for f in self.followers.values()):
+            self._outgoing = None
+
     def _on_snapshot(self, m: messages.SnapshotRequest, now: int) -> None:
         if m.term < self.term:
             return
@@ -821,10 +831,10 @@
             follower.snapshot_offset = m.offset
             self._send_chunk(m.follower, follower, now)
             return
+        index = self._outgoing.position.index
         follower.restart()
-        follower.next = max(follower.next, self._outgoing.position.index + 1)
-        if all(f.snapshot_offset is None for f in self.followers.values()):
-            self._outgoing = None
+        follower.next = max(follower.next, index + 1)
+        self._free_snapshot()
         self._send_entries(m.follower, follower, now)
 
     # --- Output --------------------------------------------------------------
@@ -837,3 +847,7 @@
     def _send(self, to: str, message: messages.Message) -> None:
         if to and to != self.id:
             self._output.messages.append(Envelope(to, message))
+
+
+def _answers(follower: progress.Progress, now: int) -> bool:
+    return now - follower.acknowledged_ms < SNAPSHOT_RESEND_MS
--- a/bamboorouter/state/hard_state.py
+++ b/bamboorouter/state/hard_state.py
@@ -48,11 +48,16 @@
             step="open identity",
             peer=_IDENTITY,
         )
+    replica_id = secrets.token_hex(_ID_BYTES)
+    create(folder, replica_id)
+    return replica_id
+
+
+def create(folder: files.Folder, replica_id: str) -> None:
+    """Writes the identity of an empty data folder."""
     # The vote goes first: an identity without a vote would be a lost vote.
     save(folder, HardState())
-    replica_id = secrets.token_hex(_ID_BYTES)
     folder.replace(_IDENTITY, replica_id.encode("ascii"))
-    return replica_id
 
 
 def load(folder: files.Folder) -> HardState:
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -94,6 +94,7 @@
         self._recent: list[records.StoredEntry] = []
         self._recent_bytes = 0
         self._staged: list[tuple[str, bytearray]] = []
+        self._written = ""
         self._open()
 
     @property
@@ -128,12 +129,13 @@
             StorageError: The store must not be used any more.
         """
         staged, self._staged = self._staged, []
-        for position, (name, data) in enumerate(staged):
-            self.folder.append(name, bytes(data))
-            if position < len(staged) - 1:
+        for name, data in staged:
+            if self._written and self._written != name:
                 # A sealed segment must be whole before the next one exists.
-                self.folder.sync(name)
-                self.folder.release(name)
+                self.folder.sync(self._written)
+                self.folder.release(self._written)
+            self._written = name
+            self.folder.append(name, bytes(data))
 
     def sync(self) -> None:
         """Makes all entries durable.
@@ -156,6 +158,7 @@
                 break
             self.folder.remove(self._segments.pop().name)
         segment = self._segments[-1]
+        self._written = segment.name
         kept = last_index - segment.base.index
         offset = self._offset(segment, last_index + 1)
         self.folder.truncate(segment.name, offset)
@@ -179,6 +182,7 @@
         log that ends before the snapshot which makes it superfluous.
         """
         self._staged = []
+        self._written = ""
         while self._segments:
             self.folder.remove(self._segments.pop().name)
         self._recent = []
@@ -396,6 +400,7 @@
         ]
         for position, name in enumerate(names):
             self._open_segment(name, newest=position == len(names) - 1)
+        self._written = self._segments[-1].name if self._segments else ""
         self.synced_index = self.last_index
 
     def _open_segment(self, name: str, *, newest: bool) -> None:
--- /dev/null
+++ b/tests/consensus_simulation.py
@@ -0,0 +1,579 @@
+"""Several replicas under a controlled clock, network and disk.
+
+Events run in the order of a simulated time. Every random choice comes from one
+seed, so a failing seed fails again. Clocks of replicas run up to 3 % apart.
+The checks run after every event:
+
+- replicas commit the same entry at each index (compared by chain hash, which
+  covers all entries before);
+- at most one replica holds a valid lease;
+- a replica with a valid lease has applied everything acknowledged before;
+- the revision that such a replica shows never falls.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+
+from bamboorouter import errors
+from bamboorouter.coordination import consensus
+from bamboorouter.coordination import engine
+from bamboorouter.coordination import member_changes
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import membership
+from bamboorouter.protocol import messages
+from bamboorouter.state import hard_state
+from tests import list_machine
+from tests import memory_folder
+
+LIMITS = engine.Limits(
+    snapshot_entries=40, segment_bytes=2048, retention_bytes=6 * 1024
+)
+PROPOSE_EVERY_MS = 25
+REPAIR_EVERY_MS = 200
+SETTLE_MS = 30_000
+FORMING_MS = 3000
+
+
+class ViolationError(AssertionError):
+    """A promise of the log was broken."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Chaos:
+    """How often what goes wrong.
+
+    Attributes:
+        pause_ms: Shortest and longest time between two faults.
+        loss: Fraction of messages that are lost.
+        duplicates: Fraction of messages that arrive twice.
+        weights: Relative frequency of each kind of fault.
+        down_ms: Shortest and longest time that a crashed replica is down.
+    """
+
+    pause_ms: tuple[int, int] = (200, 2500)
+    loss: float = 0.02
+    duplicates: float = 0.02
+    weights: dict[str, int] = dataclasses.field(
+        default_factory=lambda: {
+            "crash": 6,
+            "pause": 3,
+            "cut": 5,
+            "isolate": 3,
+            "lose_folder": 3,
+            "break_disk": 1,
+            "transfer": 2,
+        }
+    )
+    down_ms: tuple[int, int] = (50, 4000)
+
+
+class Node:
+    """One place for a replica; implements `engine.Host`.
+
+    Attributes:
+        slot: Number of the place.
+        folder: Its disk.
+        engine: The running replica; None while it is down.
+        machine: Its state machine.
+        run: Counts starts.
+        paused_until: Simulated time until which it handles nothing.
+    """
+
+    def __init__(self, *, slot: int, simulation: "Simulation") -> None:
+        self.slot = slot
+        self.folder = memory_folder.MemoryFolder()
+        self.engine: engine.Engine | None = None
+        self.machine = list_machine.ListMachine()
+        self.run = 0
+        self.paused_until = 0.0
+        self.checked_commit = 0
+        self.waiting: dict[int, tuple[int, str]] = {}
+        self.timer_ms: float | None = None
+        self.sync_pending = False
+        self._simulation = simulation
+        self._offset_ms = simulation.rng.randint(0, 1_000_000)
+        self._rate = simulation.rng.uniform(0.985, 1.015)
+
+    def now(self) -> int:
+        """Returns the time on this replica's own clock."""
+        return self._offset_ms + int(self._simulation.time_ms * self._rate)
+
+    def simulated(self, own_ms: int) -> float:
+        """Converts a time of the own clock to simulated time."""
+        return (own_ms - self._offset_ms) / self._rate
+
+    def post(self, envelope: consensus.Envelope) -> None:
+        self._simulation.send(self, envelope)
+
+    def request_sync(self) -> None:
+        if self.sync_pending:
+            return
+        self.sync_pending = True
+        delay = self._simulation.rng.choice((0.1, 0.1, 1.0, 8.0))
+        self._simulation.later(delay, self._sync, node=self)
+
+    def applied_entry(self, index: int, results: list[commands.Result]) -> None:
+        running = self.engine
+        assert running is not None
+        proposed = self.waiting.pop(index, None)
+        leads = running.core.role is consensus.Role.LEADER
+        if proposed and results and leads:
+            term, job = proposed
+            if term == running.core.term:
+                self._simulation.acknowledge(index, job)
+
+    def _sync(self) -> None:
+        self.sync_pending = False
+        if self.engine is not None:
+            self.engine.sync(self.now())
+
+
+class Simulation:
+    """A group of replicas, a client, an operator and faults.
+
+    Attributes:
+        rng: Source of all randomness.
+        time_ms: Simulated time.
+        nodes: Places for replicas.
+        acknowledged: Index of each acknowledged command.
+        steps: Number of events that ran.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        size: int = 3,
+        chaos: Chaos | None = None,
+        mutate_folder: Callable[[memory_folder.MemoryFolder], None] = (
+            lambda folder: None
+        ),
+        mutate_engine: Callable[[engine.Engine], None] = lambda engine: None,
+        on_crash: Callable[[Node], None] = lambda node: None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.chaos = chaos or Chaos()
+        self.time_ms = 0.0
+        self.steps = 0
+        self.acknowledged: dict[str, int] = {}
+        self.faults: dict[str, int] = {}
+        self.replaced = 0
+        self._mutate_folder = mutate_folder
+        self._mutate_engine = mutate_engine
+        self._on_crash = on_crash
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._jobs = itertools.count()
+        self._ids = itertools.count()
+        self._committed: dict[int, bytes] = {}
+        self._acknowledged_index = 0
+        self._revision = 0
+        self._cuts: dict[tuple[int, int], float] = {}
+        self._calm = False
+        self._lost_id = ""
+        self._lost_node: Node | None = None
+        self.nodes = [Node(slot=n, simulation=self) for n in range(size)]
+        for node in self.nodes:
+            self._start(node)
+        self._form()
+
+    def run(self, duration_ms: float) -> None:
+        """Runs with faults, then heals everything and checks the end."""
+        self._every(PROPOSE_EVERY_MS, self._propose)
+        self._every(REPAIR_EVERY_MS, self._repair)
+        # A first member that is lost before the others know the group would
+        # have to form it anew.
+        self.later(FORMING_MS, self._next_fault)
+        self._run_until(duration_ms)
+        self._heal()
+        self._run_until(duration_ms + SETTLE_MS)
+        self._check_end()
+
+    def later(
+        self,
+        delay_ms: float,
+        action: Callable[[], None],
+        *,
+        node: Node | None = None,
+    ) -> None:
+        """Runs an action later, on a node only in its present run."""
+        if node is not None:
+            self._later_on(node, delay_ms, action)
+            return
+        heapq.heappush(
+            self._events,
+            (self.time_ms + delay_ms, next(self._numbers), action),
+        )
+
+    def send(self, source: Node, envelope: consensus.Envelope) -> None:
+        """Delivers a message later, twice or never."""
+        target = self._holder(envelope.to)
+        if target is None:
+            return
+        copies = 1
+        if not self._calm:
+            copies -= self.rng.random() < self.chaos.loss
+            copies += self.rng.random() < self.chaos.duplicates
+        for _ in range(copies):
+            delay = self.rng.choice((0.3, 0.5, 1, 3, 20))
+            if not self._calm and self.rng.random() < 0.01:
+                delay = self.rng.uniform(50, 3000)
+            self.later(
+                delay,
+                functools.partial(
+                    self._deliver, source.slot, target.slot, envelope
+                ),
+            )
+
+    def acknowledge(self, index: int, job: str) -> None:
+        """Notes that the client was told of a result."""
+        self.acknowledged[job] = index
+        self._acknowledged_index = max(self._acknowledged_index, index)
+
+    # --- Events --------------------------------------------------------------
+
+    def _later_on(
+        self, node: Node, delay_ms: float, action: Callable[[], None]
+    ) -> None:
+        run = node.run
+
+        def act() -> None:
+            if node.run != run or node.engine is None:
+                return
+            if node.paused_until > self.time_ms:
+                wait = node.paused_until - self.time_ms
+                self._later_on(node, wait, act)
+                return
+            action()
+            self._after(node)
+
+        self.later(delay_ms, act)
+
+    def _every(self, period_ms: float, action: Callable[[], None]) -> None:
+        def act() -> None:
+            action()
+            self.later(period_ms, act)
+
+        self.later(period_ms, act)
+
+    def _run_until(self, end_ms: float) -> None:
+        while self._events and self._events[0][0] <= end_ms:
+            self.time_ms, _, action = heapq.heappop(self._events)
+            action()
+            self.steps += 1
+            self._check_leases()
+        self.time_ms = end_ms
+
+    def _deliver(
+        self, source: int, slot: int, envelope: consensus.Envelope
+    ) -> None:
+        target = self.nodes[slot]
+        if self._cuts.get((source, slot), 0) > self.time_ms:
+            return
+
+        def receive() -> None:
+            running = target.engine
+            if running is not None and running.id == envelope.to:
+                running.step(
+                    lambda: running.core.receive(envelope.message, target.now())
+                )
+
+        self._later_on(target, 0, receive)
+
+    def _after(self, node: Node) -> None:
+        """Does what the event loop does after each step."""
+        running = node.engine
+        if running is None:
+            return
+        while running.apply(self.rng.randint(1, 8)):
+            pass
+        self._check_commit(node, running)
+        deadline = running.core.deadline()
+        if deadline is not None:
+            self._set_timer(node, node.simulated(deadline + 1))
+
+    def _set_timer(self, node: Node, due_ms: float) -> None:
+        due_ms = max(due_ms, self.time_ms)
+        if node.timer_ms is not None and node.timer_ms <= due_ms:
+            return
+        node.timer_ms = due_ms
+
+        def tick() -> None:
+            running = node.engine
+            if node.timer_ms != due_ms or running is None:
+                return
+            node.timer_ms = None
+            running.step(lambda: running.core.tick(node.now()))
+
+        self._later_on(node, due_ms - self.time_ms, tick)
+
+    def _holder(self, replica_id: str) -> Node | None:
+        return next(
+            (
+                node
+                for node in self.nodes
+                if node.engine is not None and node.engine.id == replica_id
+            ),
+            None,
+        )
+
+    # --- Replicas ------------------------------------------------------------
+
+    def _start(self, node: Node) -> None:
+        if not node.folder.names():
+            # Drawn here, because a random ID would make runs of a seed differ.
+            hard_state.create(node.folder, f"r{next(self._ids)}")
+        self._mutate_folder(node.folder)
+        node.run += 1
+        node.machine = list_machine.ListMachine()
+        node.checked_commit = 0
+        node.waiting = {}
+        node.timer_ms = None
+        node.sync_pending = False
+        node.paused_until = 0
+        node.engine = engine.Engine(
+            folder=node.folder,
+            machine=node.machine,
+            host=node,
+            group="main",
+            address=f"slot-{node.slot}",
+            rng=random.Random(self.rng.random()),
+            now=node.now(),
+            limits=LIMITS,
+        )
+        self._mutate_engine(node.engine)
+        self._after(node)
+
+    def _stop(self, node: Node) -> None:
+        if node.engine is not None:
+            node.engine = None
+            node.folder.crash(self.rng)
+            self._on_crash(node)
+        node.folder.failing_sync = False
+        node.folder.free_bytes = None
+
+    def _form(self) -> None:
+        members = membership.Members(
+            members=tuple(
+                membership.Member(
+                    id=node.engine.id, address=f"slot-{node.slot}", voter=True
+                )
+                for node in self.nodes
+                if node.engine is not None
+            )
+        )
+        first = self.nodes[0]
+        assert first.engine is not None
+        first.engine.form(members, first.now())
+        self._after(first)
+
+    def _leader(self) -> Node | None:
+        """Returns a replica that may act as leader now."""
+        return next(
+            (
+                node
+                for node in self.nodes
+                if node.engine is not None
+                and node.paused_until <= self.time_ms
+                and node.engine.lease_valid(node.now())
+            ),
+            None,
+        )
+
+    def _propose(self) -> None:
+        leader = self._leader()
+        if leader is None or leader.engine is None:
+            return
+        self._check_read(leader)
+        running = leader.engine
+        job = f"job-{next(self._jobs)}"
+        batch = commands.CommandBatch(
+            wall_ms=0, commands=(list_machine.cancel(job),)
+        )
+        payload = commands.BATCH_CODEC.encode(batch)
+        leader.waiting[running.log.last_index + 1] = (running.core.term, job)
+        running.step(
+            lambda: running.core.propose(
+                messages.KIND_COMMANDS, payload, leader.now()
+            )
+        )
+        self._after(leader)
+
+    # --- Operator ------------------------------------------------------------
+
+    def _repair(self) -> None:
+        """Replaces the lost replica by its successor, a step at a time."""
+        leader = self._leader()
+        lost = self._lost_node
+        if leader is None or lost is None or lost.engine is None:
+            return
+        running = leader.engine
+        assert running is not None
+        core = running.core
+        members = core.members.current
+        if (
+            members.is_voter(lost.engine.id)
+            and members.find(self._lost_id) is None
+            and core.may_change_members()
+        ):
+            self._lost_node = None
+            self.replaced += 1
+            return
+        try:
+            changed = self._next_change(core, lost.engine.id, leader.now())
+        except errors.RefusedError:
+            return
+        if changed is not None:
+            payload = membership.CODEC.encode(changed)
+            running.step(
+                lambda: core.propose(
+                    messages.KIND_MEMBERS, payload, leader.now()
+                )
+            )
+            self._after(leader)
+
+    def _next_change(
+        self, core: consensus.Core, new_id: str, now: int
+    ) -> membership.Members | None:
+        return (
+            member_changes.add_learner(
+                core, replica_id=new_id, address="replaced"
+            )
+            or member_changes.promote(core, replica_id=new_id)
+            or member_changes.remove(core, replica_id=self._lost_id, now=now)
+        )
+
+    # --- Faults --------------------------------------------------------------
+
+    def _next_fault(self) -> None:
+        if self._calm:
+            return
+        kinds = list(self.chaos.weights)
+        weights = list(self.chaos.weights.values())
+        kind = self.rng.choices(kinds, weights)[0]
+        self.faults[kind] = self.faults.get(kind, 0) + 1
+        getattr(self, f"_fault_{kind}")(self.rng.choice(self.nodes))
+        self.later(self.rng.uniform(*self.chaos.pause_ms), self._next_fault)
+
+    def _fault_crash(self, node: Node) -> None:
+        self._stop(node)
+        run = node.run
+
+        def restart() -> None:
+            if node.engine is None and node.run == run:
+                self._start(node)
+
+        self.later(self.rng.uniform(*self.chaos.down_ms), restart)
+
+    def _fault_lose_folder(self, node: Node) -> None:
+        """Loses a folder, unless the last loss isn't repaired yet."""
+        if self._lost_node is not None or node.engine is None:
+            return
+        self._lost_id = node.engine.id
+        self._lost_node = node
+        self._stop(node)
+        node.folder = memory_folder.MemoryFolder()
+        self._start(node)
+
+    def _fault_pause(self, node: Node) -> None:
+        node.paused_until = self.time_ms + self.rng.uniform(100, 4000)
+
+    def _fault_cut(self, node: Node) -> None:
+        """Cuts one direction between two replicas."""
+        other = self.rng.choice(self.nodes)
+        until = self.time_ms + self.rng.uniform(200, 6000)
+        self._cuts[node.slot, other.slot] = until
+
+    def _fault_isolate(self, node: Node) -> None:
+        until = self.time_ms + self.rng.uniform(500, 10_000)
+        for other in self.nodes:
+            self._cuts[node.slot, other.slot] = until
+            self._cuts[other.slot, node.slot] = until
+
+    def _fault_break_disk(self, node: Node) -> None:
+        """Fails the disk now and repairs it with a later restart."""
+        if self.rng.random() < 0.5:
+            node.folder.failing_sync = True
+        else:
+            node.folder.free_bytes = self.rng.randint(0, 300)
+        self.later(3000, lambda: self._fault_crash(node))
+
+    def _fault_transfer(self, node: Node) -> None:
+        running = node.engine
+        if running is not None and node.paused_until <= self.time_ms:
+            running.step(lambda: running.core.transfer(node.now()))
+            self._after(node)
+
+    def _heal(self) -> None:
+        self._calm = True
+        self._cuts = {}
+        for node in self.nodes:
+            node.paused_until = 0
+            if node.engine is None or node.engine.core.halted:
+                self._stop(node)
+                self._start(node)
+
+    # --- Checks --------------------------------------------------------------
+
+    def _check_leases(self) -> None:
+        holders = [
+            node.slot
+            for node in self.nodes
+            if node.engine is not None and node.engine.lease_valid(node.now())
+        ]
+        if len(holders) > 1:
+            raise ViolationError(f"replicas {holders} hold a lease at once")
+
+    def _check_commit(self, node: Node, running: engine.Engine) -> None:
+        first = max(node.checked_commit + 1, running.log.first_index)
+        for index in range(first, running.core.commit + 1):
+            chain = running.log.position_at(index).chain
+            known = self._committed.setdefault(index, chain)
+            if known != chain:
+                raise ViolationError(
+                    f"replica {node.slot} commits another entry at {index}"
+                )
+        if running.core.commit < node.checked_commit:
+            raise ViolationError(f"commit of replica {node.slot} fell")
+        node.checked_commit = running.core.commit
+
+    def _check_read(self, leader: Node) -> None:
+        running = leader.engine
+        assert running is not None
+        if running.applied_index < self._acknowledged_index:
+            raise ViolationError(
+                f"leader {leader.slot} lacks acknowledged entry"
+                f" {self._acknowledged_index}"
+            )
+        if leader.machine.config_revision < self._revision:
+            raise ViolationError(f"revision fell on leader {leader.slot}")
+        self._revision = leader.machine.config_revision
+
+    def _check_end(self) -> None:
+        leader = self._leader()
+        if leader is None or leader.engine is None:
+            raise ViolationError("no leader although nothing is wrong")
+        self._check_read(leader)
+        members = leader.engine.core.members.current
+        for node in self.nodes:
+            if node.engine is None or not members.is_voter(node.engine.id):
+                raise ViolationError(f"replica {node.slot} was not repaired")
+            self._check_content(node)
+
+    def _check_content(self, node: Node) -> None:
+        jobs = node.machine.jobs
+        if len(set(jobs)) != len(jobs):
+            raise ViolationError(f"replica {node.slot} applied one twice")
+        # What was acknowledged in the last moments may not be there yet.
+        limit = self._acknowledged_index - 50
+        missing = [
+            job
+            for job, index in self.acknowledged.items()
+            if index < limit and job not in set(jobs)
+        ]
+        if missing:
+            raise ViolationError(f"replica {node.slot} lacks {missing[:5]}")
--- /dev/null
+++ b/tests/memory_folder.py
@@ -0,0 +1,96 @@
+"""A data folder in memory that loses what a crash would lose."""
+
+import dataclasses
+import random
+
+from bamboorouter import errors
+
+
+@dataclasses.dataclass
+class _File:
+    """Content of a file; `synced` is None until its name is durable."""
+
+    data: bytearray
+    synced: int | None = None
+
+
+class MemoryFolder:
+    """Implements `files.Folder`.
+
+    Attributes:
+        files: Files by name.
+        free_bytes: Bytes that can still be appended; None without a limit.
+        failing_sync: Whether each sync fails.
+        lying_sync: Whether a sync only pretends to make data durable.
+    """
+
+    def __init__(self) -> None:
+        self.files: dict[str, _File] = {}
+        self.free_bytes: int | None = None
+        self.failing_sync = False
+        self.lying_sync = False
+
+    def crash(self, rng: random.Random) -> None:
+        """Loses unsynced data; part of an unsynced tail may remain."""
+        for name, file in list(self.files.items()):
+            if file.synced is None and rng.random() < 0.5:
+                del self.files[name]
+                continue
+            kept = rng.randint(file.synced or 0, len(file.data))
+            del file.data[kept:]
+            file.synced = kept
+
+    def names(self) -> list[str]:
+        return sorted(self.files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self._file(name).data)
+
+    def size(self, name: str) -> int:
+        return len(self._file(name).data)
+
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        return bytes(self._file(name).data[offset : offset + size])
+
+    def append(self, name: str, data: bytes) -> None:
+        file = self.files.setdefault(name, _File(bytearray()))
+        if self.free_bytes is not None and len(data) > self.free_bytes:
+            # A full disk may take a part of what was written.
+            file.data.extend(data[: self.free_bytes])
+            self.free_bytes = 0
+            raise _error("No space left on device", "append to file", name)
+        if self.free_bytes is not None:
+            self.free_bytes -= len(data)
+        file.data.extend(data)
+
+    def sync(self, name: str) -> None:
+        if self.failing_sync:
+            raise _error("Input/output error", "sync file", name)
+        file = self._file(name)
+        if not self.lying_sync:
+            file.synced = len(file.data)
+
+    def replace(self, name: str, data: bytes) -> None:
+        if self.failing_sync:
+            raise _error("Input/output error", "replace file", name)
+        self.files[name] = _File(bytearray(data), synced=len(data))
+
+    def truncate(self, name: str, size: int) -> None:
+        file = self._file(name)
+        del file.data[size:]
+        file.synced = size
+
+    def remove(self, name: str) -> None:
+        del self.files[name]
+
+    def release(self, name: str) -> None:
+        del name
+
+    def _file(self, name: str) -> _File:
+        if name not in self.files:
+            raise _error("No such file or directory", "read file", name)
+        return self.files[name]
+
+
+def _error(text: str, step: str, name: str) -> errors.StorageError:
+    return errors.StorageError(text=text, step=step, peer=name)
--- a/tests/replica_site.py
+++ b/tests/replica_site.py
@@ -5,50 +5,12 @@
 import pathlib
 import socket
 
-import cbor2
-
 from bamboorouter import clock
 from bamboorouter import options
 from bamboorouter.coordination import replica
-from bamboorouter.protocol import commands
-from bamboorouter.state import machine
 from bamboorouter.transport import files
 from bamboorouter.transport import link
-
-
-class ListMachine(machine.Machine):
-    """Keeps the jobs that were cancelled, in order.
-
-    Attributes:
-        jobs: Job of each applied command.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.jobs: list[str] = []
-
-    def apply(
-        self, index: int, batch: commands.CommandBatch
-    ) -> list[commands.Result]:
-        results = []
-        for command in batch.commands:
-            assert isinstance(command, commands.CancelJob)
-            self.jobs.append(command.job)
-            self.config_revision += 1
-            results.append(
-                commands.Result(ok=True, data={"position": len(self.jobs)})
-            )
-        return results
-
-    def snapshot(self) -> bytes:
-        return cbor2.dumps([self.config_revision, self.jobs])
-
-    def restore(self, data: bytes) -> None:
-        self.config_revision, self.jobs = cbor2.loads(data)
-
-
-def cancel(job: str) -> commands.CancelJob:
-    return commands.CancelJob(operation_id=job, operator="test", job=job)
+from tests import list_machine
 
 
 def free_port() -> int:
@@ -70,7 +32,7 @@
     """
 
     replica: replica.Replica
-    machine: ListMachine
+    machine: list_machine.ListMachine
 
     def __init__(
         self,
@@ -89,7 +51,7 @@
     async def start(
         self, *, folder: files.Folder | None = None, **arguments: int
     ) -> None:
-        self.machine = ListMachine()
+        self.machine = list_machine.ListMachine()
         self.replica = replica.Replica(
             process=options.ProcessOptions(
                 name="control", zone="a", roles=("control",)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 
+from tests import list_machine
 from tests import replica_site
 
 
@@ -28,7 +29,7 @@
     async def commit(self, node: replica_site.Node, *jobs: str) -> None:
         results = await asyncio.gather(
             *(
-                node.replica.propose(replica_site.cancel(job), timeout_ms=5000)
+                node.replica.propose(list_machine.cancel(job), timeout_ms=5000)
                 for job in jobs
             )
         )
