--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -7,6 +7,7 @@
 - replicas commit the same entry at each index (compared by chain hash, which
   covers all entries before);
 - at most one replica holds a valid lease;
+- a replica votes for one candidate in a term;
 - a replica with a valid lease has applied everything acknowledged before;
 - the revision that such a replica shows never falls.
 """
@@ -33,6 +34,9 @@
     snapshot_entries=40, segment_bytes=2048, retention_bytes=6 * 1024
 )
 PROPOSE_EVERY_MS = 25
+# The client pauses every other turn, so that a replica that is cut off has a
+# log as new as the others and can win an election.
+CLIENT_TURN_MS = 1500
 REPAIR_EVERY_MS = 200
 SETTLE_MS = 30_000
 FORMING_MS = 3000
@@ -52,6 +56,7 @@
         duplicates: Fraction of messages that arrive twice.
         weights: Relative frequency of each kind of fault.
         down_ms: Shortest and longest time that a crashed replica is down.
+        crash_after_vote: Probability that a voter crashes after each vote.
     """
 
     pause_ms: tuple[int, int] = (200, 2500)
@@ -69,6 +74,17 @@
         }
     )
     down_ms: tuple[int, int] = (50, 4000)
+    crash_after_vote: float = 0.0
+
+
+# Short crashes around votes and a bad network: many elections, few commits.
+ELECTIONS = Chaos(
+    pause_ms=(100, 1200),
+    loss=0.1,
+    weights={"crash": 4, "cut": 8, "isolate": 2, "transfer": 1},
+    down_ms=(5, 100),
+    crash_after_vote=0.2,
+)
 
 
 class Node:
@@ -170,6 +186,7 @@
         self._jobs = itertools.count()
         self._ids = itertools.count()
         self._committed: dict[int, bytes] = {}
+        self._votes: dict[tuple[str, int], str] = {}
         self._acknowledged_index = 0
         self._revision = 0
         self._cuts: dict[tuple[int, int], float] = {}
@@ -211,6 +228,8 @@
 
     def send(self, source: Node, envelope: consensus.Envelope) -> None:
         """Delivers a message later, twice or never."""
+        self._check_vote(envelope)
+        self._crash_voter(source, envelope.message)
         target = self._holder(envelope.to)
         if target is None:
             return
@@ -389,6 +408,8 @@
         if leader is None or leader.engine is None:
             return
         self._check_read(leader)
+        if int(self.time_ms / CLIENT_TURN_MS) % 2:
+            return
         running = leader.engine
         job = f"job-{next(self._jobs)}"
         batch = commands.CommandBatch(
@@ -469,6 +490,16 @@
 
         self.later(self.rng.uniform(*self.chaos.down_ms), restart)
 
+    def _crash_voter(self, node: Node, message: messages.Message) -> None:
+        if (
+            isinstance(message, messages.VoteReply)
+            and message.granted
+            and not message.pre
+            and not self._calm
+            and self.rng.random() < self.chaos.crash_after_vote
+        ):
+            self.later(5, lambda: self._fault_crash(node))
+
     def _fault_lose_folder(self, node: Node) -> None:
         """Loses a folder, unless the last loss isn't repaired yet."""
         if self._lost_node is not None or node.engine is None:
@@ -528,6 +559,17 @@
         if len(holders) > 1:
             raise ViolationError(f"replicas {holders} hold a lease at once")
 
+    def _check_vote(self, envelope: consensus.Envelope) -> None:
+        vote = envelope.message
+        if not isinstance(vote, messages.VoteReply):
+            return
+        if vote.granted and not vote.pre:
+            key = (vote.voter, vote.term)
+            if self._votes.setdefault(key, envelope.to) != envelope.to:
+                raise ViolationError(
+                    f"replica {vote.voter} votes twice in term {vote.term}"
+                )
+
     def _check_commit(self, node: Node, running: engine.Engine) -> None:
         first = max(node.checked_commit + 1, running.log.first_index)
         for index in range(first, running.core.commit + 1):
--- a/tests/test_consensus_random.py
+++ b/tests/test_consensus_random.py
@@ -1,16 +1,25 @@
 """Guards against lost or differing entries, two leaders and stale reads.
 
-The failing seed stands in the message; `Simulation(seed=...)` repeats it.
+The failing seed stands in the message; `Simulation(seed=...)` repeats it. Two
+tests seed a fault into the product and expect the checks to find it, so that
+they can't become blind.
 """
 
 import unittest
+from unittest import mock
 
 from absl import logging
 
+from bamboorouter.state import hard_state
+from bamboorouter.state import log_store
+from bamboorouter.transport import files
 from tests import consensus_simulation as simulation
 
 DURATION_MS = 60_000
 SEEDS = range(8)
+ELECTION_SEEDS = range(100, 110)
+# How many seeds a seeded fault may survive.
+FAULT_SEEDS = range(40)
 
 
 class RandomScheduleTest(unittest.TestCase):
@@ -21,14 +30,53 @@
         logging.set_verbosity(logging.FATAL)
         self.addCleanup(logging.set_verbosity, before)
 
-    def test_promises_hold_under_faults(self) -> None:
+    def test_promises_hold_while_replicas_fail_and_are_replaced(self) -> None:
+        replaced = 0
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 world = simulation.Simulation(seed=seed)
                 world.run(DURATION_MS)
-                print(
-                    f"seed {seed}: {world.steps} steps,"
-                    f" {len(world.acknowledged)} acknowledged,"
-                    f" {world.replaced} replaced, {world.faults}"
+                self.assertGreater(len(world.acknowledged), 100)
+                replaced += world.replaced
+        # Each replacement that follows another is a second loss after repair.
+        self.assertGreater(replaced, 2 * len(SEEDS))
+
+    def test_promises_hold_during_many_elections(self) -> None:
+        for seed in ELECTION_SEEDS:
+            with self.subTest(seed=seed):
+                world = simulation.Simulation(
+                    seed=seed, chaos=simulation.ELECTIONS
                 )
+                world.run(DURATION_MS)
                 self.assertGreater(len(world.acknowledged), 100)
+
+    def test_acknowledgement_before_sync_is_caught(self) -> None:
+        write = log_store.LogStore.write
+
+        def write_only(store: log_store.LogStore) -> None:
+            write(store)
+            store.synced_index = store.last_index
+
+        with mock.patch.object(log_store.LogStore, "write", write_only):
+            self.assert_caught("acknowledgement before sync")
+
+    def test_forgotten_vote_is_caught(self) -> None:
+        save = hard_state.save
+
+        def save_term(
+            folder: files.Folder, state: hard_state.HardState
+        ) -> None:
+            save(folder, hard_state.HardState(term=state.term))
+
+        with mock.patch.object(hard_state, "save", save_term):
+            self.assert_caught("forgotten vote")
+
+    def assert_caught(self, fault: str) -> None:
+        for seed in FAULT_SEEDS:
+            world = simulation.Simulation(seed=seed, chaos=simulation.ELECTIONS)
+            try:
+                world.run(DURATION_MS)
+            except simulation.ViolationError as err:
+                print(f"{fault}: caught by seed {seed}: {err}")
+                return
+        self.fail(f"{fault} was not caught by any seed")
