--- a/bamboorouter/coordination/engine.py
+++ b/bamboorouter/coordination/engine.py
@@ -17,6 +17,8 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter.coordination import consensus
+from bamboorouter.coordination import core_state
+from bamboorouter.coordination import leading
 from bamboorouter.coordination import membership
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership as members_protocol
@@ -35,7 +37,7 @@
 class Host(Protocol):
     """What an engine needs from its surroundings."""
 
-    def post(self, envelope: consensus.Envelope) -> None:
+    def post(self, envelope: core_state.Envelope) -> None:
         """Sends a message; it may be lost."""
         ...
 
@@ -89,7 +91,7 @@
         rng: random.Random,
         now: int,
         limits: Limits | None = None,
-        timing: consensus.Timing | None = None,
+        timing: core_state.Timing | None = None,
     ) -> None:
         self.id = hard_state.open_identity(folder)
         self.folder = folder
@@ -156,15 +158,16 @@
     def apply(self, limit: int) -> bool:
         """Applies up to `limit` committed entries; returns whether any wait."""
         entries: list[messages.LogEntry] = []
-        if self.core.commit > self.applied_index:
+        commit = self.core.state.commit
+        if commit > self.applied_index:
             entries = self.log.read(
-                self.applied_index + 1, max_bytes=consensus.APPEND_BYTES
+                self.applied_index + 1, max_bytes=leading.APPEND_BYTES
             )
         for entry in entries[:limit]:
-            if self.core.halted or entry.index > self.core.commit:
+            if self.core.halted or entry.index > commit:
                 break
             self._apply_entry(entry)
-        return not self.core.halted and self.core.commit > self.applied_index
+        return not self.core.halted and commit > self.applied_index
 
     def halt(self, error: Exception) -> None:
         """Stops taking part until a restart."""
@@ -179,11 +182,11 @@
 
     def leads(self) -> bool:
         """Whether it leads and has applied the first entry of its term."""
-        core = self.core
+        led = self.core.leading
         return (
-            core.role is consensus.Role.LEADER
-            and not core.transferring
-            and self.applied_index >= core.term_start
+            led is not None
+            and not led.transferring
+            and self.applied_index >= led.term_start
         )
 
     def lease_valid(self, now: int) -> bool:
@@ -274,7 +277,7 @@
 
     def _take_snapshot(self) -> None:
         index = self.applied_index
-        members = self.core.members
+        members = self.core.state.members
         self.snapshots.save(
             snapshot_store.Snapshot(
                 position=self.log.position_at(index),
--- a/bamboorouter/coordination/member_changes.py
+++ b/bamboorouter/coordination/member_changes.py
@@ -9,7 +9,7 @@
 
 from bamboorouter import error_texts
 from bamboorouter import errors
-from bamboorouter.coordination import consensus
+from bamboorouter.coordination import leading
 from bamboorouter.coordination import membership
 from bamboorouter.protocol import membership as members_protocol
 
@@ -20,24 +20,24 @@
 
 
 def add_learner(
-    core: consensus.Core, *, replica_id: str, address: str
+    led: leading.Leading, *, replica_id: str, address: str
 ) -> members_protocol.Members | None:
     """Returns the list with a learner added; None if it is in it.
 
     Raises:
         RefusedError: Another change is under way.
     """
-    members = core.members.current
+    members = led.state.members.current
     if members.find(replica_id) is not None:
         return None
-    _require_settled(core)
+    _require_settled(led)
     return membership.with_learner(
         members, replica_id=replica_id, address=address
     )
 
 
 def promote(
-    core: consensus.Core, *, replica_id: str
+    led: leading.Leading, *, replica_id: str
 ) -> members_protocol.Members | None:
     """Returns the list with a learner promoted; None if it votes already.
 
@@ -45,20 +45,20 @@
         RefusedError: It is no member or hasn't caught up, or another change
             is under way.
     """
-    members = core.members.current
+    members = led.state.members.current
     if members.find(replica_id) is None:
         raise _refused(error_texts.NO_SUCH_MEMBER, replica=replica_id)
     if members.is_voter(replica_id):
         return None
-    _require_settled(core)
-    lag = core.commit - core.followers[replica_id].match
+    _require_settled(led)
+    lag = led.state.commit - led.followers[replica_id].match
     if lag > CAUGHT_UP_ENTRIES:
         raise _refused(error_texts.NOT_CAUGHT_UP, replica=replica_id, lag=lag)
     return membership.with_voter(members, replica_id=replica_id)
 
 
 def remove(
-    core: consensus.Core, *, replica_id: str, now: int
+    led: leading.Leading, *, replica_id: str, now: int
 ) -> members_protocol.Members | None:
     """Returns the list without a replica; None if it isn't in it.
 
@@ -66,13 +66,13 @@
         RefusedError: The remaining voters that answer are no majority, or
             another change is under way.
     """
-    members = core.members.current
+    members = led.state.members.current
     if members.find(replica_id) is None:
         return None
-    _require_settled(core)
+    _require_settled(led)
     changed = membership.without(members, replica_id=replica_id)
     voters = changed.voters()
-    alive = sum(_answers(core, voter, now) for voter in voters)
+    alive = sum(_answers(led, voter, now) for voter in voters)
     if not voters or alive < changed.quorum():
         raise _refused(
             error_texts.QUORUM_AT_RISK,
@@ -83,15 +83,15 @@
     return changed
 
 
-def _answers(core: consensus.Core, replica_id: str, now: int) -> bool:
-    if replica_id == core.id:
+def _answers(led: leading.Leading, replica_id: str, now: int) -> bool:
+    if replica_id == led.state.id:
         return True
-    heard = core.followers[replica_id].acknowledged_ms
+    heard = led.followers[replica_id].acknowledged_ms
     return now - heard <= ANSWERS_WITHIN_MS
 
 
-def _require_settled(core: consensus.Core) -> None:
-    if not core.may_change_members():
+def _require_settled(led: leading.Leading) -> None:
+    if not led.may_change_members():
         raise _refused(error_texts.MEMBERS_BUSY)
 
 
--- a/bamboorouter/coordination/peers.py
+++ b/bamboorouter/coordination/peers.py
@@ -15,7 +15,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination import consensus
+from bamboorouter.coordination import core_state
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
@@ -61,7 +61,7 @@
                 self._routes[message.leader] = source
 
     def post(
-        self, envelope: consensus.Envelope, members: membership.Members
+        self, envelope: core_state.Envelope, members: membership.Members
     ) -> None:
         """Sends a message; `members` gives the addresses."""
         match envelope.message:
@@ -108,7 +108,7 @@
             )
         return peer
 
-    def _reply(self, envelope: consensus.Envelope) -> None:
+    def _reply(self, envelope: core_state.Envelope) -> None:
         route = self._routes.get(envelope.to)
         if route is None or route.closed.is_set():
             self._routes.pop(envelope.to, None)
--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/replica.py
@@ -24,8 +24,10 @@
 from bamboorouter import metrics
 from bamboorouter import options
 from bamboorouter.coordination import consensus
+from bamboorouter.coordination import core_state
 from bamboorouter.coordination import engine
 from bamboorouter.coordination import formation
+from bamboorouter.coordination import leading
 from bamboorouter.coordination import member_changes
 from bamboorouter.coordination import peers
 from bamboorouter.coordination import proposals
@@ -171,7 +173,7 @@
 
     async def stop(self) -> None:
         """Hands leadership over if it leads, and closes all links."""
-        if self.engine.core.role is consensus.Role.LEADER:
+        if self._core().leading is not None:
             await self._transfer()
         self._stopped = True
         if self._timer is not None:
@@ -185,7 +187,7 @@
     async def _transfer(self) -> None:
         """Hands leadership over, unless nobody takes it in time."""
         self._step(lambda: self._core().transfer(self._clock.now()))
-        if self._core().members.current.voters() == (self.engine.id,):
+        if self._state().members.current.voters() == (self.engine.id,):
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(clock.seconds(TRANSFER_TIMEOUT_MS)):
@@ -225,11 +227,11 @@
 
     def term(self) -> int:
         """Returns the current term."""
-        return self._core().term
+        return self._state().term
 
     def leader_address(self) -> str:
         """Returns the address of the leader; empty if unknown."""
-        return self._core().leader_address
+        return self._state().leader_address
 
     async def propose(
         self, command: commands.Command, *, timeout_ms: int
@@ -293,19 +295,20 @@
     def status(self) -> ReplicaStatus:
         """Returns the state of this replica."""
         core = self._core()
+        followers = core.leading.followers if core.leading else {}
         return ReplicaStatus(
             id=self.engine.id,
-            term=core.term,
+            term=core.state.term,
             role=core.role.value,
             halted=core.halted,
-            leader_address=core.leader_address,
+            leader_address=core.state.leader_address,
             first_index=self.log.first_index,
             last_index=self.log.last_index,
-            commit=core.commit,
+            commit=core.state.commit,
             applied=self.engine.applied_index,
             lag={
                 replica_id: self.log.last_index - follower.match
-                for replica_id, follower in core.followers.items()
+                for replica_id, follower in followers.items()
             },
         )
 
@@ -313,7 +316,7 @@
 
     def members(self) -> tuple[membership.Member, ...]:
         """Returns the members in force."""
-        return self._core().members.current.members
+        return self._state().members.current.members
 
     async def add_learner(self, replica_id: str, address: str) -> None:
         """Adds a replica that receives the log but doesn't vote yet.
@@ -323,10 +326,10 @@
             RefusedError: Nothing was changed; another change is under way.
             UnknownResultError: The change may be in force later.
         """
-        self._require_lease("add learner")
+        led = self._require_lease("add learner")
         await self._change_members(
             member_changes.add_learner(
-                self._core(), replica_id=replica_id, address=address
+                led, replica_id=replica_id, address=address
             )
         )
 
@@ -339,9 +342,9 @@
                 change is under way.
             UnknownResultError: The change may be in force later.
         """
-        self._require_lease("promote")
+        led = self._require_lease("promote")
         await self._change_members(
-            member_changes.promote(self._core(), replica_id=replica_id)
+            member_changes.promote(led, replica_id=replica_id)
         )
 
     async def remove(self, replica_id: str) -> None:
@@ -353,10 +356,10 @@
                 or another change is under way.
             UnknownResultError: The change may be in force later.
         """
-        self._require_lease("remove")
+        led = self._require_lease("remove")
         await self._change_members(
             member_changes.remove(
-                self._core(), replica_id=replica_id, now=self._clock.now()
+                led, replica_id=replica_id, now=self._clock.now()
             )
         )
 
@@ -376,13 +379,12 @@
 
     # --- Proposals -----------------------------------------------------------
 
-    def _require_lease(self, step: str) -> None:
-        if self.lease_valid():
-            return
-        core = self._core()
-        leads = core.role is consensus.Role.LEADER
+    def _require_lease(self, step: str) -> leading.Leading:
+        led = self._core().leading
+        if led is not None and self.lease_valid():
+            return led
         raise errors.NotLeaderError(
-            leader="" if leads else core.leader_address, step=step
+            leader="" if led is not None else self.leader_address(), step=step
         )
 
     def _batch(
@@ -425,14 +427,14 @@
     def _append(
         self, batch: list[proposals.Waiting], kind: int, payload: bytes
     ) -> None:
-        self._proposals.opened(self.log.last_index + 1, batch)
-        self._core().propose(kind, payload, self._clock.now())
+        index = self._core().propose(kind, payload, self._clock.now())
+        self._proposals.opened(index, batch)
 
     # --- Host of the engine --------------------------------------------------
 
-    def post(self, envelope: consensus.Envelope) -> None:
+    def post(self, envelope: core_state.Envelope) -> None:
         """Sends a message of the core."""
-        self._peers.post(envelope, self._core().members.current)
+        self._peers.post(envelope, self._state().members.current)
 
     def request_sync(self) -> None:
         """Syncs once the messages that are queued now were sent."""
@@ -448,6 +450,9 @@
     def _core(self) -> consensus.Core:
         return self.engine.core
 
+    def _state(self) -> core_state.CoreState:
+        return self.engine.core.state
+
     def _step(self, step: Callable[[], object]) -> None:
         if not self._stopped:
             self.engine.step(step)
@@ -467,7 +472,7 @@
     def _after_step(self) -> None:
         """Applies what was committed and announces what changed."""
         self._announce()
-        if self._core().commit > self.engine.applied_index:
+        if self._state().commit > self.engine.applied_index:
             self._apply()
         self._arm_timer()
 
@@ -513,30 +518,29 @@
 
     def _announce(self) -> None:
         """Tells observers about changes of leadership and of members."""
-        core = self._core()
-        if core.members.current is not self._members:
-            self._members = core.members.current
+        state = self._state()
+        if state.members.current is not self._members:
+            self._members = state.members.current
             self._announce_members()
-        if core.role is consensus.Role.LEADER:
+        if self._core().leading is not None:
             self._follows.clear()
         else:
             self._follows.set()
         before = self._leadership.value
         current = replicated_log.Leadership(
             leads=self.engine.leads(),
-            term=core.term,
-            leader_address=core.leader_address,
+            term=state.term,
+            leader_address=state.leader_address,
         )
         if current == before:
             return
         if self._led_term and (
-            core.role is not consensus.Role.LEADER
-            or core.term != self._led_term
+            self._core().leading is None or state.term != self._led_term
         ):
             self._proposals.fail_all(leader=current.leader_address)
             self._led_term = 0
         if current.leads:
-            self._led_term = core.term
+            self._led_term = state.term
         self._log_leadership(before, current)
         metrics.LEADS.set(int(current.leads))
         self._leadership.on_next(current)
--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -20,8 +20,9 @@
 import random
 
 from bamboorouter import errors
-from bamboorouter.coordination import consensus
+from bamboorouter.coordination import core_state
 from bamboorouter.coordination import engine
+from bamboorouter.coordination import leading
 from bamboorouter.coordination import member_changes
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership
@@ -122,7 +123,7 @@
         """Converts a time of the own clock to simulated time."""
         return (own_ms - self._offset_ms) / self._rate
 
-    def post(self, envelope: consensus.Envelope) -> None:
+    def post(self, envelope: core_state.Envelope) -> None:
         self._simulation.send(self, envelope)
 
     def request_sync(self) -> None:
@@ -136,10 +137,9 @@
         running = self.engine
         assert running is not None
         proposed = self.waiting.pop(index, None)
-        leads = running.core.role is consensus.Role.LEADER
-        if proposed and results and leads:
+        if proposed and results and running.core.leading is not None:
             term, job = proposed
-            if term == running.core.term:
+            if term == running.core.state.term:
                 self._simulation.acknowledge(index, job)
 
     def _sync(self) -> None:
@@ -226,7 +226,7 @@
             (self.time_ms + delay_ms, next(self._numbers), action),
         )
 
-    def send(self, source: Node, envelope: consensus.Envelope) -> None:
+    def send(self, source: Node, envelope: core_state.Envelope) -> None:
         """Delivers a message later, twice or never."""
         self._check_vote(envelope)
         self._crash_voter(source, envelope.message)
@@ -288,7 +288,7 @@
         self.time_ms = end_ms
 
     def _deliver(
-        self, source: int, slot: int, envelope: consensus.Envelope
+        self, source: int, slot: int, envelope: core_state.Envelope
     ) -> None:
         target = self.nodes[slot]
         if self._cuts.get((source, slot), 0) > self.time_ms:
@@ -416,7 +416,10 @@
             wall_ms=0, commands=(list_machine.cancel(job),)
         )
         payload = commands.BATCH_CODEC.encode(batch)
-        leader.waiting[running.log.last_index + 1] = (running.core.term, job)
+        leader.waiting[running.log.last_index + 1] = (
+            running.core.state.term,
+            job,
+        )
         running.step(
             lambda: running.core.propose(
                 messages.KIND_COMMANDS, payload, leader.now()
@@ -434,38 +437,39 @@
             return
         running = leader.engine
         assert running is not None
-        core = running.core
-        members = core.members.current
+        led = running.core.leading
+        assert led is not None
+        members = led.state.members.current
         if (
             members.is_voter(lost.engine.id)
             and members.find(self._lost_id) is None
-            and core.may_change_members()
+            and led.may_change_members()
         ):
             self._lost_node = None
             self.replaced += 1
             return
         try:
-            changed = self._next_change(core, lost.engine.id, leader.now())
+            changed = self._next_change(led, lost.engine.id, leader.now())
         except errors.RefusedError:
             return
         if changed is not None:
             payload = membership.CODEC.encode(changed)
             running.step(
-                lambda: core.propose(
+                lambda: running.core.propose(
                     messages.KIND_MEMBERS, payload, leader.now()
                 )
             )
             self._after(leader)
 
     def _next_change(
-        self, core: consensus.Core, new_id: str, now: int
+        self, led: leading.Leading, new_id: str, now: int
     ) -> membership.Members | None:
         return (
             member_changes.add_learner(
-                core, replica_id=new_id, address="replaced"
+                led, replica_id=new_id, address="replaced"
             )
-            or member_changes.promote(core, replica_id=new_id)
-            or member_changes.remove(core, replica_id=self._lost_id, now=now)
+            or member_changes.promote(led, replica_id=new_id)
+            or member_changes.remove(led, replica_id=self._lost_id, now=now)
         )
 
     # --- Faults --------------------------------------------------------------
@@ -559,7 +563,7 @@
         if len(holders) > 1:
             raise ViolationError(f"replicas {holders} hold a lease at once")
 
-    def _check_vote(self, envelope: consensus.Envelope) -> None:
+    def _check_vote(self, envelope: core_state.Envelope) -> None:
         vote = envelope.message
         if not isinstance(vote, messages.VoteReply):
             return
@@ -572,16 +576,16 @@
 
     def _check_commit(self, node: Node, running: engine.Engine) -> None:
         first = max(node.checked_commit + 1, running.log.first_index)
-        for index in range(first, running.core.commit + 1):
+        for index in range(first, running.core.state.commit + 1):
             chain = running.log.position_at(index).chain
             known = self._committed.setdefault(index, chain)
             if known != chain:
                 raise ViolationError(
                     f"replica {node.slot} commits another entry at {index}"
                 )
-        if running.core.commit < node.checked_commit:
+        if running.core.state.commit < node.checked_commit:
             raise ViolationError(f"commit of replica {node.slot} fell")
-        node.checked_commit = running.core.commit
+        node.checked_commit = running.core.state.commit
 
     def _check_read(self, leader: Node) -> None:
         running = leader.engine
@@ -600,7 +604,7 @@
         if leader is None or leader.engine is None:
             raise ViolationError("no leader although nothing is wrong")
         self._check_read(leader)
-        members = leader.engine.core.members.current
+        members = leader.engine.core.state.members.current
         for node in self.nodes:
             if node.engine is None or not members.is_voter(node.engine.id):
                 raise ViolationError(f"replica {node.slot} was not repaired")
