--- /dev/null
+++ b/tests/test_log_store.py
@@ -0,0 +1,211 @@
+"""Guards against a log that loses, changes or reorders stored entries."""
+
+import random
+import unittest
+
+from bamboorouter import errors
+from bamboorouter.protocol import messages
+from bamboorouter.state import hard_state
+from bamboorouter.state import log_store
+from bamboorouter.state import records
+from bamboorouter.state import snapshot_store
+from tests import memory_folder
+
+SEGMENT_BYTES = 1500
+
+
+def entry(index: int, *, term: int = 1, size: int = 20) -> messages.LogEntry:
+    payload = f"{index}:{term}:".encode().ljust(size, b".")
+    return messages.LogEntry(
+        term=term, index=index, kind=messages.KIND_COMMANDS, payload=payload
+    )
+
+
+class LogStoreTest(unittest.TestCase):
+    """The log over restarts, crashes and damage."""
+
+    def setUp(self) -> None:
+        self.folder = memory_folder.MemoryFolder()
+        self.store = self.open()
+
+    def open(self) -> log_store.LogStore:
+        return log_store.LogStore(
+            folder=self.folder, segment_bytes=SEGMENT_BYTES
+        )
+
+    def fill(self, count: int) -> None:
+        for index in range(1, count + 1):
+            self.store.append(entry(index))
+        self.store.sync()
+
+    def stored(self, store: log_store.LogStore) -> list[messages.LogEntry]:
+        return [item.entry for item in store.entries(store.first_index)]
+
+    def test_random_use_equals_a_list_over_crashes(self) -> None:
+        rng = random.Random(7)
+        model: list[messages.LogEntry] = []
+        segments = 0
+        for _ in range(5000):
+            action = rng.random()
+            if action < 0.6:
+                item = entry(
+                    len(model) + 1,
+                    term=rng.randint(1, 9),
+                    size=rng.randint(8, 300),
+                )
+                self.store.append(item)
+                model.append(item)
+            elif action < 0.75:
+                self.store.write()
+            elif action < 0.93:
+                self.store.sync()
+            elif action < 0.96 and model:
+                kept = rng.randint(max(0, len(model) - 20), len(model))
+                self.store.truncate(kept)
+                del model[kept:]
+            else:
+                synced = self.store.synced_index
+                self.folder.crash(rng)
+                self.store = self.open()
+                # What was synced survives; some of the rest may.
+                self.assertGreaterEqual(self.store.last_index, synced)
+                del model[self.store.last_index :]
+            segments = max(segments, len(self.folder.names()))
+            if model:
+                index = rng.randint(1, len(model))
+                self.assertEqual(
+                    self.store.stored_at(index).entry, model[index - 1]
+                )
+        self.assertEqual(self.stored(self.store), model)
+        # Both truncation and crashes must have met more than one segment.
+        self.assertGreater(segments, 5)
+
+    def test_torn_tail_is_cut_and_logged(self) -> None:
+        self.fill(10)
+        name = self.folder.names()[-1]
+        whole = len(self.folder.files[name].data)
+        self.store.append(entry(11))
+        self.store.sync()
+        del self.folder.files[name].data[whole + 30 :]
+        with self.assertLogs("absl", "WARNING") as logs:
+            reopened = self.open()
+        self.assertEqual(reopened.last_index, 10)
+        self.assertEqual(len(self.folder.files[name].data), whole)
+        self.assertIn("torn_tail_cut", logs.output[0])
+        self.assertIn(f"offset={whole}", logs.output[0])
+
+    def test_damage_before_a_whole_record_is_refused(self) -> None:
+        self.fill(10)
+        name = self.folder.names()[-1]
+        offset = records.SEGMENT_HEAD_BYTES
+        record = len(records.pack_entry(self.store.stored_at(1)))
+        self.folder.files[name].data[offset + 3 * record + 40] ^= 1
+        with self.assertRaises(errors.StorageError) as caught:
+            self.open()
+        self.assertIn(f"offset {offset + 3 * record} ", caught.exception.text)
+        self.assertEqual(caught.exception.peer, name)
+
+    def test_damage_at_the_end_of_a_sealed_segment_is_refused(self) -> None:
+        self.fill(50)
+        name = self.folder.names()[0]
+        del self.folder.files[name].data[-5:]
+        with self.assertRaisesRegex(errors.StorageError, name):
+            self.open()
+
+    def test_missing_segment_is_refused(self) -> None:
+        self.fill(80)
+        del self.folder.files[self.folder.names()[1]]
+        with self.assertRaisesRegex(errors.StorageError, "continue"):
+            self.open()
+
+    def test_rewritten_record_breaks_the_chain(self) -> None:
+        self.fill(10)
+        name = self.folder.names()[0]
+        data = self.folder.files[name].data
+        old = self.store.stored_at(5)
+        forged = records.StoredEntry(
+            messages.LogEntry(
+                term=1,
+                index=5,
+                kind=messages.KIND_COMMANDS,
+                payload=b"x" * len(old.entry.payload),
+            ),
+            old.chain,
+        )
+        position = data.find(records.pack_entry(old))
+        packed = records.pack_entry(forged)
+        data[position : position + len(packed)] = packed
+        with self.assertRaisesRegex(errors.StorageError, f"offset {position}"):
+            self.open()
+
+    def test_retention_keeps_what_no_snapshot_covers(self) -> None:
+        self.fill(100)
+        self.assertTrue(
+            self.store.drop_oldest(max_bytes=2000, covered_index=60)
+        )
+        self.assertLessEqual(self.store.first_index, 61)
+        self.assertGreater(self.store.first_index, 1)
+        chain = self.store.base.chain
+        reopened = self.open()
+        self.assertEqual(reopened.base.chain, chain)
+        self.assertEqual(
+            [item.index for item in self.stored(reopened)],
+            list(range(reopened.first_index, 101)),
+        )
+
+    def test_full_disk_leaves_a_log_that_opens(self) -> None:
+        self.fill(10)
+        self.folder.free_bytes = 50
+        self.store.append(entry(11))
+        with self.assertRaisesRegex(errors.StorageError, "No space"):
+            self.store.sync()
+        self.assertEqual(self.store.synced_index, 10)
+        self.folder.free_bytes = None
+        self.assertEqual(self.open().last_index, 10)
+
+
+class HardStateTest(unittest.TestCase):
+    """Identity, term, vote and snapshots."""
+
+    def setUp(self) -> None:
+        self.folder = memory_folder.MemoryFolder()
+
+    def test_identity_and_vote_survive(self) -> None:
+        replica_id = hard_state.open_identity(self.folder)
+        state = hard_state.HardState(term=4, voted_for="other")
+        hard_state.save(self.folder, state)
+        self.assertEqual(hard_state.open_identity(self.folder), replica_id)
+        self.assertEqual(hard_state.load(self.folder), state)
+
+    def test_lost_identity_or_vote_is_refused(self) -> None:
+        hard_state.open_identity(self.folder)
+        del self.folder.files["vote"]
+        with self.assertRaises(errors.StorageError):
+            hard_state.load(self.folder)
+        self.folder.append("log-00000000000000000001", b"x")
+        del self.folder.files["identity"]
+        with self.assertRaisesRegex(errors.StorageError, "no identity"):
+            hard_state.open_identity(self.folder)
+
+    def test_damaged_vote_is_refused(self) -> None:
+        hard_state.open_identity(self.folder)
+        self.folder.files["vote"].data[-1] ^= 1
+        with self.assertRaisesRegex(errors.StorageError, "damaged"):
+            hard_state.load(self.folder)
+
+    def test_damaged_snapshot_is_passed_over(self) -> None:
+        store = snapshot_store.SnapshotStore(folder=self.folder)
+        for index in (10, 20, 30):
+            store.save(
+                snapshot_store.Snapshot(
+                    position=records.Base(index=index, term=1),
+                    members=b"",
+                    data=b"state",
+                )
+            )
+        names = self.folder.names()
+        self.assertEqual(len(names), 2)
+        self.folder.files[names[-1]].data[-1] ^= 1
+        snapshot = store.load()
+        assert snapshot is not None
+        self.assertEqual(snapshot.position.index, 20)
