--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/replica.py
@@ -25,7 +25,7 @@
 from bamboorouter import options
 from bamboorouter.coordination import consensus
 from bamboorouter.coordination import core_state
-from bamboorouter.coordination import engine
+from bamboorouter.coordination import engine as replica_engine
 from bamboorouter.coordination import formation
 from bamboorouter.coordination import leading
 from bamboorouter.coordination import member_changes
@@ -88,13 +88,14 @@
     Attributes:
         process: Section [process] of the settings.
         settings: Section [control] of the settings.
+        limits: When snapshots are taken and old entries are removed.
         machine: State after all applied entries.
         engine: Core, storage and state machine; set by `start`.
         applied: Emits the index after each applied entry.
         leadership: Emits the current and each later leadership.
     """
 
-    engine: engine.Engine
+    engine: replica_engine.Engine
 
     def __init__(
         self,
@@ -105,9 +106,14 @@
         machine: state_machine.Machine,
         time: clock.Clock,
         batch_commands: int = BATCH_COMMANDS,
+        limits: replica_engine.Limits | None = None,
     ) -> None:
         self.process = process
         self.settings = settings
+        self.limits = limits or replica_engine.Limits(
+            snapshot_entries=settings.snapshot_entries,
+            retention_bytes=settings.retention_mb * _BYTES_PER_MB,
+        )
         self.machine = machine
         self._folder = folder
         self._clock = time
@@ -154,7 +160,7 @@
             raise errors.OptionsError(
                 text=f"bootstrap does not contain {address}", step="start"
             )
-        self.engine = engine.Engine(
+        self.engine = replica_engine.Engine(
             folder=self._folder,
             machine=self.machine,
             host=self,
@@ -162,10 +168,7 @@
             address=address,
             rng=random.Random(),
             now=self._clock.now(),
-            limits=engine.Limits(
-                snapshot_entries=settings.snapshot_entries,
-                retention_bytes=settings.retention_mb * _BYTES_PER_MB,
-            ),
+            limits=self.limits,
         )
         if not self.engine.formed():
             self._await_group(address)
--- a/tests/replica_site.py
+++ b/tests/replica_site.py
@@ -7,6 +7,7 @@
 
 from bamboorouter import clock
 from bamboorouter import options
+from bamboorouter.coordination import engine
 from bamboorouter.coordination import replica
 from bamboorouter.transport import files
 from bamboorouter.transport import link
@@ -40,17 +41,15 @@
         path: pathlib.Path,
         port: int,
         bootstrap: tuple[str, ...],
-        snapshot_entries: int = 4096,
+        limits: engine.Limits | None = None,
     ) -> None:
         self.path = path
         self.address = f"127.0.0.1:{port}"
         self.bootstrap = bootstrap
-        self.snapshot_entries = snapshot_entries
+        self.limits = limits
         self._server: link.LinkServer | None = None
 
-    async def start(
-        self, *, folder: files.Folder | None = None, **arguments: int
-    ) -> None:
+    async def start(self, *, folder: files.Folder | None = None) -> None:
         self.machine = list_machine.ListMachine()
         self.replica = replica.Replica(
             process=options.ProcessOptions(
@@ -59,12 +58,11 @@
             settings=options.ControlOptions(
                 data_dir=str(self.path),
                 bootstrap=self.bootstrap,
-                snapshot_entries=self.snapshot_entries,
             ),
             folder=folder or files.DiskFolder(path=self.path),
             machine=self.machine,
             time=clock.SystemClock(),
-            **arguments,
+            limits=self.limits,
         )
         host, _, port = self.address.rpartition(":")
         self._server = await link.serve_links(
@@ -79,9 +77,19 @@
             await self._server.close()
             self._server = None
 
+    async def crash(self) -> None:
+        """Stops at once, without handing over leadership."""
+        self.replica.engine.core.halt()
+        await self.stop()
+
+    def lose_folder(self) -> None:
+        """Removes all files of a stopped node."""
+        for file in self.path.iterdir():
+            file.unlink()
+
 
 def make_nodes(
-    path: pathlib.Path, count: int, *, snapshot_entries: int = 4096
+    path: pathlib.Path, count: int, *, limits: engine.Limits | None = None
 ) -> list[Node]:
     """Returns nodes that will form a group."""
     ports = [free_port() for _ in range(count)]
@@ -91,7 +99,7 @@
             path=path / f"replica-{number}",
             port=port,
             bootstrap=bootstrap,
-            snapshot_entries=snapshot_entries,
+            limits=limits,
         )
         for number, port in enumerate(ports)
     ]
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,13 +1,24 @@
 """Guards against a replicated log that loses or doesn't commit entries."""
 
 import asyncio
+import contextlib
 import pathlib
 import tempfile
+import time
 import unittest
+from unittest import mock
 
+from bamboorouter import errors
+from bamboorouter.coordination import engine
 from tests import list_machine
+from tests import memory_folder
 from tests import replica_site
 
+# Goal of the design: failover of the leader at worst.
+FAILOVER_S = 3.0
+# A leader without a majority may act for 800 ms after the last answer.
+LEASE_S = 0.8
+
 
 class ReplicaTest(unittest.IsolatedAsyncioTestCase):
     """Replicas over real links on loopback."""
@@ -21,11 +32,24 @@
     async def asyncTearDown(self) -> None:
         await asyncio.gather(*(node.stop() for node in self.nodes))
 
-    async def start(self, count: int) -> replica_site.Node:
-        self.nodes = replica_site.make_nodes(self.path, count)
+    async def start(
+        self, count: int, *, limits: engine.Limits | None = None
+    ) -> replica_site.Node:
+        self.nodes = replica_site.make_nodes(self.path, count, limits=limits)
         await asyncio.gather(*(node.start() for node in self.nodes))
         return await replica_site.leader_of(self.nodes)
 
+    def others(self, node: replica_site.Node) -> list[replica_site.Node]:
+        return [other for other in self.nodes if other is not node]
+
+    async def crash(self, node: replica_site.Node) -> None:
+        self.nodes.remove(node)
+        await node.crash()
+
+    async def restart(self, node: replica_site.Node) -> None:
+        await node.start()
+        self.nodes.append(node)
+
     async def commit(self, node: replica_site.Node, *jobs: str) -> None:
         results = await asyncio.gather(
             *(
@@ -35,6 +59,13 @@
         )
         self.assertTrue(all(result.ok for result in results))
 
+    async def converged(self, jobs: list[str]) -> None:
+        await replica_site.until(
+            lambda: all(node.machine.jobs == jobs for node in self.nodes)
+        )
+        chains = {node.replica.log.last_chain for node in self.nodes}
+        self.assertEqual(len(chains), 1)
+
     async def test_single_replica_keeps_commits_over_a_restart(self) -> None:
         leader = await self.start(1)
         await self.commit(leader, "a", "b")
@@ -44,16 +75,13 @@
         await self.commit(leader, "c")
         self.assertEqual(leader.machine.jobs, ["a", "b", "c"])
 
-    async def test_three_replicas_apply_the_same_commands(self) -> None:
+    async def test_waiting_commands_share_entries(self) -> None:
         leader = await self.start(3)
-        await self.commit(leader, *(str(n) for n in range(100)))
-        await replica_site.until(
-            lambda: all(len(n.machine.jobs) == 100 for n in self.nodes)
-        )
-        for node in self.nodes:
-            self.assertEqual(node.machine.jobs, leader.machine.jobs)
-        chains = {node.replica.log.last_chain for node in self.nodes}
-        self.assertEqual(len(chains), 1)
+        before = leader.replica.log.last_index
+        jobs = [str(number) for number in range(200)]
+        await self.commit(leader, *jobs)
+        self.assertLess(leader.replica.log.last_index - before, 20)
+        await self.converged(jobs)
 
     async def test_stopping_leader_hands_over(self) -> None:
         leader = await self.start(3)
@@ -64,3 +92,137 @@
         successor = await replica_site.leader_of(self.nodes, timeout_s=0.8)
         await self.commit(successor, "b")
         self.assertEqual(successor.machine.jobs, ["a", "b"])
+
+    async def test_lost_leader_is_replaced_in_time(self) -> None:
+        leader = await self.start(3)
+        await self.commit(leader, "a")
+        started = time.monotonic()
+        await self.crash(leader)
+        successor = await replica_site.leader_of(self.nodes)
+        await self.commit(successor, "b")
+        self.assertLess(time.monotonic() - started, FAILOVER_S)
+        await self.restart(leader)
+        await self.converged(["a", "b"])
+
+    async def test_leader_that_cannot_send_gives_up_its_lease_first(
+        self,
+    ) -> None:
+        leader = await self.start(3)
+        started = time.monotonic()
+        with mock.patch.object(leader.replica, "post"):
+            while True:
+                holders = [n for n in self.nodes if n.replica.lease_valid()]
+                self.assertLessEqual(len(holders), 1)
+                if holders and holders[0] is not leader:
+                    break
+                self.assertLess(time.monotonic() - started, FAILOVER_S)
+                await asyncio.sleep(0.005)
+            with self.assertRaises(errors.NotLeaderError):
+                await self.commit(leader, "refused")
+        await self.commit(holders[0], "a")
+        await self.converged(["a"])
+
+    async def test_leader_without_majority_decides_nothing(self) -> None:
+        leader = await self.start(3)
+        for other in self.others(leader):
+            await self.crash(other)
+        with self.assertRaises(errors.UnknownResultError):
+            await self.commit(leader, "unknown")
+        with self.assertRaises(errors.NotLeaderError):
+            await self.commit(leader, "refused")
+        self.assertFalse(leader.replica.lease_valid())
+        self.assertEqual(leader.machine.jobs, [])
+
+    async def test_follower_catches_up_from_its_snapshot(self) -> None:
+        limits = engine.Limits(snapshot_entries=100)
+        leader = await self.start(3, limits=limits)
+        behind = self.others(leader)[0]
+        jobs = [str(number) for number in range(1000)]
+        for job in jobs[:150]:
+            await self.commit(leader, job)
+        await self.crash(behind)
+        for job in jobs[150:]:
+            await self.commit(leader, job)
+        await self.restart(behind)
+        self.assertGreaterEqual(behind.replica.status().applied, 100)
+        await self.converged(jobs)
+
+    async def test_follower_gets_a_snapshot_for_removed_entries(self) -> None:
+        limits = engine.Limits(
+            snapshot_entries=20, segment_bytes=50_000, retention_bytes=100_000
+        )
+        leader = await self.start(3, limits=limits)
+        behind = self.others(leader)[0]
+        await self.crash(behind)
+        # Several chunks of a snapshot.
+        jobs = [f"{number}:" + "x" * 5000 for number in range(150)]
+        for job in jobs:
+            await self.commit(leader, job)
+        self.assertGreater(leader.replica.log.first_index, 20)
+        await self.restart(behind)
+        await self.converged(jobs)
+        self.assertGreater(behind.replica.log.first_index, 20)
+
+    async def test_lost_folder_then_a_second_loss_keeps_everything(
+        self,
+    ) -> None:
+        leader = await self.start(3)
+        lost = self.others(leader)[0]
+        old_id = lost.replica.status().id
+        await self.commit(leader, "a", "b")
+        await self.crash(lost)
+        lost.lose_folder()
+        await self.restart(lost)
+        new_id = lost.replica.status().id
+        self.assertNotEqual(new_id, old_id)
+        await self.replace(leader, old_id, lost)
+        await self.commit(leader, "c")
+        await self.crash(leader)
+        successor = await replica_site.leader_of(self.nodes)
+        await self.commit(successor, "d")
+        await self.converged(["a", "b", "c", "d"])
+        voters = [m.id for m in successor.replica.members() if m.voter]
+        self.assertIn(new_id, voters)
+        self.assertNotIn(old_id, voters)
+
+    async def replace(
+        self, leader: replica_site.Node, old_id: str, joining: replica_site.Node
+    ) -> None:
+        new_id = joining.replica.status().id
+        with self.assertRaisesRegex(errors.RefusedError, "not a member"):
+            await leader.replica.promote(new_id)
+        await leader.replica.add_learner(new_id, joining.address)
+        async with asyncio.timeout(5):
+            while True:
+                with contextlib.suppress(errors.RefusedError):
+                    await leader.replica.promote(new_id)
+                    break
+                await asyncio.sleep(0.05)
+        await leader.replica.remove(old_id)
+
+    async def test_removal_that_costs_the_majority_is_refused(self) -> None:
+        leader = await self.start(3)
+        dead, alive = self.others(leader)
+        await self.crash(dead)
+        await asyncio.sleep(1.2)
+        with self.assertRaisesRegex(errors.RefusedError, "1 of 2 voters"):
+            await leader.replica.remove(alive.replica.status().id)
+        self.assertEqual(len(leader.replica.members()), 3)
+
+    async def test_failed_sync_steps_down_and_acknowledges_nothing(
+        self,
+    ) -> None:
+        self.nodes = replica_site.make_nodes(self.path, 3)
+        folders = [memory_folder.MemoryFolder() for _ in self.nodes]
+        for node, folder in zip(self.nodes, folders, strict=True):
+            await node.start(folder=folder)
+        leader = await replica_site.leader_of(self.nodes)
+        await self.commit(leader, "a")
+        folders[self.nodes.index(leader)].failing_sync = True
+        with self.assertRaises(errors.UnknownResultError):
+            await self.commit(leader, "unknown")
+        self.assertTrue(leader.replica.status().halted)
+        successor = await replica_site.leader_of(self.others(leader))
+        await self.commit(successor, "b")
+        self.assertEqual(successor.machine.jobs[0], "a")
+        self.assertEqual(successor.machine.jobs[-1], "b")
