Add sheet parser and replicated state machine

The machine re-checks capacity, single assignment, epochs and revisions for every command, so a faulty decision of a leader is refused on all replicas. Epochs come from one counter, because a task ID can be created anew.

--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -26,6 +26,16 @@
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
+STALE_ATTEMPT: Final = "stale_attempt"
+NO_SUCH_TASK: Final = "no_such_task"
+NO_SUCH_WORKER: Final = "no_such_worker"
+TASK_NOT_WAITING: Final = "task_not_waiting"
+WORKER_DRAINED: Final = "worker_drained"
+WORKER_QUARANTINED: Final = "worker_quarantined"
+TOO_MANY_QUARANTINES: Final = "too_many_quarantines"
+UNKNOWN_OPERATION: Final = "unknown_operation"
+BAD_ARGUMENT: Final = "bad_argument"
+RESULT_UNKNOWN: Final = "result_unknown"
 
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
@@ -50,6 +60,16 @@
     JOB_EXISTS: "job {job!r} exists with other content",
     JOB_CANNOT_RUN: "job {job!r} is larger than any worker",
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+    STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
+    NO_SUCH_TASK: "task {task!r} does not exist",
+    NO_SUCH_WORKER: "worker {worker!r} is not known",
+    TASK_NOT_WAITING: "task {task!r} is {state}, not waiting",
+    WORKER_DRAINED: "worker {worker!r} is drained",
+    WORKER_QUARANTINED: "worker {worker!r} is in quarantine",
+    TOO_MANY_QUARANTINES: "{count} workers are in quarantine already",
+    UNKNOWN_OPERATION: "operation {operation!r} does not exist",
+    BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
+    RESULT_UNKNOWN: "the result is not known; send the call again",
 }
 
 
--- a/bamboorouter/protocol/commands.py
+++ b/bamboorouter/protocol/commands.py
@@ -156,6 +156,32 @@
     records: tuple[Any, ...]
 
 
+class ReplaceInstance(base.Wire, frozen=True, kw_only=True, tag=14):
+    """Adds an instance of a service that takes over from a running one.
+
+    Attributes:
+        task: The instance to replace; it ends once the new one runs.
+        reason: For example "worker drained".
+    """
+
+    task: str
+    epoch: int
+    reason: str
+
+
+class FailJob(base.Wire, frozen=True, kw_only=True, tag=15):
+    """Gives up a job: waiting tasks fail, running ones are not repeated.
+
+    Attributes:
+        code: Code from `error_texts`.
+        reason: Explanation for people.
+    """
+
+    job: str
+    code: str
+    reason: str
+
+
 Command = (
     AcceptSheet
     | SubmitJob
@@ -170,6 +196,8 @@
     | ReserveRequest
     | RecordRequestOutcome
     | RecordRequests
+    | ReplaceInstance
+    | FailJob
 )
 
 
--- /dev/null
+++ b/bamboorouter/protocol/sheet.py
@@ -0,0 +1,311 @@
+"""The day's plan as a CSV sheet.
+
+The first row is `revision,<n>`, the second names the columns, each further
+row is a service or a batch job. All faulty rows are collected before the
+sheet is refused, so that planners can mend it in one go. Rows are counted as
+a spreadsheet counts them, from 1.
+"""
+
+import csv
+import dataclasses
+import decimal
+import hashlib
+import io
+import re
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final
+
+from bamboorouter import error_texts, errors
+from bamboorouter.protocol import common
+
+# One task record takes about 0.5 kB on a control replica that has 32 MB.
+MAX_TASKS: Final = 20_000
+MAX_FAULTS: Final = 1_000
+_MILLI: Final = 1000
+_NAME: Final = re.compile(r"[A-Za-z0-9_.-]{1,64}")
+_NAME_ALLOWED: Final = "1 to 64 letters, digits, '_', '.' or '-'"
+_REQUIRED: Final = (
+    *("kind", "name", "owner", "urgency", "place"),
+    *("processors", "memory_mb"),
+)
+_DEFAULTS: Final[dict[str, str]] = {
+    "accelerators": "0",
+    "run_time_s": "0",
+    "count": "1",
+    "idempotent": "yes",
+    "deadline_ms": "0",
+    "share": "1",
+    "command": "",
+}
+COLUMNS: Final = (*_REQUIRED, *_DEFAULTS)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One faulty value of a sheet.
+
+    Attributes:
+        row: Row as a spreadsheet counts it, from 1; 0 for a single job.
+        column: Name of the column.
+        value: The value found.
+        allowed: What is allowed.
+    """
+
+    row: int
+    column: str
+    value: str
+    allowed: str
+
+    def plain(self) -> dict[str, Any]:
+        """Returns the fault for an operator's answer."""
+        return dataclasses.asdict(self)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sheet:
+    """A valid sheet.
+
+    Attributes:
+        revision: Revision that the sheet claims.
+        digest: SHA-256 of the sheet's bytes, in hex.
+        rows: Services and jobs in the order of the sheet.
+    """
+
+    revision: int
+    digest: str
+    rows: tuple[common.SheetRow, ...]
+
+
+class SheetInvalidError(errors.RefusedError):
+    """A sheet or row has faults; nothing of it was applied.
+
+    Attributes:
+        faults: All faults found, at most `MAX_FAULTS`.
+    """
+
+    def __init__(self, *, faults: Iterable[Fault]) -> None:
+        super().__init__(
+            code=error_texts.SHEET_INVALID,
+            text=error_texts.text_for(error_texts.SHEET_INVALID),
+            step="read sheet",
+        )
+        self.faults = tuple(faults)[:MAX_FAULTS]
+
+
+class _ValueFaultError(Exception):
+    """A value is not allowed; carries what is."""
+
+
+def parse_sheet(data: bytes) -> Sheet:
+    """Reads and validates a sheet.
+
+    Args:
+        data: CSV in UTF-8.
+
+    Returns:
+        The valid sheet.
+
+    Raises:
+        SheetInvalidError: At least one value is not allowed.
+    """
+    records = _read_records(data)
+    faults: list[Fault] = []
+    revision = _read_revision(records, faults)
+    columns = _read_columns(records, faults)
+    rows: list[common.SheetRow] = []
+    names: dict[str, int] = {}
+    for number, record in enumerate(records[2:], start=3):
+        if not any(cell.strip() for cell in record):
+            continue
+        row, found = _read_row(number, columns, record)
+        faults.extend(found)
+        if row is None:
+            continue
+        if row.name in names:
+            allowed = f"a name not used before (row {names[row.name]} has it)"
+            faults.append(_fault(number, "name", row.name, allowed))
+        names.setdefault(row.name, number)
+        rows.append(row)
+    if sum(row.count for row in rows) > MAX_TASKS:
+        total = str(sum(row.count for row in rows))
+        allowed = f"at most {MAX_TASKS} in all rows together"
+        faults.append(_fault(0, "count", total, allowed))
+    if faults:
+        raise SheetInvalidError(faults=faults)
+    digest = hashlib.sha256(data).hexdigest()
+    return Sheet(revision=revision, digest=digest, rows=tuple(rows))
+
+
+def parse_job(fields: Mapping[str, Any]) -> common.SheetRow:
+    """Validates the fields of a single job.
+
+    Args:
+        fields: Values by column name; optional columns may be missing.
+
+    Returns:
+        The row of the job.
+
+    Raises:
+        SheetInvalidError: At least one value is not allowed.
+    """
+    values = {"kind": "job", **{k: str(v) for k, v in fields.items()}}
+    unknown = [name for name in values if name not in COLUMNS]
+    faults = [
+        _fault(0, name, values[name], "no such column") for name in unknown
+    ]
+    row, found = _validate(0, values)
+    faults.extend(found)
+    if row is not None and row.kind != "job":
+        faults.append(_fault(0, "kind", row.kind, "'job'"))
+    if faults or row is None:
+        raise SheetInvalidError(faults=faults)
+    return row
+
+
+def _fault(row: int, column: str, value: str, allowed: str) -> Fault:
+    return Fault(row=row, column=column, value=value[:200], allowed=allowed)
+
+
+def _read_records(data: bytes) -> list[list[str]]:
+    try:
+        text = data.decode("utf-8-sig")
+        return list(csv.reader(io.StringIO(text, newline=""), strict=True))
+    except UnicodeDecodeError as err:
+        fault = _fault(0, "", f"byte {err.start}", "text in UTF-8")
+        raise SheetInvalidError(faults=(fault,)) from err
+    except csv.Error as err:
+        fault = _fault(0, "", str(err), "well-formed CSV")
+        raise SheetInvalidError(faults=(fault,)) from err
+
+
+def _read_revision(records: list[list[str]], faults: list[Fault]) -> int:
+    cells = [cell.strip() for cell in records[0]] if records else []
+    cells = cells[:2] + [cell for cell in cells[2:] if cell]
+    try:
+        if len(cells) != 2 or cells[0] != "revision":
+            raise _ValueFaultError
+        return _integer(1, 2**53)(cells[1])
+    except _ValueFaultError:
+        allowed = "'revision,<n>' with n from 1"
+        faults.append(_fault(1, "revision", ",".join(cells), allowed))
+        return 0
+
+
+def _read_columns(
+    records: list[list[str]], faults: list[Fault]
+) -> tuple[str, ...]:
+    header = records[1] if len(records) > 1 else []
+    columns = tuple(cell.strip() for cell in header)
+    for name in _REQUIRED:
+        if name not in columns:
+            faults.append(_fault(2, name, "", "this column is required"))
+    for name in dict.fromkeys(columns):
+        if name and name not in COLUMNS:
+            faults.append(_fault(2, name, name, "one of " + ", ".join(COLUMNS)))
+        if name and columns.count(name) > 1:
+            faults.append(_fault(2, name, name, "each column once"))
+    return columns
+
+
+def _read_row(
+    number: int, columns: tuple[str, ...], record: list[str]
+) -> tuple[common.SheetRow | None, list[Fault]]:
+    extra = [cell for cell in record[len(columns) :] if cell.strip()]
+    if extra:
+        allowed = f"at most {len(columns)} cells"
+        return None, [_fault(number, "", ",".join(extra), allowed)]
+    values = {
+        name: cell
+        for name, cell in zip(columns, record, strict=False)
+        if name in COLUMNS
+    }
+    return _validate(number, values)
+
+
+def _validate(
+    number: int, values: Mapping[str, str]
+) -> tuple[common.SheetRow | None, list[Fault]]:
+    faults: list[Fault] = []
+    read: dict[str, Any] = {}
+    for column in COLUMNS:
+        value = values.get(column, "")
+        value = value if column == "command" else value.strip()
+        if not value:
+            value = _DEFAULTS.get(column, "")
+        try:
+            read[column] = _READERS[column](value)
+        except _ValueFaultError as err:
+            faults.append(_fault(number, column, value, str(err)))
+    if faults:
+        return None, faults
+    return _to_row(read), []
+
+
+def _to_row(read: dict[str, Any]) -> common.SheetRow:
+    millicores = read.pop("processors")
+    if read["kind"] == "job":
+        read.update(idempotent=True, deadline_ms=0)
+    else:
+        read.update(run_time_s=0)
+    return common.SheetRow(millicores=millicores, **read)
+
+
+def _integer(low: int, high: int) -> Callable[[str], int]:
+    def read(value: str) -> int:
+        if not re.fullmatch(r"[0-9]{1,18}", value):
+            raise _ValueFaultError(f"a whole number from {low} to {high}")
+        number = int(value)
+        if not low <= number <= high:
+            raise _ValueFaultError(f"a whole number from {low} to {high}")
+        return number
+
+    return read
+
+
+def _choice(choices: Mapping[str, Any]) -> Callable[[str], Any]:
+    def read(value: str) -> Any:
+        if value not in choices:
+            raise _ValueFaultError("one of " + ", ".join(choices))
+        return choices[value]
+
+    return read
+
+
+def _name(value: str) -> str:
+    if not _NAME.fullmatch(value):
+        raise _ValueFaultError(_NAME_ALLOWED)
+    return value
+
+
+def _processors(value: str) -> int:
+    allowed = "a decimal number from 0.001 to 1024, at most 3 decimals"
+    if not re.fullmatch(r"[0-9]{1,4}(\.[0-9]{1,3})?", value):
+        raise _ValueFaultError(allowed)
+    millicores = int(decimal.Decimal(value) * _MILLI)
+    if not 1 <= millicores <= 1024 * _MILLI:
+        raise _ValueFaultError(allowed)
+    return millicores
+
+
+def _command(value: str) -> str:
+    if len(value) > 4096:
+        raise _ValueFaultError("at most 4096 characters")
+    return value
+
+
+_READERS: Final[dict[str, Callable[[str], Any]]] = {
+    "kind": _choice({"service": "service", "job": "job"}),
+    "name": _name,
+    "owner": _name,
+    "urgency": _integer(0, 9),
+    "place": _integer(0, 10**9),
+    "processors": _processors,
+    "memory_mb": _integer(1, 16 * 1024 * 1024),
+    "accelerators": _integer(0, 64),
+    "run_time_s": _integer(0, 366 * 86_400),
+    "count": _integer(1, 10_000),
+    "idempotent": _choice({"yes": True, "no": False}),
+    "deadline_ms": _integer(0, 600_000),
+    "share": _integer(1, 1000),
+    "command": _command,
+}
--- /dev/null
+++ b/bamboorouter/state/assignments.py
@@ -0,0 +1,255 @@
+"""Tasks and their assignments.
+
+A task has at most one live assignment. Each assignment has an epoch from one
+counter, so an epoch is never used twice, not even for a task that is created
+anew under an old name. Reports about another epoch than the current one are
+refused.
+"""
+
+from collections.abc import Iterable
+from typing import Any, Final, Literal
+
+import msgspec
+
+from bamboorouter import error_texts
+from bamboorouter.protocol import commands, common
+from bamboorouter.state import ledger, workers
+
+TaskStatus = Literal[
+    "pending", "assigned", "evicting", "finished", "failed", "cancelled"
+]
+Stopping = Literal["", "cancelled", "surplus"]
+LIVE: Final = ("assigned", "evicting")
+ENDED: Final = ("finished", "failed", "cancelled")
+# The blame policy needs three different workers; a few more help people.
+MAX_FAILED_ON: Final = 8
+
+
+class Task(msgspec.Struct, array_like=True, kw_only=True):
+    """One instance of a service or one task of a job.
+
+    Attributes:
+        task: ID, "<row>/<number>".
+        row: Name of the row of the sheet.
+        kind: "service" or "batch".
+        submitted_ms: Wall time of its creation.
+        status: Where it stands.
+        epoch: Epoch of the current or last assignment; 0 before the first.
+        worker: Worker of the current assignment.
+        need: Reserved resources of the current assignment.
+        resume_from: Checkpoint that the next assignment consumes.
+        assigned_from: Checkpoint that the current assignment consumed.
+        assigned_ms: Wall time of the current assignment.
+        stopping: Why a live task is to end for good; empty if it is not.
+        replacement: Instance that takes over from this one, if any.
+        failed_on: Workers on which it failed, each once.
+        failures: Number of failures.
+        evictions: Number of evictions.
+        detail: Reason of the last failure or end, for people.
+    """
+
+    task: str
+    row: str
+    kind: common.TaskKind
+    submitted_ms: int
+    status: TaskStatus = "pending"
+    epoch: int = 0
+    worker: str = ""
+    need: common.Resources = ledger.NOTHING
+    resume_from: str = ""
+    assigned_from: str = ""
+    assigned_ms: int = 0
+    stopping: Stopping = ""
+    replacement: str = ""
+    failed_on: tuple[str, ...] = ()
+    failures: int = 0
+    evictions: int = 0
+    detail: str = ""
+
+    @property
+    def live(self) -> bool:
+        """Whether the task has an assignment."""
+        return self.status in LIVE
+
+    @property
+    def number(self) -> int:
+        """Number within its row."""
+        return int(self.task.rpartition("/")[2])
+
+
+class Assignments:
+    """All tasks, with indexes for the scheduler.
+
+    Attributes:
+        tasks: Tasks by ID.
+        last_epoch: Highest epoch ever given.
+        pending: IDs of waiting tasks.
+        on_worker: IDs of live tasks by worker.
+        of_row: IDs of tasks by row.
+        used: Reserved resources by worker.
+    """
+
+    def __init__(self) -> None:
+        self.tasks: dict[str, Task] = {}
+        self.last_epoch = 0
+        self.pending: dict[str, None] = {}
+        self.on_worker: dict[str, dict[str, None]] = {}
+        self.of_row: dict[str, dict[str, None]] = {}
+        self.used: dict[str, common.Resources] = {}
+
+    def create(
+        self, row: common.SheetRow, number: int, submitted_ms: int
+    ) -> Task:
+        """Adds a waiting task."""
+        task = Task(
+            task=f"{row.name}/{number}",
+            row=row.name,
+            kind="service" if row.kind == "service" else "batch",
+            submitted_ms=submitted_ms,
+        )
+        self._index(task)
+        return task
+
+    def remove(self, task: Task) -> None:
+        """Deletes a task that has no assignment."""
+        del self.tasks[task.task]
+        self.pending.pop(task.task, None)
+        siblings = self.of_row[task.row]
+        del siblings[task.task]
+        if not siblings:
+            del self.of_row[task.row]
+
+    def rows_tasks(self, row: str) -> list[Task]:
+        """Returns the tasks of a row in the order of their numbers."""
+        found = [self.tasks[task] for task in self.of_row.get(row, ())]
+        return sorted(found, key=lambda task: task.number)
+
+    def worker_tasks(self, worker: str) -> list[Task]:
+        """Returns the live tasks of a worker."""
+        return [self.tasks[task] for task in self.on_worker.get(worker, ())]
+
+    def used_on(self, worker: str) -> common.Resources:
+        """Returns what is reserved on a worker."""
+        return self.used.get(worker, ledger.NOTHING)
+
+    def current(
+        self, task_id: str, epoch: int, status: Iterable[str] = LIVE
+    ) -> Task | commands.Result:
+        """Returns the task if the epoch is its live one, else a refusal."""
+        task = self.tasks.get(task_id)
+        if task is None:
+            return workers.refused(error_texts.NO_SUCH_TASK, task=task_id)
+        if task.epoch != epoch or task.status not in status:
+            return workers.refused(
+                error_texts.STALE_EPOCH, task=task_id, epoch=epoch
+            )
+        return task
+
+    def assign(
+        self,
+        command: commands.Assign,
+        capacity: common.Resources,
+        now_ms: int,
+    ) -> commands.Result:
+        """Assigns a waiting task, consuming its checkpoint.
+
+        Args:
+            command: The assignment.
+            capacity: Capacity of the worker.
+            now_ms: Wall time of the batch.
+        """
+        task = self.tasks.get(command.task)
+        if task is None:
+            return workers.refused(error_texts.NO_SUCH_TASK, task=command.task)
+        if task.status != "pending":
+            return workers.refused(
+                error_texts.TASK_NOT_WAITING,
+                task=command.task,
+                state=task.status,
+            )
+        used = ledger.plus(self.used_on(command.worker), command.need)
+        if not ledger.valid_need(command.need) or not ledger.fits(
+            used, capacity
+        ):
+            return workers.refused(error_texts.NO_CAPACITY)
+        self.last_epoch += 1
+        task.status = "assigned"
+        task.epoch = self.last_epoch
+        task.worker = command.worker
+        task.need = command.need
+        task.assigned_from = task.resume_from
+        task.resume_from = ""
+        task.assigned_ms = now_ms
+        del self.pending[task.task]
+        self.used[command.worker] = used
+        self.on_worker.setdefault(command.worker, {})[task.task] = None
+        data = {"epoch": task.epoch, "resume_from": task.assigned_from}
+        return commands.Result(ok=True, data=data)
+
+    def release(self, task: Task, checkpoint: str) -> None:
+        """Ends the live assignment; the task waits again.
+
+        Args:
+            task: A live task.
+            checkpoint: Newest checkpoint; empty keeps the one it started from.
+        """
+        left = ledger.minus(self.used[task.worker], task.need)
+        siblings = self.on_worker[task.worker]
+        del siblings[task.task]
+        if siblings:
+            self.used[task.worker] = left
+        else:
+            del self.on_worker[task.worker]
+            del self.used[task.worker]
+        task.resume_from = checkpoint or task.assigned_from
+        if task.kind == "service":
+            task.resume_from = ""
+        task.status = "pending"
+        task.worker = ""
+        task.need = ledger.NOTHING
+        task.assigned_from = ""
+        self.pending[task.task] = None
+
+    def finish(self, task: Task, status: TaskStatus) -> None:
+        """Moves a waiting task to a final state."""
+        task.status = status
+        task.stopping = ""
+        self.pending.pop(task.task, None)
+
+    def note_failure(self, task: Task, worker: str, detail: str) -> None:
+        """Counts a failure on a worker."""
+        task.failures += 1
+        task.detail = detail
+        if worker not in task.failed_on:
+            kept = task.failed_on[-MAX_FAILED_ON + 1 :]
+            task.failed_on = (*kept, worker)
+
+    def snapshot(self) -> list[Any]:
+        """Returns all tasks in order and the epoch counter."""
+        tasks = list(self.tasks.values())
+        return [
+            self.last_epoch,
+            msgspec.to_builtins(tasks),
+            list(self.pending),
+            [[name, list(held)] for name, held in self.on_worker.items()],
+        ]
+
+    def restore(self, plain: list[Any]) -> None:
+        """Replaces all tasks by those of a snapshot."""
+        last_epoch, tasks, pending, on_worker = plain
+        self.__init__()  # type: ignore[misc]
+        self.last_epoch = last_epoch
+        for task in msgspec.convert(tasks, list[Task]):
+            self._index(task)
+        self.pending = dict.fromkeys(pending)
+        self.on_worker = {name: dict.fromkeys(held) for name, held in on_worker}
+        self.used = {
+            name: ledger.total(self.tasks[task].need for task in held)
+            for name, held in self.on_worker.items()
+        }
+
+    def _index(self, task: Task) -> None:
+        self.tasks[task.task] = task
+        self.of_row.setdefault(task.row, {})[task.task] = None
+        if task.status == "pending":
+            self.pending[task.task] = None
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -4,29 +4,451 @@
 state. Applying checks each invariant again, whoever proposed the command.
 """
 
-from bamboorouter.protocol import commands
+from collections.abc import Callable
+from typing import Any, Final
+
+import cbor2
+
+from bamboorouter import error_texts
+from bamboorouter.protocol import codec, commands, common
+from bamboorouter.state import (
+    assignments,
+    ledger,
+    plan,
+    request_keys,
+    workers,
+)
+
+SNAPSHOT_VERSION: Final = 1
+# Entries whose last batch of request records is remembered.
+MAX_RECORD_SOURCES: Final = 512
 
 
 class Machine:
     """The replicated state.
 
     Attributes:
-        config_revision: Raised by each accepted change of configuration.
+        applied_index: Index of the last applied entry.
+        now_ms: Highest wall time of all applied batches.
+        plan: Services, jobs and answers to operators.
+        workers: Workers, drains and quarantines.
+        assignments: Tasks and their assignments.
+        request_keys: Reservations of idempotency keys.
+        record_sources: Incarnation and sequence of the last batch of request
+            records by entry.
     """
 
     def __init__(self) -> None:
-        self.config_revision = 0
+        self.applied_index = 0
+        self.now_ms = 0
+        self.plan = plan.Plan()
+        self.workers = workers.Workers()
+        self.assignments = assignments.Assignments()
+        self.request_keys = request_keys.RequestKeys()
+        self.record_sources: dict[str, tuple[int, int]] = {}
+        self._appliers: dict[type, Callable[[Any], commands.Result]] = {
+            commands.AcceptSheet: self._accept_sheet,
+            commands.SubmitJob: self._submit_job,
+            commands.CancelJob: self._cancel_job,
+            commands.SetDrain: self._set_drain,
+            commands.RegisterWorker: self._register_worker,
+            commands.Assign: self._assign,
+            commands.EndTask: self._end_task,
+            commands.EvictTask: self._evict_task,
+            commands.ConfirmEviction: self._confirm_eviction,
+            commands.Quarantine: self._quarantine,
+            commands.ReserveRequest: self._reserve_request,
+            commands.RecordRequestOutcome: self._record_request_outcome,
+            commands.RecordRequests: self._record_requests,
+            commands.ReplaceInstance: self._replace_instance,
+            commands.FailJob: self._fail_job,
+        }
+
+    @property
+    def config_revision(self) -> int:
+        """Raised by each accepted change of configuration."""
+        return self.plan.config_revision
 
     def apply(
         self, index: int, batch: commands.CommandBatch
     ) -> list[commands.Result]:
         """Applies one log entry and returns a result for each command."""
-        raise NotImplementedError
+        self.applied_index = index
+        self.now_ms = max(self.now_ms, batch.wall_ms)
+        return [self._apply_one(command) for command in batch.commands]
 
     def snapshot(self) -> bytes:
         """Returns the whole state as CBOR."""
-        raise NotImplementedError
+        return cbor2.dumps(
+            [
+                SNAPSHOT_VERSION,
+                self.applied_index,
+                self.now_ms,
+                self.plan.snapshot(),
+                self.workers.snapshot(),
+                self.assignments.snapshot(),
+                self.request_keys.snapshot(),
+                [[name, *pair] for name, pair in self.record_sources.items()],
+            ]
+        )
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by a snapshot."""
-        raise NotImplementedError
+        _, index, now_ms, planned, known, assigned, keys, sources = codec.loads(
+            data
+        )
+        self.applied_index = index
+        self.now_ms = now_ms
+        self.plan.restore(planned)
+        self.workers.restore(known)
+        self.assignments.restore(assigned)
+        self.request_keys.restore(keys)
+        self.record_sources = {name: (a, b) for name, a, b in sources}
+
+    def _apply_one(self, command: commands.Command) -> commands.Result:
+        operation_id = getattr(command, "operation_id", "")
+        first = self.plan.operations.get(operation_id)
+        if first is not None:
+            return first
+        result = self._appliers[type(command)](command)
+        self.plan.remember(operation_id, result)
+        return result
+
+    # Configuration.
+
+    def _accept_sheet(self, command: commands.AcceptSheet) -> commands.Result:
+        known = self.plan.sheets.get(command.revision)
+        if known is not None and known.digest == command.digest:
+            return known.answer
+        if command.revision != self.plan.revision + 1:
+            return self._conflict(command)
+        clash = self._clashing_name(command.rows)
+        if clash is not None:
+            return clash
+        self.plan.revision = command.revision
+        rows = {row.name: row for row in command.rows if row.kind == "service"}
+        for name in [n for n in self.plan.services if n not in rows]:
+            del self.plan.services[name]
+            self._fit_instances(name, 0)
+        for row in rows.values():
+            self.plan.services[row.name] = row
+            self._fit_instances(row.name, row.count)
+        ended = [
+            row.name
+            for row in command.rows
+            if row.kind == "job" and not self._plan_job(row)
+        ]
+        answer = self._changed(
+            sheet_revision=command.revision,
+            digest=command.digest,
+            already_ended=ended,
+        )
+        self.plan.remember_sheet(command, answer)
+        return answer
+
+    def _conflict(self, command: commands.AcceptSheet) -> commands.Result:
+        return commands.Result(
+            ok=False,
+            code=error_texts.REVISION_CONFLICT,
+            text=error_texts.text_for(
+                error_texts.REVISION_CONFLICT,
+                offered=command.revision,
+                holds=self.plan.revision,
+            ),
+            data={
+                "sheet_revision": self.plan.revision,
+                "digest": self.plan.digest,
+                "config_revision": self.plan.config_revision,
+            },
+        )
+
+    def _clashing_name(
+        self, rows: tuple[common.SheetRow, ...]
+    ) -> commands.Result | None:
+        """Refuses names whose tasks of the other kind have not ended."""
+        faults = [
+            {
+                "row": 0,
+                "column": "name",
+                "value": row.name,
+                "allowed": "a name not in use for the other kind",
+            }
+            for row in rows
+            if self._other_kind_lives(row)
+        ]
+        if not faults:
+            return None
+        return commands.Result(
+            ok=False,
+            code=error_texts.SHEET_INVALID,
+            text=error_texts.text_for(error_texts.SHEET_INVALID),
+            data={"faults": faults},
+        )
+
+    def _other_kind_lives(self, row: common.SheetRow) -> bool:
+        if row.kind == "service":
+            return row.name in self.plan.jobs
+        return any(
+            task.kind == "service"
+            for task in self.assignments.rows_tasks(row.name)
+        )
+
+    def _fit_instances(self, name: str, count: int) -> None:
+        """Adds missing instances of a service and stops surplus ones.
+
+        Waiting instances are given up before running ones, and among these
+        the ones with the highest numbers.
+        """
+        tasks = [
+            task
+            for task in self.assignments.rows_tasks(name)
+            if not task.stopping
+        ]
+        tasks.sort(key=lambda task: (not task.live, task.number))
+        replaced = {t.replacement for t in tasks if t.replacement}
+        counted = [task for task in tasks if task.task not in replaced]
+        for task in counted[count:]:
+            self._stop_instance(task)
+        row = self.plan.services.get(name)
+        if row is not None:
+            for _ in range(count - len(counted)):
+                self._add_instance(row)
+
+    def _stop_instance(self, task: assignments.Task) -> None:
+        successor = self.assignments.tasks.get(task.replacement)
+        for each in (task, successor):
+            if each is None:
+                continue
+            if each.live:
+                each.stopping = "surplus"
+            else:
+                self.assignments.remove(each)
+
+    def _add_instance(self, row: common.SheetRow) -> assignments.Task:
+        taken = {t.number for t in self.assignments.rows_tasks(row.name)}
+        number = next(n for n in range(len(taken) + 1) if n not in taken)
+        return self.assignments.create(row, number, self.now_ms)
+
+    def _plan_job(self, row: common.SheetRow) -> bool:
+        """Adds or changes a job; returns False if it ended before."""
+        if row.name in self.plan.ended:
+            return False
+        job = self.plan.jobs.get(row.name)
+        if job is None:
+            job = plan.Job(row=row, submitted_ms=self.now_ms)
+            self.plan.jobs[row.name] = job
+        elif job.verdict:
+            return False
+        elif any(t.epoch for t in self.assignments.rows_tasks(row.name)):
+            # A started job keeps its command, so that a resumed task meets
+            # the checkpoint it wrote.
+            row = _with_command(row, job.row.command)
+        job.row = row
+        self._fit_tasks(job)
+        return True
+
+    def _fit_tasks(self, job: plan.Job) -> None:
+        tasks = self.assignments.rows_tasks(job.row.name)
+        known = {task.number for task in tasks}
+        for number in range(job.row.count):
+            if number not in known:
+                self.assignments.create(job.row, number, self.now_ms)
+                job.open_tasks += 1
+        for task in tasks:
+            unstarted = task.status == "pending" and not task.epoch
+            if unstarted and task.number >= job.row.count:
+                self._finish(task, "cancelled")
+
+    def _submit_job(self, command: commands.SubmitJob) -> commands.Result:
+        row = command.row
+        job = self.plan.jobs.get(row.name)
+        if job is not None and job.row == row:
+            return self._unchanged(job=row.name)
+        if job is not None or self.plan.row(row.name) is not None:
+            return workers.refused(error_texts.JOB_EXISTS, job=row.name)
+        if self._other_kind_lives(row):
+            return workers.refused(error_texts.JOB_EXISTS, job=row.name)
+        if not self.workers.can_ever_run(ledger.declared(row)):
+            return workers.refused(error_texts.JOB_CANNOT_RUN, job=row.name)
+        self._plan_job(row)
+        return self._changed(job=row.name)
+
+    def _cancel_job(self, command: commands.CancelJob) -> commands.Result:
+        job = self.plan.jobs.get(command.job)
+        if job is None:
+            return workers.refused(error_texts.NO_SUCH_JOB, job=command.job)
+        if job.verdict == "cancelled" or not job.open_tasks:
+            return self._unchanged(job=command.job)
+        job.verdict = "cancelled"
+        job.reason = f"cancelled by {command.operator}"
+        for task in self.assignments.rows_tasks(command.job):
+            if task.live:
+                task.stopping = "cancelled"
+            elif task.status == "pending":
+                self._finish(task, "cancelled")
+        return self._changed(job=command.job)
+
+    def _set_drain(self, command: commands.SetDrain) -> commands.Result:
+        if self.workers.set_drain(command.target, command.draining):
+            return self._changed(target=command.target)
+        return self._unchanged(target=command.target)
+
+    def _changed(self, **data: Any) -> commands.Result:
+        self.plan.config_revision += 1
+        return self._unchanged(**data)
+
+    def _unchanged(self, **data: Any) -> commands.Result:
+        data["config_revision"] = self.plan.config_revision
+        return commands.Result(ok=True, data=data)
+
+    # Workers and tasks.
+
+    def _register_worker(
+        self, command: commands.RegisterWorker
+    ) -> commands.Result:
+        return self.workers.register(command)
+
+    def _quarantine(self, command: commands.Quarantine) -> commands.Result:
+        return self.workers.quarantine(command, self.now_ms)
+
+    def _assign(self, command: commands.Assign) -> commands.Result:
+        refusal = self.workers.refusal(command.worker, self.now_ms)
+        if refusal is not None:
+            return refusal
+        capacity = self.workers.by_name[command.worker].capacity
+        return self.assignments.assign(command, capacity, self.now_ms)
+
+    def _end_task(self, command: commands.EndTask) -> commands.Result:
+        task = self.assignments.current(command.task, command.epoch)
+        if isinstance(task, commands.Result):
+            return task
+        worker = task.worker
+        if command.outcome in ("failed", "given_up"):
+            self.assignments.note_failure(task, worker, command.detail)
+        if command.outcome == "finished":
+            self.workers.note_success(worker)
+        self._release(task, command.checkpoint)
+        if task.status == "pending" and task.kind == "batch":
+            self._end_batch(task, command.outcome)
+        return _state_of(task, removed=task.task not in self.assignments.tasks)
+
+    def _end_batch(self, task: assignments.Task, outcome: str) -> None:
+        job = self.plan.jobs[task.row]
+        given_up = outcome == "given_up" or job.verdict == "failed"
+        if outcome == "finished":
+            self._finish(task, "finished")
+        elif given_up and outcome in ("failed", "given_up"):
+            self._finish(task, "failed")
+
+    def _evict_task(self, command: commands.EvictTask) -> commands.Result:
+        task = self.assignments.current(
+            command.task, command.epoch, ("assigned",)
+        )
+        if isinstance(task, commands.Result):
+            return task
+        task.status = "evicting"
+        task.detail = command.reason
+        return _state_of(task)
+
+    def _confirm_eviction(
+        self, command: commands.ConfirmEviction
+    ) -> commands.Result:
+        task = self.assignments.current(
+            command.task, command.epoch, ("evicting",)
+        )
+        if isinstance(task, commands.Result):
+            return task
+        task.evictions += 1
+        self._release(task, command.checkpoint)
+        return _state_of(task, removed=task.task not in self.assignments.tasks)
+
+    def _release(self, task: assignments.Task, checkpoint: str) -> None:
+        """Ends an assignment; a task that is stopping ends for good."""
+        stopping = task.stopping
+        self.assignments.release(task, checkpoint)
+        if stopping == "cancelled":
+            self._finish(task, "cancelled")
+        elif stopping == "surplus" or self._replaced(task):
+            self.assignments.remove(task)
+
+    def _replaced(self, task: assignments.Task) -> bool:
+        return task.replacement in self.assignments.tasks
+
+    def _finish(
+        self, task: assignments.Task, status: assignments.TaskStatus
+    ) -> None:
+        self.assignments.finish(task, status)
+        job = self.plan.jobs[task.row]
+        if status in ("finished", "failed", "cancelled"):
+            job.count(status)
+        if not job.open_tasks:
+            for name in self.plan.end_job(task.row):
+                for old in self.assignments.rows_tasks(name):
+                    self.assignments.remove(old)
+
+    def _replace_instance(
+        self, command: commands.ReplaceInstance
+    ) -> commands.Result:
+        task = self.assignments.current(command.task, command.epoch)
+        if isinstance(task, commands.Result):
+            return task
+        row = self.plan.services.get(task.row)
+        if row is None or task.stopping or self._replaced(task):
+            return workers.refused(
+                error_texts.STALE_EPOCH, task=task.task, epoch=task.epoch
+            )
+        successor = self._add_instance(row)
+        task.replacement = successor.task
+        return commands.Result(ok=True, data={"task": successor.task})
+
+    def _fail_job(self, command: commands.FailJob) -> commands.Result:
+        job = self.plan.jobs.get(command.job)
+        if job is None or not job.open_tasks or job.verdict:
+            return workers.refused(error_texts.NO_SUCH_JOB, job=command.job)
+        job.verdict = "failed"
+        job.code = command.code
+        job.reason = command.reason
+        for task in self.assignments.rows_tasks(command.job):
+            if task.status == "pending":
+                task.detail = command.reason
+                self._finish(task, "failed")
+        return commands.Result(ok=True, data={"job": command.job})
+
+    # Requests.
+
+    def _reserve_request(
+        self, command: commands.ReserveRequest
+    ) -> commands.Result:
+        return self.request_keys.reserve(command, self.now_ms)
+
+    def _record_request_outcome(
+        self, command: commands.RecordRequestOutcome
+    ) -> commands.Result:
+        return self.request_keys.record(command, self.now_ms)
+
+    def _record_requests(
+        self, command: commands.RecordRequests
+    ) -> commands.Result:
+        """Notes the batch; its records stay in the log only."""
+        last = self.record_sources.pop(command.entry, (0, 0))
+        repeated = (
+            last[0] == command.incarnation and command.sequence <= last[1]
+        )
+        self.record_sources[command.entry] = (
+            last if repeated else (command.incarnation, command.sequence)
+        )
+        while len(self.record_sources) > MAX_RECORD_SOURCES:
+            del self.record_sources[next(iter(self.record_sources))]
+        return commands.Result(ok=True, data={"repeated": repeated})
+
+
+def _state_of(
+    task: assignments.Task, *, removed: bool = False
+) -> commands.Result:
+    state = "removed" if removed else task.status
+    return commands.Result(ok=True, data={"state": state})
+
+
+def _with_command(row: common.SheetRow, command: str) -> common.SheetRow:
+    fields = {name: getattr(row, name) for name in row.__struct_fields__}
+    return common.SheetRow(**{**fields, "command": command})
