--- a/bamboorouter/protocol/sheet.py
+++ b/bamboorouter/protocol/sheet.py
@@ -6,16 +6,20 @@
 a spreadsheet counts them, from 1.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 import csv
 import dataclasses
 import decimal
 import hashlib
 import io
 import re
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Final
+from typing import Any
+from typing import Final
 
-from bamboorouter import error_texts, errors
+from bamboorouter import error_texts
+from bamboorouter import errors
 from bamboorouter.protocol import common
 
 # One task record takes about 0.5 kB on a control replica that has 32 MB.
--- a/bamboorouter/state/assignments.py
+++ b/bamboorouter/state/assignments.py
@@ -7,13 +7,17 @@
 """
 
 from collections.abc import Iterable
-from typing import Any, Final, Literal
+from typing import Any
+from typing import Final
+from typing import Literal
 
 import msgspec
 
 from bamboorouter import error_texts
-from bamboorouter.protocol import commands, common
-from bamboorouter.state import ledger, workers
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.state import ledger
+from bamboorouter.state import workers
 
 TaskStatus = Literal[
     "pending", "assigned", "evicting", "finished", "failed", "cancelled"
@@ -83,19 +87,21 @@
     Attributes:
         tasks: Tasks by ID.
         last_epoch: Highest epoch ever given.
-        pending: IDs of waiting tasks.
+        pending: IDs of waiting tasks by row.
         on_worker: IDs of live tasks by worker.
         of_row: IDs of tasks by row.
         used: Reserved resources by worker.
+        used_by_row: Reserved resources by row.
     """
 
     def __init__(self) -> None:
         self.tasks: dict[str, Task] = {}
         self.last_epoch = 0
-        self.pending: dict[str, None] = {}
+        self.pending: dict[str, dict[str, None]] = {}
         self.on_worker: dict[str, dict[str, None]] = {}
         self.of_row: dict[str, dict[str, None]] = {}
         self.used: dict[str, common.Resources] = {}
+        self.used_by_row: dict[str, common.Resources] = {}
 
     def create(
         self, row: common.SheetRow, number: int, submitted_ms: int
@@ -113,7 +119,7 @@
     def remove(self, task: Task) -> None:
         """Deletes a task that has no assignment."""
         del self.tasks[task.task]
-        self.pending.pop(task.task, None)
+        self._no_longer_pending(task)
         siblings = self.of_row[task.row]
         del siblings[task.task]
         if not siblings:
@@ -180,8 +186,9 @@
         task.assigned_from = task.resume_from
         task.resume_from = ""
         task.assigned_ms = now_ms
-        del self.pending[task.task]
+        self._no_longer_pending(task)
         self.used[command.worker] = used
+        self._count_row(task.row, command.need)
         self.on_worker.setdefault(command.worker, {})[task.task] = None
         data = {"epoch": task.epoch, "resume_from": task.assigned_from}
         return commands.Result(ok=True, data=data)
@@ -201,6 +208,7 @@
         else:
             del self.on_worker[task.worker]
             del self.used[task.worker]
+        self._count_row(task.row, ledger.minus(ledger.NOTHING, task.need))
         task.resume_from = checkpoint or task.assigned_from
         if task.kind == "service":
             task.resume_from = ""
@@ -208,13 +216,13 @@
         task.worker = ""
         task.need = ledger.NOTHING
         task.assigned_from = ""
-        self.pending[task.task] = None
+        self._now_pending(task)
 
     def finish(self, task: Task, status: TaskStatus) -> None:
         """Moves a waiting task to a final state."""
         task.status = status
         task.stopping = ""
-        self.pending.pop(task.task, None)
+        self._no_longer_pending(task)
 
     def note_failure(self, task: Task, worker: str, detail: str) -> None:
         """Counts a failure on a worker."""
@@ -230,8 +238,8 @@
         return [
             self.last_epoch,
             msgspec.to_builtins(tasks),
-            list(self.pending),
-            [[name, list(held)] for name, held in self.on_worker.items()],
+            _plain_index(self.pending),
+            _plain_index(self.on_worker),
         ]
 
     def restore(self, plain: list[Any]) -> None:
@@ -241,15 +249,47 @@
         self.last_epoch = last_epoch
         for task in msgspec.convert(tasks, list[Task]):
             self._index(task)
-        self.pending = dict.fromkeys(pending)
-        self.on_worker = {name: dict.fromkeys(held) for name, held in on_worker}
+        self.pending = _index_of(pending)
+        self.on_worker = _index_of(on_worker)
         self.used = {
             name: ledger.total(self.tasks[task].need for task in held)
             for name, held in self.on_worker.items()
         }
+        for task in self.tasks.values():
+            if task.live:
+                self._count_row(task.row, task.need)
+
+    def waiting(self) -> int:
+        """Returns the number of waiting tasks."""
+        return sum(len(tasks) for tasks in self.pending.values())
+
+    def _now_pending(self, task: Task) -> None:
+        self.pending.setdefault(task.row, {})[task.task] = None
+
+    def _no_longer_pending(self, task: Task) -> None:
+        waiting = self.pending.get(task.row)
+        if waiting is None:
+            return
+        waiting.pop(task.task, None)
+        if not waiting:
+            del self.pending[task.row]
+
+    def _count_row(self, row: str, amount: common.Resources) -> None:
+        used = ledger.plus(self.used_by_row.get(row, ledger.NOTHING), amount)
+        self.used_by_row[row] = used
+        if used == ledger.NOTHING:
+            del self.used_by_row[row]
 
     def _index(self, task: Task) -> None:
         self.tasks[task.task] = task
         self.of_row.setdefault(task.row, {})[task.task] = None
         if task.status == "pending":
-            self.pending[task.task] = None
+            self._now_pending(task)
+
+
+def _plain_index(index: dict[str, dict[str, None]]) -> list[Any]:
+    return [[name, list(held)] for name, held in index.items()]
+
+
+def _index_of(plain: list[Any]) -> dict[str, dict[str, None]]:
+    return {name: dict.fromkeys(held) for name, held in plain}
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -5,19 +5,20 @@
 """
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
+from typing import Final
 
 import cbor2
 
 from bamboorouter import error_texts
-from bamboorouter.protocol import codec, commands, common
-from bamboorouter.state import (
-    assignments,
-    ledger,
-    plan,
-    request_keys,
-    workers,
-)
+from bamboorouter.protocol import codec
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.state import assignments
+from bamboorouter.state import ledger
+from bamboorouter.state import plan
+from bamboorouter.state import request_keys
+from bamboorouter.state import workers
 
 SNAPSHOT_VERSION: Final = 1
 # Entries whose last batch of request records is remembered.
--- a/bamboorouter/state/plan.py
+++ b/bamboorouter/state/plan.py
@@ -5,11 +5,14 @@
 ended job stays known, so a sheet that still lists it doesn't run it again.
 """
 
-from typing import Any, Final, Literal
+from typing import Any
+from typing import Final
+from typing import Literal
 
 import msgspec
 
-from bamboorouter.protocol import commands, common
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
 
 # Answers to operators; far more than can be resent after a lost answer.
 MAX_OPERATIONS: Final = 4096
--- a/bamboorouter/state/request_keys.py
+++ b/bamboorouter/state/request_keys.py
@@ -7,13 +7,16 @@
 """
 
 import heapq
+from typing import Any
+from typing import Final
+from typing import Literal
 import uuid
-from typing import Any, Final, Literal
 
 import msgspec
 
 from bamboorouter import error_texts
-from bamboorouter.protocol import commands, common
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
 
 RETENTION_MS: Final = 24 * 3600 * 1000
 MAX_KEYS: Final = 50_000
--- a/bamboorouter/state/workers.py
+++ b/bamboorouter/state/workers.py
@@ -1,11 +1,13 @@
 """Workers, drains and quarantines as all replicas know them."""
 
-from typing import Any, Final
+from typing import Any
+from typing import Final
 
 import msgspec
 
 from bamboorouter import error_texts
-from bamboorouter.protocol import commands, common
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
 from bamboorouter.state import ledger
 
 MAX_DRAINS: Final = 4096
--- a/tests/machine_commands.py
+++ b/tests/machine_commands.py
@@ -2,7 +2,8 @@
 
 import uuid
 
-from bamboorouter.protocol import commands, common
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
 from bamboorouter.state import machine
 
 WALL_MS = 1_700_000_000_000
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -10,7 +10,8 @@
 
 from bamboorouter import error_texts
 from bamboorouter.protocol import commands
-from bamboorouter.state import ledger, machine
+from bamboorouter.state import ledger
+from bamboorouter.state import machine
 from tests import machine_commands as make
 
 
--- a/tests/test_request_keys.py
+++ b/tests/test_request_keys.py
@@ -3,8 +3,10 @@
 import unittest
 
 from bamboorouter import error_texts
-from bamboorouter.protocol import commands, common
-from bamboorouter.state import machine, request_keys
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.state import machine
+from bamboorouter.state import request_keys
 from tests import machine_commands as make
 
 
