--- /dev/null
+++ b/bamboorouter/coordination/heartbeats.py
@@ -0,0 +1,348 @@
+"""The leader's side of an agent's heartbeat.
+
+A heartbeat lists everything the agent holds. The leader first commits what
+ended, then answers with renewals for tasks whose epoch is current, start
+orders for assignments the agent doesn't hold yet, and stop orders for running
+tasks without a current assignment. An end that is recorded, or that concerns
+an old epoch, is acknowledged by "forget".
+
+An agent handles one heartbeat at a time and drops replies to older ones. So an
+assignment that is missing from a heartbeat newer than the one whose answer
+carried its start order is not held by the agent.
+"""
+
+import dataclasses
+from typing import Final
+from typing import Literal
+
+from bamboorouter import clock
+from bamboorouter.coordination import leases
+from bamboorouter.coordination import worker_registry
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.protocol import messages
+from bamboorouter.state import assignments
+from bamboorouter.state import machine
+
+# A "resume" order has no confirmation, so it is repeated this often.
+RESUME_REPEATS: Final = 3
+
+Action = Literal["evict", "stop", "throttle", "resume", "forget"]
+
+
+@dataclasses.dataclass(kw_only=True)
+class Throttles:
+    """Which tasks are to be throttled.
+
+    Attributes:
+        wanted: Epochs of throttled tasks.
+        resuming: Repetitions left of "resume" orders by epoch.
+    """
+
+    wanted: set[int] = dataclasses.field(default_factory=set)
+    resuming: dict[int, int] = dataclasses.field(default_factory=dict)
+
+    def throttle(self, epoch: int) -> None:
+        """Begins to throttle a task."""
+        self.resuming.pop(epoch, None)
+        self.wanted.add(epoch)
+
+    def resume(self, epoch: int) -> None:
+        """Ends the throttling of a task."""
+        self.wanted.discard(epoch)
+        self.resuming[epoch] = RESUME_REPEATS
+
+    def drop(self, epoch: int) -> None:
+        """Forgets a task that ended."""
+        self.wanted.discard(epoch)
+        self.resuming.pop(epoch, None)
+
+    def action(self, epoch: int) -> Action | None:
+        """Returns the order that a running task gets with this answer."""
+        if epoch in self.wanted:
+            return "throttle"
+        left = self.resuming.get(epoch, 0)
+        if not left:
+            return None
+        if left == 1:
+            del self.resuming[epoch]
+        else:
+            self.resuming[epoch] = left - 1
+        return "resume"
+
+
+class HeartbeatDesk:
+    """Reads heartbeats and builds the answers.
+
+    Attributes:
+        registry: What agents last reported.
+        leases: Leases of live assignments.
+        throttles: Which tasks are to be throttled.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: worker_registry.WorkerRegistry,
+        lease_table: leases.LeaseTable,
+        throttles: Throttles,
+    ) -> None:
+        self.registry = registry
+        self.leases = lease_table
+        self.throttles = throttles
+
+    def read(
+        self,
+        heartbeat: messages.Heartbeat,
+        state: machine.Machine,
+        now: clock.Millis,
+    ) -> list[commands.Command] | None:
+        """Takes over a heartbeat.
+
+        Returns:
+            What is to be committed before the answer; None if the heartbeat
+            is outdated and gets an empty answer.
+        """
+        freshness = self.registry.accept(heartbeat, now)
+        if freshness == "stale":
+            return None
+        found: list[commands.Command] = []
+        if _changed_worker(heartbeat, state):
+            found.append(_registration(heartbeat))
+        strays: list[common.TaskState] = []
+        for report in heartbeat.tasks:
+            task = current_task(state, heartbeat.worker, report)
+            if task is None:
+                if report.state == "running":
+                    strays.append(report)
+                continue
+            self._note(task, report, now)
+            if report.state != "running":
+                found.append(ending(task, report))
+        self.registry.reports[heartbeat.worker].strays = tuple(strays)
+        if freshness == "new" and heartbeat.worker_ready:
+            found.extend(self._missing(heartbeat, state))
+        return found
+
+    def reply(
+        self,
+        heartbeat: messages.Heartbeat,
+        state: machine.Machine,
+        now: clock.Millis,
+        term: int,
+    ) -> messages.HeartbeatReply:
+        """Builds the answer and grants the leases it carries.
+
+        The caller must hold a valid leader lease at this moment.
+        """
+        renewals: list[messages.Renewal] = []
+        orders: list[messages.TaskOrder] = []
+        for report in heartbeat.tasks:
+            task = current_task(state, heartbeat.worker, report)
+            action = self._action(task, report)
+            if task is not None and report.state == "running":
+                renewals.append(self._renew(task, now))
+            if action is not None:
+                orders.append(
+                    messages.TaskOrder(
+                        task=report.task, epoch=report.epoch, action=action
+                    )
+                )
+        drains = state.workers.drains
+        return messages.HeartbeatReply(
+            sequence=heartbeat.sequence,
+            leader_term=term,
+            revision=state.config_revision,
+            renewals=tuple(renewals),
+            starts=tuple(self._starts(heartbeat, state, now)),
+            orders=tuple(orders),
+            drained=tuple(
+                upstream.id
+                for upstream in heartbeat.upstreams
+                if upstream_drained(state, upstream.id)
+            ),
+            worker_drained=heartbeat.worker in drains,
+        )
+
+    def _note(
+        self,
+        task: assignments.Task,
+        report: common.TaskState,
+        now: clock.Millis,
+    ) -> None:
+        lease = self._lease(task, now)
+        if not lease.reported and task.epoch not in self.throttles.wanted:
+            # A former leader may have throttled the task.
+            self.throttles.resume(task.epoch)
+        lease.reported = True
+        if report.checkpoint and report.checkpoint != lease.checkpoint:
+            lease.checkpoint = report.checkpoint
+            lease.checkpoint_at = now
+
+    def _missing(
+        self, heartbeat: messages.Heartbeat, state: machine.Machine
+    ) -> list[commands.Command]:
+        """Ends assignments that the agent certainly doesn't hold."""
+        held = {(report.task, report.epoch) for report in heartbeat.tasks}
+        found: list[commands.Command] = []
+        for task in state.assignments.worker_tasks(heartbeat.worker):
+            if (task.task, task.epoch) in held:
+                continue
+            lease = self.leases.by_epoch.get(task.epoch)
+            checkpoint = lease.checkpoint if lease is not None else ""
+            if lease is not None and lease.reported:
+                found.append(_end(task, "lost", checkpoint, "lost by worker"))
+            elif _unwanted(task, heartbeat) and not _in_flight(
+                lease, heartbeat
+            ):
+                found.append(_end(task, "stopped", checkpoint, "not started"))
+        return found
+
+    def _action(
+        self, task: assignments.Task | None, report: common.TaskState
+    ) -> Action | None:
+        if task is None:
+            return "stop" if report.state == "running" else "forget"
+        if report.state != "running":
+            return None
+        if task.stopping:
+            return "stop"
+        if task.status == "evicting":
+            return "stop" if task.kind == "service" else "evict"
+        return self.throttles.action(task.epoch)
+
+    def _renew(
+        self, task: assignments.Task, now: clock.Millis
+    ) -> messages.Renewal:
+        lease = self._lease(task, now)
+        self.leases.grant(lease, now)
+        return messages.Renewal(
+            task=task.task, epoch=task.epoch, term_ms=lease.term_ms
+        )
+
+    def _starts(
+        self,
+        heartbeat: messages.Heartbeat,
+        state: machine.Machine,
+        now: clock.Millis,
+    ) -> list[messages.StartOrder]:
+        if not heartbeat.worker_ready or heartbeat.leaving:
+            return []
+        held = {(report.task, report.epoch) for report in heartbeat.tasks}
+        starts: list[messages.StartOrder] = []
+        for task in state.assignments.worker_tasks(heartbeat.worker):
+            row = state.plan.row(task.row)
+            if (task.task, task.epoch) in held or row is None:
+                continue
+            if task.status != "assigned" or task.stopping:
+                continue
+            lease = self._lease(task, now)
+            self.leases.grant(lease, now)
+            lease.granted_in = (heartbeat.incarnation, heartbeat.sequence)
+            starts.append(
+                messages.StartOrder(
+                    task=task.task,
+                    epoch=task.epoch,
+                    kind=task.kind,
+                    lease_ms=lease.term_ms,
+                    need=task.need,
+                    row=row,
+                    resume_from=task.assigned_from,
+                )
+            )
+        return starts
+
+    def _lease(self, task: assignments.Task, now: clock.Millis) -> leases.Lease:
+        """Returns the lease of a live assignment.
+
+        It is missing if the result of the assignment was lost after it was
+        proposed; then no order was sent under it yet.
+        """
+        lease = self.leases.by_epoch.get(task.epoch)
+        if lease is None:
+            lease = self.leases.track(
+                task=task.task,
+                epoch=task.epoch,
+                kind=task.kind,
+                worker=task.worker,
+                now=now,
+            )
+        return lease
+
+
+def current_task(
+    state: machine.Machine, worker: str, report: common.TaskState
+) -> assignments.Task | None:
+    """Returns the task if the report concerns its current assignment."""
+    task = state.assignments.tasks.get(report.task)
+    if task is None or not task.live or task.epoch != report.epoch:
+        return None
+    return task if task.worker == worker else None
+
+
+def ending(
+    task: assignments.Task, report: common.TaskState
+) -> commands.Command:
+    """Returns the command that records a reported end."""
+    if report.state in ("evicted", "stopped"):
+        if task.status == "evicting":
+            return commands.ConfirmEviction(
+                task=task.task, epoch=task.epoch, checkpoint=report.checkpoint
+            )
+        return _end(task, "stopped", report.checkpoint, report.detail)
+    return _end(task, report.state, report.checkpoint, report.detail)
+
+
+def upstream_drained(state: machine.Machine, upstream: str) -> bool:
+    """Whether an upstream, or the service task behind it, is drained."""
+    drains = state.workers.drains
+    return upstream in drains or upstream.partition("@")[0] in drains
+
+
+def _end(
+    task: assignments.Task, outcome: str, checkpoint: str, detail: str
+) -> commands.EndTask:
+    return commands.EndTask(
+        task=task.task,
+        epoch=task.epoch,
+        outcome=outcome,
+        checkpoint=checkpoint,
+        detail=detail,
+    )
+
+
+def _unwanted(task: assignments.Task, heartbeat: messages.Heartbeat) -> bool:
+    """Whether no start order is sent any more."""
+    return bool(task.stopping or task.status == "evicting" or heartbeat.leaving)
+
+
+def _in_flight(
+    lease: leases.Lease | None, heartbeat: messages.Heartbeat
+) -> bool:
+    """Whether a start order may still arrive at the agent."""
+    if lease is None or lease.granted_in is None:
+        return False
+    incarnation, sequence = lease.granted_in
+    same_run = incarnation == heartbeat.incarnation
+    return same_run and sequence >= heartbeat.sequence
+
+
+def _changed_worker(
+    heartbeat: messages.Heartbeat, state: machine.Machine
+) -> bool:
+    if not heartbeat.capacity.slots:
+        return False
+    worker = state.workers.by_name.get(heartbeat.worker)
+    return worker is None or (
+        (worker.zone, worker.rack, worker.capacity)
+        != (heartbeat.zone, heartbeat.rack, heartbeat.capacity)
+    )
+
+
+def _registration(heartbeat: messages.Heartbeat) -> commands.RegisterWorker:
+    return commands.RegisterWorker(
+        worker=heartbeat.worker,
+        zone=heartbeat.zone,
+        rack=heartbeat.rack,
+        capacity=heartbeat.capacity,
+    )
--- /dev/null
+++ b/bamboorouter/coordination/operations.py
@@ -0,0 +1,382 @@
+"""The leader's side of operators' calls.
+
+Changes are committed under the operation ID of the call, so a resend gets the
+first answer from the state machine. Where the result is unknown no answer is
+given: the entry sends the call again, to whoever leads then.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+from typing import Final
+from typing import Protocol
+
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import events
+from bamboorouter.coordination import replicated_log
+from bamboorouter.coordination import route_publisher
+from bamboorouter.coordination import scheduler
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import messages
+from bamboorouter.protocol import sheet
+from bamboorouter.state import assignments
+from bamboorouter.state import machine
+
+PROPOSE_TIMEOUT_MS: Final = 4000
+# An answer has to fit into one frame and onto an operator's screen.
+MAX_TASKS_LISTED: Final = 2000
+MAX_WAITING_LISTED: Final = 200
+MAX_WAITING_OF_ROW: Final = 5
+
+Arguments = dict[str, Any]
+
+
+class Group(Protocol):
+    """The members of the control group."""
+
+    def members(self) -> list[dict[str, Any]]:
+        """Returns each replica with its address, role and progress."""
+        ...
+
+    async def change_members(
+        self, *, action: str, replica: str, address: str, timeout_ms: int
+    ) -> None:
+        """Adds, promotes or removes one replica.
+
+        Raises:
+            RefusedError: The change isn't allowed now.
+        """
+        ...
+
+
+Explain = Callable[[Arguments], Awaitable[dict[str, Any]]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _BadArgumentError(Exception):
+    """An argument is missing or of the wrong type."""
+
+    argument: str
+
+
+class OperatorDesk:
+    """Carries out operators' calls.
+
+    Attributes:
+        log: The replicated log.
+        clock: Source of time.
+        scheduler: The leader's loop.
+        routes: The leader's routes and entries.
+        group: Members of the control group.
+        explain: Reads the account.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: replicated_log.ReplicatedLog,
+        time: clock.Clock,
+        loop: scheduler.Scheduler,
+        routes: route_publisher.RoutePublisher,
+        group: Group,
+        explain: Explain,
+    ) -> None:
+        self.log = log
+        self.clock = time
+        self.scheduler = loop
+        self.routes = routes
+        self.group = group
+        self.explain = explain
+        self._handlers: dict[
+            str,
+            Callable[
+                [messages.OperatorCall], Awaitable[messages.OperatorReply]
+            ],
+        ] = {
+            "submit_sheet": self._submit_sheet,
+            "submit_job": self._submit_job,
+            "cancel_job": self._cancel_job,
+            "drain": self._drain,
+            "status": self._status,
+            "explain": self._explain,
+            "members": self._members,
+        }
+
+    async def call(self, call: messages.OperatorCall) -> messages.OperatorReply:
+        """Carries out one call.
+
+        Raises:
+            NotLeaderError: Nothing was done.
+            UnknownResultError: It may have been done.
+        """
+        handler = self._handlers.get(call.operation)
+        if handler is None:
+            return _refusal(
+                error_texts.UNKNOWN_OPERATION, operation=call.operation
+            )
+        try:
+            reply = await handler(call)
+        except _BadArgumentError as err:
+            reply = _refusal(error_texts.BAD_ARGUMENT, argument=err.argument)
+        except sheet.SheetInvalidError as err:
+            faults = [fault.plain() for fault in err.faults]
+            reply = messages.OperatorReply(
+                ok=False, code=err.code, text=err.text, data={"faults": faults}
+            )
+        if call.operation not in ("status", "explain"):
+            events.log(
+                events.OPERATOR_CALL,
+                operation=call.operation,
+                operation_id=call.operation_id,
+                operator=call.operator,
+                ok=reply.ok,
+                code=reply.code,
+            )
+        return reply
+
+    async def _submit_sheet(
+        self, call: messages.OperatorCall
+    ) -> messages.OperatorReply:
+        content = call.arguments.get("csv")
+        if isinstance(content, str):
+            content = content.encode()
+        if not isinstance(content, bytes):
+            raise _BadArgumentError(argument="csv")
+        parsed = sheet.parse_sheet(content)
+        return await self._commit(
+            commands.AcceptSheet(
+                operation_id=call.operation_id,
+                operator=call.operator,
+                revision=parsed.revision,
+                digest=parsed.digest,
+                rows=parsed.rows,
+            )
+        )
+
+    async def _submit_job(
+        self, call: messages.OperatorCall
+    ) -> messages.OperatorReply:
+        fields = call.arguments.get("row", call.arguments)
+        if not isinstance(fields, dict):
+            raise _BadArgumentError(argument="row")
+        return await self._commit(
+            commands.SubmitJob(
+                operation_id=call.operation_id,
+                operator=call.operator,
+                row=sheet.parse_job(fields),
+            )
+        )
+
+    async def _cancel_job(
+        self, call: messages.OperatorCall
+    ) -> messages.OperatorReply:
+        return await self._commit(
+            commands.CancelJob(
+                operation_id=call.operation_id,
+                operator=call.operator,
+                job=_text(call, "job"),
+            )
+        )
+
+    async def _drain(
+        self, call: messages.OperatorCall
+    ) -> messages.OperatorReply:
+        draining = call.arguments.get("on", True)
+        if not isinstance(draining, bool):
+            raise _BadArgumentError(argument="on")
+        return await self._commit(
+            commands.SetDrain(
+                operation_id=call.operation_id,
+                operator=call.operator,
+                target=_text(call, "target"),
+                draining=draining,
+            )
+        )
+
+    async def _commit(
+        self, command: commands.Command
+    ) -> messages.OperatorReply:
+        result = await self.log.propose(command, timeout_ms=PROPOSE_TIMEOUT_MS)
+        self.scheduler.wake()
+        return messages.OperatorReply(
+            ok=result.ok, code=result.code, text=result.text, data=result.data
+        )
+
+    async def _explain(
+        self, call: messages.OperatorCall
+    ) -> messages.OperatorReply:
+        _text(call, "subject")
+        data = await self.explain(call.arguments)
+        return messages.OperatorReply(ok=True, data=data)
+
+    async def _members(
+        self, call: messages.OperatorCall
+    ) -> messages.OperatorReply:
+        action = call.arguments.get("action", "list")
+        if action not in ("list", "add_learner", "promote", "remove"):
+            raise _BadArgumentError(argument="action")
+        if action != "list":
+            await self.group.change_members(
+                action=action,
+                replica=_text(call, "replica"),
+                address=str(call.arguments.get("address", "")),
+                timeout_ms=PROPOSE_TIMEOUT_MS,
+            )
+        members = self.group.members()
+        return messages.OperatorReply(ok=True, data={"members": members})
+
+    async def _status(
+        self, call: messages.OperatorCall
+    ) -> messages.OperatorReply:
+        del call
+        state = self.log.machine
+        replicas = self.group.members()
+        data = {
+            "leader": self.log.leader_address(),
+            "term": self.log.term(),
+            "sheet_revision": state.plan.revision,
+            "config_revision": state.config_revision,
+            "replicas": replicas,
+            "workers": self._workers(state),
+            "tasks": _task_counts(state),
+            "task_list": _task_list(state),
+            "jobs": _jobs(state),
+            "waiting": self._waiting(state),
+            "waiting_total": state.assignments.waiting(),
+            "drains": list(state.workers.drains),
+            **self._applied(state, replicas),
+        }
+        return messages.OperatorReply(ok=True, data=data)
+
+    def _applied(
+        self, state: machine.Machine, replicas: list[dict[str, Any]]
+    ) -> dict[str, Any]:
+        now = self.clock.now()
+        applied = {
+            str(replica["replica"]): int(replica["applied_revision"])
+            for replica in replicas
+            if "applied_revision" in replica
+        }
+        applied.update(self.scheduler.registry.applied_revisions(now))
+        applied.update(self.routes.applied_revisions(now))
+        lagging = [
+            name
+            for name, revision in sorted(applied.items())
+            if revision < state.config_revision
+        ]
+        lowest = min(applied.values(), default=state.config_revision)
+        return {
+            "applied": applied,
+            "lowest_applied": lowest,
+            "lagging": lagging,
+        }
+
+    def _workers(self, state: machine.Machine) -> list[dict[str, Any]]:
+        now, wall_ms = self.clock.now(), self.clock.wall()
+        found: list[dict[str, Any]] = []
+        for worker in state.workers.by_name.values():
+            status = "alive"
+            if worker.name in state.workers.drains:
+                status = "drained"
+            elif not self.scheduler.registry.alive(worker.name, now):
+                status = "silent"
+            elif worker.quarantined_until_ms > wall_ms:
+                status = "quarantined"
+            used = state.assignments.used_on(worker.name)
+            found.append(
+                {
+                    "worker": worker.name,
+                    "zone": worker.zone,
+                    "rack": worker.rack,
+                    "state": status,
+                    "tasks": used.slots,
+                    "millicores": worker.capacity.millicores,
+                    "used_millicores": used.millicores,
+                }
+            )
+        return found
+
+    def _waiting(self, state: machine.Machine) -> list[dict[str, Any]]:
+        rows = [
+            row
+            for name in state.assignments.pending
+            if (row := state.plan.row(name)) is not None
+        ]
+        rows.sort(key=lambda row: (row.urgency, row.place, row.name))
+        reasons = self.scheduler.waiting_reasons
+        found = [
+            {
+                "task": name,
+                "reason": reasons.get(row.name, "waits for its next attempt"),
+            }
+            for row in rows
+            for name in list(state.assignments.pending[row.name])[
+                :MAX_WAITING_OF_ROW
+            ]
+        ]
+        return found[:MAX_WAITING_LISTED]
+
+
+def _text(call: messages.OperatorCall, argument: str) -> str:
+    value = call.arguments.get(argument)
+    if not isinstance(value, str) or not value:
+        raise _BadArgumentError(argument=argument)
+    return value
+
+
+def _refusal(code: str, **values: object) -> messages.OperatorReply:
+    text = error_texts.text_for(code, **values)
+    return messages.OperatorReply(ok=False, code=code, text=text)
+
+
+def _task_counts(state: machine.Machine) -> dict[str, int]:
+    counts = {"pending": 0, "assigned": 0, "evicting": 0}
+    for task in state.assignments.tasks.values():
+        if task.status in counts:
+            counts[task.status] += 1
+    jobs = state.plan.jobs.values()
+    return {
+        **counts,
+        "finished": sum(job.finished for job in jobs),
+        "failed": sum(job.failed for job in jobs),
+        "cancelled": sum(job.cancelled for job in jobs),
+    }
+
+
+def _task_list(state: machine.Machine) -> list[dict[str, Any]]:
+    """Returns live tasks first, then others, as far as they fit."""
+    tasks = sorted(
+        state.assignments.tasks.values(), key=lambda task: not task.live
+    )
+    return [_describe(task) for task in tasks[:MAX_TASKS_LISTED]]
+
+
+def _describe(task: assignments.Task) -> dict[str, Any]:
+    return {
+        "task": task.task,
+        "state": task.status,
+        "worker": task.worker,
+        "epoch": task.epoch,
+        "stopping": task.stopping,
+        "failures": task.failures,
+        "evictions": task.evictions,
+        "detail": task.detail,
+    }
+
+
+def _jobs(state: machine.Machine) -> list[dict[str, Any]]:
+    jobs = list(state.plan.jobs.values())[-MAX_TASKS_LISTED:]
+    return [
+        {
+            "job": job.row.name,
+            "open": job.open_tasks,
+            "finished": job.finished,
+            "failed": job.failed,
+            "cancelled": job.cancelled,
+            "verdict": job.verdict,
+            "reason": job.reason,
+        }
+        for job in jobs
+    ]
--- /dev/null
+++ b/bamboorouter/coordination/worker_registry.py
@@ -0,0 +1,125 @@
+"""What agents last reported: the leader's soft state about workers.
+
+It is rebuilt from heartbeats after each election. Heartbeats that are older
+than one already seen are recognised by sequence, and those of a former run of
+an agent by its incarnation.
+"""
+
+import collections
+import dataclasses
+from typing import Final
+from typing import Literal
+
+from bamboorouter import clock
+from bamboorouter.protocol import common
+from bamboorouter.protocol import messages
+
+# Three periods of the default heartbeat.
+SILENT_MS: Final = 3000
+PERIODS_UNTIL_SILENT: Final = 2.5
+FORMER_INCARNATIONS: Final = 8
+
+Freshness = Literal["new", "repeated", "stale"]
+
+
+@dataclasses.dataclass(kw_only=True)
+class WorkerReport:
+    """The last heartbeat of one worker's agent.
+
+    Attributes:
+        heartbeat: The heartbeat.
+        heard: Monotonic time in ms at which it arrived.
+        silent_ms: Silence after which the worker counts as silent.
+        tasks: Reported tasks by ID.
+        strays: Running tasks without a current assignment on the worker.
+        former: Incarnations of former runs.
+    """
+
+    heartbeat: messages.Heartbeat
+    heard: clock.Millis
+    silent_ms: int = SILENT_MS
+    tasks: dict[str, common.TaskState] = dataclasses.field(default_factory=dict)
+    strays: tuple[common.TaskState, ...] = ()
+    former: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=FORMER_INCARNATIONS)
+    )
+
+    def alive(self, now: int) -> bool:
+        """Whether the worker was heard lately."""
+        return now - self.heard < self.silent_ms
+
+
+class WorkerRegistry:
+    """The last reports of all workers.
+
+    Attributes:
+        reports: Reports by worker.
+    """
+
+    def __init__(self) -> None:
+        self.reports: dict[str, WorkerReport] = {}
+
+    def reset(self) -> None:
+        """Forgets all reports, for a replica that begins to lead."""
+        self.reports.clear()
+
+    def accept(
+        self, heartbeat: messages.Heartbeat, now: clock.Millis
+    ) -> Freshness:
+        """Takes over a heartbeat unless a newer one was seen.
+
+        Returns:
+            "new"; "repeated" if the same heartbeat was seen before, so that
+            its content may be outdated; or "stale" if it must be ignored.
+        """
+        report = self.reports.get(heartbeat.worker)
+        if report is None:
+            report = WorkerReport(heartbeat=heartbeat, heard=now)
+            self.reports[heartbeat.worker] = report
+        else:
+            last = report.heartbeat
+            if heartbeat.incarnation in report.former:
+                return "stale"
+            if heartbeat.incarnation != last.incarnation:
+                report.former.append(last.incarnation)
+            elif heartbeat.sequence < last.sequence:
+                return "stale"
+            elif heartbeat.sequence == last.sequence:
+                return "repeated"
+            else:
+                _adapt_silence(report, now)
+        report.heartbeat = heartbeat
+        report.heard = now
+        report.tasks = {state.task: state for state in heartbeat.tasks}
+        return "new"
+
+    def alive(self, worker: str, now: int) -> bool:
+        """Whether a worker was heard lately."""
+        report = self.reports.get(worker)
+        return report is not None and report.alive(now)
+
+    def takes_tasks(self, worker: str, now: int) -> bool:
+        """Whether a worker's agent can start tasks now."""
+        report = self.reports.get(worker)
+        return (
+            report is not None
+            and report.alive(now)
+            and report.heartbeat.worker_ready
+            and not report.heartbeat.leaving
+        )
+
+    def applied_revisions(self, now: int) -> dict[str, int]:
+        """Returns the revision that each live agent applies."""
+        return {
+            report.heartbeat.agent: report.heartbeat.applied_revision
+            for report in self.reports.values()
+            if report.alive(now)
+        }
+
+
+def _adapt_silence(report: WorkerReport, now: clock.Millis) -> None:
+    """Follows agents whose heartbeat period is longer than the default."""
+    period_ms = min(now - report.heard, SILENT_MS * 2)
+    wanted_ms = max(SILENT_MS, int(period_ms * PERIODS_UNTIL_SILENT))
+    # It shrinks slowly, so that one early heartbeat doesn't hide the period.
+    report.silent_ms = max(wanted_ms, report.silent_ms - SILENT_MS // 10)
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -83,3 +83,38 @@
 
 # 100-199: consensus and storage. 200-299: control role. 300-399: agent.
 # 400-499: entry. 500-599: operators.
+
+# 200-299: control role.
+SCHEDULER_LEADS: Final = _event(
+    200,
+    "scheduler_leads",
+    logging.INFO,
+    "This replica decides; all leases count as renewed now.",
+)
+DECISION_REFUSED: Final = _event(
+    201,
+    "decision_refused",
+    logging.WARNING,
+    "The state machine refused a decision of the leader.",
+)
+DECISION_UNKNOWN: Final = _event(
+    202,
+    "decision_unknown",
+    logging.WARNING,
+    "The log was busy or a result is unknown; the decision is made again.",
+)
+TASK_ASSIGNED: Final = _event(
+    203, "task_assigned", logging.INFO, "A task was assigned to a worker."
+)
+TASK_ENDED: Final = _event(
+    204, "task_ended", logging.INFO, "An assignment ended."
+)
+PASS_FAILED: Final = _event(
+    205, "pass_failed", logging.ERROR, "A pass of the scheduler failed."
+)
+OPERATOR_CALL: Final = _event(
+    206,
+    "operator_call",
+    logging.INFO,
+    "The leader answered an operator's call.",
+)
--- a/bamboorouter/state/assignments.py
+++ b/bamboorouter/state/assignments.py
@@ -44,6 +44,7 @@
         resume_from: Checkpoint that the next assignment consumes.
         assigned_from: Checkpoint that the current assignment consumed.
         assigned_ms: Wall time of the current assignment.
+        ended_ms: Wall time of the end of the last assignment.
         stopping: Why a live task is to end for good; empty if it is not.
         replacement: Instance that takes over from this one, if any.
         failed_on: Workers on which it failed, each once.
@@ -69,6 +70,7 @@
     failures: int = 0
     evictions: int = 0
     detail: str = ""
+    ended_ms: int = 0
 
     @property
     def live(self) -> bool:
@@ -193,12 +195,13 @@
         data = {"epoch": task.epoch, "resume_from": task.assigned_from}
         return commands.Result(ok=True, data=data)
 
-    def release(self, task: Task, checkpoint: str) -> None:
+    def release(self, task: Task, checkpoint: str, now_ms: int) -> None:
         """Ends the live assignment; the task waits again.
 
         Args:
             task: A live task.
             checkpoint: Newest checkpoint; empty keeps the one it started from.
+            now_ms: Wall time of the batch.
         """
         left = ledger.minus(self.used[task.worker], task.need)
         siblings = self.on_worker[task.worker]
@@ -213,6 +216,7 @@
         if task.kind == "service":
             task.resume_from = ""
         task.status = "pending"
+        task.ended_ms = now_ms
         task.worker = ""
         task.need = ledger.NOTHING
         task.assigned_from = ""
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -366,7 +366,7 @@
     def _release(self, task: assignments.Task, checkpoint: str) -> None:
         """Ends an assignment; a task that is stopping ends for good."""
         stopping = task.stopping
-        self.assignments.release(task, checkpoint)
+        self.assignments.release(task, checkpoint, self.now_ms)
         if stopping == "cancelled":
             self._finish(task, "cancelled")
         elif stopping == "surplus" or self._replaced(task):
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,388 @@
+"""Guards against decisions of the leader that break a promise.
+
+Over-commitment (P1), a task in two places (P2), evicted work that is lost or
+resumed twice (P3) and accepted changes that revert (P9), while heartbeats are
+lost, late or repeated and leaders change.
+"""
+
+import unittest
+
+from bamboorouter import clock
+from bamboorouter.coordination import scheduler
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from tests import control_fakes as fakes
+from tests import machine_commands as make
+
+ALLOWANCE_MS = 500 + fakes.SERVICE_LEASE_MS // 50
+
+
+class SchedulerCase(unittest.IsolatedAsyncioTestCase):
+    """A leader with a log that applies at once."""
+
+    settle_ms = 0
+
+    async def asyncSetUp(self) -> None:
+        self.clock = clock.ManualClock(wall_ms=make.WALL_MS)
+        self.log = fakes.FakeLog(time=self.clock)
+        self.leader = self.make_leader()
+        self.leader.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.leader.stop()
+
+    def make_leader(self) -> scheduler.Scheduler:
+        return scheduler.Scheduler(
+            log=self.log,
+            time=self.clock,
+            service_lease_ms=fakes.SERVICE_LEASE_MS,
+            batch_lease_ms=fakes.BATCH_LEASE_MS,
+            settle_ms=self.settle_ms,
+        )
+
+    def agent(self, name: str, **fields: object) -> fakes.FakeAgent:
+        return fakes.FakeAgent(name, leader=self.leader, **fields)  # type: ignore[arg-type]
+
+    def task(self, name: str) -> object:
+        return self.log.machine.assignments.tasks[name]
+
+    def status(self, name: str) -> str:
+        task = self.log.machine.assignments.tasks.get(name)
+        return task.status if task is not None else "removed"
+
+    def worker(self, name: str) -> str:
+        return self.log.machine.assignments.tasks[name].worker
+
+    async def settle(self, *agents: fakes.FakeAgent, beats: int = 3) -> None:
+        """Lets agents and leader exchange some heartbeats."""
+        for _ in range(beats):
+            self.clock.advance(1000)
+            for agent in agents:
+                await agent.beat()
+            await self.leader.decide()
+
+
+class AssignmentTest(SchedulerCase):
+    """Waiting tasks reach workers, within their capacity."""
+
+    async def test_tasks_start_and_fill_no_worker_beyond_capacity(
+        self,
+    ) -> None:
+        first, second = self.agent("w1"), self.agent("w2")
+        self.log.apply(make.sheet(1, make.row("job", count=12)))
+        await self.settle(first, second)
+        self.assertEqual((len(first.running()), len(second.running())), (4, 4))
+        reason = self.leader.waiting_reasons["job"]
+        self.assertIn("processors", reason)
+
+    async def test_urgent_rows_go_first_then_teams_below_their_share(
+        self,
+    ) -> None:
+        agent = self.agent("w1", processors=4)
+        self.log.apply(
+            make.sheet(
+                1,
+                make.row("late", urgency=7, owner="a", count=4),
+                make.row("rich", urgency=5, owner="a", place=1, count=4),
+                make.row("poor", urgency=5, owner="b", place=9, count=4),
+                make.row("now", urgency=1, owner="a", place=9, count=2),
+            )
+        )
+        await self.settle(agent)
+        rows = sorted(name.partition("/")[0] for name in agent.running())
+        # "now" used 2 of 4 processors for team a, so team b is next.
+        self.assertEqual(rows, ["now", "now", "poor", "poor"])
+        assigned = [
+            command
+            for command, _ in self.log.history
+            if isinstance(command, commands.Assign)
+        ]
+        self.assertEqual(assigned[0].reason.waiting, 14)
+
+    async def test_instances_spread_over_zones_then_racks(self) -> None:
+        agents = [
+            self.agent(f"w{zone}{rack}{n}", zone=zone, rack=rack)
+            for zone in "ab"
+            for rack in ("r1", "r2")
+            for n in range(2)
+        ]
+        for agent in agents:
+            await agent.beat()
+        self.log.apply(make.sheet(1, make.service("web", count=4)))
+        await self.leader.decide()
+        places = [
+            (worker.zone, worker.rack)
+            for number in range(4)
+            if (name := self.worker(f"web/{number}"))
+            for worker in [self.log.machine.workers.by_name[name]]
+        ]
+        self.assertEqual(len(set(places)), 4)
+
+    async def test_stray_task_counts_until_it_is_gone(self) -> None:
+        agent = self.agent("w1", processors=4)
+        stray = fakes.HeldTask(epoch=99, until=10**9)
+        agent.tasks["job/0"] = stray
+        agent.tasks["foreign/0"] = fakes.HeldTask(epoch=98, until=10**9)
+        self.log.apply(make.sheet(1, make.row("job", count=4)))
+        reply = await agent.beat()
+        self.assertEqual(
+            [(o.task, o.epoch, o.action) for o in reply.orders],
+            [("job/0", 99, "stop"), ("foreign/0", 98, "stop")],
+        )
+        self.assertEqual(reply.starts, ())
+        await self.settle(agent)
+        self.assertEqual(len(agent.running()), 4)
+
+
+class SettlingTest(SchedulerCase):
+    """After an election the first worker heard doesn't get everything."""
+
+    settle_ms = 1200
+
+    async def test_new_leader_waits_for_the_known_workers(self) -> None:
+        agents = [self.agent(name, zone=name) for name in ("w1", "w2")]
+        for agent in agents:
+            await agent.beat()
+        self.clock.advance(1200)
+        self.log.apply(make.sheet(1, make.service("web", count=2)))
+        self.log.elect_again()
+        await agents[0].beat()
+        await self.leader.decide()
+        self.assertEqual(self.status("web/0"), "pending")
+        await agents[1].beat()
+        await self.leader.decide()
+        workers = {self.worker(f"web/{number}") for number in range(2)}
+        self.assertEqual(workers, {"w1", "w2"})
+
+    async def test_new_leader_does_not_wait_long_for_a_lost_worker(
+        self,
+    ) -> None:
+        self.log.apply(make.register("gone"))
+        self.log.apply(make.sheet(1, make.service("web")))
+        self.log.elect_again()
+        agent = self.agent("w1")
+        self.clock.advance(1200)
+        await agent.beat()
+        self.assertEqual(self.worker("web/0"), "w1")
+
+
+class LeaseTest(SchedulerCase):
+    """A task is assigned again only when it certainly runs nowhere (P2)."""
+
+    async def start_service(self) -> tuple[fakes.FakeAgent, fakes.FakeAgent]:
+        self.log.apply(make.sheet(1, make.service("web")))
+        agent, other = self.agent("w1"), self.agent("w2")
+        await agent.beat()
+        await agent.beat()
+        self.assertEqual(agent.running(), {"web/0"})
+        return agent, other
+
+    async def test_silent_worker_loses_its_task_after_term_and_allowance(
+        self,
+    ) -> None:
+        agent, other = await self.start_service()
+        granted = self.clock.now()
+        limit = granted + fakes.SERVICE_LEASE_MS + ALLOWANCE_MS
+        while self.clock.now() < limit - 1:
+            step = min(1000, limit - 1 - self.clock.now())
+            self.clock.advance(step)
+            await other.beat()
+            await self.leader.decide()
+            self.assertEqual(self.worker("web/0"), "w1")
+        self.clock.advance(1)
+        await self.leader.decide()
+        await other.beat()
+        self.assertEqual(self.log.outcomes("web/0"), ["lease_expired"])
+        self.assertEqual(agent.running(), set())
+        self.assertEqual(other.running(), {"web/0"})
+
+    async def test_lost_answer_counts_as_a_grant(self) -> None:
+        agent, other = await self.start_service()
+        self.clock.advance(5000)
+        await agent.beat(lose_reply=True)
+        self.clock.advance(fakes.SERVICE_LEASE_MS + ALLOWANCE_MS - 1)
+        await other.beat()
+        self.assertEqual(self.worker("web/0"), "w1")
+
+    async def test_new_leader_counts_all_leases_from_its_election(
+        self,
+    ) -> None:
+        _, other = await self.start_service()
+        self.clock.advance(fakes.SERVICE_LEASE_MS)
+        self.log.elect_again()
+        self.clock.advance(fakes.SERVICE_LEASE_MS + ALLOWANCE_MS - 1)
+        await other.beat()
+        await self.leader.decide()
+        self.assertEqual(self.worker("web/0"), "w1")
+        self.clock.advance(1)
+        await self.leader.decide()
+        self.assertEqual(self.log.outcomes("web/0"), ["lease_expired"])
+
+    async def test_returning_worker_is_told_to_stop_the_old_epoch(
+        self,
+    ) -> None:
+        agent, other = await self.start_service()
+        agent.tasks["web/0"].until = 10**9  # Its clock is wrong.
+        self.clock.advance(fakes.SERVICE_LEASE_MS + ALLOWANCE_MS)
+        await self.leader.decide()
+        await other.beat()
+        reply = await agent.beat()
+        self.assertEqual(reply.renewals, ())
+        self.assertEqual([o.action for o in reply.orders], ["stop"])
+
+    async def test_assignment_that_was_never_sent_moves_at_once(self) -> None:
+        agent, other = self.agent("w1"), self.agent("w2")
+        await agent.beat()
+        self.log.apply(make.sheet(1, make.service("web")))
+        await self.leader.decide()
+        self.assertEqual(self.worker("web/0"), "w1")
+        self.clock.advance(3000)
+        await other.beat()
+        await self.leader.decide()
+        await other.beat()
+        self.assertEqual(other.running(), {"web/0"})
+
+    async def test_no_lease_is_granted_without_a_valid_leader_lease(
+        self,
+    ) -> None:
+        agent, _ = await self.start_service()
+        self.log.valid = False
+        self.assertIsNone(await self.leader.heartbeat(agent.message()))
+
+    async def test_old_and_repeated_heartbeats_grant_and_end_nothing(
+        self,
+    ) -> None:
+        self.log.apply(make.sheet(1, make.service("web")))
+        agent = self.agent("w1")
+        early = agent.message()
+        await agent.beat()
+        await agent.beat()
+        reply = await self.leader.heartbeat(early)
+        assert reply is not None
+        self.assertEqual((reply.renewals, reply.starts), ((), ()))
+        agent.fields["incarnation"] = 2
+        await agent.beat()
+        reply = await self.leader.heartbeat(early)
+        assert reply is not None
+        self.assertEqual((reply.renewals, reply.starts), ((), ()))
+        self.assertEqual(self.status("web/0"), "assigned")
+
+    async def test_start_order_is_repeated_until_the_agent_reports_it(
+        self,
+    ) -> None:
+        self.log.apply(make.sheet(1, make.service("web")))
+        agent = self.agent("w1")
+        first = await agent.beat(lose_reply=True)
+        second = await agent.beat()
+        third = await agent.beat()
+        self.assertEqual(first.starts, second.starts)
+        self.assertEqual(len(third.starts), 0)
+
+    async def test_task_missing_after_it_was_reported_is_lost_at_once(
+        self,
+    ) -> None:
+        agent, _ = await self.start_service()
+        agent.tasks.clear()
+        reply = await agent.beat()
+        self.assertEqual(self.log.outcomes("web/0"), ["lost"])
+        self.assertEqual([s.task for s in reply.starts], ["web/0"])
+
+    async def test_lost_result_of_an_assignment_starts_it_only_once(
+        self,
+    ) -> None:
+        agent, other = self.agent("w1"), self.agent("w2")
+        await agent.beat()
+        await other.beat()
+        self.log.apply(make.sheet(1, make.service("web")))
+        self.log.lose_results = 1
+        await self.settle(agent, other)
+        running = [*agent.running(), *other.running()]
+        self.assertEqual(running, ["web/0"])
+
+
+class EndingTest(SchedulerCase):
+    """Ends are recorded once and acknowledged; evicted work resumes."""
+
+    async def run_job(self) -> fakes.FakeAgent:
+        self.log.apply(make.sheet(1, make.row("job")))
+        agent = self.agent("w1")
+        await agent.beat()
+        await agent.beat()
+        return agent
+
+    async def test_end_is_committed_before_it_is_acknowledged(self) -> None:
+        agent = await self.run_job()
+        agent.tasks["job/0"].state = "finished"
+        self.log.lose_results = 1
+        await agent.beat(lose_reply=True)
+        reply = await agent.beat()
+        self.assertEqual([o.action for o in reply.orders], ["forget"])
+        self.assertEqual(self.log.outcomes("job/0"), ["finished"])
+        self.assertEqual(agent.tasks, {})
+
+    async def test_evicted_task_resumes_once_after_a_change_of_leader(
+        self,
+    ) -> None:
+        agent = await self.run_job()
+        epoch = agent.tasks["job/0"].epoch
+        self.log.apply(
+            commands.EvictTask(task="job/0", epoch=epoch, reason="test")
+        )
+        self.log.elect_again()
+        reply = await agent.beat()
+        self.assertEqual([o.action for o in reply.orders], ["evict"])
+        self.log.elect_again()
+        reply = await agent.beat()
+        self.assertEqual([s.resume_from for s in reply.starts], ["c1"])
+        evictions = [
+            result.ok
+            for command, result in self.log.history
+            if isinstance(command, commands.ConfirmEviction)
+        ]
+        self.assertEqual(evictions, [True])
+
+    async def test_lost_worker_resumes_from_the_last_reported_checkpoint(
+        self,
+    ) -> None:
+        agent = await self.run_job()
+        agent.tasks["job/0"].checkpoint = "c7"
+        await agent.beat()
+        self.clock.advance(fakes.BATCH_LEASE_MS * 2)
+        other = self.agent("w2")
+        await self.leader.decide()
+        reply = await other.beat()
+        self.assertEqual([s.resume_from for s in reply.starts], ["c7"])
+
+    async def test_cancelled_task_is_stopped_and_never_finishes(self) -> None:
+        agent = await self.run_job()
+        self.log.apply(
+            commands.CancelJob(operation_id="c", operator="o", job="job")
+        )
+        reply = await agent.beat()
+        self.assertEqual([o.action for o in reply.orders], ["stop"])
+        agent.tasks["job/0"].state = "finished"
+        await agent.beat()
+        self.assertEqual(self.status("job/0"), "cancelled")
+
+    async def test_cancelled_task_that_never_started_frees_its_place(
+        self,
+    ) -> None:
+        self.log.apply(make.sheet(1, make.row("job")))
+        agent = self.agent("w1")
+        await agent.beat(lose_reply=True)
+        self.log.apply(
+            commands.CancelJob(operation_id="c", operator="o", job="job")
+        )
+        await agent.beat()
+        self.assertEqual(self.status("job/0"), "cancelled")
+
+    async def test_refused_start_is_assigned_again_with_its_checkpoint(
+        self,
+    ) -> None:
+        agent = await self.run_job()
+        held = agent.tasks["job/0"]
+        held.state, held.checkpoint = "stopped", "c3"
+        await agent.beat()
+        task = self.log.machine.assignments.tasks["job/0"]
+        self.assertEqual(task.assigned_from, "c3")
+        self.assertIsInstance(task.need, common.Resources)
