--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -36,6 +36,11 @@
 UNKNOWN_OPERATION: Final = "unknown_operation"
 BAD_ARGUMENT: Final = "bad_argument"
 RESULT_UNKNOWN: Final = "result_unknown"
+LOG_BUSY: Final = "log_busy"
+MEMBERS_BUSY: Final = "members_busy"
+NO_SUCH_MEMBER: Final = "no_such_member"
+NOT_CAUGHT_UP: Final = "not_caught_up"
+QUORUM_AT_RISK: Final = "quorum_at_risk"
 
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
@@ -59,6 +64,13 @@
     NO_SUCH_JOB: "job {job!r} does not exist",
     JOB_EXISTS: "job {job!r} exists with other content",
     JOB_CANNOT_RUN: "job {job!r} is larger than any worker",
+    LOG_BUSY: "too many commands wait for the log",
+    MEMBERS_BUSY: "another change of members is not committed yet",
+    NO_SUCH_MEMBER: "replica {replica!r} is not a member",
+    NOT_CAUGHT_UP: "replica {replica!r} lacks {lag} committed entries",
+    QUORUM_AT_RISK: (
+        "without replica {replica!r} only {alive} of {voters} voters answer"
+    ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
     STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
     NO_SUCH_TASK: "task {task!r} does not exist",
