--- /dev/null
+++ b/bamboorouter/cli/application.py
@@ -0,0 +1,39 @@
+"""The command-line tool `bamboorouter` for operators."""
+
+import sys
+
+from cleo import application as cleo_application
+
+from bamboorouter.cli import job, member, sheet, status, target
+
+VERSION = "0.1.0"
+
+
+def make_application() -> cleo_application.Application:
+    """Returns the application with all commands."""
+    application = cleo_application.Application("bamboorouter", VERSION)
+    for command in (
+        sheet.SheetSubmitCommand(),
+        status.StatusCommand(),
+        job.JobSubmitCommand(),
+        job.JobCancelCommand(),
+        target.DrainCommand(),
+        target.UndrainCommand(),
+        member.MembersCommand(),
+        member.MembersAddLearnerCommand(),
+        member.MembersPromoteCommand(),
+        member.MembersRemoveCommand(),
+    ):
+        application.add(command)
+    return application
+
+
+def main() -> int:
+    """Runs the command that the arguments name; returns its exit code."""
+    application = make_application()
+    application.auto_exits(False)
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bamboorouter/cli/base_command.py
@@ -0,0 +1,182 @@
+"""What all commands share: output, and calls through an entry."""
+
+import asyncio
+import getpass
+import json
+import os
+from collections.abc import Mapping
+from typing import Any, ClassVar, Final
+
+import msgspec
+from cleo import helpers
+from cleo.commands import command
+from cleo.io.inputs import argument, option
+from cleo.io.outputs import output
+
+from bamboorouter import client, errors
+from bamboorouter.cli import exit_codes
+from bamboorouter.protocol import operator_http
+
+ENTRY_VARIABLE: Final = "BAMBOOROUTER_ENTRY"
+OPERATOR_VARIABLE: Final = "BAMBOOROUTER_OPERATOR"
+
+
+class UsageError(errors.RouterError):
+    """An argument or option has a wrong value."""
+
+
+JSON_OPTION: Final = helpers.option(
+    "json", description="Print one JSON object instead of text."
+)
+
+_CALL_OPTIONS: Final = (
+    helpers.option(
+        "entry",
+        description=(
+            "Operator address IP:port of an entry; may be given several times."
+            f" Default: {ENTRY_VARIABLE}, separated by commas."
+        ),
+        flag=False,
+        multiple=True,
+    ),
+    helpers.option(
+        "operator",
+        description=(
+            "Name recorded in the account."
+            f" Default: {OPERATOR_VARIABLE} or the user's name."
+        ),
+        flag=False,
+    ),
+    helpers.option(
+        "operation-id",
+        description="ID of an earlier call whose answer was lost.",
+        flag=False,
+    ),
+    helpers.option(
+        "timeout",
+        description="Seconds to try, over all entries.",
+        flag=False,
+        default=str(client.CALL_TIMEOUT_MS // 1000),
+    ),
+)
+
+
+class PrintingCommand(command.Command):
+    """A command that prints text, or one JSON object with --json.
+
+    Texts are printed raw, because they may hold characters that the library
+    would take for style tags.
+    """
+
+    arguments: ClassVar[list[argument.Argument]] = []
+    options: ClassVar[list[option.Option]] = [JSON_OPTION]
+    help = exit_codes.HELP
+
+    def print_text(self, text: str) -> None:
+        """Prints a line for people; nothing with --json."""
+        if not self.option("json"):
+            self.io.write_line(text, type=output.Type.RAW)
+
+    def print_json(self, value: Mapping[str, Any]) -> None:
+        """Prints the JSON object of the result if --json was given."""
+        if self.option("json"):
+            text = json.dumps(msgspec.to_builtins(value), sort_keys=True)
+            self.io.write_line(text, type=output.Type.RAW)
+
+    def print_error(self, text: str) -> None:
+        """Prints a line to standard error."""
+        self.io.error_output.write_line(text, type=output.Type.RAW)
+
+
+class CallCommand(PrintingCommand):
+    """A command that calls the leader through an entry."""
+
+    options: ClassVar[list[option.Option]] = [JSON_OPTION, *_CALL_OPTIONS]
+
+    def handle(self) -> int:
+        """Runs the command and returns its exit code."""
+        operation_id = self.option("operation-id") or client.new_operation_id()
+        try:
+            return asyncio.run(self.run_call(operation_id))
+        except errors.RefusedError as err:
+            return self._fail(exit_codes.NOT_REACHED, str(err), code=err.code)
+        except errors.UnknownResultError as err:
+            return self._fail(
+                exit_codes.UNKNOWN,
+                f"{err}; the operation may have been done, repeat with"
+                f" --operation-id {operation_id}",
+                code="result_unknown",
+                operation_id=operation_id,
+            )
+        except errors.RouterError as err:
+            return self._fail(exit_codes.USAGE, str(err))
+
+    async def run_call(self, operation_id: str) -> int:
+        """Does the command's work; returns the exit code."""
+        raise NotImplementedError
+
+    def make_client(self) -> client.OperatorClient:
+        """Returns a client of the entries that the operator named."""
+        named = self.option("entry") or os.environ.get(
+            ENTRY_VARIABLE, ""
+        ).split(",")
+        entries = tuple(entry.strip() for entry in named if entry.strip())
+        if not entries:
+            raise UsageError(
+                text=f"no entry: give --entry IP:port or set {ENTRY_VARIABLE}",
+                step="command line",
+            )
+        timeout_s = number_option("timeout", self.option("timeout"))
+        return client.OperatorClient(
+            entries=entries,
+            operator=self.option("operator")
+            or os.environ.get(OPERATOR_VARIABLE)
+            or getpass.getuser(),
+            timeout_ms=int(timeout_s * 1000),
+        )
+
+    def finish(self, reply: operator_http.ReplyBody, done_text: str) -> int:
+        """Prints an answer and returns the exit code for it."""
+        self.print_json(msgspec.structs.asdict(reply))
+        if reply.ok:
+            self.print_text(done_text)
+            return exit_codes.DONE
+        self.print_error(f"refused ({reply.code}): {reply.text}")
+        return exit_codes.REFUSED
+
+    def _fail(self, exit_code: int, text: str, **fields: str) -> int:
+        self.print_json({"ok": False, "text": text, **fields})
+        self.print_error(text)
+        return exit_code
+
+
+def number_option(name: str, text: str) -> float:
+    """Returns the number in an option's text.
+
+    Raises:
+        UsageError: The text is not a number above 0.
+    """
+    try:
+        value = float(text)
+    except ValueError:
+        value = 0.0
+    if not 0 < value < float("inf"):
+        raise UsageError(
+            text=f"--{name} {text!r} is not a number above 0",
+            step="command line",
+        )
+    return value
+
+
+def integer_option(name: str, text: str, *, least: int = 0) -> int:
+    """Returns the whole number in an option's text.
+
+    Raises:
+        UsageError: The text is not a whole number of at least `least`.
+    """
+    if not text.isdecimal() or int(text) < least:
+        raise UsageError(
+            text=f"--{name} {text!r} is not a whole number from {least}",
+            step="command line",
+        )
+    return int(text)
--- /dev/null
+++ b/bamboorouter/cli/sheet.py
@@ -0,0 +1,119 @@
+"""Commands on sheets: submit one and wait for it, or check one locally."""
+
+import asyncio
+import contextlib
+import pathlib
+from typing import Any, ClassVar, Final
+
+import msgspec
+from cleo import helpers
+from cleo.io.inputs import argument, option
+
+from bamboorouter import client, clock, errors
+from bamboorouter.cli import base_command, exit_codes
+from bamboorouter.protocol import operator_http
+
+WAIT_POLL_MS: Final = 200
+
+_FILE: Final = helpers.argument("file", "Path of the sheet (CSV).")
+
+
+class SheetSubmitCommand(base_command.CallCommand):
+    """Submits a sheet and prints the revision in force afterwards."""
+
+    name = "sheet submit"
+    description = "Submit a sheet; prints the revision in force afterwards."
+    arguments: ClassVar[list[argument.Argument]] = [_FILE]
+    options: ClassVar[list[option.Option]] = [
+        *base_command.CallCommand.options,
+        helpers.option(
+            "wait",
+            description="Wait until the sheet is in force everywhere.",
+        ),
+        helpers.option(
+            "wait-timeout",
+            description="Seconds to wait with --wait.",
+            flag=False,
+            default="30",
+        ),
+    ]
+
+    async def run_call(self, operation_id: str) -> int:
+        """Submits the sheet, waits if wanted, and prints the result."""
+        text = read_text(self.argument("file"))
+        caller = self.make_client()
+        reply = await caller.call(
+            "submit_sheet", {"csv": text}, operation_id=operation_id
+        )
+        if not reply.ok:
+            return self._refused(reply)
+        data = dict(reply.data)
+        code = exit_codes.DONE
+        revision = data.get("revision", "?")
+        lines = [f"revision {revision} is in force"]
+        if self.option("wait"):
+            state = await self._wait(caller, data.get("config_revision", 0))
+            data["lagging"] = list(state.lagging)
+            data["lowest_applied"] = state.lowest_applied
+            if state.in_force(data.get("config_revision", 0)):
+                lines = [f"revision {revision} is in force everywhere"]
+            else:
+                code = exit_codes.NOT_IN_FORCE
+                lagging = ", ".join(state.lagging) or "no process has reported"
+                lines.append(f"not yet in force everywhere: {lagging}")
+        self.print_json({**msgspec.structs.asdict(reply), "data": data})
+        for line in lines:
+            self.print_text(line)
+        return code
+
+    def _refused(self, reply: operator_http.ReplyBody) -> int:
+        code = self.finish(reply, "")
+        for fault in reply.data.get("faults", ()):
+            self.print_error(fault_line(fault))
+        if "revision" in reply.data:
+            self.print_error(f"revision {reply.data['revision']} is in force")
+        return code
+
+    async def _wait(
+        self, caller: client.OperatorClient, config_revision: int
+    ) -> operator_http.StatusData:
+        """Polls the status until the revision is in force or time is up."""
+        text = self.option("wait-timeout")
+        limit_s = base_command.number_option("wait-timeout", text)
+        deadline = caller.clock.now() + int(limit_s * 1000)
+        state = operator_http.StatusData()
+        while caller.clock.now() < deadline:
+            # The sheet is accepted; a lost answer to a later question about
+            # it must not look like a refusal.
+            with contextlib.suppress(
+                errors.RefusedError, errors.UnknownResultError
+            ):
+                reply = await caller.call("status", {})
+                state = operator_http.read_status(reply.data)
+            if state.in_force(config_revision):
+                break
+            await asyncio.sleep(clock.seconds(WAIT_POLL_MS))
+        return state
+
+
+def read_text(path: str) -> str:
+    """Returns the text of a file.
+
+    Raises:
+        UsageError: The file cannot be read or is not UTF-8.
+    """
+    try:
+        return pathlib.Path(path).read_bytes().decode("utf-8")
+    except (OSError, UnicodeDecodeError) as err:
+        raise base_command.UsageError(
+            text=str(err), step="read file", peer=path
+        ) from err
+
+
+def fault_line(fault: dict[str, Any]) -> str:
+    """Returns the line that describes one faulty value of a sheet."""
+    return (
+        f"row {fault.get('row')}, column {fault.get('column')}:"
+        f" {fault.get('value')!r} is not allowed;"
+        f" allowed: {fault.get('allowed')}"
+    )
--- /dev/null
+++ b/bamboorouter/cli/status.py
@@ -0,0 +1,57 @@
+"""The command that shows what is in force, what runs and what waits."""
+
+from collections.abc import Iterator
+
+from bamboorouter.cli import base_command, exit_codes
+from bamboorouter.protocol import operator_http
+
+
+class StatusCommand(base_command.CallCommand):
+    """Shows what is in force and where, workers, tasks and what waits."""
+
+    name = "status"
+    description = (
+        "Show what is in force and where, the workers, the tasks, and what"
+        " waits and why."
+    )
+
+    async def run_call(self, operation_id: str) -> int:
+        """Asks the leader for its status and prints it."""
+        reply = await self.make_client().call(
+            "status", {}, operation_id=operation_id
+        )
+        state = operator_http.read_status(reply.data)
+        code = self.finish(reply, _head(state))
+        if code == exit_codes.DONE:
+            for line in _lines(state):
+                self.print_text(line)
+        return code
+
+
+def _head(state: operator_http.StatusData) -> str:
+    return (
+        f"sheet revision {state.revision}, config revision"
+        f" {state.config_revision}, leader {state.leader or 'unknown'}"
+        f" (term {state.term})"
+    )
+
+
+def _lines(state: operator_http.StatusData) -> Iterator[str]:
+    lagging = ", ".join(state.lagging)
+    yield (
+        f"applied: lowest {state.lowest_applied}"
+        + (f", behind: {lagging}" if lagging else ", nobody is behind")
+    )
+    for process, revision in sorted(state.applied.items()):
+        yield f"  {process}: {revision}"
+    yield f"workers: {len(state.workers)}"
+    for worker in state.workers:
+        yield (
+            f"  {worker.worker} zone {worker.zone} rack {worker.rack}:"
+            f" {worker.state}, {worker.tasks} tasks"
+        )
+    counts = ", ".join(f"{n} {s}" for s, n in sorted(state.tasks.items()))
+    yield f"tasks: {counts or 'none'}"
+    yield f"waiting: {state.waiting_total or len(state.waiting)}"
+    for waiting in state.waiting:
+        yield f"  {waiting.task}: {waiting.reason}"
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -26,6 +26,11 @@
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
+CALL_MALFORMED: Final = "call_malformed"
+NOT_REACHED: Final = "not_reached"
+
+# The operation may or may not have been carried out.
+RESULT_UNKNOWN: Final = "result_unknown"
 
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
@@ -50,6 +55,9 @@
     JOB_EXISTS: "job {job!r} exists with other content",
     JOB_CANNOT_RUN: "job {job!r} is larger than any worker",
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+    CALL_MALFORMED: "the call is malformed",
+    NOT_REACHED: "no entry could be reached; nothing was changed",
+    RESULT_UNKNOWN: "no leader answered; the operation may have been done",
 }
 
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -83,3 +83,17 @@
 
 # 100-199: consensus and storage. 200-299: control role. 300-399: agent.
 # 400-499: entry. 500-599: operators.
+
+# 500-599: operators.
+OPERATOR_CALL: Final = _event(
+    500,
+    "operator_call",
+    logging.INFO,
+    "The leader answered an operator's call.",
+)
+OPERATOR_CALL_UNANSWERED: Final = _event(
+    501,
+    "operator_call_unanswered",
+    logging.WARNING,
+    "No leader answered an operator's call in time; its result is unknown.",
+)
--- /dev/null
+++ b/bamboorouter/protocol/operator_http.py
@@ -0,0 +1,132 @@
+"""JSON bodies of the operators' HTTP interface.
+
+An operator's program sends `POST /v1/<operation>` with a `CallBody` and gets a
+`ReplyBody`. The operation ID comes from the operator, so that the same call
+sent through another entry gets the first answer.
+"""
+
+from typing import Annotated, Any, Final, Literal
+
+import msgspec
+
+from bamboorouter import errors
+
+PATH_PREFIX: Final = "/v1/"
+# A day's sheet of 2,800 jobs has about 420 KB; its escaped text stays below
+# this and below the frame size of a link.
+MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+
+Operation = Literal[
+    "submit_sheet",
+    "submit_job",
+    "cancel_job",
+    "drain",
+    "status",
+    "explain",
+    "members",
+]
+
+# HTTP status codes and what they say about the operation.
+STATUS_DONE: Final = 200
+STATUS_MALFORMED: Final = 400
+STATUS_REFUSED: Final = 409
+STATUS_NOT_DONE: Final = 503
+STATUS_UNKNOWN: Final = 504
+
+
+class CallBody(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Body of a call.
+
+    Attributes:
+        operation_id: Unique ID chosen by the operator's program.
+        operator: Who calls; recorded in the account.
+        arguments: Arguments by name.
+    """
+
+    operation_id: Annotated[
+        str, msgspec.Meta(pattern=r"^[A-Za-z0-9_.-]{1,64}$")
+    ]
+    operator: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    arguments: dict[str, Any] = {}
+
+
+class ReplyBody(msgspec.Struct, kw_only=True, frozen=True):
+    """Body of a reply; the fields are those of `messages.OperatorReply`."""
+
+    ok: bool
+    code: str = ""
+    text: str = ""
+    data: dict[str, Any] = {}
+
+
+class WorkerStatus(msgspec.Struct, kw_only=True, frozen=True):
+    """One worker as the leader sees it.
+
+    Attributes:
+        worker: Name of the worker.
+        zone: Availability zone.
+        rack: Rack.
+        state: "alive", "silent", "drained" or "quarantined".
+        tasks: Number of assigned tasks.
+    """
+
+    worker: str
+    zone: str = ""
+    rack: str = ""
+    state: str = ""
+    tasks: int = 0
+
+
+class WaitingStatus(msgspec.Struct, kw_only=True, frozen=True):
+    """One waiting task and why it waits."""
+
+    task: str
+    reason: str = ""
+
+
+class StatusData(msgspec.Struct, kw_only=True, frozen=True):
+    """Data of the reply to the operation "status".
+
+    Attributes:
+        revision: Revision of the sheet in force; 0 before the first.
+        config_revision: Counter of all accepted changes of configuration.
+        leader: Address of the leader.
+        term: Term of the leader.
+        applied: Config revision that each live process reported.
+        lowest_applied: Lowest of them.
+        lagging: Processes below `config_revision`.
+        workers: All known workers.
+        tasks: Number of tasks by state.
+        waiting: The first waiting tasks in the order of scheduling.
+        waiting_total: Number of all waiting tasks.
+    """
+
+    revision: int = 0
+    config_revision: int = 0
+    leader: str = ""
+    term: int = 0
+    applied: dict[str, int] = {}
+    lowest_applied: int = 0
+    lagging: tuple[str, ...] = ()
+    workers: tuple[WorkerStatus, ...] = ()
+    tasks: dict[str, int] = {}
+    waiting: tuple[WaitingStatus, ...] = ()
+    waiting_total: int = 0
+
+    def in_force(self, config_revision: int) -> bool:
+        """Whether every live process applies at least this revision."""
+        return bool(self.applied) and self.lowest_applied >= config_revision
+
+
+def read_status(data: dict[str, Any]) -> StatusData:
+    """Reads the data of a status reply.
+
+    Raises:
+        ProtocolError: The data has another shape.
+    """
+    try:
+        return msgspec.convert(data, StatusData, strict=False)
+    except msgspec.ValidationError as err:
+        raise errors.ProtocolError(text=str(err), step="read status") from err
--- /dev/null
+++ b/bamboorouter/roles/operator_api.py
@@ -0,0 +1,144 @@
+"""HTTP interface for operators, served by an entry.
+
+Each call is forwarded to the leader as an `OperatorCall`. The HTTP status
+tells the operator's program whether the operation was done (200), refused
+(409), certainly not done (400, 503) or possibly done (504).
+"""
+
+from typing import Final, get_args
+
+import msgspec
+from aiohttp import web
+
+from bamboorouter import error_texts, errors, events
+from bamboorouter.coordination import control_client
+from bamboorouter.protocol import messages, operator_http
+
+# Failover takes up to 3 s; a call that arrives during it should succeed.
+CALL_TIMEOUT_MS: Final = 5_000
+# An explanation may have to read the whole account.
+EXPLAIN_TIMEOUT_MS: Final = 30_000
+
+_OPERATIONS: Final = frozenset(get_args(operator_http.Operation))
+
+
+class OperatorApi:
+    """Handles the calls.
+
+    Attributes:
+        client: The entry's connection to the leader.
+    """
+
+    def __init__(self, *, client: control_client.ControlClient) -> None:
+        self.client = client
+
+    async def call(self, request: web.Request) -> web.Response:
+        """Forwards one call to the leader and returns its answer."""
+        operation = request.match_info["operation"]
+        if operation not in _OPERATIONS:
+            return _malformed(404, f"operation {operation!r} does not exist")
+        try:
+            body = msgspec.json.decode(
+                await request.read(), type=operator_http.CallBody
+            )
+        except msgspec.DecodeError as err:
+            return _malformed(operator_http.STATUS_MALFORMED, str(err))
+        return await self._forward(operation, body)
+
+    async def _forward(
+        self, operation: str, body: operator_http.CallBody
+    ) -> web.Response:
+        call = messages.OperatorCall(
+            operation=operation,
+            operation_id=body.operation_id,
+            operator=body.operator,
+            arguments=body.arguments,
+        )
+        timeout_ms = (
+            EXPLAIN_TIMEOUT_MS if operation == "explain" else CALL_TIMEOUT_MS
+        )
+        try:
+            reply = await self.client.call(call, timeout_ms=timeout_ms)
+        except errors.RouterError as err:
+            events.log(
+                events.OPERATOR_CALL_UNANSWERED,
+                operation=operation,
+                operation_id=body.operation_id,
+                operator=body.operator,
+                error=str(err),
+            )
+            return _reply(
+                operator_http.STATUS_UNKNOWN,
+                operator_http.ReplyBody(
+                    ok=False,
+                    code=error_texts.RESULT_UNKNOWN,
+                    text=error_texts.text_for(error_texts.RESULT_UNKNOWN),
+                ),
+            )
+        return self._answer(call, reply)
+
+    def _answer(
+        self, call: messages.OperatorCall, reply: messages.Message
+    ) -> web.Response:
+        if isinstance(reply, messages.OperatorReply):
+            events.log(
+                events.OPERATOR_CALL,
+                operation=call.operation,
+                operation_id=call.operation_id,
+                operator=call.operator,
+                ok=reply.ok,
+                code=reply.code,
+            )
+            status = (
+                operator_http.STATUS_DONE
+                if reply.ok
+                else operator_http.STATUS_REFUSED
+            )
+            body = operator_http.ReplyBody(
+                ok=reply.ok, code=reply.code, text=reply.text, data=reply.data
+            )
+            return _reply(status, body)
+        if isinstance(reply, messages.Refusal):
+            body = operator_http.ReplyBody(
+                ok=False, code=reply.code, text=reply.text
+            )
+            return _reply(operator_http.STATUS_NOT_DONE, body)
+        raise errors.ProtocolError(
+            text=f"unexpected {type(reply).__name__}", step="operator call"
+        )
+
+
+def make_application(
+    client: control_client.ControlClient,
+) -> web.Application:
+    """Builds the application that an entry serves on its operator address.
+
+    Args:
+        client: The entry's connection to the leader.
+
+    Returns:
+        The application; the caller runs and stops it.
+    """
+    application = web.Application(client_max_size=operator_http.MAX_BODY_BYTES)
+    api = OperatorApi(client=client)
+    application.router.add_post(
+        operator_http.PATH_PREFIX + "{operation}", api.call
+    )
+    return application
+
+
+def _reply(status: int, body: operator_http.ReplyBody) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(body),
+        content_type="application/json",
+    )
+
+
+def _malformed(status: int, text: str) -> web.Response:
+    return _reply(
+        status,
+        operator_http.ReplyBody(
+            ok=False, code=error_texts.CALL_MALFORMED, text=text
+        ),
+    )
--- /dev/null
+++ b/tests/operator_fakes.py
@@ -0,0 +1,110 @@
+"""A leader and entries for tests of the operators' tools."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from bamboorouter import clock
+from bamboorouter.coordination import control_client
+from bamboorouter.protocol import messages
+from bamboorouter.roles import operator_api
+from bamboorouter.transport import link
+
+
+class FakeLeader:
+    """Answers operator calls; a resend gets the first answer.
+
+    Attributes:
+        replies: Prepared replies of each operation; the last one stays.
+        received: All calls, resends included.
+        carried_out: Calls without resends.
+    """
+
+    def __init__(self) -> None:
+        self.replies: dict[str, list[messages.Message]] = {}
+        self.received: list[messages.OperatorCall] = []
+        self.carried_out: list[messages.OperatorCall] = []
+        self._first: dict[str, messages.Message] = {}
+        self._server: link.LinkServer | None = None
+
+    async def start(self) -> str:
+        """Listens; returns the address."""
+        self._server = await link.serve_links(
+            host="127.0.0.1", port=0, handler=self._handle
+        )
+        return f"127.0.0.1:{self._server.port}"
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._server is not None:
+            await self._server.close()
+
+    def prepare(self, operation: str, **fields: Any) -> None:
+        """Adds a reply to an operation."""
+        reply = messages.OperatorReply(**{"ok": True, **fields})
+        self.replies.setdefault(operation, []).append(reply)
+
+    async def _handle(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        del peer
+        assert isinstance(message, messages.OperatorCall)
+        self.received.append(message)
+        if message.operation_id not in self._first:
+            self.carried_out.append(message)
+            replies = self.replies[message.operation]
+            reply = replies.pop(0) if len(replies) > 1 else replies[0]
+            self._first[message.operation_id] = reply
+        return self._first[message.operation_id]
+
+
+class FakeEntry:
+    """An entry that serves only the operator address.
+
+    Attributes:
+        lose_answers: Whether it closes the connection in place of answering
+            once the leader has answered.
+    """
+
+    def __init__(self, *, lose_answers: bool = False) -> None:
+        self.lose_answers = lose_answers
+        self._client: control_client.ControlClient | None = None
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, leader: str) -> str:
+        """Listens; returns the operator address."""
+        self._client = control_client.ControlClient(
+            addresses=(leader,), time=clock.SystemClock()
+        )
+        application = operator_api.make_application(self._client)
+        application.middlewares.append(self._lose_answer)
+        self._runner = web.AppRunner(application)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        return f"127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._client is not None:
+            await self._client.close()
+
+    @web.middleware
+    async def _lose_answer(
+        self, request: web.Request, handler: Any
+    ) -> web.StreamResponse:
+        answer: web.StreamResponse = await handler(request)
+        if self.lose_answers and request.transport is not None:
+            request.transport.abort()
+        return answer
+
+
+async def unused_address() -> str:
+    """Returns an address on which nothing listens."""
+    server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    server.close()
+    await server.wait_closed()
+    return f"127.0.0.1:{port}"
