--- a/bamboorouter/cli/application.py
+++ b/bamboorouter/cli/application.py
@@ -4,7 +4,11 @@
 
 from cleo import application as cleo_application
 
-from bamboorouter.cli import job, member, sheet, status, target
+from bamboorouter.cli import job
+from bamboorouter.cli import member
+from bamboorouter.cli import sheet
+from bamboorouter.cli import status
+from bamboorouter.cli import target
 
 VERSION = "0.1.0"
 
--- a/bamboorouter/cli/base_command.py
+++ b/bamboorouter/cli/base_command.py
@@ -1,19 +1,23 @@
 """What all commands share: output, and calls through an entry."""
 
 import asyncio
+from collections.abc import Mapping
 import getpass
 import json
 import os
-from collections.abc import Mapping
-from typing import Any, ClassVar, Final
+from typing import Any
+from typing import ClassVar
+from typing import Final
 
-import msgspec
 from cleo import helpers
 from cleo.commands import command
-from cleo.io.inputs import argument, option
+from cleo.io.inputs import argument
+from cleo.io.inputs import option
 from cleo.io.outputs import output
+import msgspec
 
-from bamboorouter import client, errors
+from bamboorouter import client
+from bamboorouter import errors
 from bamboorouter.cli import exit_codes
 from bamboorouter.protocol import operator_http
 
--- a/bamboorouter/cli/job.py
+++ b/bamboorouter/cli/job.py
@@ -2,9 +2,10 @@
 
 from typing import ClassVar
 
-import msgspec
 from cleo import helpers
-from cleo.io.inputs import argument, option
+from cleo.io.inputs import argument
+from cleo.io.inputs import option
+import msgspec
 
 from bamboorouter.cli import base_command
 from bamboorouter.protocol import common
--- a/bamboorouter/cli/member.py
+++ b/bamboorouter/cli/member.py
@@ -1,12 +1,14 @@
 """Commands that show and change the members of the control group."""
 
 from collections.abc import Mapping
-from typing import Any, ClassVar
+from typing import Any
+from typing import ClassVar
 
 from cleo import helpers
 from cleo.io.inputs import argument
 
-from bamboorouter.cli import base_command, exit_codes
+from bamboorouter.cli import base_command
+from bamboorouter.cli import exit_codes
 
 
 class MembersCommand(base_command.CallCommand):
--- a/bamboorouter/cli/sheet.py
+++ b/bamboorouter/cli/sheet.py
@@ -3,14 +3,20 @@
 import asyncio
 import contextlib
 import pathlib
-from typing import Any, ClassVar, Final
+from typing import Any
+from typing import ClassVar
+from typing import Final
 
-import msgspec
 from cleo import helpers
-from cleo.io.inputs import argument, option
+from cleo.io.inputs import argument
+from cleo.io.inputs import option
+import msgspec
 
-from bamboorouter import client, clock, errors
-from bamboorouter.cli import base_command, exit_codes
+from bamboorouter import client
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter.cli import base_command
+from bamboorouter.cli import exit_codes
 from bamboorouter.protocol import operator_http
 
 WAIT_POLL_MS: Final = 200
--- a/bamboorouter/cli/status.py
+++ b/bamboorouter/cli/status.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from bamboorouter.cli import base_command, exit_codes
+from bamboorouter.cli import base_command
+from bamboorouter.cli import exit_codes
 from bamboorouter.protocol import operator_http
 
 
--- a/bamboorouter/client.py
+++ b/bamboorouter/client.py
@@ -6,15 +6,18 @@
 """
 
 import asyncio
+from collections.abc import Mapping
 import itertools
+from typing import Any
+from typing import Final
 import uuid
-from collections.abc import Mapping
-from typing import Any, Final
 
 import aiohttp
 import msgspec
 
-from bamboorouter import clock, error_texts, errors
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import errors
 from bamboorouter.protocol import operator_http
 
 # Longer than an entry waits for the leader, so that its answer arrives first.
--- a/bamboorouter/protocol/operator_http.py
+++ b/bamboorouter/protocol/operator_http.py
@@ -5,7 +5,10 @@
 sent through another entry gets the first answer.
 """
 
-from typing import Annotated, Any, Final, Literal
+from typing import Annotated
+from typing import Any
+from typing import Final
+from typing import Literal
 
 import msgspec
 
--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -5,14 +5,18 @@
 (409), certainly not done (400, 503) or possibly done (504).
 """
 
-from typing import Final, get_args
+from typing import Final
+from typing import get_args
 
-import msgspec
 from aiohttp import web
+import msgspec
 
-from bamboorouter import error_texts, errors, events
+from bamboorouter import error_texts
+from bamboorouter import errors
+from bamboorouter import events
 from bamboorouter.coordination import control_client
-from bamboorouter.protocol import messages, operator_http
+from bamboorouter.protocol import messages
+from bamboorouter.protocol import operator_http
 
 # Failover takes up to 3 s; a call that arrives during it should succeed.
 CALL_TIMEOUT_MS: Final = 5_000
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -9,7 +9,8 @@
 import aiohttp
 from cleo.testers import application_tester
 
-from bamboorouter.cli import application, exit_codes
+from bamboorouter.cli import application
+from bamboorouter.cli import exit_codes
 from bamboorouter.protocol import messages
 from tests import operator_fakes
 
