--- a/bamboorouter/cli/base_command.py
+++ b/bamboorouter/cli/base_command.py
@@ -146,6 +146,8 @@
             self.print_text(done_text)
             return exit_codes.DONE
         self.print_error(f"refused ({reply.code}): {reply.text}")
+        for fault in reply.data.get("faults", ()):
+            self.print_error(fault_line(fault))
         return exit_codes.REFUSED
 
     def _fail(self, exit_code: int, text: str, **fields: str) -> int:
@@ -172,15 +174,10 @@
     return value
 
 
-def integer_option(name: str, text: str, *, least: int = 0) -> int:
-    """Returns the whole number in an option's text.
-
-    Raises:
-        UsageError: The text is not a whole number of at least `least`.
-    """
-    if not text.isdecimal() or int(text) < least:
-        raise UsageError(
-            text=f"--{name} {text!r} is not a whole number from {least}",
-            step="command line",
-        )
-    return int(text)
+def fault_line(fault: Mapping[str, Any]) -> str:
+    """Returns the line that describes one faulty value of a sheet."""
+    return (
+        f"row {fault.get('row')}, column {fault.get('column')}:"
+        f" {fault.get('value')!r} is not allowed;"
+        f" allowed: {fault.get('allowed')}"
+    )
--- a/bamboorouter/cli/job.py
+++ b/bamboorouter/cli/job.py
@@ -1,14 +1,18 @@
 """Commands that add a job to the plan in force and cancel jobs."""
 
 from typing import ClassVar
+from typing import Final
 
 from cleo import helpers
 from cleo.io.inputs import argument
 from cleo.io.inputs import option
-import msgspec
 
 from bamboorouter.cli import base_command
-from bamboorouter.protocol import common
+
+_COLUMNS: Final = (
+    *("owner", "urgency", "place", "processors", "memory_mb"),
+    *("accelerators", "run_time_s", "count", "share", "command"),
+)
 
 
 def _field(
@@ -43,43 +47,25 @@
 
     async def run_call(self, operation_id: str) -> int:
         """Sends the job."""
-        row = self._row()
-        reply = await self.make_client().call(
-            "submit_job",
-            {"row": msgspec.structs.asdict(row)},
-            operation_id=operation_id,
-        )
-        revision = reply.data.get("config_revision", "?")
-        return self.finish(
-            reply, f"job {row.name} is in the plan (config revision {revision})"
-        )
-
-    def _row(self) -> common.SheetRow:
         if not self.option("owner"):
             raise base_command.UsageError(
                 text="--owner is required", step="command line"
             )
-        return common.SheetRow(
-            kind="job",
-            name=self.argument("job"),
-            owner=self.option("owner"),
-            urgency=self._integer("urgency"),
-            place=self._integer("place"),
-            millicores=self._millicores(),
-            memory_mb=self._integer("memory-mb"),
-            accelerators=self._integer("accelerators"),
-            run_time_s=self._integer("run-time-s", least=1),
-            count=self._integer("count", least=1),
-            share=self._integer("share", least=1),
-            command=self.option("command"),
+        job = self.argument("job")
+        reply = await self.make_client().call(
+            "submit_job", {"row": self._fields(job)}, operation_id=operation_id
+        )
+        revision = reply.data.get("config_revision", "?")
+        return self.finish(
+            reply, f"job {job} is in the plan (config revision {revision})"
         )
 
-    def _integer(self, name: str, *, least: int = 0) -> int:
-        return base_command.integer_option(name, self.option(name), least=least)
-
-    def _millicores(self) -> int:
-        text = self.option("processors")
-        return round(base_command.number_option("processors", text) * 1000)
+    def _fields(self, job: str) -> dict[str, str]:
+        """Returns the values by column of the sheet."""
+        values = {
+            column: self.option(column.replace("_", "-")) for column in _COLUMNS
+        }
+        return {"kind": "job", "name": job, **values}
 
 
 class JobCancelCommand(base_command.CallCommand):
--- a/bamboorouter/cli/sheet.py
+++ b/bamboorouter/cli/sheet.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import pathlib
-from typing import Any
 from typing import ClassVar
 from typing import Final
 
@@ -55,7 +54,7 @@
             return self._refused(reply)
         data = dict(reply.data)
         code = exit_codes.DONE
-        revision = data.get("revision", "?")
+        revision = data.get("sheet_revision", "?")
         lines = [f"revision {revision} is in force"]
         if self.option("wait"):
             state = await self._wait(caller, data.get("config_revision", 0))
@@ -74,10 +73,9 @@
 
     def _refused(self, reply: operator_http.ReplyBody) -> int:
         code = self.finish(reply, "")
-        for fault in reply.data.get("faults", ()):
-            self.print_error(fault_line(fault))
-        if "revision" in reply.data:
-            self.print_error(f"revision {reply.data['revision']} is in force")
+        if "sheet_revision" in reply.data:
+            revision = reply.data["sheet_revision"]
+            self.print_error(f"revision {revision} is in force")
         return code
 
     async def _wait(
@@ -114,12 +112,3 @@
         raise base_command.UsageError(
             text=str(err), step="read file", peer=path
         ) from err
-
-
-def fault_line(fault: dict[str, Any]) -> str:
-    """Returns the line that describes one faulty value of a sheet."""
-    return (
-        f"row {fault.get('row')}, column {fault.get('column')}:"
-        f" {fault.get('value')!r} is not allowed;"
-        f" allowed: {fault.get('allowed')}"
-    )
--- a/bamboorouter/cli/status.py
+++ b/bamboorouter/cli/status.py
@@ -31,7 +31,7 @@
 
 def _head(state: operator_http.StatusData) -> str:
     return (
-        f"sheet revision {state.revision}, config revision"
+        f"sheet revision {state.sheet_revision}, config revision"
         f" {state.config_revision}, leader {state.leader or 'unknown'}"
         f" (term {state.term})"
     )
--- a/bamboorouter/protocol/operator_http.py
+++ b/bamboorouter/protocol/operator_http.py
@@ -93,7 +93,7 @@
     """Data of the reply to the operation "status".
 
     Attributes:
-        revision: Revision of the sheet in force; 0 before the first.
+        sheet_revision: Revision of the sheet in force; 0 before the first.
         config_revision: Counter of all accepted changes of configuration.
         leader: Address of the leader.
         term: Term of the leader.
@@ -106,7 +106,7 @@
         waiting_total: Number of all waiting tasks.
     """
 
-    revision: int = 0
+    sheet_revision: int = 0
     config_revision: int = 0
     leader: str = ""
     term: int = 0
--- /dev/null
+++ b/bamboorouter/state/account_records.py
@@ -0,0 +1,278 @@
+"""What each command of the log says about a subject of the account.
+
+A subject is a task, a job or service, a worker or upstream, an idempotency key
+or a request ID. The texts are for people; the fields hold the same values by
+name.
+"""
+
+from typing import Any
+
+import msgspec
+
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.protocol import messages
+
+
+class Plan:
+    """The rows in force, and which tasks are assigned.
+
+    Attributes:
+        revision: Revision of the sheet in force.
+        rows: Rows by name; jobs of earlier sheets stay, because their tasks
+            may still run.
+        assigned: Tasks that are assigned to a worker.
+        operations: IDs of operators' calls that took effect.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.rows: dict[str, common.SheetRow] = {}
+        self.assigned: set[str] = set()
+        self.operations: set[str] = set()
+
+    def follow(
+        self, command: commands.Command, result: commands.Result | None
+    ) -> bool:
+        """Takes the next command; returns whether it is to be shown.
+
+        A repeated command is answered like the first one but changes nothing.
+        A refused one changes nothing either, but it is shown.
+        """
+        operation_id = getattr(command, "operation_id", "")
+        if operation_id in self.operations:
+            return False
+        if operation_id:
+            self.operations.add(operation_id)
+        if result is not None and not result.ok:
+            return True
+        match command:
+            case commands.AcceptSheet():
+                if self.revision and command.revision != self.revision + 1:
+                    return False
+                self.revision = command.revision
+                self.rows.update((row.name, row) for row in command.rows)
+            case commands.SubmitJob():
+                self.rows[command.row.name] = command.row
+            case commands.Assign():
+                if result is None and command.task in self.assigned:
+                    return False
+                self.assigned.add(command.task)
+            case commands.EndTask() | commands.ConfirmEviction():
+                self.assigned.discard(command.task)
+            case commands.RecordRequests():
+                return result is None or not result.data.get("repeated")
+        return True
+
+
+Described = tuple[str, str, dict[str, Any]]
+
+
+def describe(
+    name: str,
+    command: commands.Command,
+    plan: Plan,
+    result: commands.Result | None,
+) -> list[Described]:
+    """Returns what a command says about a subject.
+
+    Args:
+        name: The subject.
+        command: A command.
+        plan: The plan in force after the command.
+        result: Its result, if it was replayed.
+
+    Returns:
+        For each record its kind, text and fields; mostly none or one.
+    """
+    match command:
+        case commands.AcceptSheet():
+            return _describe_sheet(name, command)
+        case commands.SubmitJob() if row_of(name) == command.row.name:
+            text = f"added by {command.operator}: {_row_text(command.row)}"
+            return [("job_added", text, _row_fields(command.row))]
+        case commands.CancelJob() if row_of(name) == command.job:
+            text = f"cancelled by {command.operator}"
+            return [("job_cancelled", text, {"operator": command.operator})]
+        case commands.SetDrain() if name == command.target:
+            what = "drained" if command.draining else "drain_ended"
+            by = {"operator": command.operator}
+            return [(what, f"{what} by {command.operator}", by)]
+        case commands.RegisterWorker() if name == command.worker:
+            return [_describe_worker(command)]
+        case commands.Quarantine() if name == command.worker:
+            text = (
+                f"in quarantine until {command.until_ms} ms: {command.reason}"
+            )
+            fields = {"until_ms": command.until_ms, "reason": command.reason}
+            return [("quarantined", text, fields)]
+        case commands.RecordRequests():
+            return _describe_requests(name, command)
+        case commands.ReserveRequest() | commands.RecordRequestOutcome():
+            return _describe_reservation(name, command, result)
+        case commands.Assign():
+            return _describe_assignment(name, command, plan, result)
+        case (
+            commands.EndTask()
+            | commands.EvictTask()
+            | commands.ConfirmEviction()
+        ):
+            return _describe_task(name, command)
+    return []
+
+
+def row_of(name: str) -> str:
+    """Returns the name of the sheet row that a task or row name belongs to."""
+    return name.partition("/")[0]
+
+
+def _concerns(name: str, task: str) -> bool:
+    return name in (task, row_of(task))
+
+
+def _row_fields(row: common.SheetRow) -> dict[str, Any]:
+    fields: dict[str, Any] = msgspec.structs.asdict(row)
+    return fields
+
+
+def _row_text(row: common.SheetRow) -> str:
+    return (
+        f"{row.kind} of team {row.owner}, urgency {row.urgency}, place"
+        f" {row.place}, count {row.count}, {row.millicores / 1000:g}"
+        f" processors, {row.memory_mb} MB, {row.accelerators} accelerators"
+    )
+
+
+def _describe_sheet(
+    name: str, command: commands.AcceptSheet
+) -> list[Described]:
+    by = f"sheet revision {command.revision} by {command.operator}"
+    return [
+        (
+            "sheet_accepted",
+            f"{by}: {_row_text(row)}",
+            {
+                "revision": command.revision,
+                "operator": command.operator,
+                "digest": command.digest,
+                **_row_fields(row),
+            },
+        )
+        for row in command.rows
+        if row.name == row_of(name)
+    ]
+
+
+def _describe_worker(command: commands.RegisterWorker) -> Described:
+    capacity = command.capacity
+    text = (
+        f"first announced in zone {command.zone}, rack {command.rack}:"
+        f" {capacity.millicores / 1000:g} processors, {capacity.memory_mb} MB,"
+        f" {capacity.accelerators} accelerators, {capacity.slots} slots"
+    )
+    fields = {"zone": command.zone, "rack": command.rack}
+    return ("worker_registered", text, fields)
+
+
+def _describe_assignment(
+    name: str,
+    command: commands.Assign,
+    plan: Plan,
+    result: commands.Result | None,
+) -> list[Described]:
+    if not _concerns(name, command.task) and name != command.worker:
+        return []
+    reason = command.reason
+    passed_over = ", ".join(f"{t} ({why})" for t, why in reason.passed_over)
+    text = (
+        f"{command.task} assigned to {command.worker} under sheet revision"
+        f" {reason.revision}; {reason.waiting} waited; passed over:"
+        f" {passed_over or 'none'}"
+    )
+    row = plan.rows.get(row_of(command.task))
+    fields: dict[str, Any] = {
+        "task": command.task,
+        "worker": command.worker,
+        **msgspec.to_builtins(msgspec.structs.asdict(reason)),
+        **({"epoch": result.data.get("epoch")} if result else {}),
+    }
+    if row is not None:
+        text += (
+            f"; team {row.owner} (recorded share {reason.share}/1000), urgency"
+            f" {row.urgency}, place {row.place}"
+        )
+        fields["owner"] = row.owner
+        fields["urgency"] = row.urgency
+        fields["place"] = row.place
+    return [("assigned", text, fields)]
+
+
+def _describe_task(
+    name: str,
+    command: commands.EndTask | commands.EvictTask | commands.ConfirmEviction,
+) -> list[Described]:
+    if not _concerns(name, command.task):
+        return []
+    head = f"{command.task} epoch {command.epoch}"
+    fields: dict[str, Any] = msgspec.structs.asdict(command)
+    match command:
+        case commands.EvictTask():
+            text = f"{head}: eviction ordered: {command.reason}"
+            return [("eviction_ordered", text, fields)]
+        case commands.ConfirmEviction():
+            at = command.checkpoint or "none"
+            return [("evicted", f"{head}: stopped, checkpoint {at}", fields)]
+        case commands.EndTask():
+            detail = f": {command.detail}" if command.detail else ""
+            return [("ended", f"{head}: {command.outcome}{detail}", fields)]
+    return []
+
+
+def _describe_reservation(
+    name: str,
+    command: commands.ReserveRequest | commands.RecordRequestOutcome,
+    result: commands.Result | None,
+) -> list[Described]:
+    if name not in (command.key, command.attempt):
+        return []
+    fields: dict[str, Any] = {"key": command.key, "attempt": command.attempt}
+    if isinstance(command, commands.ReserveRequest):
+        fields |= {"service": command.service, "entry": command.entry}
+        state = str(result.data.get("state", "")) if result else ""
+        text = (
+            f"attempt {command.attempt} of entry {command.entry} asked to"
+            f" reserve key {command.key} for service {command.service}"
+            + (f": {state}" if state else "")
+        )
+        if state:
+            fields["state"] = state
+        granted = state in ("", "granted")
+        return [("reserved" if granted else "asked_again", text, fields)]
+    fields |= {"outcome": command.outcome, "status": command.status}
+    text = (
+        f"attempt {command.attempt} with key {command.key}: outcome"
+        f" {command.outcome}, status {command.status}"
+    )
+    return [("outcome", text, fields)]
+
+
+def _describe_requests(
+    name: str, command: commands.RecordRequests
+) -> list[Described]:
+    records = (
+        msgspec.convert(plain, messages.RequestRecord)
+        for plain in command.records
+        if name in plain
+    )
+    return [
+        (
+            "requests",
+            f"entry {command.entry}, second {record.second}: {record.count}"
+            f" of service {record.service}, team {record.team}, urgency"
+            f" {record.urgency}: {record.outcome}"
+            + (f" ({record.code})" if record.code else ""),
+            {"entry": command.entry, **msgspec.structs.asdict(record)},
+        )
+        for record in records
+        if name in (record.request_id, record.service)
+    ]
