--- a/bamboorouter/cli/application.py
+++ b/bamboorouter/cli/application.py
@@ -4,6 +4,7 @@
 
 from cleo import application as cleo_application
 
+from bamboorouter.cli import explain
 from bamboorouter.cli import job
 from bamboorouter.cli import member
 from bamboorouter.cli import sheet
@@ -27,6 +28,7 @@
         member.MembersAddLearnerCommand(),
         member.MembersPromoteCommand(),
         member.MembersRemoveCommand(),
+        explain.ExplainCommand(),
     ):
         application.add(command)
     return application
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,64 @@
+"""Guards against pages that describe another program than this one."""
+
+import pathlib
+import re
+import unittest
+
+from bamboorouter import events
+from bamboorouter import options
+from devtools import write_events
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+ROW = re.compile(r"^\| (\d+) \| (\w+) \| (\w+) \| (.+) \|$", re.MULTILINE)
+
+
+class EventsPageTest(unittest.TestCase):
+    """docs/events.md and events.py list the same events."""
+
+    def test_page_and_module_agree_both_ways(self) -> None:
+        text = write_events.PAGE.read_text(encoding="utf-8")
+        listed = [
+            (int(number), name, level, meaning)
+            for number, name, level, meaning in ROW.findall(text)
+        ]
+        known = [
+            (
+                event.number,
+                event.name,
+                write_events.LEVELS[event.level],
+                event.meaning,
+            )
+            for _, event in sorted(events.CATALOGUE.items())
+        ]
+        self.assertEqual(listed, known, "run: python -m devtools.write_events")
+
+    def test_event_names_are_unique(self) -> None:
+        names = [event.name for event in events.CATALOGUE.values()]
+        self.assertEqual(len(names), len(set(names)))
+
+
+class LinkedPagesTest(unittest.TestCase):
+    """Relative links on the pages lead to files that exist."""
+
+    def test_links_lead_somewhere(self) -> None:
+        for page in (ROOT / "README.md", *sorted((ROOT / "docs").glob("*.md"))):
+            text = page.read_text(encoding="utf-8")
+            for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", text):
+                with self.subTest(page=page.name, target=target):
+                    self.assertTrue((page.parent / target).exists())
+
+
+class SamplesTest(unittest.TestCase):
+    """The samples are accepted by the program they are samples for."""
+
+    def test_settings_are_valid(self) -> None:
+        paths = sorted((ROOT / "samples").glob("*.toml"))
+        self.assertEqual(len(paths), 6)
+        for path in paths:
+            with self.subTest(path.name):
+                settings = options.load_options(str(path))
+                self.assertEqual(len(settings.process.control), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
