--- a/bamboorouter/coordination/operations.py
+++ b/bamboorouter/coordination/operations.py
@@ -41,7 +41,7 @@
         ...
 
     async def change_members(
-        self, *, action: str, replica: str, address: str, timeout_ms: int
+        self, *, action: str, member: str, address: str, timeout_ms: int
     ) -> None:
         """Adds, promotes or removes one replica.
 
@@ -127,7 +127,7 @@
             )
         if call.operation not in ("status", "explain"):
             events.log(
-                events.OPERATOR_CALL,
+                events.OPERATION_ANSWERED,
                 operation=call.operation,
                 operation_id=call.operation_id,
                 operator=call.operator,
@@ -220,7 +220,7 @@
         if action != "list":
             await self.group.change_members(
                 action=action,
-                replica=_text(call, "replica"),
+                member=_text(call, "replica"),
                 address=str(call.arguments.get("address", "")),
                 timeout_ms=PROPOSE_TIMEOUT_MS,
             )
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -35,12 +35,16 @@
 TOO_MANY_QUARANTINES: Final = "too_many_quarantines"
 UNKNOWN_OPERATION: Final = "unknown_operation"
 BAD_ARGUMENT: Final = "bad_argument"
-RESULT_UNKNOWN: Final = "result_unknown"
 LOG_BUSY: Final = "log_busy"
 MEMBERS_BUSY: Final = "members_busy"
 NO_SUCH_MEMBER: Final = "no_such_member"
 NOT_CAUGHT_UP: Final = "not_caught_up"
 QUORUM_AT_RISK: Final = "quorum_at_risk"
+CALL_MALFORMED: Final = "call_malformed"
+NOT_REACHED: Final = "not_reached"
+
+# The operation may or may not have been carried out.
+RESULT_UNKNOWN: Final = "result_unknown"
 
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
@@ -81,7 +85,9 @@
     TOO_MANY_QUARANTINES: "{count} workers are in quarantine already",
     UNKNOWN_OPERATION: "operation {operation!r} does not exist",
     BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
-    RESULT_UNKNOWN: "the result is not known; send the call again",
+    CALL_MALFORMED: "the call is malformed",
+    NOT_REACHED: "no entry could be reached; nothing was changed",
+    RESULT_UNKNOWN: "no leader answered; the operation may have been done",
 }
 
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -156,9 +156,6 @@
     " later.",
 )
 
-# 200-299: control role. 300-399: agent.
-# 400-499: entry. 500-599: operators.
-
 # 200-299: control role.
 SCHEDULER_LEADS: Final = _event(
     200,
@@ -187,9 +184,25 @@
 PASS_FAILED: Final = _event(
     205, "pass_failed", logging.ERROR, "A pass of the scheduler failed."
 )
-OPERATOR_CALL: Final = _event(
+OPERATION_ANSWERED: Final = _event(
     206,
+    "operation_answered",
+    logging.INFO,
+    "The leader answered an operator's call.",
+)
+
+# 300-399: agent. 400-499: entry.
+
+# 500-599: operators.
+OPERATOR_CALL: Final = _event(
+    500,
     "operator_call",
     logging.INFO,
     "The leader answered an operator's call.",
 )
+OPERATOR_CALL_UNANSWERED: Final = _event(
+    501,
+    "operator_call_unanswered",
+    logging.WARNING,
+    "No leader answered an operator's call in time; its result is unknown.",
+)
--- a/bamboorouter/roles/control_group.py
+++ b/bamboorouter/roles/control_group.py
@@ -1,9 +1,12 @@
 """Members of the control group and the account, as operators ask for them."""
 
 import asyncio
+import collections
 from typing import Any
 from typing import Final
 
+import reactivex.abc
+
 from bamboorouter import clock
 from bamboorouter import error_texts
 from bamboorouter import errors
@@ -13,6 +16,8 @@
 
 # One step of an explanation; the loop serves others between two steps.
 EXPLAIN_BYTES: Final = 64 * 1024
+# A day's changes.
+MAX_REVISIONS: Final = 1024
 
 
 class ControlGroup:
@@ -24,6 +29,21 @@
 
     def __init__(self, *, own: replica.Replica) -> None:
         self.replica = own
+        # Log index and configuration revision after each change of it.
+        self._revisions: collections.deque[tuple[int, int]] = collections.deque(
+            maxlen=MAX_REVISIONS
+        )
+        self._subscription: reactivex.abc.DisposableBase | None = None
+
+    def start(self) -> None:
+        """Begins to follow which entry raised the configuration revision."""
+        self._note_revision(self.replica.status().applied)
+        self._subscription = self.replica.applied.subscribe(self._note_revision)
+
+    def stop(self) -> None:
+        """Stops following."""
+        if self._subscription is not None:
+            self._subscription.dispose()
 
     def members(self) -> list[dict[str, Any]]:
         """Returns each replica with its address, role and progress."""
@@ -42,13 +62,29 @@
                     None if lag is None else status.last_index - lag
                 ),
             }
-            if own:
-                entry["applied_revision"] = (
-                    self.replica.machine.config_revision
+            if lag is not None:
+                entry["applied_revision"] = self._revision_at(
+                    status.last_index - lag
                 )
             found.append(entry)
         return found
 
+    def _note_revision(self, index: int) -> None:
+        revision = self.replica.machine.config_revision
+        if not self._revisions or self._revisions[-1][1] != revision:
+            self._revisions.append((index, revision))
+
+    def _revision_at(self, index: int) -> int:
+        """Returns the revision that a replica has with this last entry."""
+        return next(
+            (
+                revision
+                for changed_at, revision in reversed(self._revisions)
+                if changed_at <= index
+            ),
+            0,
+        )
+
     async def change_members(
         self, *, action: str, member: str, address: str, timeout_ms: int
     ) -> None:
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -29,6 +29,7 @@
     """The replicated state.
 
     Attributes:
+        config_revision: Raised by each accepted change of configuration.
         applied_index: Index of the last applied entry.
         now_ms: Highest wall time of all applied batches.
         plan: Services, jobs and answers to operators.
@@ -40,6 +41,7 @@
     """
 
     def __init__(self) -> None:
+        self.config_revision = 0
         self.applied_index = 0
         self.now_ms = 0
         self.plan = plan.Plan()
@@ -65,18 +67,15 @@
             commands.FailJob: self._fail_job,
         }
 
-    @property
-    def config_revision(self) -> int:
-        """Raised by each accepted change of configuration."""
-        return self.plan.config_revision
-
     def apply(
         self, index: int, batch: commands.CommandBatch
     ) -> list[commands.Result]:
         """Applies one log entry and returns a result for each command."""
         self.applied_index = index
         self.now_ms = max(self.now_ms, batch.wall_ms)
-        return [self._apply_one(command) for command in batch.commands]
+        results = [self._apply_one(command) for command in batch.commands]
+        self.config_revision = self.plan.config_revision
+        return results
 
     def snapshot(self) -> bytes:
         """Returns the whole state as CBOR."""
@@ -101,6 +100,7 @@
         self.applied_index = index
         self.now_ms = now_ms
         self.plan.restore(planned)
+        self.config_revision = self.plan.config_revision
         self.workers.restore(known)
         self.assignments.restore(assigned)
         self.request_keys.restore(keys)
