--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduler.py
@@ -89,6 +89,7 @@
         self.waiting_reasons: dict[str, str] = {}
         self.settle_ms = settle_ms
         self._settled_at = 0
+        self._expected: set[str] = set()
         self._wake = asyncio.Event()
         self._pass_done = asyncio.Event()
         self._leads_term: int | None = None
@@ -249,6 +250,7 @@
         """Rebuilds the soft state: all leases count as granted now."""
         now = self.clock.now()
         self._settled_at = now + self.settle_ms
+        self._expected = set(self.log.machine.workers.by_name)
         self.registry.reset()
         self.leases.reset()
         self.throttles.wanted.clear()
@@ -359,8 +361,8 @@
         """Whether workers were given the time to be heard."""
         if self.clock.now() >= self._settled_at:
             return True
-        known = self.log.machine.workers.by_name
-        return bool(known) and known.keys() <= self.registry.reports.keys()
+        heard = self.registry.reports.keys()
+        return bool(self._expected) and self._expected <= heard
 
     def _expired(self) -> list[commands.EndTask]:
         """Returns the ends of assignments whose worker is silent."""
