--- /dev/null
+++ b/bamboorouter/coordination/admission_queue.py
@@ -0,0 +1,271 @@
+"""The entry's bounded queues of waiting requests.
+
+Requests wait in one line for each service. The number of waiting requests is
+bounded for each urgency; when it is reached, the newest request of the team
+that is furthest above its share makes room, or the arriving one is refused.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import itertools
+from typing import Final
+
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import metrics
+from bamboorouter.coordination.policies import admission
+from bamboorouter.coordination.policies import fairness
+from bamboorouter.protocol import common
+
+HELD_WEIGHT: Final = 0.1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, frozen=True)
+class Refused:
+    """Why a request was not admitted.
+
+    Attributes:
+        code: Code from `error_texts`.
+        retry_after_ms: When another try may succeed.
+    """
+
+    code: str
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class _Waiter:
+    number: int
+    decided: "asyncio.Future[str]"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class _Queue:
+    line: fairness.Line
+    waiters: collections.deque[_Waiter]
+
+
+class AdmissionQueue:
+    """Decides when each request starts.
+
+    Attributes:
+        queue_limit: Requests that may wait, for each urgency.
+        limit: Returns the requests in progress allowed for a service, or for
+            all services together for "".
+    """
+
+    def __init__(
+        self,
+        *,
+        queue_limit: int,
+        limit: Callable[[str], int],
+        time: clock.Clock,
+        fair: fairness.FairnessPolicy,
+        early: admission.AdmissionPolicy,
+    ) -> None:
+        self.queue_limit = queue_limit
+        self.limit = limit
+        self._clock = time
+        self._fair = fair
+        self._early = early
+        self._queues: dict[str, _Queue] = {}
+        self._waiting_by_urgency: collections.Counter[int] = (
+            collections.Counter()
+        )
+        self._busy = fairness.Busy()
+        self._numbers = itertools.count(1)
+        self._waiting = 0
+
+    def in_progress(self) -> int:
+        """Returns the number of started requests."""
+        return self._busy.latency_critical + self._busy.batch
+
+    async def enter(
+        self, row: common.SheetRow, *, left_ms: int
+    ) -> Refused | None:
+        """Waits until a request may start.
+
+        Args:
+            row: Row of the request's service.
+            left_ms: Time to the deadline.
+
+        Returns:
+            None if the request may start; the caller must then call `leave`.
+        """
+        queue = self._queue(row)
+        if not queue.waiters and self._has_room(queue.line):
+            # Every other line that waits has no room, so nobody is overtaken.
+            self._start(queue.line)
+            return None
+        return await self._wait(queue, left_ms)
+
+    def leave(self, row: common.SheetRow, *, held_ms: float) -> None:
+        """Ends a started request and starts waiting ones.
+
+        Args:
+            row: Row of the request's service.
+            held_ms: Time since the request started.
+        """
+        line = self._queue(row).line
+        if line.held_ms == 0.0:
+            line.held_ms = held_ms
+        line.held_ms += HELD_WEIGHT * (held_ms - line.held_ms)
+        line.in_progress -= 1
+        self._count(line, -1)
+        if self._waiting:
+            self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Starts waiting requests for which there is room."""
+        while self._waiting:
+            ready = [
+                queue.line
+                for queue in self._queues.values()
+                if queue.waiters and self._has_room(queue.line)
+            ]
+            if not ready:
+                return
+            self._busy.limit = self.limit("")
+            line = self._fair.choose(ready, self._busy)
+            waiter = self._remove(self._queues[line.service], newest=False)
+            if not waiter.decided.done():
+                self._start(line)
+                waiter.decided.set_result("")
+
+    async def _wait(self, queue: _Queue, left_ms: int) -> Refused | None:
+        line = queue.line
+        expected = self._early.expected_wait_ms(
+            line,
+            [other.line for other in self._queues.values() if other.waiters],
+            limit=self.limit(line.service),
+        )
+        if expected > left_ms:
+            return Refused(
+                code=error_texts.DEADLINE, retry_after_ms=int(expected)
+            )
+        if not self._make_room(line):
+            return Refused(
+                code=error_texts.QUEUE_FULL, retry_after_ms=int(expected)
+            )
+        waiter = self._append(queue)
+        code = await self._decide(queue, waiter, left_ms)
+        return (
+            Refused(code=code, retry_after_ms=int(expected)) if code else None
+        )
+
+    async def _decide(
+        self, queue: _Queue, waiter: _Waiter, left_ms: int
+    ) -> str:
+        started = self._clock.now()
+        try:
+            await asyncio.wait([waiter.decided], timeout=clock.seconds(left_ms))
+        except asyncio.CancelledError:
+            if not waiter.decided.done():
+                self._discard(queue, waiter)
+            elif not waiter.decided.result():
+                queue.line.in_progress -= 1
+                self._count(queue.line, -1)
+                self.start_waiting()
+            raise
+        metrics.QUEUE_SECONDS.labels(
+            queue.line.team, str(queue.line.urgency)
+        ).observe(clock.seconds(self._clock.now() - started))
+        if waiter.decided.done():
+            return waiter.decided.result()
+        self._discard(queue, waiter)
+        return error_texts.DEADLINE
+
+    def _queue(self, row: common.SheetRow) -> _Queue:
+        queue = self._queues.get(row.name)
+        if queue is None:
+            queue = _Queue(
+                line=fairness.Line(
+                    service=row.name,
+                    team=row.owner,
+                    share=row.share,
+                    urgency=row.urgency,
+                    place=row.place,
+                ),
+                waiters=collections.deque(),
+            )
+            self._queues[row.name] = queue
+        return queue
+
+    def update_rows(self, rows: dict[str, common.SheetRow]) -> None:
+        """Takes over owners, shares, urgencies and places of a revision."""
+        for name, queue in list(self._queues.items()):
+            row = rows.get(name)
+            line = queue.line
+            if row is not None:
+                self._count(line, -line.in_progress)
+                self._waiting_by_urgency[line.urgency] -= line.waiting
+                line.team, line.share = row.owner, row.share
+                line.urgency, line.place = row.urgency, row.place
+                self._waiting_by_urgency[line.urgency] += line.waiting
+                self._count(line, line.in_progress)
+            elif not line.waiting and not line.in_progress:
+                del self._queues[name]
+        self.start_waiting()
+
+    def _has_room(self, line: fairness.Line) -> bool:
+        return self.in_progress() < self.limit(
+            ""
+        ) and line.in_progress < self.limit(line.service)
+
+    def _start(self, line: fairness.Line) -> None:
+        line.in_progress += 1
+        self._count(line, 1)
+        self._fair.started(line)
+
+    def _count(self, line: fairness.Line, change: int) -> None:
+        if line.latency_critical():
+            self._busy.latency_critical += change
+        else:
+            self._busy.batch += change
+
+    def _make_room(self, line: fairness.Line) -> bool:
+        """Whether a request may join its line, after pushing one out."""
+        if self._waiting_by_urgency[line.urgency] < self.queue_limit:
+            return True
+        longest = max(
+            (
+                queue
+                for queue in self._queues.values()
+                if queue.waiters and queue.line.urgency == line.urgency
+            ),
+            key=lambda queue: queue.line.waiting / max(queue.line.share, 1),
+        )
+        excess = longest.line.waiting / max(longest.line.share, 1)
+        if excess <= (line.waiting + 1) / max(line.share, 1):
+            return False
+        waiter = self._remove(longest, newest=True)
+        if not waiter.decided.done():
+            waiter.decided.set_result(error_texts.QUEUE_FULL)
+        return True
+
+    def _append(self, queue: _Queue) -> _Waiter:
+        waiter = _Waiter(
+            number=next(self._numbers),
+            decided=asyncio.get_running_loop().create_future(),
+        )
+        queue.waiters.append(waiter)
+        self._resize(queue, 1)
+        return waiter
+
+    def _remove(self, queue: _Queue, *, newest: bool) -> _Waiter:
+        waiter = queue.waiters.pop() if newest else queue.waiters.popleft()
+        self._resize(queue, -1)
+        return waiter
+
+    def _discard(self, queue: _Queue, waiter: _Waiter) -> None:
+        queue.waiters.remove(waiter)
+        self._resize(queue, -1)
+
+    def _resize(self, queue: _Queue, change: int) -> None:
+        self._waiting += change
+        self._waiting_by_urgency[queue.line.urgency] += change
+        queue.line.waiting += change
+        if queue.waiters:
+            queue.line.oldest = queue.waiters[0].number
--- /dev/null
+++ b/bamboorouter/coordination/request_dispatch.py
@@ -0,0 +1,309 @@
+"""The way of a request through the entry.
+
+Admission, reservation (non-idempotent services), choice of the upstream,
+dispatch, retry, outcome. A request is sent again only if the attempt before
+was refused before its start, or if the service is idempotent; each retry goes
+to another upstream and takes a token of the retry budget. Once an attempt may
+have run, the outcome is never `not_run`.
+"""
+
+import asyncio
+from typing import Final
+from typing import Protocol
+
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter.coordination import admission_queue
+from bamboorouter.coordination import agent_links
+from bamboorouter.coordination import caller_requests
+from bamboorouter.coordination import reservations
+from bamboorouter.coordination import retry_budget
+from bamboorouter.coordination import route_table
+from bamboorouter.coordination.policies import routing
+from bamboorouter.protocol import messages
+
+RESERVATION_PAUSE_MS: Final = 100
+UPSTREAM_FAULT_STATUS: Final = 500
+NO_CONTACT_AGE_MS: Final = 1 << 31
+
+_FINAL_REFUSALS: Final = (error_texts.DEADLINE,)
+
+
+class Contact(Protocol):
+    """Tells how fresh the routes are; `ControlClient` implements it."""
+
+    def contact_age_ms(self) -> int | None:
+        """Returns the time since the last contact with a leader, in ms."""
+        ...
+
+
+class RequestDispatcher:
+    """Runs callers' requests.
+
+    Attributes:
+        table: Routes and services.
+        links: Links to agents.
+        admission: Bounded queues in front of the upstreams.
+        reservations: Reservations of non-idempotent requests.
+        budget: Bound of retries.
+        policy: Choice of the upstream.
+        contact: Freshness of the routes.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: route_table.RouteTable,
+        links: agent_links.AgentLinks,
+        admission: admission_queue.AdmissionQueue,
+        reservations: reservations.Reservations,
+        budget: retry_budget.RetryBudget,
+        policy: routing.RoutingPolicy,
+        contact: Contact,
+        time: clock.Clock,
+    ) -> None:
+        self.table = table
+        self.links = links
+        self.admission = admission
+        self.reservations = reservations
+        self.budget = budget
+        self.policy = policy
+        self.contact = contact
+        self.clock = time
+        self._loop = asyncio.get_running_loop()
+
+    async def run(
+        self, request: caller_requests.CallerRequest
+    ) -> caller_requests.Reply:
+        """Runs one request to its outcome."""
+        if not self.table.loads(request.row.name):
+            return _no_upstream(request)
+        self.budget.add_request()
+        while True:
+            refused = await self.admission.enter(
+                request.row, left_ms=self._left(request)
+            )
+            if refused is not None:
+                return caller_requests.error_reply(
+                    "not_run",
+                    refused.code,
+                    retry_after_ms=refused.retry_after_ms,
+                    urgency=request.row.urgency,
+                )
+            started = self._loop.time()
+            try:
+                if not request.key:
+                    return await self._attempts(request)
+                return await self._reserved(request)
+            except reservations.InProgressError:
+                pass
+            finally:
+                held = self._loop.time() - started
+                self.admission.leave(
+                    request.row, held_ms=held * clock.MS_PER_SECOND
+                )
+            await asyncio.sleep(clock.seconds(RESERVATION_PAUSE_MS))
+            if self._left(request) <= 0:
+                return caller_requests.error_reply(
+                    "unknown", error_texts.OTHER_ATTEMPT
+                )
+
+    async def _reserved(
+        self, request: caller_requests.CallerRequest
+    ) -> caller_requests.Reply:
+        first = await self.reservations.reserve(request)
+        if first is not None:
+            return first
+        reply = await self._attempts(request)
+        return await self.reservations.record(request, reply)
+
+    async def _attempts(
+        self, request: caller_requests.CallerRequest
+    ) -> caller_requests.Reply:
+        tried: frozenset[str] = frozenset()
+        may_have_run: messages.Answer | None = None
+        refusal: messages.Answer | None = None
+        while self._left(request) > 0:
+            load = self.policy.choose(
+                self.table.loads(request.row.name),
+                tried=tried,
+                now_ms=self.clock.now(),
+            )
+            if load is None or (tried and not self.budget.take()):
+                break
+            answer = await self._attempt(request, load)
+            if answer.outcome == "completed":
+                return _reply(answer)
+            if answer.outcome == "not_run":
+                refusal = answer
+                if answer.code in _FINAL_REFUSALS:
+                    break
+            else:
+                may_have_run = answer
+                if not request.row.idempotent:
+                    break
+            tried |= {load.upstream}
+        last = may_have_run or refusal
+        if last is not None:
+            return _reply(last)
+        if self._left(request) <= 0:
+            return caller_requests.error_reply("not_run", error_texts.DEADLINE)
+        return _no_upstream(request)
+
+    async def _attempt(
+        self,
+        request: caller_requests.CallerRequest,
+        load: routing.UpstreamLoad,
+    ) -> messages.Answer:
+        """Dispatches to one upstream and notes how it went."""
+        load.outstanding += 1
+        load.agent.outstanding += 1
+        started = self._loop.time()
+        try:
+            answer = await self._exchange(request, load)
+        finally:
+            load.outstanding -= 1
+            load.agent.outstanding -= 1
+        now = self.clock.now()
+        if answer.outcome == "not_run":
+            if answer.code == error_texts.DRAINING:
+                self.table.mark_leaving((load.upstream,))
+            return answer
+        load.reported = answer.in_progress
+        if (
+            answer.outcome == "completed"
+            and answer.status < UPSTREAM_FAULT_STATUS
+        ):
+            elapsed = (self._loop.time() - started) * clock.MS_PER_SECOND
+            self.policy.succeeded(load, elapsed_ms=elapsed, now_ms=now)
+        elif self.policy.failed(load, now_ms=now):
+            events.log(
+                events.UPSTREAM_EJECTED,
+                upstream=load.upstream,
+                failures=load.failures,
+                last=answer.text or answer.status,
+            )
+        return answer
+
+    async def _exchange(
+        self,
+        request: caller_requests.CallerRequest,
+        load: routing.UpstreamLoad,
+    ) -> messages.Answer:
+        state = self.table.routes.get(load.upstream)
+        if state is None:
+            return _not_sent(request, "the route was removed")
+        address = state.route.agent
+        try:
+            await self.links.ensure(address, timeout_ms=self._left(request))
+        except errors.LinkClosedError as err:
+            return _not_sent(request, str(err))
+        dispatch = self._dispatch(request, load.upstream)
+        if dispatch.deadline_ms <= 0:
+            return _not_sent(request, "no time left", error_texts.DEADLINE)
+        try:
+            answer = await self.links.request(
+                address, dispatch, timeout_ms=dispatch.deadline_ms
+            )
+        except errors.RouterError as err:
+            return _no_answer(request, str(err))
+        return _checked(request, answer, address)
+
+    def _dispatch(
+        self, request: caller_requests.CallerRequest, upstream: str
+    ) -> messages.Dispatch:
+        age = self.contact.contact_age_ms()
+        return messages.Dispatch(
+            request_id=request.request_id,
+            service=request.row.name,
+            upstream=upstream,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            digest=caller_requests.digest(request.body),
+            deadline_ms=self._left(request),
+            urgency=request.row.urgency,
+            team=request.row.owner,
+            reservation=request.key,
+            route_age_ms=NO_CONTACT_AGE_MS if age is None else age,
+        )
+
+    def _left(self, request: caller_requests.CallerRequest) -> int:
+        return request.deadline - self.clock.now()
+
+
+def _checked(
+    request: caller_requests.CallerRequest,
+    answer: messages.Message,
+    agent: str,
+) -> messages.Answer:
+    """Returns the answer if it is whole and belongs to the request."""
+    if not isinstance(answer, messages.Answer):
+        return _no_answer(request, f"unexpected {type(answer).__name__}")
+    fault = ""
+    if answer.request_id != request.request_id:
+        fault = f"belongs to request {answer.request_id}"
+    elif (
+        answer.outcome == "completed"
+        and caller_requests.digest(answer.body) != answer.digest
+    ):
+        fault = "does not match its digest"
+    if not fault:
+        return answer
+    events.log(
+        events.ANSWER_DAMAGED,
+        request=request.request_id,
+        peer=agent,
+        error=fault,
+    )
+    return _no_answer(request, f"the answer {fault}")
+
+
+def _reply(answer: messages.Answer) -> caller_requests.Reply:
+    if answer.outcome == "completed":
+        return caller_requests.Reply(
+            outcome="completed",
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+        )
+    return caller_requests.error_reply(
+        answer.outcome, answer.code, text=answer.text
+    )
+
+
+def _no_upstream(
+    request: caller_requests.CallerRequest,
+) -> caller_requests.Reply:
+    return caller_requests.error_reply(
+        "not_run", error_texts.NO_UPSTREAM, service=request.row.name
+    )
+
+
+def _not_sent(
+    request: caller_requests.CallerRequest,
+    detail: str,
+    code: str = error_texts.NO_UPSTREAM,
+) -> messages.Answer:
+    text = error_texts.text_for(code, service=request.row.name)
+    return messages.Answer(
+        request_id=request.request_id,
+        outcome="not_run",
+        code=code,
+        text=f"{text}: {detail}",
+    )
+
+
+def _no_answer(
+    request: caller_requests.CallerRequest, detail: str
+) -> messages.Answer:
+    return messages.Answer(
+        request_id=request.request_id,
+        outcome="unknown",
+        code=error_texts.NO_ANSWER,
+        text=error_texts.text_for(error_texts.NO_ANSWER, detail=detail),
+    )
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -26,6 +26,16 @@
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
+BAD_REQUEST: Final = "bad_request"
+KEY_EXPIRED: Final = "key_expired"
+STOPPING: Final = "stopping"
+
+# Codes of requests that were or may have been started.
+NO_ANSWER: Final = "no_answer"
+BAD_ANSWER: Final = "bad_answer"
+NOT_RECORDED: Final = "not_recorded"
+BODY_NOT_KEPT: Final = "body_not_kept"
+OTHER_ATTEMPT: Final = "other_attempt"
 
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
@@ -50,6 +60,14 @@
     JOB_EXISTS: "job {job!r} exists with other content",
     JOB_CANNOT_RUN: "job {job!r} is larger than any worker",
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+    BAD_REQUEST: "the request is malformed: {detail}",
+    KEY_EXPIRED: "the key is too old to tell whether it was run",
+    STOPPING: "the process is stopping",
+    NO_ANSWER: "it is not known whether the request was run: {detail}",
+    BAD_ANSWER: "the upstream's answer is not usable: {detail}",
+    NOT_RECORDED: "the outcome could not be recorded in time",
+    BODY_NOT_KEPT: "the request completed earlier; its answer was not kept",
+    OTHER_ATTEMPT: "another attempt with this key has no outcome yet",
 }
 
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -81,5 +81,84 @@
     "The handler of a message raised an unexpected error.",
 )
 
-# 100-199: consensus and storage. 200-299: control role. 300-399: agent.
-# 400-499: entry. 500-599: operators.
+# 100-199: consensus and storage. 200-299: control role. 300-349: agent.
+# 500-599: operators.
+
+# 350-399: agent, requests.
+DISPATCH_DAMAGED: Final = _event(
+    350,
+    "dispatch_damaged",
+    logging.ERROR,
+    "The body of a dispatched request does not match its digest.",
+)
+RESERVATION_REPEATED: Final = _event(
+    351,
+    "reservation_repeated",
+    logging.ERROR,
+    "A reserved request was dispatched twice; the second one was not run.",
+)
+UPSTREAM_GARBAGE: Final = _event(
+    352,
+    "upstream_garbage",
+    logging.WARNING,
+    "An upstream sent half an answer or one that is not HTTP.",
+)
+
+# 400-499: entry.
+ENTRY_READY: Final = _event(
+    400,
+    "entry_ready",
+    logging.INFO,
+    "A leader answered the first time; the entry takes requests.",
+)
+STALE_UPDATE: Final = _event(
+    401,
+    "stale_update",
+    logging.WARNING,
+    "An update with a lower revision than the one applied was ignored.",
+)
+CALLER_GARBAGE: Final = _event(
+    402,
+    "caller_garbage",
+    logging.WARNING,
+    "A caller's body was shorter than announced or malformed.",
+)
+ANSWER_DAMAGED: Final = _event(
+    403,
+    "answer_damaged",
+    logging.ERROR,
+    "An answer does not match its digest or its request.",
+)
+AGENT_AVOIDED: Final = _event(
+    404,
+    "agent_avoided",
+    logging.WARNING,
+    "An agent stopped answering; its link was closed until a probe succeeds.",
+)
+AGENT_REACHED: Final = _event(
+    405, "agent_reached", logging.INFO, "A link to an agent opened."
+)
+LEADER_SILENT: Final = _event(
+    406,
+    "leader_silent",
+    logging.WARNING,
+    "No leader answered the poll of an entry.",
+)
+OUTCOME_NOT_RECORDED: Final = _event(
+    407,
+    "outcome_not_recorded",
+    logging.ERROR,
+    "The outcome of a reserved request could not be committed.",
+)
+REQUEST_FAULT: Final = _event(
+    408,
+    "request_fault",
+    logging.ERROR,
+    "An unexpected error ended a request.",
+)
+UPSTREAM_EJECTED: Final = _event(
+    409,
+    "upstream_ejected",
+    logging.WARNING,
+    "An upstream failed repeatedly and is avoided until a probe succeeds.",
+)
--- /dev/null
+++ b/bamboorouter/roles/agent_requests.py
@@ -0,0 +1,417 @@
+"""The agent's request side: runs callers' requests on local upstreams.
+
+Each `Dispatch` passes the last admission checks before it starts: digest,
+known upstream, not leaving, confirmed route, a free connection, time left.
+Only these checks, and a connection to the upstream that could not be opened,
+give `not_run`. Once bytes may have reached the upstream, the outcome is
+`completed` (a whole answer), `failed` (garbage or half an answer) or `unknown`
+(no answer, no way to tell).
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import secrets
+from typing import Final
+
+import aiohttp
+import xxhash
+import yarl
+
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import options
+from bamboorouter.coordination import gate
+from bamboorouter.protocol import common
+from bamboorouter.protocol import messages
+from bamboorouter.transport import link
+
+ROUTE_CONFIRMATION_MS: Final = 5_000
+CONNECT_TIMEOUT_MS: Final = 1_000
+# The reservation itself is kept by the control group for 24 h; this table only
+# has to outlive a dispatch that is delivered again by a faulty entry.
+KEPT_RESERVATIONS: Final = 4_096
+LATENCY_WEIGHT: Final = 0.1
+_WAITING_PER_CONNECTION: Final = 1
+
+_UNSENT_HEADERS: Final = ("Accept", "Accept-Encoding", "User-Agent")
+
+
+@dataclasses.dataclass(kw_only=True)
+class UpstreamState:
+    """What the agent knows about one upstream.
+
+    Attributes:
+        upstream: The announcement.
+        in_progress: Requests in progress.
+        latency_ms: Smoothed time of whole answers in ms; 0 before the first.
+    """
+
+    upstream: common.Upstream
+    in_progress: int = 0
+    latency_ms: float = 0.0
+
+    def observe(self, elapsed_ms: float) -> None:
+        """Adds one answer time to the smoothed latency."""
+        if self.latency_ms == 0.0:
+            self.latency_ms = elapsed_ms
+        self.latency_ms += LATENCY_WEIGHT * (elapsed_ms - self.latency_ms)
+
+
+class AgentRequests:
+    """Runs dispatched requests on the upstreams of this VM.
+
+    Attributes:
+        settings: Section [agent] of the settings.
+        clock: Source of time.
+        states: Announced upstreams by ID.
+        leaving: IDs that take no new work.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: options.AgentOptions,
+        time: clock.Clock,
+        contact_age_ms: Callable[[], int | None],
+    ) -> None:
+        self.settings = settings
+        self.clock = time
+        self.states: dict[str, UpstreamState] = {}
+        self.leaving: set[str] = set()
+        self._contact_age_ms = contact_age_ms
+        self._entries: set[link.Link] = set()
+        self._incarnation = secrets.randbits(48)
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._gate = gate.UrgencyGate(
+            limit=settings.connections,
+            queue_limit=settings.connections * _WAITING_PER_CONNECTION,
+            time=time,
+        )
+        self._reservations: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Opens the HTTP client."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+            # Cookies belong to callers; the agent must not mix them.
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=_UNSENT_HEADERS,
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=clock.seconds(CONNECT_TIMEOUT_MS)
+            ),
+        )
+
+    async def handle(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        """Answers AgentHello and Dispatch.
+
+        Args:
+            message: A message of an entry.
+            peer: The link it came on.
+
+        Returns:
+            The answer, or None for any other message.
+        """
+        if isinstance(message, messages.Dispatch):
+            return await self._admit(message)
+        if isinstance(message, messages.AgentHello):
+            return self._welcome(peer)
+        return None
+
+    def set_upstreams(self, upstreams: list[common.Upstream]) -> None:
+        """Replaces the announced upstreams; requests in progress go on."""
+        known = self.states
+        self.states = {
+            upstream.id: known.get(upstream.id)
+            or UpstreamState(upstream=upstream)
+            for upstream in upstreams
+        }
+        for upstream in upstreams:
+            self.states[upstream.id].upstream = upstream
+
+    def set_leaving(self, ids: Iterable[str]) -> None:
+        """Refuses new work for exactly these upstreams and tells all entries.
+
+        The refusal is in force when this returns; the pushes only spare
+        entries the refused attempts.
+        """
+        before, self.leaving = self.leaving, set(ids)
+        if self.leaving - before:
+            push = messages.Leaving(upstreams=tuple(sorted(self.leaving)))
+            for peer in self._entries:
+                task = asyncio.create_task(_push_quietly(peer, push))
+                _BACKGROUND.add(task)
+                task.add_done_callback(_BACKGROUND.discard)
+
+    def in_progress(self) -> dict[str, int]:
+        """Returns the requests in progress by upstream ID."""
+        return {key: state.in_progress for key, state in self.states.items()}
+
+    def latency_ms(self) -> dict[str, float]:
+        """Returns smoothed answer times in ms by upstream ID."""
+        return {key: state.latency_ms for key, state in self.states.items()}
+
+    async def drain(self) -> None:
+        """Waits until no request is in progress.
+
+        New work isn't stopped by this; use `set_leaving` first.
+        """
+        await self._idle.wait()
+
+    async def stop(self) -> None:
+        """Closes the HTTP client."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _welcome(self, peer: link.Link) -> messages.AgentWelcome:
+        self._entries = {
+            entry for entry in self._entries if not entry.closed.is_set()
+        }
+        self._entries.add(peer)
+        return messages.AgentWelcome(
+            worker=self.settings.advertise,
+            incarnation=self._incarnation,
+            leaving=tuple(sorted(self.leaving)),
+        )
+
+    async def _admit(self, dispatch: messages.Dispatch) -> messages.Answer:
+        """Runs the last admission checks, then the request."""
+        if xxhash.xxh3_64_intdigest(dispatch.body) != dispatch.digest:
+            events.log(events.DISPATCH_DAMAGED, request=dispatch.request_id)
+            return _refusal(dispatch, error_texts.BAD_DIGEST)
+        code = self._refuse_code(dispatch)
+        if code:
+            return _refusal(dispatch, code)
+        deadline = self.clock.now() + dispatch.deadline_ms
+        code = await self._gate.enter(
+            urgency=dispatch.urgency, wait_ms=dispatch.deadline_ms
+        )
+        if code:
+            return _refusal(dispatch, code)
+        try:
+            # The upstream may have begun to leave during the wait.
+            code = self._refuse_code(dispatch)
+            if code:
+                return _refusal(dispatch, code)
+            return await self._run(dispatch, deadline)
+        finally:
+            self._gate.leave()
+
+    def _refuse_code(self, dispatch: messages.Dispatch) -> str:
+        state = self.states.get(dispatch.upstream)
+        if state is None or state.upstream.service != dispatch.service:
+            return error_texts.NO_UPSTREAM
+        if state.upstream.leaving or dispatch.upstream in self.leaving:
+            return error_texts.DRAINING
+        if not self._route_confirmed(dispatch.route_age_ms):
+            return error_texts.UNCONFIRMED_ROUTE
+        return error_texts.DEADLINE if dispatch.deadline_ms <= 0 else ""
+
+    def _route_confirmed(self, route_age_ms: int) -> bool:
+        if self.settings.unconfirmed_routes == "serve":
+            return True
+        own = self._contact_age_ms()
+        ages = [route_age_ms] if own is None else [route_age_ms, own]
+        return min(ages) <= ROUTE_CONFIRMATION_MS
+
+    async def _run(
+        self, dispatch: messages.Dispatch, deadline: int
+    ) -> messages.Answer:
+        if not self._first_start(dispatch):
+            return _no_answer(dispatch, "the reservation was started before")
+        state = self.states[dispatch.upstream]
+        state.in_progress += 1
+        self._running += 1
+        self._idle.clear()
+        started = self.clock.now()
+        try:
+            answer = await self._attempt(dispatch, state, deadline)
+            if answer.outcome == "not_run" and dispatch.reservation:
+                self._reservations.pop(dispatch.reservation, None)
+            if answer.outcome != "not_run":
+                state.observe(self.clock.now() - started)
+            return answer
+        finally:
+            state.in_progress -= 1
+            self._running -= 1
+            if self._running == 0:
+                self._idle.set()
+
+    def _first_start(self, dispatch: messages.Dispatch) -> bool:
+        """Notes the start of a reservation; False if it was started before."""
+        if not dispatch.reservation:
+            return True
+        if dispatch.reservation in self._reservations:
+            events.log(
+                events.RESERVATION_REPEATED,
+                request=dispatch.request_id,
+                first=self._reservations[dispatch.reservation],
+            )
+            return False
+        self._reservations[dispatch.reservation] = dispatch.request_id
+        if len(self._reservations) > KEPT_RESERVATIONS:
+            self._reservations.popitem(last=False)
+        return True
+
+    async def _attempt(
+        self,
+        dispatch: messages.Dispatch,
+        state: UpstreamState,
+        deadline: int,
+    ) -> messages.Answer:
+        """Sends the request, again only if it may be repeated.
+
+        An upstream may close an idle connection just as a request is sent on
+        it. A request without a reservation may be repeated, so it is sent once
+        more on another connection.
+        """
+        sent_before = False
+        for last in (bool(dispatch.reservation), True):
+            try:
+                async with asyncio.timeout(
+                    clock.seconds(max(deadline - self.clock.now(), 0))
+                ):
+                    return await self._send(dispatch, state)
+            except TimeoutError:
+                return _no_answer(dispatch, "no answer before the deadline")
+            except aiohttp.ClientConnectorError as err:
+                if not sent_before:
+                    return _refusal(dispatch, error_texts.NO_UPSTREAM, str(err))
+                return _no_answer(dispatch, str(err))
+            except (aiohttp.ServerDisconnectedError, OSError) as err:
+                sent_before = True
+                if last:
+                    return _no_answer(dispatch, str(err) or "disconnected")
+            except (aiohttp.ClientError, ValueError) as err:
+                return _garbage(dispatch, repr(err))
+        raise AssertionError("unreachable")
+
+    async def _send(
+        self, dispatch: messages.Dispatch, state: UpstreamState
+    ) -> messages.Answer:
+        assert self._session is not None
+        url = yarl.URL(
+            state.upstream.url.rstrip("/") + dispatch.target, encoded=True
+        )
+        async with self._session.request(
+            dispatch.method,
+            url,
+            headers=list(dispatch.headers),
+            data=dispatch.body or None,
+            allow_redirects=False,
+            middlewares=(_SentOnce(),),
+        ) as response:
+            body = await self._read(response)
+            if body is None:
+                return _garbage(dispatch, "the answer is too large")
+            headers = tuple(
+                (name.decode(), value.decode())
+                for name, value in response.raw_headers
+            )
+            return messages.Answer(
+                request_id=dispatch.request_id,
+                outcome="completed",
+                status=response.status,
+                headers=headers,
+                body=body,
+                digest=xxhash.xxh3_64_intdigest(body),
+                in_progress=state.in_progress,
+            )
+
+    async def _read(self, response: aiohttp.ClientResponse) -> bytes | None:
+        """Returns the whole body, or None if it exceeds the limit."""
+        limit = self.settings.max_answer_bytes
+        announced = response.content_length
+        if announced is not None and announced <= limit:
+            return await response.read()
+        body = bytearray()
+        async for chunk in response.content.iter_any():
+            body += chunk
+            if len(body) > limit:
+                response.close()
+                return None
+        return bytes(body)
+
+
+class _SentOnce:
+    """Client middleware that lets a request reach the wire only once.
+
+    The HTTP library repeats GET, PUT and DELETE on its own after a lost
+    connection, which would run a reserved request twice.
+    """
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    async def __call__(
+        self,
+        request: aiohttp.ClientRequest,
+        handler: aiohttp.ClientHandlerType,
+    ) -> aiohttp.ClientResponse:
+        if self._sent:
+            raise aiohttp.ServerDisconnectedError
+        self._sent = True
+        return await handler(request)
+
+
+_BACKGROUND: Final[set[asyncio.Task[None]]] = set()
+
+
+async def _push_quietly(peer: link.Link, message: messages.Message) -> None:
+    try:
+        async with asyncio.timeout(clock.seconds(CONNECT_TIMEOUT_MS)):
+            await peer.push(message)
+    except (errors.LinkClosedError, TimeoutError):
+        # The entry learns it from a refusal or from the leader.
+        pass
+
+
+def _refusal(
+    dispatch: messages.Dispatch, code: str, detail: str = ""
+) -> messages.Answer:
+    text = error_texts.text_for(
+        code, service=dispatch.service, urgency=dispatch.urgency
+    )
+    return messages.Answer(
+        request_id=dispatch.request_id,
+        outcome="not_run",
+        code=code,
+        text=f"{text}: {detail}" if detail else text,
+    )
+
+
+def _no_answer(dispatch: messages.Dispatch, detail: str) -> messages.Answer:
+    return messages.Answer(
+        request_id=dispatch.request_id,
+        outcome="unknown",
+        code=error_texts.NO_ANSWER,
+        text=error_texts.text_for(error_texts.NO_ANSWER, detail=detail),
+    )
+
+
+def _garbage(dispatch: messages.Dispatch, detail: str) -> messages.Answer:
+    events.log(
+        events.UPSTREAM_GARBAGE,
+        request=dispatch.request_id,
+        upstream=dispatch.upstream,
+        error=detail,
+    )
+    return messages.Answer(
+        request_id=dispatch.request_id,
+        outcome="failed",
+        status=502,
+        code=error_texts.BAD_ANSWER,
+        text=error_texts.text_for(error_texts.BAD_ANSWER, detail=detail),
+    )
--- /dev/null
+++ b/bamboorouter/roles/entry_http.py
@@ -0,0 +1,406 @@
+"""The HTTP server for callers.
+
+`/<service>/<path>` goes to an upstream of the service as `/<path>`. A request
+is read completely before it is admitted, and the whole answer is at hand
+before its first byte is sent, so a caller never gets half of one.
+"""
+
+import asyncio
+import itertools
+import json
+import math
+from typing import Final
+from typing import Protocol
+import urllib.parse
+
+import aiohttp
+from aiohttp import web
+import multidict
+import prometheus_client
+
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import events
+from bamboorouter import metrics
+from bamboorouter import options
+from bamboorouter.coordination import caller_requests
+from bamboorouter.coordination import reservations
+from bamboorouter.coordination import route_table
+from bamboorouter.protocol import common
+
+DEADLINE_HEADER: Final = "Bamboorouter-Deadline-Ms"
+OUTCOME_HEADER: Final = "Bamboorouter-Outcome"
+REQUEST_ID_HEADER: Final = "Bamboorouter-Request-Id"
+CODE_HEADER: Final = "Bamboorouter-Code"
+KEY_HEADER: Final = "Idempotency-Key"
+
+# Bodies that are held while their requests wait or run.
+MAX_HELD_BYTES: Final = 64 * 1024 * 1024
+LINGERING_MS: Final = 1_000
+# After the listener is closed, callers with an open connection get this long
+# to have a request, that is already on its way, answered.
+LAST_REQUESTS_MS: Final = 500
+CLOSE_TIMEOUT_MS: Final = 5_000
+
+_HOP_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_OWN_HEADERS: Final = frozenset({DEADLINE_HEADER.lower(), KEY_HEADER.lower()})
+_ANSWER_HEADERS: Final = frozenset(
+    name.lower() for name in (OUTCOME_HEADER, REQUEST_ID_HEADER, CODE_HEADER)
+)
+_NO_ROW: Final = common.SheetRow(
+    kind="service",
+    name="-",
+    owner="-",
+    urgency=0,
+    place=0,
+    millicores=0,
+    memory_mb=0,
+)
+
+
+class Dispatcher(Protocol):
+    """Runs a request that was received completely."""
+
+    async def run(
+        self, request: caller_requests.CallerRequest
+    ) -> caller_requests.Reply:
+        """Runs one request to its outcome."""
+        ...
+
+
+class Recorder(Protocol):
+    """Notes what happened to each request."""
+
+    def add(
+        self,
+        request: caller_requests.CallerRequest,
+        reply: caller_requests.Reply,
+    ) -> None:
+        """Records one request."""
+        ...
+
+
+class _RefusedError(Exception):
+    """The request ends before it reaches the dispatcher.
+
+    Attributes:
+        reply: What the caller gets.
+        close: Whether the connection can't be used any more.
+    """
+
+    def __init__(
+        self, reply: caller_requests.Reply, *, close: bool = False
+    ) -> None:
+        super().__init__(reply.code)
+        self.reply = reply
+        self.close = close
+
+
+class CallerServer:
+    """Serves callers.
+
+    Attributes:
+        settings: Section [entry] of the settings.
+        incarnation: Random number of this run, part of request IDs.
+        table: Services in force.
+        dispatcher: Runs requests.
+        recorder: Notes outcomes for the account.
+        clock: Source of time.
+        stopping: Whether the server takes no new connections.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: options.EntryOptions,
+        incarnation: int,
+        table: route_table.RouteTable,
+        dispatcher: Dispatcher,
+        recorder: Recorder,
+        time: clock.Clock,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.table = table
+        self.dispatcher = dispatcher
+        self.recorder = recorder
+        self.clock = time
+        self.stopping = False
+        self._prefix = f"{incarnation:x}-"
+        self._counter = itertools.count(1)
+        self._held_bytes = 0
+        self._open_requests = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+        self._observers: dict[tuple[str, ...], prometheus_client.Histogram] = {}
+
+    async def start(self, host: str, port: int) -> int:
+        """Listens for callers; returns the bound port."""
+        self._server = web.Server(
+            self._handle,
+            access_log=None,
+            auto_decompress=False,
+            lingering_time=clock.seconds(LINGERING_MS),
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host, port, backlog=1024, reuse_address=True
+        )
+        bound: int = self._listener.sockets[0].getsockname()[1]
+        return bound
+
+    async def stop(self) -> None:
+        """Takes no more connections and ends once all requests are answered."""
+        self.stopping = True
+        if self._listener is not None:
+            self._listener.close()
+        await asyncio.sleep(clock.seconds(LAST_REQUESTS_MS))
+        await self._idle.wait()
+        if self._server is not None:
+            self._server.pre_shutdown()
+            await self._server.shutdown(clock.seconds(CLOSE_TIMEOUT_MS))
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        started = asyncio.get_running_loop().time()
+        request = self._blank(http)
+        self._open_requests += 1
+        self._idle.clear()
+        close = False
+        try:
+            reply = await self._run(http, request)
+        except _RefusedError as refused:
+            reply, close = refused.reply, refused.close
+        except Exception as err:  # pylint: disable=broad-except
+            events.log(
+                events.REQUEST_FAULT,
+                request=request.request_id,
+                error=repr(err),
+            )
+            reply = caller_requests.error_reply(
+                "unknown", error_texts.NO_ANSWER, detail="internal error"
+            )
+        finally:
+            self._held_bytes -= len(request.body)
+            self._open_requests -= 1
+            if not self._open_requests:
+                self._idle.set()
+        self._note(request, reply, started)
+        response = _response(http, request.request_id, reply)
+        if close or self.stopping:
+            response.force_close()
+        return response
+
+    def _blank(self, http: web.BaseRequest) -> caller_requests.CallerRequest:
+        return caller_requests.CallerRequest(
+            request_id=f"{self._prefix}{next(self._counter)}",
+            row=_NO_ROW,
+            method=http.method,
+            target="",
+            headers=(),
+            body=b"",
+            deadline=self.clock.now(),
+        )
+
+    async def _run(
+        self, http: web.BaseRequest, request: caller_requests.CallerRequest
+    ) -> caller_requests.Reply:
+        self._identify(http, request)
+        request.body = await self._read_body(http, request)
+        self._held_bytes += len(request.body)
+        return await self.dispatcher.run(request)
+
+    def _identify(
+        self, http: web.BaseRequest, request: caller_requests.CallerRequest
+    ) -> None:
+        """Fills in everything but the body.
+
+        Raises:
+            _RefusedError: The request can't be run as it is.
+        """
+        if not self.table.confirmed:
+            raise _refused(error_texts.NOT_READY)
+        name, request.target = _split_target(http.raw_path)
+        row = self.table.services.get(name)
+        if row is None:
+            raise _refused(error_texts.NO_SUCH_SERVICE, service=name)
+        request.row = row
+        try:
+            request.headers = _forwarded(http)
+            request.target.encode()
+        except UnicodeError:
+            raise _refused(
+                error_texts.BAD_REQUEST, detail="not UTF-8"
+            ) from None
+        request.deadline = clock.Millis(
+            request.deadline + self._deadline_ms(http, row)
+        )
+        if not row.idempotent:
+            request.key = _key(http, row)
+
+    def _deadline_ms(self, http: web.BaseRequest, row: common.SheetRow) -> int:
+        deadline_ms = row.deadline_ms or self.settings.default_deadline_ms
+        text = http.headers.get(DEADLINE_HEADER)
+        if text is None:
+            return deadline_ms
+        if not text.isascii() or not text.isdigit() or len(text) > 12:
+            raise _refused(
+                error_texts.BAD_REQUEST, detail=f"{DEADLINE_HEADER}: {text!r}"
+            )
+        return min(deadline_ms, int(text))
+
+    async def _read_body(
+        self, http: web.BaseRequest, request: caller_requests.CallerRequest
+    ) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            _RefusedError: It is too large, incomplete or malformed.
+        """
+        if not http.body_exists:
+            return b""
+        limit = self.settings.max_request_bytes
+        announced = http.content_length
+        if announced is not None and announced > limit:
+            raise _refused(error_texts.BODY_TOO_LARGE, close=True, limit=limit)
+        if self._held_bytes + (announced or limit) > MAX_HELD_BYTES:
+            raise _refused(
+                error_texts.QUEUE_FULL, close=True, urgency=request.row.urgency
+            )
+        left = max(request.deadline - self.clock.now(), 0)
+        try:
+            async with asyncio.timeout(clock.seconds(left)):
+                return await _read_up_to(http, limit)
+        except TimeoutError:
+            fault = "the body did not arrive before the deadline"
+        except (aiohttp.ClientError, web.RequestPayloadError, OSError) as err:
+            fault = str(err) or type(err).__name__
+        except aiohttp.http_exceptions.HttpProcessingError as err:
+            fault = err.message
+        events.log(
+            events.CALLER_GARBAGE,
+            request=request.request_id,
+            peer=http.remote,
+            error=fault,
+        )
+        raise _refused(error_texts.BAD_REQUEST, close=True, detail=fault)
+
+    def _note(
+        self,
+        request: caller_requests.CallerRequest,
+        reply: caller_requests.Reply,
+        started: float,
+    ) -> None:
+        if not request.key or reply.outcome == "not_run":
+            # Other outcomes of reserved requests stand in the log already.
+            self.recorder.add(request, reply)
+        row = request.row
+        labels = (row.name, row.owner, str(row.urgency), reply.outcome)
+        observer = self._observers.get(labels)
+        if observer is None:
+            observer = metrics.REQUEST_SECONDS.labels(*labels)
+            self._observers[labels] = observer
+        observer.observe(asyncio.get_running_loop().time() - started)
+        if reply.outcome == "not_run":
+            metrics.REFUSALS.labels(*labels[:3], reply.code).inc()
+
+
+async def _read_up_to(http: web.BaseRequest, limit: int) -> bytes:
+    body = b""
+    content = http.content
+    while True:
+        chunk = await content.readany()
+        if not chunk:
+            return body
+        body = body + chunk if body else chunk
+        if len(body) > limit:
+            raise _refused(error_texts.BODY_TOO_LARGE, close=True, limit=limit)
+
+
+def _refused(
+    code: str, *, close: bool = False, **values: object
+) -> _RefusedError:
+    text = error_texts.text_for(code, **values)
+    return _RefusedError(
+        caller_requests.error_reply("not_run", code, text=text), close=close
+    )
+
+
+def _split_target(raw_path: str) -> tuple[str, str]:
+    """Splits "/<service>/<path>?<query>" into name and target."""
+    path, mark, query = raw_path.partition("?")
+    name, _, rest = path.lstrip("/").partition("/")
+    return urllib.parse.unquote(name), f"/{rest}{mark}{query}"
+
+
+def _forwarded(http: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that travel to the upstream.
+
+    Raises:
+        UnicodeDecodeError: A header isn't UTF-8.
+    """
+    dropped = _HOP_HEADERS | _OWN_HEADERS
+    named = http.headers.get("Connection")
+    if named:
+        dropped |= {name.strip().lower() for name in named.split(",")}
+    pairs = ((n.decode(), v.decode()) for n, v in http.raw_headers)
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
+
+
+def _key(http: web.BaseRequest, row: common.SheetRow) -> str:
+    text = http.headers.get(KEY_HEADER)
+    if text is None:
+        raise _refused(error_texts.KEY_REQUIRED, service=row.name)
+    key = reservations.normal_key(text)
+    if not key:
+        raise _refused(error_texts.KEY_MALFORMED)
+    return key
+
+
+def _response(
+    http: web.BaseRequest, request_id: str, reply: caller_requests.Reply
+) -> web.Response:
+    headers = _answer_headers(reply)
+    headers[OUTCOME_HEADER] = reply.outcome
+    headers[REQUEST_ID_HEADER] = request_id
+    body = reply.body
+    if reply.code:
+        headers[CODE_HEADER] = reply.code
+        headers["Content-Type"] = "application/json"
+        body = json.dumps(
+            {"code": reply.code, "text": reply.text, "request_id": request_id}
+        ).encode()
+    if reply.retry_after_ms:
+        headers["Retry-After"] = str(
+            math.ceil(clock.seconds(reply.retry_after_ms))
+        )
+    if http.method == "HEAD":
+        return web.Response(status=reply.status, headers=headers)
+    return web.Response(status=reply.status, headers=headers, body=body)
+
+
+def _answer_headers(
+    reply: caller_requests.Reply,
+) -> multidict.CIMultiDict[str]:
+    """Returns the upstream's headers without those of the hop."""
+    headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+    for name, value in reply.headers:
+        lower = name.lower()
+        if lower not in _HOP_HEADERS and lower not in _ANSWER_HEADERS:
+            headers.add(name, value)
+    return headers
--- /dev/null
+++ b/tests/request_site.py
@@ -0,0 +1,312 @@
+"""A small site for tests of the request path: leader, agents and upstreams.
+
+The leader is a stand-in over real links; entry, agents' request side and
+upstreams are real.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import options
+from bamboorouter.protocol import common
+from bamboorouter.protocol import messages
+from bamboorouter.roles import agent_requests
+from bamboorouter.roles import entry
+from bamboorouter.transport import link
+
+HOST = "127.0.0.1"
+
+
+def service(name: str, **changes: Any) -> common.SheetRow:
+    """Returns the row of a service with a deadline of 5 s."""
+    values: dict[str, Any] = {
+        "owner": "guild",
+        "urgency": 1,
+        "place": 1,
+        "millicores": 100,
+        "memory_mb": 100,
+        "deadline_ms": 5_000,
+    } | changes
+    return common.SheetRow(kind="service", name=name, **values)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Reservation:
+    """What the stand-in leader keeps for a key."""
+
+    fingerprint: int
+    attempt: str
+    outcome: messages.RecordOutcome | None = None
+
+
+class FakeLeader:
+    """Answers what an entry asks a leader.
+
+    Attributes:
+        services: Rows in force.
+        routes: Routes in force; `publish` raises their version.
+        calls: All messages received, in order.
+        silent: Message types that get no answer.
+        reservations: Reserved keys.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.epoch = 7
+        self.version = 1
+        self.services: tuple[common.SheetRow, ...] = ()
+        self.routes: tuple[messages.Route, ...] = ()
+        self.calls: list[messages.Message] = []
+        self.silent: tuple[type, ...] = ()
+        self.reservations: dict[str, Reservation] = {}
+        self.server: link.LinkServer | None = None
+
+    async def start(self) -> str:
+        """Listens; returns the address."""
+        self.server = await link.serve_links(
+            host=HOST, port=0, handler=self.handle
+        )
+        return f"{HOST}:{self.server.port}"
+
+    async def handle(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        """Answers one message."""
+        del peer
+        self.calls.append(message)
+        if isinstance(message, self.silent):
+            return None
+        if isinstance(message, messages.EntryPoll):
+            return self.update(message.revision)
+        if isinstance(message, messages.Reserve):
+            return self._reserve(message)
+        if isinstance(message, messages.RecordOutcome):
+            return self._record(message)
+        if isinstance(message, messages.RequestRecords):
+            return messages.Recorded(sequence=message.sequence)
+        return messages.Refusal(code="test", text="not in this test")
+
+    def update(self, revision: int) -> messages.EntryUpdate:
+        """Returns a full update for an entry at a revision."""
+        return messages.EntryUpdate(
+            revision=self.revision,
+            route_epoch=self.epoch,
+            route_version=self.version,
+            full=True,
+            services=self.services if revision != self.revision else None,
+            routes=self.routes,
+        )
+
+    def records(self) -> list[messages.RequestRecord]:
+        """Returns all delivered request records."""
+        return [
+            record
+            for call in self.calls
+            if isinstance(call, messages.RequestRecords)
+            for record in call.records
+        ]
+
+    def _reserve(self, call: messages.Reserve) -> messages.ReservationReply:
+        held = self.reservations.get(call.key)
+        freed = held and held.outcome and held.outcome.outcome == "not_run"
+        if held is None or freed:
+            self.reservations[call.key] = Reservation(
+                fingerprint=call.fingerprint, attempt=call.attempt
+            )
+            return messages.ReservationReply(state="granted")
+        if held.fingerprint != call.fingerprint:
+            return messages.ReservationReply(
+                state="refused", code=error_texts.KEY_REUSED
+            )
+        if held.outcome is not None:
+            return _done(held.outcome)
+        same = held.attempt == call.attempt
+        return messages.ReservationReply(
+            state="granted" if same else "in_progress", attempt=held.attempt
+        )
+
+    def _record(
+        self, call: messages.RecordOutcome
+    ) -> messages.ReservationReply:
+        held = self.reservations[call.key]
+        if held.outcome is None and held.attempt == call.attempt:
+            held.outcome = call
+        return _done(held.outcome or call)
+
+
+def _done(outcome: messages.RecordOutcome) -> messages.ReservationReply:
+    return messages.ReservationReply(
+        state="done",
+        outcome=outcome.outcome,
+        status=outcome.status,
+        headers=outcome.headers,
+        body=outcome.body,
+        digest=outcome.digest,
+        body_kept=outcome.body_kept,
+        attempt=outcome.attempt,
+    )
+
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class Vm:
+    """One upstream VM: an agent's request side and an aiohttp upstream.
+
+    Attributes:
+        name: Name of the VM; its upstream is "<name>-up".
+        requests: The agent's request side.
+        contact_ms: Age of the agent's contact with a leader.
+        seen: Requests that reached the upstream, as "METHOD target".
+    """
+
+    def __init__(self, *, name: str, service: str, handler: Handler) -> None:
+        self.name = name
+        self.service = service
+        self.handler = handler
+        self.contact_ms: int | None = 0
+        self.seen: list[str] = []
+        self.settings = options.AgentOptions(advertise=f"{name}:1")
+        self.requests = agent_requests.AgentRequests(
+            settings=self.settings,
+            time=clock.SystemClock(),
+            contact_age_ms=lambda: self.contact_ms,
+        )
+        self.server: link.LinkServer | None = None
+        self.upstream_url = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Starts upstream and agent."""
+        if not self.upstream_url:
+            self._runner = web.ServerRunner(web.Server(self._serve))
+            await self._runner.setup()
+            await web.TCPSite(self._runner, HOST, 0).start()
+            port = self._runner.addresses[0][1]
+            self.upstream_url = f"http://{HOST}:{port}"
+        await self.requests.start()
+        self.requests.set_upstreams([self.upstream()])
+        self.server = await link.serve_links(
+            host=HOST, port=0, handler=self.requests.handle
+        )
+
+    async def stop(self) -> None:
+        """Stops agent and upstream."""
+        if self.server is not None:
+            await self.server.close()
+        await self.requests.stop()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def upstream(self, *, leaving: bool = False) -> common.Upstream:
+        """Returns the announcement of the upstream."""
+        return common.Upstream(
+            id=f"{self.name}-up",
+            service=self.service,
+            url=self.upstream_url,
+            leaving=leaving,
+        )
+
+    def route(self, **changes: Any) -> messages.Route:
+        """Returns the route to the upstream."""
+        assert self.server is not None
+        values: dict[str, Any] = {
+            "agent": f"{HOST}:{self.server.port}",
+            "zone": "zone-1",
+            "leaving": False,
+            "connections": 64,
+        } | changes
+        return messages.Route(
+            upstream=f"{self.name}-up",
+            service=self.service,
+            worker=self.name,
+            rack="rack-1",
+            in_progress=0,
+            latency_ms=0.0,
+            **values,
+        )
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.seen.append(f"{request.method} {request.raw_path}")
+        return await self.handler(request)
+
+
+class Site:
+    """Leader, VMs and one entry, started and stopped together.
+
+    Attributes:
+        leader: The stand-in leader.
+        vms: The upstream VMs.
+        entry: The entry role under test.
+        client: HTTP client of the caller.
+        url: Base URL of the entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        services: Sequence[common.SheetRow],
+        vms: Sequence[Vm],
+        settings: options.EntryOptions | None = None,
+    ) -> None:
+        self.leader = FakeLeader()
+        self.leader.services = tuple(services)
+        self.vms = list(vms)
+        self.settings = settings or options.EntryOptions()
+        self.entry: entry.EntryRole
+        self.client: aiohttp.ClientSession
+        self.url = ""
+
+    async def start(self) -> None:
+        """Starts everything and waits until the entry is ready."""
+        address = await self.leader.start()
+        for vm in self.vms:
+            await vm.start()
+        self.leader.routes = tuple(vm.route() for vm in self.vms)
+        self.entry = entry.EntryRole(
+            process=options.ProcessOptions(
+                name="entry-1",
+                zone="zone-1",
+                roles=("entry",),
+                control=(address,),
+            ),
+            settings=self.settings,
+        )
+        await self.entry.start()
+        self.url = f"http://{self.entry.addresses['entry.listen']}"
+        self.client = aiohttp.ClientSession(auto_decompress=False)
+        await eventually(self.entry.ready)
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        await self.client.close()
+        await self.entry.stop()
+        for vm in self.vms:
+            await vm.stop()
+        if self.leader.server is not None:
+            await self.leader.server.close()
+
+    async def publish(self, *routes: messages.Route) -> None:
+        """Puts routes in force and waits until the entry has them."""
+        self.leader.routes = routes
+        self.leader.version += 1
+        version = self.leader.version
+        await eventually(lambda: self.entry.table.route_version == version)
+
+
+async def eventually(
+    condition: Callable[[], object], *, timeout_s: float = 5.0
+) -> None:
+    """Waits until a condition holds, for a bounded time."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
