--- /dev/null
+++ b/devtools/site.py
@@ -0,0 +1,556 @@
+"""Starts a whole site on 127.0.0.1 as real processes, and breaks parts of it.
+
+Every process has a name: control-1, entry-1, agent-1, and worker-1 for the
+stand-in worker on the VM of agent-1. Links between daemons lead through one
+fault proxy for each listening daemon. The proxy listens first and learns its
+target from the daemon's ready file, so a restarted daemon may get another port
+while its settings stay the same. Without proxies the control replicas get ports
+that were free a moment before, which suits demos and measurements.
+
+The journal holds what the workers did; the site adds the moment at which it
+killed a worker, because a killed worker can't.
+"""
+
+import asyncio
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import json
+import pathlib
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+from typing import Any
+from typing import Final
+from typing import Literal
+
+import aiohttp
+
+from devtools import journal
+from devtools import proxy
+
+ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
+START_TIMEOUT_S: Final = 20.0
+STOP_TIMEOUT_S: Final = 30.0
+POLL_S: Final = 0.02
+
+Cut = Literal["both", "in", "out"]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VmShape:
+    """One upstream VM."""
+
+    zone: str
+    rack: str
+    processors: int = 4
+    memory_mb: int = 8_000
+    accelerators: int = 0
+    slots: int = 8
+    connections: int = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SiteShape:
+    """What a site consists of.
+
+    Attributes:
+        vms: The upstream VMs, each with an agent and a worker.
+        controls: Number of control replicas.
+        entries: Number of entries.
+        heartbeat_ms: Period of the agents' heartbeats.
+        service_lease_ms: Lease term of services.
+        batch_lease_ms: Lease term of batch tasks.
+        lag_ms: Lag of usage reports.
+    """
+
+    vms: tuple[VmShape, ...]
+    controls: int = 3
+    entries: int = 2
+    heartbeat_ms: int = 1000
+    service_lease_ms: int = 10_000
+    batch_lease_ms: int = 600_000
+    lag_ms: int = 3000
+
+
+ZONES: Final = ("a", "b", "c", "d")
+WORKERS: Final = 11
+WORKERS_PER_RACK: Final = 3
+
+
+def _workers(
+    count: int, processors: int, memory_mb: int
+) -> tuple[VmShape, ...]:
+    return tuple(
+        VmShape(
+            zone=ZONES[number // WORKERS_PER_RACK % len(ZONES)],
+            rack=f"rack-{number // WORKERS_PER_RACK + 1}",
+            processors=processors,
+            memory_mb=memory_mb,
+        )
+        for number in range(count)
+    )
+
+
+GUILD: Final = SiteShape(vms=_workers(WORKERS, 64, 250_000))
+KRYSTALLVERKET: Final = SiteShape(vms=_workers(WORKERS, 16, 60_000))
+
+
+def small_shape(
+    *, vms: int = 1, controls: int = 1, entries: int = 1
+) -> SiteShape:
+    """Returns a shape with short periods and leases for tests."""
+    return SiteShape(
+        vms=_workers(vms, 4, 8_000),
+        controls=controls,
+        entries=entries,
+        heartbeat_ms=200,
+        service_lease_ms=3000,
+        batch_lease_ms=6000,
+        lag_ms=1000,
+    )
+
+
+@dataclasses.dataclass(kw_only=True)
+class Managed:
+    """One process of the site.
+
+    Attributes:
+        arguments: Command line after the interpreter.
+        folder: Folder of its settings, ready file and data.
+        process: The running process, if any.
+        addresses: Bound addresses of the running process.
+        proxies: Proxies in front of it by address name.
+        frozen: Whether it is stopped by SIGSTOP.
+    """
+
+    name: str
+    arguments: list[str]
+    folder: pathlib.Path
+    process: asyncio.subprocess.Process | None = None
+    addresses: dict[str, str] = dataclasses.field(default_factory=dict)
+    proxies: dict[str, proxy.FaultProxy] = dataclasses.field(
+        default_factory=dict
+    )
+    frozen: bool = False
+
+    @property
+    def ready_file(self) -> pathlib.Path:
+        """File with the bound addresses."""
+        return self.folder / "ready.json"
+
+    @property
+    def log(self) -> pathlib.Path:
+        """File with everything the process printed."""
+        return self.folder / "log.txt"
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+
+class SiteError(Exception):
+    """A process did not start or stop as expected."""
+
+
+class Site:
+    """A running site; use it as an async context manager.
+
+    Attributes:
+        shape: What it consists of.
+        proxied: Whether links lead through fault proxies.
+        folder: Temporary folder with everything the site writes.
+        processes: The processes by name.
+        journal_path: The journal of all workers.
+    """
+
+    def __init__(self, *, shape: SiteShape, proxied: bool = True) -> None:
+        self.shape = shape
+        self.proxied = proxied
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bamboorouter-"))
+        self.processes: dict[str, Managed] = {}
+        self.journal_path = self.folder / "journal.jsonl"
+        self._journal = journal.Journal(path=self.journal_path, writer="site")
+        self._control_addresses: dict[str, str] = {}
+        self._joins: set[str] = set()
+
+    async def __aenter__(self) -> "Site":
+        try:
+            await self.start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *unused: object) -> None:
+        await self.close()
+
+    async def start(self) -> None:
+        """Starts all processes and waits until they listen."""
+        await self._prepare_controls()
+        numbers = range(1, len(self.shape.vms) + 1)
+        workers = [self._make_worker(number) for number in numbers]
+        await self._launch_all(workers)
+        await self._launch_all([self._make_control(n) for n in self._controls])
+        agents = [await self._make_agent(number) for number in numbers]
+        entries = [
+            self._make_entry(number)
+            for number in range(1, self.shape.entries + 1)
+        ]
+        await self._launch_all([*agents, *entries])
+
+    async def close(self) -> None:
+        """Ends the processes of this site and removes its folder."""
+        for managed in self.processes.values():
+            if managed.running and managed.process is not None:
+                managed.process.kill()
+        for managed in self.processes.values():
+            if managed.process is not None:
+                await managed.process.wait()
+            for fault in managed.proxies.values():
+                await fault.close()
+        self._journal.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    async def kill(self, name: str) -> None:
+        """Ends a process as a crash does (SIGKILL)."""
+        process = self._process(name)
+        process.kill()
+        await process.wait()
+        self.processes[name].frozen = False
+        self._journal.write("killed", process=name)
+
+    async def stop(
+        self, name: str, *, timeout_s: float = STOP_TIMEOUT_S
+    ) -> None:
+        """Ends a process gracefully (SIGTERM).
+
+        Raises:
+            SiteError: It did not end in time.
+        """
+        process = self._process(name)
+        process.terminate()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await process.wait()
+        except TimeoutError as err:
+            raise SiteError(f"{name} did not stop\n{self.tail(name)}") from err
+
+    def freeze(self, name: str) -> None:
+        """Pauses a process (SIGSTOP)."""
+        self._process(name).send_signal(signal.SIGSTOP)
+        self.processes[name].frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Lets a paused process continue (SIGCONT)."""
+        self._process(name).send_signal(signal.SIGCONT)
+        self.processes[name].frozen = False
+
+    async def restart(self, name: str) -> None:
+        """Starts a process that has ended, or kills and starts it."""
+        if self.processes[name].running:
+            await self.kill(name)
+        await self._launch(self.processes[name])
+
+    async def kill_vm(self, number: int) -> None:
+        """Ends the agent and the worker of one VM as a crash does."""
+        await self.kill(f"agent-{number}")
+        await self.kill(f"worker-{number}")
+
+    async def restart_vm(self, number: int) -> None:
+        """Starts the worker and the agent of one VM again."""
+        await self.restart(f"worker-{number}")
+        await self.restart(f"agent-{number}")
+
+    def freeze_vm(self, number: int) -> None:
+        """Pauses the agent and the worker of one VM."""
+        self.freeze(f"agent-{number}")
+        self.freeze(f"worker-{number}")
+
+    def thaw_vm(self, number: int) -> None:
+        """Lets the agent and the worker of one VM continue."""
+        self.thaw(f"worker-{number}")
+        self.thaw(f"agent-{number}")
+
+    def lose_folder(self, name: str) -> None:
+        """Removes the data folder of an ended control replica.
+
+        It starts without `bootstrap` afterwards, to join as a new replica.
+        """
+        managed = self.processes[name]
+        shutil.rmtree(managed.folder / "data", ignore_errors=True)
+        self._joins.add(name)
+        self._make_control(name)
+
+    def cut(self, name: str, direction: Cut = "both") -> None:
+        """Silently cuts a process off from all other daemons.
+
+        Args:
+            name: The process.
+            direction: "in" loses what it would receive, "out" what it sends.
+        """
+        for listener, fault in self._all_proxies():
+            if listener == name:
+                fault.cut(*_directions(direction, inbound=True))
+            else:
+                sides = _directions(direction, inbound=False)
+                fault.cut(*sides, dialer=name)
+
+    def cut_between(self, first: str, second: str) -> None:
+        """Silently cuts the links between two processes."""
+        for listener, fault in self._all_proxies():
+            if listener in (first, second):
+                other = second if listener == first else first
+                fault.cut("to_target", "from_target", dialer=other)
+
+    def heal(self) -> None:
+        """Ends all cuts; what was held back arrives late."""
+        for _, fault in self._all_proxies():
+            fault.heal()
+
+    def reset_links(self, name: str) -> None:
+        """Resets all connections to a process."""
+        for fault in self.processes[name].proxies.values():
+            fault.reset()
+
+    def address(self, name: str, kind: str) -> str:
+        """Returns a bound address of a process, for example "entry.listen"."""
+        return self.processes[name].addresses[kind]
+
+    def records(self) -> list[dict[str, Any]]:
+        """Returns the journal so far."""
+        return journal.read(self.journal_path)
+
+    def runs(self) -> list[journal.Run]:
+        """Returns all runs of tasks so far."""
+        return journal.runs(self.records())
+
+    def capacity(self) -> dict[str, dict[str, int]]:
+        """Returns what each worker has, for `journal.overload`."""
+        return {
+            f"worker-{number}": {
+                "millicores": vm.processors * 1000,
+                "memory_mb": vm.memory_mb,
+                "accelerators": vm.accelerators,
+                "slots": vm.slots,
+            }
+            for number, vm in enumerate(self.shape.vms, 1)
+        }
+
+    def tail(self, name: str, lines: int = 40) -> str:
+        """Returns the last log lines of a process."""
+        path = self.processes[name].log
+        text = path.read_text(errors="replace") if path.exists() else ""
+        last = "\n".join(text.splitlines()[-lines:])
+        return f"--- {name} ---\n{last}"
+
+    def tails(self, lines: int = 25) -> str:
+        """Returns the last log lines of all processes."""
+        return "\n".join(self.tail(name, lines) for name in self.processes)
+
+    async def wait_ready(
+        self, names: Iterable[str] = (), *, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Waits until daemons report that they are ready.
+
+        Args:
+            names: The daemons; all running ones if empty.
+            timeout_s: How long to wait for all of them.
+
+        Raises:
+            SiteError: One isn't ready in time.
+        """
+        wanted = list(names) or [
+            name
+            for name, managed in self.processes.items()
+            if "health" in managed.addresses and managed.running
+        ]
+        deadline = time.monotonic() + timeout_s
+        async with aiohttp.ClientSession() as session:
+            for name in wanted:
+                while not await self._is_ready(session, name):
+                    if time.monotonic() > deadline:
+                        raise SiteError(f"not ready\n{self.tail(name)}")
+                    await asyncio.sleep(POLL_S * 5)
+
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, name: str
+    ) -> bool:
+        url = f"http://{self.address(name, 'health')}/readyz"
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with asyncio.timeout(1), session.get(url) as response:
+                return response.status == 200
+        return False
+
+    @property
+    def _controls(self) -> list[str]:
+        return [f"control-{n}" for n in range(1, self.shape.controls + 1)]
+
+    def _all_proxies(self) -> Iterable[tuple[str, proxy.FaultProxy]]:
+        for name, managed in self.processes.items():
+            for fault in managed.proxies.values():
+                yield name, fault
+
+    def _process(self, name: str) -> asyncio.subprocess.Process:
+        managed = self.processes[name]
+        if managed.process is None or not managed.running:
+            raise SiteError(f"{name} doesn't run\n{self.tail(name)}")
+        return managed.process
+
+    def _dialer_of(self, port: int) -> str:
+        pids = {
+            name: managed.process.pid
+            for name, managed in self.processes.items()
+            if managed.process is not None and managed.running
+        }
+        return proxy.owner_of_port(port, pids)
+
+    async def _prepare_controls(self) -> None:
+        """Fixes the addresses of the replicas before any of them starts."""
+        for name in self._controls:
+            self._add(name, [])
+            if self.proxied:
+                fault = await self._add_proxy(name, "control.listen")
+                self._control_addresses[name] = fault.address
+            else:
+                self._control_addresses[name] = f"127.0.0.1:{_free_port()}"
+
+    async def _add_proxy(self, name: str, kind: str) -> proxy.FaultProxy:
+        fault = proxy.FaultProxy(dialer_of=self._dialer_of)
+        await fault.start()
+        self.processes[name].proxies[kind] = fault
+        return fault
+
+    def _add(self, name: str, arguments: list[str]) -> Managed:
+        folder = self.folder / name
+        folder.mkdir(exist_ok=True)
+        managed = Managed(name=name, arguments=arguments, folder=folder)
+        self.processes[name] = managed
+        return managed
+
+    def _make_control(self, name: str) -> Managed:
+        managed = self.processes[name]
+        number = int(name.rpartition("-")[2])
+        address = self._control_addresses[name]
+        members = list(self._control_addresses.values())
+        section = {
+            "listen": "127.0.0.1:0" if self.proxied else address,
+            "advertise": address,
+            "data_dir": str(managed.folder / "data"),
+            "bootstrap": [] if name in self._joins else members,
+            "service_lease_ms": self.shape.service_lease_ms,
+            "batch_lease_ms": self.shape.batch_lease_ms,
+        }
+        zone = ZONES[(number - 1) % len(ZONES)]
+        self._configure(managed, "control", section, zone, f"rack-c{number}")
+        return managed
+
+    def _make_worker(self, number: int) -> Managed:
+        name = f"worker-{number}"
+        managed = self._add(name, [])
+        vm = self.shape.vms[number - 1]
+        managed.arguments = ["-m", "devtools.worker", "--name", name]
+        managed.arguments += ["--processors", str(vm.processors)]
+        managed.arguments += ["--lag-ms", str(self.shape.lag_ms)]
+        managed.arguments += ["--journal", str(self.journal_path)]
+        managed.arguments += ["--ready-file", str(managed.ready_file)]
+        if not self.proxied:
+            managed.arguments.append("--keyed-requests-only")
+        return managed
+
+    async def _make_agent(self, number: int) -> Managed:
+        managed = self._add(f"agent-{number}", [])
+        worker = self.processes[f"worker-{number}"]
+        # The worker keeps its port when it is restarted, because its address
+        # is part of the agent's settings.
+        worker.arguments += ["--listen", worker.addresses["worker"]]
+        vm = self.shape.vms[number - 1]
+        section: dict[str, Any] = {
+            "worker": f"http://{worker.addresses['worker']}",
+            "processors": vm.processors,
+            "memory_mb": vm.memory_mb,
+            "accelerators": vm.accelerators,
+            "slots": vm.slots,
+            "connections": vm.connections,
+            "heartbeat_ms": self.shape.heartbeat_ms,
+        }
+        if self.proxied:
+            fault = await self._add_proxy(managed.name, "agent.listen")
+            section["advertise"] = fault.address
+        self._configure(managed, "agent", section, vm.zone, vm.rack)
+        return managed
+
+    def _make_entry(self, number: int) -> Managed:
+        managed = self._add(f"entry-{number}", [])
+        zone = ZONES[(number - 1) % len(ZONES)]
+        self._configure(managed, "entry", {}, zone, f"rack-e{number}")
+        return managed
+
+    def _configure(
+        self,
+        managed: Managed,
+        role: str,
+        section: dict[str, Any],
+        zone: str,
+        rack: str,
+    ) -> None:
+        process = {
+            "name": managed.name,
+            "zone": zone,
+            "rack": rack,
+            "roles": [role],
+            "control": list(self._control_addresses.values()),
+            "ready_file": str(managed.ready_file),
+        }
+        path = managed.folder / "settings.toml"
+        path.write_text(_toml("process", process) + _toml(role, section))
+        managed.arguments = ["-m", "bamboorouter", str(path)]
+
+    async def _launch_all(self, group: list[Managed]) -> None:
+        await asyncio.gather(*(self._launch(managed) for managed in group))
+
+    async def _launch(self, managed: Managed) -> None:
+        """Starts a process and waits for its ready file."""
+        managed.ready_file.unlink(missing_ok=True)
+        log = managed.log.open("ab")
+        with log:
+            managed.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *managed.arguments,
+                cwd=ROOT,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while not managed.ready_file.exists():
+            if not managed.running or time.monotonic() > deadline:
+                text = f"{managed.name} did not start"
+                raise SiteError(f"{text}\n{self.tail(managed.name)}")
+            await asyncio.sleep(POLL_S)
+        managed.addresses = json.loads(managed.ready_file.read_text())
+        for kind, fault in managed.proxies.items():
+            fault.target = managed.addresses[kind]
+
+
+def _directions(cut: Cut, *, inbound: bool) -> tuple[proxy.Direction, ...]:
+    if cut == "both":
+        return ("to_target", "from_target")
+    # What a listening process receives flows to the target of its proxy.
+    return ("to_target",) if (cut == "in") == inbound else ("from_target",)
+
+
+def _toml(name: str, section: dict[str, Any]) -> str:
+    lines = [f"{key} = {json.dumps(value)}" for key, value in section.items()]
+    return "\n".join([f"[{name}]", *lines, ""])
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
