--- a/devtools/proxy.py
+++ b/devtools/proxy.py
@@ -133,7 +133,7 @@
         for connection in list(self.connections):
             connection.end(reset=True)
 
-    async def _accept(
+    def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         port = writer.get_extra_info("peername")[1]
@@ -141,10 +141,11 @@
             dialer=self._dialer_of(port), inner=(reader, writer)
         )
         self.connections.add(connection)
-        task = asyncio.current_task()
-        if task is not None:
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        task = asyncio.create_task(self._serve(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, connection: Connection) -> None:
         broken = True
         try:
             broken = await self._forward(connection)
--- a/devtools/site.py
+++ b/devtools/site.py
@@ -163,14 +163,23 @@
     Attributes:
         shape: What it consists of.
         proxied: Whether links lead through fault proxies.
+        outside_control: Control addresses outside the site, for tests with a
+            leader of their own.
         folder: Temporary folder with everything the site writes.
         processes: The processes by name.
         journal_path: The journal of all workers.
     """
 
-    def __init__(self, *, shape: SiteShape, proxied: bool = True) -> None:
+    def __init__(
+        self,
+        *,
+        shape: SiteShape,
+        proxied: bool = True,
+        outside_control: tuple[str, ...] = (),
+    ) -> None:
         self.shape = shape
         self.proxied = proxied
+        self.outside_control = outside_control
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bamboorouter-"))
         self.processes: dict[str, Managed] = {}
         self.journal_path = self.folder / "journal.jsonl"
@@ -503,7 +512,10 @@
             "zone": zone,
             "rack": rack,
             "roles": [role],
-            "control": list(self._control_addresses.values()),
+            "control": [
+                *self.outside_control,
+                *self._control_addresses.values(),
+            ],
             "ready_file": str(managed.ready_file),
         }
         path = managed.folder / "settings.toml"
