--- a/tests/site_case.py
+++ b/tests/site_case.py
@@ -4,11 +4,90 @@
 from collections.abc import Callable
 import time
 import unittest
+import uuid
 
+from bamboorouter import clock
+from bamboorouter.coordination import control_client
+from bamboorouter.protocol import messages
+from bamboorouter.protocol import operator_http
 from devtools import journal
 from devtools import site
 
 POLL_S = 0.05
+CALL_TIMEOUT_MS = 8000
+HEADER = (
+    "kind,name,owner,urgency,place,processors,memory_mb,run_time_s,count,"
+    "command"
+)
+
+
+def sheet(revision: int, *rows: str) -> str:
+    """Returns a sheet with rows in the order of `HEADER`."""
+    return "\n".join([f"revision,{revision}", HEADER, *rows, ""])
+
+
+def job_row(name: str, count: int, command: str, *, processors: int = 1) -> str:
+    """Returns the row of a batch job."""
+    return f"job,{name},team,5,1,{processors},500,10,{count},{command}"
+
+
+def service_row(name: str, count: int) -> str:
+    """Returns the row of a service."""
+    return f"service,{name},team,0,1,1,500,0,{count},serve"
+
+
+class Operator:
+    """Calls the leader as an operator does.
+
+    Attributes:
+        site: The site.
+    """
+
+    def __init__(self, running: site.Site) -> None:
+        self.site = running
+        self._client = control_client.ControlClient(
+            addresses=tuple(running.control_addresses.values()),
+            time=clock.SystemClock(),
+        )
+
+    async def close(self) -> None:
+        """Closes the link."""
+        await self._client.close()
+
+    async def call(
+        self, operation: str, **arguments: object
+    ) -> messages.OperatorReply:
+        """Sends one call until it is answered.
+
+        Raises:
+            RequestTimeoutError: No leader answered.
+        """
+        message = messages.OperatorCall(
+            operation=operation,
+            operation_id=uuid.uuid4().hex,
+            operator="test",
+            arguments=arguments,
+        )
+        reply = await self._client.call(message, timeout_ms=CALL_TIMEOUT_MS)
+        assert isinstance(reply, messages.OperatorReply), reply
+        return reply
+
+    async def submit(self, revision: int, *rows: str) -> int:
+        """Submits a sheet; returns the configuration revision."""
+        reply = await self.call("submit_sheet", csv=sheet(revision, *rows))
+        assert reply.ok, reply
+        return int(reply.data["config_revision"])
+
+    async def status(self) -> operator_http.StatusData:
+        """Returns the leader's view."""
+        reply = await self.call("status")
+        return operator_http.read_status(reply.data)
+
+    async def leader(self) -> str:
+        """Returns the name of the leader's process."""
+        address = (await self.status()).leader
+        names = {a: n for n, a in self.site.control_addresses.items()}
+        return names[address]
 
 
 class SiteTestCase(unittest.IsolatedAsyncioTestCase):
@@ -27,6 +106,12 @@
         await running.start()
         return running
 
+    async def start_operator(self, running: site.Site) -> Operator:
+        """Returns an operator whose link ends with the test."""
+        operator = Operator(running)
+        self.addAsyncCleanup(operator.close)
+        return operator
+
     async def wait_for(
         self, condition: Callable[[], object], what: str, *, within_s: float
     ) -> None:
--- /dev/null
+++ b/tests/test_faults_control.py
@@ -0,0 +1,176 @@
+"""Guards P9 and P2 against failing and isolated control replicas.
+
+What an operator was told is in force stays in force, on every process, and a
+replica without a quorum decides nothing.
+"""
+
+import asyncio
+import contextlib
+
+from devtools import site
+from tests import site_case
+
+SHAPE = site.small_shape(vms=2, controls=3, entries=1)
+METRIC = "bamboorouter_applied_revision"
+# The target: a change is in force everywhere within 13 s.
+IN_FORCE_S = 13.0
+START_S = 10.0
+ISOLATED_S = 8.0
+CHANGES = 300
+CHANGES_AT_ONCE = 20
+
+
+class RevisionWatch:
+    """Samples the revision that each process applies.
+
+    Attributes:
+        reverts: Processes that applied a lower revision than before.
+        last: Last revision seen by process name and ID.
+    """
+
+    def __init__(self, running: site.Site) -> None:
+        self.site = running
+        self.reverts: list[str] = []
+        self.last: dict[tuple[str, int], float] = {}
+
+    async def sample(self) -> dict[str, float]:
+        """Reads all running daemons once."""
+        found: dict[str, float] = {}
+        for name, managed in self.site.processes.items():
+            if managed.frozen or not managed.running:
+                continue
+            if "health" not in managed.addresses or managed.process is None:
+                continue
+            value = await self.site.metric(name, METRIC)
+            if value is None:
+                continue
+            key = (name, managed.process.pid)
+            if value < self.last.get(key, 0):
+                self.reverts.append(f"{name}: {self.last[key]} to {value}")
+            self.last[key] = value
+            found[name] = value
+        return found
+
+    async def run(self) -> None:
+        """Samples until cancelled."""
+        while True:
+            await self.sample()
+            await asyncio.sleep(site_case.POLL_S)
+
+
+class ControlFaultsTest(site_case.SiteTestCase):
+    """Failures of control replicas."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = await self.start_site(SHAPE)
+        self.operator = await self.start_operator(self.site)
+        self.watch = RevisionWatch(self.site)
+        watching = asyncio.create_task(self.watch.run())
+        self.addAsyncCleanup(self.end, watching)
+
+    async def end(self, watching: asyncio.Task[None]) -> None:
+        watching.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await watching
+
+    async def submit(self, revision: int, count: int) -> int:
+        return await self.operator.submit(
+            revision, site_case.service_row("entries", count)
+        )
+
+    async def wait_in_force(self, revision: int) -> None:
+        """Waits until every running daemon applies the revision."""
+        async with asyncio.timeout(IN_FORCE_S):
+            while True:
+                found = await self.watch.sample()
+                daemons = [
+                    name
+                    for name, managed in self.site.processes.items()
+                    if managed.running and "health" in managed.addresses
+                ]
+                if all(found.get(name, 0) >= revision for name in daemons):
+                    break
+                await asyncio.sleep(site_case.POLL_S)
+        self.assertEqual(self.watch.reverts, [])
+
+    async def wait_instances(self, count: int) -> None:
+        await self.wait_for(
+            lambda: sum(r.state == "running" for r in self.site.runs())
+            == count,
+            f"{count} instances run",
+            within_s=START_S,
+        )
+        self.assert_tasks_sound(self.site)
+
+    async def test_isolated_leader_decides_nothing(self) -> None:
+        await self.wait_in_force(await self.submit(1, 2))
+        await self.wait_instances(2)
+        old = await self.operator.leader()
+        # Agents still reach the old leader, the other replicas don't.
+        for name in self.site.control_addresses:
+            if name != old:
+                self.site.cut_between(old, name)
+        await asyncio.sleep(ISOLATED_S / 2)
+        revision = await self.submit(2, 3)
+        await self.wait_instances(3)
+        await asyncio.sleep(ISOLATED_S / 2)
+        self.assertNotEqual(await self.operator.leader(), old)
+        self.site.heal()
+        await self.wait_in_force(revision)
+        self.assertEqual((await self.operator.status()).sheet_revision, 2)
+
+    async def test_leader_cut_off_for_long_catches_up(self) -> None:
+        await self.wait_in_force(await self.submit(1, 1))
+        old = await self.operator.leader()
+        self.site.cut(old)
+        revision = 0
+        for number in range(2, 8):
+            revision = await self.submit(number, 1 + number % 3)
+        await asyncio.sleep(ISOLATED_S)
+        self.site.heal()
+        await self.wait_in_force(revision)
+        self.assertEqual((await self.operator.status()).sheet_revision, 7)
+        await self.wait_instances(2)
+
+    async def test_second_replica_lost_right_after_a_repair(self) -> None:
+        await self.wait_in_force(await self.submit(1, 1))
+        names = list(self.site.control_addresses)
+        lost, next_lost = names[0], names[1]
+        await self.site.kill(lost)
+        self.site.lose_folder(lost)
+        await self.site.restart(lost)
+        await self.replace(lost)
+        await self.site.kill(next_lost)
+        revision = await self.submit(2, 2)
+        await self.site.restart(next_lost)
+        await self.wait_in_force(revision)
+        self.assertEqual((await self.operator.status()).sheet_revision, 2)
+        await self.wait_instances(2)
+
+    async def replace(self, name: str) -> None:
+        """Puts a replica with a new identity in the place of its old one."""
+
+    async def test_restart_after_hundreds_of_changes(self) -> None:
+        await self.submit(1, 2)
+        await self.wait_instances(2)
+        revision = 0
+        for first in range(0, CHANGES, CHANGES_AT_ONCE):
+            replies = await asyncio.gather(
+                *(
+                    self.operator.call(
+                        "drain", target=f"upstream-{number % 50}", on=on
+                    )
+                    for number in range(first, first + CHANGES_AT_ONCE)
+                    for on in (True,)
+                )
+            )
+            revision = max(int(r.data["config_revision"]) for r in replies)
+        for name in self.site.control_addresses:
+            await self.site.kill(name)
+        for name in self.site.control_addresses:
+            await self.site.restart(name)
+        await self.wait_in_force(revision)
+        status = await self.operator.status()
+        self.assertGreaterEqual(status.config_revision, revision)
+        self.assertEqual(status.sheet_revision, 1)
+        self.assert_tasks_sound(self.site)
--- /dev/null
+++ b/tests/test_faults_tasks.py
@@ -0,0 +1,153 @@
+"""Guards P1, P2 and P3 against failing agents, VMs and leaders.
+
+Whole sites run as processes. The journal of the workers shows whether a task
+ran in two places at once, ran again after it finished, resumed from another
+checkpoint than the last one, or took more than its VM has.
+"""
+
+import asyncio
+import random
+
+from devtools import journal
+from devtools import site
+from tests import site_case
+
+SHAPE = site.small_shape(vms=3, controls=3, entries=0)
+BATCH_LEASE_S = SHAPE.batch_lease_ms / 1000
+SERVICE_LEASE_S = SHAPE.service_lease_ms / 1000
+# Urgent work starts within 3.2 s; a lease and its allowance may come first.
+START_S = 10.0
+END_S = 40.0
+JOBS = 6
+SEED = 20261204
+
+
+class TaskFaultsTest(site_case.SiteTestCase):
+    """Failures while tasks run."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = await self.start_site(SHAPE)
+        self.operator = await self.start_operator(self.site)
+
+    async def submit(self, command: str = "run 6s") -> None:
+        await self.operator.submit(
+            1,
+            site_case.service_row("entries", 2),
+            site_case.job_row("match", JOBS, command),
+        )
+
+    def running(self, worker: str = "", task: str = "") -> list[journal.Run]:
+        return [
+            run
+            for run in self.site.runs()
+            if run.state == "running"
+            and run.writer.startswith(worker)
+            and run.task.startswith(task)
+        ]
+
+    def finished(self) -> set[str]:
+        runs = self.site.runs()
+        return {run.task for run in runs if run.state == "finished"}
+
+    async def wait_all_running(self) -> None:
+        await self.wait_for(
+            lambda: len(self.running()) == JOBS + 2,
+            "all tasks run",
+            within_s=START_S,
+        )
+
+    async def wait_all_finished(self) -> None:
+        await self.wait_for(
+            lambda: len(self.finished()) == JOBS,
+            "all batch tasks finished",
+            within_s=END_S,
+        )
+        await self.wait_for(
+            lambda: len(self.running(task="entries")) == 2,
+            "both instances of the service run",
+            within_s=START_S,
+        )
+        self.assert_tasks_sound(self.site)
+
+    def busiest(self) -> int:
+        """Returns the number of the VM with the most running tasks."""
+        numbers = range(1, len(SHAPE.vms) + 1)
+        return max(numbers, key=lambda n: len(self.running(f"worker-{n}")))
+
+    async def test_paused_vm_runs_nothing_after_its_lease(self) -> None:
+        await self.submit()
+        await self.wait_all_running()
+        number = self.busiest()
+        self.site.freeze_vm(number)
+        count = len(self.site.runs())
+        await self.wait_for(
+            lambda: len(self.site.runs()) > count,
+            "a task was replaced",
+            within_s=START_S,
+        )
+        await asyncio.sleep(BATCH_LEASE_S)
+        self.site.thaw_vm(number)
+        await self.wait_all_finished()
+
+    async def test_paused_agent_does_not_let_its_tasks_go_on(self) -> None:
+        await self.submit("run 20s")
+        await self.wait_all_running()
+        number = self.busiest()
+        self.site.freeze(f"agent-{number}")
+        await asyncio.sleep(BATCH_LEASE_S + START_S / 2)
+        self.site.thaw(f"agent-{number}")
+        await self.wait_all_finished()
+
+    async def test_restarted_agent_does_not_repeat_its_tasks(self) -> None:
+        await self.submit()
+        await self.wait_all_running()
+        count = len(self.site.runs())
+        number = self.busiest()
+        await self.site.restart(f"agent-{number}")
+        await self.wait_for(
+            lambda: len(self.finished()) == JOBS, "finished", within_s=END_S
+        )
+        self.assertEqual(len(self.site.runs()), count)
+        await self.wait_all_finished()
+
+    async def test_killed_vm_is_replaced_and_comes_back(self) -> None:
+        await self.submit()
+        await self.wait_all_running()
+        number = self.busiest()
+        await self.site.kill_vm(number)
+        await self.wait_for(
+            lambda: len(self.running(task="entries")) == 2,
+            "the service is replaced",
+            within_s=SERVICE_LEASE_S + START_S,
+        )
+        await self.site.restart_vm(number)
+        await self.wait_all_finished()
+
+    async def test_leader_killed_while_tasks_start(self) -> None:
+        leader = await self.operator.leader()
+        await self.submit("run 3s")
+        await self.wait_for(
+            self.site.records, "the first task starts", within_s=START_S
+        )
+        await self.wait_for(self.running, "a task runs", within_s=START_S)
+        await self.site.kill(leader)
+        await self.wait_all_finished()
+        batch = [r for r in self.site.runs() if r.task.startswith("match")]
+        self.assertEqual(len(batch), JOBS)
+
+    async def test_two_failures_at_once(self) -> None:
+        """Each seeded round breaks two parts and repairs them."""
+        chance = random.Random(SEED)
+        await self.submit("run 15s")
+        await self.wait_all_running()
+        for _ in range(2):
+            leader = await self.operator.leader()
+            first, second = chance.sample(range(1, len(SHAPE.vms) + 1), 2)
+            self.site.cut(leader)
+            await self.site.kill_vm(first)
+            self.site.freeze_vm(second)
+            await asyncio.sleep(chance.uniform(2, SERVICE_LEASE_S + 1))
+            self.site.heal()
+            self.site.thaw_vm(second)
+            await self.site.restart_vm(first)
+        await self.wait_all_finished()
