--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -29,6 +29,22 @@
 BAD_REQUEST: Final = "bad_request"
 KEY_EXPIRED: Final = "key_expired"
 STOPPING: Final = "stopping"
+STALE_ATTEMPT: Final = "stale_attempt"
+NO_SUCH_TASK: Final = "no_such_task"
+NO_SUCH_WORKER: Final = "no_such_worker"
+TASK_NOT_WAITING: Final = "task_not_waiting"
+WORKER_DRAINED: Final = "worker_drained"
+WORKER_QUARANTINED: Final = "worker_quarantined"
+TOO_MANY_QUARANTINES: Final = "too_many_quarantines"
+UNKNOWN_OPERATION: Final = "unknown_operation"
+BAD_ARGUMENT: Final = "bad_argument"
+LOG_BUSY: Final = "log_busy"
+MEMBERS_BUSY: Final = "members_busy"
+NO_SUCH_MEMBER: Final = "no_such_member"
+NOT_CAUGHT_UP: Final = "not_caught_up"
+QUORUM_AT_RISK: Final = "quorum_at_risk"
+CALL_MALFORMED: Final = "call_malformed"
+NOT_REACHED: Final = "not_reached"
 
 # Codes of requests that were or may have been started.
 NO_ANSWER: Final = "no_answer"
@@ -37,6 +53,9 @@
 BODY_NOT_KEPT: Final = "body_not_kept"
 OTHER_ATTEMPT: Final = "other_attempt"
 
+# The operation may or may not have been carried out.
+RESULT_UNKNOWN: Final = "result_unknown"
+
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
     NO_SUCH_SERVICE: "service {service!r} is not in the sheet in force",
@@ -59,7 +78,26 @@
     NO_SUCH_JOB: "job {job!r} does not exist",
     JOB_EXISTS: "job {job!r} exists with other content",
     JOB_CANNOT_RUN: "job {job!r} is larger than any worker",
+    LOG_BUSY: "too many commands wait for the log",
+    MEMBERS_BUSY: "another change of members is not committed yet",
+    NO_SUCH_MEMBER: "replica {replica!r} is not a member",
+    NOT_CAUGHT_UP: "replica {replica!r} lacks {lag} committed entries",
+    QUORUM_AT_RISK: (
+        "without replica {replica!r} only {alive} of {voters} voters answer"
+    ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+    STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
+    NO_SUCH_TASK: "task {task!r} does not exist",
+    NO_SUCH_WORKER: "worker {worker!r} is not known",
+    TASK_NOT_WAITING: "task {task!r} is {state}, not waiting",
+    WORKER_DRAINED: "worker {worker!r} is drained",
+    WORKER_QUARANTINED: "worker {worker!r} is in quarantine",
+    TOO_MANY_QUARANTINES: "{count} workers are in quarantine already",
+    UNKNOWN_OPERATION: "operation {operation!r} does not exist",
+    BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
+    CALL_MALFORMED: "the call is malformed",
+    NOT_REACHED: "no entry could be reached; nothing was changed",
+    RESULT_UNKNOWN: "no leader answered; the operation may have been done",
     BAD_REQUEST: "the request is malformed: {detail}",
     KEY_EXPIRED: "the key is too old to tell whether it was run",
     STOPPING: "the process is stopping",
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -81,86 +81,114 @@
     "The handler of a message raised an unexpected error.",
 )
 
-# 100-199: consensus and storage. 200-299: control role. 300-349: agent.
-# 500-599: operators.
-
-# 350-399: agent, requests.
-DISPATCH_DAMAGED: Final = _event(
-    350,
-    "dispatch_damaged",
-    logging.ERROR,
-    "The body of a dispatched request does not match its digest.",
+# 100-199: consensus and storage.
+TORN_TAIL_CUT: Final = _event(
+    100,
+    "torn_tail_cut",
+    logging.WARNING,
+    "An incomplete last record of the log, never acknowledged, was removed.",
 )
-RESERVATION_REPEATED: Final = _event(
-    351,
-    "reservation_repeated",
+STORAGE_FAILED: Final = _event(
+    101,
+    "storage_failed",
     logging.ERROR,
-    "A reserved request was dispatched twice; the second one was not run.",
+    "A write or sync failed; the replica acknowledges nothing until it is"
+    " restarted.",
 )
-UPSTREAM_GARBAGE: Final = _event(
-    352,
-    "upstream_garbage",
+LEADER_ELECTED: Final = _event(
+    102, "leader_elected", logging.INFO, "This replica leads its group."
+)
+LEADER_STEPPED_DOWN: Final = _event(
+    103,
+    "leader_stepped_down",
     logging.WARNING,
-    "An upstream sent half an answer or one that is not HTTP.",
+    "This replica no longer leads its group.",
 )
-
-# 400-499: entry.
-ENTRY_READY: Final = _event(
-    400,
-    "entry_ready",
-    logging.INFO,
-    "A leader answered the first time; the entry takes requests.",
+LEADER_CHANGED: Final = _event(
+    104, "leader_changed", logging.INFO, "This replica follows a new leader."
 )
-STALE_UPDATE: Final = _event(
-    401,
-    "stale_update",
+GROUP_FORMED: Final = _event(
+    105, "group_formed", logging.INFO, "The first members formed the group."
+)
+WAITING_TO_JOIN: Final = _event(
+    106,
+    "waiting_to_join",
     logging.WARNING,
-    "An update with a lower revision than the one applied was ignored.",
+    "The data folder is empty but the group exists; an operator must add"
+    " this replica.",
 )
-CALLER_GARBAGE: Final = _event(
-    402,
-    "caller_garbage",
+MEMBERS_CHANGED: Final = _event(
+    107, "members_changed", logging.INFO, "The members of the group changed."
+)
+SNAPSHOT_WRITTEN: Final = _event(
+    108, "snapshot_written", logging.INFO, "A snapshot was written."
+)
+SNAPSHOT_INSTALLED: Final = _event(
+    109,
+    "snapshot_installed",
+    logging.INFO,
+    "A snapshot of the leader replaced this replica's state.",
+)
+SNAPSHOT_SKIPPED: Final = _event(
+    110,
+    "snapshot_skipped",
     logging.WARNING,
-    "A caller's body was shorter than announced or malformed.",
+    "A snapshot on disk is damaged; an older one is used.",
 )
-ANSWER_DAMAGED: Final = _event(
-    403,
-    "answer_damaged",
+APPLY_FAILED: Final = _event(
+    111,
+    "apply_failed",
     logging.ERROR,
-    "An answer does not match its digest or its request.",
+    "The state machine raised an error; the replica stopped taking part.",
 )
-AGENT_AVOIDED: Final = _event(
-    404,
-    "agent_avoided",
+PEER_REPLACED: Final = _event(
+    112,
+    "peer_replaced",
     logging.WARNING,
-    "An agent stopped answering; its link was closed until a probe succeeds.",
+    "Another replica answers at the address of a member, which has lost its"
+    " data folder or was moved.",
 )
-AGENT_REACHED: Final = _event(
-    405, "agent_reached", logging.INFO, "A link to an agent opened."
-)
-LEADER_SILENT: Final = _event(
-    406,
-    "leader_silent",
+LOG_SHORTENED: Final = _event(
+    113,
+    "log_shortened",
     logging.WARNING,
-    "No leader answered the poll of an entry.",
+    "Retention removed the oldest entries of the log; the account starts"
+    " later.",
 )
-OUTCOME_NOT_RECORDED: Final = _event(
-    407,
-    "outcome_not_recorded",
-    logging.ERROR,
-    "The outcome of a reserved request could not be committed.",
+
+# 200-299: control role.
+SCHEDULER_LEADS: Final = _event(
+    200,
+    "scheduler_leads",
+    logging.INFO,
+    "This replica decides; all leases count as renewed now.",
 )
-REQUEST_FAULT: Final = _event(
-    408,
-    "request_fault",
-    logging.ERROR,
-    "An unexpected error ended a request.",
+DECISION_REFUSED: Final = _event(
+    201,
+    "decision_refused",
+    logging.WARNING,
+    "The state machine refused a decision of the leader.",
 )
-UPSTREAM_EJECTED: Final = _event(
-    409,
-    "upstream_ejected",
+DECISION_UNKNOWN: Final = _event(
+    202,
+    "decision_unknown",
     logging.WARNING,
-    "An upstream failed repeatedly and is avoided until a probe succeeds.",
+    "The log was busy or a result is unknown; the decision is made again.",
+)
+TASK_ASSIGNED: Final = _event(
+    203, "task_assigned", logging.INFO, "A task was assigned to a worker."
+)
+TASK_ENDED: Final = _event(
+    204, "task_ended", logging.INFO, "An assignment ended."
+)
+PASS_FAILED: Final = _event(
+    205, "pass_failed", logging.ERROR, "A pass of the scheduler failed."
+)
+OPERATION_ANSWERED: Final = _event(
+    206,
+    "operation_answered",
+    logging.INFO,
+    "The leader answered an operator's call.",
 )
 
 # 300-349: tasks of the agent.
@@ -243,3 +271,96 @@
     logging.WARNING,
     "An upstream did not repeat its announcement and is dropped.",
 )
+
+# 350-399: agent, requests.
+DISPATCH_DAMAGED: Final = _event(
+    350,
+    "dispatch_damaged",
+    logging.ERROR,
+    "The body of a dispatched request does not match its digest.",
+)
+RESERVATION_REPEATED: Final = _event(
+    351,
+    "reservation_repeated",
+    logging.ERROR,
+    "A reserved request was dispatched twice; the second one was not run.",
+)
+UPSTREAM_GARBAGE: Final = _event(
+    352,
+    "upstream_garbage",
+    logging.WARNING,
+    "An upstream sent half an answer or one that is not HTTP.",
+)
+
+# 400-499: entry.
+ENTRY_READY: Final = _event(
+    400,
+    "entry_ready",
+    logging.INFO,
+    "A leader answered the first time; the entry takes requests.",
+)
+STALE_UPDATE: Final = _event(
+    401,
+    "stale_update",
+    logging.WARNING,
+    "An update with a lower revision than the one applied was ignored.",
+)
+CALLER_GARBAGE: Final = _event(
+    402,
+    "caller_garbage",
+    logging.WARNING,
+    "A caller's body was shorter than announced or malformed.",
+)
+ANSWER_DAMAGED: Final = _event(
+    403,
+    "answer_damaged",
+    logging.ERROR,
+    "An answer does not match its digest or its request.",
+)
+AGENT_AVOIDED: Final = _event(
+    404,
+    "agent_avoided",
+    logging.WARNING,
+    "An agent stopped answering; its link was closed until a probe succeeds.",
+)
+AGENT_REACHED: Final = _event(
+    405, "agent_reached", logging.INFO, "A link to an agent opened."
+)
+LEADER_SILENT: Final = _event(
+    406,
+    "leader_silent",
+    logging.WARNING,
+    "No leader answered the poll of an entry.",
+)
+OUTCOME_NOT_RECORDED: Final = _event(
+    407,
+    "outcome_not_recorded",
+    logging.ERROR,
+    "The outcome of a reserved request could not be committed.",
+)
+REQUEST_FAULT: Final = _event(
+    408,
+    "request_fault",
+    logging.ERROR,
+    "An unexpected error ended a request.",
+)
+UPSTREAM_EJECTED: Final = _event(
+    409,
+    "upstream_ejected",
+    logging.WARNING,
+    "An upstream failed repeatedly and is avoided until a probe succeeds.",
+)
+
+# 500-599: operators.
+OPERATOR_CALL: Final = _event(
+    500,
+    "operator_call",
+    logging.INFO,
+    "The leader answered an operator's call.",
+)
+OPERATOR_CALL_UNANSWERED: Final = _event(
+    501,
+    "operator_call_unanswered",
+    logging.WARNING,
+    "No leader answered an operator's call in time; its result is unknown.",
+)
