--- a/bamboorouter/__main__.py
+++ b/bamboorouter/__main__.py
@@ -4,6 +4,7 @@
 import asyncio
 import sys
 
+from absl import flags
 from absl import logging
 
 from bamboorouter import daemon
@@ -19,6 +20,8 @@
         "--check", action="store_true", help="check the settings and exit"
     )
     args = parser.parse_args()
+    # The daemon has no absl flags; without this mark absl prints a warning.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     try:
         settings = options.load_options(args.settings)
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -38,6 +38,7 @@
     return event
 
 
+@logging.skip_log_prefix
 def log(event: Event, **fields: object) -> None:
     """Logs an event as `BR<number> <name> key=value ...`."""
     if event.level > logging.get_verbosity():
