--- a/bamboorouter/cli/application.py
+++ b/bamboorouter/cli/application.py
@@ -4,6 +4,7 @@
 
 from cleo import application as cleo_application
 
+from bamboorouter.cli import account
 from bamboorouter.cli import explain
 from bamboorouter.cli import job
 from bamboorouter.cli import member
@@ -19,6 +20,7 @@
     application = cleo_application.Application("bamboorouter", VERSION)
     for command in (
         sheet.SheetSubmitCommand(),
+        sheet.SheetCheckCommand(),
         status.StatusCommand(),
         job.JobSubmitCommand(),
         job.JobCancelCommand(),
@@ -29,6 +31,7 @@
         member.MembersPromoteCommand(),
         member.MembersRemoveCommand(),
         explain.ExplainCommand(),
+        account.AccountVerifyCommand(),
     ):
         application.add(command)
     return application
--- a/bamboorouter/cli/sheet.py
+++ b/bamboorouter/cli/sheet.py
@@ -17,6 +17,7 @@
 from bamboorouter.cli import base_command
 from bamboorouter.cli import exit_codes
 from bamboorouter.protocol import operator_http
+from bamboorouter.protocol import sheet
 
 WAIT_POLL_MS: Final = 200
 
@@ -100,6 +101,43 @@
         return state
 
 
+class SheetCheckCommand(base_command.PrintingCommand):
+    """Checks a sheet without submitting it."""
+
+    name = "sheet check"
+    description = "Check a sheet locally; prints each faulty value on a line."
+    arguments: ClassVar[list[argument.Argument]] = [_FILE]
+
+    def handle(self) -> int:
+        """Reads the sheet and prints its faults."""
+        path = self.argument("file")
+        try:
+            parsed = sheet.parse_sheet(read_text(path).encode())
+        except base_command.UsageError as err:
+            self.print_json({"ok": False, "text": str(err)})
+            self.print_error(str(err))
+            return exit_codes.USAGE
+        except sheet.SheetInvalidError as err:
+            faults = [fault.plain() for fault in err.faults]
+            self.print_json(
+                {"ok": False, "code": err.code, "data": {"faults": faults}}
+            )
+            for fault in faults:
+                self.print_error(base_command.fault_line(fault))
+            return exit_codes.REFUSED
+        jobs = sum(row.kind == "job" for row in parsed.rows)
+        services = len(parsed.rows) - jobs
+        counts = {"services": services, "jobs": jobs}
+        self.print_json(
+            {"ok": True, "data": {"revision": parsed.revision, **counts}}
+        )
+        self.print_text(
+            f"revision {parsed.revision}: {services} services and {jobs} jobs,"
+            " no faults"
+        )
+        return exit_codes.DONE
+
+
 def read_text(path: str) -> str:
     """Returns the text of a file.
 
--- a/bamboorouter/state/account_records.py
+++ b/bamboorouter/state/account_records.py
@@ -94,6 +94,10 @@
         case commands.CancelJob() if row_of(name) == command.job:
             text = f"cancelled by {command.operator}"
             return [("job_cancelled", text, {"operator": command.operator})]
+        case commands.FailJob() if row_of(name) == command.job:
+            text = f"given up ({command.code}): {command.reason}"
+            why = {"code": command.code, "reason": command.reason}
+            return [("job_given_up", text, why)]
         case commands.SetDrain() if name == command.target:
             what = "drained" if command.draining else "drain_ended"
             by = {"operator": command.operator}
@@ -116,6 +120,7 @@
             commands.EndTask()
             | commands.EvictTask()
             | commands.ConfirmEviction()
+            | commands.ReplaceInstance()
         ):
             return _describe_task(name, command)
     return []
@@ -209,7 +214,12 @@
 
 def _describe_task(
     name: str,
-    command: commands.EndTask | commands.EvictTask | commands.ConfirmEviction,
+    command: (
+        commands.EndTask
+        | commands.EvictTask
+        | commands.ConfirmEviction
+        | commands.ReplaceInstance
+    ),
 ) -> list[Described]:
     if not _concerns(name, command.task):
         return []
@@ -219,6 +229,9 @@
         case commands.EvictTask():
             text = f"{head}: eviction ordered: {command.reason}"
             return [("eviction_ordered", text, fields)]
+        case commands.ReplaceInstance():
+            text = f"{head}: replacement ordered: {command.reason}"
+            return [("replacement_ordered", text, fields)]
         case commands.ConfirmEviction():
             at = command.checkpoint or "none"
             return [("evicted", f"{head}: stopped, checkpoint {at}", fields)]
--- a/bamboorouter/state/records.py
+++ b/bamboorouter/state/records.py
@@ -130,3 +130,12 @@
         return None
     body = bytes(data[start : start + length])
     return body if xxhash.xxh3_64_intdigest(body) == checksum else None
+
+
+def is_incomplete(data: bytes) -> bool:
+    """Whether the bytes are the start of a record that is longer than they."""
+    if len(data) < _HEAD.size:
+        return True
+    mark, length, _ = _HEAD.unpack_from(data)
+    marks = (ENTRY_MARK, SEGMENT_MARK)
+    return mark in marks and _HEAD.size + length > len(data)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 
 from bamboorouter import events
 from bamboorouter import options
+from bamboorouter.protocol import sheet
 from devtools import write_events
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -59,6 +60,15 @@
                 settings = options.load_options(str(path))
                 self.assertEqual(len(settings.process.control), 3)
 
+    def test_sheets_are_valid(self) -> None:
+        paths = sorted((ROOT / "samples").glob("*.csv"))
+        self.assertEqual(len(paths), 2)
+        for path in paths:
+            with self.subTest(path.name):
+                self.assertEqual(
+                    sheet.parse_sheet(path.read_bytes()).revision, 1
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
