--- a/bamboorouter/cli/base_command.py
+++ b/bamboorouter/cli/base_command.py
@@ -58,9 +58,10 @@
     ),
     helpers.option(
         "timeout",
-        description="Seconds to try, over all entries.",
+        description=(
+            "Seconds to try, over all entries. Default: 15; for explain 60."
+        ),
         flag=False,
-        default=str(client.CALL_TIMEOUT_MS // 1000),
     ),
 )
 
@@ -93,8 +94,13 @@
 
 
 class CallCommand(PrintingCommand):
-    """A command that calls the leader through an entry."""
+    """A command that calls the leader through an entry.
 
+    Attributes:
+        default_timeout_s: Seconds to try if --timeout is not given.
+    """
+
+    default_timeout_s: ClassVar[str] = "15"
     options: ClassVar[list[option.Option]] = [JSON_OPTION, *_CALL_OPTIONS]
 
     def handle(self) -> int:
@@ -130,7 +136,9 @@
                 text=f"no entry: give --entry IP:port or set {ENTRY_VARIABLE}",
                 step="command line",
             )
-        timeout_s = number_option("timeout", self.option("timeout"))
+        timeout_s = number_option(
+            "timeout", self.option("timeout") or self.default_timeout_s
+        )
         return client.OperatorClient(
             entries=entries,
             operator=self.option("operator")
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -10,6 +10,7 @@
 
 from bamboorouter import clock
 from bamboorouter import options
+from bamboorouter.coordination import explanations
 from bamboorouter.coordination import leader_desk
 from bamboorouter.coordination import replica
 from bamboorouter.coordination import scheduler
@@ -59,6 +60,7 @@
             time=time,
         )
         self._group = control_group.ControlGroup(own=self.replica)
+        self._explanations = explanations.Explanations(read=self._group.explain)
         self.desk = leader_desk.LeaderDesk(
             log=self.replica,
             time=time,
@@ -69,7 +71,7 @@
                 batch_lease_ms=settings.batch_lease_ms,
             ),
             group=self._group,
-            explain=self._group.explain,
+            explain=self._explanations.get,
         )
         self._server: link.LinkServer | None = None
         self._started = False
@@ -91,6 +93,7 @@
     async def stop(self) -> None:
         """Hands leadership over if it leads, then closes all links."""
         self._started = False
+        self._explanations.stop()
         await self.desk.stop()
         self._group.stop()
         await self.replica.stop()
--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -5,16 +5,19 @@
 (409), certainly not done (400, 503) or possibly done (504).
 """
 
+import asyncio
 from typing import Final
 from typing import get_args
 
 from aiohttp import web
 import msgspec
 
+from bamboorouter import clock
 from bamboorouter import error_texts
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter.coordination import control_client
+from bamboorouter.coordination import explanations
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import operator_http
 
@@ -23,6 +26,8 @@
 # An explanation may have to read the whole account.
 EXPLAIN_TIMEOUT_MS: Final = 30_000
 
+PENDING_PAUSE_MS: Final = 100
+
 _OPERATIONS: Final = frozenset(get_args(operator_http.Operation))
 
 
@@ -62,7 +67,7 @@
             EXPLAIN_TIMEOUT_MS if operation == "explain" else CALL_TIMEOUT_MS
         )
         try:
-            reply = await self.client.call(call, timeout_ms=timeout_ms)
+            reply = await self._ask(call, timeout_ms)
         except errors.RouterError as err:
             events.log(
                 events.OPERATOR_CALL_UNANSWERED,
@@ -81,6 +86,25 @@
             )
         return self._answer(call, reply)
 
+    async def _ask(
+        self, call: messages.OperatorCall, timeout_ms: int
+    ) -> messages.Message:
+        """Sends a call until its answer is no longer pending.
+
+        Raises:
+            RequestTimeoutError: There was no answer in time.
+        """
+        deadline = self.client.clock.now() + timeout_ms
+        while True:
+            remaining = deadline - self.client.clock.now()
+            reply = await self.client.call(call, timeout_ms=max(remaining, 0))
+            if not (
+                isinstance(reply, messages.OperatorReply)
+                and reply.data.get(explanations.PENDING)
+            ):
+                return reply
+            await asyncio.sleep(clock.seconds(PENDING_PAUSE_MS))
+
     def _answer(
         self, call: messages.OperatorCall, reply: messages.Message
     ) -> web.Response:
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -1,6 +1,8 @@
 """A leader and entries for tests of the operators' tools."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -19,12 +21,17 @@
         replies: Prepared replies of each operation; the last one stays.
         received: All calls, resends included.
         carried_out: Calls without resends.
+        answer: Answers every call in place of the prepared replies.
     """
 
     def __init__(self) -> None:
         self.replies: dict[str, list[messages.Message]] = {}
         self.received: list[messages.OperatorCall] = []
         self.carried_out: list[messages.OperatorCall] = []
+        self.answer: (
+            Callable[[messages.OperatorCall], Awaitable[messages.Message]]
+            | None
+        ) = None
         self._first: dict[str, messages.Message] = {}
         self._server: link.LinkServer | None = None
 
@@ -51,6 +58,8 @@
         del peer
         assert isinstance(message, messages.OperatorCall)
         self.received.append(message)
+        if self.answer is not None:
+            return await self.answer(message)
         if message.operation_id not in self._first:
             self.carried_out.append(message)
             replies = self.replies[message.operation]
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import tempfile
+from typing import Any
 import unittest
 
 import aiohttp
@@ -11,6 +12,7 @@
 
 from bamboorouter.cli import application
 from bamboorouter.cli import exit_codes
+from bamboorouter.coordination import explanations
 from bamboorouter.protocol import messages
 from tests import operator_fakes
 
@@ -179,6 +181,28 @@
         self.assertIn("m/1: no accelerators left", text)
         self.assertIn("drained", text)
 
+    async def test_explanation_that_takes_long_is_waited_for(self) -> None:
+        done = asyncio.Event()
+
+        async def read(arguments: dict[str, Any]) -> dict[str, Any]:
+            await done.wait()
+            return {"found": True, "order": f"{arguments['subject']} first"}
+
+        reader = explanations.Explanations(read=read)
+
+        async def answer(call: messages.OperatorCall) -> messages.Message:
+            if len(self.leader.received) == 2:
+                done.set()
+            data = await reader.get(call.arguments)
+            return messages.OperatorReply(ok=True, data=data)
+
+        self.leader.answer = answer
+        code, text, _ = await self.run_tool("explain m/1 --before n/1")
+        self.assertEqual(code, exit_codes.DONE)
+        self.assertIn("m/1 first", text)
+        ids = {call.operation_id for call in self.leader.received}
+        self.assertEqual((len(self.leader.received), len(ids)), (2, 1))
+
     async def test_job_fields_reach_the_leader(self) -> None:
         self.leader.prepare("submit_job")
         code, _, _ = await self.run_tool(
