--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -130,7 +130,7 @@
             body = operator_http.ReplyBody(
                 ok=False, code=reply.code, text=reply.text
             )
-            return _reply(operator_http.STATUS_NOT_DONE, body)
+            return _reply(_refusal_status(reply.code), body)
         raise errors.ProtocolError(
             text=f"unexpected {type(reply).__name__}", step="operator call"
         )
@@ -155,6 +155,13 @@
     return application
 
 
+def _refusal_status(code: str) -> int:
+    """Returns whether sending the call again may help."""
+    if code == error_texts.NOT_READY:
+        return operator_http.STATUS_NOT_DONE
+    return operator_http.STATUS_REFUSED
+
+
 def _reply(status: int, body: operator_http.ReplyBody) -> web.Response:
     return web.Response(
         status=status,
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -100,6 +100,15 @@
         self.assertEqual(code, exit_codes.NOT_REACHED)
         self.assertIn("no lease", error)
 
+    async def test_leader_that_refuses_a_call_is_not_asked_again(self) -> None:
+        self.leader.replies["members"] = [
+            messages.Refusal(code="change_under_way", text="one at a time")
+        ]
+        code, _, error = await self.run_tool("members promote r1")
+        self.assertEqual(code, exit_codes.REFUSED)
+        self.assertIn("one at a time", error)
+        self.assertEqual(len(self.leader.received), 1)
+
     async def test_faulty_rows_are_printed_one_a_line(self) -> None:
         faults = [
             {"row": 3, "column": "urgency", "value": "x", "allowed": "0 to 9"},
