Add policies for size, interference, eviction and blame, and moves off drained workers

A replacement is created as a waiting instance even without room, because only a waiting task competes for room; the old instance runs until the new answers.

--- a/bamboorouter/coordination/assignment_planner.py
+++ b/bamboorouter/coordination/assignment_planner.py
@@ -8,11 +8,13 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 from typing import Final
 
 from bamboorouter import clock
+from bamboorouter.coordination import measurements
 from bamboorouter.coordination import worker_registry
 from bamboorouter.coordination.policies import placement
 from bamboorouter.coordination.policies import sizes
@@ -81,7 +83,10 @@
         order: Task-order policy.
         placement: Placement policy.
         sizes: Size estimates.
-        interference: Learned cost in thousandths by row and worker.
+        measurements: What was learned from late measurements.
+        failures: Failures on each worker since a task last finished there.
+        paused: Monotonic time in ms until which a worker that refused a start
+            gets nothing.
     """
 
     def __init__(
@@ -91,12 +96,15 @@
         order: task_order.TaskOrder,
         place: placement.Placement,
         size: sizes.Sizes,
+        measured: measurements.Measurements,
     ) -> None:
         self.registry = registry
         self.order = order
         self.placement = place
         self.sizes = size
-        self.interference: dict[str, dict[str, int]] = {}
+        self.measurements = measured
+        self.failures: collections.Counter[str] = collections.Counter()
+        self.paused: dict[str, int] = {}
 
     def plan(
         self, state: machine.Machine, now: clock.Millis, wall_ms: int
@@ -123,6 +131,8 @@
                 continue
             if worker.quarantined_until_ms > wall_ms:
                 continue
+            if self.paused.get(worker.name, 0) > now:
+                continue
             if not self.registry.takes_tasks(worker.name, now):
                 continue
             tasks = state.assignments.worker_tasks(worker.name)
@@ -143,10 +153,61 @@
                     batch_slots=len(tasks) - services,
                     service_slots=services,
                     probe_only=not proven,
+                    failures=self.failures[worker.name],
                 )
             )
         return found
 
+    def need(
+        self, row: common.SheetRow, state: machine.Machine
+    ) -> common.Resources:
+        """Returns what to reserve: the estimate, if any worker can hold it."""
+        need = self.sizes.need(row)
+        if state.workers.can_ever_run(need):
+            return need
+        return ledger.declared(row)
+
+    def request(
+        self,
+        row: common.SheetRow,
+        task: assignments.Task,
+        need: common.Resources,
+        state: machine.Machine,
+        planned: Iterable[str] = (),
+    ) -> placement.PlacementRequest:
+        """Returns the inputs of a placement decision.
+
+        Args:
+            row: Row of the task.
+            task: The task to place.
+            need: What it needs.
+            state: The replicated state.
+            planned: Workers of instances of the row planned in this pass.
+        """
+        zones: collections.Counter[str] = collections.Counter()
+        racks: collections.Counter[tuple[str, str]] = collections.Counter()
+        on_worker: collections.Counter[str] = collections.Counter()
+        if task.kind == "service":
+            instances = [
+                other.worker
+                for other in state.assignments.rows_tasks(row.name)
+                if other.live and not other.stopping and not other.replacement
+            ]
+            for name in (*instances, *planned):
+                worker = state.workers.by_name[name]
+                zones[worker.zone] += 1
+                racks[worker.zone, worker.rack] += 1
+                on_worker[name] += 1
+        return placement.PlacementRequest(
+            kind=task.kind,
+            need=need,
+            in_zone=zones,
+            in_rack=racks,
+            on_worker=on_worker,
+            avoid=frozenset(task.failed_on),
+            interference=self.measurements.costs(row, state),
+        )
+
     def _free(
         self,
         state: machine.Machine,
@@ -180,6 +241,7 @@
         self.candidates = result.candidates
         self.waiting = state.assignments.waiting()
         self.taken: collections.Counter[str] = collections.Counter()
+        self.planned: dict[str, list[str]] = {}
         self.passed_over: list[tuple[str, str]] = []
         self.hopeless: list[tuple[str, common.Resources]] = []
         self.total = ledger.total(
@@ -208,7 +270,7 @@
         if row is None or task is None:
             self.queue.drop()
             return
-        need = self.planner.sizes.need(row)
+        need = self.planner.need(row, self.state)
         chosen = self._choose(row, task, need)
         if chosen is None:
             self._leave(row, task, need)
@@ -247,48 +309,13 @@
         allowed: Sequence[placement.Candidate] = self.candidates
         if self.both_wait:
             allowed = [c for c in allowed if _within_share(c, task.kind)]
-        request = self._request(row, task, need)
+        planned = self.planned.get(row.name, ())
+        request = self.planner.request(row, task, need, self.state, planned)
         chosen = self.planner.placement.choose(request, allowed)
         if chosen is None:
             self.hopeless.append((task.kind, need))
         return chosen
 
-    def _request(
-        self,
-        row: common.SheetRow,
-        task: assignments.Task,
-        need: common.Resources,
-    ) -> placement.PlacementRequest:
-        zones: collections.Counter[str] = collections.Counter()
-        racks: collections.Counter[tuple[str, str]] = collections.Counter()
-        on_worker: collections.Counter[str] = collections.Counter()
-        avoid = set(task.failed_on)
-        if task.kind == "service":
-            names = [
-                other.worker
-                for other in self.state.assignments.rows_tasks(row.name)
-                if other.live and not other.stopping and not other.replacement
-            ]
-            names += [
-                command.worker
-                for command in self.result.assignments
-                if command.task.rpartition("/")[0] == row.name
-            ]
-            for name in names:
-                worker = self.state.workers.by_name[name]
-                zones[worker.zone] += 1
-                racks[worker.zone, worker.rack] += 1
-                on_worker[name] += 1
-        return placement.PlacementRequest(
-            kind=task.kind,
-            need=need,
-            in_zone=zones,
-            in_rack=racks,
-            on_worker=on_worker,
-            avoid=frozenset(avoid),
-            interference=self.planner.interference.get(row.name, {}),
-        )
-
     def _assign(
         self,
         task: assignments.Task,
@@ -315,6 +342,8 @@
         need: common.Resources,
     ) -> None:
         self.taken[task.row] += 1
+        if task.kind == "service":
+            self.planned.setdefault(task.row, []).append(chosen.worker)
         chosen.free = ledger.minus(chosen.free, need)
         if task.kind == "service":
             chosen.service_slots += 1
--- a/bamboorouter/coordination/heartbeats.py
+++ b/bamboorouter/coordination/heartbeats.py
@@ -11,6 +11,7 @@
 carried its start order is not held by the agent.
 """
 
+from collections.abc import Callable
 import dataclasses
 from typing import Final
 from typing import Literal
@@ -35,26 +36,27 @@
     """Which tasks are to be throttled.
 
     Attributes:
-        wanted: Epochs of throttled tasks.
+        wanted: Epochs of throttled tasks, with the monotonic time in ms since
+            which they are.
         resuming: Repetitions left of "resume" orders by epoch.
     """
 
-    wanted: set[int] = dataclasses.field(default_factory=set)
+    wanted: dict[int, int] = dataclasses.field(default_factory=dict)
     resuming: dict[int, int] = dataclasses.field(default_factory=dict)
 
-    def throttle(self, epoch: int) -> None:
+    def throttle(self, epoch: int, now: clock.Millis) -> None:
         """Begins to throttle a task."""
         self.resuming.pop(epoch, None)
-        self.wanted.add(epoch)
+        self.wanted[epoch] = now
 
     def resume(self, epoch: int) -> None:
         """Ends the throttling of a task."""
-        self.wanted.discard(epoch)
+        self.wanted.pop(epoch, None)
         self.resuming[epoch] = RESUME_REPEATS
 
     def drop(self, epoch: int) -> None:
         """Forgets a task that ended."""
-        self.wanted.discard(epoch)
+        self.wanted.pop(epoch, None)
         self.resuming.pop(epoch, None)
 
     def action(self, epoch: int) -> Action | None:
@@ -78,6 +80,8 @@
         registry: What agents last reported.
         leases: Leases of live assignments.
         throttles: Which tasks are to be throttled.
+        at_fault: Returns why a task that failed once more, on this worker, is
+            not to be repeated; empty if it is.
     """
 
     def __init__(
@@ -86,10 +90,12 @@
         registry: worker_registry.WorkerRegistry,
         lease_table: leases.LeaseTable,
         throttles: Throttles,
+        at_fault: Callable[[assignments.Task], str] = lambda task: "",
     ) -> None:
         self.registry = registry
         self.leases = lease_table
         self.throttles = throttles
+        self.at_fault = at_fault
 
     def read(
         self,
@@ -118,7 +124,7 @@
                 continue
             self._note(task, report, now)
             if report.state != "running":
-                found.append(ending(task, report))
+                found.append(self._ending(task, report))
         self.registry.reports[heartbeat.worker].strays = tuple(strays)
         if freshness == "new" and heartbeat.worker_ready:
             found.extend(self._missing(heartbeat, state))
@@ -179,6 +185,24 @@
             lease.checkpoint = report.checkpoint
             lease.checkpoint_at = now
 
+    def _ending(
+        self, task: assignments.Task, report: common.TaskState
+    ) -> commands.Command:
+        """Returns the command that records a reported end."""
+        if report.state in ("evicted", "stopped"):
+            if task.status == "evicting":
+                return commands.ConfirmEviction(
+                    task=task.task,
+                    epoch=task.epoch,
+                    checkpoint=report.checkpoint,
+                )
+            return _end(task, "stopped", report.checkpoint, report.detail)
+        if report.state == "failed" and task.kind == "batch":
+            reason = self.at_fault(task)
+            if reason:
+                return _end(task, "given_up", report.checkpoint, reason)
+        return _end(task, report.state, report.checkpoint, report.detail)
+
     def _missing(
         self, heartbeat: messages.Heartbeat, state: machine.Machine
     ) -> list[commands.Command]:
@@ -280,19 +304,6 @@
     return task if task.worker == worker else None
 
 
-def ending(
-    task: assignments.Task, report: common.TaskState
-) -> commands.Command:
-    """Returns the command that records a reported end."""
-    if report.state in ("evicted", "stopped"):
-        if task.status == "evicting":
-            return commands.ConfirmEviction(
-                task=task.task, epoch=task.epoch, checkpoint=report.checkpoint
-            )
-        return _end(task, "stopped", report.checkpoint, report.detail)
-    return _end(task, report.state, report.checkpoint, report.detail)
-
-
 def upstream_drained(state: machine.Machine, upstream: str) -> bool:
     """Whether an upstream, or the service task behind it, is drained."""
     drains = state.workers.drains
--- a/bamboorouter/coordination/policies/placement.py
+++ b/bamboorouter/coordination/policies/placement.py
@@ -15,6 +15,8 @@
 from bamboorouter.protocol import common
 from bamboorouter.state import ledger
 
+# A worker that fails this often in a row gets tasks only if no other has room.
+SUSPICIOUS_FAILURES: Final = 2
 # Batch tasks take the best of this many workers with room; looking at all 550
 # for each of 44 starts a second costs more than the better fit is worth.
 BATCH_CHOICES: Final = 16
@@ -33,6 +35,7 @@
         batch_slots: Slots that batch tasks hold.
         service_slots: Slots that services hold.
         probe_only: Whether it gets only one task, to prove itself.
+        failures: Failures on it since a task last finished.
     """
 
     worker: str
@@ -43,6 +46,7 @@
     batch_slots: int = 0
     service_slots: int = 0
     probe_only: bool = False
+    failures: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -133,7 +137,12 @@
 
 
 def _unwanted(request: PlacementRequest, candidate: Candidate) -> bool:
-    return candidate.worker in request.avoid or _wastes(request, candidate)
+    return (
+        candidate.worker in request.avoid
+        or candidate.failures >= SUSPICIOUS_FAILURES
+        or _wastes(request, candidate)
+        or request.interference.get(candidate.worker, 0) > 0
+    )
 
 
 def _wastes(request: PlacementRequest, candidate: Candidate) -> bool:
@@ -146,6 +155,7 @@
 ) -> tuple[object, ...]:
     return (
         candidate.worker in request.avoid,
+        candidate.failures >= SUSPICIOUS_FAILURES,
         request.in_zone.get(candidate.zone, 0),
         request.in_rack.get((candidate.zone, candidate.rack), 0),
         request.on_worker.get(candidate.worker, 0),
@@ -167,6 +177,7 @@
     )
     return (
         candidate.worker in request.avoid,
+        candidate.failures >= SUSPICIOUS_FAILURES,
         _wastes(request, candidate),
         request.interference.get(candidate.worker, 0),
         left,
--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduler.py
@@ -13,17 +13,21 @@
 import reactivex.abc
 
 from bamboorouter import clock
+from bamboorouter import error_texts
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter.coordination import assignment_planner
+from bamboorouter.coordination import faults
 from bamboorouter.coordination import heartbeats
 from bamboorouter.coordination import leases
+from bamboorouter.coordination import measurements
+from bamboorouter.coordination import moves
+from bamboorouter.coordination import pressure
 from bamboorouter.coordination import replicated_log
 from bamboorouter.coordination import worker_registry
-from bamboorouter.coordination.policies import placement
-from bamboorouter.coordination.policies import sizes
-from bamboorouter.coordination.policies import task_order
+from bamboorouter.coordination.policies import bundle
+from bamboorouter.coordination.policies import eviction
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import messages
 
@@ -34,6 +38,9 @@
 # so that its answer can carry their start orders.
 PASS_WAIT_MS: Final = 200
 MAX_SLEEP_MS: Final = 5000
+RELIEF_PERIOD_MS: Final = 1000
+# A worker that refused a start holds something the leader doesn't know.
+REFUSED_PAUSE_MS: Final = 2000
 # After an election, and when the first workers of a site appear, most workers
 # are heard within this time; assigning earlier would fill the first ones.
 SETTLE_MS: Final = 1200
@@ -51,6 +58,10 @@
         leases: Leases of live assignments.
         throttles: Which tasks are to be throttled.
         planner: Plans the assignments of a pass.
+        measurements: What late usage reports taught.
+        pressure: Decides which batch tasks give way.
+        moves: Moves tasks off drained workers.
+        faults: Finds jobs and workers at fault.
         desk: Reads heartbeats and builds the answers.
         waiting_reasons: Why rows wait, from the last pass.
         settle_ms: How long assignments wait for all workers to be heard.
@@ -64,10 +75,9 @@
         service_lease_ms: int,
         batch_lease_ms: int,
         settle_ms: int = SETTLE_MS,
-        order: task_order.TaskOrder | None = None,
-        place: placement.Placement | None = None,
-        size: sizes.Sizes | None = None,
+        policies: bundle.Policies | None = None,
     ) -> None:
+        policies = policies or bundle.product()
         self.log = log
         self.clock = time
         self.registry = worker_registry.WorkerRegistry()
@@ -75,21 +85,43 @@
             service_ms=service_lease_ms, batch_ms=batch_lease_ms
         )
         self.throttles = heartbeats.Throttles()
+        self.measurements = measurements.Measurements(
+            size=policies.sizes,
+            disturb=policies.interference,
+            throttles=self.throttles,
+        )
         self.planner = assignment_planner.AssignmentPlanner(
             registry=self.registry,
-            order=order or task_order.FairOrder(),
-            place=place or placement.SpreadPlacement(),
-            size=size or sizes.DeclaredSizes(),
+            order=policies.order,
+            place=policies.placement,
+            size=policies.sizes,
+            measured=self.measurements,
+        )
+        self.pressure = pressure.Pressure(
+            policy=policies.eviction,
+            measured=self.measurements,
+            lease_table=self.leases,
+            throttles=self.throttles,
+        )
+        self.moves = moves.Moves(
+            registry=self.registry, lease_table=self.leases
+        )
+        self.faults = faults.Faults(
+            policy=policies.blame,
+            planner=self.planner,
+            lease_table=self.leases,
         )
         self.desk = heartbeats.HeartbeatDesk(
             registry=self.registry,
             lease_table=self.leases,
             throttles=self.throttles,
+            at_fault=self.faults.at_fault,
         )
         self.waiting_reasons: dict[str, str] = {}
         self.settle_ms = settle_ms
         self._settled_at = 0
         self._expected: set[str] = set()
+        self._relieved = 0
         self._wake = asyncio.Event()
         self._pass_done = asyncio.Event()
         self._leads_term: int | None = None
@@ -129,6 +161,7 @@
                 leader_term=self.log.term(),
                 revision=state.config_revision,
             )
+        self._learn(message)
         if found:
             await self.propose(found)
             await self._pass()
@@ -140,6 +173,21 @@
             message, state, self.clock.now(), self.log.term()
         )
 
+    def _learn(self, message: messages.Heartbeat) -> None:
+        now = self.clock.now()
+        self.measurements.observe(
+            message, self.log.machine, now, self.clock.wall()
+        )
+        if any(
+            report.state == "stopped"
+            and report.detail == error_texts.NO_CAPACITY
+            for report in message.tasks
+        ):
+            self.planner.paused[message.worker] = now + REFUSED_PAUSE_MS
+        slow = self.measurements.slowdown(message.worker, now)
+        if slow >= eviction.SLOW and now - self._relieved >= RELIEF_PERIOD_MS:
+            self.wake()
+
     def _room_hint(self, worker: str) -> tuple[bool, int]:
         """Returns what decides about room on a worker beside assignments."""
         report = self.registry.reports.get(worker)
@@ -188,7 +236,13 @@
             )
             return
         match command:
+            case commands.RegisterWorker():
+                self.faults.registered_at = self.clock.now()
             case commands.EndTask() | commands.ConfirmEviction():
+                if isinstance(command, commands.EndTask):
+                    self.faults.observe(
+                        command, self.log.machine, self.clock.now()
+                    )
                 self.leases.drop(command.epoch)
                 self.throttles.drop(command.epoch)
                 events.log(
@@ -256,6 +310,11 @@
         self.throttles.wanted.clear()
         self.throttles.resuming.clear()
         self.waiting_reasons.clear()
+        self.measurements.reset()
+        self.pressure.reset()
+        self.planner.paused.clear()
+        self.planner.failures.clear()
+        self.faults.take_over(self.log.machine, now)
         self._track_all(granted=True)
         events.log(
             events.SCHEDULER_LEADS,
@@ -318,7 +377,12 @@
     def sleep_ms(self) -> int:
         """Returns the time until the next deadline."""
         limit = MAX_SLEEP_MS
-        if self.log.machine.assignments.pending or self.leases.ungranted:
+        if (
+            self.log.machine.assignments.pending
+            or self.leases.ungranted
+            or self.throttles.wanted
+            or self.moves.under_way
+        ):
             limit = WAITING_SLEEP_MS
         times = [limit]
         if not self._settled():
@@ -347,15 +411,32 @@
         await self.propose(self._expired())
         if not self._settled():
             return False
-        plan = self.planner.plan(
-            self.log.machine, self.clock.now(), self.clock.wall()
-        )
+        state = self.log.machine
+        now, wall_ms = self.clock.now(), self.clock.wall()
+        plan = self.planner.plan(state, now, wall_ms)
         await self.propose(plan.assignments)
         self.waiting_reasons = {
             item.row.name: item.reason for item in plan.unplaced
         }
         self._retry_at = plan.retry_at
-        return plan.more
+        found = [
+            *self.faults.decide(state, plan, now, wall_ms),
+            *self.pressure.make_room(plan, state, now, wall_ms),
+            *self._relief(now, wall_ms),
+        ]
+        if self.moves.due(state, wall_ms):
+            found.extend(self.moves.decide(state, wall_ms))
+        await self.propose(found)
+        replaced = any(isinstance(c, commands.ReplaceInstance) for c in found)
+        return plan.more or replaced
+
+    def _relief(
+        self, now: clock.Millis, wall_ms: int
+    ) -> list[commands.EvictTask]:
+        if now - self._relieved < RELIEF_PERIOD_MS:
+            return []
+        self._relieved = now
+        return self.pressure.relieve(self.log.machine, now, wall_ms)
 
     def _settled(self) -> bool:
         """Whether workers were given the time to be heard."""
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -26,6 +26,7 @@
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
+JOB_AT_FAULT: Final = "job_at_fault"
 STALE_ATTEMPT: Final = "stale_attempt"
 NO_SUCH_TASK: Final = "no_such_task"
 NO_SUCH_WORKER: Final = "no_such_worker"
@@ -76,6 +77,7 @@
         "without replica {replica!r} only {alive} of {voters} voters answer"
     ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+    JOB_AT_FAULT: "job {job!r} fails wherever it runs",
     STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
     NO_SUCH_TASK: "task {task!r} does not exist",
     NO_SUCH_WORKER: "worker {worker!r} is not known",
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -123,6 +123,8 @@
         service_lease_ms: Lease term of latency-critical tasks.
         batch_lease_ms: Lease term of batch tasks.
         snapshot_entries: Applied entries between two snapshots.
+        policies: Policies of the scheduler; "plain" is the baseline that
+            measurements compare with.
         retention_mb: Size in MB above which the oldest segments of the log,
             and with them the oldest part of the account, are removed.
     """
@@ -135,6 +137,7 @@
     service_lease_ms: Annotated[int, msgspec.Meta(ge=2000)] = 10_000
     batch_lease_ms: Annotated[int, msgspec.Meta(ge=2000)] = 600_000
     snapshot_entries: PositiveInt = 4096
+    policies: Literal["product", "plain"] = "product"
     retention_mb: PositiveInt = 16 * 1024
 
 
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -13,6 +13,7 @@
 from bamboorouter.coordination import leader_desk
 from bamboorouter.coordination import replica
 from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.policies import bundle
 from bamboorouter.protocol import messages
 from bamboorouter.roles import control_group
 from bamboorouter.state import machine
@@ -67,6 +68,7 @@
                 time=time,
                 service_lease_ms=settings.service_lease_ms,
                 batch_lease_ms=settings.batch_lease_ms,
+                policies=bundle.by_name(settings.policies),
             ),
             group=self._group,
             explain=self._group.explain,
--- a/bamboorouter/state/assignments.py
+++ b/bamboorouter/state/assignments.py
@@ -27,6 +27,9 @@
 ENDED: Final = ("finished", "failed", "cancelled")
 # The blame policy needs three different workers; a few more help people.
 MAX_FAILED_ON: Final = 8
+# A failure after so long a run says little about the next attempt, which is
+# then not delayed for earlier failures.
+LONG_RUN_MS: Final = 60_000
 
 
 class Task(msgspec.Struct, array_like=True, kw_only=True):
@@ -45,10 +48,11 @@
         assigned_from: Checkpoint that the current assignment consumed.
         assigned_ms: Wall time of the current assignment.
         ended_ms: Wall time of the end of the last assignment.
+        spec: Digest of what the row asked for at the last assignment.
         stopping: Why a live task is to end for good; empty if it is not.
         replacement: Instance that takes over from this one, if any.
         failed_on: Workers on which it failed, each once.
-        failures: Number of failures.
+        failures: Number of failures since the last long run.
         evictions: Number of evictions.
         detail: Reason of the last failure or end, for people.
     """
@@ -71,6 +75,7 @@
     evictions: int = 0
     detail: str = ""
     ended_ms: int = 0
+    spec: int = 0
 
     @property
     def live(self) -> bool:
@@ -158,6 +163,7 @@
         command: commands.Assign,
         capacity: common.Resources,
         now_ms: int,
+        spec: int = 0,
     ) -> commands.Result:
         """Assigns a waiting task, consuming its checkpoint.
 
@@ -165,6 +171,7 @@
             command: The assignment.
             capacity: Capacity of the worker.
             now_ms: Wall time of the batch.
+            spec: Digest of what the row asks for.
         """
         task = self.tasks.get(command.task)
         if task is None:
@@ -188,6 +195,7 @@
         task.assigned_from = task.resume_from
         task.resume_from = ""
         task.assigned_ms = now_ms
+        task.spec = spec
         self._no_longer_pending(task)
         self.used[command.worker] = used
         self._count_row(task.row, command.need)
@@ -228,8 +236,12 @@
         task.stopping = ""
         self._no_longer_pending(task)
 
-    def note_failure(self, task: Task, worker: str, detail: str) -> None:
+    def note_failure(
+        self, task: Task, worker: str, detail: str, now_ms: int
+    ) -> None:
         """Counts a failure on a worker."""
+        if now_ms - task.assigned_ms >= LONG_RUN_MS:
+            task.failures = 0
         task.failures += 1
         task.detail = detail
         if worker not in task.failed_on:
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -317,7 +317,9 @@
         if refusal is not None:
             return refusal
         capacity = self.workers.by_name[command.worker].capacity
-        return self.assignments.assign(command, capacity, self.now_ms)
+        row = self.plan.row(command.task.rpartition("/")[0])
+        spec = plan.spec_of(row) if row is not None else 0
+        return self.assignments.assign(command, capacity, self.now_ms, spec)
 
     def _end_task(self, command: commands.EndTask) -> commands.Result:
         task = self.assignments.current(command.task, command.epoch)
@@ -325,7 +327,9 @@
             return task
         worker = task.worker
         if command.outcome in ("failed", "given_up"):
-            self.assignments.note_failure(task, worker, command.detail)
+            self.assignments.note_failure(
+                task, worker, command.detail, self.now_ms
+            )
         if command.outcome == "finished":
             self.workers.note_success(worker)
         self._release(task, command.checkpoint)
--- a/bamboorouter/state/plan.py
+++ b/bamboorouter/state/plan.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import Final
 from typing import Literal
+import zlib
 
 import msgspec
 
@@ -171,5 +172,11 @@
         }
 
 
+def spec_of(row: common.SheetRow) -> int:
+    """Returns a digest of what a running task can't change any more."""
+    parts = (row.millicores, row.memory_mb, row.accelerators, row.command)
+    return zlib.crc32(repr(parts).encode())
+
+
 def _plain(value: Any) -> Any:
     return msgspec.to_builtins(value, builtin_types=(bytes,))
