Require proof that a heartbeat is recent before a task counts as lost

Ruled out: lease expiry and the election's renewal, both kept their times. Now another run replaces the known one only after a second heartbeat on the same link, which an agent sends only after the answer to the first.

--- a/bamboorouter/coordination/heartbeats.py
+++ b/bamboorouter/coordination/heartbeats.py
@@ -6,7 +6,7 @@
 tasks without a current assignment. An end that is recorded, or that concerns
 an old epoch, is acknowledged by "forget".
 
-An agent handles one heartbeat at a time and drops replies to older ones. So an
+An agent handles one heartbeat at a time and drops answers to older ones. So an
 assignment that is missing from a heartbeat newer than the one whose answer
 carried its start order is not held by the agent.
 """
@@ -102,14 +102,21 @@
         heartbeat: messages.Heartbeat,
         state: machine.Machine,
         now: clock.Millis,
+        source: object,
     ) -> list[commands.Command] | None:
         """Takes over a heartbeat.
 
+        Args:
+            heartbeat: The heartbeat.
+            state: The replicated state.
+            now: Monotonic time in ms.
+            source: Link on which it arrived.
+
         Returns:
             What is to be committed before the answer; None if the heartbeat
             is outdated and gets an empty answer.
         """
-        freshness = self.registry.accept(heartbeat, now)
+        freshness = self.registry.accept(heartbeat, now, source)
         if freshness == "stale":
             return None
         found: list[commands.Command] = []
@@ -216,12 +223,26 @@
             checkpoint = lease.checkpoint if lease is not None else ""
             if lease is not None and lease.reported:
                 found.append(_end(task, "lost", checkpoint, "lost by worker"))
-            elif _unwanted(task, heartbeat) and not _in_flight(
+            elif _unwanted(task, heartbeat) and self._not_held(
                 lease, heartbeat
             ):
                 found.append(_end(task, "stopped", checkpoint, "not started"))
         return found
 
+    def _not_held(
+        self, lease: leases.Lease | None, heartbeat: messages.Heartbeat
+    ) -> bool:
+        """Whether no start order for a missing task can have been accepted.
+
+        A former leader, or an answer to a former run of the agent, may have
+        ordered the start; then the heartbeat must be proven to be recent.
+        """
+        if lease is not None and lease.granted_in is not None:
+            incarnation, sequence = lease.granted_in
+            if incarnation == heartbeat.incarnation:
+                return sequence < heartbeat.sequence
+        return self.registry.reports[heartbeat.worker].proven
+
     def _action(
         self, task: assignments.Task | None, report: common.TaskState
     ) -> Action | None:
@@ -327,17 +348,6 @@
     return bool(task.stopping or task.status == "evicting" or heartbeat.leaving)
 
 
-def _in_flight(
-    lease: leases.Lease | None, heartbeat: messages.Heartbeat
-) -> bool:
-    """Whether a start order may still arrive at the agent."""
-    if lease is None or lease.granted_in is None:
-        return False
-    incarnation, sequence = lease.granted_in
-    same_run = incarnation == heartbeat.incarnation
-    return same_run and sequence >= heartbeat.sequence
-
-
 def _changed_worker(
     heartbeat: messages.Heartbeat, state: machine.Machine
 ) -> bool:
--- a/bamboorouter/coordination/leader_desk.py
+++ b/bamboorouter/coordination/leader_desk.py
@@ -117,7 +117,7 @@
     ) -> messages.Message | None:
         match message:
             case messages.Heartbeat():
-                return await self._heartbeat(message)
+                return await self._heartbeat(message, source)
             case messages.EntryPoll():
                 self._links[message.entry] = source
                 return self.routes.poll(
@@ -137,8 +137,10 @@
             peer=source.peer,
         )
 
-    async def _heartbeat(self, message: messages.Heartbeat) -> messages.Message:
-        reply = await self.scheduler.heartbeat(message)
+    async def _heartbeat(
+        self, message: messages.Heartbeat, source: link.Link
+    ) -> messages.Message:
+        reply = await self.scheduler.heartbeat(message, source)
         if reply is None:
             return self.redirect()
         if self.routes.refresh(message.worker, self.log.machine):
--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduler.py
@@ -147,14 +147,22 @@
         self._wake.set()
 
     async def heartbeat(
-        self, message: messages.Heartbeat
+        self, message: messages.Heartbeat, source: object
     ) -> messages.HeartbeatReply | None:
-        """Answers an agent; None if this replica may not decide now."""
+        """Answers an agent.
+
+        Args:
+            message: The heartbeat.
+            source: Link on which it arrived.
+
+        Returns:
+            The answer; None if this replica may not decide now.
+        """
         state = self.log.machine
         if not state.workers.by_name:
             self._settled_at = self.clock.now() + self.settle_ms
         before = self._room_hint(message.worker)
-        found = self.desk.read(message, state, self.clock.now())
+        found = self.desk.read(message, state, self.clock.now(), source)
         if found is None:
             return messages.HeartbeatReply(
                 sequence=message.sequence,
--- a/bamboorouter/coordination/worker_registry.py
+++ b/bamboorouter/coordination/worker_registry.py
@@ -3,6 +3,11 @@
 It is rebuilt from heartbeats after each election. Heartbeats that are older
 than one already seen are recognised by sequence, and those of a former run of
 an agent by its incarnation.
+
+A heartbeat may arrive late, even after its agent was restarted. An agent sends
+a second heartbeat on a link only after the answer to the first (it closes the
+link otherwise), so the second one was composed after that answer: it is proven
+to be recent. Another incarnation replaces the known one only with such a proof.
 """
 
 import collections
@@ -33,6 +38,10 @@
         tasks: Reported tasks by ID.
         strays: Running tasks without a current assignment on the worker.
         former: Incarnations of former runs.
+        source: Link on which the heartbeat arrived.
+        proven: Whether a heartbeat of this run is proven to be recent.
+        rival: Incarnation and link of a heartbeat of another run, which is
+            either the next run or a former one.
     """
 
     heartbeat: messages.Heartbeat
@@ -43,6 +52,9 @@
     former: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=FORMER_INCARNATIONS)
     )
+    source: object = None
+    proven: bool = False
+    rival: tuple[int, object] | None = None
 
     def alive(self, now: int) -> bool:
         """Whether the worker was heard lately."""
@@ -64,10 +76,18 @@
         self.reports.clear()
 
     def accept(
-        self, heartbeat: messages.Heartbeat, now: clock.Millis
+        self,
+        heartbeat: messages.Heartbeat,
+        now: clock.Millis,
+        source: object,
     ) -> Freshness:
         """Takes over a heartbeat unless a newer one was seen.
 
+        Args:
+            heartbeat: The heartbeat.
+            now: Monotonic time in ms.
+            source: Link on which it arrived.
+
         Returns:
             "new"; "repeated" if the same heartbeat was seen before, so that
             its content may be outdated; or "stale" if it must be ignored.
@@ -76,20 +96,19 @@
         if report is None:
             report = WorkerReport(heartbeat=heartbeat, heard=now)
             self.reports[heartbeat.worker] = report
-        else:
-            last = report.heartbeat
-            if heartbeat.incarnation in report.former:
-                return "stale"
-            if heartbeat.incarnation != last.incarnation:
-                report.former.append(last.incarnation)
-            elif heartbeat.sequence < last.sequence:
+        elif heartbeat.incarnation != report.heartbeat.incarnation:
+            if not _replaces(report, heartbeat, source):
                 return "stale"
-            elif heartbeat.sequence == last.sequence:
-                return "repeated"
-            else:
-                _adapt_silence(report, now)
+        elif heartbeat.sequence < report.heartbeat.sequence:
+            return "stale"
+        elif heartbeat.sequence == report.heartbeat.sequence:
+            return "repeated"
+        else:
+            report.proven = report.proven or source is report.source
+            _adapt_silence(report, now)
         report.heartbeat = heartbeat
         report.heard = now
+        report.source = source
         report.tasks = {state.task: state for state in heartbeat.tasks}
         return "new"
 
@@ -117,6 +136,22 @@
         }
 
 
+def _replaces(
+    report: WorkerReport, heartbeat: messages.Heartbeat, source: object
+) -> bool:
+    """Whether another run of the agent is proven to be the present one."""
+    if heartbeat.incarnation in report.former:
+        return False
+    rival = (heartbeat.incarnation, source)
+    if report.rival != rival:
+        report.rival = rival
+        return False
+    report.former.append(report.heartbeat.incarnation)
+    report.rival = None
+    report.proven = True
+    return True
+
+
 def _adapt_silence(report: WorkerReport, now: clock.Millis) -> None:
     """Follows agents whose heartbeat period is longer than the default."""
     period_ms = min(now - report.heard, SILENT_MS * 2)
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -126,6 +126,7 @@
         orders: All orders received.
         fields: Fields of the next heartbeats.
         next_checkpoint: Checkpoint that an eviction takes.
+        link: Stands for the open link; replaced when an answer is lost.
     """
 
     def __init__(
@@ -141,6 +142,7 @@
         self.tasks: dict[str, HeldTask] = {}
         self.orders: list[messages.TaskOrder] = []
         self.next_checkpoint = "c1"
+        self.link = object()
         self.fields: dict[str, Any] = {
             "incarnation": 1,
             "capacity": make.capacity(processors),
@@ -178,9 +180,11 @@
         """Sends a heartbeat and carries out the answer."""
         self.expire()
         sent = self._leader.clock.now()
-        reply = await self._leader.heartbeat(self.message())
+        reply = await self._leader.heartbeat(self.message(), self.link)
         assert reply is not None
-        if not lose_reply:
+        if lose_reply:
+            self.link = object()
+        else:
             self.carry_out(reply, sent)
         return reply
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -247,22 +247,25 @@
     ) -> None:
         agent, _ = await self.start_service()
         self.log.valid = False
-        self.assertIsNone(await self.leader.heartbeat(agent.message()))
+        self.assertIsNone(
+            await self.leader.heartbeat(agent.message(), agent.link)
+        )
 
     async def test_old_and_repeated_heartbeats_grant_and_end_nothing(
         self,
     ) -> None:
         self.log.apply(make.sheet(1, make.service("web")))
         agent = self.agent("w1")
-        early = agent.message()
+        early, link = agent.message(), agent.link
         await agent.beat()
         await agent.beat()
-        reply = await self.leader.heartbeat(early)
+        reply = await self.leader.heartbeat(early, link)
         assert reply is not None
         self.assertEqual((reply.renewals, reply.starts), ((), ()))
-        agent.fields["incarnation"] = 2
+        agent.fields["incarnation"], agent.link = 2, object()
+        await agent.beat()
         await agent.beat()
-        reply = await self.leader.heartbeat(early)
+        reply = await self.leader.heartbeat(early, link)
         assert reply is not None
         self.assertEqual((reply.renewals, reply.starts), ((), ()))
         self.assertEqual(self.status("web/0"), "assigned")
@@ -300,6 +303,47 @@
         self.assertEqual(running, ["web/0"])
 
 
+class LateHeartbeatTest(SchedulerCase):
+    """Heartbeats of a former run that arrive late prove nothing (P2)."""
+
+    async def test_new_leader_ends_nothing_by_a_late_heartbeat(self) -> None:
+        agent = self.agent("w1")
+        former, former_link = agent.message(), agent.link
+        agent.fields["incarnation"], agent.link = 2, object()
+        self.log.apply(make.sheet(1, make.row("job", count=2)))
+        await agent.beat()
+        await agent.beat()
+        evicted = agent.tasks["job/1"]
+        self.log.apply(
+            commands.EvictTask(task="job/1", epoch=evicted.epoch, reason="r")
+        )
+        self.log.elect_again()
+        # It shows neither task, but was sent before they were started.
+        await self.leader.heartbeat(former, former_link)
+        await agent.beat()
+        await self.leader.heartbeat(former, former_link)
+        ends = self.log.outcomes("job/0") + self.log.outcomes("job/1")
+        self.assertEqual(ends, [])
+        await agent.beat()
+        await agent.beat()
+        self.assertEqual(self.log.outcomes("job/0"), [])
+        self.assertIn("job/0", agent.running())
+
+    async def test_restarted_agent_is_believed_after_its_first_answer(
+        self,
+    ) -> None:
+        agent = self.agent("w1")
+        self.log.apply(make.sheet(1, make.service("web")))
+        await agent.beat()
+        await agent.beat()
+        agent.fields["incarnation"], agent.link = 2, object()
+        agent.tasks.clear()
+        await agent.beat()
+        self.assertEqual(self.log.outcomes("web/0"), [])
+        await agent.beat()
+        self.assertEqual(self.log.outcomes("web/0"), ["lost"])
+
+
 class EndingTest(SchedulerCase):
     """Ends are recorded once and acknowledged; evicted work resumes."""
 
