Test failing agents, VMs, leaders and replicas with real processes

The fault proxy asks the kernel by sock_diag who dialled a connection: reading /proc/net/tcp took 50 ms for each connection on a machine with 13,000 closed ones, which stalled all links.

--- a/devtools/proxy.py
+++ b/devtools/proxy.py
@@ -11,7 +11,6 @@
 import contextlib
 import dataclasses
 import os
-import pathlib
 import socket
 import struct
 from typing import Final
@@ -21,6 +20,11 @@
 CONNECT_TIMEOUT_S: Final = 2.0
 # Linger of zero makes close() send a reset.
 _RESET: Final = struct.pack("ii", 1, 0)
+_NETLINK_SOCK_DIAG: Final = 4
+_SOCK_DIAG_BY_FAMILY: Final = 20
+_NETLINK_HEADER: Final = struct.Struct("=IHHII")
+# Position of idiag_inode behind the netlink header in struct inet_diag_msg.
+_INODE_OFFSET: Final = _NETLINK_HEADER.size + 68
 
 Direction = Literal["to_target", "from_target"]
 
@@ -74,12 +78,12 @@
     """
 
     def __init__(
-        self, *, dialer_of: Callable[[int], str] | None = None
+        self, *, dialer_of: Callable[[tuple[int, int]], str] | None = None
     ) -> None:
         self.target = ""
         self.address = ""
         self.connections: set[Connection] = set()
-        self._dialer_of = dialer_of or (lambda port: "")
+        self._dialer_of = dialer_of or (lambda link: "")
         self._gates: dict[tuple[str, Direction], Gate] = {}
         self._cut_all: set[Direction] = set()
         self._server: asyncio.Server | None = None
@@ -136,9 +140,12 @@
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        port = writer.get_extra_info("peername")[1]
+        link = (
+            writer.get_extra_info("peername")[1],
+            writer.get_extra_info("sockname")[1],
+        )
         connection = Connection(
-            dialer=self._dialer_of(port), inner=(reader, writer)
+            dialer=self._dialer_of(link), inner=(reader, writer)
         )
         self.connections.add(connection)
         task = asyncio.create_task(self._serve(connection))
@@ -223,17 +230,17 @@
     writer.transport.abort()
 
 
-def owner_of_port(port: int, processes: dict[str, int]) -> str:
-    """Returns which of our processes holds a local TCP port on 127.0.0.1.
+def owner_of(link: tuple[int, int], processes: dict[str, int]) -> str:
+    """Returns which of our processes dialled a connection on 127.0.0.1.
 
     Args:
-        port: Local port of an open connection.
+        link: Ports of the dialler and of the listener.
         processes: Process IDs by name.
+
+    Returns:
+        The name; empty if none of the processes holds the connection.
     """
-    inode = _inode_of_port(port)
-    if inode is None:
-        return ""
-    wanted = f"socket:[{inode}]"
+    wanted = f"socket:[{_inode_of(link)}]"
     for name, pid in processes.items():
         folder = f"/proc/{pid}/fd"
         with contextlib.suppress(OSError):
@@ -244,11 +251,31 @@
     return ""
 
 
-def _inode_of_port(port: int) -> str | None:
-    wanted = f":{port:04X}"
-    lines = pathlib.Path("/proc/net/tcp").read_text(encoding="ascii")
-    for line in lines.splitlines()[1:]:
-        fields = line.split()
-        if fields[1].endswith(wanted) and fields[9] != "0":
-            return fields[9]
-    return None
+def _inode_of(link: tuple[int, int]) -> int:
+    """Asks the kernel for the inode of the dialler's socket; 0 if unknown.
+
+    The request is one of sock_diag(7). Reading /proc/net/tcp instead takes
+    tens of milliseconds once the machine holds many closed connections.
+    """
+    loopback = socket.inet_aton("127.0.0.1").ljust(16, b"\0")
+    request = (
+        struct.pack(
+            "=BBBBI", socket.AF_INET, socket.IPPROTO_TCP, 0, 0, 0xFFFFFFFF
+        )
+        + struct.pack("!HH", *link)
+        + loopback
+        + loopback
+        + struct.pack("=III", 0, 0xFFFFFFFF, 0xFFFFFFFF)
+    )
+    length = _NETLINK_HEADER.size + len(request)
+    header = _NETLINK_HEADER.pack(length, _SOCK_DIAG_BY_FAMILY, 1, 1, 0)
+    with socket.socket(
+        socket.AF_NETLINK, socket.SOCK_RAW, _NETLINK_SOCK_DIAG
+    ) as diag:
+        diag.settimeout(CONNECT_TIMEOUT_S)
+        diag.send(header + request)
+        answer = diag.recv(4096)
+    if len(answer) < _INODE_OFFSET + 4:
+        return 0
+    inode: int = struct.unpack_from("=I", answer, _INODE_OFFSET)[0]
+    return inode
--- a/devtools/site.py
+++ b/devtools/site.py
@@ -82,12 +82,16 @@
 
 
 def _workers(
-    count: int, processors: int, memory_mb: int
+    count: int,
+    processors: int,
+    memory_mb: int,
+    *,
+    per_rack: int = WORKERS_PER_RACK,
 ) -> tuple[VmShape, ...]:
     return tuple(
         VmShape(
-            zone=ZONES[number // WORKERS_PER_RACK % len(ZONES)],
-            rack=f"rack-{number // WORKERS_PER_RACK + 1}",
+            zone=ZONES[number // per_rack % len(ZONES)],
+            rack=f"rack-{number // per_rack + 1}",
             processors=processors,
             memory_mb=memory_mb,
         )
@@ -104,7 +108,7 @@
 ) -> SiteShape:
     """Returns a shape with short periods and leases for tests."""
     return SiteShape(
-        vms=_workers(vms, 4, 8_000),
+        vms=_workers(vms, 4, 8_000, per_rack=1),
         controls=controls,
         entries=entries,
         heartbeat_ms=200,
@@ -295,6 +299,11 @@
         self._joins.add(name)
         self._make_control(name)
 
+    def replica_id(self, name: str) -> str:
+        """Returns the identity in the data folder of a control replica."""
+        path = self.processes[name].folder / "data" / "identity"
+        return path.read_text(encoding="ascii")
+
     def cut(self, name: str, direction: Cut = "both") -> None:
         """Silently cuts a process off from all other daemons.
 
@@ -433,13 +442,13 @@
             raise SiteError(f"{name} doesn't run\n{self.tail(name)}")
         return managed.process
 
-    def _dialer_of(self, port: int) -> str:
+    def _dialer_of(self, link: tuple[int, int]) -> str:
         pids = {
             name: managed.process.pid
             for name, managed in self.processes.items()
             if managed.process is not None and managed.running
         }
-        return proxy.owner_of_port(port, pids)
+        return proxy.owner_of(link, pids)
 
     async def _prepare_controls(self) -> None:
         """Fixes the addresses of the replicas before any of them starts."""
--- a/tests/site_case.py
+++ b/tests/site_case.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import time
+from typing import Any
 import unittest
 import uuid
 
@@ -57,7 +58,7 @@
     async def call(
         self, operation: str, **arguments: object
     ) -> messages.OperatorReply:
-        """Sends one call until it is answered.
+        """Sends one call until it is answered; a refusal has `ok` unset.
 
         Raises:
             RequestTimeoutError: No leader answered.
@@ -69,6 +70,10 @@
             arguments=arguments,
         )
         reply = await self._client.call(message, timeout_ms=CALL_TIMEOUT_MS)
+        if isinstance(reply, messages.Refusal):
+            return messages.OperatorReply(
+                ok=False, code=reply.code, text=reply.text
+            )
         assert isinstance(reply, messages.OperatorReply), reply
         return reply
 
@@ -83,6 +88,11 @@
         reply = await self.call("status")
         return operator_http.read_status(reply.data)
 
+    async def members(self) -> list[dict[str, Any]]:
+        """Returns the control replicas."""
+        reply = await self.call("members", action="list")
+        return list(reply.data["members"])
+
     async def leader(self) -> str:
         """Returns the name of the leader's process."""
         address = (await self.status()).leader
@@ -100,6 +110,8 @@
         outside_control: tuple[str, ...] = (),
     ) -> site.Site:
         """Starts a site that ends with the test."""
+        # The proxies share this loop; its debug mode doubles their load.
+        asyncio.get_running_loop().set_debug(False)
         running = site.Site(shape=shape, outside_control=outside_control)
         self.addAsyncCleanup(running.close)
         self.addCleanup(self._print_logs, running)
--- a/tests/test_faults_control.py
+++ b/tests/test_faults_control.py
@@ -16,6 +16,7 @@
 IN_FORCE_S = 13.0
 START_S = 10.0
 ISOLATED_S = 8.0
+SAMPLE_S = 0.25
 CHANGES = 300
 CHANGES_AT_ONCE = 20
 
@@ -55,7 +56,7 @@
         """Samples until cancelled."""
         while True:
             await self.sample()
-            await asyncio.sleep(site_case.POLL_S)
+            await asyncio.sleep(SAMPLE_S)
 
 
 class ControlFaultsTest(site_case.SiteTestCase):
@@ -79,16 +80,18 @@
         )
 
     async def wait_in_force(self, revision: int) -> None:
-        """Waits until every running daemon applies the revision."""
+        """Waits until all replicas, agents and entries apply the revision."""
         async with asyncio.timeout(IN_FORCE_S):
             while True:
                 found = await self.watch.sample()
+                status = await self.operator.status()
                 daemons = [
                     name
                     for name, managed in self.site.processes.items()
-                    if managed.running and "health" in managed.addresses
+                    if managed.running and name.startswith(("agent", "entry"))
                 ]
-                if all(found.get(name, 0) >= revision for name in daemons):
+                behind = [n for n in daemons if found.get(n, 0) < revision]
+                if not behind and status.in_force(revision):
                     break
                 await asyncio.sleep(site_case.POLL_S)
         self.assertEqual(self.watch.reverts, [])
@@ -134,12 +137,12 @@
 
     async def test_second_replica_lost_right_after_a_repair(self) -> None:
         await self.wait_in_force(await self.submit(1, 1))
-        names = list(self.site.control_addresses)
-        lost, next_lost = names[0], names[1]
+        lost = await self.operator.leader()
         await self.site.kill(lost)
         self.site.lose_folder(lost)
         await self.site.restart(lost)
         await self.replace(lost)
+        next_lost = await self.operator.leader()
         await self.site.kill(next_lost)
         revision = await self.submit(2, 2)
         await self.site.restart(next_lost)
@@ -149,6 +152,28 @@
 
     async def replace(self, name: str) -> None:
         """Puts a replica with a new identity in the place of its old one."""
+        address = self.site.control_addresses[name]
+        members = await self.operator.members()
+        old = next(m["replica"] for m in members if m["address"] == address)
+        new = self.site.replica_id(name)
+        self.assertNotEqual(old, new)
+        for action, replica in (
+            ("add_learner", new),
+            ("promote", new),
+            ("remove", old),
+        ):
+            await self.change(action, replica, address)
+
+    async def change(self, action: str, replica: str, address: str) -> None:
+        """Repeats a change of members until it is accepted."""
+        async with asyncio.timeout(IN_FORCE_S):
+            while True:
+                reply = await self.operator.call(
+                    "members", action=action, replica=replica, address=address
+                )
+                if reply.ok:
+                    return
+                await asyncio.sleep(site_case.POLL_S)
 
     async def test_restart_after_hundreds_of_changes(self) -> None:
         await self.submit(1, 2)
@@ -158,10 +183,11 @@
             replies = await asyncio.gather(
                 *(
                     self.operator.call(
-                        "drain", target=f"upstream-{number % 50}", on=on
+                        "drain",
+                        target=f"upstream-{number // 2}",
+                        on=number % 2 == 0,
                     )
                     for number in range(first, first + CHANGES_AT_ONCE)
-                    for on in (True,)
                 )
             )
             revision = max(int(r.data["config_revision"]) for r in replies)
--- a/tests/test_faults_tasks.py
+++ b/tests/test_faults_tasks.py
@@ -135,6 +135,17 @@
         batch = [r for r in self.site.runs() if r.task.startswith("match")]
         self.assertEqual(len(batch), JOBS)
 
+    async def test_paused_leader_decides_nothing_when_it_continues(
+        self,
+    ) -> None:
+        leader = await self.operator.leader()
+        await self.submit("run 3s")
+        await self.wait_for(self.running, "a task runs", within_s=START_S)
+        self.site.freeze(leader)
+        await asyncio.sleep(SERVICE_LEASE_S + 1)
+        self.site.thaw(leader)
+        await self.wait_all_finished()
+
     async def test_two_failures_at_once(self) -> None:
         """Each seeded round breaks two parts and repairs them."""
         chance = random.Random(SEED)
