--- a/bamboorouter/coordination/agent_links.py
+++ b/bamboorouter/coordination/agent_links.py
@@ -162,7 +162,7 @@
             await opened.close()
             raise
         if isinstance(welcome, messages.AgentWelcome):
-            self.table.mark_leaving(welcome.leaving)
+            self.table.mark_leaving(opened.peer, welcome.leaving)
 
     def _pause(self, address: str, peer: _Peer) -> None:
         peer.pause_ms = min(
@@ -177,9 +177,8 @@
     async def _handle(
         self, message: messages.Message, peer: link.Link
     ) -> messages.Message | None:
-        del peer
         if isinstance(message, messages.Leaving):
-            self.table.mark_leaving(message.upstreams)
+            self.table.mark_leaving(peer.peer, message.upstreams)
         return None
 
     async def _check_links(self) -> None:
--- a/bamboorouter/coordination/request_dispatch.py
+++ b/bamboorouter/coordination/request_dispatch.py
@@ -26,8 +26,14 @@
 
 RESERVATION_PAUSE_MS: Final = 100
 UPSTREAM_FAULT_STATUS: Final = 500
+# A missed deadline that the caller set shorter than this says nothing about
+# the upstream.
+SHORT_DEADLINE_MS: Final = 500
 NO_CONTACT_AGE_MS: Final = 1 << 31
 
+MAX_ATTEMPTS: Final = 4
+
+_FREE_REFUSALS: Final = (error_texts.DRAINING, error_texts.NO_UPSTREAM)
 _FINAL_REFUSALS: Final = (error_texts.DEADLINE,)
 
 
@@ -132,7 +138,7 @@
                 tried=tried,
                 now_ms=self.clock.now(),
             )
-            if load is None or (tried and not self.budget.take()):
+            if load is None or not self._may_try(tried, may_have_run, refusal):
                 break
             answer = await self._attempt(request, load)
             if answer.outcome == "completed":
@@ -153,6 +159,24 @@
             return caller_requests.error_reply("not_run", error_texts.DEADLINE)
         return _no_upstream(request)
 
+    def _may_try(
+        self,
+        tried: frozenset[str],
+        may_have_run: messages.Answer | None,
+        refusal: messages.Answer | None,
+    ) -> bool:
+        """Whether one more attempt is allowed.
+
+        A refusal by a leaving or unreachable upstream costs no work and isn't
+        repeated, so it needs no budget; refusals under load do.
+        """
+        if not tried:
+            return True
+        if len(tried) >= MAX_ATTEMPTS:
+            return False
+        free = refusal is not None and refusal.code in _FREE_REFUSALS
+        return (free and may_have_run is None) or self.budget.take()
+
     async def _attempt(
         self,
         request: caller_requests.CallerRequest,
@@ -167,18 +191,29 @@
         finally:
             load.outstanding -= 1
             load.agent.outstanding -= 1
-        now = self.clock.now()
+        elapsed = (self._loop.time() - started) * clock.MS_PER_SECOND
         if answer.outcome == "not_run":
             if answer.code == error_texts.DRAINING:
-                self.table.mark_leaving((load.upstream,))
-            return answer
+                load.refused_until_ms = (
+                    self.clock.now() + route_table.LEAVING_HOLD_MS
+                )
+        elif self._left(request) > 0 or elapsed > SHORT_DEADLINE_MS:
+            self._learn(load, answer, elapsed)
+        return answer
+
+    def _learn(
+        self,
+        load: routing.UpstreamLoad,
+        answer: messages.Answer,
+        elapsed_ms: float,
+    ) -> None:
+        now = self.clock.now()
         load.reported = answer.in_progress
         if (
             answer.outcome == "completed"
             and answer.status < UPSTREAM_FAULT_STATUS
         ):
-            elapsed = (self._loop.time() - started) * clock.MS_PER_SECOND
-            self.policy.succeeded(load, elapsed_ms=elapsed, now_ms=now)
+            self.policy.succeeded(load, elapsed_ms=elapsed_ms, now_ms=now)
         elif self.policy.failed(load, now_ms=now):
             events.log(
                 events.UPSTREAM_EJECTED,
@@ -186,7 +221,6 @@
                 failures=load.failures,
                 last=answer.text or answer.status,
             )
-        return answer
 
     async def _exchange(
         self,
--- a/bamboorouter/coordination/route_table.py
+++ b/bamboorouter/coordination/route_table.py
@@ -18,8 +18,9 @@
 from bamboorouter.protocol import messages
 
 # An agent's word that an upstream leaves is newer than the leader's table for
-# at most a heartbeat and a poll; after that the leader knows it as well.
-LEAVING_HOLD_MS: Final = 5_000
+# about a heartbeat and a poll. If it is still so after that, one more refusal
+# by the agent renews it.
+LEAVING_HOLD_MS: Final = 1_500
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -91,13 +92,20 @@
         """Returns the load of the agent at an address."""
         return self._agents.get(address)
 
-    def mark_leaving(self, upstreams: Iterable[str]) -> None:
-        """Keeps new work from upstreams that their agent reports as leaving."""
+    def mark_leaving(self, agent: str, upstreams: Iterable[str]) -> None:
+        """Takes over which upstreams of an agent take no new work.
+
+        Args:
+            agent: Address of the agent.
+            upstreams: IDs of all its upstreams that are leaving.
+        """
+        leaving = set(upstreams)
         until = self.clock.now() + LEAVING_HOLD_MS
-        for upstream in upstreams:
-            state = self.routes.get(upstream)
-            if state is not None:
-                state.load.refused_until_ms = until
+        for upstream, state in self.routes.items():
+            if state.route.agent == agent:
+                state.load.refused_until_ms = (
+                    until if upstream in leaving else 0
+                )
 
     def _apply_routes(self, update: messages.EntryUpdate) -> None:
         same_epoch = update.route_epoch == self.route_epoch
--- a/bamboorouter/roles/agent_requests.py
+++ b/bamboorouter/roles/agent_requests.py
@@ -145,10 +145,11 @@
         """Refuses new work for exactly these upstreams and tells all entries.
 
         The refusal is in force when this returns; the pushes only spare
-        entries the refused attempts.
+        entries the refused attempts. A push names all upstreams that leave,
+        so it also tells which ones came back.
         """
         before, self.leaving = self.leaving, set(ids)
-        if self.leaving - before:
+        if self.leaving != before:
             push = messages.Leaving(upstreams=tuple(sorted(self.leaving)))
             for peer in self._entries:
                 task = asyncio.create_task(_push_quietly(peer, push))
--- a/bamboorouter/roles/entry_http.py
+++ b/bamboorouter/roles/entry_http.py
@@ -37,6 +37,7 @@
 # Bodies that are held while their requests wait or run.
 MAX_HELD_BYTES: Final = 64 * 1024 * 1024
 LINGERING_MS: Final = 1_000
+LISTEN_BACKLOG: Final = 1_024
 # After the listener is closed, callers with an open connection get this long
 # to have a request, that is already on its way, answered.
 LAST_REQUESTS_MS: Final = 500
@@ -152,15 +153,13 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listens for callers; returns the bound port."""
-        self._server = web.Server(
-            self._handle,
-            access_log=None,
-            auto_decompress=False,
-            lingering_time=clock.seconds(LINGERING_MS),
-        )
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, host, port, backlog=1024, reuse_address=True
+        self._server = web.Server(self._handle)
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._make_connection,
+            host,
+            port,
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
         )
         bound: int = self._listener.sockets[0].getsockname()[1]
         return bound
@@ -176,6 +175,16 @@
             self._server.pre_shutdown()
             await self._server.shutdown(clock.seconds(CLOSE_TIMEOUT_MS))
 
+    def _make_connection(self) -> "_Connection":
+        assert self._server is not None
+        return _Connection(
+            self._server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,  # type: ignore[arg-type]
+            auto_decompress=False,
+            lingering_time=clock.seconds(LINGERING_MS),
+        )
+
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         started = asyncio.get_running_loop().time()
         request = self._blank(http)
@@ -320,6 +329,27 @@
             metrics.REFUSALS.labels(*labels[:3], reply.code).inc()
 
 
+class _Connection(web.RequestHandler):
+    """A caller's connection; answers bytes that aren't HTTP."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the answer to a request that could not be parsed."""
+        fault = (message or repr(exc)).splitlines()[0]
+        events.log(events.CALLER_GARBAGE, peer=request.remote, error=fault)
+        reply = caller_requests.error_reply(
+            "not_run", error_texts.BAD_REQUEST, detail=fault
+        )
+        response = _response(request, "", reply)
+        response.force_close()
+        return response
+
+
 async def _read_up_to(http: web.BaseRequest, limit: int) -> bytes:
     body = b""
     content = http.content
@@ -390,6 +420,9 @@
             math.ceil(clock.seconds(reply.retry_after_ms))
         )
     if http.method == "HEAD":
+        for name, value in reply.headers:
+            if name.lower() == "content-length":
+                headers[name] = value
         return web.Response(status=reply.status, headers=headers)
     return web.Response(status=reply.status, headers=headers, body=body)
 
--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -109,6 +109,10 @@
             ) from err
         finally:
             self._waiting.pop(request_id, None)
+            if future.done() and not future.cancelled():
+                # The link may have closed while the request was written;
+                # unread, the error would be logged as forgotten.
+                future.exception()
 
     async def push(self, message: messages.Message) -> None:
         """Sends a message that has no reply.
--- a/tests/request_site.py
+++ b/tests/request_site.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import time
 from typing import Any
+import uuid
 
 import aiohttp
 from aiohttp import web
@@ -137,7 +139,9 @@
     def _record(
         self, call: messages.RecordOutcome
     ) -> messages.ReservationReply:
-        held = self.reservations[call.key]
+        held = self.reservations.get(call.key)
+        if held is None:
+            return messages.ReservationReply(state="refused", code="no_key")
         if held.outcome is None and held.attempt == call.attempt:
             held.outcome = call
         return _done(held.outcome or call)
@@ -166,6 +170,7 @@
         name: Name of the VM; its upstream is "<name>-up".
         requests: The agent's request side.
         contact_ms: Age of the agent's contact with a leader.
+        silent: Whether the agent answers nothing, like a cut link.
         seen: Requests that reached the upstream, as "METHOD target".
     """
 
@@ -174,6 +179,7 @@
         self.service = service
         self.handler = handler
         self.contact_ms: int | None = 0
+        self.silent = False
         self.seen: list[str] = []
         self.settings = options.AgentOptions(advertise=f"{name}:1")
         self.requests = agent_requests.AgentRequests(
@@ -196,7 +202,7 @@
         await self.requests.start()
         self.requests.set_upstreams([self.upstream()])
         self.server = await link.serve_links(
-            host=HOST, port=0, handler=self.requests.handle
+            host=HOST, port=0, handler=self._handle
         )
 
     async def stop(self) -> None:
@@ -235,11 +241,49 @@
             **values,
         )
 
+    async def _handle(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        if self.silent:
+            return None
+        return await self.requests.handle(message, peer)
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         self.seen.append(f"{request.method} {request.raw_path}")
         return await self.handler(request)
 
 
+class RawUpstream:
+    """An upstream that answers each connection with fixed bytes.
+
+    Attributes:
+        answer: Bytes sent after the first bytes of a request; then it closes.
+        connections: Connections that sent something.
+    """
+
+    def __init__(self, *, answer: bytes) -> None:
+        self.answer = answer
+        self.connections = 0
+        self._server: asyncio.Server
+
+    async def start(self) -> str:
+        """Listens; returns the base URL."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return f"http://{HOST}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Closes the port."""
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if await reader.read(4096):
+            self.connections += 1
+            writer.write(self.answer)
+        writer.close()
+
+
 class Site:
     """Leader, VMs and one entry, started and stopped together.
 
@@ -303,6 +347,13 @@
         await eventually(lambda: self.entry.table.route_version == version)
 
 
+def key(number: int) -> str:
+    """Returns a UUID version 7 of this minute."""
+    stamp = int(time.time() * 1000) // 60_000 * 60_000
+    value = (stamp << 80) | (7 << 76) | (2 << 62) | number
+    return str(uuid.UUID(int=value))
+
+
 async def eventually(
     condition: Callable[[], object], *, timeout_s: float = 5.0
 ) -> None:
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -1,31 +1,47 @@
 """Guards the way of a request from the caller to an upstream and back."""
 
+import asyncio
+from collections.abc import AsyncIterator
+import random
 import unittest
+from unittest import mock
 
+import aiohttp
 from aiohttp import web
 
+from bamboorouter import events
+from bamboorouter import options
+from bamboorouter.protocol import messages
 from tests import request_site
 
 
 async def _echo(request: web.BaseRequest) -> web.StreamResponse:
     body = await request.read()
+    await asyncio.sleep(float(request.headers.get("X-Delay", "0")))
     return web.Response(
         status=201,
         body=body[::-1],
         headers={
             "X-Path": request.raw_path,
             "X-Seen": ",".join(sorted(request.headers)),
+            "Set-Cookie": "a=1",
         },
     )
 
 
+def _logged(log: mock.Mock) -> list[events.Event]:
+    return [call.args[0] for call in log.call_args_list]
+
+
 class PlainRequestTest(unittest.IsolatedAsyncioTestCase):
-    """Whole answers of whole requests."""
+    """Whole answers of whole requests (P4)."""
 
     async def asyncSetUp(self) -> None:
         self.vm = request_site.Vm(name="w1", service="prism", handler=_echo)
         self.site = request_site.Site(
-            services=[request_site.service("prism")], vms=[self.vm]
+            services=[request_site.service("prism")],
+            vms=[self.vm],
+            settings=options.EntryOptions(max_request_bytes=300_000),
         )
         await self.site.start()
         self.addAsyncCleanup(self.site.stop)
@@ -45,6 +61,13 @@
             self.assertIn("Bamboorouter-Request-Id", answer.headers)
             self.assertNotIn("Connection", answer.headers["X-Seen"])
 
+    async def test_cookies_of_one_caller_reach_no_other(self) -> None:
+        """Guards against cookies kept by the agent's HTTP client."""
+        for _ in range(2):
+            async with aiohttp.ClientSession() as caller:
+                answer = await caller.get(f"{self.site.url}/prism/")
+                self.assertNotIn("Cookie", answer.headers["X-Seen"])
+
     async def test_unknown_service_is_not_found(self) -> None:
         """Guards against requests that reach a service not in the sheet."""
         async with self.site.client.get(f"{self.site.url}/other/") as answer:
@@ -56,3 +79,200 @@
                 error["request_id"], answer.headers["Bamboorouter-Request-Id"]
             )
         self.assertEqual(self.vm.seen, [])
+
+    async def test_large_body_is_refused(self) -> None:
+        """Guards against bodies beyond the limit, announced or chunked."""
+
+        async def chunks() -> AsyncIterator[bytes]:
+            for _ in range(5):
+                yield bytes(100_000)
+
+        for data in (bytes(300_001), chunks()):
+            answer = await self.site.client.post(
+                f"{self.site.url}/prism/", data=data
+            )
+            self.assertEqual(answer.status, 413)
+            self.assertEqual(answer.headers["Bamboorouter-Outcome"], "not_run")
+        self.assertEqual(self.vm.seen, [])
+
+    async def test_malformed_chunk_is_refused(self) -> None:
+        """Guards against running a request whose body is damaged."""
+        with mock.patch.object(events, "log") as log:
+            answer = await self._send(
+                b"POST /prism/ HTTP/1.1\r\nHost: x\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nZZ\r\n"
+            )
+        self.assertIn(b" 400 ", answer.split(b"\r\n")[0])
+        self.assertIn(events.CALLER_GARBAGE, _logged(log))
+        self.assertEqual(self.vm.seen, [])
+
+    async def test_short_body_is_not_run(self) -> None:
+        """Guards against running half a request of a lying caller."""
+        with mock.patch.object(events, "log") as log:
+            answer = await self._send(
+                b"POST /prism/ HTTP/1.1\r\nHost: x\r\n"
+                b"Bamboorouter-Deadline-Ms: 200\r\n"
+                b"Content-Length: 100\r\n\r\nhalf"
+            )
+            self.assertIn(b" 400 ", answer.split(b"\r\n")[0])
+            await self._send(
+                b"POST /prism/ HTTP/1.1\r\nHost: x\r\n"
+                b"Content-Length: 100\r\n\r\nhalf",
+                hang_up=True,
+            )
+            await request_site.eventually(
+                lambda: _logged(log).count(events.CALLER_GARBAGE) == 2
+            )
+        self.assertEqual(self.vm.seen, [])
+
+    async def test_crossing_answers_reach_their_callers(self) -> None:
+        """Guards against mixed-up answers on the shared link (P4).
+
+        Answers arrive in another order than their requests, and some only
+        after their caller's deadline.
+        """
+        draw = random.Random(4)
+
+        async def one(number: int) -> tuple[int, bytes, str]:
+            late = number % 7 == 0
+            async with self.site.client.post(
+                f"{self.site.url}/prism/{number}",
+                data=str(number).encode() * 100,
+                headers={
+                    "X-Delay": str(0.3 if late else draw.random() / 20),
+                    "Bamboorouter-Deadline-Ms": "150" if late else "4000",
+                },
+            ) as answer:
+                path = answer.headers.get("X-Path", "")
+                return answer.status, await answer.read(), path
+
+        for _ in range(3):
+            answers = await asyncio.gather(*(one(n) for n in range(1, 61)))
+            for number, (status, body, path) in enumerate(answers, 1):
+                if number % 7 == 0:
+                    self.assertEqual(status, 504)
+                    continue
+                self.assertEqual(status, 201)
+                self.assertEqual(body, (str(number).encode() * 100)[::-1])
+                self.assertEqual(path, f"/{number}")
+
+    async def test_damaged_answer_is_not_delivered(self) -> None:
+        """Guards against an answer that fails digest or request check."""
+        whole = self.vm.requests.handle
+
+        async def damage(
+            message: messages.Message, peer: object
+        ) -> messages.Message | None:
+            answer = await whole(message, peer)  # type: ignore[arg-type]
+            if not isinstance(answer, messages.Answer):
+                return answer
+            return messages.Answer(
+                request_id=answer.request_id + damages[-1][0],
+                outcome=answer.outcome,
+                status=answer.status,
+                body=answer.body + damages[-1][1],
+                digest=answer.digest,
+            )
+
+        damages = [("9", b""), ("", b"x")]
+        while damages:
+            with (
+                mock.patch.object(self.vm.requests, "handle", damage),
+                mock.patch.object(events, "log") as log,
+            ):
+                answer = await self.site.client.post(
+                    f"{self.site.url}/prism/", data=b"abc"
+                )
+            self.assertEqual(answer.status, 504)
+            self.assertEqual(answer.headers["Bamboorouter-Outcome"], "unknown")
+            self.assertIn(events.ANSWER_DAMAGED, _logged(log))
+            damages.pop()
+
+    async def test_head_keeps_the_announced_length(self) -> None:
+        """Guards against a HEAD answer that announces an empty body."""
+
+        async def head(request: web.BaseRequest) -> web.StreamResponse:
+            del request
+            return web.Response(headers={"Content-Length": "1234"})
+
+        self.vm.handler = head
+        answer = await self.site.client.head(f"{self.site.url}/prism/")
+        self.assertEqual(answer.headers["Content-Length"], "1234")
+
+    async def test_stop_cuts_off_no_request(self) -> None:
+        """Guards against requests lost by a graceful shutdown (P8)."""
+
+        async def one(number: int) -> bytes:
+            async with self.site.client.post(
+                f"{self.site.url}/prism/",
+                data=b"%d" % number,
+                headers={"X-Delay": "1"},
+            ) as answer:
+                self.assertEqual(answer.status, 201)
+                return await answer.read()
+
+        waiting = asyncio.gather(*(one(n) for n in range(30)))
+        await request_site.eventually(lambda: len(self.vm.seen) == 30)
+        await self.site.entry.stop()
+        self.assertFalse(self.site.entry.ready())
+        self.assertEqual(
+            await waiting, [str(n).encode()[::-1] for n in range(30)]
+        )
+
+    async def _send(self, data: bytes, *, hang_up: bool = False) -> bytes:
+        host, _, port = self.site.url.removeprefix("http://").partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        await writer.drain()
+        try:
+            if hang_up:
+                return b""
+            async with asyncio.timeout(3):
+                return await reader.read(65536)
+        finally:
+            writer.close()
+
+
+class FaultyUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    """What upstreams may do wrong."""
+
+    async def _ask(self, answer: bytes) -> tuple[int, str, list[events.Event]]:
+        raw = request_site.RawUpstream(answer=answer)
+        vm = request_site.Vm(name="w1", service="prism", handler=_echo)
+        vm.upstream_url = await raw.start()
+        site = request_site.Site(
+            services=[request_site.service("prism")], vms=[vm]
+        )
+        await site.start()
+        try:
+            with mock.patch.object(events, "log") as log:
+                reply = await site.client.post(
+                    f"{site.url}/prism/", data=b"question"
+                )
+            outcome = reply.headers["Bamboorouter-Outcome"]
+            return reply.status, outcome, _logged(log)
+        finally:
+            await site.stop()
+            await raw.stop()
+
+    async def test_half_or_garbled_answers_are_failed(self) -> None:
+        """Guards against half an answer that looks whole."""
+        answers = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: ten\r\n\r\n0123456789",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\nhalf",
+            b"\x00\xffno HTTP at all\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-Name: \xff\xfe\r\nContent-Length: 0\r\n\r\n",
+        )
+        for answer in answers:
+            with self.subTest(answer=answer):
+                status, outcome, logged = await self._ask(answer)
+                self.assertEqual((status, outcome), (502, "failed"))
+                self.assertIn(events.UPSTREAM_GARBAGE, logged)
+
+    async def test_hang_up_without_answer_is_unknown(self) -> None:
+        """Guards against a false `not_run` once the upstream has read it."""
+        status, outcome, _ = await self._ask(b"")
+        self.assertEqual((status, outcome), (504, "unknown"))
