--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -219,6 +219,37 @@
             await waiting, [str(n).encode()[::-1] for n in range(30)]
         )
 
+    async def test_overload_is_refused_before_it_starts(self) -> None:
+        """Guards against late, silent or false refusals under load (P5)."""
+        await self.site.publish(self.vm.route(connections=1))
+        headers = {"X-Delay": "0.2", "Bamboorouter-Deadline-Ms": "700"}
+
+        async def one(number: int) -> tuple[int, str]:
+            async with self.site.client.get(
+                f"{self.site.url}/prism/{number}", headers=headers
+            ) as answer:
+                if answer.status == 201:
+                    return number, "completed"
+                self.assertIn(answer.status, (429, 503, 504))
+                if answer.status != 504:
+                    self.assertGreater(int(answer.headers["Retry-After"]), 0)
+                return number, answer.headers["Bamboorouter-Outcome"]
+
+        await one(0)
+        results = await asyncio.gather(*(one(n) for n in range(1, 31)))
+        seen = set(self.vm.seen)
+        refused = [n for n, outcome in results if outcome == "not_run"]
+        self.assertGreater(len(refused), 20)
+        self.assertLess(len(refused), 30)
+        for number in refused:
+            self.assertNotIn(f"GET /{number}", seen)
+        await self.site.entry.recorder.stop(timeout_ms=3000)
+        records = [
+            r for r in self.site.leader.records() if r.outcome == "not_run"
+        ]
+        self.assertEqual(len(records), len(refused))
+        self.assertEqual(len({r.request_id for r in records}), len(refused))
+
     async def _send(self, data: bytes, *, hang_up: bool = False) -> bytes:
         host, _, port = self.site.url.removeprefix("http://").partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
--- /dev/null
+++ b/tests/test_request_policies.py
@@ -0,0 +1,355 @@
+"""Guards the order, refusal and routing of requests under load."""
+
+import asyncio
+import collections
+import random
+import unittest
+
+from bamboorouter import clock
+from bamboorouter.coordination import admission_queue
+from bamboorouter.coordination import gate
+from bamboorouter.coordination import retry_budget
+from bamboorouter.coordination.policies import admission
+from bamboorouter.coordination.policies import fairness
+from bamboorouter.coordination.policies import routing
+from bamboorouter.protocol import common
+from tests import request_site
+
+
+def _line(service: str, **changes: object) -> fairness.Line:
+    values: dict[str, object] = {
+        "team": service,
+        "share": 1,
+        "urgency": 1,
+        "place": 1,
+        "waiting": 1,
+    } | changes
+    return fairness.Line(service=service, **values)  # type: ignore[arg-type]
+
+
+def _start(
+    policy: fairness.FairnessPolicy, lines: list[fairness.Line], count: int
+) -> collections.Counter[str]:
+    busy = fairness.Busy(latency_critical=50, batch=50, limit=100)
+    started: collections.Counter[str] = collections.Counter()
+    for _ in range(count):
+        line = policy.choose(lines, busy)
+        policy.started(line)
+        started[line.service] += 1
+    return started
+
+
+class FairnessTest(unittest.TestCase):
+    """Order of waiting requests."""
+
+    def test_teams_start_by_share(self) -> None:
+        """Guards against a team that takes more than its share."""
+        lines = [_line("a", share=3), _line("b", share=1)]
+        started = _start(fairness.WeightedFair(), lines, 400)
+        self.assertAlmostEqual(started["a"], 300, delta=2)
+
+    def test_long_requests_count_for_more(self) -> None:
+        """Guards against a team that wins by making requests long."""
+        lines = [_line("a", held_ms=90.0), _line("b", held_ms=10.0)]
+        started = _start(fairness.WeightedFair(), lines, 400)
+        self.assertAlmostEqual(started["b"], 360, delta=4)
+
+    def test_idle_share_goes_to_others_and_is_not_saved(self) -> None:
+        """Guards against unused capacity and against a burst afterwards."""
+        policy = fairness.WeightedFair()
+        first, second = _line("a"), _line("b")
+        self.assertEqual(_start(policy, [first], 500)["a"], 500)
+        started = _start(policy, [first, second], 100)
+        self.assertAlmostEqual(started["b"], 50, delta=2)
+
+    def test_urgency_then_place_within_a_team(self) -> None:
+        """Guards against another order than the sheet's within a team."""
+        lines = [
+            _line("late", team="t", urgency=2, place=1),
+            _line("second", team="t", urgency=1, place=2),
+            _line("first", team="t", urgency=1, place=1),
+        ]
+        policy = fairness.WeightedFair()
+        order = []
+        while lines:
+            line = policy.choose(lines, fairness.Busy(limit=10))
+            order.append(line.service)
+            lines.remove(line)
+        self.assertEqual(order, ["first", "second", "late"])
+
+    def test_minimum_shares_of_both_kinds(self) -> None:
+        """Guards against a kind of work that starves (30 % and 20 %)."""
+        lines = [_line("quote"), _line("match", urgency=8)]
+        policy = fairness.WeightedFair()
+        for _ in range(100):
+            policy.started(lines[0])
+        chosen = policy.choose(
+            lines, fairness.Busy(latency_critical=29, batch=71, limit=100)
+        )
+        self.assertEqual(chosen.service, "quote")
+        for _ in range(200):
+            policy.started(lines[1])
+        chosen = policy.choose(
+            lines, fairness.Busy(latency_critical=81, batch=19, limit=100)
+        )
+        self.assertEqual(chosen.service, "match")
+
+
+class AdmissionTest(unittest.IsolatedAsyncioTestCase):
+    """Bounded queues in front of a limited number of connections."""
+
+    def _queue(
+        self,
+        *,
+        limit: int,
+        queue_limit: int = 256,
+        baseline: bool = False,
+    ) -> admission_queue.AdmissionQueue:
+        return admission_queue.AdmissionQueue(
+            queue_limit=queue_limit,
+            limit=lambda service: limit,
+            time=clock.SystemClock(),
+            fair=fairness.FirstCome() if baseline else fairness.WeightedFair(),
+            early=admission.AdmitAll()
+            if baseline
+            else admission.EarlyRefusal(),
+        )
+
+    async def test_hopeless_request_is_refused_at_once(self) -> None:
+        """Guards against waiting for a start that can't come in time."""
+        queue = self._queue(limit=1)
+        row = request_site.service("prism")
+        self.assertIsNone(await queue.enter(row, left_ms=1000))
+        queue.leave(row, held_ms=200)
+        self.assertIsNone(await queue.enter(row, left_ms=1000))
+        waiting = [
+            asyncio.create_task(queue.enter(row, left_ms=1000))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0)
+        async with asyncio.timeout(0.05):
+            refused = await queue.enter(row, left_ms=500)
+        assert refused is not None
+        self.assertEqual(refused.code, "deadline")
+        self.assertGreaterEqual(refused.retry_after_ms, 500)
+        for task in waiting:
+            queue.leave(row, held_ms=200)
+            self.assertIsNone(await task)
+
+    async def test_waiting_ends_at_the_deadline(self) -> None:
+        """Guards against requests that wait beyond their deadline."""
+        queue = self._queue(limit=1)
+        row = request_site.service("prism")
+        await queue.enter(row, left_ms=1000)
+        refused = await queue.enter(row, left_ms=50)
+        assert refused is not None
+        self.assertEqual(refused.code, "deadline")
+        queue.leave(row, held_ms=1)
+        self.assertIsNone(await queue.enter(row, left_ms=50))
+
+    async def test_full_queue_makes_room_for_the_smaller_team(self) -> None:
+        """Guards against a team that fills the queue of a class."""
+        queue = self._queue(limit=1, queue_limit=4)
+        flood = request_site.service("flood", owner="a")
+        other = request_site.service("other", owner="b")
+        await queue.enter(flood, left_ms=1000)
+        waiting = [
+            asyncio.create_task(queue.enter(flood, left_ms=1000))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0)
+        refused = await queue.enter(flood, left_ms=1000)
+        assert refused is not None
+        self.assertEqual(refused.code, "queue_full")
+        small = asyncio.create_task(queue.enter(other, left_ms=1000))
+        pushed_out = await waiting[-1]
+        assert pushed_out is not None
+        self.assertEqual(pushed_out.code, "queue_full")
+        queue.leave(flood, held_ms=1)
+        self.assertIsNone(await small)
+        for task in waiting:
+            task.cancel()
+
+    async def test_cancelled_wait_returns_its_place(self) -> None:
+        """Guards against places lost to callers that went away."""
+        queue = self._queue(limit=1)
+        row = request_site.service("prism")
+        await queue.enter(row, left_ms=1000)
+        waiting = asyncio.create_task(queue.enter(row, left_ms=1000))
+        await asyncio.sleep(0)
+        queue.leave(row, held_ms=1)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual(queue.in_progress(), 0)
+
+    async def test_batch_overload_leaves_short_requests_quick(self) -> None:
+        """Guards the goal: p99 at least 3 times lower than the baseline."""
+        product = await self._p99_in_overload(self._queue(limit=8))
+        plain = await self._p99_in_overload(self._queue(limit=8, baseline=True))
+        self.assertLess(product * 3, plain)
+
+    async def _p99_in_overload(
+        self, queue: admission_queue.AdmissionQueue
+    ) -> float:
+        loop = asyncio.get_running_loop()
+        batch = request_site.service("match", owner="a", urgency=8)
+        short = request_site.service("quote", owner="b", urgency=1)
+        waits: list[float] = []
+
+        async def one(row: common.SheetRow, hold_s: float) -> None:
+            arrived = loop.time()
+            if await queue.enter(row, left_ms=10_000) is not None:
+                return
+            if row is short:
+                waits.append(loop.time() - arrived)
+            await asyncio.sleep(hold_s)
+            queue.leave(row, held_ms=hold_s * 1000)
+
+        tasks = [asyncio.create_task(one(batch, 0.02)) for _ in range(250)]
+        for _ in range(60):
+            tasks.append(asyncio.create_task(one(short, 0.002)))
+            await asyncio.sleep(0.005)
+        await asyncio.gather(*tasks)
+        self.assertEqual(len(waits), 60)
+        return sorted(waits)[-1]
+
+    async def test_gate_prefers_the_urgent_and_stays_bounded(self) -> None:
+        """Guards the agent's queue against unbounded or unfair waiting."""
+        narrow = gate.UrgencyGate(
+            limit=1, queue_limit=1, time=clock.SystemClock()
+        )
+        self.assertEqual(await narrow.enter(urgency=5, wait_ms=100), "")
+        batch = asyncio.create_task(narrow.enter(urgency=5, wait_ms=1000))
+        await asyncio.sleep(0)
+        self.assertEqual(
+            await narrow.enter(urgency=5, wait_ms=1000), "queue_full"
+        )
+        urgent = asyncio.create_task(narrow.enter(urgency=0, wait_ms=1000))
+        self.assertEqual(await batch, "queue_full")
+        narrow.leave()
+        self.assertEqual(await urgent, "")
+        self.assertEqual(await narrow.enter(urgency=0, wait_ms=20), "deadline")
+        narrow.leave()
+        self.assertEqual(narrow.inside, 0)
+
+
+class RoutingTest(unittest.TestCase):
+    """Choice of upstreams."""
+
+    def setUp(self) -> None:
+        self.policy = routing.TwoChoices(zone="z1", draw=random.Random(1))
+        self.loads = [self._load(f"u{n}") for n in range(4)]
+        self.now = 1_000
+
+    def _load(self, name: str, zone: str = "z1") -> routing.UpstreamLoad:
+        return routing.UpstreamLoad(
+            upstream=name,
+            zone=zone,
+            agent=routing.AgentLoad(connections=64),
+        )
+
+    def _run(
+        self, times: int, latency_ms: dict[str, float], step_ms: int = 1
+    ) -> collections.Counter[str]:
+        """Sends requests one after another; returns how many went where."""
+        sent: collections.Counter[str] = collections.Counter()
+        for _ in range(times):
+            load = self._choose()
+            sent[load.upstream] += 1
+            self.now += step_ms
+            self.policy.succeeded(
+                load,
+                elapsed_ms=latency_ms.get(load.upstream, 5.0),
+                now_ms=self.now,
+            )
+        return sent
+
+    def _choose(self) -> routing.UpstreamLoad:
+        load = self.policy.choose(
+            self.loads, tried=frozenset(), now_ms=self.now
+        )
+        assert load is not None
+        return load
+
+    def test_slow_upstream_gets_little_and_recovers(self) -> None:
+        """Guards against work for a slow VM and against forgetting it."""
+        sent = self._run(2_000, {"u0": 100.0})
+        self.assertLess(sent["u0"], 100)
+        sent = self._run(4_000, {}, step_ms=10)
+        self.assertGreater(sent["u0"], 500)
+
+    def test_failing_upstream_is_ejected_and_probed(self) -> None:
+        """Guards against a black hole that answers errors quickly."""
+        bad = self.loads[0]
+        for _ in range(routing.EJECT_AFTER_FAILURES):
+            ejected = self.policy.failed(bad, now_ms=self.now)
+        self.assertTrue(ejected)
+        self.assertNotIn("u0", self._run(500, {}))
+        self.now = bad.ejected_until_ms
+        chosen = {self._choose().upstream for _ in range(500)}
+        self.assertIn("u0", chosen)
+        bad.outstanding = 1
+        self.assertNotIn("u0", self._run(500, {}, step_ms=0))
+        bad.outstanding = 0
+        self.policy.succeeded(bad, elapsed_ms=5.0, now_ms=self.now)
+        self.assertIn("u0", self._run(500, {}))
+
+    def test_ejection_grows_and_never_empties_the_choice(self) -> None:
+        """Guards against a service that ejects all of its upstreams."""
+        times = []
+        for _ in range(12):
+            for load in self.loads:
+                self.now = max(self.now, load.ejected_until_ms)
+                self.policy.failed(load, now_ms=self.now)
+            times.append(self.loads[0].ejected_until_ms - self.now)
+        self.assertLessEqual(max(times), routing.LONGEST_EJECTION_MS)
+        self.assertIsNotNone(self._choose())
+
+    def test_own_zone_is_preferred_until_it_is_loaded(self) -> None:
+        """Guards against traffic between zones without need."""
+        for load in self.loads[:2]:
+            load.zone = "z2"
+        sent = self._run(1_000, {})
+        self.assertGreater(sent["u2"] + sent["u3"], 600)
+        for load in self.loads[2:]:
+            load.outstanding = 8
+        sent = self._run(1_000, {})
+        self.assertGreater(sent["u0"] + sent["u1"], 600)
+
+    def test_many_entries_do_not_herd_onto_the_best(self) -> None:
+        """Guards against entries with equal data that choose the same VM."""
+        loads = [self._load(f"u{n}") for n in range(10)]
+        for number, load in enumerate(loads):
+            load.latency_ms = 10.0 + number / 10
+            load.sampled_ms = self.now
+        chosen: collections.Counter[str] = collections.Counter()
+        for seed in range(1_000):
+            policy = routing.TwoChoices(zone="z1", draw=random.Random(seed))
+            best = policy.choose(loads, tried=frozenset(), now_ms=self.now)
+            assert best is not None
+            chosen[best.upstream] += 1
+        # Two random choices give the best of ten at most 2/10 of the work.
+        self.assertLess(max(chosen.values()), 300)
+
+    def test_leaving_and_tried_are_never_chosen(self) -> None:
+        """Guards against new work for what is leaving (P7)."""
+        self.loads[0].leaving = True
+        self.loads[1].refused_until_ms = self.now + 1
+        tried = frozenset({"u2"})
+        for load in self.loads:
+            load.failures = 10
+            load.ejected_until_ms = self.now + 100
+        for policy in (self.policy, routing.LeastOutstanding()):
+            for _ in range(50):
+                load = policy.choose(self.loads, tried=tried, now_ms=self.now)
+                assert load is not None
+                self.assertEqual(load.upstream, "u3")
+
+    def test_retries_stay_within_the_budget(self) -> None:
+        """Guards against retries that multiply an overload."""
+        budget = retry_budget.RetryBudget(fraction=0.1)
+        taken = 0
+        for _ in range(10_000):
+            budget.add_request()
+            taken += budget.take()
+        self.assertLessEqual(taken, 1_000 + retry_budget.RESERVE_TOKENS)
