--- /dev/null
+++ b/bamboorouter/coordination/replica.py
@@ -0,0 +1,582 @@
+"""One replica of the log on the event loop: proposals, links, timer, sync.
+
+All runs on the loop's thread. A sync is scheduled behind the sending of the
+messages, so a leader's sync overlaps with the network, and inputs of the same
+loop iteration share one sync. Commands that arrive while enough entries are
+under way share the next entry (group commit).
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import functools
+import random
+from typing import Final
+
+import reactivex
+from reactivex import subject
+
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import metrics
+from bamboorouter import options
+from bamboorouter.coordination import consensus
+from bamboorouter.coordination import engine
+from bamboorouter.coordination import formation
+from bamboorouter.coordination import member_changes
+from bamboorouter.coordination import peers
+from bamboorouter.coordination import proposals
+from bamboorouter.coordination import replicated_log
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import membership
+from bamboorouter.protocol import messages
+from bamboorouter.state import log_store
+from bamboorouter.state import machine as state_machine
+from bamboorouter.transport import files
+from bamboorouter.transport import link
+
+BATCH_COMMANDS: Final = 256
+BATCH_BYTES: Final = 512 * 1024
+# A frame of a link holds at most 8 MiB.
+MAX_COMMAND_BYTES: Final = 4 * 1024 * 1024
+# More entries under way would make batches smaller without gaining time.
+MAX_OPEN_ENTRIES: Final = 4
+# Applying more at once would delay heartbeats while catching up.
+APPLY_AT_ONCE: Final = 128
+TRANSFER_TIMEOUT_MS: Final = 1000
+MEMBERS_TIMEOUT_MS: Final = 5000
+_BYTES_PER_MB: Final = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplicaStatus:
+    """A replica as operators see it.
+
+    Attributes:
+        id: ID from the data folder.
+        term: Current term.
+        role: "follower", "pre-candidate", "candidate" or "leader".
+        halted: Whether storage failed.
+        leader_address: Address of the leader; empty if unknown.
+        first_index: Oldest entry in the log.
+        last_index: Newest entry in the log.
+        commit: Newest entry known to be committed.
+        applied: Newest applied entry.
+        lag: On the leader, entries that each other member lacks, by ID.
+    """
+
+    id: str
+    term: int
+    role: str
+    halted: bool
+    leader_address: str
+    first_index: int
+    last_index: int
+    commit: int
+    applied: int
+    lag: dict[str, int]
+
+
+class Replica:
+    """One replica of the log with its state machine.
+
+    Attributes:
+        process: Section [process] of the settings.
+        settings: Section [control] of the settings.
+        machine: State after all applied entries.
+        engine: Core, storage and state machine; set by `start`.
+        applied: Emits the index after each applied entry.
+        leadership: Emits the current and each later leadership.
+    """
+
+    engine: engine.Engine
+
+    def __init__(
+        self,
+        *,
+        process: options.ProcessOptions,
+        settings: options.ControlOptions,
+        folder: files.Folder,
+        machine: state_machine.Machine,
+        time: clock.Clock,
+        batch_commands: int = BATCH_COMMANDS,
+    ) -> None:
+        self.process = process
+        self.settings = settings
+        self.machine = machine
+        self._folder = folder
+        self._clock = time
+        self._applied = subject.Subject[int]()
+        self._leadership = subject.BehaviorSubject(
+            replicated_log.Leadership(leads=False, term=0, leader_address="")
+        )
+        self.applied: reactivex.Observable[int] = self._applied
+        self.leadership: reactivex.Observable[replicated_log.Leadership] = (
+            self._leadership
+        )
+        self._proposals = proposals.Proposals(
+            batch_limit=batch_commands, batch_bytes=BATCH_BYTES
+        )
+        self._peers = peers.Peers(
+            group=settings.group,
+            handler=self.handle,
+            on_lost=self._link_lost,
+            time=time,
+        )
+        self._members = membership.Members()
+        self._scheduled: set[str] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._forming: asyncio.Task[None] | None = None
+        self._led_term = 0
+        self._follows = asyncio.Event()
+        self._stopped = False
+
+    # --- Start and stop ------------------------------------------------------
+
+    async def start(self, address: str) -> None:
+        """Opens the data folder and takes part in the group.
+
+        Args:
+            address: Address that the other replicas dial.
+
+        Raises:
+            StorageError: The data folder is damaged.
+            OptionsError: `bootstrap` doesn't contain the address.
+        """
+        settings = self.settings
+        bootstrap = settings.bootstrap
+        if bootstrap and address not in bootstrap:
+            raise errors.OptionsError(
+                text=f"bootstrap does not contain {address}", step="start"
+            )
+        self.engine = engine.Engine(
+            folder=self._folder,
+            machine=self.machine,
+            host=self,
+            group=settings.group,
+            address=address,
+            rng=random.Random(),
+            now=self._clock.now(),
+            limits=engine.Limits(
+                snapshot_entries=settings.snapshot_entries,
+                retention_bytes=settings.retention_mb * _BYTES_PER_MB,
+            ),
+        )
+        if not self.engine.formed():
+            self._await_group(address)
+        self._after_step()
+
+    async def stop(self) -> None:
+        """Hands leadership over if it leads, and closes all links."""
+        if self.engine.core.role is consensus.Role.LEADER:
+            await self._transfer()
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._forming is not None:
+            self._forming.cancel()
+            await asyncio.gather(self._forming, return_exceptions=True)
+        self._proposals.fail_all(leader="")
+        await self._peers.close()
+
+    async def _transfer(self) -> None:
+        """Hands leadership over, unless nobody takes it in time."""
+        self._step(lambda: self._core().transfer(self._clock.now()))
+        if self._core().members.current.voters() == (self.engine.id,):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(clock.seconds(TRANSFER_TIMEOUT_MS)):
+                await self._follows.wait()
+                await self._peers.drained()
+
+    def _await_group(self, address: str) -> None:
+        bootstrap = self.settings.bootstrap
+        if not bootstrap:
+            events.log(events.WAITING_TO_JOIN, replica=self.engine.id)
+        elif address == bootstrap[0]:
+            self._forming = asyncio.create_task(self._form(address))
+
+    async def _form(self, address: str) -> None:
+        members = await formation.first_members(
+            group=self.settings.group,
+            replica_id=self.engine.id,
+            address=address,
+            bootstrap=self.settings.bootstrap,
+        )
+        if members is None or self.engine.formed():
+            return
+        self.engine.form(members, self._clock.now())
+        events.log(events.GROUP_FORMED, members=[m.id for m in members.members])
+        self._after_step()
+
+    # --- Interface of the log ------------------------------------------------
+
+    @property
+    def log(self) -> log_store.LogStore:
+        """The stored entries."""
+        return self.engine.log
+
+    def lease_valid(self) -> bool:
+        """Whether this replica leads and heard a quorum within 800 ms."""
+        return self.engine.lease_valid(self._clock.now())
+
+    def term(self) -> int:
+        """Returns the current term."""
+        return self._core().term
+
+    def leader_address(self) -> str:
+        """Returns the address of the leader; empty if unknown."""
+        return self._core().leader_address
+
+    async def propose(
+        self, command: commands.Command, *, timeout_ms: int
+    ) -> commands.Result:
+        """Commits and applies a command.
+
+        Args:
+            command: The command.
+            timeout_ms: How long to wait for the result.
+
+        Returns:
+            The result of applying it.
+
+        Raises:
+            NotLeaderError: Nothing was proposed.
+            RefusedError: The command is too large or too many wait.
+            UnknownResultError: Proposed, but the result isn't known.
+        """
+        self._require_lease("propose")
+        size = len(commands.BATCH_CODEC.encode(self._batch((command,))))
+        if size > MAX_COMMAND_BYTES:
+            raise _refused(error_texts.BODY_TOO_LARGE, limit=MAX_COMMAND_BYTES)
+        if len(self._proposals.queue) >= proposals.QUEUE_LIMIT:
+            raise _refused(error_texts.LOG_BUSY)
+        started = self._clock.now()
+        waiting = proposals.Waiting(
+            command=command, size=size, result=_future()
+        )
+        self._proposals.queue.append(waiting)
+        self._schedule("flush", self._flush)
+        result = await self._result(waiting, timeout_ms)
+        metrics.COMMIT_SECONDS.observe(
+            clock.seconds(self._clock.now() - started)
+        )
+        return result
+
+    async def handle(
+        self, message: messages.Message, source: link.Link
+    ) -> messages.Message | None:
+        """Handles a message of another replica; replies go back as pushes.
+
+        Raises:
+            ProtocolError: The message is not for this group.
+        """
+        if getattr(message, "group", None) != self.settings.group:
+            raise errors.ProtocolError(
+                text=f"{type(message).__name__} of another group",
+                step="consensus",
+                peer=source.peer,
+            )
+        if isinstance(message, messages.Identify):
+            return messages.Identity(
+                group=self.settings.group,
+                replica=self.engine.id,
+                formed=self.engine.formed(),
+            )
+        self._peers.heard(message, source)
+        self._step(lambda: self._core().receive(message, self._clock.now()))
+        return None
+
+    def status(self) -> ReplicaStatus:
+        """Returns the state of this replica."""
+        core = self._core()
+        return ReplicaStatus(
+            id=self.engine.id,
+            term=core.term,
+            role=core.role.value,
+            halted=core.halted,
+            leader_address=core.leader_address,
+            first_index=self.log.first_index,
+            last_index=self.log.last_index,
+            commit=core.commit,
+            applied=self.engine.applied_index,
+            lag={
+                replica_id: self.log.last_index - follower.match
+                for replica_id, follower in core.followers.items()
+            },
+        )
+
+    # --- Members -------------------------------------------------------------
+
+    def members(self) -> tuple[membership.Member, ...]:
+        """Returns the members in force."""
+        return self._core().members.current.members
+
+    async def add_learner(self, replica_id: str, address: str) -> None:
+        """Adds a replica that receives the log but doesn't vote yet.
+
+        Raises:
+            NotLeaderError: Nothing was changed.
+            RefusedError: Nothing was changed; another change is under way.
+            UnknownResultError: The change may be in force later.
+        """
+        self._require_lease("add learner")
+        await self._change_members(
+            member_changes.add_learner(
+                self._core(), replica_id=replica_id, address=address
+            )
+        )
+
+    async def promote(self, replica_id: str) -> None:
+        """Makes a learner that has caught up a voter.
+
+        Raises:
+            NotLeaderError: Nothing was changed.
+            RefusedError: Nothing was changed; it hasn't caught up or another
+                change is under way.
+            UnknownResultError: The change may be in force later.
+        """
+        self._require_lease("promote")
+        await self._change_members(
+            member_changes.promote(self._core(), replica_id=replica_id)
+        )
+
+    async def remove(self, replica_id: str) -> None:
+        """Removes a replica; its ID must not join again.
+
+        Raises:
+            NotLeaderError: Nothing was changed.
+            RefusedError: Nothing was changed; the rest would be no majority
+                or another change is under way.
+            UnknownResultError: The change may be in force later.
+        """
+        self._require_lease("remove")
+        await self._change_members(
+            member_changes.remove(
+                self._core(), replica_id=replica_id, now=self._clock.now()
+            )
+        )
+
+    async def _change_members(self, members: membership.Members | None) -> None:
+        if members is None:
+            return
+        payload = membership.CODEC.encode(members)
+        waiting = proposals.Waiting(
+            command=None, size=len(payload), result=_future()
+        )
+        self._step(
+            functools.partial(
+                self._append, [waiting], messages.KIND_MEMBERS, payload
+            )
+        )
+        await self._result(waiting, MEMBERS_TIMEOUT_MS)
+
+    # --- Proposals -----------------------------------------------------------
+
+    def _require_lease(self, step: str) -> None:
+        if self.lease_valid():
+            return
+        core = self._core()
+        leads = core.role is consensus.Role.LEADER
+        raise errors.NotLeaderError(
+            leader="" if leads else core.leader_address, step=step
+        )
+
+    def _batch(
+        self, batch: tuple[commands.Command, ...]
+    ) -> commands.CommandBatch:
+        return commands.CommandBatch(wall_ms=self._clock.wall(), commands=batch)
+
+    async def _result(
+        self, waiting: proposals.Waiting, timeout_ms: int
+    ) -> commands.Result:
+        try:
+            async with asyncio.timeout(clock.seconds(timeout_ms)):
+                return await waiting.result
+        except TimeoutError as err:
+            if self._proposals.withdraw(waiting):
+                raise errors.NotLeaderError(leader="", step="propose") from err
+            raise errors.UnknownResultError(
+                text=f"not applied within {timeout_ms} ms", step="propose"
+            ) from err
+
+    def _flush(self) -> None:
+        """Puts waiting commands into entries, as many at once as allowed."""
+        while (
+            self._proposals.queue
+            and self.engine.leads()
+            and len(self._proposals.open) < MAX_OPEN_ENTRIES
+        ):
+            batch = self._proposals.next_batch()
+            payload = commands.BATCH_CODEC.encode(
+                self._batch(
+                    tuple(w.command for w in batch if w.command is not None)
+                )
+            )
+            self._step(
+                functools.partial(
+                    self._append, batch, messages.KIND_COMMANDS, payload
+                )
+            )
+
+    def _append(
+        self, batch: list[proposals.Waiting], kind: int, payload: bytes
+    ) -> None:
+        self._proposals.opened(self.log.last_index + 1, batch)
+        self._core().propose(kind, payload, self._clock.now())
+
+    # --- Host of the engine --------------------------------------------------
+
+    def post(self, envelope: consensus.Envelope) -> None:
+        """Sends a message of the core."""
+        self._peers.post(envelope, self._core().members.current)
+
+    def request_sync(self) -> None:
+        """Syncs once the messages that are queued now were sent."""
+        self._schedule("sync", self._sync)
+
+    def applied_entry(self, index: int, results: list[commands.Result]) -> None:
+        """Passes results to those who wait for them."""
+        self._proposals.applied(index, results)
+        self._applied.on_next(index)
+
+    # --- Steps ---------------------------------------------------------------
+
+    def _core(self) -> consensus.Core:
+        return self.engine.core
+
+    def _step(self, step: Callable[[], object]) -> None:
+        if not self._stopped:
+            self.engine.step(step)
+            self._after_step()
+
+    def _sync(self) -> None:
+        self.engine.sync(self._clock.now())
+        self._after_step()
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._step(lambda: self._core().tick(self._clock.now()))
+
+    def _link_lost(self, replica_id: str) -> None:
+        self._core().link_lost(replica_id)
+
+    def _after_step(self) -> None:
+        """Applies what was committed and announces what changed."""
+        self._announce()
+        if self._core().commit > self.engine.applied_index:
+            self._apply()
+        self._arm_timer()
+
+    def _apply(self) -> None:
+        if self.engine.apply(APPLY_AT_ONCE):
+            self._schedule("apply", self._apply)
+        self._announce()
+        if self._proposals.queue:
+            self._schedule("flush", self._flush)
+
+    def _schedule(self, name: str, step: Callable[[], None]) -> None:
+        """Runs a step once, after what is ready in the loop now."""
+        if name in self._scheduled:
+            return
+        self._scheduled.add(name)
+
+        def run() -> None:
+            self._scheduled.discard(name)
+            if not self._stopped:
+                step()
+
+        asyncio.get_running_loop().call_soon(run)
+
+    def _arm_timer(self) -> None:
+        """Sets the timer, unless one that fires early enough is set.
+
+        A deadline that moved later, as with each heartbeat, keeps its timer:
+        an early tick does nothing and sets the next one.
+        """
+        deadline = self._core().deadline()
+        if deadline is None or self._stopped:
+            return
+        loop = asyncio.get_running_loop()
+        delay = max(0, deadline - self._clock.now())
+        due = loop.time() + clock.seconds(delay)
+        if self._timer is not None:
+            if self._timer.when() <= due:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due, self._tick)
+
+    # --- Announcements -------------------------------------------------------
+
+    def _announce(self) -> None:
+        """Tells observers about changes of leadership and of members."""
+        core = self._core()
+        if core.members.current is not self._members:
+            self._members = core.members.current
+            self._announce_members()
+        if core.role is consensus.Role.LEADER:
+            self._follows.clear()
+        else:
+            self._follows.set()
+        before = self._leadership.value
+        current = replicated_log.Leadership(
+            leads=self.engine.leads(),
+            term=core.term,
+            leader_address=core.leader_address,
+        )
+        if current == before:
+            return
+        if self._led_term and (
+            core.role is not consensus.Role.LEADER
+            or core.term != self._led_term
+        ):
+            self._proposals.fail_all(leader=current.leader_address)
+            self._led_term = 0
+        if current.leads:
+            self._led_term = core.term
+        self._log_leadership(before, current)
+        metrics.LEADS.set(int(current.leads))
+        self._leadership.on_next(current)
+
+    def _announce_members(self) -> None:
+        events.log(
+            events.MEMBERS_CHANGED,
+            replica=self.engine.id,
+            members=[(m.id, m.address, m.voter) for m in self.members()],
+        )
+        self._peers.keep_only(self._members)
+
+    def _log_leadership(
+        self,
+        before: replicated_log.Leadership,
+        current: replicated_log.Leadership,
+    ) -> None:
+        replica = self.engine.id
+        if current.leads and not before.leads:
+            events.log(
+                events.LEADER_ELECTED, replica=replica, term=current.term
+            )
+        elif before.leads and not current.leads:
+            events.log(
+                events.LEADER_STEPPED_DOWN, replica=replica, term=before.term
+            )
+        elif current.leader_address and not current.leads:
+            events.log(
+                events.LEADER_CHANGED,
+                replica=replica,
+                term=current.term,
+                leader=current.leader_address,
+            )
+
+
+def _future() -> "asyncio.Future[commands.Result]":
+    return asyncio.get_running_loop().create_future()
+
+
+def _refused(code: str, **values: object) -> errors.RefusedError:
+    return errors.RefusedError(
+        code=code, text=error_texts.text_for(code, **values), step="propose"
+    )
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -81,8 +81,196 @@
     "The handler of a message raised an unexpected error.",
 )
 
-# 100-199: consensus and storage. 200-299: control role. 300-349: agent.
-# 500-599: operators.
+# 100-199: consensus and storage.
+TORN_TAIL_CUT: Final = _event(
+    100,
+    "torn_tail_cut",
+    logging.WARNING,
+    "An incomplete last record of the log, never acknowledged, was removed.",
+)
+STORAGE_FAILED: Final = _event(
+    101,
+    "storage_failed",
+    logging.ERROR,
+    "A write or sync failed; the replica acknowledges nothing until it is"
+    " restarted.",
+)
+LEADER_ELECTED: Final = _event(
+    102, "leader_elected", logging.INFO, "This replica leads its group."
+)
+LEADER_STEPPED_DOWN: Final = _event(
+    103,
+    "leader_stepped_down",
+    logging.WARNING,
+    "This replica no longer leads its group.",
+)
+LEADER_CHANGED: Final = _event(
+    104, "leader_changed", logging.INFO, "This replica follows a new leader."
+)
+GROUP_FORMED: Final = _event(
+    105, "group_formed", logging.INFO, "The first members formed the group."
+)
+WAITING_TO_JOIN: Final = _event(
+    106,
+    "waiting_to_join",
+    logging.WARNING,
+    "The data folder is empty but the group exists; an operator must add"
+    " this replica.",
+)
+MEMBERS_CHANGED: Final = _event(
+    107, "members_changed", logging.INFO, "The members of the group changed."
+)
+SNAPSHOT_WRITTEN: Final = _event(
+    108, "snapshot_written", logging.INFO, "A snapshot was written."
+)
+SNAPSHOT_INSTALLED: Final = _event(
+    109,
+    "snapshot_installed",
+    logging.INFO,
+    "A snapshot of the leader replaced this replica's state.",
+)
+SNAPSHOT_SKIPPED: Final = _event(
+    110,
+    "snapshot_skipped",
+    logging.WARNING,
+    "A snapshot on disk is damaged; an older one is used.",
+)
+APPLY_FAILED: Final = _event(
+    111,
+    "apply_failed",
+    logging.ERROR,
+    "The state machine raised an error; the replica stopped taking part.",
+)
+PEER_REPLACED: Final = _event(
+    112,
+    "peer_replaced",
+    logging.WARNING,
+    "Another replica answers at the address of a member, which has lost its"
+    " data folder or was moved.",
+)
+LOG_SHORTENED: Final = _event(
+    113,
+    "log_shortened",
+    logging.WARNING,
+    "Retention removed the oldest entries of the log; the account starts"
+    " later.",
+)
+
+# 200-299: control role.
+SCHEDULER_LEADS: Final = _event(
+    200,
+    "scheduler_leads",
+    logging.INFO,
+    "This replica decides; all leases count as renewed now.",
+)
+DECISION_REFUSED: Final = _event(
+    201,
+    "decision_refused",
+    logging.WARNING,
+    "The state machine refused a decision of the leader.",
+)
+DECISION_UNKNOWN: Final = _event(
+    202,
+    "decision_unknown",
+    logging.WARNING,
+    "The log was busy or a result is unknown; the decision is made again.",
+)
+TASK_ASSIGNED: Final = _event(
+    203, "task_assigned", logging.INFO, "A task was assigned to a worker."
+)
+TASK_ENDED: Final = _event(
+    204, "task_ended", logging.INFO, "An assignment ended."
+)
+PASS_FAILED: Final = _event(
+    205, "pass_failed", logging.ERROR, "A pass of the scheduler failed."
+)
+OPERATION_ANSWERED: Final = _event(
+    206,
+    "operation_answered",
+    logging.INFO,
+    "The leader answered an operator's call.",
+)
+
+# 300-349: tasks of the agent.
+TASK_ADMITTED: Final = _event(
+    300,
+    "task_admitted",
+    logging.INFO,
+    "The agent decided on a start order: started, or refused as stale, expired"
+    " or without capacity.",
+)
+TASK_ORDERED: Final = _event(
+    301,
+    "task_ordered",
+    logging.INFO,
+    "The agent carries out an order to change a task.",
+)
+TASK_FOUND: Final = _event(
+    302,
+    "task_found",
+    logging.INFO,
+    "The worker runs a task that this run of the agent did not start.",
+)
+LEASE_ENDED: Final = _event(
+    303,
+    "lease_ended",
+    logging.WARNING,
+    "The lease of a task was not renewed in time; the task is stopped.",
+)
+WORKER_UNREACHABLE: Final = _event(
+    304,
+    "worker_unreachable",
+    logging.WARNING,
+    "A request to the worker got no answer and is repeated.",
+)
+LEASES_NOT_SENT: Final = _event(
+    305,
+    "leases_not_sent",
+    logging.WARNING,
+    "Renewals could not be passed on to the worker and are sent again.",
+)
+WORKER_LISTED: Final = _event(
+    306,
+    "worker_listed",
+    logging.INFO,
+    "The worker listed its tasks after a start of the agent.",
+)
+DRIVER_FAILED: Final = _event(
+    307,
+    "driver_failed",
+    logging.ERROR,
+    "Work on a task ended by an unexpected error.",
+)
+USAGE_MISSING: Final = _event(
+    308,
+    "usage_missing",
+    logging.WARNING,
+    "The worker did not report usage; the next report includes it.",
+)
+LEADER_UNREACHABLE: Final = _event(
+    309,
+    "leader_unreachable",
+    logging.WARNING,
+    "No leader answered a heartbeat; the next one follows at once.",
+)
+UPSTREAM_ANNOUNCED: Final = _event(
+    310,
+    "upstream_announced",
+    logging.INFO,
+    "An upstream announced itself on the agent's local address.",
+)
+UPSTREAM_LEAVES: Final = _event(
+    311,
+    "upstream_leaves",
+    logging.INFO,
+    "An upstream announced that it leaves; it gets no new work.",
+)
+UPSTREAM_SILENT: Final = _event(
+    312,
+    "upstream_silent",
+    logging.WARNING,
+    "An upstream did not repeat its announcement and is dropped.",
+)
 
 # 350-399: agent, requests.
 DISPATCH_DAMAGED: Final = _event(
@@ -162,3 +350,17 @@
     logging.WARNING,
     "An upstream failed repeatedly and is avoided until a probe succeeds.",
 )
+
+# 500-599: operators.
+OPERATOR_CALL: Final = _event(
+    500,
+    "operator_call",
+    logging.INFO,
+    "The leader answered an operator's call.",
+)
+OPERATOR_CALL_UNANSWERED: Final = _event(
+    501,
+    "operator_call_unanswered",
+    logging.WARNING,
+    "No leader answered an operator's call in time; its result is unknown.",
+)
