--- a/bamboorouter/coordination/reservations.py
+++ b/bamboorouter/coordination/reservations.py
@@ -118,8 +118,8 @@
             return self._not_recorded(request, "no leader")
         if not isinstance(answer, messages.ReservationReply):
             return self._not_recorded(request, type(answer).__name__)
-        if answer.state == "refused":
-            return self._not_recorded(request, answer.code)
+        if answer.state != "done" or answer.attempt != request.request_id:
+            return self._not_recorded(request, answer.code or answer.state)
         return reply
 
     async def stop(self, *, timeout_ms: int) -> None:
--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -31,6 +31,7 @@
 from bamboorouter.coordination.policies import routing
 from bamboorouter.protocol import messages
 from bamboorouter.roles import entry_http
+from bamboorouter.roles import operator_api
 from bamboorouter.transport import link
 
 POLL_PERIOD_MS: Final = 500
@@ -155,9 +156,7 @@
     async def _serve_operators(self) -> None:
         """Serves the operators' interface."""
         self._operators = web.AppRunner(
-            # Place for operator_api.make_application(client=self.client).
-            web.Application(),
-            access_log=None,
+            operator_api.make_application(self.client), access_log=None
         )
         await self._operators.setup()
         host, port = daemon.split_address(self.settings.operator)
