--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -156,7 +156,8 @@
     async def _serve_operators(self) -> None:
         """Serves the operators' interface."""
         self._operators = web.AppRunner(
-            operator_api.make_application(self.client), access_log=None
+            operator_api.make_application(client=self.client),
+            access_log=None,
         )
         await self._operators.setup()
         host, port = daemon.split_address(self.settings.operator)
