Let a dead control replica not hold up 'in force everywhere'; export lag

Now a follower that has not answered for 2 s is left out, like a silent agent. The gauges of replica lag and of the revision on control replicas were never set, so the alerts on the operations page could not work.

--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/replica.py
@@ -66,6 +66,8 @@
         commit: Newest entry known to be committed.
         applied: Newest applied entry.
         lag: On the leader, entries that each other member lacks, by ID.
+        silent_ms: On the leader, time since each other member last answered,
+            by ID.
     """
 
     id: str
@@ -78,6 +80,7 @@
     commit: int
     applied: int
     lag: dict[str, int]
+    silent_ms: dict[str, int]
 
 
 class Replica:
@@ -307,6 +310,10 @@
                 replica_id: self.log.last_index - follower.match
                 for replica_id, follower in core.followers.items()
             },
+            silent_ms={
+                replica_id: self._clock.now() - follower.acknowledged_ms
+                for replica_id, follower in core.followers.items()
+            },
         )
 
     # --- Members -------------------------------------------------------------
--- a/bamboorouter/roles/control_group.py
+++ b/bamboorouter/roles/control_group.py
@@ -10,12 +10,16 @@
 from bamboorouter import clock
 from bamboorouter import error_texts
 from bamboorouter import errors
+from bamboorouter import metrics
 from bamboorouter.coordination import replica
 from bamboorouter.state import account
 from bamboorouter.state import machine
 
 # One step of an explanation; the loop serves others between two steps.
 EXPLAIN_BYTES: Final = 64 * 1024
+# A follower answers the leader's heartbeats every 150 ms.
+SILENT_MS: Final = 2000
+METRICS_PERIOD_MS: Final = 1000
 # A day's changes.
 MAX_REVISIONS: Final = 1024
 
@@ -34,16 +38,29 @@
             maxlen=MAX_REVISIONS
         )
         self._subscription: reactivex.abc.DisposableBase | None = None
+        self._publisher: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Begins to follow which entry raised the configuration revision."""
         self._note_revision(self.replica.status().applied)
         self._subscription = self.replica.applied.subscribe(self._note_revision)
+        self._publisher = asyncio.create_task(self._publish_lag())
 
     def stop(self) -> None:
         """Stops following."""
         if self._subscription is not None:
             self._subscription.dispose()
+        if self._publisher is not None:
+            self._publisher.cancel()
+
+    async def _publish_lag(self) -> None:
+        """Keeps the metric of each follower's lag current while leading."""
+        while True:
+            metrics.REPLICAS_BEHIND.clear()
+            if self.replica.lease_valid():
+                for replica_id, lag in self.replica.status().lag.items():
+                    metrics.REPLICAS_BEHIND.labels(replica_id).set(lag)
+            await asyncio.sleep(clock.seconds(METRICS_PERIOD_MS))
 
     def members(self) -> list[dict[str, Any]]:
         """Returns each replica with its address, role and progress."""
@@ -62,7 +79,11 @@
                     None if lag is None else status.last_index - lag
                 ),
             }
-            if lag is not None:
+            silent_ms = 0 if own else status.silent_ms.get(member.id)
+            entry["silent"] = silent_ms is None or silent_ms > SILENT_MS
+            # A replica that is down applies nothing; like a silent agent it
+            # must not keep a change from being in force everywhere.
+            if lag is not None and not entry["silent"]:
                 entry["applied_revision"] = self._revision_at(
                     status.last_index - lag
                 )
@@ -73,6 +94,7 @@
         revision = self.replica.machine.config_revision
         if not self._revisions or self._revisions[-1][1] != revision:
             self._revisions.append((index, revision))
+            metrics.APPLIED_REVISION.set(revision)
 
     def _revision_at(self, index: int) -> int:
         """Returns the revision that a replica has with this last entry."""
