--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -26,11 +26,36 @@
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
+BAD_REQUEST: Final = "bad_request"
+KEY_EXPIRED: Final = "key_expired"
+STOPPING: Final = "stopping"
+JOB_AT_FAULT: Final = "job_at_fault"
+STALE_ATTEMPT: Final = "stale_attempt"
+NO_SUCH_TASK: Final = "no_such_task"
+NO_SUCH_WORKER: Final = "no_such_worker"
+TASK_NOT_WAITING: Final = "task_not_waiting"
+WORKER_DRAINED: Final = "worker_drained"
+WORKER_QUARANTINED: Final = "worker_quarantined"
+TOO_MANY_QUARANTINES: Final = "too_many_quarantines"
+UNKNOWN_OPERATION: Final = "unknown_operation"
+BAD_ARGUMENT: Final = "bad_argument"
 LOG_BUSY: Final = "log_busy"
 MEMBERS_BUSY: Final = "members_busy"
 NO_SUCH_MEMBER: Final = "no_such_member"
 NOT_CAUGHT_UP: Final = "not_caught_up"
 QUORUM_AT_RISK: Final = "quorum_at_risk"
+CALL_MALFORMED: Final = "call_malformed"
+NOT_REACHED: Final = "not_reached"
+
+# Codes of requests that were or may have been started.
+NO_ANSWER: Final = "no_answer"
+BAD_ANSWER: Final = "bad_answer"
+NOT_RECORDED: Final = "not_recorded"
+BODY_NOT_KEPT: Final = "body_not_kept"
+OTHER_ATTEMPT: Final = "other_attempt"
+
+# The operation may or may not have been carried out.
+RESULT_UNKNOWN: Final = "result_unknown"
 
 TEXTS: Final[dict[str, str]] = {
     NOT_READY: "the process has no confirmed configuration yet",
@@ -62,6 +87,27 @@
         "without replica {replica!r} only {alive} of {voters} voters answer"
     ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+    JOB_AT_FAULT: "job {job!r} fails wherever it runs",
+    STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
+    NO_SUCH_TASK: "task {task!r} does not exist",
+    NO_SUCH_WORKER: "worker {worker!r} is not known",
+    TASK_NOT_WAITING: "task {task!r} is {state}, not waiting",
+    WORKER_DRAINED: "worker {worker!r} is drained",
+    WORKER_QUARANTINED: "worker {worker!r} is in quarantine",
+    TOO_MANY_QUARANTINES: "{count} workers are in quarantine already",
+    UNKNOWN_OPERATION: "operation {operation!r} does not exist",
+    BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
+    CALL_MALFORMED: "the call is malformed",
+    NOT_REACHED: "no entry could be reached; nothing was changed",
+    RESULT_UNKNOWN: "no leader answered; the operation may have been done",
+    BAD_REQUEST: "the request is malformed: {detail}",
+    KEY_EXPIRED: "the key is too old to tell whether it was run",
+    STOPPING: "the process is stopping",
+    NO_ANSWER: "it is not known whether the request was run: {detail}",
+    BAD_ANSWER: "the upstream's answer is not usable: {detail}",
+    NOT_RECORDED: "the outcome could not be recorded in time",
+    BODY_NOT_KEPT: "the request completed earlier; its answer was not kept",
+    OTHER_ATTEMPT: "another attempt with this key has no outcome yet",
 }
 
 
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -1,6 +1,34 @@
-"""The control role."""
+"""The control role: a replica of the log and, while it leads, the decisions.
 
+One server takes the links of other replicas, agents and entries. Messages of
+the consensus go to the replica; everything else goes to the leader's desk,
+which redirects callers unless this replica holds a valid leader lease.
+"""
+
+import pathlib
+from typing import Final
+
+from bamboorouter import clock
 from bamboorouter import options
+from bamboorouter.coordination import explanations
+from bamboorouter.coordination import leader_desk
+from bamboorouter.coordination import replica
+from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.policies import bundle
+from bamboorouter.protocol import messages
+from bamboorouter.roles import control_group
+from bamboorouter.state import machine
+from bamboorouter.transport import files
+from bamboorouter.transport import link
+
+_LEADER_CALLS: Final = (
+    messages.Heartbeat,
+    messages.EntryPoll,
+    messages.Reserve,
+    messages.RecordOutcome,
+    messages.RequestRecords,
+    messages.OperatorCall,
+)
 
 
 class ControlRole:
@@ -10,6 +38,8 @@
         process: Section [process] of the settings.
         settings: Section [control] of the settings.
         addresses: Bound addresses by name.
+        replica: This process's replica of the log.
+        desk: Answers what only the leader may answer.
     """
 
     def __init__(
@@ -17,18 +47,71 @@
         *,
         process: options.ProcessOptions,
         settings: options.ControlOptions,
+        time: clock.Clock | None = None,
     ) -> None:
         self.process = process
         self.settings = settings
         self.addresses: dict[str, str] = {}
+        time = time or clock.SystemClock()
+        self.replica = replica.Replica(
+            process=process,
+            settings=settings,
+            folder=files.DiskFolder(path=pathlib.Path(settings.data_dir)),
+            machine=machine.Machine(),
+            time=time,
+        )
+        self._group = control_group.ControlGroup(own=self.replica)
+        self._explanations = explanations.Explanations(read=self._group.explain)
+        self.desk = leader_desk.LeaderDesk(
+            log=self.replica,
+            time=time,
+            loop=scheduler.Scheduler(
+                log=self.replica,
+                time=time,
+                service_lease_ms=settings.service_lease_ms,
+                batch_lease_ms=settings.batch_lease_ms,
+                policies=bundle.by_name(settings.policies),
+            ),
+            group=self._group,
+            explain=self._explanations.get,
+        )
+        self._server: link.LinkServer | None = None
+        self._started = False
 
     async def start(self) -> None:
-        """Binds all addresses and starts work."""
-        raise NotImplementedError
+        """Binds the address, opens the data folder and joins the group."""
+        host, _, port = self.settings.listen.rpartition(":")
+        self._server = await link.serve_links(
+            host=host, port=int(port), handler=self._handle
+        )
+        bound = f"{host}:{self._server.port}"
+        self.addresses = {"control.listen": bound}
+        self.desk.address = self.settings.advertise or bound
+        await self.replica.start(self.desk.address)
+        self._group.start()
+        self.desk.start()
+        self._started = True
 
     async def stop(self) -> None:
-        """Stops gracefully."""
+        """Hands leadership over if it leads, then closes all links."""
+        self._started = False
+        self._explanations.stop()
+        await self.desk.stop()
+        self._group.stop()
+        await self.replica.stop()
+        if self._server is not None:
+            await self._server.close()
 
     def ready(self) -> bool:
-        """Whether the role can do its work now."""
-        return False
+        """Whether a leader of the group is known."""
+        return self._started and bool(self.replica.leader_address())
+
+    async def _handle(
+        self, message: messages.Message, source: link.Link
+    ) -> messages.Message | None:
+        if not self._started:
+            # The port is bound before the data folder is open.
+            return messages.Redirect(leader="")
+        if isinstance(message, _LEADER_CALLS):
+            return await self.desk.handle(message, source)
+        return await self.replica.handle(message, source)
