Start each epoch at most once; finish moves after their drain ended

Ruled out: lease expiry, whose times were kept. An assignment that a former leader or a former run may have started is now ended and assigned anew.

--- a/bamboorouter/coordination/heartbeats.py
+++ b/bamboorouter/coordination/heartbeats.py
@@ -6,6 +6,10 @@
 tasks without a current assignment. An end that is recorded, or that concerns
 an old epoch, is acknowledged by "forget".
 
+An epoch is started at most once. So an assignment that the agent doesn't hold
+is ended, not ordered again, if a former leader or a former run of the agent
+may have started it.
+
 An agent handles one heartbeat at a time and drops answers to older ones. So an
 assignment that is missing from a heartbeat newer than the one whose answer
 carried its start order is not held by the agent.
@@ -203,12 +207,12 @@
                     epoch=task.epoch,
                     checkpoint=report.checkpoint,
                 )
-            return _end(task, "stopped", report.checkpoint, report.detail)
+            return _reported_end(task, report, "stopped")
         if report.state == "failed" and task.kind == "batch":
             reason = self.at_fault(task)
             if reason:
-                return _end(task, "given_up", report.checkpoint, reason)
-        return _end(task, report.state, report.checkpoint, report.detail)
+                return _reported_end(task, report, "given_up", reason)
+        return _reported_end(task, report, report.state)
 
     def _missing(
         self, heartbeat: messages.Heartbeat, state: machine.Machine
@@ -220,24 +224,26 @@
             if (task.task, task.epoch) in held:
                 continue
             lease = self.leases.by_epoch.get(task.epoch)
-            checkpoint = lease.checkpoint if lease is not None else ""
-            if lease is not None and lease.reported:
-                found.append(_end(task, "lost", checkpoint, "lost by worker"))
-            elif _unwanted(task, heartbeat) and self._not_held(
-                lease, heartbeat
-            ):
-                found.append(_end(task, "stopped", checkpoint, "not started"))
+            if lease is None:
+                continue
+            if lease.reported:
+                found.append(_end(task, "lost", lease, "lost by worker"))
+            elif self._not_held(lease, heartbeat):
+                if not lease.may_start_in(heartbeat.incarnation):
+                    found.append(_end(task, "lost", lease, "agent restarted"))
+                elif _unwanted(task, heartbeat):
+                    found.append(_end(task, "stopped", lease, "not started"))
         return found
 
     def _not_held(
-        self, lease: leases.Lease | None, heartbeat: messages.Heartbeat
+        self, lease: leases.Lease, heartbeat: messages.Heartbeat
     ) -> bool:
         """Whether no start order for a missing task can have been accepted.
 
         A former leader, or an answer to a former run of the agent, may have
         ordered the start; then the heartbeat must be proven to be recent.
         """
-        if lease is not None and lease.granted_in is not None:
+        if lease.granted_in is not None:
             incarnation, sequence = lease.granted_in
             if incarnation == heartbeat.incarnation:
                 return sequence < heartbeat.sequence
@@ -282,6 +288,8 @@
             if task.status != "assigned" or task.stopping:
                 continue
             lease = self._lease(task, now)
+            if not lease.may_start_in(heartbeat.incarnation):
+                continue
             self.leases.grant(lease, now)
             lease.granted_in = (heartbeat.incarnation, heartbeat.sequence)
             starts.append(
@@ -332,17 +340,32 @@
 
 
 def _end(
-    task: assignments.Task, outcome: str, checkpoint: str, detail: str
+    task: assignments.Task, outcome: str, lease: leases.Lease, detail: str
 ) -> commands.EndTask:
     return commands.EndTask(
         task=task.task,
         epoch=task.epoch,
         outcome=outcome,
-        checkpoint=checkpoint,
+        checkpoint=lease.checkpoint,
         detail=detail,
     )
 
 
+def _reported_end(
+    task: assignments.Task,
+    report: common.TaskState,
+    outcome: str,
+    detail: str = "",
+) -> commands.EndTask:
+    return commands.EndTask(
+        task=task.task,
+        epoch=task.epoch,
+        outcome=outcome,
+        checkpoint=report.checkpoint,
+        detail=detail or report.detail,
+    )
+
+
 def _unwanted(task: assignments.Task, heartbeat: messages.Heartbeat) -> bool:
     """Whether no start order is sent any more."""
     return bool(task.stopping or task.status == "evicting" or heartbeat.leaving)
--- a/bamboorouter/coordination/leases.py
+++ b/bamboorouter/coordination/leases.py
@@ -35,6 +35,7 @@
         granted: Monotonic time in ms of the last grant; None before the first.
         granted_in: Incarnation and sequence of the heartbeat whose answer
             last carried a start order; None if this leader sent none.
+        inherited: Whether a former leader made the assignment.
         reported: Whether the agent reported the task to this leader.
         checkpoint: Newest checkpoint the agent reported.
         checkpoint_at: Monotonic time in ms of its first report, or of the
@@ -47,10 +48,21 @@
     term_ms: int
     granted: clock.Millis | None = None
     granted_in: tuple[int, int] | None = None
+    inherited: bool = False
     reported: bool = False
     checkpoint: str = ""
     checkpoint_at: int = 0
 
+    def may_start_in(self, incarnation: int) -> bool:
+        """Whether a start order may be sent to this run of the agent.
+
+        An epoch is started by one run of an agent only, so that a late report
+        of its end can't be taken for the end of a second start.
+        """
+        if self.inherited:
+            return False
+        return self.granted_in is None or self.granted_in[0] == incarnation
+
     def expires(self) -> int | None:
         """Returns when the task is certainly stopped; None if not granted."""
         if self.granted is None:
--- a/bamboorouter/coordination/moves.py
+++ b/bamboorouter/coordination/moves.py
@@ -73,20 +73,25 @@
     def _outdated(
         self, service: str, state: machine.Machine
     ) -> assignments.Task | None:
-        """Returns the instance to replace next; the one under way first."""
+        """Returns the instance to replace next; the one under way first.
+
+        An instance whose replacement began under a drain that has ended is
+        replaced as well.
+        """
         spec = plan.spec_of(state.plan.services[service])
+        known = state.assignments.tasks
         outdated = [
             task
             for task in state.assignments.rows_tasks(service)
             if task.live
             and not task.stopping
-            and task.spec != spec
+            and (task.spec != spec or task.replacement in known)
             and task.worker not in state.workers.drains
         ]
         return min(
             outdated,
             key=lambda task: (
-                task.replacement not in state.assignments.tasks,
+                task.replacement not in known,
                 task.number,
             ),
             default=None,
--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduler.py
@@ -356,6 +356,7 @@
                 now=now,
             )
             if granted:
+                lease.inherited = True
                 self.leases.grant(lease, now)
 
     async def _run(self) -> None:
@@ -366,9 +367,11 @@
                 continue
             try:
                 more = await self.decide()
-            except errors.RouterError as err:
-                events.log(events.PASS_FAILED, error=str(err))
-                more = True
+            except Exception as err:  # pylint: disable=broad-except
+                # A leader that decides nothing any more is worse than one
+                # whose pass failed; the next pass starts from the state.
+                events.log(events.PASS_FAILED, error=repr(err))
+                more = False
             done, self._pass_done = self._pass_done, asyncio.Event()
             done.set()
             if more:
--- a/bamboorouter/coordination/worker_registry.py
+++ b/bamboorouter/coordination/worker_registry.py
@@ -40,8 +40,8 @@
         former: Incarnations of former runs.
         source: Link on which the heartbeat arrived.
         proven: Whether a heartbeat of this run is proven to be recent.
-        rival: Incarnation and link of a heartbeat of another run, which is
-            either the next run or a former one.
+        rival: Last heartbeat of another run, which is either the next run or
+            a former one, and its link.
     """
 
     heartbeat: messages.Heartbeat
@@ -54,7 +54,7 @@
     )
     source: object = None
     proven: bool = False
-    rival: tuple[int, object] | None = None
+    rival: tuple[messages.Heartbeat, object] | None = None
 
     def alive(self, now: int) -> bool:
         """Whether the worker was heard lately."""
@@ -142,9 +142,11 @@
     """Whether another run of the agent is proven to be the present one."""
     if heartbeat.incarnation in report.former:
         return False
-    rival = (heartbeat.incarnation, source)
-    if report.rival != rival:
-        report.rival = rival
+    rival, report.rival = report.rival, (heartbeat, source)
+    if rival is None or rival[1] is not source:
+        return False
+    same_run = rival[0].incarnation == heartbeat.incarnation
+    if not same_run or heartbeat.sequence <= rival[0].sequence:
         return False
     report.former.append(report.heartbeat.incarnation)
     report.rival = None
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -329,6 +329,25 @@
         self.assertEqual(self.log.outcomes("job/0"), [])
         self.assertIn("job/0", agent.running())
 
+    async def test_epoch_is_not_started_again_by_a_later_leader(self) -> None:
+        agent = self.agent("w1")
+        self.log.apply(make.sheet(1, make.row("job")))
+        await agent.beat()
+        await agent.beat()
+        first = agent.tasks["job/0"].epoch
+        agent.tasks["job/0"].state = "stopped"
+        late, late_link = agent.message(), agent.link
+        agent.fields["incarnation"], agent.link = 2, object()
+        agent.tasks.clear()
+        self.log.elect_again()
+        starts = [
+            s.epoch for _ in range(3) for s in (await agent.beat()).starts
+        ]
+        self.assertNotIn(first, starts)
+        await self.leader.heartbeat(late, late_link)
+        self.assertEqual(self.status("job/0"), "assigned")
+        self.assertEqual(agent.running(), {"job/0"})
+
     async def test_restarted_agent_is_believed_after_its_first_answer(
         self,
     ) -> None:
