--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -26,6 +26,9 @@
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
+BAD_REQUEST: Final = "bad_request"
+KEY_EXPIRED: Final = "key_expired"
+STOPPING: Final = "stopping"
 JOB_AT_FAULT: Final = "job_at_fault"
 STALE_ATTEMPT: Final = "stale_attempt"
 NO_SUCH_TASK: Final = "no_such_task"
@@ -44,6 +47,13 @@
 CALL_MALFORMED: Final = "call_malformed"
 NOT_REACHED: Final = "not_reached"
 
+# Codes of requests that were or may have been started.
+NO_ANSWER: Final = "no_answer"
+BAD_ANSWER: Final = "bad_answer"
+NOT_RECORDED: Final = "not_recorded"
+BODY_NOT_KEPT: Final = "body_not_kept"
+OTHER_ATTEMPT: Final = "other_attempt"
+
 # The operation may or may not have been carried out.
 RESULT_UNKNOWN: Final = "result_unknown"
 
@@ -90,6 +100,14 @@
     CALL_MALFORMED: "the call is malformed",
     NOT_REACHED: "no entry could be reached; nothing was changed",
     RESULT_UNKNOWN: "no leader answered; the operation may have been done",
+    BAD_REQUEST: "the request is malformed: {detail}",
+    KEY_EXPIRED: "the key is too old to tell whether it was run",
+    STOPPING: "the process is stopping",
+    NO_ANSWER: "it is not known whether the request was run: {detail}",
+    BAD_ANSWER: "the upstream's answer is not usable: {detail}",
+    NOT_RECORDED: "the outcome could not be recorded in time",
+    BODY_NOT_KEPT: "the request completed earlier; its answer was not kept",
+    OTHER_ATTEMPT: "another attempt with this key has no outcome yet",
 }
 
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -38,6 +38,7 @@
     return event
 
 
+@logging.skip_log_prefix
 def log(event: Event, **fields: object) -> None:
     """Logs an event as `BR<number> <name> key=value ...`."""
     if event.level > logging.get_verbosity():
@@ -191,7 +192,165 @@
     "The leader answered an operator's call.",
 )
 
-# 300-399: agent. 400-499: entry.
+# 300-349: tasks of the agent.
+TASK_ADMITTED: Final = _event(
+    300,
+    "task_admitted",
+    logging.INFO,
+    "The agent decided on a start order: started, or refused as stale, expired"
+    " or without capacity.",
+)
+TASK_ORDERED: Final = _event(
+    301,
+    "task_ordered",
+    logging.INFO,
+    "The agent carries out an order to change a task.",
+)
+TASK_FOUND: Final = _event(
+    302,
+    "task_found",
+    logging.INFO,
+    "The worker runs a task that this run of the agent did not start.",
+)
+LEASE_ENDED: Final = _event(
+    303,
+    "lease_ended",
+    logging.WARNING,
+    "The lease of a task was not renewed in time; the task is stopped.",
+)
+WORKER_UNREACHABLE: Final = _event(
+    304,
+    "worker_unreachable",
+    logging.WARNING,
+    "A request to the worker got no answer and is repeated.",
+)
+LEASES_NOT_SENT: Final = _event(
+    305,
+    "leases_not_sent",
+    logging.WARNING,
+    "Renewals could not be passed on to the worker and are sent again.",
+)
+WORKER_LISTED: Final = _event(
+    306,
+    "worker_listed",
+    logging.INFO,
+    "The worker listed its tasks after a start of the agent.",
+)
+DRIVER_FAILED: Final = _event(
+    307,
+    "driver_failed",
+    logging.ERROR,
+    "Work on a task ended by an unexpected error.",
+)
+USAGE_MISSING: Final = _event(
+    308,
+    "usage_missing",
+    logging.WARNING,
+    "The worker did not report usage; the next report includes it.",
+)
+LEADER_UNREACHABLE: Final = _event(
+    309,
+    "leader_unreachable",
+    logging.WARNING,
+    "No leader answered a heartbeat; the next one follows at once.",
+)
+UPSTREAM_ANNOUNCED: Final = _event(
+    310,
+    "upstream_announced",
+    logging.INFO,
+    "An upstream announced itself on the agent's local address.",
+)
+UPSTREAM_LEAVES: Final = _event(
+    311,
+    "upstream_leaves",
+    logging.INFO,
+    "An upstream announced that it leaves; it gets no new work.",
+)
+UPSTREAM_SILENT: Final = _event(
+    312,
+    "upstream_silent",
+    logging.WARNING,
+    "An upstream did not repeat its announcement and is dropped.",
+)
+
+# 350-399: agent, requests.
+DISPATCH_DAMAGED: Final = _event(
+    350,
+    "dispatch_damaged",
+    logging.ERROR,
+    "The body of a dispatched request does not match its digest.",
+)
+RESERVATION_REPEATED: Final = _event(
+    351,
+    "reservation_repeated",
+    logging.ERROR,
+    "A reserved request was dispatched twice; the second one was not run.",
+)
+UPSTREAM_GARBAGE: Final = _event(
+    352,
+    "upstream_garbage",
+    logging.WARNING,
+    "An upstream sent half an answer or one that is not HTTP.",
+)
+
+# 400-499: entry.
+ENTRY_READY: Final = _event(
+    400,
+    "entry_ready",
+    logging.INFO,
+    "A leader answered the first time; the entry takes requests.",
+)
+STALE_UPDATE: Final = _event(
+    401,
+    "stale_update",
+    logging.WARNING,
+    "An update with a lower revision than the one applied was ignored.",
+)
+CALLER_GARBAGE: Final = _event(
+    402,
+    "caller_garbage",
+    logging.WARNING,
+    "A caller's body was shorter than announced or malformed.",
+)
+ANSWER_DAMAGED: Final = _event(
+    403,
+    "answer_damaged",
+    logging.ERROR,
+    "An answer does not match its digest or its request.",
+)
+AGENT_AVOIDED: Final = _event(
+    404,
+    "agent_avoided",
+    logging.WARNING,
+    "An agent stopped answering; its link was closed until a probe succeeds.",
+)
+AGENT_REACHED: Final = _event(
+    405, "agent_reached", logging.INFO, "A link to an agent opened."
+)
+LEADER_SILENT: Final = _event(
+    406,
+    "leader_silent",
+    logging.WARNING,
+    "No leader answered the poll of an entry.",
+)
+OUTCOME_NOT_RECORDED: Final = _event(
+    407,
+    "outcome_not_recorded",
+    logging.ERROR,
+    "The outcome of a reserved request could not be committed.",
+)
+REQUEST_FAULT: Final = _event(
+    408,
+    "request_fault",
+    logging.ERROR,
+    "An unexpected error ended a request.",
+)
+UPSTREAM_EJECTED: Final = _event(
+    409,
+    "upstream_ejected",
+    logging.WARNING,
+    "An upstream failed repeatedly and is avoided until a probe succeeds.",
+)
 
 # 500-599: operators.
 OPERATOR_CALL: Final = _event(
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,193 @@
+"""Guards against commands on the operations page that do not work.
+
+The page is followed on a site with real processes: every command line is run
+as written, but for the addresses, IDs and folders of the example site.
+"""
+
+import asyncio
+import os
+import re
+import shlex
+import sys
+import time
+import unittest
+
+import aiohttp
+
+from devtools import site
+from tests import test_docs
+
+PAGE = test_docs.ROOT / "docs" / "operations.md"
+COMMAND = re.compile(r"^ *(bamboorouter .*)$", re.MULTILINE)
+COMMAND_TIMEOUT_S = 60
+RETRY_S = 20
+VMS = 3
+SHAPE = site.SiteShape(vms=site.GUILD.vms[:VMS])
+SAMPLE = re.compile(
+    r"^(bamboorouter_\w+?)(?:\{.*\})? ([\d.e+-]+)$", re.MULTILINE
+)
+# Exported only once a caller was served or refused.
+NOT_YET_SEEN = {
+    "bamboorouter_request_seconds_bucket",
+    "bamboorouter_refusals_total",
+}
+
+
+def named_metrics() -> set[str]:
+    """Returns the metrics that the page names."""
+    return set(
+        re.findall(r"bamboorouter_\w+", PAGE.read_text(encoding="utf-8"))
+    )
+
+
+class OperationsPageTest(unittest.IsolatedAsyncioTestCase):
+    """Follows docs/operations.md from the first day to the account."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = site.Site(shape=SHAPE, proxied=False)
+        await self.site.start()
+        self.addAsyncCleanup(self.site.close)
+        await self.site.wait_ready()
+        self.values: dict[str, str] = {
+            "/var/lib/bamboorouter": str(self.folder("control-1")),
+        }
+
+    def folder(self, name: str) -> object:
+        return self.site.processes[name].folder / "data"
+
+    async def run_line(self, line: str) -> tuple[int, str]:
+        """Runs a command; returns exit code and output."""
+        for name, value in self.values.items():
+            line = line.replace(name, value)
+        entries = [
+            self.site.address(f"entry-{number}", "entry.operator")
+            for number in (1, 2)
+        ]
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "bamboorouter.cli"),
+            *shlex.split(line)[1:],
+            cwd=test_docs.ROOT,
+            env={**os.environ, "BAMBOOROUTER_ENTRY": ",".join(entries)},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        async with asyncio.timeout(COMMAND_TIMEOUT_S):
+            output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
+
+    async def run_until_done(self, line: str) -> str:
+        """Runs a command, again if it is refused for the moment."""
+        deadline = time.monotonic() + RETRY_S
+        while True:
+            code, output = await self.run_line(line)
+            if code == 0 or time.monotonic() > deadline:
+                self.assertEqual(code, 0, f"{line}\n{output}")
+                return output
+            await asyncio.sleep(0.5)
+
+    async def follower(self) -> str:
+        """Returns the name of a control replica that does not lead."""
+        _, output = await self.run_line("bamboorouter members")
+        rows = [line.split() for line in output.splitlines()[1:]]
+        address = next(row[1] for row in rows if row[2] == "voter")
+        return next(
+            name
+            for name, listens in self.site.control_addresses.items()
+            if listens == address
+        )
+
+    async def lose_disk(self) -> None:
+        """Restarts a follower without its data folder."""
+        name = await self.follower()
+        address = self.site.control_addresses[name]
+        _, output = await self.run_line("bamboorouter members")
+        old = next(
+            line.split()[0]
+            for line in output.splitlines()
+            if address in line.split()
+        )
+        await self.site.kill(name)
+        self.site.lose_folder(name)
+        await self.site.restart(name)
+        log = self.site.processes[name].log
+        found = None
+        deadline = time.monotonic() + RETRY_S
+        while found is None and time.monotonic() < deadline:
+            found = re.search(
+                r"BR0106 waiting_to_join replica='(\w+)'", log.read_text()
+            )
+            await asyncio.sleep(0.1)
+        assert found is not None, self.site.tail(name)
+        self.values |= {
+            "NEW-ID": found[1],
+            "OLD-ID": old,
+            "10.20.2.10:7001": address,
+        }
+
+    async def test_every_command_works_as_written(self) -> None:
+        lines = COMMAND.findall(PAGE.read_text(encoding="utf-8"))
+        self.assertGreaterEqual(len(lines), 15)
+        for line in lines:
+            if line == "bamboorouter members" and "NEW-ID" not in self.values:
+                await self.lose_disk()
+            with self.subTest(line):
+                output = await self.run_until_done(line)
+                self.check_output(line, output)
+
+    async def test_sheet_comes_into_force_while_a_replica_is_down(self) -> None:
+        follower = await self.follower()
+        await self.site.kill(follower)
+        output = await self.run_until_done(
+            "bamboorouter sheet submit samples/guild.csv --wait"
+        )
+        self.assertIn("in force everywhere", output)
+
+    async def test_metrics_on_the_page_are_exported_and_right(self) -> None:
+        await self.run_until_done(
+            "bamboorouter sheet submit samples/guild.csv --wait"
+        )
+        deadline = time.monotonic() + RETRY_S
+        missing = {"none read yet"}
+        while missing and time.monotonic() < deadline:
+            samples = await self.scrape()
+            exported = {name for _, name, _ in samples}
+            missing = named_metrics() - exported - NOT_YET_SEEN
+            await asyncio.sleep(0.2)
+        self.assertEqual(missing, set())
+        leads = [v for _, name, v in samples if name == "bamboorouter_leads"]
+        self.assertEqual(sum(leads), 1)
+        revisions = {
+            process: value
+            for process, name, value in samples
+            if name == "bamboorouter_applied_revision"
+        }
+        self.assertEqual(set(revisions.values()), {1.0}, revisions)
+
+    async def scrape(self) -> list[tuple[str, str, float]]:
+        """Returns process, name and value of all samples."""
+        samples = []
+        async with aiohttp.ClientSession() as session:
+            for name, managed in self.site.processes.items():
+                if "health" not in managed.addresses:
+                    continue
+                url = f"http://{managed.addresses['health']}/metrics"
+                async with session.get(url) as answer:
+                    text = await answer.text()
+                samples += [
+                    (name, found[1], float(found[2]))
+                    for found in SAMPLE.finditer(text)
+                ]
+        return samples
+
+    def check_output(self, line: str, output: str) -> None:
+        head = re.search(r"^head: (\d+):(\w+)$", output, re.MULTILINE)
+        if head is not None:
+            self.values |= {"1200:HASH": f"{head[1]}:{head[2]}"}
+        if "--wait" in line:
+            self.assertIn("in force everywhere", output)
+        if "--before" in line:
+            self.assertIn("was decided first", output)
+
+
+if __name__ == "__main__":
+    unittest.main()
