--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -10,9 +10,11 @@
 
 from bamboorouter import clock
 from bamboorouter import options
+from bamboorouter.coordination import explanations
 from bamboorouter.coordination import leader_desk
 from bamboorouter.coordination import replica
 from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.policies import bundle
 from bamboorouter.protocol import messages
 from bamboorouter.roles import control_group
 from bamboorouter.state import machine
@@ -59,6 +61,7 @@
             time=time,
         )
         self._group = control_group.ControlGroup(own=self.replica)
+        self._explanations = explanations.Explanations(read=self._group.explain)
         self.desk = leader_desk.LeaderDesk(
             log=self.replica,
             time=time,
@@ -67,9 +70,10 @@
                 time=time,
                 service_lease_ms=settings.service_lease_ms,
                 batch_lease_ms=settings.batch_lease_ms,
+                policies=bundle.by_name(settings.policies),
             ),
             group=self._group,
-            explain=self._group.explain,
+            explain=self._explanations.get,
         )
         self._server: link.LinkServer | None = None
         self._started = False
@@ -91,6 +95,7 @@
     async def stop(self) -> None:
         """Hands leadership over if it leads, then closes all links."""
         self._started = False
+        self._explanations.stop()
         await self.desk.stop()
         self._group.stop()
         await self.replica.stop()
