--- /dev/null
+++ b/devtools/bench_path.py
@@ -0,0 +1,338 @@
+"""Measures what the product costs on the way of a request.
+
+Three ways to one echo upstream run side by side: direct, through two bare hops
+with no logic (`bare_hops`), and through the product (entry and agent, led by a
+real control replica). They take turns over several rounds, at 1 and at 64
+connections with bodies of 1 KB; each figure is the median over the rounds.
+"""
+
+import argparse
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import pathlib
+import statistics
+import sys
+from typing import Final
+import uuid
+
+import aiohttp
+import psutil
+
+from bamboorouter import clock
+from bamboorouter.coordination import control_client
+from bamboorouter.protocol import messages
+from devtools import http_load
+from devtools import site
+
+BODY_BYTES: Final = 1024
+CONNECTIONS: Final = (1, 64)
+WAYS: Final = ("direct", "two bare hops", "product")
+REQUESTS: Final = {1: 2_000, 64: 12_000}
+WARM_UP_REQUESTS: Final = 640
+GOAL: Final = 1.3
+ANNOUNCE_PERIOD_S: Final = 10.0
+START_TIMEOUT_S: Final = 30.0
+PAGE: Final = (
+    pathlib.Path(__file__).resolve().parent.parent
+    / "docs"
+    / "measurements-path.md"
+)
+# The service is larger than the VM, so that no task of it starts and the
+# announced upstream is the only one.
+SHEET: Final = """revision,1
+kind,name,owner,urgency,place,processors,memory_mb,count,deadline_ms
+service,bench,bench,1,1,1000,500,1,10000
+"""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Way:
+    """One way to the upstream.
+
+    Attributes:
+        name: Name in the table.
+        port: Port for callers.
+        path: Path of the request.
+        processes: The processes on the way, without the upstream, by role.
+    """
+
+    name: str
+    port: int
+    path: str
+    processes: dict[str, psutil.Process]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Round:
+    """Figures of one way in one round.
+
+    Attributes:
+        p50_ms: Median latency.
+        p99_ms: 99th percentile.
+        rate: Requests a second.
+        cpu_us: Processor time per request by role, in microseconds.
+    """
+
+    p50_ms: float
+    p99_ms: float
+    rate: float
+    cpu_us: dict[str, float]
+
+
+async def _start_part(
+    *arguments: str,
+) -> tuple[asyncio.subprocess.Process, int]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "devtools.bare_hops",
+        *arguments,
+        cwd=site.ROOT,
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    async with asyncio.timeout(START_TIMEOUT_S):
+        return process, int(await process.stdout.readline())
+
+
+@contextlib.asynccontextmanager
+async def _parts() -> AsyncIterator[tuple[list[Way], str]]:
+    """Starts upstream and bare hops; yields their ways and upstream's URL."""
+    started: list[asyncio.subprocess.Process] = []
+    try:
+        upstream, port = await _start_part("upstream")
+        started.append(upstream)
+        url = f"http://127.0.0.1:{port}"
+        back, back_port = await _start_part("back", "--upstream", url)
+        started.append(back)
+        front, front_port = await _start_part("front", "--back", str(back_port))
+        started.append(front)
+        hops = {
+            "front": psutil.Process(front.pid),
+            "back": psutil.Process(back.pid),
+        }
+        yield [
+            Way(name="direct", port=port, path="/x", processes={}),
+            Way(
+                name="two bare hops",
+                port=front_port,
+                path="/x",
+                processes=hops,
+            ),
+        ], url
+    finally:
+        for process in started:
+            process.kill()
+            await process.wait()
+
+
+async def _announce(url: str, upstream: str) -> None:
+    """Keeps the upstream announced at the agent."""
+    body = {"id": "bench-up", "service": "bench", "url": upstream}
+    async with aiohttp.ClientSession() as client:
+        while True:
+            async with client.post(url, json=body) as answer:
+                answer.raise_for_status()
+            await asyncio.sleep(ANNOUNCE_PERIOD_S)
+
+
+async def _submit_sheet(running: site.Site) -> None:
+    client = control_client.ControlClient(
+        addresses=tuple(running.control_addresses.values()),
+        time=clock.SystemClock(),
+    )
+    call = messages.OperatorCall(
+        operation="submit_sheet",
+        operation_id=uuid.uuid4().hex,
+        operator="bench",
+        arguments={"csv": SHEET},
+    )
+    reply = await client.call(call, timeout_ms=15_000)
+    await client.close()
+    if not isinstance(reply, messages.OperatorReply) or not reply.ok:
+        raise site.SiteError(f"the sheet was refused: {reply}")
+
+
+async def _wait_until_served(port: int) -> None:
+    async with (
+        asyncio.timeout(START_TIMEOUT_S),
+        aiohttp.ClientSession() as client,
+    ):
+        while True:
+            async with client.post(
+                f"http://127.0.0.1:{port}/bench/x", data=b"x"
+            ) as answer:
+                if answer.status == 200:
+                    return
+            await asyncio.sleep(0.1)
+
+
+@contextlib.asynccontextmanager
+async def _product(upstream: str) -> AsyncIterator[Way]:
+    """Starts a control replica, an entry and an agent; yields the way."""
+    shape = site.SiteShape(
+        vms=(site.VmShape(zone="a", rack="rack-1"),), controls=1, entries=1
+    )
+    async with site.Site(shape=shape, proxied=False) as running:
+        await _submit_sheet(running)
+        local = running.processes["agent-1"].addresses["agent.local"]
+        announcing = asyncio.create_task(
+            _announce(f"http://{local}/upstreams", upstream)
+        )
+        listen = running.processes["entry-1"].addresses["entry.listen"]
+        port = int(listen.rpartition(":")[2])
+        processes: dict[str, psutil.Process] = {}
+        for role in ("entry", "agent", "control"):
+            managed = running.processes[f"{role}-1"].process
+            assert managed is not None
+            processes[role] = psutil.Process(managed.pid)
+        try:
+            await _wait_until_served(port)
+            yield Way(
+                name="product", port=port, path="/bench/x", processes=processes
+            )
+        finally:
+            announcing.cancel()
+
+
+def _cpu_s(way: Way) -> dict[str, float]:
+    times = {role: p.cpu_times() for role, p in way.processes.items()}
+    return {role: spent.user + spent.system for role, spent in times.items()}
+
+
+async def _measure(way: Way, connections: int, count: int) -> Round:
+    before = _cpu_s(way)
+    result = await http_load.run_load(
+        port=way.port,
+        path=way.path,
+        body_bytes=BODY_BYTES,
+        connections=connections,
+        count=count,
+    )
+    after = _cpu_s(way)
+    if result.failed:
+        raise site.SiteError(f"{way.name}: {result.failed} requests failed")
+    return Round(
+        p50_ms=result.quantile_ms(0.5),
+        p99_ms=result.quantile_ms(0.99),
+        rate=result.rate(),
+        cpu_us={
+            role: (after[role] - before[role]) / count * 1e6 for role in after
+        },
+    )
+
+
+def _median_round(rounds: list[Round]) -> Round:
+    median = statistics.median
+    return Round(
+        p50_ms=median(r.p50_ms for r in rounds),
+        p99_ms=median(r.p99_ms for r in rounds),
+        rate=median(r.rate for r in rounds),
+        cpu_us={
+            role: median(r.cpu_us[role] for r in rounds)
+            for role in rounds[0].cpu_us
+        },
+    )
+
+
+def _table(results: dict[tuple[int, str], list[Round]]) -> list[str]:
+    lines = [
+        "| connections | way | p50 ms | p99 ms | requests/s"
+        " | processor µs/request |",
+        "| ---: | --- | ---: | ---: | ---: | --- |",
+    ]
+    for (connections, name), rounds in results.items():
+        middle = _median_round(rounds)
+        spent = ", ".join(
+            f"{role} {us:.0f}" for role, us in middle.cpu_us.items()
+        )
+        lines.append(
+            f"| {connections} | {name} | {middle.p50_ms:.2f}"
+            f" | {middle.p99_ms:.2f} | {middle.rate:.0f} | {spent or '-'} |"
+        )
+    return lines
+
+
+def _costs(results: dict[tuple[int, str], list[Round]]) -> list[str]:
+    """Returns the product's cost over the bare hops, round by round."""
+    lines = []
+    for connections in CONNECTIONS:
+        pairs = list(
+            zip(
+                results[connections, "product"],
+                results[connections, "two bare hops"],
+                strict=True,
+            )
+        )
+        slower = [ours.p50_ms / bare.p50_ms for ours, bare in pairs]
+        fewer = [bare.rate / ours.rate for ours, bare in pairs]
+        for what, ratios in (("p50", slower), ("time per request", fewer)):
+            middle = statistics.median(ratios)
+            verdict = "met" if middle <= GOAL else "missed"
+            lines.append(
+                f"- {connections} connections, {what}: {middle:.2f} times the"
+                f" bare hops (rounds {min(ratios):.2f} to {max(ratios):.2f});"
+                f" goal at most {GOAL}: {verdict}"
+            )
+    return lines
+
+
+async def run(rounds: int) -> list[str]:
+    """Runs the benchmark; returns the lines of the report."""
+    results: dict[tuple[int, str], list[Round]] = {
+        (connections, name): [] for connections in CONNECTIONS for name in WAYS
+    }
+    async with _parts() as (ways, url), _product(url) as product:
+        ways = [*ways, product]
+        for way in ways:
+            await _measure(way, 64, WARM_UP_REQUESTS)
+        for number in range(rounds):
+            # Each round starts with another way, so that none always runs
+            # right after the same other one.
+            shift = number % len(ways)
+            for connections in CONNECTIONS:
+                for way in ways[shift:] + ways[:shift]:
+                    results[connections, way.name].append(
+                        await _measure(way, connections, REQUESTS[connections])
+                    )
+        memory = {
+            f"{way.name}, {role}": process.memory_info().rss / 2**20
+            for way in ways
+            for role, process in way.processes.items()
+        }
+    resident = [f"- {name}: {mb:.1f} MB" for name, mb in memory.items()]
+    return [
+        *_table(results),
+        "",
+        *_costs(results),
+        "",
+        "Resident memory after the last round:",
+        "",
+        *resident,
+    ]
+
+
+def main() -> None:
+    """Prints the report and writes it to the page if asked to."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=7)
+    parser.add_argument("--write", action="store_true", help="write the page")
+    args = parser.parse_args()
+    lines = asyncio.run(run(args.rounds))
+    print("\n".join(lines))
+    if args.write:
+        title = [
+            "# Cost of the request path",
+            "",
+            f"`python -m devtools.bench_path --rounds {args.rounds}`: one echo"
+            " upstream, bodies of 1 KB, ways in turn, median over the rounds.",
+            "",
+        ]
+        PAGE.write_text("\n".join([*title, *lines, ""]), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
