--- a/bamboorouter/roles/entry_http.py
+++ b/bamboorouter/roles/entry_http.py
@@ -293,6 +293,8 @@
             )
         left = max(request.deadline - self.clock.now(), 0)
         try:
+            if http.content.is_eof():
+                return await _read_up_to(http, limit)
             async with asyncio.timeout(clock.seconds(left)):
                 return await _read_up_to(http, limit)
         except TimeoutError:
