--- a/bamboorouter/cli/base_command.py
+++ b/bamboorouter/cli/base_command.py
@@ -98,8 +98,11 @@
 
     Attributes:
         default_timeout_s: Seconds to try if --timeout is not given.
+        changes: Whether the call changes anything; a lost answer to a
+            question leaves nothing unknown.
     """
 
+    changes: ClassVar[bool] = True
     default_timeout_s: ClassVar[str] = "15"
     options: ClassVar[list[option.Option]] = [JSON_OPTION, *_CALL_OPTIONS]
 
@@ -111,6 +114,8 @@
         except errors.RefusedError as err:
             return self._fail(exit_codes.NOT_REACHED, str(err), code=err.code)
         except errors.UnknownResultError as err:
+            if not self.changes:
+                return self._fail(exit_codes.NOT_REACHED, str(err))
             return self._fail(
                 exit_codes.UNKNOWN,
                 f"{err}; the operation may have been done, repeat with"
--- a/bamboorouter/cli/explain.py
+++ b/bamboorouter/cli/explain.py
@@ -19,6 +19,7 @@
     """Shows what was decided about a subject, when and why."""
 
     name = "explain"
+    changes: ClassVar[bool] = False
     default_timeout_s: ClassVar[str] = "60"
     description = (
         "Show what was decided about a subject, when, on which revision, and"
--- a/bamboorouter/cli/member.py
+++ b/bamboorouter/cli/member.py
@@ -15,6 +15,7 @@
     """Lists the control replicas."""
 
     name = "members"
+    changes: ClassVar[bool] = False
     description = "List the control replicas and how far each one is."
 
     async def run_call(self, operation_id: str) -> int:
--- a/bamboorouter/cli/sheet.py
+++ b/bamboorouter/cli/sheet.py
@@ -53,24 +53,37 @@
         )
         if not reply.ok:
             return self._refused(reply)
-        data = dict(reply.data)
-        code = exit_codes.DONE
-        revision = data.get("sheet_revision", "?")
-        lines = [f"revision {revision} is in force"]
-        if self.option("wait"):
-            state = await self._wait(caller, data.get("config_revision", 0))
-            data["lagging"] = list(state.lagging)
-            data["lowest_applied"] = state.lowest_applied
-            if state.in_force(data.get("config_revision", 0)):
-                lines = [f"revision {revision} is in force everywhere"]
-            else:
-                code = exit_codes.NOT_IN_FORCE
-                lagging = ", ".join(state.lagging) or "no process has reported"
-                lines.append(f"not yet in force everywhere: {lagging}")
+        return await self._report(caller, reply)
+
+    async def _report(
+        self, caller: client.OperatorClient, reply: operator_http.ReplyBody
+    ) -> int:
+        """Prints what is in force after the sheet was accepted."""
+        offered = int(reply.data.get("sheet_revision", 0))
+        config_revision = int(reply.data.get("config_revision", 0))
+        wanted = bool(self.option("wait"))
+        state = await self._watch(caller, config_revision, wait=wanted)
+        later = state.sheet_revision > offered
+        everywhere = state.in_force(
+            state.config_revision if later else config_revision
+        )
+        data = {
+            **reply.data,
+            "in_force": max(state.sheet_revision, offered),
+            "everywhere": everywhere,
+            "lagging": list(state.lagging),
+        }
         self.print_json({**msgspec.structs.asdict(reply), "data": data})
-        for line in lines:
-            self.print_text(line)
-        return code
+        if later:
+            # The answer to a resend is the first one, which may be old.
+            self.print_text(f"revision {offered} was accepted before")
+        where = " everywhere" if everywhere else ""
+        self.print_text(f"revision {data['in_force']} is in force{where}")
+        if wanted and not everywhere:
+            lagging = ", ".join(state.lagging) or "no process has reported"
+            self.print_text(f"not yet in force everywhere: {lagging}")
+            return exit_codes.NOT_IN_FORCE
+        return exit_codes.DONE
 
     def _refused(self, reply: operator_http.ReplyBody) -> int:
         code = self.finish(reply, "")
@@ -79,15 +92,19 @@
             self.print_error(f"revision {revision} is in force")
         return code
 
-    async def _wait(
-        self, caller: client.OperatorClient, config_revision: int
+    async def _watch(
+        self,
+        caller: client.OperatorClient,
+        config_revision: int,
+        *,
+        wait: bool,
     ) -> operator_http.StatusData:
-        """Polls the status until the revision is in force or time is up."""
+        """Asks for the status, with `wait` until the revision is in force."""
         text = self.option("wait-timeout")
         limit_s = base_command.number_option("wait-timeout", text)
         deadline = caller.clock.now() + int(limit_s * 1000)
         state = operator_http.StatusData()
-        while caller.clock.now() < deadline:
+        while True:
             # The sheet is accepted; a lost answer to a later question about
             # it must not look like a refusal.
             with contextlib.suppress(
@@ -95,10 +112,10 @@
             ):
                 reply = await caller.call("status", {})
                 state = operator_http.read_status(reply.data)
-            if state.in_force(config_revision):
-                break
+            done = state.in_force(config_revision) or not wait
+            if done or caller.clock.now() >= deadline:
+                return state
             await asyncio.sleep(clock.seconds(WAIT_POLL_MS))
-        return state
 
 
 class SheetCheckCommand(base_command.PrintingCommand):
--- a/bamboorouter/cli/status.py
+++ b/bamboorouter/cli/status.py
@@ -1,6 +1,7 @@
 """The command that shows what is in force, what runs and what waits."""
 
 from collections.abc import Iterator
+from typing import ClassVar
 
 from bamboorouter.cli import base_command
 from bamboorouter.cli import exit_codes
@@ -11,6 +12,7 @@
     """Shows what is in force and where, workers, tasks and what waits."""
 
     name = "status"
+    changes: ClassVar[bool] = False
     description = (
         "Show what is in force and where, the workers, the tasks, and what"
         " waits and why."
