--- a/bamboorouter/coordination/heartbeats.py
+++ b/bamboorouter/coordination/heartbeats.py
@@ -6,11 +6,12 @@
 tasks without a current assignment. An end that is recorded, or that concerns
 an old epoch, is acknowledged by "forget".
 
-An agent handles one heartbeat at a time and drops replies to older ones. So an
+An agent handles one heartbeat at a time and drops answers to older ones. So an
 assignment that is missing from a heartbeat newer than the one whose answer
 carried its start order is not held by the agent.
 """
 
+from collections.abc import Callable
 import dataclasses
 from typing import Final
 from typing import Literal
@@ -35,26 +36,27 @@
     """Which tasks are to be throttled.
 
     Attributes:
-        wanted: Epochs of throttled tasks.
+        wanted: Epochs of throttled tasks, with the monotonic time in ms since
+            which they are.
         resuming: Repetitions left of "resume" orders by epoch.
     """
 
-    wanted: set[int] = dataclasses.field(default_factory=set)
+    wanted: dict[int, int] = dataclasses.field(default_factory=dict)
     resuming: dict[int, int] = dataclasses.field(default_factory=dict)
 
-    def throttle(self, epoch: int) -> None:
+    def throttle(self, epoch: int, now: clock.Millis) -> None:
         """Begins to throttle a task."""
         self.resuming.pop(epoch, None)
-        self.wanted.add(epoch)
+        self.wanted[epoch] = now
 
     def resume(self, epoch: int) -> None:
         """Ends the throttling of a task."""
-        self.wanted.discard(epoch)
+        self.wanted.pop(epoch, None)
         self.resuming[epoch] = RESUME_REPEATS
 
     def drop(self, epoch: int) -> None:
         """Forgets a task that ended."""
-        self.wanted.discard(epoch)
+        self.wanted.pop(epoch, None)
         self.resuming.pop(epoch, None)
 
     def action(self, epoch: int) -> Action | None:
@@ -78,6 +80,8 @@
         registry: What agents last reported.
         leases: Leases of live assignments.
         throttles: Which tasks are to be throttled.
+        at_fault: Returns why a task that failed once more, on this worker, is
+            not to be repeated; empty if it is.
     """
 
     def __init__(
@@ -86,24 +90,33 @@
         registry: worker_registry.WorkerRegistry,
         lease_table: leases.LeaseTable,
         throttles: Throttles,
+        at_fault: Callable[[assignments.Task], str] = lambda task: "",
     ) -> None:
         self.registry = registry
         self.leases = lease_table
         self.throttles = throttles
+        self.at_fault = at_fault
 
     def read(
         self,
         heartbeat: messages.Heartbeat,
         state: machine.Machine,
         now: clock.Millis,
+        source: object,
     ) -> list[commands.Command] | None:
         """Takes over a heartbeat.
 
+        Args:
+            heartbeat: The heartbeat.
+            state: The replicated state.
+            now: Monotonic time in ms.
+            source: Link on which it arrived.
+
         Returns:
             What is to be committed before the answer; None if the heartbeat
             is outdated and gets an empty answer.
         """
-        freshness = self.registry.accept(heartbeat, now)
+        freshness = self.registry.accept(heartbeat, now, source)
         if freshness == "stale":
             return None
         found: list[commands.Command] = []
@@ -118,7 +131,7 @@
                 continue
             self._note(task, report, now)
             if report.state != "running":
-                found.append(ending(task, report))
+                found.append(self._ending(task, report))
         self.registry.reports[heartbeat.worker].strays = tuple(strays)
         if freshness == "new" and heartbeat.worker_ready:
             found.extend(self._missing(heartbeat, state))
@@ -179,6 +192,24 @@
             lease.checkpoint = report.checkpoint
             lease.checkpoint_at = now
 
+    def _ending(
+        self, task: assignments.Task, report: common.TaskState
+    ) -> commands.Command:
+        """Returns the command that records a reported end."""
+        if report.state in ("evicted", "stopped"):
+            if task.status == "evicting":
+                return commands.ConfirmEviction(
+                    task=task.task,
+                    epoch=task.epoch,
+                    checkpoint=report.checkpoint,
+                )
+            return _end(task, "stopped", report.checkpoint, report.detail)
+        if report.state == "failed" and task.kind == "batch":
+            reason = self.at_fault(task)
+            if reason:
+                return _end(task, "given_up", report.checkpoint, reason)
+        return _end(task, report.state, report.checkpoint, report.detail)
+
     def _missing(
         self, heartbeat: messages.Heartbeat, state: machine.Machine
     ) -> list[commands.Command]:
@@ -192,12 +223,26 @@
             checkpoint = lease.checkpoint if lease is not None else ""
             if lease is not None and lease.reported:
                 found.append(_end(task, "lost", checkpoint, "lost by worker"))
-            elif _unwanted(task, heartbeat) and not _in_flight(
+            elif _unwanted(task, heartbeat) and self._not_held(
                 lease, heartbeat
             ):
                 found.append(_end(task, "stopped", checkpoint, "not started"))
         return found
 
+    def _not_held(
+        self, lease: leases.Lease | None, heartbeat: messages.Heartbeat
+    ) -> bool:
+        """Whether no start order for a missing task can have been accepted.
+
+        A former leader, or an answer to a former run of the agent, may have
+        ordered the start; then the heartbeat must be proven to be recent.
+        """
+        if lease is not None and lease.granted_in is not None:
+            incarnation, sequence = lease.granted_in
+            if incarnation == heartbeat.incarnation:
+                return sequence < heartbeat.sequence
+        return self.registry.reports[heartbeat.worker].proven
+
     def _action(
         self, task: assignments.Task | None, report: common.TaskState
     ) -> Action | None:
@@ -280,19 +325,6 @@
     return task if task.worker == worker else None
 
 
-def ending(
-    task: assignments.Task, report: common.TaskState
-) -> commands.Command:
-    """Returns the command that records a reported end."""
-    if report.state in ("evicted", "stopped"):
-        if task.status == "evicting":
-            return commands.ConfirmEviction(
-                task=task.task, epoch=task.epoch, checkpoint=report.checkpoint
-            )
-        return _end(task, "stopped", report.checkpoint, report.detail)
-    return _end(task, report.state, report.checkpoint, report.detail)
-
-
 def upstream_drained(state: machine.Machine, upstream: str) -> bool:
     """Whether an upstream, or the service task behind it, is drained."""
     drains = state.workers.drains
@@ -316,17 +348,6 @@
     return bool(task.stopping or task.status == "evicting" or heartbeat.leaving)
 
 
-def _in_flight(
-    lease: leases.Lease | None, heartbeat: messages.Heartbeat
-) -> bool:
-    """Whether a start order may still arrive at the agent."""
-    if lease is None or lease.granted_in is None:
-        return False
-    incarnation, sequence = lease.granted_in
-    same_run = incarnation == heartbeat.incarnation
-    return same_run and sequence >= heartbeat.sequence
-
-
 def _changed_worker(
     heartbeat: messages.Heartbeat, state: machine.Machine
 ) -> bool:
