Refuse an operation ID that belongs to another call

Now the digest of the call is kept with its answer and another call is refused (operation_reused). Ruled out: checking in the tool only, since two calls on one job return the same data. The new test fails before and passes after.

--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -45,6 +45,7 @@
 NOT_CAUGHT_UP: Final = "not_caught_up"
 QUORUM_AT_RISK: Final = "quorum_at_risk"
 CALL_MALFORMED: Final = "call_malformed"
+OPERATION_REUSED: Final = "operation_reused"
 NOT_REACHED: Final = "not_reached"
 
 # Codes of requests that were or may have been started.
@@ -98,6 +99,7 @@
     UNKNOWN_OPERATION: "operation {operation!r} does not exist",
     BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
     CALL_MALFORMED: "the call is malformed",
+    OPERATION_REUSED: ("operation ID {operation_id!r} belongs to another call"),
     NOT_REACHED: "no entry could be reached; nothing was changed",
     RESULT_UNKNOWN: "no leader answered; the operation may have been done",
     BAD_REQUEST: "the request is malformed: {detail}",
--- a/bamboorouter/state/account_records.py
+++ b/bamboorouter/state/account_records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from bamboorouter import error_texts
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
@@ -41,7 +42,11 @@
         """
         operation_id = getattr(command, "operation_id", "")
         if operation_id in self.operations:
-            return False
+            # A resend, unless another call came with the same ID.
+            return (
+                result is not None
+                and result.code == error_texts.OPERATION_REUSED
+            )
         if operation_id:
             self.operations.add(operation_id)
         if result is not None and not result.ok:
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -9,6 +9,8 @@
 from typing import Final
 
 import cbor2
+import msgspec
+import xxhash
 
 from bamboorouter import error_texts
 from bamboorouter.protocol import codec
@@ -108,11 +110,18 @@
 
     def _apply_one(self, command: commands.Command) -> commands.Result:
         operation_id = getattr(command, "operation_id", "")
-        first = self.plan.operations.get(operation_id)
-        if first is not None:
-            return first
+        if not operation_id:
+            return self._appliers[type(command)](command)
+        digest = _call_digest(command)
+        if operation_id in self.plan.operations:
+            known, first = self.plan.operations[operation_id]
+            if known == digest:
+                return first
+            return workers.refused(
+                error_texts.OPERATION_REUSED, operation_id=operation_id
+            )
         result = self._appliers[type(command)](command)
-        self.plan.remember(operation_id, result)
+        self.plan.remember(operation_id, digest, result)
         return result
 
     # Configuration.
@@ -447,6 +456,16 @@
         return commands.Result(ok=True, data={"repeated": repeated})
 
 
+def _call_digest(command: commands.Command) -> int:
+    """Returns a digest of what is called for, whoever sends it again."""
+    plain = [type(command).__name__]
+    for name in command.__struct_fields__:
+        # The digest of a sheet stands for its rows.
+        if name not in ("operation_id", "operator", "rows"):
+            plain.append(msgspec.to_builtins(getattr(command, name)))
+    return xxhash.xxh3_64_intdigest(cbor2.dumps(plain))
+
+
 def _state_of(
     task: assignments.Task, *, removed: bool = False
 ) -> commands.Result:
--- a/bamboorouter/state/plan.py
+++ b/bamboorouter/state/plan.py
@@ -73,7 +73,8 @@
         jobs: Jobs by name, ended ones included.
         ended: Names of ended jobs, oldest first.
         sheets: The last accepted sheets by revision.
-        operations: First answers by operation ID.
+        operations: First answers by operation ID, with the digest of the
+            call.
     """
 
     def __init__(self) -> None:
@@ -83,7 +84,7 @@
         self.jobs: dict[str, Job] = {}
         self.ended: dict[str, None] = {}
         self.sheets: dict[int, AcceptedSheet] = {}
-        self.operations: dict[str, commands.Result] = {}
+        self.operations: dict[str, tuple[int, commands.Result]] = {}
 
     @property
     def digest(self) -> str:
@@ -107,11 +108,13 @@
             shares[row.owner] = max(row.share, shares.get(row.owner, 0))
         return shares
 
-    def remember(self, operation_id: str, answer: commands.Result) -> None:
+    def remember(
+        self, operation_id: str, digest: int, answer: commands.Result
+    ) -> None:
         """Keeps the first answer of an operation."""
         if not operation_id:
             return
-        self.operations[operation_id] = answer
+        self.operations[operation_id] = (digest, answer)
         while len(self.operations) > MAX_OPERATIONS:
             del self.operations[next(iter(self.operations))]
 
@@ -149,7 +152,10 @@
             _plain(list(self.jobs.values())),
             list(self.ended),
             _plain(list(self.sheets.values())),
-            [[key, _plain(value)] for key, value in self.operations.items()],
+            [
+                [key, digest, _plain(answer)]
+                for key, (digest, answer) in self.operations.items()
+            ],
         ]
 
     def restore(self, plain: list[Any]) -> None:
@@ -167,8 +173,8 @@
         accepted = msgspec.convert(sheets, list[AcceptedSheet])
         self.sheets = {sheet.revision: sheet for sheet in accepted}
         self.operations = {
-            key: msgspec.convert(value, commands.Result)
-            for key, value in answers
+            key: (digest, msgspec.convert(answer, commands.Result))
+            for key, digest, answer in answers
         }
 
 
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -51,6 +51,32 @@
         self.assertEqual(resent, first[0])
         self.assertEqual(self.machine.config_revision, revision)
 
+    def test_id_of_another_call_is_refused_even_after_a_restart(self) -> None:
+        self.apply(make.sheet(1, make.row("a"), operation_id="s1"))
+        copy = machine.Machine()
+        copy.restore(self.machine.snapshot())
+        for name, other in (
+            (
+                "cancel",
+                commands.CancelJob(operation_id="s1", operator="o", job="a"),
+            ),
+            ("sheet", make.sheet(2, make.row("b"), operation_id="s1")),
+        ):
+            with self.subTest(name):
+                batch = commands.CommandBatch(wall_ms=1, commands=(other,))
+                for each in (self.machine, copy):
+                    result = each.apply(9, batch)[0]
+                    self.assertEqual(result.code, error_texts.OPERATION_REUSED)
+                    self.assertEqual(each.plan.revision, 1)
+        colleague = commands.AcceptSheet(
+            operation_id="s1",
+            operator="colleague",
+            revision=1,
+            digest=make.sheet(1, make.row("a")).digest,
+            rows=(make.row("a"),),
+        )
+        self.assertTrue(self.apply(colleague).ok)
+
     def test_new_sheet_stops_surplus_instances_and_keeps_jobs(self) -> None:
         self.apply(make.register("w1"))
         web = make.service("web", count=3)
