--- a/bamboorouter/cli/member.py
+++ b/bamboorouter/cli/member.py
@@ -26,7 +26,7 @@
         code = self.finish(reply, "replica address role match_index")
         if code == exit_codes.DONE:
             for member in reply.data.get("members", ()):
-                self.print_text(_line(member))
+                self.print_text(member_line(member))
         return code
 
 
@@ -86,6 +86,8 @@
     action = "remove"
 
 
-def _line(member: Mapping[str, Any]) -> str:
+def member_line(member: Mapping[str, Any]) -> str:
+    """Returns the line that describes one control replica."""
     columns = ("replica", "address", "role", "match_index")
-    return " ".join(str(member.get(column, "-")) for column in columns)
+    text = " ".join(str(member.get(column, "-")) for column in columns)
+    return f"{text} silent" if member.get("silent") else text
--- a/bamboorouter/cli/status.py
+++ b/bamboorouter/cli/status.py
@@ -5,6 +5,7 @@
 
 from bamboorouter.cli import base_command
 from bamboorouter.cli import exit_codes
+from bamboorouter.cli import member
 from bamboorouter.protocol import operator_http
 
 
@@ -47,6 +48,9 @@
     )
     for process, revision in sorted(state.applied.items()):
         yield f"  {process}: {revision}"
+    yield f"control replicas: {len(state.replicas)}"
+    for replica in state.replicas:
+        yield f"  {member.member_line(replica)}"
     yield f"workers: {len(state.workers)}"
     for worker in state.workers:
         yield (
--- a/bamboorouter/protocol/operator_http.py
+++ b/bamboorouter/protocol/operator_http.py
@@ -100,6 +100,7 @@
         applied: Config revision that each live process reported.
         lowest_applied: Lowest of them.
         lagging: Processes below `config_revision`.
+        replicas: Members of the control group with their progress.
         workers: All known workers.
         tasks: Number of tasks by state.
         waiting: The first waiting tasks in the order of scheduling.
@@ -113,6 +114,7 @@
     applied: dict[str, int] = {}
     lowest_applied: int = 0
     lagging: tuple[str, ...] = ()
+    replicas: tuple[dict[str, Any], ...] = ()
     workers: tuple[WorkerStatus, ...] = ()
     tasks: dict[str, int] = {}
     waiting: tuple[WaitingStatus, ...] = ()
--- a/bamboorouter/state/account_records.py
+++ b/bamboorouter/state/account_records.py
@@ -5,6 +5,7 @@
 name.
 """
 
+import datetime
 from typing import Any
 
 import msgspec
@@ -110,9 +111,8 @@
         case commands.RegisterWorker() if name == command.worker:
             return [_describe_worker(command)]
         case commands.Quarantine() if name == command.worker:
-            text = (
-                f"in quarantine until {command.until_ms} ms: {command.reason}"
-            )
+            until = _second_text(command.until_ms // 1000)
+            text = f"in quarantine until {until}: {command.reason}"
             fields = {"until_ms": command.until_ms, "reason": command.reason}
             return [("quarantined", text, fields)]
         case commands.RecordRequests():
@@ -136,6 +136,11 @@
     return name.partition("/")[0]
 
 
+def _second_text(second: int) -> str:
+    moment = datetime.datetime.fromtimestamp(second, tz=datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%SZ")
+
+
 def _concerns(name: str, task: str) -> bool:
     return name in (task, row_of(task))
 
@@ -285,7 +290,8 @@
     return [
         (
             "requests",
-            f"entry {command.entry}, second {record.second}: {record.count}"
+            f"entry {command.entry}, {_second_text(record.second)}:"
+            f" {record.count}"
             f" of service {record.service}, team {record.team}, urgency"
             f" {record.urgency}: {record.outcome}"
             + (f" ({record.code})" if record.code else ""),
