Measure the policies under load beside the plain baseline

Entries and agents get the setting policies = "plain" (first come first served, least outstanding, no early refusal). Services of the stand-in worker may work on a bounded number of requests at once and slow down when the processors are oversubscribed.

--- /dev/null
+++ b/bamboorouter/coordination/policies/entry_bundle.py
@@ -0,0 +1,46 @@
+"""The policies of an entry, together."""
+
+import dataclasses
+import random
+
+from bamboorouter.coordination.policies import admission
+from bamboorouter.coordination.policies import fairness
+from bamboorouter.coordination.policies import routing
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryPolicies:
+    """One policy of each kind.
+
+    Attributes:
+        admission: Which arriving requests are refused early.
+        fairness: Whose waiting request starts next.
+        routing: Which upstream a request goes to.
+    """
+
+    admission: admission.AdmissionPolicy
+    fairness: fairness.FairnessPolicy
+    routing: routing.RoutingPolicy
+
+
+def product(*, zone: str) -> EntryPolicies:
+    """Returns the product's policies for an entry in a zone."""
+    return EntryPolicies(
+        admission=admission.EarlyRefusal(),
+        fairness=fairness.WeightedFair(),
+        routing=routing.TwoChoices(zone=zone, draw=random.Random()),
+    )
+
+
+def plain() -> EntryPolicies:
+    """Returns the plain baseline that measurements compare with."""
+    return EntryPolicies(
+        admission=admission.AdmitAll(),
+        fairness=fairness.FirstCome(),
+        routing=routing.LeastOutstanding(),
+    )
+
+
+def by_name(name: str, *, zone: str) -> EntryPolicies:
+    """Returns the policies that the settings name."""
+    return plain() if name == "plain" else product(zone=zone)
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -65,6 +65,8 @@
         max_in_progress: Requests in progress at once in this process.
         retry_budget: Retries allowed as a fraction of requests.
         default_deadline_ms: Deadline of a request without one of its own.
+        policies: Policies of admission, fairness and routing; "plain" is the
+            baseline that measurements compare with.
     """
 
     listen: Address = "127.0.0.1:0"
@@ -74,6 +76,7 @@
     max_in_progress: PositiveInt = 1024
     retry_budget: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     default_deadline_ms: PositiveInt = 10_000
+    policies: Literal["product", "plain"] = "product"
 
 
 class AgentOptions(_Section, frozen=True, kw_only=True):
@@ -93,6 +96,8 @@
         heartbeat_ms: Period of heartbeats to the leader.
         unconfirmed_routes: What to do with new requests when neither the
             entry nor the agent had contact with a leader for 5 s.
+        policies: "plain" lets requests wait in order of arrival, whatever
+            their urgency; the baseline that measurements compare with.
     """
 
     listen: Address = "127.0.0.1:0"
@@ -107,6 +112,7 @@
     max_answer_bytes: PositiveInt = 4 * 1024 * 1024
     heartbeat_ms: Annotated[int, msgspec.Meta(ge=100, le=5000)] = 1000
     unconfirmed_routes: Literal["refuse", "serve"] = "refuse"
+    policies: Literal["product", "plain"] = "product"
 
 
 class ControlOptions(_Section, frozen=True, kw_only=True):
--- a/bamboorouter/roles/agent_requests.py
+++ b/bamboorouter/roles/agent_requests.py
@@ -196,8 +196,10 @@
         if code:
             return _refusal(dispatch, code)
         deadline = self.clock.now() + dispatch.deadline_ms
+        plain = self.settings.policies == "plain"
         code = await self._gate.enter(
-            urgency=dispatch.urgency, wait_ms=dispatch.deadline_ms
+            urgency=0 if plain else dispatch.urgency,
+            wait_ms=dispatch.deadline_ms,
         )
         if code:
             return _refusal(dispatch, code)
--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import random
 import secrets
 from typing import Final
 
@@ -26,9 +25,7 @@
 from bamboorouter.coordination import reservations
 from bamboorouter.coordination import retry_budget
 from bamboorouter.coordination import route_table
-from bamboorouter.coordination.policies import admission
-from bamboorouter.coordination.policies import fairness
-from bamboorouter.coordination.policies import routing
+from bamboorouter.coordination.policies import entry_bundle
 from bamboorouter.protocol import messages
 from bamboorouter.roles import entry_http
 from bamboorouter.roles import operator_api
@@ -49,6 +46,7 @@
         clock: Source of time.
         table: Services and routes in force here.
         client: Calls to the leader.
+        policies: Policies of admission, fairness and routing.
         server: Server for callers.
     """
 
@@ -73,12 +71,15 @@
             table=self.table,
             time=self.clock,
         )
+        self.policies = entry_bundle.by_name(
+            settings.policies, zone=process.zone
+        )
         self.admission = admission_queue.AdmissionQueue(
             queue_limit=settings.queue_limit,
             limit=self._limit,
             time=self.clock,
-            fair=fairness.WeightedFair(),
-            early=admission.EarlyRefusal(),
+            fair=self.policies.fairness,
+            early=self.policies.admission,
         )
         self.reservations = reservations.Reservations(
             entry=process.name, leader=self.client, time=self.clock
@@ -141,9 +142,7 @@
             budget=retry_budget.RetryBudget(
                 fraction=self.settings.retry_budget
             ),
-            policy=routing.TwoChoices(
-                zone=self.process.zone, draw=random.Random()
-            ),
+            policy=self.policies.routing,
             contact=self.client,
             time=self.clock,
         )
--- /dev/null
+++ b/devtools/bench_decisions.py
@@ -0,0 +1,626 @@
+"""Measures the policies under load and faults: product beside plain baseline.
+
+For each site, case and seed it starts the site twice, once with the product's
+policies and once with the plain ones, submits the same sheet, sends the same
+arrivals from a separate load program and reads what the workers' journal says
+about batch tasks. All load lasts `LOAD_S` and stops by itself. The quiet day of
+the same policies, site and seed is the reference for what is kept.
+"""
+
+import argparse
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import json
+import os
+import pathlib
+import sys
+import time
+from typing import Any
+from typing import Final
+from typing import Literal
+
+import aiohttp
+import msgspec
+
+from bamboorouter import client
+from devtools import demo_callers
+from devtools import load_program
+from devtools import site
+
+LOAD_S: Final = 13.0
+MEASURED: Final = (3.0, 13.0)
+SERVED_S: Final = 15.0
+LEAD_S: Final = 1.5
+DEADLINE_MS: Final = 1500
+SERVICE_COUNT: Final = 8
+SERVICE: Final = "serve time=50ms parallel=2"
+QUIET_RATE: Final = 60.0
+# A service can answer 8 * 2 / 50 ms = 320 requests a second.
+FLOOD_RATE: Final = 640.0
+SERVICES: Final = ("forms", "programme", "lookups")
+
+Policies = Literal["product", "plain"]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SteadyJob:
+    """Batch work of every day.
+
+    Attributes:
+        units: Units of processors and memory of a task.
+        run_s: Run time of a task.
+        slots: Tasks that run at a time when nothing waits.
+    """
+
+    name: str
+    owner: str
+    urgency: int
+    units: int
+    run_s: int
+    slots: int
+
+    def command(self, unit: int) -> str:
+        """Returns the command: it uses 80 % of the declared processors."""
+        return f"run {self.run_s}s use={800 * self.units * unit}"
+
+
+STEADY: Final = (
+    SteadyJob(
+        name="matching",
+        owner="matching",
+        urgency=7,
+        units=2,
+        run_s=3,
+        slots=36,
+    ),
+    SteadyJob(
+        name="plans", owner="workshop", urgency=8, units=1, run_s=2, slots=12
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Place:
+    """A site with the sizes that follow from its VMs.
+
+    Attributes:
+        unit: A sixteenth of a VM's processors.
+        memory_mb: A twentieth of a VM's memory.
+    """
+
+    name: str
+    shape: site.SiteShape
+
+    @property
+    def unit(self) -> int:
+        """A sixteenth of a VM's processors."""
+        return self.shape.vms[0].processors // 16
+
+    @property
+    def memory_mb(self) -> int:
+        """A twentieth of a VM's memory."""
+        return self.shape.vms[0].memory_mb // 20
+
+
+PLACES: Final = (
+    Place(name="guild", shape=site.GUILD),
+    Place(name="krystallverket", shape=site.KRYSTALLVERKET),
+)
+
+
+class Measured(msgspec.Struct, kw_only=True):
+    """What one run measured.
+
+    Attributes:
+        requests: Results of all streams by service.
+        finished: Batch tasks finished a minute in the measured time.
+        evictions: Evictions from the start of the load.
+        lost_s: Work lost since checkpoints by evictions and stops, in s.
+        core_percent: Processor time of the load program.
+        late_starts: Requests that the load program sent late.
+        notes: What else the case shows.
+    """
+
+    place: str
+    case: str
+    seed: int
+    policies: str
+    requests: dict[str, load_program.StreamResult]
+    finished: float
+    evictions: int
+    lost_s: float
+    core_percent: float
+    late_starts: int
+    notes: str = ""
+
+
+class Run:
+    """One site under one case.
+
+    Attributes:
+        place: The site and its sizes.
+        running: The running site.
+        operator: Client of the operators' interface.
+        start_at: Monotonic time at which the load starts.
+        notes: What else the case shows.
+    """
+
+    def __init__(self, *, place: Place, running: site.Site) -> None:
+        self.place = place
+        self.running = running
+        self.operator = client.OperatorClient(
+            entries=self._addresses("entry.operator"), operator="bench"
+        )
+        self.start_at = 0.0
+        self.notes: list[str] = []
+
+    def _addresses(self, kind: str) -> tuple[str, ...]:
+        return tuple(
+            self.running.address(f"entry-{n}", kind)
+            for n in range(1, self.running.shape.entries + 1)
+        )
+
+    async def until(self, at_s: float) -> None:
+        """Waits until a time from the start of the load."""
+        await asyncio.sleep(max(self.start_at + at_s - time.monotonic(), 0))
+
+    async def submit_job(self, name: str, **columns: object) -> None:
+        """Adds a job to the plan."""
+        row = {
+            "name": name,
+            "place": "1",
+            "accelerators": "0",
+            "share": "2",
+            **{key: str(value) for key, value in columns.items()},
+        }
+        reply = await self.operator.call("submit_job", {"row": row})
+        if not reply.ok:
+            self.notes.append(f"{name}: {reply.code}")
+
+    async def submit_sheet(self) -> None:
+        """Submits the day's plan."""
+        reply = await self.operator.call(
+            "submit_sheet", {"csv": _sheet(self.place)}
+        )
+        if not reply.ok:
+            raise site.SiteError(f"sheet: {reply.text}")
+
+    async def wait_served(self) -> None:
+        """Waits until all services answer."""
+        async with aiohttp.ClientSession() as session:
+            callers = demo_callers.Callers(
+                entries=self._addresses("entry.listen"), session=session
+            )
+            for service in SERVICES:
+                if not await callers.wait_until_served(service, SERVED_S):
+                    raise site.SiteError(f"{service} isn't served")
+
+    async def load(
+        self, seed: int, rates: dict[str, list[load_program.Phase]]
+    ) -> load_program.LoadResult:
+        """Runs the load program until it ends by itself."""
+        spec = load_program.LoadSpec(
+            entries=self._addresses("entry.listen"),
+            seed=seed,
+            start_at=self.start_at,
+            streams=tuple(
+                load_program.StreamSpec(
+                    service=service,
+                    deadline_ms=DEADLINE_MS,
+                    phases=tuple(phases),
+                    measured=MEASURED,
+                )
+                for service, phases in rates.items()
+            ),
+        )
+        spec_path = self.running.folder / "load.json"
+        result_path = self.running.folder / "load-result.json"
+        spec_path.write_bytes(msgspec.json.encode(spec))
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "devtools.load_program"),
+            *(str(spec_path), str(result_path)),
+            cwd=site.ROOT,
+        )
+        try:
+            async with asyncio.timeout(LOAD_S + 20):
+                await process.wait()
+        except TimeoutError:
+            process.kill()
+            raise
+        return msgspec.json.decode(
+            result_path.read_bytes(), type=load_program.LoadResult
+        )
+
+
+def _sheet(place: Place) -> str:
+    """Returns the day's plan: three services and the first batch jobs."""
+    unit, memory = place.unit, place.memory_mb
+    lines = [
+        "revision,1",
+        "kind,name,owner,urgency,place,processors,memory_mb,accelerators,"
+        "run_time_s,count,idempotent,deadline_ms,share,command",
+    ]
+    lines += [
+        f"service,{name},{team},{urgency},1,{unit},{memory},0,0,"
+        f"{SERVICE_COUNT},yes,{DEADLINE_MS},4,{SERVICE}"
+        for name, team, urgency in (
+            ("forms", "desk", 1),
+            ("programme", "public", 1),
+            ("lookups", "desk", 9),
+        )
+    ]
+    lines += [
+        f"job,{name},{job.owner},{job.urgency},1,{job.units * unit},"
+        f"{job.units * memory},0,{job.run_s},{job.slots},,,2,"
+        f"{job.command(unit)}"
+        for name, job in ((f"{job.name}-0", job) for job in STEADY)
+    ]
+    return "\n".join([*lines, ""])
+
+
+async def _steady_batch(run: Run) -> None:
+    """Submits the day's batch jobs, a new one of each kind every second.
+
+    The tasks declare what they use; together they keep about three quarters
+    of the slots busy that services leave free.
+    """
+    for second in range(int(LOAD_S)):
+        await run.until(second)
+        for job in STEADY:
+            await run.submit_job(
+                f"{job.name}-{second + 1}",
+                owner=job.owner,
+                urgency=job.urgency,
+                processors=job.units * run.place.unit,
+                memory_mb=job.units * run.place.memory_mb,
+                run_time_s=job.run_s,
+                count=job.slots // job.run_s,
+                command=job.command(run.place.unit),
+            )
+
+
+Action = Callable[[Run], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Case:
+    """A load and what happens during it.
+
+    Attributes:
+        name: Short name.
+        flooding: Services that cause the overload; not part of the quick
+            requests that have to be kept.
+        floods: "requests", "batch" or "" for what causes the overload.
+        action: What happens beside the requests.
+    """
+
+    name: str
+    flooding: tuple[str, ...] = ()
+    floods: str = ""
+    action: Action | None = None
+
+    def rates(self) -> dict[str, list[load_program.Phase]]:
+        """Returns the phases of all streams."""
+        quiet = load_program.Phase(start_s=0, end_s=LOAD_S, rate=QUIET_RATE)
+        flood = load_program.Phase(start_s=2, end_s=LOAD_S, rate=FLOOD_RATE)
+        return {
+            service: [quiet, flood] if service in self.flooding else [quiet]
+            for service in SERVICES
+        }
+
+
+async def _batch_waves(run: Run) -> None:
+    """Submits two waves of noisy tasks and of tasks with wrong sizes.
+
+    Those of one kind use ten times what they declare and disturb services;
+    those of the other declare ten times what they use.
+    """
+    unit, memory = run.place.unit, run.place.memory_mb
+    for number, at_s in enumerate((1.0, 6.0), 1):
+        await run.until(at_s)
+        await run.submit_job(
+            f"burst-{number}",
+            owner="research",
+            urgency=6,
+            processors=unit,
+            memory_mb=memory,
+            run_time_s=3,
+            count=80,
+            command=f"run 3s use={10_000 * unit} noise=0.5",
+        )
+        await run.submit_job(
+            f"wide-{number}",
+            owner="research",
+            urgency=6,
+            processors=10 * unit,
+            memory_mb=10 * memory,
+            run_time_s=3,
+            count=80,
+            command=f"run 3s use={1000 * unit} memory={memory}",
+        )
+
+
+async def _failures(run: Run) -> None:
+    """One worker fails every batch task; one job fails on every worker."""
+    url = f"http://{run.running.address('worker-1', 'worker')}/faults"
+    async with aiohttp.ClientSession() as session:
+        await session.post(url, json={"fail_all": True})
+    await run.until(1.0)
+    await run.submit_job(
+        "broken",
+        owner="research",
+        urgency=6,
+        processors=run.place.unit,
+        memory_mb=run.place.memory_mb,
+        run_time_s=3,
+        count=200,
+        command="fail 200ms",
+    )
+    await run.until(LOAD_S)
+    ended = [r for r in run.running.records() if r["event"] == "ended"]
+    failed = [r for r in ended if r["state"] == "failed"]
+    broken = sum(r["task"].startswith("broken/") for r in failed)
+    run.notes.append(
+        f"{len(failed) - broken} failures on the worker that fails"
+        f" everything, {broken} of the job that fails everywhere"
+    )
+
+
+async def _zone_loss(run: Run) -> None:
+    """The VMs and the control replica of zone b crash at once."""
+    await run.until(5.0)
+    lost = [n for n, vm in enumerate(run.place.shape.vms, 1) if vm.zone == "b"]
+    await asyncio.gather(
+        *(run.running.kill_vm(number) for number in lost),
+        run.running.kill("control-2"),
+    )
+
+
+async def _cancellations(run: Run) -> None:
+    """Thirty jobs are submitted and cancelled two seconds later."""
+    names = [f"brief-{number}" for number in range(30)]
+    await run.until(3.0)
+    for name in names:
+        await run.submit_job(
+            name,
+            owner="research",
+            urgency=6,
+            processors=run.place.unit,
+            memory_mb=run.place.memory_mb,
+            run_time_s=3,
+            count=10,
+            command="run 3s",
+        )
+    await run.until(7.0)
+    started = time.monotonic()
+    replies = await asyncio.gather(
+        *(run.operator.call("cancel_job", {"job": name}) for name in names)
+    )
+    done = sum(reply.ok for reply in replies)
+    took_ms = 1000 * (time.monotonic() - started)
+    run.notes.append(f"{done} of {len(names)} cancelled in {took_ms:.0f} ms")
+
+
+CASES: Final = (
+    Case(name="quiet"),
+    Case(name="request-flood", flooding=("forms",), floods="requests"),
+    Case(name="batch-flood", floods="batch", action=_batch_waves),
+    Case(name="failures", action=_failures),
+    Case(name="zone-loss", action=_zone_loss),
+    Case(
+        name="least-urgent-flood",
+        flooding=("lookups",),
+        floods="requests",
+        action=_cancellations,
+    ),
+)
+
+
+async def measure(
+    place: Place, case: Case, seed: int, policies: Policies
+) -> Measured:
+    """Runs one case on one site."""
+    shape = dataclasses.replace(place.shape, policies=policies)
+    async with site.Site(shape=shape, proxied=False) as running:
+        await running.wait_ready()
+        run = Run(place=place, running=running)
+        await run.submit_sheet()
+        await run.wait_served()
+        run.start_at = time.monotonic() + LEAD_S
+        steady = asyncio.create_task(_steady_batch(run))
+        action = asyncio.create_task(_act(case, run))
+        result = await run.load(seed, case.rates())
+        await asyncio.gather(steady, action)
+        finished, evictions, lost_s = _batch(run)
+        folder = os.environ.get("BENCH_KEEP")
+        if folder:
+            _keep(running, pathlib.Path(folder))
+    return Measured(
+        place=place.name,
+        case=case.name,
+        seed=seed,
+        policies=policies,
+        requests={stream.service: stream for stream in result.streams},
+        finished=finished,
+        evictions=evictions,
+        lost_s=lost_s,
+        core_percent=result.core_percent,
+        late_starts=result.late_starts,
+        notes="; ".join(run.notes),
+    )
+
+
+async def _act(case: Case, run: Run) -> None:
+    if case.action is not None:
+        await case.action(run)
+
+
+def _keep(running: site.Site, folder: pathlib.Path) -> None:
+    """Copies the journal and the logs for a closer look."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "journal.jsonl").write_bytes(running.journal_path.read_bytes())
+    for name, managed in running.processes.items():
+        if managed.log.exists():
+            (folder / f"{name}.txt").write_bytes(managed.log.read_bytes())
+
+
+def _batch(run: Run) -> tuple[float, int, float]:
+    """Returns finished tasks a minute, evictions and work lost in s."""
+    begin, end = (1000 * (run.start_at + at_s) for at_s in MEASURED)
+    ended = [
+        record
+        for record in run.running.records()
+        if record["event"] == "ended"
+        and 1000 * run.start_at <= record["mono_ms"] < end
+        and record["task"].partition("/")[0] not in SERVICES
+    ]
+    finished = sum(
+        record["state"] == "finished" and record["mono_ms"] >= begin
+        for record in ended
+    )
+    cut = [r for r in ended if r["state"] in ("evicted", "stopped")]
+    evictions = sum(record["state"] == "evicted" for record in ended)
+    lost_ms = sum(_lost_ms(record) for record in cut)
+    return 60_000 * finished / (end - begin), evictions, lost_ms / 1000
+
+
+def _lost_ms(record: dict[str, Any]) -> int:
+    saved = record["checkpoint"].rpartition(":")[2]
+    return int(record["progress_ms"]) - int(saved or 0)
+
+
+def _merged(results: list[load_program.StreamResult]) -> dict[str, Any]:
+    """Returns counts and quantiles over several streams."""
+    answered = load_program.new_histogram()
+    refusals = load_program.new_histogram()
+    for result in results:
+        answered.add(load_program.decoded(result.answered))
+        refusals.add(load_program.decoded(result.refusals))
+    sent = max(sum(result.sent for result in results), 1)
+    seconds = MEASURED[1] - MEASURED[0]
+
+    def ms(part: float, times: Any = answered) -> float:
+        return float(times.get_value_at_percentile(part)) / 1000
+
+    return {
+        "p50": ms(50),
+        "p99": ms(99),
+        "p999": ms(99.9),
+        "in_time": sum(r.in_time for r in results),
+        "in_time_rate": sum(r.in_time for r in results) / seconds,
+        "in_time_part": sum(r.in_time for r in results) / sent,
+        "refused_part": sum(r.refused for r in results) / sent,
+        "lost_part": sum(r.late + r.lost for r in results) / sent,
+        "refusal_p99": ms(99, refusals) if refusals.total_count else None,
+    }
+
+
+HEADER: Final = (
+    "| case | seed | policies | quick requests: p50 / p99 / p99.9 ms"
+    " | in time | refused | late or lost | refusal p99 ms"
+    " | flooding requests: in time a second / refused / late or lost"
+    " | batch tasks a minute | evictions | work lost s"
+    " | kept: quick / batch |"
+)
+
+
+def _row(found: Measured, quiet: Measured | None) -> str:
+    case = next(case for case in CASES if case.name == found.case)
+    quick = _merged(
+        [r for n, r in found.requests.items() if n not in case.flooding]
+    )
+    flood = _merged(
+        [r for n, r in found.requests.items() if n in case.flooding]
+    )
+    everything = _merged(list(found.requests.values()))
+    kept = "–"
+    if quiet is not None:
+        usual = _merged(
+            [r for n, r in quiet.requests.items() if n not in case.flooding]
+        )
+        kept = (
+            f"{quick['in_time_rate'] / max(usual['in_time_rate'], 0.1):.0%} /"
+            f" {found.finished / max(quiet.finished, 0.1):.0%}"
+        )
+    refusal = everything["refusal_p99"]
+    cells = (
+        found.case,
+        str(found.seed),
+        found.policies,
+        f"{quick['p50']:.0f} / {quick['p99']:.0f} / {quick['p999']:.0f}",
+        f"{quick['in_time_part']:.1%}",
+        f"{quick['refused_part']:.1%}",
+        f"{quick['lost_part']:.1%}",
+        "–" if refusal is None else f"{refusal:.0f}",
+        (
+            f"{flood['in_time_rate']:.0f} / {flood['refused_part']:.0%} /"
+            f" {flood['lost_part']:.0%}"
+            if case.flooding
+            else "–"
+        ),
+        f"{found.finished:.0f}",
+        str(found.evictions),
+        f"{found.lost_s:.1f}",
+        kept,
+    )
+    note = f"\n<!-- {found.notes} -->" if found.notes else ""
+    return "| " + " | ".join(cells) + " |" + note
+
+
+async def run_all(args: argparse.Namespace) -> list[Measured]:
+    """Runs the cases in order, prints and returns a row for each run."""
+    results: list[Measured] = []
+    for place in PLACES:
+        if place.name not in args.sites:
+            continue
+        print(f"\n### {place.name}\n\n{HEADER}\n|{'---|' * 13}", flush=True)
+        for case in CASES:
+            if case.name not in args.cases:
+                continue
+            for seed in args.seeds:
+                for policies in args.policies:
+                    found = await measure(place, case, seed, policies)
+                    results.append(found)
+                    print(_row(found, _quiet(results, found)), flush=True)
+    used = [found.core_percent for found in results]
+    late = sum(found.late_starts for found in results)
+    sent = sum(r.sent for f in results for r in f.requests.values())
+    print(
+        f"\nThe load program used {min(used):.0f} to {max(used):.0f} % of a"
+        f" core; {late} of {sent} measured requests and those before them"
+        f" started over {load_program.LATE_MS:.0f} ms late."
+    )
+    return results
+
+
+def _quiet(results: list[Measured], found: Measured) -> Measured | None:
+    for other in results:
+        if other.case == "quiet" and (
+            (other.place, other.seed, other.policies)
+            == (found.place, found.seed, found.policies)
+        ):
+            return other
+    return None
+
+
+def main() -> None:
+    """Reads the arguments and runs the cases."""
+    names = [case.name for case in CASES]
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sites", nargs="*", default=[p.name for p in PLACES])
+    parser.add_argument("--cases", nargs="*", default=names, choices=names)
+    parser.add_argument("--seeds", nargs="*", type=int, default=[1, 2])
+    parser.add_argument("--policies", nargs="*", default=["product", "plain"])
+    parser.add_argument("--json", default="", help="file for all results")
+    args = parser.parse_args()
+    results = asyncio.run(run_all(args))
+    if args.json:
+        pathlib.Path(args.json).write_text(
+            json.dumps(msgspec.to_builtins(results))
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/devtools/simulated_tasks.py
+++ b/devtools/simulated_tasks.py
@@ -2,13 +2,15 @@
 
 Batch tasks make progress in ticks. Their rate falls when they are throttled and
 when the tasks of the VM use more processors than it has. Each task may disturb
-the services on the same VM by its `noise`. A task does nothing after its lease
+the services on the same VM by its `noise`; services also answer more slowly by
+the factor by which the tasks use more processors than there are. A task does nothing after its lease
 ends: the lease is checked before each tick and before each request.
 
 Commands: a verb and options, for example `run 5s use=2000 noise=0.3`.
 - `run 5s`: finishes after 5 s of undisturbed progress.
 - `fail 2s`: fails after that time. `never`: runs until it is stopped.
-- `serve time=5ms sensitivity=1`: serves HTTP.
+- `serve time=5ms sensitivity=1 parallel=4`: serves HTTP, with at most 4
+  requests being worked on at once; the others wait in order of arrival.
 - `refuse`: is refused at the start.
 An empty command runs for the declared run time, or serves.
 """
@@ -43,6 +45,7 @@
         memory: Memory used in MB; -1 for the declared size.
         noise: Disturbance of services on the same VM.
         sensitivity: How much noise slows this service down.
+        parallel: Requests worked on at once; 0 without a bound.
     """
 
     verb: str
@@ -52,6 +55,7 @@
     memory: int = -1
     noise: float = 0.0
     sensitivity: float = 1.0
+    parallel: int = 0
 
 
 def parse_command(text: str, *, kind: str, run_time_s: int) -> Command:
@@ -70,6 +74,7 @@
         memory=int(options.get("memory", -1)),
         noise=float(options.get("noise", 0)),
         sensitivity=float(options.get("sensitivity", 1)),
+        parallel=int(options.get("parallel", 0)),
     )
 
 
@@ -180,9 +185,12 @@
     return min(1.0, millicores / used) if used else 1.0
 
 
-def disturbance(task: SimulatedTask, tasks: list[SimulatedTask]) -> float:
+def disturbance(
+    task: SimulatedTask, tasks: list[SimulatedTask], millicores: int
+) -> float:
     """Returns the factor by which others lengthen a service's answers."""
     noise = sum(
         other.command.noise * other.rate for other in tasks if other is not task
     )
-    return 1.0 + task.command.sensitivity * noise
+    factor = 1.0 + task.command.sensitivity * noise
+    return factor / slowdown(tasks, millicores)
--- a/devtools/site.py
+++ b/devtools/site.py
@@ -65,6 +65,7 @@
         service_lease_ms: Lease term of services.
         batch_lease_ms: Lease term of batch tasks.
         lag_ms: Lag of usage reports.
+        policies: Policies of all daemons; "plain" is the baseline.
     """
 
     vms: tuple[VmShape, ...]
@@ -74,6 +75,7 @@
     service_lease_ms: int = 10_000
     batch_lease_ms: int = 600_000
     lag_ms: int = 3000
+    policies: Literal["product", "plain"] = "product"
 
 
 ZONES: Final = ("a", "b", "c", "d")
@@ -550,6 +552,7 @@
             ],
             "ready_file": str(managed.ready_file),
         }
+        section = {**section, "policies": self.shape.policies}
         path = managed.folder / "settings.toml"
         path.write_text(_toml("process", process) + _toml(role, section))
         managed.arguments = ["-m", "bamboorouter", str(path)]
--- a/devtools/worker.py
+++ b/devtools/worker.py
@@ -41,6 +41,7 @@
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
 FAIL_ALL_AFTER_MS: Final = 100
 LATENCY_WEIGHT: Final = 0.2
+UNBOUNDED: Final = 1 << 30
 
 Model = TypeVar("Model", bound=worker_client.Model)
 Ended = Literal["finished", "failed", "evicted", "stopped"]
@@ -99,6 +100,7 @@
             collections.deque(maxlen=KEPT_USAGE_ROWS)
         )
         self._sites: dict[tuple[str, int], web.AppRunner] = {}
+        self._places: dict[tuple[str, int], asyncio.Semaphore] = {}
 
     def running(self) -> list[simulated_tasks.SimulatedTask]:
         """Returns the tasks that have not ended."""
@@ -350,7 +352,7 @@
     ) -> float:
         if task.body.kind != "service":
             return 0.0
-        factor = simulated_tasks.disturbance(task, tasks)
+        factor = simulated_tasks.disturbance(task, tasks, self._millicores)
         return task.latency_ms or task.command.time_ms * factor
 
     def _version_name(self) -> str:
@@ -369,6 +371,10 @@
 
         app.router.add_route("*", "/{path:.*}", answer)
         runner = web.AppRunner(app, access_log=None, shutdown_timeout=0)
+        parallel = task.command.parallel or UNBOUNDED
+        self._places[task.body.task, task.body.epoch] = asyncio.Semaphore(
+            parallel
+        )
         self._sites[task.body.task, task.body.epoch] = runner
         await runner.setup()
         await web.TCPSite(runner, self.host, 0).start()
@@ -393,15 +399,23 @@
                 path=request.path_qs,
                 key=key,
             )
-        wanted = request.query.get("time_ms")
-        factor = simulated_tasks.disturbance(task, self.running())
-        time_ms = float(wanted) if wanted else task.command.time_ms * factor
-        if time_ms > 0:
-            await asyncio.sleep(time_ms / 1000)
+        async with self._places[task.body.task, task.body.epoch]:
+            await self._work(task, request.query.get("time_ms"))
         taken = now_ms() - started
         task.latency_ms += LATENCY_WEIGHT * (taken - task.latency_ms)
         return await _shaped_answer(request, body, task)
 
+    async def _work(
+        self, task: simulated_tasks.SimulatedTask, wanted: str | None
+    ) -> None:
+        """Takes the time of one request."""
+        factor = simulated_tasks.disturbance(
+            task, self.running(), self._millicores
+        )
+        time_ms = float(wanted) if wanted else task.command.time_ms * factor
+        if time_ms > 0:
+            await asyncio.sleep(time_ms / 1000)
+
 
 async def _shaped_answer(
     request: web.Request, body: bytes, task: simulated_tasks.SimulatedTask
