Move a shared control link only once for all its calls

Cause: many calls share one link to the leader. Each call that failed on the old link closed whatever link the client held by then, so concurrent calls after a redirect kept closing the link to the leader of one another, and a call whose reply was missing closed a link that still served the others. Ruled out: the replicas; they saw no election and no slow commit. Now only the first call that fails on a link leaves it, and a link that brought any frame since the call was sent is kept.

--- a/bamboorouter/coordination/control_client.py
+++ b/bamboorouter/coordination/control_client.py
@@ -69,17 +69,28 @@
             sent = self.clock.now()
             try:
                 current = await self._connect(min(remaining, timeout_ms))
+            except errors.RouterError as err:
+                last_error = err
+                await self._pause()
+                continue
+            received = current.received
+            try:
                 reply = await current.request(
                     message, timeout_ms=min(remaining, self._attempt_timeout_ms)
                 )
             except errors.RouterError as err:
                 last_error = err
-                await self._move_on("")
+                # A link that still brings replies to other calls is kept.
+                if current.closed.is_set() or current.received == received:
+                    await self._leave(current, "")
+                await self._pause()
                 continue
             if not isinstance(reply, messages.Redirect):
                 self.last_contact = sent
                 return reply
-            await self._move_on(reply.leader)
+            await self._leave(current, reply.leader)
+            if not reply.leader or reply.leader == current.peer:
+                await self._pause()
         raise errors.RequestTimeoutError(
             text=f"no leader answered within {timeout_ms} ms",
             step=type(message).__name__,
@@ -102,25 +113,33 @@
             current = self._link
             if current is not None and not current.closed.is_set():
                 return current
-            self._link = await link.open_link(
-                address=self._target,
-                handler=self._handler,
-                timeout_ms=min(timeout_ms, self._attempt_timeout_ms),
-            )
+            target = self._target
+            try:
+                self._link = await link.open_link(
+                    address=target,
+                    handler=self._handler,
+                    timeout_ms=min(timeout_ms, self._attempt_timeout_ms),
+                )
+            except errors.LinkClosedError:
+                self._target = self._next_address()
+                raise
             return self._link
 
-    async def _move_on(self, leader: str) -> None:
-        """Leaves the current replica for the leader or the next address."""
-        if leader == self._target and leader:
-            await asyncio.sleep(clock.seconds(RETRY_PAUSE_MS))
+    async def _leave(self, failed: link.Link, leader: str) -> None:
+        """Leaves a replica for the leader or the next address.
+
+        Many calls share one link. Only the first of them that fails on it
+        moves on; the others find the new link.
+        """
+        if self._link is not failed or leader == failed.peer:
             return
-        if self._link is not None:
-            abandoned, self._link = self._link, None
-            await abandoned.close()
+        self._link = None
         self._target = leader or self._next_address()
-        if not leader:
-            pause = RETRY_PAUSE_MS * (0.5 + random.random())
-            await asyncio.sleep(clock.seconds(int(pause)))
+        await failed.close()
+
+    async def _pause(self) -> None:
+        pause_ms = RETRY_PAUSE_MS * (0.5 + random.random())
+        await asyncio.sleep(clock.seconds(int(pause_ms)))
 
     def _next_address(self) -> str:
         if self._target not in self.addresses:
--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -54,6 +54,7 @@
         peer: Address of the other side.
         handler: Called for each request and push of the peer.
         closed: Set when the link is closed.
+        received: Number of frames received.
         runner: The task that receives, if the link was dialled.
     """
 
@@ -67,6 +68,7 @@
         self.peer = peer
         self.handler = handler
         self.closed = asyncio.Event()
+        self.received = 0
         self.runner: asyncio.Task[None] | None = None
         self._socket = socket
         self._next_id = 0
@@ -167,6 +169,7 @@
             raise self._closed_error() from err
 
     def _receive(self, frame: Any) -> None:
+        self.received += 1
         _BYTES_RECEIVED.inc(len(frame))
         _FRAMES_RECEIVED.inc()
         kind, request_id, message = _decode_frame(frame)
--- /dev/null
+++ b/tests/test_control_client.py
@@ -0,0 +1,91 @@
+"""Guards against calls that disturb each other on the shared control link."""
+
+import asyncio
+import unittest
+
+from bamboorouter import clock
+from bamboorouter.coordination import control_client
+from bamboorouter.protocol import messages
+from bamboorouter.transport import link
+
+CALLS = 32
+CALL_TIMEOUT_MS = 3000
+
+
+def _reserve(number: int) -> messages.Reserve:
+    return messages.Reserve(
+        key=str(number), fingerprint=1, attempt="a", service="s", entry="e"
+    )
+
+
+class ControlClientTest(unittest.IsolatedAsyncioTestCase):
+    """Many concurrent calls of one client."""
+
+    async def asyncSetUp(self) -> None:
+        self.replies = 0
+        self.leader = await link.serve_links(
+            host="127.0.0.1", port=0, handler=self._lead
+        )
+        self.follower = await link.serve_links(
+            host="127.0.0.1", port=0, handler=self._follow
+        )
+
+    async def asyncTearDown(self) -> None:
+        await self.leader.close()
+        await self.follower.close()
+
+    async def _lead(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        del peer
+        if isinstance(message, messages.Recorded):
+            return None
+        await asyncio.sleep(0.02)
+        self.replies += 1
+        return messages.ReservationReply(state="granted")
+
+    async def _follow(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        del peer
+        # Answers spread over time, so that some calls still wait here when
+        # the first one has been redirected.
+        if isinstance(message, messages.Reserve):
+            await asyncio.sleep(0.002 * int(message.key))
+        return messages.Redirect(leader=f"127.0.0.1:{self.leader.port}")
+
+    def _client(self, *ports: int) -> control_client.ControlClient:
+        return control_client.ControlClient(
+            addresses=tuple(f"127.0.0.1:{port}" for port in ports),
+            time=clock.SystemClock(),
+        )
+
+    async def _calls(self, client: control_client.ControlClient) -> int:
+        replies = await asyncio.gather(
+            *(
+                client.call(_reserve(n), timeout_ms=CALL_TIMEOUT_MS)
+                for n in range(CALLS)
+            )
+        )
+        return len(replies)
+
+    async def test_redirected_calls_share_the_link_to_the_leader(self) -> None:
+        """Each redirected call used to close the link of all others."""
+        client = self._client(self.follower.port)
+        self.assertEqual(await self._calls(client), CALLS)
+        self.assertEqual(self.replies, CALLS)
+        await client.close()
+
+    async def test_unanswered_call_keeps_the_link_of_the_others(self) -> None:
+        client = self._client(self.leader.port)
+        unanswered = asyncio.create_task(
+            client.call(messages.Recorded(sequence=1), timeout_ms=1200)
+        )
+        deadline = asyncio.get_running_loop().time() + 1.1
+        links: set[int] = set()
+        while asyncio.get_running_loop().time() < deadline:
+            await client.call(_reserve(0), timeout_ms=CALL_TIMEOUT_MS)
+            links.update(id(each) for each in self.leader.links)
+        self.assertEqual(len(links), 1)
+        unanswered.cancel()
+        await client.close()
