--- a/devtools/bench_capacity.py
+++ b/devtools/bench_capacity.py
@@ -2,7 +2,7 @@
 
 Every case runs three control replicas and one entry as real processes, with a
 swarm of stand-in agents, at three or more sizes. Prints one Markdown table for
-each case, with a least-squares slope under it. Cases: `roles`, `agents`,
+each case, with a least-squares slope under it. Cases: `imports`, `roles`, `agents`,
 `tasks`, `starts`, `changes`, `keys`, `log`; all of them by default.
 """
 
@@ -47,6 +47,21 @@
 KEYS: Final = (5_000, 20_000, 50_000)
 LOG_ENTRIES: Final = (2_000, 8_000, 20_000)
 LOG_CALLS_AT_ONCE: Final = 16
+IMPORTS: Final = (
+    "sys",
+    "asyncio",
+    "msgspec",
+    "cbor2",
+    "xxhash",
+    "absl.logging",
+    "websockets.asyncio.client",
+    "websockets.asyncio.server",
+    "prometheus_client",
+    "reactivex",
+    "bamboorouter.roles.control",
+    "aiohttp.web",
+    "bamboorouter.roles.entry",
+)
 # Control replicas without upstream VMs; the swarm plays the agents.
 SHAPE: Final = site.SiteShape(vms=(), controls=3, entries=1)
 
@@ -429,7 +444,7 @@
                     },
                 )
             )
-    print_table("Length of the log (two commands an entry)", "entries", rows)
+    print_table("Length of the log (one request record each)", "records", rows)
 
 
 async def _fill_log(one: Bench, entries: int) -> None:
@@ -459,7 +474,32 @@
     await asyncio.gather(*(append(n, share) for n in range(LOG_CALLS_AT_ONCE)))
 
 
+async def measure_imports() -> None:
+    """Memory of a process that only imports, library by library."""
+    print("\n### Memory after imports, before any work\n")
+    print("| imported, one after the other | RSS MB | private MB |")
+    print("| --- | --- | --- |")
+    for count, library in enumerate(IMPORTS, start=1):
+        code = "; ".join(
+            (
+                *(f"import {name}" for name in IMPORTS[:count]),
+                "import psutil",
+                "m = psutil.Process().memory_full_info()",
+                "print(m.rss / 2**20, m.uss / 2**20)",
+            )
+        )
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", code),
+            cwd=site.ROOT,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        rss, private = (float(each) for each in output.split())
+        print(f"| {library} | {rss:.1f} | {private:.1f} |")
+
+
 CASES: Final[dict[str, Case]] = {
+    "imports": measure_imports,
     "roles": measure_roles,
     "agents": measure_agents,
     "tasks": measure_tasks,
