--- a/bamboorouter/coordination/core_state.py
+++ b/bamboorouter/coordination/core_state.py
@@ -34,7 +34,7 @@
             than `election_min_ms`, so that clocks may run 10 % apart.
     """
 
-    heartbeat_ms: int = 150
+    heartbeat_ms: int = 250
     election_min_ms: int = 900
     election_max_ms: int = 1500
     retry_min_ms: int = 150
