--- a/bamboorouter/coordination/assignment_planner.py
+++ b/bamboorouter/coordination/assignment_planner.py
@@ -251,7 +251,12 @@
             worker.capacity for worker in state.workers.by_name.values()
         )
         rows = self._waiting_rows()
-        kinds = {row.kind for row in rows}
+        # Work that no worker can hold must not keep slots from other work.
+        kinds = {
+            row.kind
+            for row in rows
+            if state.workers.can_ever_run(ledger.declared(row))
+        }
         self.both_wait = len(kinds) == 2
         self.queue = planner.order.queue(
             [_waiting_row(state, row) for row in rows],
@@ -431,13 +436,16 @@
 
 
 def _within_share(candidate: placement.Candidate, kind: str) -> bool:
-    """Whether one more task of a kind leaves the other kind its minimum."""
+    """Whether one more task of a kind leaves the other kind its minimum.
+
+    Each kind may hold one task, so that both can run on a worker of one slot.
+    """
     slots = candidate.capacity.slots
     kept = -(-slots * MIN_SHARE_PERCENT[_OTHER_KIND[kind]] // 100)
     held = (
         candidate.service_slots if kind == "service" else candidate.batch_slots
     )
-    return held + 1 <= slots - kept
+    return held + 1 <= max(1, slots - kept)
 
 
 def _on_probation(until_ms: int, tasks: Sequence[assignments.Task]) -> bool:
--- a/tests/test_control_role.py
+++ b/tests/test_control_role.py
@@ -201,6 +201,22 @@
         explained = (await self.operate("explain", subject="web/0")).data
         self.assertTrue(explained["found"])
 
+    async def test_status_names_the_processes_that_lag(self) -> None:
+        reply = await self.operate(
+            "submit_sheet", "s1", csv=SHEET.format(revision=1)
+        )
+        revision = reply.data["config_revision"]
+        await self.beat(1)
+        await self.poll()
+        before = (await self.operate("status")).data
+        self.assertEqual(before["lagging"], ["agent-1", "entry-1"])
+        self.assertEqual(before["lowest_applied"], 0)
+        await self.beat(2, applied_revision=revision)
+        await self.poll(revision)
+        after = (await self.operate("status")).data
+        self.assertEqual(after["lagging"], [])
+        self.assertEqual(after["lowest_applied"], revision)
+
     async def test_replica_without_a_quorum_redirects(self) -> None:
         await self.client.close()
         await self.role.stop()
--- a/tests/test_leader_actions.py
+++ b/tests/test_leader_actions.py
@@ -53,6 +53,37 @@
         self.assertEqual(steps[:2], ["throttle", "evict"])
 
 
+class ShareTest(test_scheduler.SchedulerCase):
+    """While both kinds wait, each keeps its minimum of a worker's slots."""
+
+    async def test_waiting_kinds_share_the_slots(self) -> None:
+        agent = self.agent("w1", processors=64)
+        await agent.beat()
+        self.log.apply(
+            make.sheet(
+                1,
+                make.service("web", count=20, millicores=10),
+                make.row("job", count=20, millicores=10),
+            )
+        )
+        await self.settle(agent)
+        services = [n for n in agent.running() if n.startswith("web")]
+        self.assertEqual((len(services), len(agent.running())), (6, 8))
+
+    async def test_both_kinds_run_where_a_worker_has_one_slot(self) -> None:
+        agents = [self.agent("w1"), self.agent("w2")]
+        for agent in agents:
+            agent.fields["capacity"] = make.capacity(slots=1)
+            await agent.beat()
+        self.log.apply(
+            make.sheet(
+                1, make.service("web", count=2), make.row("job", count=2)
+            )
+        )
+        await self.settle(*agents)
+        self.assertEqual(sum(len(agent.running()) for agent in agents), 2)
+
+
 class MoveTest(test_scheduler.SchedulerCase):
     """A drained worker is emptied without a gap."""
 
