--- a/bamboorouter/coordination/route_publisher.py
+++ b/bamboorouter/coordination/route_publisher.py
@@ -27,6 +27,7 @@
 SETTLE_MS: Final = 3000
 # An agent without contact for this long refuses new work by itself.
 SILENT_MS: Final = 5000
+FORGET_ENTRY_MS: Final = 60_000
 MAX_REMOVED: Final = 4096
 EPOCH_BITS: Final = 31
 # Changes of load below these are not worth a message to every entry.
@@ -114,7 +115,15 @@
         return urgent
 
     def drop_silent(self, now: clock.Millis) -> bool:
-        """Removes the routes of silent workers; returns whether any went."""
+        """Removes the routes of silent workers; returns whether any went.
+
+        Entries that have not polled for long are forgotten as well.
+        """
+        self.entries = {
+            name: entry
+            for name, entry in self.entries.items()
+            if now - entry.heard < FORGET_ENTRY_MS
+        }
         silent = [
             worker
             for worker in self._of_worker
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -4,6 +4,7 @@
 state. Applying checks each invariant again, whoever proposed the command.
 """
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import Final
@@ -175,16 +176,17 @@
     def _clashing_name(
         self, rows: tuple[common.SheetRow, ...]
     ) -> commands.Result | None:
-        """Refuses names whose tasks of the other kind have not ended."""
+        """Refuses names used twice, or by live tasks of the other kind."""
+        uses = collections.Counter(row.name for row in rows)
         faults = [
             {
                 "row": 0,
                 "column": "name",
                 "value": row.name,
-                "allowed": "a name not in use for the other kind",
+                "allowed": "a name used once and not for the other kind",
             }
             for row in rows
-            if self._other_kind_lives(row)
+            if uses[row.name] > 1 or self._other_kind_lives(row)
         ]
         if not faults:
             return None
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -13,6 +13,7 @@
 from bamboorouter.state import ledger
 from bamboorouter.state import machine
 from tests import machine_commands as make
+from tests import test_request_keys
 
 
 class ConfigurationTest(unittest.TestCase):
@@ -316,7 +317,36 @@
         commands.EvictTask(task=name, epoch=epoch, reason="r"),
         commands.ReplaceInstance(task=name, epoch=epoch, reason="r"),
         commands.FailJob(job=name.split("/")[0], code="c", reason="r"),
+        commands.ReserveRequest(
+            key=test_request_keys.key_at(
+                state.now_ms - rng.randrange(-(10**6), 10**8), rng.randrange(9)
+            ),
+            fingerprint=rng.randrange(2),
+            attempt=str(rng.randrange(3)),
+            service="web0",
+            entry="e",
+        ),
+        commands.RecordRequests(
+            entry=rng.choice("ab"),
+            incarnation=rng.randrange(3),
+            sequence=rng.randrange(5),
+            records=((1, "web0", "guild", 0, "completed", "", 1),),
+        ),
     ]
+    if state.request_keys.records:
+        record = rng.choice(list(state.request_keys.records.values()))
+        choices.append(
+            commands.RecordRequestOutcome(
+                key=record.key,
+                attempt=str(rng.randrange(3)),
+                outcome=rng.choice(("completed", "not_run", "unknown")),
+                status=200,
+                headers=(),
+                body=b"x" * rng.choice((0, 10, 5000)),
+                digest=1,
+                body_kept=True,
+            )
+        )
     frequent: list[commands.Command] = [
         make.assign(name, worker, processors=rng.randrange(0, 4)),
         commands.EndTask(
