Accept a late report that a waiting batch task finished

A task whose worker was cut off beyond its lease, and which finished before, was run again even if nothing had started it in the meantime. The epoch is still checked: the report must concern the last assignment.

--- a/bamboorouter/coordination/heartbeats.py
+++ b/bamboorouter/coordination/heartbeats.py
@@ -132,6 +132,8 @@
             if task is None:
                 if report.state == "running":
                     strays.append(report)
+                elif _finished_late(state, report):
+                    found.append(_reported_finish(report))
                 continue
             self._note(task, report, now)
             if report.state != "running":
@@ -351,6 +353,27 @@
     )
 
 
+def _finished_late(state: machine.Machine, report: common.TaskState) -> bool:
+    """Whether a task that waits again is reported as finished."""
+    task = state.assignments.tasks.get(report.task)
+    return (
+        task is not None
+        and report.state == "finished"
+        and (task.kind, task.status) == ("batch", "pending")
+        and task.epoch == report.epoch
+    )
+
+
+def _reported_finish(report: common.TaskState) -> commands.EndTask:
+    return commands.EndTask(
+        task=report.task,
+        epoch=report.epoch,
+        outcome="finished",
+        checkpoint=report.checkpoint,
+        detail=report.detail,
+    )
+
+
 def _reported_end(
     task: assignments.Task,
     report: common.TaskState,
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -335,7 +335,7 @@
     def _end_task(self, command: commands.EndTask) -> commands.Result:
         task = self.assignments.current(command.task, command.epoch)
         if isinstance(task, commands.Result):
-            return task
+            return self._late_finish(command) or task
         worker = task.worker
         if command.outcome in ("failed", "given_up"):
             self.assignments.note_failure(
@@ -348,6 +348,23 @@
             self._end_batch(task, command.outcome)
         return _state_of(task, removed=task.task not in self.assignments.tasks)
 
+    def _late_finish(self, command: commands.EndTask) -> commands.Result | None:
+        """Accepts that a task finished after its assignment was given up.
+
+        While it waits under the same epoch it has not run anywhere else, and
+        running it again would do its work twice.
+        """
+        task = self.assignments.tasks.get(command.task)
+        if (
+            task is None
+            or command.outcome != "finished"
+            or (task.kind, task.status) != ("batch", "pending")
+            or not 0 < task.epoch == command.epoch
+        ):
+            return None
+        self._finish(task, "finished")
+        return _state_of(task, removed=task.task not in self.assignments.tasks)
+
     def _end_batch(self, task: assignments.Task, outcome: str) -> None:
         job = self.plan.jobs[task.row]
         given_up = outcome == "given_up" or job.verdict == "failed"
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -439,6 +439,19 @@
         await agent.beat()
         self.assertEqual(self.status("job/0"), "cancelled")
 
+    async def test_task_that_finished_in_a_partition_does_not_run_again(
+        self,
+    ) -> None:
+        agent = await self.run_job()
+        self.clock.advance(fakes.BATCH_LEASE_MS * 2)
+        await self.leader.decide()
+        self.assertEqual(self.status("job/0"), "pending")
+        agent.tasks["job/0"].state = "finished"
+        reply = await agent.beat()
+        self.assertEqual(self.status("job/0"), "finished")
+        self.assertEqual([o.action for o in reply.orders], ["forget"])
+        self.assertEqual(reply.starts, ())
+
     async def test_refused_start_is_assigned_again_with_its_checkpoint(
         self,
     ) -> None:
