--- a/tests/test_faults_tasks.py
+++ b/tests/test_faults_tasks.py
@@ -23,8 +23,8 @@
 SEED = 20261204
 
 
-class TaskFaultsTest(site_case.SiteTestCase):
-    """Failures while tasks run."""
+class TaskFaultsCase(site_case.SiteTestCase):
+    """A site with a service and a batch job."""
 
     async def asyncSetUp(self) -> None:
         self.site = await self.start_site(SHAPE)
@@ -78,6 +78,10 @@
         numbers = range(1, len(SHAPE.vms) + 1)
         return max(numbers, key=lambda n: len(self.running(f"worker-{n}")))
 
+
+class TaskFaultsTest(TaskFaultsCase):
+    """Failures while tasks start and run."""
+
     async def test_paused_vm_runs_nothing_after_its_lease(self) -> None:
         await self.submit()
         await self.wait_all_running()
@@ -165,3 +169,71 @@
             self.site.thaw_vm(second)
             await self.site.restart_vm(first)
         await self.wait_all_finished()
+
+
+class EvictionFaultsTest(TaskFaultsCase):
+    """Failures during an eviction.
+
+    A paused worker, or a paused VM, holds the eviction up between its logged
+    intent and its confirmation.
+    """
+
+    async def begin_eviction(self, *, pause_agent: bool) -> int:
+        """Drains a VM whose worker is paused; returns its number."""
+        await self.submit("run 8s")
+        await self.wait_all_running()
+        number = self.busiest()
+        self.site.freeze(f"worker-{number}")
+        if pause_agent:
+            self.site.freeze(f"agent-{number}")
+        reply = await self.operator.call("drain", target=f"agent-{number}")
+        self.assertTrue(reply.ok, reply)
+        async with asyncio.timeout(START_S):
+            while True:
+                if (await self.operator.status()).tasks["evicting"]:
+                    return number
+                await asyncio.sleep(site_case.POLL_S)
+
+    def evicted(self) -> list[journal.Run]:
+        return [run for run in self.batch_runs() if run.state == "evicted"]
+
+    async def check_evicted(self, *, at_least: int = 1) -> None:
+        await self.wait_all_finished()
+        evicted = self.evicted()
+        self.assertGreaterEqual(len(evicted), at_least)
+        resumed = [run.resume_from for run in self.batch_runs()]
+        for run in evicted:
+            self.assertEqual(resumed.count(run.checkpoint), 1, run)
+
+    async def test_leader_killed_before_its_order_arrives(self) -> None:
+        number = await self.begin_eviction(pause_agent=True)
+        await self.site.kill(await self.operator.leader())
+        self.site.thaw_vm(number)
+        await self.check_evicted()
+
+    async def test_paused_leader_during_eviction(self) -> None:
+        number = await self.begin_eviction(pause_agent=False)
+        leader = await self.operator.leader()
+        self.site.freeze(leader)
+        self.site.thaw(f"worker-{number}")
+        await asyncio.sleep(SERVICE_LEASE_S)
+        self.site.thaw(leader)
+        await self.check_evicted()
+
+    async def test_agent_killed_before_it_reports_the_eviction(self) -> None:
+        number = await self.begin_eviction(pause_agent=False)
+        # The order has arrived; its confirmation does not.
+        await asyncio.sleep(PAUSE_S)
+        self.site.cut(f"agent-{number}")
+        self.site.thaw(f"worker-{number}")
+        await self.wait_for(self.evicted, "eviction", within_s=START_S)
+        await self.site.kill(f"agent-{number}")
+        self.site.heal()
+        await self.site.restart(f"agent-{number}")
+        await self.check_evicted()
+
+    async def test_vm_killed_during_eviction(self) -> None:
+        number = await self.begin_eviction(pause_agent=False)
+        await self.site.kill_vm(number)
+        await self.site.restart_vm(number)
+        await self.check_evicted(at_least=0)
