--- a/devtools/site.py
+++ b/devtools/site.py
@@ -331,9 +331,11 @@
             fault.heal()
 
     def reset_links(self, name: str) -> None:
-        """Resets all connections to a process."""
-        for fault in self.processes[name].proxies.values():
-            fault.reset()
+        """Resets all connections of a process; held bytes are lost."""
+        for listener, fault in self._all_proxies():
+            for connection in list(fault.connections):
+                if name in (listener, connection.dialer):
+                    connection.end(reset=True)
 
     def address(self, name: str, kind: str) -> str:
         """Returns a bound address of a process, for example "entry.listen"."""
--- /dev/null
+++ b/tests/task_faults_case.py
@@ -0,0 +1,70 @@
+"""Base of tests that break parts of a site while its tasks run."""
+
+from devtools import journal
+from devtools import site
+from tests import site_case
+
+SHAPE = site.small_shape(vms=3, controls=3, entries=0)
+BATCH_LEASE_S = SHAPE.batch_lease_ms / 1000
+SERVICE_LEASE_S = SHAPE.service_lease_ms / 1000
+# Urgent work starts within 3.2 s; a lease and its allowance may come first.
+START_S = 10.0
+END_S = 40.0
+PAUSE_S = 1.5
+JOBS = 6
+
+
+class TaskFaultsCase(site_case.SiteTestCase):
+    """A site with a service and a batch job."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = await self.start_site(SHAPE)
+        self.operator = await self.start_operator(self.site)
+
+    async def submit(self, command: str = "run 6s") -> None:
+        await self.operator.submit(
+            1,
+            site_case.service_row("entries", 2),
+            site_case.job_row("match", JOBS, command),
+        )
+
+    def running(self, worker: str = "", task: str = "") -> list[journal.Run]:
+        return [
+            run
+            for run in self.site.runs()
+            if run.state == "running"
+            and run.writer.startswith(worker)
+            and run.task.startswith(task)
+        ]
+
+    def batch_runs(self) -> list[journal.Run]:
+        return [r for r in self.site.runs() if r.task.startswith("match")]
+
+    def finished(self) -> set[str]:
+        runs = self.site.runs()
+        return {run.task for run in runs if run.state == "finished"}
+
+    async def wait_all_running(self) -> None:
+        await self.wait_for(
+            lambda: len(self.running()) == JOBS + 2,
+            "all tasks run",
+            within_s=START_S,
+        )
+
+    async def wait_all_finished(self) -> None:
+        await self.wait_for(
+            lambda: len(self.finished()) == JOBS,
+            "all batch tasks finished",
+            within_s=END_S,
+        )
+        await self.wait_for(
+            lambda: len(self.running(task="entries")) == 2,
+            "both instances of the service run",
+            within_s=START_S,
+        )
+        self.assert_tasks_sound(self.site)
+
+    def busiest(self) -> int:
+        """Returns the number of the VM with the most running tasks."""
+        numbers = range(1, len(SHAPE.vms) + 1)
+        return max(numbers, key=lambda n: len(self.running(f"worker-{n}")))
