--- a/devtools/bench_capacity.py
+++ b/devtools/bench_capacity.py
@@ -2,8 +2,8 @@
 
 Every case runs three control replicas and one entry as real processes, with a
 swarm of stand-in agents, at three or more sizes. Prints one Markdown table for
-each case, with a least-squares slope under it. Cases: `imports`, `roles`, `agents`,
-`tasks`, `starts`, `changes`, `keys`, `log`; all of them by default.
+each case, with a least-squares slope under it. Cases: `imports`, `roles`,
+`agents`, `tasks`, `routes`, `starts`, `changes`, `keys`, `log`; all of them by default.
 """
 
 import argparse
@@ -40,6 +40,7 @@
 AGENTS: Final = (25, 75, 150, 250)
 TASKS_PER_AGENT: Final = (0, 4, 8, 12)
 TASK_AGENTS: Final = 60
+UPSTREAMS_PER_AGENT: Final = (0, 2, 4, 8)
 STARTS_PER_SECOND: Final = (5, 15, 30, 44)
 START_AGENTS: Final = 60
 CHANGE_AGENTS: Final = (25, 75, 150)
@@ -281,6 +282,20 @@
     )
 
 
+async def measure_routes() -> None:
+    """Cost of announced upstreams whose load changes at each heartbeat."""
+    rows = []
+    for upstreams in UPSTREAMS_PER_AGENT:
+        async with bench() as one:
+            await one.submit_service(1)
+            await one.start_swarm(TASK_AGENTS, "--upstreams", str(upstreams))
+            columns = await _leader_and_follower(one)
+            rows.append((upstreams * TASK_AGENTS, columns))
+    print_table(
+        f"Upstreams on {TASK_AGENTS} agents, one entry", "upstreams", rows
+    )
+
+
 async def measure_starts() -> None:
     """Cost of starting and ending batch tasks at a fixed rate."""
     rows = []
@@ -347,6 +362,7 @@
         **columns_of("leader", samples[one.leader]),
         **columns_of("follower", samples[one.follower]),
         "entry cpu %": entry.cpu_percent,
+        "entry private MB": entry.private_mb,
         "entry in B/s": entry.received,
     }
 
@@ -503,6 +519,7 @@
     "roles": measure_roles,
     "agents": measure_agents,
     "tasks": measure_tasks,
+    "routes": measure_routes,
     "starts": measure_starts,
     "changes": measure_changes,
     "keys": measure_keys,
--- a/devtools/swarm.py
+++ b/devtools/swarm.py
@@ -69,6 +69,7 @@
         addresses: tuple[str, ...],
         capacity: common.Resources,
         run_time_ms: int,
+        upstreams: int,
         counts: Counts,
         time_source: clock.Clock,
     ) -> None:
@@ -77,6 +78,7 @@
         self.rack = f"rack-{number // WORKERS_PER_RACK}"
         self.capacity = capacity
         self.run_time_ms = run_time_ms
+        self.upstreams = upstreams
         self.counts = counts
         self.clock = time_source
         self.tasks: dict[str, StandInTask] = {}
@@ -124,6 +126,16 @@
             capacity=self.capacity,
             connections=CONNECTIONS,
             applied_revision=self.revision,
+            upstreams=tuple(
+                common.Upstream(
+                    id=f"{self.name}-{number}",
+                    service="quick",
+                    url="http://127.0.0.1:1",
+                    in_progress=random.randrange(8),
+                    latency_ms=random.uniform(5, 50),
+                )
+                for number in range(self.upstreams)
+            ),
             tasks=tuple(
                 common.TaskState(task=name, epoch=t.epoch, state=t.state)
                 for name, t in self.tasks.items()
@@ -186,6 +198,7 @@
                 millicores=64_000, memory_mb=250_000, slots=args.slots
             ),
             run_time_ms=args.run_time_ms,
+            upstreams=args.upstreams,
             counts=counts,
             time_source=clock.SystemClock(),
         )
@@ -213,6 +226,7 @@
     parser.add_argument("--agents", type=int, default=10)
     parser.add_argument("--period-ms", type=int, default=1000)
     parser.add_argument("--run-time-ms", type=int, default=1000)
+    parser.add_argument("--upstreams", type=int, default=0)
     parser.add_argument("--slots", type=int, default=16)
     parser.add_argument("--duration-s", type=float, default=10)
     parser.add_argument("--aligned", action="store_true")
