--- a/bamboorouter/coordination/consensus.py
+++ b/bamboorouter/coordination/consensus.py
@@ -198,7 +198,7 @@
     def _await_leader(self, now: int) -> None:
         """Draws the time at which a silent leader is given up."""
         timing = self.state.timing
-        alone = self.state.members.current.voters() == (self.state.id,)
+        alone = self.state.members.voters == (self.state.id,)
         wait = self._rng.randint(timing.election_min_ms, timing.election_max_ms)
         self._election_ms = now if alone else now + wait
 
@@ -233,8 +233,8 @@
         self._retry_later(now)
 
     def _won(self) -> bool:
-        members = self.state.members.current
-        return len(self._votes & set(members.voters())) >= members.quorum()
+        members = self.state.members
+        return len(self._votes & set(members.voters)) >= members.quorum
 
     def _ask_votes(self, *, term: int, pre: bool, transfer: bool) -> None:
         state = self.state
@@ -247,7 +247,7 @@
             pre=pre,
             transfer=transfer,
         )
-        for voter in state.members.current.voters():
+        for voter in state.members.voters:
             state.send(voter, request)
 
     def _on_vote_request(self, m: messages.VoteRequest, now: int) -> None:
--- a/bamboorouter/coordination/core_state.py
+++ b/bamboorouter/coordination/core_state.py
@@ -100,7 +100,7 @@
 
     def is_voter(self) -> bool:
         """Whether this replica votes."""
-        return self.members.current.is_voter(self.id)
+        return self.id in self.members.voters
 
     def save(self) -> None:
         """Has term and vote saved before any message is sent."""
--- a/bamboorouter/coordination/leading.py
+++ b/bamboorouter/coordination/leading.py
@@ -104,15 +104,14 @@
     def stored(self) -> None:
         """Advances the commit index to what a majority has synced."""
         state = self.state
-        members = state.members.current
         matches = sorted(
             (
                 state.log.synced_index if v == state.id else self._match_of(v)
-                for v in members.voters()
+                for v in state.members.voters
             ),
             reverse=True,
         )
-        index = matches[members.quorum() - 1]
+        index = matches[state.members.quorum - 1]
         if index > state.commit and state.log.term_at(index) == state.term:
             state.commit = index
             self._leave_if_removed()
@@ -148,15 +147,15 @@
         Times count from the sending of a message that was answered, because a
         follower's silence towards candidates begins only after that.
         """
-        members = self.state.members.current
+        members = self.state.members
         times = sorted(
             (
                 now if voter == self.state.id else self._acknowledged_ms(voter)
-                for voter in members.voters()
+                for voter in members.voters
             ),
             reverse=True,
         )
-        return times[members.quorum() - 1]
+        return times[members.quorum - 1]
 
     def may_change_members(self) -> bool:
         """Whether the last change of members is committed.
@@ -248,7 +247,7 @@
             return
         voters = [
             (self._match_of(voter), self._acknowledged_ms(voter), voter)
-            for voter in self.state.members.current.voters()
+            for voter in self.state.members.voters
             if voter != self.state.id
         ]
         match, _, target = max(voters, default=(-1, 0, ""))
--- a/bamboorouter/coordination/membership.py
+++ b/bamboorouter/coordination/membership.py
@@ -18,8 +18,15 @@
     Attributes:
         current: The list in force.
         changed_at: Index of the entry that holds it; 0 if there is none.
+        voters: IDs of its voters; kept because every commit needs them.
+        quorum: How many voters make a majority.
     """
 
+    current: membership.Members
+    changed_at: int
+    voters: tuple[str, ...]
+    quorum: int
+
     def __init__(
         self,
         *,
@@ -30,19 +37,10 @@
         self._lists: list[tuple[int, membership.Members]] = [
             (base.index, members)
         ]
+        self._use_newest()
         for item in stored:
             self.append(item.entry)
 
-    @property
-    def current(self) -> membership.Members:
-        """The list in force."""
-        return self._lists[-1][1]
-
-    @property
-    def changed_at(self) -> int:
-        """Index of the entry that holds the list in force."""
-        return self._lists[-1][0]
-
     def append(self, entry: messages.LogEntry) -> bool:
         """Takes note of a new entry; returns whether it changes members."""
         if entry.kind != messages.KIND_MEMBERS:
@@ -50,12 +48,14 @@
         self._lists.append(
             (entry.index, membership.CODEC.decode(entry.payload))
         )
+        self._use_newest()
         return True
 
     def truncate(self, last_index: int) -> None:
         """Forgets lists of entries after `last_index`."""
         while len(self._lists) > 1 and self._lists[-1][0] > last_index:
             self._lists.pop()
+        self._use_newest()
 
     def at(self, index: int) -> membership.Members:
         """Returns the list in force at an index."""
@@ -68,12 +68,18 @@
     def reset(self, index: int, members: membership.Members) -> None:
         """Starts anew from a snapshot."""
         self._lists = [(index, members)]
+        self._use_newest()
 
     def forget_before(self, index: int) -> None:
         """Drops lists that a snapshot at `index` makes superfluous."""
         while len(self._lists) > 1 and self._lists[1][0] <= index:
             self._lists.pop(0)
 
+    def _use_newest(self) -> None:
+        self.changed_at, self.current = self._lists[-1]
+        self.voters = self.current.voters()
+        self.quorum = self.current.quorum()
+
 
 def with_learner(
     members: membership.Members, *, replica_id: str, address: str
--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/replica.py
@@ -27,6 +27,7 @@
 from bamboorouter.coordination import core_state
 from bamboorouter.coordination import engine as replica_engine
 from bamboorouter.coordination import formation
+from bamboorouter.coordination import leadership
 from bamboorouter.coordination import leading
 from bamboorouter.coordination import member_changes
 from bamboorouter.coordination import peers
@@ -121,12 +122,10 @@
         self._folder = folder
         self._clock = time
         self._applied = subject.Subject[int]()
-        self._leadership = subject.BehaviorSubject(
-            replicated_log.Leadership(leads=False, term=0, leader_address="")
-        )
+        self._feed = leadership.LeadershipFeed()
         self.applied: reactivex.Observable[int] = self._applied
         self.leadership: reactivex.Observable[replicated_log.Leadership] = (
-            self._leadership
+            self._feed.changes
         )
         self._proposals = proposals.Proposals(
             batch_limit=batch_commands, batch_bytes=BATCH_BYTES
@@ -193,7 +192,7 @@
     async def _transfer(self) -> None:
         """Hands leadership over, unless nobody takes it in time."""
         self._step(lambda: self._core().transfer(self._clock.now()))
-        if self._state().members.current.voters() == (self.engine.id,):
+        if self._state().members.voters == (self.engine.id,):
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(clock.seconds(TRANSFER_TIMEOUT_MS)):
@@ -527,7 +526,7 @@
     # --- Announcements -------------------------------------------------------
 
     def _announce(self) -> None:
-        """Tells observers about changes of leadership and of members."""
+        """Tells others about changes of leadership and of members."""
         state = self._state()
         if state.members.current is not self._members:
             self._members = state.members.current
@@ -536,24 +535,20 @@
             self._follows.clear()
         else:
             self._follows.set()
-        before = self._leadership.value
-        current = replicated_log.Leadership(
-            leads=self.engine.leads(),
-            term=state.term,
-            leader_address=state.leader_address,
-        )
-        if current == before:
-            return
+        leads = self.engine.leads()
         if self._led_term and (
             self._core().leading is None or state.term != self._led_term
         ):
-            self._proposals.fail_all(leader=current.leader_address)
+            self._proposals.fail_all(leader=state.leader_address)
             self._led_term = 0
-        if current.leads:
+        if leads:
             self._led_term = state.term
-        self._log_leadership(before, current)
-        metrics.LEADS.set(int(current.leads))
-        self._leadership.on_next(current)
+        self._feed.update(
+            replica_id=self.engine.id,
+            leads=leads,
+            term=state.term,
+            leader_address=state.leader_address,
+        )
 
     def _announce_members(self) -> None:
         events.log(
@@ -563,28 +558,6 @@
         )
         self._peers.keep_only(self._members)
 
-    def _log_leadership(
-        self,
-        before: replicated_log.Leadership,
-        current: replicated_log.Leadership,
-    ) -> None:
-        replica = self.engine.id
-        if current.leads and not before.leads:
-            events.log(
-                events.LEADER_ELECTED, replica=replica, term=current.term
-            )
-        elif before.leads and not current.leads:
-            events.log(
-                events.LEADER_STEPPED_DOWN, replica=replica, term=before.term
-            )
-        elif current.leader_address and not current.leads:
-            events.log(
-                events.LEADER_CHANGED,
-                replica=replica,
-                term=current.term,
-                leader=current.leader_address,
-            )
-
 
 def _future() -> "asyncio.Future[commands.Result]":
     return asyncio.get_running_loop().create_future()
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -24,8 +24,8 @@
 
 SEGMENT_BYTES: Final = 4 * 1024 * 1024
 # Recent entries serve replication; older ones are read from the files.
-RECENT_ENTRIES: Final = 512
-RECENT_BYTES: Final = 1024 * 1024
+RECENT_ENTRIES: Final = 256
+RECENT_BYTES: Final = 256 * 1024
 # Every 128th offset is kept, which bounds both memory and the search.
 MARK_EVERY: Final = 128
 _READ_BYTES: Final = 256 * 1024
