--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduler.py
@@ -313,7 +313,7 @@
         now = self.clock.now()
         self._settled_at = now + self.settle_ms
         self._expected = set(self.log.machine.workers.by_name)
-        self.registry.reset()
+        self.registry.reset(now)
         self.leases.reset()
         self.throttles.wanted.clear()
         self.throttles.resuming.clear()
@@ -436,11 +436,23 @@
             *self._relief(now, wall_ms),
         ]
         if self.moves.due(state, wall_ms):
+            found.extend(self._forgotten(now))
             found.extend(self.moves.decide(state, wall_ms))
         await self.propose(found)
         replaced = any(isinstance(c, commands.ReplaceInstance) for c in found)
         return plan.more or replaced
 
+    def _forgotten(self, now: clock.Millis) -> list[commands.ForgetWorker]:
+        state = self.log.machine
+        gone = self.registry.gone(state.workers.by_name, now)
+        for worker in gone:
+            self.registry.reports.pop(worker, None)
+        return [
+            commands.ForgetWorker(worker=worker)
+            for worker in gone
+            if worker not in state.assignments.on_worker
+        ]
+
     def _relief(
         self, now: clock.Millis, wall_ms: int
     ) -> list[commands.EvictTask]:
--- a/bamboorouter/coordination/worker_registry.py
+++ b/bamboorouter/coordination/worker_registry.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 from typing import Literal
@@ -23,6 +24,8 @@
 SILENT_MS: Final = 3000
 PERIODS_UNTIL_SILENT: Final = 2.5
 FORMER_INCARNATIONS: Final = 8
+# VMs are replaced daily; a worker that is only restarted is back much earlier.
+FORGET_WORKER_MS: Final = 24 * 3600 * 1000
 
 Freshness = Literal["new", "repeated", "stale"]
 
@@ -66,14 +69,17 @@
 
     Attributes:
         reports: Reports by worker.
+        since: Monotonic time in ms since which this replica leads.
     """
 
     def __init__(self) -> None:
         self.reports: dict[str, WorkerReport] = {}
+        self.since = 0
 
-    def reset(self) -> None:
+    def reset(self, now: clock.Millis) -> None:
         """Forgets all reports, for a replica that begins to lead."""
         self.reports.clear()
+        self.since = now
 
     def accept(
         self,
@@ -127,6 +133,23 @@
             and not report.heartbeat.leaving
         )
 
+    def gone(self, known: Iterable[str], now: int) -> list[str]:
+        """Returns workers that were not heard for long.
+
+        Args:
+            known: Names of all known workers.
+            now: Monotonic time in ms.
+        """
+        return [
+            name
+            for name in known
+            if now - self._heard_at(name) >= FORGET_WORKER_MS
+        ]
+
+    def _heard_at(self, worker: str) -> int:
+        report = self.reports.get(worker)
+        return report.heard if report is not None else self.since
+
     def applied_revisions(self, now: int) -> dict[str, int]:
         """Returns the revision that each live agent applies."""
         return {
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -35,6 +35,7 @@
 NO_SUCH_WORKER: Final = "no_such_worker"
 TASK_NOT_WAITING: Final = "task_not_waiting"
 WORKER_DRAINED: Final = "worker_drained"
+WORKER_IN_USE: Final = "worker_in_use"
 WORKER_QUARANTINED: Final = "worker_quarantined"
 TOO_MANY_QUARANTINES: Final = "too_many_quarantines"
 UNKNOWN_OPERATION: Final = "unknown_operation"
@@ -94,6 +95,7 @@
     NO_SUCH_WORKER: "worker {worker!r} is not known",
     TASK_NOT_WAITING: "task {task!r} is {state}, not waiting",
     WORKER_DRAINED: "worker {worker!r} is drained",
+    WORKER_IN_USE: "worker {worker!r} holds tasks",
     WORKER_QUARANTINED: "worker {worker!r} is in quarantine",
     TOO_MANY_QUARANTINES: "{count} workers are in quarantine already",
     UNKNOWN_OPERATION: "operation {operation!r} does not exist",
--- a/bamboorouter/protocol/commands.py
+++ b/bamboorouter/protocol/commands.py
@@ -185,6 +185,12 @@
     reason: str
 
 
+class ForgetWorker(base.Wire, frozen=True, kw_only=True, tag=16):
+    """Removes a worker that was not heard for long and holds no task."""
+
+    worker: str
+
+
 Command = (
     AcceptSheet
     | SubmitJob
@@ -201,6 +207,7 @@
     | RecordRequests
     | ReplaceInstance
     | FailJob
+    | ForgetWorker
 )
 
 
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -68,6 +68,7 @@
             commands.RecordRequests: self._record_requests,
             commands.ReplaceInstance: self._replace_instance,
             commands.FailJob: self._fail_job,
+            commands.ForgetWorker: self._forget_worker,
         }
 
     def apply(
@@ -320,6 +321,14 @@
     ) -> commands.Result:
         return self.workers.register(command)
 
+    def _forget_worker(self, command: commands.ForgetWorker) -> commands.Result:
+        if command.worker in self.assignments.on_worker:
+            return workers.refused(
+                error_texts.WORKER_IN_USE, worker=command.worker
+            )
+        self.workers.by_name.pop(command.worker, None)
+        return commands.Result(ok=True)
+
     def _quarantine(self, command: commands.Quarantine) -> commands.Result:
         return self.workers.quarantine(command, self.now_ms)
 
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -263,6 +263,9 @@
             used = ledger.total(task.need for task in tasks)
             self.assertTrue(ledger.fits(used, worker.capacity))
             self.assertEqual(used, held.used_on(worker.name))
+        self.assertLessEqual(
+            held.on_worker.keys(), state.workers.by_name.keys()
+        )
         epochs = [task.epoch for task in held.tasks.values() if task.live]
         self.assertEqual(len(epochs), len(set(epochs)))
         for name, job in state.plan.jobs.items():
@@ -317,6 +320,7 @@
         commands.EvictTask(task=name, epoch=epoch, reason="r"),
         commands.ReplaceInstance(task=name, epoch=epoch, reason="r"),
         commands.FailJob(job=name.split("/")[0], code="c", reason="r"),
+        commands.ForgetWorker(worker=worker),
         commands.ReserveRequest(
             key=test_request_keys.key_at(
                 state.now_ms - rng.randrange(-(10**6), 10**8), rng.randrange(9)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -25,7 +25,7 @@
         self.clock.advance(route_publisher.SETTLE_MS)
 
     def elect(self) -> None:
-        self.registry.reset()
+        self.registry.reset(self.clock.now())
         self.routes.reset(self.clock.now())
 
     def beat(
