--- a/bamboorouter/coordination/leases.py
+++ b/bamboorouter/coordination/leases.py
@@ -23,7 +23,7 @@
 ALLOWANCE_DIVISOR: Final = 50
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class Lease:
     """What the leader remembers about one live assignment.
 
--- a/bamboorouter/coordination/worker_registry.py
+++ b/bamboorouter/coordination/worker_registry.py
@@ -30,7 +30,7 @@
 Freshness = Literal["new", "repeated", "stale"]
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class WorkerReport:
     """The last heartbeat of one worker's agent.
 
@@ -38,7 +38,6 @@
         heartbeat: The heartbeat.
         heard: Monotonic time in ms at which it arrived.
         silent_ms: Silence after which the worker counts as silent.
-        tasks: Reported tasks by ID.
         strays: Running tasks without a current assignment on the worker.
         former: Incarnations of former runs.
         source: Link on which the heartbeat arrived.
@@ -50,7 +49,6 @@
     heartbeat: messages.Heartbeat
     heard: clock.Millis
     silent_ms: int = SILENT_MS
-    tasks: dict[str, common.TaskState] = dataclasses.field(default_factory=dict)
     strays: tuple[common.TaskState, ...] = ()
     former: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=FORMER_INCARNATIONS)
@@ -115,7 +113,6 @@
         report.heartbeat = heartbeat
         report.heard = now
         report.source = source
-        report.tasks = {state.task: state for state in heartbeat.tasks}
         return "new"
 
     def alive(self, worker: str, now: int) -> bool:
