--- a/tests/test_faults_tasks.py
+++ b/tests/test_faults_tasks.py
@@ -8,75 +8,13 @@
 import asyncio
 import random
 
-from devtools import journal
-from devtools import site
-from tests import site_case
+from tests import task_faults_case
 
-SHAPE = site.small_shape(vms=3, controls=3, entries=0)
-BATCH_LEASE_S = SHAPE.batch_lease_ms / 1000
-SERVICE_LEASE_S = SHAPE.service_lease_ms / 1000
-# Urgent work starts within 3.2 s; a lease and its allowance may come first.
-START_S = 10.0
-END_S = 40.0
-PAUSE_S = 1.5
-JOBS = 6
 SEED = 20261204
 
 
-class TaskFaultsTest(site_case.SiteTestCase):
-    """Failures while tasks run."""
-
-    async def asyncSetUp(self) -> None:
-        self.site = await self.start_site(SHAPE)
-        self.operator = await self.start_operator(self.site)
-
-    async def submit(self, command: str = "run 6s") -> None:
-        await self.operator.submit(
-            1,
-            site_case.service_row("entries", 2),
-            site_case.job_row("match", JOBS, command),
-        )
-
-    def running(self, worker: str = "", task: str = "") -> list[journal.Run]:
-        return [
-            run
-            for run in self.site.runs()
-            if run.state == "running"
-            and run.writer.startswith(worker)
-            and run.task.startswith(task)
-        ]
-
-    def batch_runs(self) -> list[journal.Run]:
-        return [r for r in self.site.runs() if r.task.startswith("match")]
-
-    def finished(self) -> set[str]:
-        runs = self.site.runs()
-        return {run.task for run in runs if run.state == "finished"}
-
-    async def wait_all_running(self) -> None:
-        await self.wait_for(
-            lambda: len(self.running()) == JOBS + 2,
-            "all tasks run",
-            within_s=START_S,
-        )
-
-    async def wait_all_finished(self) -> None:
-        await self.wait_for(
-            lambda: len(self.finished()) == JOBS,
-            "all batch tasks finished",
-            within_s=END_S,
-        )
-        await self.wait_for(
-            lambda: len(self.running(task="entries")) == 2,
-            "both instances of the service run",
-            within_s=START_S,
-        )
-        self.assert_tasks_sound(self.site)
-
-    def busiest(self) -> int:
-        """Returns the number of the VM with the most running tasks."""
-        numbers = range(1, len(SHAPE.vms) + 1)
-        return max(numbers, key=lambda n: len(self.running(f"worker-{n}")))
+class TaskFaultsTest(task_faults_case.TaskFaultsCase):
+    """Failures while tasks start and run."""
 
     async def test_paused_vm_runs_nothing_after_its_lease(self) -> None:
         await self.submit()
@@ -87,9 +25,9 @@
         await self.wait_for(
             lambda: len(self.site.runs()) > count,
             "a task was replaced",
-            within_s=START_S,
+            within_s=task_faults_case.START_S,
         )
-        await asyncio.sleep(BATCH_LEASE_S)
+        await asyncio.sleep(task_faults_case.BATCH_LEASE_S)
         self.site.thaw_vm(number)
         await self.wait_all_finished()
 
@@ -98,7 +36,9 @@
         await self.wait_all_running()
         number = self.busiest()
         self.site.freeze(f"agent-{number}")
-        await asyncio.sleep(BATCH_LEASE_S + START_S / 2)
+        await asyncio.sleep(
+            task_faults_case.BATCH_LEASE_S + task_faults_case.START_S / 2
+        )
         self.site.thaw(f"agent-{number}")
         await self.wait_all_finished()
 
@@ -109,10 +49,10 @@
         # The agent starts while the worker doesn't tell what runs.
         self.site.freeze(f"worker-{number}")
         await self.site.restart(f"agent-{number}")
-        await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(task_faults_case.PAUSE_S)
         self.site.thaw(f"worker-{number}")
         await self.wait_all_finished()
-        self.assertEqual(len(self.batch_runs()), JOBS)
+        self.assertEqual(len(self.batch_runs()), task_faults_case.JOBS)
 
     async def test_killed_vm_is_replaced_and_comes_back(self) -> None:
         await self.submit()
@@ -122,7 +62,8 @@
         await self.wait_for(
             lambda: len(self.running(task="entries")) == 2,
             "the service is replaced",
-            within_s=SERVICE_LEASE_S + START_S,
+            within_s=task_faults_case.SERVICE_LEASE_S
+            + task_faults_case.START_S,
         )
         await self.site.restart_vm(number)
         await self.wait_all_finished()
@@ -131,21 +72,27 @@
         leader = await self.operator.leader()
         await self.submit("run 3s")
         await self.wait_for(
-            self.site.records, "the first task starts", within_s=START_S
+            self.site.records,
+            "the first task starts",
+            within_s=task_faults_case.START_S,
+        )
+        await self.wait_for(
+            self.running, "a task runs", within_s=task_faults_case.START_S
         )
-        await self.wait_for(self.running, "a task runs", within_s=START_S)
         await self.site.kill(leader)
         await self.wait_all_finished()
-        self.assertEqual(len(self.batch_runs()), JOBS)
+        self.assertEqual(len(self.batch_runs()), task_faults_case.JOBS)
 
     async def test_paused_leader_decides_nothing_when_it_continues(
         self,
     ) -> None:
         leader = await self.operator.leader()
         await self.submit("run 3s")
-        await self.wait_for(self.running, "a task runs", within_s=START_S)
+        await self.wait_for(
+            self.running, "a task runs", within_s=task_faults_case.START_S
+        )
         self.site.freeze(leader)
-        await asyncio.sleep(SERVICE_LEASE_S + 1)
+        await asyncio.sleep(task_faults_case.SERVICE_LEASE_S + 1)
         self.site.thaw(leader)
         await self.wait_all_finished()
 
@@ -156,11 +103,15 @@
         await self.wait_all_running()
         for _ in range(2):
             leader = await self.operator.leader()
-            first, second = chance.sample(range(1, len(SHAPE.vms) + 1), 2)
+            first, second = chance.sample(
+                range(1, len(task_faults_case.SHAPE.vms) + 1), 2
+            )
             self.site.cut(leader)
             await self.site.kill_vm(first)
             self.site.freeze_vm(second)
-            await asyncio.sleep(chance.uniform(2, SERVICE_LEASE_S + 1))
+            await asyncio.sleep(
+                chance.uniform(2, task_faults_case.SERVICE_LEASE_S + 1)
+            )
             self.site.heal()
             self.site.thaw_vm(second)
             await self.site.restart_vm(first)
