--- a/bamboorouter/coordination/worker_registry.py
+++ b/bamboorouter/coordination/worker_registry.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 from typing import Literal
@@ -23,11 +24,13 @@
 SILENT_MS: Final = 3000
 PERIODS_UNTIL_SILENT: Final = 2.5
 FORMER_INCARNATIONS: Final = 8
+# VMs are replaced daily; a worker that is only restarted is back much earlier.
+FORGET_WORKER_MS: Final = 24 * 3600 * 1000
 
 Freshness = Literal["new", "repeated", "stale"]
 
 
-@dataclasses.dataclass(kw_only=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class WorkerReport:
     """The last heartbeat of one worker's agent.
 
@@ -35,7 +38,6 @@
         heartbeat: The heartbeat.
         heard: Monotonic time in ms at which it arrived.
         silent_ms: Silence after which the worker counts as silent.
-        tasks: Reported tasks by ID.
         strays: Running tasks without a current assignment on the worker.
         former: Incarnations of former runs.
         source: Link on which the heartbeat arrived.
@@ -47,7 +49,6 @@
     heartbeat: messages.Heartbeat
     heard: clock.Millis
     silent_ms: int = SILENT_MS
-    tasks: dict[str, common.TaskState] = dataclasses.field(default_factory=dict)
     strays: tuple[common.TaskState, ...] = ()
     former: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=FORMER_INCARNATIONS)
@@ -66,14 +67,17 @@
 
     Attributes:
         reports: Reports by worker.
+        since: Monotonic time in ms since which this replica leads.
     """
 
     def __init__(self) -> None:
         self.reports: dict[str, WorkerReport] = {}
+        self.since = 0
 
-    def reset(self) -> None:
+    def reset(self, now: clock.Millis) -> None:
         """Forgets all reports, for a replica that begins to lead."""
         self.reports.clear()
+        self.since = now
 
     def accept(
         self,
@@ -109,7 +113,6 @@
         report.heartbeat = heartbeat
         report.heard = now
         report.source = source
-        report.tasks = {state.task: state for state in heartbeat.tasks}
         return "new"
 
     def alive(self, worker: str, now: int) -> bool:
@@ -127,6 +130,23 @@
             and not report.heartbeat.leaving
         )
 
+    def gone(self, known: Iterable[str], now: int) -> list[str]:
+        """Returns workers that were not heard for long.
+
+        Args:
+            known: Names of all known workers.
+            now: Monotonic time in ms.
+        """
+        return [
+            name
+            for name in known
+            if now - self._heard_at(name) >= FORGET_WORKER_MS
+        ]
+
+    def _heard_at(self, worker: str) -> int:
+        report = self.reports.get(worker)
+        return report.heard if report is not None else self.since
+
     def applied_revisions(self, now: int) -> dict[str, int]:
         """Returns the revision that each live agent applies."""
         return {
