--- a/tests/test_faults_tasks.py
+++ b/tests/test_faults_tasks.py
@@ -109,8 +109,12 @@
             self.site.cut(leader)
             await self.site.kill_vm(first)
             self.site.freeze_vm(second)
+            # Long enough that leases end and tasks are assigned again.
             await asyncio.sleep(
-                chance.uniform(2, task_faults_case.SERVICE_LEASE_S + 1)
+                chance.uniform(
+                    task_faults_case.SERVICE_LEASE_S + 2,
+                    task_faults_case.BATCH_LEASE_S + 2,
+                )
             )
             self.site.heal()
             self.site.thaw_vm(second)
