--- a/bamboorouter/coordination/core_state.py
+++ b/bamboorouter/coordination/core_state.py
@@ -34,7 +34,7 @@
             than `election_min_ms`, so that clocks may run 10 % apart.
     """
 
-    heartbeat_ms: int = 150
+    heartbeat_ms: int = 250
     election_min_ms: int = 900
     election_max_ms: int = 1500
     retry_min_ms: int = 150
@@ -100,7 +100,7 @@
 
     def is_voter(self) -> bool:
         """Whether this replica votes."""
-        return self.members.current.is_voter(self.id)
+        return self.id in self.members.voters
 
     def save(self) -> None:
         """Has term and vote saved before any message is sent."""
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -4,6 +4,7 @@
 state. Applying checks each invariant again, whoever proposed the command.
 """
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import Final
@@ -67,6 +68,7 @@
             commands.RecordRequests: self._record_requests,
             commands.ReplaceInstance: self._replace_instance,
             commands.FailJob: self._fail_job,
+            commands.ForgetWorker: self._forget_worker,
         }
 
     def apply(
@@ -175,16 +177,17 @@
     def _clashing_name(
         self, rows: tuple[common.SheetRow, ...]
     ) -> commands.Result | None:
-        """Refuses names whose tasks of the other kind have not ended."""
+        """Refuses names used twice, or by live tasks of the other kind."""
+        uses = collections.Counter(row.name for row in rows)
         faults = [
             {
                 "row": 0,
                 "column": "name",
                 "value": row.name,
-                "allowed": "a name not in use for the other kind",
+                "allowed": "a name used once and not for the other kind",
             }
             for row in rows
-            if self._other_kind_lives(row)
+            if uses[row.name] > 1 or self._other_kind_lives(row)
         ]
         if not faults:
             return None
@@ -318,6 +321,14 @@
     ) -> commands.Result:
         return self.workers.register(command)
 
+    def _forget_worker(self, command: commands.ForgetWorker) -> commands.Result:
+        if command.worker in self.assignments.on_worker:
+            return workers.refused(
+                error_texts.WORKER_IN_USE, worker=command.worker
+            )
+        self.workers.by_name.pop(command.worker, None)
+        return commands.Result(ok=True)
+
     def _quarantine(self, command: commands.Quarantine) -> commands.Result:
         return self.workers.quarantine(command, self.now_ms)
 
@@ -333,7 +344,7 @@
     def _end_task(self, command: commands.EndTask) -> commands.Result:
         task = self.assignments.current(command.task, command.epoch)
         if isinstance(task, commands.Result):
-            return task
+            return self._late_finish(command) or task
         worker = task.worker
         if command.outcome in ("failed", "given_up"):
             self.assignments.note_failure(
@@ -346,6 +357,23 @@
             self._end_batch(task, command.outcome)
         return _state_of(task, removed=task.task not in self.assignments.tasks)
 
+    def _late_finish(self, command: commands.EndTask) -> commands.Result | None:
+        """Accepts that a task finished after its assignment was given up.
+
+        While it waits under the same epoch it has not run anywhere else, and
+        running it again would do its work twice.
+        """
+        task = self.assignments.tasks.get(command.task)
+        if (
+            task is None
+            or command.outcome != "finished"
+            or (task.kind, task.status) != ("batch", "pending")
+            or not 0 < task.epoch == command.epoch
+        ):
+            return None
+        self._finish(task, "finished")
+        return _state_of(task, removed=task.task not in self.assignments.tasks)
+
     def _end_batch(self, task: assignments.Task, outcome: str) -> None:
         job = self.plan.jobs[task.row]
         given_up = outcome == "given_up" or job.verdict == "failed"
--- a/devtools/bench_capacity.py
+++ b/devtools/bench_capacity.py
@@ -2,8 +2,8 @@
 
 Every case runs three control replicas and one entry as real processes, with a
 swarm of stand-in agents, at three or more sizes. Prints one Markdown table for
-each case, with a least-squares slope under it. Cases: `roles`, `agents`,
-`tasks`, `starts`, `changes`, `keys`, `log`; all of them by default.
+each case, with a least-squares slope under it. Cases: `imports`, `roles`,
+`agents`, `tasks`, `routes`, `starts`, `changes`, `keys`, `log`; all of them by default.
 """
 
 import argparse
@@ -40,6 +40,7 @@
 AGENTS: Final = (25, 75, 150, 250)
 TASKS_PER_AGENT: Final = (0, 4, 8, 12)
 TASK_AGENTS: Final = 60
+UPSTREAMS_PER_AGENT: Final = (0, 2, 4, 8)
 STARTS_PER_SECOND: Final = (5, 15, 30, 44)
 START_AGENTS: Final = 60
 CHANGE_AGENTS: Final = (25, 75, 150)
@@ -47,6 +48,21 @@
 KEYS: Final = (5_000, 20_000, 50_000)
 LOG_ENTRIES: Final = (2_000, 8_000, 20_000)
 LOG_CALLS_AT_ONCE: Final = 16
+IMPORTS: Final = (
+    "sys",
+    "asyncio",
+    "msgspec",
+    "cbor2",
+    "xxhash",
+    "absl.logging",
+    "websockets.asyncio.client",
+    "websockets.asyncio.server",
+    "prometheus_client",
+    "reactivex",
+    "bamboorouter.roles.control",
+    "aiohttp.web",
+    "bamboorouter.roles.entry",
+)
 # Control replicas without upstream VMs; the swarm plays the agents.
 SHAPE: Final = site.SiteShape(vms=(), controls=3, entries=1)
 
@@ -266,6 +282,20 @@
     )
 
 
+async def measure_routes() -> None:
+    """Cost of announced upstreams whose load changes at each heartbeat."""
+    rows = []
+    for upstreams in UPSTREAMS_PER_AGENT:
+        async with bench() as one:
+            await one.submit_service(1)
+            await one.start_swarm(TASK_AGENTS, "--upstreams", str(upstreams))
+            columns = await _leader_and_follower(one)
+            rows.append((upstreams * TASK_AGENTS, columns))
+    print_table(
+        f"Upstreams on {TASK_AGENTS} agents, one entry", "upstreams", rows
+    )
+
+
 async def measure_starts() -> None:
     """Cost of starting and ending batch tasks at a fixed rate."""
     rows = []
@@ -332,6 +362,7 @@
         **columns_of("leader", samples[one.leader]),
         **columns_of("follower", samples[one.follower]),
         "entry cpu %": entry.cpu_percent,
+        "entry private MB": entry.private_mb,
         "entry in B/s": entry.received,
     }
 
@@ -429,7 +460,7 @@
                     },
                 )
             )
-    print_table("Length of the log (two commands an entry)", "entries", rows)
+    print_table("Length of the log (one request record each)", "records", rows)
 
 
 async def _fill_log(one: Bench, entries: int) -> None:
@@ -459,10 +490,36 @@
     await asyncio.gather(*(append(n, share) for n in range(LOG_CALLS_AT_ONCE)))
 
 
+async def measure_imports() -> None:
+    """Memory of a process that only imports, library by library."""
+    print("\n### Memory after imports, before any work\n")
+    print("| imported, one after the other | RSS MB | private MB |")
+    print("| --- | --- | --- |")
+    for count, library in enumerate(IMPORTS, start=1):
+        code = "; ".join(
+            (
+                *(f"import {name}" for name in IMPORTS[:count]),
+                "import psutil",
+                "m = psutil.Process().memory_full_info()",
+                "print(m.rss / 2**20, m.uss / 2**20)",
+            )
+        )
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-c", code),
+            cwd=site.ROOT,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        output, _ = await process.communicate()
+        rss, private = (float(each) for each in output.split())
+        print(f"| {library} | {rss:.1f} | {private:.1f} |")
+
+
 CASES: Final[dict[str, Case]] = {
+    "imports": measure_imports,
     "roles": measure_roles,
     "agents": measure_agents,
     "tasks": measure_tasks,
+    "routes": measure_routes,
     "starts": measure_starts,
     "changes": measure_changes,
     "keys": measure_keys,
