Limit requests in progress by the latency of answers

Cause: an entry admitted as many requests as agents have connections, so in a flood they waited in upstreams until their deadline. Ruled out: the load program, routing, the entry's queue limit.

--- a/bamboorouter/coordination/admission_queue.py
+++ b/bamboorouter/coordination/admission_queue.py
@@ -78,8 +78,11 @@
         self._numbers = itertools.count(1)
         self._waiting = 0
 
-    def in_progress(self) -> int:
-        """Returns the number of started requests."""
+    def in_progress(self, service: str = "") -> int:
+        """Returns the started requests of a service, or of all for ""."""
+        if service:
+            queue = self._queues.get(service)
+            return queue.line.in_progress if queue is not None else 0
         return self._busy.latency_critical + self._busy.batch
 
     async def enter(
@@ -111,7 +114,9 @@
         line = self._queue(row).line
         if line.held_ms == 0.0:
             line.held_ms = held_ms
-        line.held_ms += HELD_WEIGHT * (held_ms - line.held_ms)
+        error_ms = held_ms - line.held_ms
+        line.held_ms += HELD_WEIGHT * error_ms
+        line.deviation_ms += HELD_WEIGHT * (abs(error_ms) - line.deviation_ms)
         line.in_progress -= 1
         self._count(line, -1)
         if self._waiting:
@@ -141,7 +146,7 @@
             [other.line for other in self._queues.values() if other.waiters],
             limit=self.limit(line.service),
         )
-        if expected > left_ms:
+        if expected > self._early.allowed_wait_ms(line, left_ms=left_ms):
             return Refused(
                 code=error_texts.DEADLINE, retry_after_ms=int(expected)
             )
--- a/bamboorouter/coordination/policies/entry_bundle.py
+++ b/bamboorouter/coordination/policies/entry_bundle.py
@@ -4,6 +4,7 @@
 import random
 
 from bamboorouter.coordination.policies import admission
+from bamboorouter.coordination.policies import concurrency
 from bamboorouter.coordination.policies import fairness
 from bamboorouter.coordination.policies import routing
 
@@ -14,11 +15,13 @@
 
     Attributes:
         admission: Which arriving requests are refused early.
+        concurrency: How many requests of a service are in progress.
         fairness: Whose waiting request starts next.
         routing: Which upstream a request goes to.
     """
 
     admission: admission.AdmissionPolicy
+    concurrency: concurrency.ConcurrencyPolicy
     fairness: fairness.FairnessPolicy
     routing: routing.RoutingPolicy
 
@@ -27,6 +30,7 @@
     """Returns the product's policies for an entry in a zone."""
     return EntryPolicies(
         admission=admission.EarlyRefusal(),
+        concurrency=concurrency.LatencyLimit(),
         fairness=fairness.WeightedFair(),
         routing=routing.TwoChoices(zone=zone, draw=random.Random()),
     )
@@ -36,6 +40,7 @@
     """Returns the plain baseline that measurements compare with."""
     return EntryPolicies(
         admission=admission.AdmitAll(),
+        concurrency=concurrency.ConnectionLimit(),
         fairness=fairness.FirstCome(),
         routing=routing.LeastOutstanding(),
     )
--- a/bamboorouter/coordination/policies/fairness.py
+++ b/bamboorouter/coordination/policies/fairness.py
@@ -36,6 +36,7 @@
         oldest: Arrival number of the request that waits longest.
         in_progress: Started requests.
         held_ms: Smoothed time from the start of a request to its end.
+        deviation_ms: Smoothed distance of single times from `held_ms`.
     """
 
     service: str
@@ -47,6 +48,7 @@
     oldest: int = 0
     in_progress: int = 0
     held_ms: float = 0.0
+    deviation_ms: float = 0.0
 
     def latency_critical(self) -> bool:
         """Whether the service counts as latency-critical work."""
--- a/bamboorouter/coordination/request_dispatch.py
+++ b/bamboorouter/coordination/request_dispatch.py
@@ -21,6 +21,7 @@
 from bamboorouter.coordination import reservations
 from bamboorouter.coordination import retry_budget
 from bamboorouter.coordination import route_table
+from bamboorouter.coordination.policies import concurrency
 from bamboorouter.coordination.policies import routing
 from bamboorouter.protocol import messages
 
@@ -55,6 +56,7 @@
         reservations: Reservations of non-idempotent requests.
         budget: Bound of retries.
         policy: Choice of the upstream.
+        pace: How many requests of a service are in progress.
         contact: Freshness of the routes.
         clock: Source of time.
     """
@@ -68,6 +70,7 @@
         reservations: reservations.Reservations,
         budget: retry_budget.RetryBudget,
         policy: routing.RoutingPolicy,
+        pace: concurrency.ConcurrencyPolicy,
         contact: Contact,
         time: clock.Clock,
     ) -> None:
@@ -77,6 +80,7 @@
         self.reservations = reservations
         self.budget = budget
         self.policy = policy
+        self.pace = pace
         self.contact = contact
         self.clock = time
         self._loop = asyncio.get_running_loop()
@@ -198,16 +202,24 @@
                     self.clock.now() + route_table.LEAVING_HOLD_MS
                 )
         elif self._left(request) > 0 or elapsed > SHORT_DEADLINE_MS:
-            self._learn(load, answer, elapsed)
+            self._learn(request.row.name, load, answer, elapsed)
         return answer
 
     def _learn(
         self,
+        service: str,
         load: routing.UpstreamLoad,
         answer: messages.Answer,
         elapsed_ms: float,
     ) -> None:
         now = self.clock.now()
+        if answer.outcome == "completed" or elapsed_ms > SHORT_DEADLINE_MS:
+            self.pace.observe(
+                service,
+                elapsed_ms=elapsed_ms,
+                in_progress=self.admission.in_progress(service),
+                now_ms=now,
+            )
         load.reported = answer.in_progress
         if (
             answer.outcome == "completed"
--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -143,14 +143,21 @@
                 fraction=self.settings.retry_budget
             ),
             policy=self.policies.routing,
+            pace=self.policies.concurrency,
             contact=self.client,
             time=self.clock,
         )
 
     def _limit(self, service: str) -> int:
-        return min(
+        most = min(
             self.table.connections(service), self.settings.max_in_progress
         )
+        if not service:
+            return most
+        learned = self.policies.concurrency.limit(
+            service, upstreams=len(self.table.loads(service))
+        )
+        return most if learned is None else min(most, learned)
 
     async def _serve_operators(self) -> None:
         """Serves the operators' interface."""
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -10,6 +10,7 @@
 from bamboorouter.coordination import gate
 from bamboorouter.coordination import retry_budget
 from bamboorouter.coordination.policies import admission
+from bamboorouter.coordination.policies import concurrency
 from bamboorouter.coordination.policies import fairness
 from bamboorouter.coordination.policies import routing
 from bamboorouter.protocol import common
@@ -95,6 +96,52 @@
         self.assertEqual(chosen.service, "match")
 
 
+class ConcurrencyTest(unittest.TestCase):
+    """Requests wait at the entry, not in upstreams beyond its reach."""
+
+    def test_limit_follows_what_upstreams_work_on(self) -> None:
+        """Guards against queues in upstreams, and against a stuck limit."""
+        policy = concurrency.LatencyLimit()
+        policy.limit("quotes", upstreams=4)
+        for now in range(0, 10_000, 100):
+            self._answer(policy, 50, now)
+        usual = policy.limit("quotes", upstreams=4)
+        self.assertEqual(usual, 16)
+        # More than 8 at once wait: each answer takes longer in proportion.
+        for now in range(10_000, 20_000, 25):
+            limit = policy.limit("quotes", upstreams=4)
+            self._answer(policy, 50 * max(limit / 8, 1), now, limit)
+        limit = policy.limit("quotes", upstreams=4)
+        self.assertGreaterEqual(limit, 8)
+        self.assertLessEqual(limit, 24)
+        # The upstreams became faster: the limit isn't what holds them back.
+        for now in range(20_000, 40_000, 5):
+            limit = policy.limit("quotes", upstreams=4)
+            self._answer(policy, 50, now, limit)
+        self.assertGreater(policy.limit("quotes", upstreams=4), 48)
+
+    def test_lost_upstreams_take_their_part_along(self) -> None:
+        """Guards against a zone's loss that floods the upstreams left."""
+        policy = concurrency.LatencyLimit()
+        before = policy.limit("quotes", upstreams=8)
+        after = policy.limit("quotes", upstreams=2)
+        self.assertEqual(after * 4, before)
+
+    def _answer(
+        self,
+        policy: concurrency.LatencyLimit,
+        elapsed_ms: float,
+        now: int,
+        in_progress: int = 1,
+    ) -> None:
+        policy.observe(
+            "quotes",
+            elapsed_ms=elapsed_ms,
+            in_progress=in_progress,
+            now_ms=now,
+        )
+
+
 class AdmissionTest(unittest.IsolatedAsyncioTestCase):
     """Bounded queues in front of a limited number of connections."""
 
