Try out new and harmful batch classes one by one beside services

Cause: a wave of a new class filled the slots beside services before the first late report arrived, and reports of tasks that had ended were dropped. The stand-in worker's smoothed latency no longer begins at zero.

--- a/bamboorouter/coordination/assignment_planner.py
+++ b/bamboorouter/coordination/assignment_planner.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import functools
 from typing import Final
 
 from bamboorouter import clock
@@ -29,6 +30,10 @@
 # next pass follows at once.
 MAX_ASSIGNMENTS: Final = 128
 MAX_PASSED_OVER: Final = 8
+HELD_BACK_REASON: Final = (
+    "one at a time beside services, because its class slows them down or is"
+    " not known yet"
+)
 # A task that failed waits this long, doubled for each further failure.
 RETRY_MS: Final = 500
 MAX_RETRY_MS: Final = 60_000
@@ -47,12 +52,14 @@
         task: Its first waiting task.
         need: What a task needs.
         reason: Why it waits, for people.
+        held_back: Whether it waits although there is room.
     """
 
     row: common.SheetRow
     task: str
     need: common.Resources
     reason: str
+    held_back: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -247,6 +254,7 @@
         self.planned: dict[str, list[str]] = {}
         self.passed_over: list[tuple[str, str]] = []
         self.hopeless: list[tuple[str, common.Resources]] = []
+        self.held_back: set[str] = set()
         self.total = ledger.total(
             worker.capacity for worker in state.workers.by_name.values()
         )
@@ -317,10 +325,21 @@
         allowed: Sequence[placement.Candidate] = self.candidates
         if self.both_wait:
             allowed = [c for c in allowed if _within_share(c, task.kind)]
+        roomy = allowed
+        kept_apart = self.planner.measurements.apart(row)
+        if kept_apart:
+            allowed = [
+                c
+                for c in allowed
+                if not self.apart[kept_apart, c.worker]
+                or not self.planner.measurements.serves(c.worker)
+            ]
         planned = self.planned.get(row.name, ())
         request = self.planner.request(row, task, need, self.state, planned)
         chosen = self.planner.placement.choose(request, allowed)
-        if chosen is None:
+        if chosen is None and len(allowed) < len(roomy):
+            self.held_back.add(row.name)
+        elif chosen is None:
             self.hopeless.append((task.kind, need))
         return chosen
 
@@ -357,6 +376,9 @@
             chosen.service_slots += 1
         else:
             chosen.batch_slots += 1
+            row = self.state.plan.row(task.row)
+            if row is not None:
+                self._note_apart(row, chosen.worker)
         if chosen.probe_only:
             self.candidates.remove(chosen)
 
@@ -366,9 +388,16 @@
         task: assignments.Task,
         need: common.Resources,
     ) -> None:
-        reason = self._reason(need)
+        held_back = row.name in self.held_back
+        reason = HELD_BACK_REASON if held_back else self._reason(need)
         self.result.unplaced.append(
-            Unplaced(row=row, task=task.task, need=need, reason=reason)
+            Unplaced(
+                row=row,
+                task=task.task,
+                need=need,
+                reason=reason,
+                held_back=held_back,
+            )
         )
         if len(self.passed_over) < MAX_PASSED_OVER:
             self.passed_over.append((task.task, reason))
@@ -390,6 +419,27 @@
             return "slots are kept for the other kind of work"
         return "no worker has enough free: " + ", ".join(sorted(lacking))
 
+    def _note_apart(self, row: common.SheetRow, worker: str) -> None:
+        kept_apart = self.planner.measurements.apart(row)
+        if kept_apart:
+            self.apart[kept_apart, worker] += 1
+
+    @functools.cached_property
+    def apart(self) -> collections.Counter[tuple[str, str]]:
+        """Returns the number of tasks to be kept apart, by set and worker."""
+        found: collections.Counter[tuple[str, str]] = collections.Counter()
+        for name in self.state.assignments.used_by_row:
+            row = self.state.plan.row(name)
+            kept_apart = row and self.planner.measurements.apart(row)
+            if not kept_apart:
+                continue
+            found.update(
+                (kept_apart, task.worker)
+                for task in self.state.assignments.rows_tasks(name)
+                if task.live
+            )
+        return found
+
     def _waiting_rows(self) -> list[common.SheetRow]:
         rows = (
             self.state.plan.row(name) for name in self.state.assignments.pending
--- a/bamboorouter/coordination/policies/interference.py
+++ b/bamboorouter/coordination/policies/interference.py
@@ -84,8 +84,17 @@
 class _Pair:
     score: float = 0.0
     samples: int = 0
+    innocent: int = 0
     harmful: bool = False
 
+    def suspicion(self) -> float:
+        """Returns the weight at which an excess is attributed to the pair.
+
+        A class that often ran beside the service without harm is suspected
+        less than a new one.
+        """
+        return self.score + SUSPICION / (1 + self.innocent)
+
 
 class LearnedInterference:
     """The product's learning."""
@@ -105,12 +114,13 @@
         _follow(self._base, service, latency_ms)
         excess = max(0.0, self.slowdown(service, latency_ms) - 1)
         pairs = [self._pair(service, batch) for batch in beside]
-        known = sum(pair.score + SUSPICION for pair in pairs)
+        known = sum(pair.suspicion() for pair in pairs)
         for batch, pair in zip(beside, pairs, strict=True):
             before = pair.harmful
-            part = excess * (pair.score + SUSPICION) / known
+            part = excess * pair.suspicion() / known
             pair.score += WEIGHT * (part - pair.score)
             pair.samples += 1
+            pair.innocent += excess < HARMLESS
             limit = HARMLESS if pair.harmful else HARMFUL
             pair.harmful = pair.samples >= MIN_SAMPLES and pair.score > limit
             if pair.harmful != before:
--- a/bamboorouter/coordination/policies/sizes.py
+++ b/bamboorouter/coordination/policies/sizes.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import functools
+import math
 import re
 from typing import Final
 from typing import Protocol
@@ -22,7 +23,7 @@
 # Too little memory ends a task, too little processor time only slows it down.
 MEMORY_MARGIN: Final = 1.1
 LOWEST_PART: Final = 0.1
-HIGHEST_PART: Final = 4.0
+HIGHEST_PART: Final = 16.0
 MAX_CLASSES: Final = 2000
 _NUMBERS: Final = re.compile("[0-9]+")
 
@@ -40,6 +41,10 @@
         """Learns from a late measurement of one undisturbed task."""
         ...
 
+    def measured(self, row: common.SheetRow) -> float:
+        """Returns how many measurements of the row's class are known."""
+        ...
+
 
 class DeclaredSizes:
     """Believes the sheet."""
@@ -53,6 +58,11 @@
     ) -> None:
         """Learns nothing."""
 
+    def measured(self, row: common.SheetRow) -> float:
+        """Returns infinity: the sheet is believed."""
+        del row
+        return math.inf
+
 
 @dataclasses.dataclass(kw_only=True)
 class _Class:
@@ -106,6 +116,11 @@
             len(ordered), MEMORY_MARGIN * max(known.memory)
         )
 
+    def measured(self, row: common.SheetRow) -> float:
+        """Returns how many measurements of the row's class are known."""
+        known = self._classes.get(job_class(row))
+        return len(known.processors) if known is not None else 0
+
 
 def job_class(row: common.SheetRow) -> str:
     """Returns the class of a row: its owner and name without numbers."""
--- a/bamboorouter/coordination/pressure.py
+++ b/bamboorouter/coordination/pressure.py
@@ -68,7 +68,7 @@
         wanting = [
             item
             for item in plan.unplaced[:MAX_ROWS]
-            if state.workers.can_ever_run(item.need)
+            if not item.held_back and state.workers.can_ever_run(item.need)
         ]
         if not wanting:
             return []
--- a/devtools/worker.py
+++ b/devtools/worker.py
@@ -402,6 +402,8 @@
         async with self._places[task.body.task, task.body.epoch]:
             await self._work(task, request.query.get("time_ms"))
         taken = now_ms() - started
+        if not task.latency_ms:
+            task.latency_ms = taken
         task.latency_ms += LATENCY_WEIGHT * (taken - task.latency_ms)
         return await _shaped_answer(request, body, task)
 
--- a/tests/test_leader_actions.py
+++ b/tests/test_leader_actions.py
@@ -53,6 +53,48 @@
         self.assertEqual(steps[:2], ["throttle", "evict"])
 
 
+class ApartTest(test_scheduler.SchedulerCase):
+    """Unknown work is tried out one by one beside services with callers."""
+
+    async def test_unknown_class_waits_until_it_was_measured(self) -> None:
+        """Guards against a wave of new tasks before their effect is known.
+
+        The report arrives when the first task has ended.
+        """
+        agent = self.agent("w1", processors=64)
+        await agent.beat()
+        self.log.apply(make.sheet(1, make.service("web", millicores=10)))
+        await self.settle(agent)
+        agent.fields["usage"] = (self._usage(agent, "web/0"),)
+        await self.settle(agent, beats=1)
+        agent.fields["usage"] = ()
+        self.log.apply(
+            make.sheet(
+                2,
+                make.service("web", millicores=10),
+                make.row("job", count=4, millicores=10),
+            )
+        )
+        await self.settle(agent)
+        self.assertEqual(agent.running(), {"web/0", "job/0"})
+        usage = self._usage(agent, "job/0")
+        agent.tasks["job/0"].state = "finished"
+        await self.settle(agent)
+        self.assertEqual(agent.running(), {"web/0", "job/1"})
+        agent.fields["usage"] = (usage,) * 10
+        await self.settle(agent)
+        self.assertEqual(agent.running(), {"web/0", "job/1", "job/2", "job/3"})
+
+    def _usage(self, agent: fakes.FakeAgent, task: str) -> common.Usage:
+        return common.Usage(
+            task=task,
+            epoch=agent.tasks[task].epoch,
+            millicores=10,
+            memory_mb=50,
+            latency_ms=10 if task.startswith("web") else 0,
+        )
+
+
 class ShareTest(test_scheduler.SchedulerCase):
     """While both kinds wait, each keeps its minimum of a worker's slots."""
 
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -45,6 +45,16 @@
         self.assertGreater(learned.cost("web", "noisy"), 1000)
         self.assertEqual(learned.cost("web", "quiet"), 0)
 
+    def test_new_class_is_suspected_before_a_proven_one(self) -> None:
+        """Guards against work of every day that is blamed for a newcomer."""
+        learned = interference.LearnedInterference()
+        for _ in range(20):
+            learned.observe("web", 10, ["usual"])
+        for _ in range(20):
+            learned.observe("web", 30, ["usual", "new"])
+        self.assertGreater(learned.cost("web", "new"), 0)
+        self.assertEqual(learned.cost("web", "usual"), 0)
+
     def test_one_high_measurement_changes_nothing(self) -> None:
         learned = interference.LearnedInterference()
         for _ in range(10):
