--- a/devtools/bench_decisions.py
+++ b/devtools/bench_decisions.py
@@ -539,7 +539,7 @@
     " | in time | refused | late or lost | refusal p99 ms"
     " | flooding requests: in time a second / refused / late or lost"
     " | batch tasks a minute | evictions | work lost s"
-    " | kept: quick / batch |"
+    " | kept: quick / batch | notes |"
 )
 
 
@@ -581,9 +581,9 @@
         str(found.evictions),
         f"{found.lost_s:.1f}",
         kept,
+        found.notes,
     )
-    note = f"\n<!-- {found.notes} -->" if found.notes else ""
-    return "| " + " | ".join(cells) + " |" + note
+    return "| " + " | ".join(cells) + " |"
 
 
 async def run_all(args: argparse.Namespace) -> list[Measured]:
@@ -592,7 +592,7 @@
     for place in PLACES:
         if place.name not in args.sites:
             continue
-        print(f"\n### {place.name}\n\n{HEADER}\n|{'---|' * 13}", flush=True)
+        print(f"\n### {place.name}\n\n{HEADER}\n|{'---|' * 14}", flush=True)
         for case in CASES:
             if case.name not in args.cases:
                 continue
