Run the operators' site tests behind proxies

Cause of one failed run: without proxies the launcher gives each control replica a port that was free a moment before, and another process took one. Proxies listen on ports that the kernel chooses and keeps.

--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -44,7 +44,7 @@
     """Follows docs/operations.md from the first day to the account."""
 
     async def asyncSetUp(self) -> None:
-        self.site = site.Site(shape=SHAPE, proxied=False)
+        self.site = site.Site(shape=SHAPE)
         await self.site.start()
         self.addAsyncCleanup(self.site.close)
         await self.site.wait_ready()
--- a/tests/test_operator_faults.py
+++ b/tests/test_operator_faults.py
@@ -24,7 +24,7 @@
     """Sheets submitted at once, and while parts of the site fail."""
 
     async def asyncSetUp(self) -> None:
-        self.site = site.Site(shape=SHAPE, proxied=False)
+        self.site = site.Site(shape=SHAPE)
         await self.site.start()
         self.addAsyncCleanup(self.site.close)
         await self.site.wait_ready()
