--- a/devtools/demo_callers.py
+++ b/devtools/demo_callers.py
@@ -15,6 +15,8 @@
 
 import aiohttp
 
+from devtools import journal
+
 OUTCOME_HEADER: Final = "Bamboorouter-Outcome"
 CODE_HEADER: Final = "Bamboorouter-Code"
 REQUEST_ID_HEADER: Final = "Bamboorouter-Request-Id"
@@ -83,7 +85,9 @@
         entry = self.entries[number % len(self.entries)]
         body = body or b"request %d" % number
         url = f"http://{entry}/{service}/echo{query}"
-        headers = {"Idempotency-Key": key} if key else {}
+        headers = {}
+        if key:
+            headers = {"Idempotency-Key": key, journal.KEY_HEADER: key}
         started = time.monotonic()
         try:
             async with asyncio.timeout(TIMEOUT_S):
--- a/devtools/journal.py
+++ b/devtools/journal.py
@@ -18,6 +18,9 @@
 from typing import Final
 
 NS_PER_MS: Final = 1_000_000
+# An entry keeps the Idempotency-Key to itself, so callers repeat it here for
+# the worker to write it down.
+KEY_HEADER: Final = "Journal-Key"
 
 
 class Journal:
--- a/devtools/worker.py
+++ b/devtools/worker.py
@@ -383,7 +383,7 @@
             raise web.HTTPServiceUnavailable(text="the service has ended")
         task.ran_until_ms = started
         body = await request.read()
-        key = request.headers.get("Idempotency-Key", "")
+        key = request.headers.get(journal.KEY_HEADER, "")
         if self._journal_requests or key:
             self._journal.write(
                 "request",
@@ -576,7 +576,7 @@
     parser.add_argument(
         "--keyed-requests-only",
         action="store_true",
-        help="write only requests with an Idempotency-Key to the journal",
+        help=f"write only requests with {journal.KEY_HEADER} to the journal",
     )
     parser.add_argument("--ready-file", default="")
     asyncio.run(run(parser.parse_args()))
--- a/tests/site_case.py
+++ b/tests/site_case.py
@@ -18,7 +18,7 @@
 CALL_TIMEOUT_MS = 8000
 HEADER = (
     "kind,name,owner,urgency,place,processors,memory_mb,run_time_s,count,"
-    "command"
+    "command,idempotent"
 )
 
 
@@ -29,12 +29,16 @@
 
 def job_row(name: str, count: int, command: str, *, processors: int = 1) -> str:
     """Returns the row of a batch job."""
-    return f"job,{name},team,5,1,{processors},500,10,{count},{command}"
+    return f"job,{name},team,5,1,{processors},500,10,{count},{command},"
 
 
-def service_row(name: str, count: int) -> str:
+def service_row(
+    name: str, count: int, command: str = "serve", *, idempotent: bool = True
+) -> str:
     """Returns the row of a service."""
-    return f"service,{name},team,0,1,1,500,0,{count},serve"
+    repeatable = "yes" if idempotent else "no"
+    row = f"service,{name},team,0,1,1,500,0,{count},{command}"
+    return f"{row},{repeatable}"
 
 
 class Operator:
