--- a/bamboorouter/daemon.py
+++ b/bamboorouter/daemon.py
@@ -23,6 +23,7 @@
 # Requests in progress keep their deadlines; a role that hangs beyond this is
 # abandoned so that a restart isn't blocked for ever.
 STOP_TIMEOUT_MS: Final = 60_000
+COLLECT_AFTER_OBJECTS: Final = 10_000
 _STOP_ORDER: Final = ("entry", "agent", "control")
 
 
@@ -92,10 +93,7 @@
             zone=process.zone,
             addresses=addresses,
         )
-        # Everything loaded so far lives as long as the process; collections
-        # that scan it again and again would stop requests for milliseconds.
-        gc.collect()
-        gc.freeze()
+        _tune_collector()
         if process.ready_file:
             _write_atomically(process.ready_file, json.dumps(addresses))
 
@@ -127,6 +125,19 @@
         return None
 
 
+def _tune_collector() -> None:
+    """Keeps the garbage collector from stopping requests.
+
+    Everything loaded so far lives as long as the process, so scanning it again
+    and again finds nothing. Requests in progress allocate more than the
+    default of 700 objects between two collections, which would find nothing
+    either.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER_OBJECTS)
+
+
 def make_role(name: str, settings: options.Options) -> Role:
     """Builds a role; its module is imported only where it is needed.
 
