--- a/bamboorouter/roles/entry_http.py
+++ b/bamboorouter/roles/entry_http.py
@@ -58,7 +58,8 @@
         "upgrade",
     }
 )
-_OWN_HEADERS: Final = frozenset({DEADLINE_HEADER.lower(), KEY_HEADER.lower()})
+# The idempotency key is forwarded, so that an upstream can check it as well.
+_OWN_HEADERS: Final = frozenset({DEADLINE_HEADER.lower()})
 _NOT_FORWARDED: Final = _HOP_HEADERS | _OWN_HEADERS
 _ANSWER_HEADERS: Final = frozenset(
     name.lower() for name in (OUTCOME_HEADER, REQUEST_ID_HEADER, CODE_HEADER)
--- a/devtools/bench_path.py
+++ b/devtools/bench_path.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
+import os
 import pathlib
 import statistics
 import sys
@@ -303,6 +304,7 @@
             for way in ways
             for role, process in way.processes.items()
         }
+    load = ", ".join(f"{value:.1f}" for value in os.getloadavg())
     resident = [f"- {name}: {mb:.1f} MB" for name, mb in memory.items()]
     return [
         *_table(results),
@@ -312,6 +314,10 @@
         "Resident memory after the last round:",
         "",
         *resident,
+        "",
+        f"Load average of the machine at the end (1, 5, 15 min): {load} on"
+        f" {os.cpu_count()} cores; blocks of {REQUESTS[64]} requests are"
+        " short, so single rounds vary with what else runs.",
     ]
 
 
