--- a/bamboorouter/coordination/consensus.py
+++ b/bamboorouter/coordination/consensus.py
@@ -19,6 +19,7 @@
 """
 
 import random
+from typing import Final
 
 from bamboorouter import errors
 from bamboorouter.coordination import core_state
@@ -32,6 +33,9 @@
 from bamboorouter.state import log_store
 from bamboorouter.state import snapshot_store
 
+# Attempts at an election before a replica waits as long as at first.
+QUICK_ATTEMPTS: Final = 8
+
 
 class Core:
     """The protocol state of one replica.
@@ -80,6 +84,7 @@
         self._heard_ms = now
         self._election_ms = now
         self._votes: set[str] = set()
+        self._attempts = 0
         self._await_leader(now)
 
     # --- Inputs --------------------------------------------------------------
@@ -203,7 +208,15 @@
         self._election_ms = now if alone else now + wait
 
     def _retry_later(self, now: int) -> None:
+        """Draws the time of the next attempt at an election.
+
+        A replica that stays alone, cut off or removed, soon asks less often.
+        """
         timing = self.state.timing
+        self._attempts += 1
+        if self._attempts > QUICK_ATTEMPTS:
+            self._await_leader(now)
+            return
         self._election_ms = now + self._rng.randint(
             timing.retry_min_ms, timing.retry_max_ms
         )
@@ -387,4 +400,5 @@
         ):
             self._follow(m.term, now, leader=m.leader, address=m.leader_address)
         self._heard_ms = now
+        self._attempts = 0
         self._await_leader(now)
--- a/bamboorouter/coordination/engine.py
+++ b/bamboorouter/coordination/engine.py
@@ -30,6 +30,11 @@
 from bamboorouter.state import snapshot_store
 from bamboorouter.transport import files
 
+# A snapshot of 50,000 keys stops the loop for 0.3 s. Followers draw their
+# distances, so that a majority doesn't stop at once, and a leader, on which
+# callers wait, takes fewer.
+SNAPSHOT_SPREAD: Final = 0.25
+LEADER_DISTANCE: Final = 4
 # The first entry stands before all elections.
 _FORMING_TERM: Final = 0
 
@@ -55,7 +60,7 @@
     """When snapshots are taken and old entries are removed.
 
     Attributes:
-        snapshot_entries: Applied entries between two snapshots.
+        snapshot_entries: Applied entries between two snapshots, on average.
         segment_bytes: Size of one file of the log.
         retention_bytes: Size of the log above which old files are removed.
     """
@@ -103,6 +108,8 @@
         )
         self.snapshots = snapshot_store.SnapshotStore(folder=folder)
         self.applied_index = 0
+        self._rng = rng
+        self._snapshot_distance = self._draw_distance()
         members = self._open_snapshot()
         self.core = consensus.Core(
             replica_id=self.id,
@@ -270,11 +277,18 @@
         """Whether a snapshot is due of what also the log keeps in a crash."""
         newest = self.snapshots.position
         taken = newest.index if newest is not None else 0
+        distance = self._snapshot_distance
+        if self.core.leading is not None:
+            distance *= LEADER_DISTANCE
         return (
-            self.applied_index - taken >= self.limits.snapshot_entries
+            self.applied_index - taken >= distance
             and self.applied_index <= self.log.synced_index
         )
 
+    def _draw_distance(self) -> int:
+        spread = self._rng.uniform(1 - SNAPSHOT_SPREAD, 1 + SNAPSHOT_SPREAD)
+        return max(1, int(self.limits.snapshot_entries * spread))
+
     def _take_snapshot(self) -> None:
         index = self.applied_index
         members = self.core.state.members
@@ -286,6 +300,7 @@
             )
         )
         members.forget_before(index)
+        self._snapshot_distance = self._draw_distance()
         events.log(events.SNAPSHOT_WRITTEN, replica=self.id, index=index)
         if self.log.drop_oldest(
             max_bytes=self.limits.retention_bytes,
--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/replica.py
@@ -50,6 +50,8 @@
 # Applying more at once would delay heartbeats while catching up.
 APPLY_AT_ONCE: Final = 128
 TRANSFER_TIMEOUT_MS: Final = 1000
+# First members that start together form their group well within this.
+FORMING_MS: Final = 10_000
 MEMBERS_TIMEOUT_MS: Final = 5000
 _BYTES_PER_MB: Final = 1024 * 1024
 
@@ -201,10 +203,17 @@
 
     def _await_group(self, address: str) -> None:
         bootstrap = self.settings.bootstrap
-        if not bootstrap:
-            events.log(events.WAITING_TO_JOIN, replica=self.engine.id)
-        elif address == bootstrap[0]:
+        if bootstrap and address == bootstrap[0]:
             self._forming = asyncio.create_task(self._form(address))
+        else:
+            self._forming = asyncio.create_task(self._report_waiting())
+
+    async def _report_waiting(self) -> None:
+        """Tells operators of a replica that no group has taken in."""
+        if self.settings.bootstrap:
+            await asyncio.sleep(clock.seconds(FORMING_MS))
+        if not self.engine.formed():
+            events.log(events.WAITING_TO_JOIN, replica=self.engine.id)
 
     async def _form(self, address: str) -> None:
         members = await formation.first_members(
--- a/bamboorouter/state/snapshot_store.py
+++ b/bamboorouter/state/snapshot_store.py
@@ -1,10 +1,15 @@
 """Snapshots of the state machine on disk.
 
+A file holds a checksum of the rest, the length of the head, the head (position
+and members) and the state. The state is stored as it is, because a second
+encoding would need its memory once more.
+
 The two newest are kept, so that a damaged one can be passed over as long as
 the log reaches back to the one before.
 """
 
 import dataclasses
+import struct
 from typing import Final
 
 import cbor2
@@ -17,6 +22,7 @@
 _PREFIX: Final = "snapshot-"
 _KEPT: Final = 2
 _CHECKSUM_BYTES: Final = 8
+_LENGTH: Final = struct.Struct(">I")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -49,17 +55,20 @@
     def save(self, snapshot: Snapshot) -> None:
         """Writes a snapshot durably and removes all but the newest two."""
         position = snapshot.position
-        body = cbor2.dumps(
-            [
-                position.index,
-                position.term,
-                position.chain,
-                snapshot.members,
-                snapshot.data,
-            ]
+        head = cbor2.dumps(
+            [position.index, position.term, position.chain, snapshot.members]
+        )
+        checksum = xxhash.xxh3_64(_LENGTH.pack(len(head)))
+        checksum.update(head)
+        checksum.update(snapshot.data)
+        content = (
+            checksum.digest(),
+            _LENGTH.pack(len(head)),
+            head,
+            snapshot.data,
         )
         name = f"{_PREFIX}{position.index:020d}"
-        self.folder.replace(name, xxhash.xxh3_64_digest(body) + body)
+        self.folder.replace(name, b"".join(content))
         self.position = position
         for old in self._names()[:-_KEPT]:
             self.folder.remove(old)
@@ -86,12 +95,18 @@
 
 
 def _parse(data: bytes) -> Snapshot | None:
-    body = data[_CHECKSUM_BYTES:]
-    if xxhash.xxh3_64_digest(body) != data[:_CHECKSUM_BYTES]:
+    view = memoryview(data)
+    start = _CHECKSUM_BYTES + _LENGTH.size
+    if (
+        len(data) < start
+        or xxhash.xxh3_64_digest(view[_CHECKSUM_BYTES:])
+        != data[:_CHECKSUM_BYTES]
+    ):
         return None
-    index, term, chain, members, state = cbor2.loads(body)
+    (length,) = _LENGTH.unpack_from(data, _CHECKSUM_BYTES)
+    index, term, chain, members = cbor2.loads(data[start : start + length])
     return Snapshot(
         position=records.Base(index=index, term=term, chain=chain),
         members=members,
-        data=state,
+        data=bytes(view[start + length :]),
     )
