Drain what waits at the agent; bound bodies while they are read

Before, a drain ended while refused requests were still queued, so that the closing link could turn not_run into unknown; and bodies counted against the bound only once they were whole.

--- a/bamboorouter/roles/agent_requests.py
+++ b/bamboorouter/roles/agent_requests.py
@@ -125,7 +125,14 @@
             The answer, or None for any other message.
         """
         if isinstance(message, messages.Dispatch):
-            return await self._admit(message)
+            self._running += 1
+            self._idle.clear()
+            try:
+                return await self._admit(message)
+            finally:
+                self._running -= 1
+                if self._running == 0:
+                    self._idle.set()
         if isinstance(message, messages.AgentHello):
             return self._welcome(peer)
         return None
@@ -165,7 +172,7 @@
         return {key: state.latency_ms for key, state in self.states.items()}
 
     async def drain(self) -> None:
-        """Waits until no request is in progress.
+        """Waits until no request is in progress or waits to start.
 
         New work isn't stopped by this; use `set_leaving` first.
         """
@@ -234,8 +241,6 @@
             return _no_answer(dispatch, "the reservation was started before")
         state = self.states[dispatch.upstream]
         state.in_progress += 1
-        self._running += 1
-        self._idle.clear()
         started = self.clock.now()
         try:
             answer = await self._attempt(dispatch, state, deadline)
@@ -246,9 +251,6 @@
             return answer
         finally:
             state.in_progress -= 1
-            self._running -= 1
-            if self._running == 0:
-                self._idle.set()
 
     def _first_start(self, dispatch: messages.Dispatch) -> bool:
         """Notes the start of a reservation; False if it was started before."""
--- a/bamboorouter/roles/entry_http.py
+++ b/bamboorouter/roles/entry_http.py
@@ -37,6 +37,7 @@
 # Bodies that are held while their requests wait or run.
 MAX_HELD_BYTES: Final = 64 * 1024 * 1024
 LINGERING_MS: Final = 1_000
+IDLE_CONNECTION_MS: Final = 75_000
 LISTEN_BACKLOG: Final = 1_024
 # After the listener is closed, callers with an open connection get this long
 # to have a request, that is already on its way, answered.
@@ -183,6 +184,7 @@
             self._server,
             loop=asyncio.get_running_loop(),
             access_log=None,  # type: ignore[arg-type]
+            keepalive_timeout=clock.seconds(IDLE_CONNECTION_MS),
             auto_decompress=False,
             lingering_time=clock.seconds(LINGERING_MS),
         )
@@ -207,7 +209,6 @@
                 "unknown", error_texts.NO_ANSWER, detail="internal error"
             )
         finally:
-            self._held_bytes -= len(request.body)
             self._open_requests -= 1
             if not self._open_requests:
                 self._idle.set()
@@ -232,9 +233,13 @@
         self, http: web.BaseRequest, request: caller_requests.CallerRequest
     ) -> caller_requests.Reply:
         self._identify(http, request)
-        request.body = await self._read_body(http, request)
-        self._held_bytes += len(request.body)
-        return await self.dispatcher.run(request)
+        size = self._announced_bytes(http, request)
+        self._held_bytes += size
+        try:
+            request.body = await self._read_body(http, request)
+            return await self.dispatcher.run(request)
+        finally:
+            self._held_bytes -= size
 
     def _identify(
         self, http: web.BaseRequest, request: caller_requests.CallerRequest
@@ -275,24 +280,38 @@
             )
         return min(deadline_ms, int(text))
 
-    async def _read_body(
+    def _announced_bytes(
         self, http: web.BaseRequest, request: caller_requests.CallerRequest
-    ) -> bytes:
-        """Returns the whole body.
+    ) -> int:
+        """Returns the length of the body, or the limit if it isn't announced.
 
         Raises:
-            _RefusedError: It is too large, incomplete or malformed.
+            _RefusedError: It is too large, or too many bodies are held.
         """
         if not http.body_exists:
-            return b""
+            return 0
         limit = self.settings.max_request_bytes
         announced = http.content_length
-        if announced is not None and announced > limit:
+        size = limit if announced is None else announced
+        if size > limit:
             raise _refused(error_texts.BODY_TOO_LARGE, close=True, limit=limit)
-        if self._held_bytes + (announced or limit) > MAX_HELD_BYTES:
+        if self._held_bytes + size > MAX_HELD_BYTES:
             raise _refused(
                 error_texts.QUEUE_FULL, close=True, urgency=request.row.urgency
             )
+        return size
+
+    async def _read_body(
+        self, http: web.BaseRequest, request: caller_requests.CallerRequest
+    ) -> bytes:
+        """Returns the whole body.
+
+        Raises:
+            _RefusedError: It is too large, incomplete or malformed.
+        """
+        if not http.body_exists:
+            return b""
+        limit = self.settings.max_request_bytes
         left = max(request.deadline - self.clock.now(), 0)
         try:
             if http.content.is_eof():
--- a/tests/request_site.py
+++ b/tests/request_site.py
@@ -174,14 +174,23 @@
         seen: Requests that reached the upstream, as "METHOD target".
     """
 
-    def __init__(self, *, name: str, service: str, handler: Handler) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        handler: Handler,
+        connections: int = 64,
+    ) -> None:
         self.name = name
         self.service = service
         self.handler = handler
         self.contact_ms: int | None = 0
         self.silent = False
         self.seen: list[str] = []
-        self.settings = options.AgentOptions(advertise=f"{name}:1")
+        self.settings = options.AgentOptions(
+            advertise=f"{name}:1", connections=connections
+        )
         self.requests = agent_requests.AgentRequests(
             settings=self.settings,
             time=clock.SystemClock(),
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -12,6 +12,7 @@
 from bamboorouter import events
 from bamboorouter import options
 from bamboorouter.protocol import messages
+from bamboorouter.roles import entry_http
 from tests import request_site
 
 
@@ -95,6 +96,26 @@
             self.assertEqual(answer.headers["Bamboorouter-Outcome"], "not_run")
         self.assertEqual(self.vm.seen, [])
 
+    async def test_held_bodies_are_bounded(self) -> None:
+        """Guards the memory of the entry against many large bodies."""
+        with mock.patch.object(entry_http, "MAX_HELD_BYTES", 500_000):
+            answers = await asyncio.gather(
+                *(
+                    self.site.client.post(
+                        f"{self.site.url}/prism/",
+                        data=bytes(200_000),
+                        headers={"X-Delay": "0.3"},
+                    )
+                    for _ in range(5)
+                )
+            )
+            statuses = sorted(answer.status for answer in answers)
+            self.assertEqual(statuses, [201, 201, 429, 429, 429])
+            answer = await self.site.client.post(
+                f"{self.site.url}/prism/", data=bytes(200_000)
+            )
+            self.assertEqual(answer.status, 201)
+
     async def test_malformed_chunk_is_refused(self) -> None:
         """Guards against running a request whose body is damaged."""
         with mock.patch.object(events, "log") as log:
--- a/tests/test_request_shutdown.py
+++ b/tests/test_request_shutdown.py
@@ -7,10 +7,12 @@
 import sys
 import tempfile
 import unittest
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
 
+from bamboorouter.coordination import caller_requests
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 from tests import request_site
@@ -118,6 +120,43 @@
             self.assertEqual(refused.headers["Bamboorouter-Outcome"], "not_run")
         self.assertEqual(len(self.vm.seen), 1)
 
+    async def test_drain_answers_what_waits_at_the_agent(self) -> None:
+        """Guards against an unknown outcome of what was never started."""
+        vm = request_site.Vm(
+            name="w2", service="prism", handler=_slow, connections=1
+        )
+        await vm.start()
+        self.addAsyncCleanup(vm.stop)
+        dispatch = messages.Dispatch(
+            request_id="1-1",
+            service="prism",
+            upstream="w2-up",
+            method="POST",
+            target="/",
+            headers=(),
+            body=b"",
+            digest=caller_requests.digest(b""),
+            deadline_ms=4000,
+            urgency=1,
+            team="guild",
+        )
+        peer = mock.Mock()
+        calls = [
+            asyncio.create_task(vm.requests.handle(dispatch, peer))
+            for _ in range(3)
+        ]
+        await request_site.eventually(lambda: vm.seen)
+        vm.requests.set_leaving([vm.upstream().id])
+        async with asyncio.timeout(5):
+            await vm.requests.drain()
+        self.assertTrue(all(call.done() for call in calls))
+        outcomes = [
+            answer.outcome
+            for answer in [await call for call in calls]
+            if isinstance(answer, messages.Answer)
+        ]
+        self.assertEqual(outcomes, ["completed", "not_run", "not_run"])
+
     async def test_entries_hear_at_once_what_leaves(self) -> None:
         """Guards against entries that learn of it only by refusals."""
         assert self.vm.server is not None
