--- a/bamboorouter/coordination/agent_links.py
+++ b/bamboorouter/coordination/agent_links.py
@@ -27,6 +27,10 @@
 LONGEST_PAUSE_MS: Final = 5_000
 
 
+class NotSentError(errors.LinkClosedError):
+    """There is no open link to the agent; nothing was sent."""
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class _Peer:
     """State of the link to one agent.
@@ -91,13 +95,13 @@
         """Returns once a link to an agent is open.
 
         Raises:
-            LinkClosedError: The agent can't be reached; nothing was sent.
+            NotSentError: The agent can't be reached.
         """
         peer = self._peers.setdefault(address, _Peer())
         if peer.open is not None and not peer.open.closed.is_set():
             return
         if self.clock.now() < peer.retry_at_ms:
-            raise errors.LinkClosedError(
+            raise NotSentError(
                 text="agent is avoided after a failure",
                 step="open link",
                 peer=address,
@@ -108,7 +112,7 @@
             [peer.opening], timeout=clock.seconds(max(timeout_ms, 0))
         )
         if peer.open is None or peer.open.closed.is_set():
-            raise errors.LinkClosedError(
+            raise NotSentError(
                 text="agent can't be reached", step="open link", peer=address
             )
 
@@ -118,13 +122,14 @@
         """Sends a request on the open link to an agent.
 
         Raises:
+            NotSentError: The link closed before anything was sent.
             LinkClosedError: The link closed; the agent may have acted.
             RequestTimeoutError: No answer in time; the agent may have acted.
         """
-        peer = self._peers[address]
-        current = peer.open
-        if current is None:
-            raise errors.LinkClosedError(
+        peer = self._peers.get(address)
+        current = peer.open if peer is not None else None
+        if peer is None or current is None or current.closed.is_set():
+            raise NotSentError(
                 text="link closed", step="dispatch", peer=address
             )
         if peer.waiting == 0:
--- a/bamboorouter/coordination/request_dispatch.py
+++ b/bamboorouter/coordination/request_dispatch.py
@@ -233,15 +233,14 @@
         address = state.route.agent
         try:
             await self.links.ensure(address, timeout_ms=self._left(request))
-        except errors.LinkClosedError as err:
-            return _not_sent(request, str(err))
-        dispatch = self._dispatch(request, load.upstream)
-        if dispatch.deadline_ms <= 0:
-            return _not_sent(request, "no time left", error_texts.DEADLINE)
-        try:
+            dispatch = self._dispatch(request, load.upstream)
+            if dispatch.deadline_ms <= 0:
+                return _not_sent(request, "late", error_texts.DEADLINE)
             answer = await self.links.request(
                 address, dispatch, timeout_ms=dispatch.deadline_ms
             )
+        except agent_links.NotSentError as err:
+            return _not_sent(request, str(err))
         except errors.RouterError as err:
             return _no_answer(request, str(err))
         return _checked(request, answer, address)
