--- a/bamboorouter/cli/member.py
+++ b/bamboorouter/cli/member.py
@@ -15,6 +15,7 @@
     """Lists the control replicas."""
 
     name = "members"
+    changes: ClassVar[bool] = False
     description = "List the control replicas and how far each one is."
 
     async def run_call(self, operation_id: str) -> int:
@@ -25,7 +26,7 @@
         code = self.finish(reply, "replica address role match_index")
         if code == exit_codes.DONE:
             for member in reply.data.get("members", ()):
-                self.print_text(_line(member))
+                self.print_text(member_line(member))
         return code
 
 
@@ -85,6 +86,8 @@
     action = "remove"
 
 
-def _line(member: Mapping[str, Any]) -> str:
+def member_line(member: Mapping[str, Any]) -> str:
+    """Returns the line that describes one control replica."""
     columns = ("replica", "address", "role", "match_index")
-    return " ".join(str(member.get(column, "-")) for column in columns)
+    text = " ".join(str(member.get(column, "-")) for column in columns)
+    return f"{text} silent" if member.get("silent") else text
--- a/bamboorouter/cli/status.py
+++ b/bamboorouter/cli/status.py
@@ -1,9 +1,11 @@
 """The command that shows what is in force, what runs and what waits."""
 
 from collections.abc import Iterator
+from typing import ClassVar
 
 from bamboorouter.cli import base_command
 from bamboorouter.cli import exit_codes
+from bamboorouter.cli import member
 from bamboorouter.protocol import operator_http
 
 
@@ -11,6 +13,7 @@
     """Shows what is in force and where, workers, tasks and what waits."""
 
     name = "status"
+    changes: ClassVar[bool] = False
     description = (
         "Show what is in force and where, the workers, the tasks, and what"
         " waits and why."
@@ -45,6 +48,9 @@
     )
     for process, revision in sorted(state.applied.items()):
         yield f"  {process}: {revision}"
+    yield f"control replicas: {len(state.replicas)}"
+    for replica in state.replicas:
+        yield f"  {member.member_line(replica)}"
     yield f"workers: {len(state.workers)}"
     for worker in state.workers:
         yield (
--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduler.py
@@ -313,7 +313,7 @@
         now = self.clock.now()
         self._settled_at = now + self.settle_ms
         self._expected = set(self.log.machine.workers.by_name)
-        self.registry.reset()
+        self.registry.reset(now)
         self.leases.reset()
         self.throttles.wanted.clear()
         self.throttles.resuming.clear()
@@ -356,6 +356,7 @@
                 now=now,
             )
             if granted:
+                lease.inherited = True
                 self.leases.grant(lease, now)
 
     async def _run(self) -> None:
@@ -366,9 +367,11 @@
                 continue
             try:
                 more = await self.decide()
-            except errors.RouterError as err:
-                events.log(events.PASS_FAILED, error=str(err))
-                more = True
+            except Exception as err:  # pylint: disable=broad-except
+                # A leader that decides nothing any more is worse than one
+                # whose pass failed; the next pass starts from the state.
+                events.log(events.PASS_FAILED, error=repr(err))
+                more = False
             done, self._pass_done = self._pass_done, asyncio.Event()
             done.set()
             if more:
@@ -433,11 +436,23 @@
             *self._relief(now, wall_ms),
         ]
         if self.moves.due(state, wall_ms):
+            found.extend(self._forgotten(now))
             found.extend(self.moves.decide(state, wall_ms))
         await self.propose(found)
         replaced = any(isinstance(c, commands.ReplaceInstance) for c in found)
         return plan.more or replaced
 
+    def _forgotten(self, now: clock.Millis) -> list[commands.ForgetWorker]:
+        state = self.log.machine
+        gone = self.registry.gone(state.workers.by_name, now)
+        for worker in gone:
+            self.registry.reports.pop(worker, None)
+        return [
+            commands.ForgetWorker(worker=worker)
+            for worker in gone
+            if worker not in state.assignments.on_worker
+        ]
+
     def _relief(
         self, now: clock.Millis, wall_ms: int
     ) -> list[commands.EvictTask]:
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -35,6 +35,7 @@
 NO_SUCH_WORKER: Final = "no_such_worker"
 TASK_NOT_WAITING: Final = "task_not_waiting"
 WORKER_DRAINED: Final = "worker_drained"
+WORKER_IN_USE: Final = "worker_in_use"
 WORKER_QUARANTINED: Final = "worker_quarantined"
 TOO_MANY_QUARANTINES: Final = "too_many_quarantines"
 UNKNOWN_OPERATION: Final = "unknown_operation"
@@ -45,6 +46,7 @@
 NOT_CAUGHT_UP: Final = "not_caught_up"
 QUORUM_AT_RISK: Final = "quorum_at_risk"
 CALL_MALFORMED: Final = "call_malformed"
+OPERATION_REUSED: Final = "operation_reused"
 NOT_REACHED: Final = "not_reached"
 
 # Codes of requests that were or may have been started.
@@ -93,11 +95,13 @@
     NO_SUCH_WORKER: "worker {worker!r} is not known",
     TASK_NOT_WAITING: "task {task!r} is {state}, not waiting",
     WORKER_DRAINED: "worker {worker!r} is drained",
+    WORKER_IN_USE: "worker {worker!r} holds tasks",
     WORKER_QUARANTINED: "worker {worker!r} is in quarantine",
     TOO_MANY_QUARANTINES: "{count} workers are in quarantine already",
     UNKNOWN_OPERATION: "operation {operation!r} does not exist",
     BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
     CALL_MALFORMED: "the call is malformed",
+    OPERATION_REUSED: ("operation ID {operation_id!r} belongs to another call"),
     NOT_REACHED: "no entry could be reached; nothing was changed",
     RESULT_UNKNOWN: "no leader answered; the operation may have been done",
     BAD_REQUEST: "the request is malformed: {detail}",
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -4,11 +4,14 @@
 state. Applying checks each invariant again, whoever proposed the command.
 """
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import Final
 
 import cbor2
+import msgspec
+import xxhash
 
 from bamboorouter import error_texts
 from bamboorouter.protocol import codec
@@ -65,6 +68,7 @@
             commands.RecordRequests: self._record_requests,
             commands.ReplaceInstance: self._replace_instance,
             commands.FailJob: self._fail_job,
+            commands.ForgetWorker: self._forget_worker,
         }
 
     def apply(
@@ -108,11 +112,18 @@
 
     def _apply_one(self, command: commands.Command) -> commands.Result:
         operation_id = getattr(command, "operation_id", "")
-        first = self.plan.operations.get(operation_id)
-        if first is not None:
-            return first
+        if not operation_id:
+            return self._appliers[type(command)](command)
+        digest = _call_digest(command)
+        if operation_id in self.plan.operations:
+            known, first = self.plan.operations[operation_id]
+            if known == digest:
+                return first
+            return workers.refused(
+                error_texts.OPERATION_REUSED, operation_id=operation_id
+            )
         result = self._appliers[type(command)](command)
-        self.plan.remember(operation_id, result)
+        self.plan.remember(operation_id, digest, result)
         return result
 
     # Configuration.
@@ -166,16 +177,17 @@
     def _clashing_name(
         self, rows: tuple[common.SheetRow, ...]
     ) -> commands.Result | None:
-        """Refuses names whose tasks of the other kind have not ended."""
+        """Refuses names used twice, or by live tasks of the other kind."""
+        uses = collections.Counter(row.name for row in rows)
         faults = [
             {
                 "row": 0,
                 "column": "name",
                 "value": row.name,
-                "allowed": "a name not in use for the other kind",
+                "allowed": "a name used once and not for the other kind",
             }
             for row in rows
-            if self._other_kind_lives(row)
+            if uses[row.name] > 1 or self._other_kind_lives(row)
         ]
         if not faults:
             return None
@@ -309,6 +321,14 @@
     ) -> commands.Result:
         return self.workers.register(command)
 
+    def _forget_worker(self, command: commands.ForgetWorker) -> commands.Result:
+        if command.worker in self.assignments.on_worker:
+            return workers.refused(
+                error_texts.WORKER_IN_USE, worker=command.worker
+            )
+        self.workers.by_name.pop(command.worker, None)
+        return commands.Result(ok=True)
+
     def _quarantine(self, command: commands.Quarantine) -> commands.Result:
         return self.workers.quarantine(command, self.now_ms)
 
@@ -324,7 +344,7 @@
     def _end_task(self, command: commands.EndTask) -> commands.Result:
         task = self.assignments.current(command.task, command.epoch)
         if isinstance(task, commands.Result):
-            return task
+            return self._late_finish(command) or task
         worker = task.worker
         if command.outcome in ("failed", "given_up"):
             self.assignments.note_failure(
@@ -337,6 +357,23 @@
             self._end_batch(task, command.outcome)
         return _state_of(task, removed=task.task not in self.assignments.tasks)
 
+    def _late_finish(self, command: commands.EndTask) -> commands.Result | None:
+        """Accepts that a task finished after its assignment was given up.
+
+        While it waits under the same epoch it has not run anywhere else, and
+        running it again would do its work twice.
+        """
+        task = self.assignments.tasks.get(command.task)
+        if (
+            task is None
+            or command.outcome != "finished"
+            or (task.kind, task.status) != ("batch", "pending")
+            or not 0 < task.epoch == command.epoch
+        ):
+            return None
+        self._finish(task, "finished")
+        return _state_of(task, removed=task.task not in self.assignments.tasks)
+
     def _end_batch(self, task: assignments.Task, outcome: str) -> None:
         job = self.plan.jobs[task.row]
         given_up = outcome == "given_up" or job.verdict == "failed"
@@ -447,6 +484,16 @@
         return commands.Result(ok=True, data={"repeated": repeated})
 
 
+def _call_digest(command: commands.Command) -> int:
+    """Returns a digest of what is called for, whoever sends it again."""
+    plain = [type(command).__name__]
+    for name in command.__struct_fields__:
+        # The digest of a sheet stands for its rows.
+        if name not in ("operation_id", "operator", "rows"):
+            plain.append(msgspec.to_builtins(getattr(command, name)))
+    return xxhash.xxh3_64_intdigest(cbor2.dumps(plain))
+
+
 def _state_of(
     task: assignments.Task, *, removed: bool = False
 ) -> commands.Result:
