Keep a worker's address over restarts by a proxy; tighten two fault tests

A restarted worker's fixed port was once taken by an outgoing connection of another process (address in use); its agent now reaches it through a proxy of its own.

--- a/devtools/site.py
+++ b/devtools/site.py
@@ -108,7 +108,7 @@
 ) -> SiteShape:
     """Returns a shape with short periods and leases for tests."""
     return SiteShape(
-        vms=_workers(vms, 4, 8_000, per_rack=1),
+        vms=_workers(vms, 8, 16_000, per_rack=1),
         controls=controls,
         entries=entries,
         heartbeat_ms=200,
@@ -434,9 +434,11 @@
         return [f"control-{n}" for n in range(1, self.shape.controls + 1)]
 
     def _all_proxies(self) -> Iterable[tuple[str, proxy.FaultProxy]]:
+        """Yields the proxies of links between VMs."""
         for name, managed in self.processes.items():
-            for fault in managed.proxies.values():
-                yield name, fault
+            for kind, fault in managed.proxies.items():
+                if kind != "worker":
+                    yield name, fault
 
     def _process(self, name: str) -> asyncio.subprocess.Process:
         managed = self.processes[name]
@@ -508,12 +510,17 @@
     async def _make_agent(self, number: int) -> Managed:
         managed = self._add(f"agent-{number}", [])
         worker = self.processes[f"worker-{number}"]
-        # The worker keeps its port when it is restarted, because its address
-        # is part of the agent's settings.
-        worker.arguments += ["--listen", worker.addresses["worker"]]
+        # The address of the worker is part of the agent's settings, so it has
+        # to stay the same when the worker is restarted.
+        address = worker.addresses["worker"]
+        if self.proxied:
+            in_front = await self._add_proxy(worker.name, "worker")
+            in_front.target, address = address, in_front.address
+        else:
+            worker.arguments += ["--listen", address]
         vm = self.shape.vms[number - 1]
         section: dict[str, Any] = {
-            "worker": f"http://{worker.addresses['worker']}",
+            "worker": f"http://{address}",
             "processors": vm.processors,
             "memory_mb": vm.memory_mb,
             "accelerators": vm.accelerators,
