--- a/devtools/site.py
+++ b/devtools/site.py
@@ -106,11 +106,15 @@
 
 
 def small_shape(
-    *, vms: int = 1, controls: int = 1, entries: int = 1
+    *,
+    vms: int = 1,
+    controls: int = 1,
+    entries: int = 1,
+    processors: int = 4,
 ) -> SiteShape:
     """Returns a shape with short periods and leases for tests."""
     return SiteShape(
-        vms=_workers(vms, 8, 16_000, per_rack=1),
+        vms=_workers(vms, processors, 2000 * processors, per_rack=1),
         controls=controls,
         entries=entries,
         heartbeat_ms=200,
--- a/tests/task_faults_case.py
+++ b/tests/task_faults_case.py
@@ -4,7 +4,8 @@
 from devtools import site
 from tests import site_case
 
-SHAPE = site.small_shape(vms=3, controls=3, entries=0)
+# One VM has room for all tasks, so it can take over from two others.
+SHAPE = site.small_shape(vms=3, controls=3, entries=0, processors=8)
 BATCH_LEASE_S = SHAPE.batch_lease_ms / 1000
 SERVICE_LEASE_S = SHAPE.service_lease_ms / 1000
 # Urgent work starts within 3.2 s; a lease and its allowance may come first.
