Hold the ports of test replicas that are down

Cause: in a run of all tests the kernel had given the port of a crashed test replica to an outgoing connection of another test, and the replica could not bind it again (EADDRINUSE in test_lost_leader_is_replaced_in_time). A bound socket now keeps the port meanwhile.

--- a/tests/replica_site.py
+++ b/tests/replica_site.py
@@ -16,12 +16,23 @@
 
 def free_port() -> int:
     """Returns a port that the kernel chose and nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
+    with hold_port() as held:
+        port: int = held.getsockname()[1]
         return port
 
 
+def hold_port(port: int = 0) -> socket.socket:
+    """Binds a port without listening.
+
+    Otherwise the kernel could give the port of a node that is down to an
+    outgoing connection, and the node could not start again.
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", port))
+    return held
+
+
 class Node:
     """One replica with its link server.
 
@@ -39,14 +50,16 @@
         self,
         *,
         path: pathlib.Path,
-        port: int,
+        held: socket.socket,
         bootstrap: tuple[str, ...],
         limits: engine.Limits | None = None,
     ) -> None:
         self.path = path
-        self.address = f"127.0.0.1:{port}"
+        self.port: int = held.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
         self.bootstrap = bootstrap
         self.limits = limits
+        self._held = held
         self._server: link.LinkServer | None = None
 
     async def start(self, *, folder: files.Folder | None = None) -> None:
@@ -64,9 +77,9 @@
             time=clock.SystemClock(),
             limits=self.limits,
         )
-        host, _, port = self.address.rpartition(":")
+        self._held.close()
         self._server = await link.serve_links(
-            host=host, port=int(port), handler=self.replica.handle
+            host="127.0.0.1", port=self.port, handler=self.replica.handle
         )
         await self.replica.start(self.address)
 
@@ -76,6 +89,11 @@
         if self._server is not None:
             await self._server.close()
             self._server = None
+            self._held = hold_port(self.port)
+
+    def close(self) -> None:
+        """Gives the port of a stopped node back."""
+        self._held.close()
 
     async def crash(self) -> None:
         """Stops at once, without handing over leadership."""
@@ -92,16 +110,16 @@
     path: pathlib.Path, count: int, *, limits: engine.Limits | None = None
 ) -> list[Node]:
     """Returns nodes that will form a group."""
-    ports = [free_port() for _ in range(count)]
-    bootstrap = tuple(f"127.0.0.1:{port}" for port in ports)
+    ports = [hold_port() for _ in range(count)]
+    bootstrap = tuple(f"127.0.0.1:{p.getsockname()[1]}" for p in ports)
     return [
         Node(
             path=path / f"replica-{number}",
-            port=port,
+            held=held,
             bootstrap=bootstrap,
             limits=limits,
         )
-        for number, port in enumerate(ports)
+        for number, held in enumerate(ports)
     ]
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -27,15 +27,22 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = pathlib.Path(folder.name)
+        self.made: list[replica_site.Node] = []
         self.nodes: list[replica_site.Node] = []
 
     async def asyncTearDown(self) -> None:
         await asyncio.gather(*(node.stop() for node in self.nodes))
+        for node in self.made:
+            node.close()
+
+    def make(self, count: int, *, limits: engine.Limits | None = None) -> None:
+        self.made = replica_site.make_nodes(self.path, count, limits=limits)
+        self.nodes = list(self.made)
 
     async def start(
         self, count: int, *, limits: engine.Limits | None = None
     ) -> replica_site.Node:
-        self.nodes = replica_site.make_nodes(self.path, count, limits=limits)
+        self.make(count, limits=limits)
         await asyncio.gather(*(node.start() for node in self.nodes))
         return await replica_site.leader_of(self.nodes)
 
@@ -213,7 +220,7 @@
     async def test_failed_sync_steps_down_and_acknowledges_nothing(
         self,
     ) -> None:
-        self.nodes = replica_site.make_nodes(self.path, 3)
+        self.make(3)
         folders = [memory_folder.MemoryFolder() for _ in self.nodes]
         for node, folder in zip(self.nodes, folders, strict=True):
             await node.start(folder=folder)
