Report what a control replica applies, not what it stores

Cause: 'in force everywhere' counted a follower as soon as it had stored the entry; it applies it when it learns of the commit, up to a heartbeat later. Ruled out: the metric itself; it is set when the entry is applied. After: followers answer with their commit index and the leader counts that; the test passes.

--- a/bamboorouter/coordination/following.py
+++ b/bamboorouter/coordination/following.py
@@ -147,4 +147,5 @@
             success=success,
             match_index=match,
             sequence=m.sequence,
+            commit=self.state.commit,
         )
--- a/bamboorouter/coordination/leading.py
+++ b/bamboorouter/coordination/leading.py
@@ -84,6 +84,7 @@
         if follower is None:
             return
         follower.acknowledged_ms = max(follower.acknowledged_ms, m.sequence)
+        follower.commit = max(follower.commit, m.commit)
         if m.success:
             follower.accepted(m.match_index)
             self.stored()
--- a/bamboorouter/coordination/progress.py
+++ b/bamboorouter/coordination/progress.py
@@ -19,6 +19,7 @@
 
     Attributes:
         match: Newest index known synced on the follower.
+        commit: Newest index the follower knows to be committed.
         next: Next index to send.
         probing: Whether the point of agreement is being looked for.
         acknowledged_ms: When the newest answered message was sent.
@@ -31,6 +32,7 @@
 
     next: int
     match: int = 0
+    commit: int = 0
     probing: bool = True
     acknowledged_ms: int = NEVER_MS
     heartbeat_ms: int = NEVER_MS
--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/replica.py
@@ -71,6 +71,8 @@
         commit: Newest entry known to be committed.
         applied: Newest applied entry.
         lag: On the leader, entries that each other member lacks, by ID.
+        committed: On the leader, newest entry that each other member knows
+            to be committed, by ID.
         silent_ms: On the leader, time since each other member last answered,
             by ID.
     """
@@ -85,6 +87,7 @@
     commit: int
     applied: int
     lag: dict[str, int]
+    committed: dict[str, int]
     silent_ms: dict[str, int]
 
 
@@ -324,6 +327,10 @@
                 replica_id: self.log.last_index - follower.match
                 for replica_id, follower in followers.items()
             },
+            committed={
+                replica_id: follower.commit
+                for replica_id, follower in followers.items()
+            },
             silent_ms={
                 replica_id: self._clock.now() - follower.acknowledged_ms
                 for replica_id, follower in followers.items()
--- a/bamboorouter/protocol/messages.py
+++ b/bamboorouter/protocol/messages.py
@@ -90,6 +90,8 @@
     Attributes:
         match_index: Last index known synced and equal to the leader's log;
             after a mismatch, where the leader should try next.
+        commit: Newest entry the follower knows to be committed; it applies
+            everything up to it.
     """
 
     group: str
@@ -98,7 +100,7 @@
     success: bool
     match_index: int
     sequence: int
-    applied_revision: int = 0
+    commit: int = 0
 
 
 class SnapshotRequest(base.Wire, frozen=True, kw_only=True, tag=5):
--- a/bamboorouter/roles/control_group.py
+++ b/bamboorouter/roles/control_group.py
@@ -17,7 +17,7 @@
 
 # One step of an explanation; the loop serves others between two steps.
 EXPLAIN_BYTES: Final = 64 * 1024
-# A follower answers the leader's heartbeats every 150 ms.
+# Several heartbeats of the leader; a follower answers each.
 SILENT_MS: Final = 2000
 METRICS_PERIOD_MS: Final = 1000
 # A day's changes.
@@ -85,7 +85,7 @@
             # must not keep a change from being in force everywhere.
             if lag is not None and not entry["silent"]:
                 entry["applied_revision"] = self._revision_at(
-                    status.last_index - lag
+                    status.applied if own else status.committed[member.id]
                 )
             found.append(entry)
         return found
