--- a/devtools/bench_path.py
+++ b/devtools/bench_path.py
@@ -12,7 +12,6 @@
 import contextlib
 import dataclasses
 import os
-import pathlib
 import statistics
 import sys
 from typing import Final
@@ -35,11 +34,6 @@
 GOAL: Final = 1.3
 ANNOUNCE_PERIOD_S: Final = 10.0
 START_TIMEOUT_S: Final = 30.0
-PAGE: Final = (
-    pathlib.Path(__file__).resolve().parent.parent
-    / "docs"
-    / "measurements-path.md"
-)
 # The service is larger than the VM, so that no task of it starts and the
 # announced upstream is the only one.
 SHEET: Final = """revision,1
@@ -322,22 +316,11 @@
 
 
 def main() -> None:
-    """Prints the report and writes it to the page if asked to."""
+    """Prints the report."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=20)
-    parser.add_argument("--write", action="store_true", help="write the page")
     args = parser.parse_args()
-    lines = asyncio.run(run(args.rounds))
-    print("\n".join(lines))
-    if args.write:
-        title = [
-            "# Cost of the request path",
-            "",
-            f"`python -m devtools.bench_path --rounds {args.rounds}`: one echo"
-            " upstream, bodies of 1 KB, ways in turn, median over the rounds.",
-            "",
-        ]
-        PAGE.write_text("\n".join([*title, *lines, ""]), encoding="utf-8")
+    print("\n".join(asyncio.run(run(args.rounds))))
 
 
 if __name__ == "__main__":
