--- a/bamboorouter/coordination/assignment_planner.py
+++ b/bamboorouter/coordination/assignment_planner.py
@@ -226,7 +226,7 @@
     ) -> common.Resources | None:
         """Returns what is free; None while a task of unknown size runs."""
         free = ledger.minus(capacity, state.assignments.used_on(worker))
-        for stray in self.registry.reports[worker].strays:
+        for stray in self.registry.reports[worker].orphans:
             row = state.plan.row(stray.task.rpartition("/")[0])
             if row is None:
                 return None
--- a/bamboorouter/coordination/heartbeats.py
+++ b/bamboorouter/coordination/heartbeats.py
@@ -77,7 +77,7 @@
         return "resume"
 
 
-class HeartbeatDesk:
+class HeartbeatHandler:
     """Reads heartbeats and builds the answers.
 
     Attributes:
@@ -126,19 +126,19 @@
         found: list[commands.Command] = []
         if _changed_worker(heartbeat, state):
             found.append(_registration(heartbeat))
-        strays: list[common.TaskState] = []
+        orphans: list[common.TaskState] = []
         for report in heartbeat.tasks:
             task = current_task(state, heartbeat.worker, report)
             if task is None:
                 if report.state == "running":
-                    strays.append(report)
+                    orphans.append(report)
                 elif _finished_late(state, report):
                     found.append(_reported_finish(report))
                 continue
             self._note(task, report, now)
             if report.state != "running":
                 found.append(self._ending(task, report))
-        self.registry.reports[heartbeat.worker].strays = tuple(strays)
+        self.registry.reports[heartbeat.worker].orphans = tuple(orphans)
         if freshness == "new" and heartbeat.worker_ready:
             found.extend(self._missing(heartbeat, state))
         return found
--- a/bamboorouter/coordination/leader_desk.py
+++ b/bamboorouter/coordination/leader_handler.py
@@ -31,7 +31,7 @@
 SILENCE_CHECK_MS: Final = 1000
 
 
-class LeaderDesk:
+class LeaderHandler:
     """Handles messages of agents, entries and operators.
 
     Attributes:
@@ -56,7 +56,7 @@
         self.clock = time
         self.scheduler = loop
         self.routes = route_publisher.RoutePublisher(registry=loop.registry)
-        self.operators = operations.OperatorDesk(
+        self.operators = operations.OperatorHandler(
             log=log,
             time=time,
             loop=loop,
--- a/bamboorouter/coordination/measurements.py
+++ b/bamboorouter/coordination/measurements.py
@@ -21,7 +21,7 @@
 # Older measurements say nothing about the present.
 RECENT_MS: Final = 10_000
 # Reports of tasks that ended longer ago are dropped.
-KEPT_STAYS_MS: Final = 20_000
+KEPT_RUNS_MS: Final = 20_000
 # Where a task runs is looked at once per heartbeat.
 SEEN_PERIOD_MS: Final = 1_000
 # A single high value may be chance.
@@ -48,7 +48,7 @@
 
 
 @dataclasses.dataclass(kw_only=True)
-class _Stay:
+class _PastRun:
     """A batch task on a worker.
 
     Attributes:
@@ -83,12 +83,12 @@
         self.throttles = throttles
         self._slowdowns: dict[str, dict[str, _Slowdown]] = {}
         # By worker and epoch.
-        self._stays: dict[str, dict[int, _Stay]] = {}
+        self._past_runs: dict[str, dict[int, _PastRun]] = {}
 
     def reset(self) -> None:
         """Forgets the present state, but not what was learned."""
         self._slowdowns.clear()
-        self._stays.clear()
+        self._past_runs.clear()
 
     def observe(
         self,
@@ -98,7 +98,7 @@
         wall_ms: int,
     ) -> None:
         """Learns from the measurements in a heartbeat."""
-        self._note_stays(heartbeat.worker, state, wall_ms)
+        self._note_runs(heartbeat.worker, state, wall_ms)
         for usage in heartbeat.usage:
             row = self._row(heartbeat.worker, usage, state)
             if row is None:
@@ -211,25 +211,25 @@
         item.slow = item.slow + 1 if item.value >= eviction.SLOW else 0
         item.at = now
 
-    def _note_stays(
+    def _note_runs(
         self, worker: str, state: machine.Machine, wall_ms: int
     ) -> None:
         """Notes which batch tasks are on a worker now."""
-        stays = self._stays.setdefault(worker, {})
+        runs = self._past_runs.setdefault(worker, {})
         for task in state.assignments.worker_tasks(worker):
             row = state.plan.row(task.row)
             if task.kind == "service" or row is None:
                 continue
-            stay = stays.get(task.epoch)
-            if stay is None:
-                stays[task.epoch] = _Stay(
+            run = runs.get(task.epoch)
+            if run is None:
+                runs[task.epoch] = _PastRun(
                     row=row, assigned_ms=task.assigned_ms, seen_ms=wall_ms
                 )
             else:
-                stay.seen_ms = wall_ms
-        for epoch, stay in list(stays.items()):
-            if wall_ms - stay.seen_ms > KEPT_STAYS_MS:
-                del stays[epoch]
+                run.seen_ms = wall_ms
+        for epoch, run in list(runs.items()):
+            if wall_ms - run.seen_ms > KEPT_RUNS_MS:
+                del runs[epoch]
 
     def _row(
         self, worker: str, usage: common.Usage, state: machine.Machine
@@ -238,13 +238,13 @@
         task = state.assignments.tasks.get(usage.task)
         if task and (task.epoch, task.worker) == (usage.epoch, worker):
             return state.plan.row(task.row)
-        stay = self._stays.get(worker, {}).get(usage.epoch)
-        return stay.row if stay is not None else None
+        run = self._past_runs.get(worker, {}).get(usage.epoch)
+        return run.row if run is not None else None
 
     def _beside(self, worker: str, measured_ms: int) -> set[str]:
         """Returns the classes of batch tasks that ran at that wall time."""
         return {
-            sizes.job_class(stay.row)
-            for stay in self._stays.get(worker, {}).values()
-            if stay.assigned_ms <= measured_ms <= stay.seen_ms + SEEN_PERIOD_MS
+            sizes.job_class(run.row)
+            for run in self._past_runs.get(worker, {}).values()
+            if run.assigned_ms <= measured_ms <= run.seen_ms + SEEN_PERIOD_MS
         }
--- a/bamboorouter/coordination/operations.py
+++ b/bamboorouter/coordination/operations.py
@@ -61,7 +61,7 @@
     argument: str
 
 
-class OperatorDesk:
+class OperatorHandler:
     """Carries out operators' calls.
 
     Attributes:
--- a/bamboorouter/coordination/gate.py
+++ b/bamboorouter/coordination/priority_semaphore.py
@@ -24,7 +24,7 @@
         return (self.urgency, self.number) < (other.urgency, other.number)
 
 
-class UrgencyGate:
+class PrioritySemaphore:
     """Admits at most `limit` requests at once.
 
     Attributes:
--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduler.py
@@ -62,7 +62,7 @@
         pressure: Decides which batch tasks give way.
         moves: Moves tasks off drained workers.
         faults: Finds jobs and workers at fault.
-        desk: Reads heartbeats and builds the answers.
+        heartbeats: Reads heartbeats and builds the answers.
         waiting_reasons: Why rows wait, from the last pass.
         settle_ms: How long assignments wait for all workers to be heard.
     """
@@ -111,7 +111,7 @@
             planner=self.planner,
             lease_table=self.leases,
         )
-        self.desk = heartbeats.HeartbeatDesk(
+        self.heartbeats = heartbeats.HeartbeatHandler(
             registry=self.registry,
             lease_table=self.leases,
             throttles=self.throttles,
@@ -162,7 +162,7 @@
         if not state.workers.by_name:
             self._settled_at = self.clock.now() + self.settle_ms
         before = self._room_hint(message.worker)
-        found = self.desk.read(message, state, self.clock.now(), source)
+        found = self.heartbeats.read(message, state, self.clock.now(), source)
         if found is None:
             return messages.HeartbeatReply(
                 sequence=message.sequence,
@@ -177,7 +177,7 @@
             self.wake()
         if not self.log.lease_valid():
             return None
-        return self.desk.reply(
+        return self.heartbeats.reply(
             message, state, self.clock.now(), self.log.term()
         )
 
@@ -199,9 +199,9 @@
     def _room_hint(self, worker: str) -> tuple[bool, int]:
         """Returns what decides about room on a worker beside assignments."""
         report = self.registry.reports.get(worker)
-        strays = len(report.strays) if report is not None else 0
+        orphans = len(report.orphans) if report is not None else 0
         now = self.clock.now()
-        return self.registry.takes_tasks(worker, now), strays
+        return self.registry.takes_tasks(worker, now), orphans
 
     async def propose(
         self, found: Iterable[commands.Command]
@@ -270,7 +270,8 @@
         row = self.log.machine.plan.row(command.task.rpartition("/")[0])
         if row is not None:
             outcome = getattr(command, "outcome", "evicted")
-            metrics.TASKS_ENDED.labels(row.kind, row.owner, outcome).inc()
+            kind = "service" if row.kind == "service" else "batch"
+            metrics.TASKS_ENDED.labels(kind, row.owner, outcome).inc()
 
     def _note_assignment(
         self, command: commands.Assign, result: commands.Result
--- a/bamboorouter/coordination/worker_registry.py
+++ b/bamboorouter/coordination/worker_registry.py
@@ -38,7 +38,7 @@
         heartbeat: The heartbeat.
         heard: Monotonic time in ms at which it arrived.
         silent_ms: Silence after which the worker counts as silent.
-        strays: Running tasks without a current assignment on the worker.
+        orphans: Running tasks without a current assignment on the worker.
         former: Incarnations of former runs.
         source: Link on which the heartbeat arrived.
         proven: Whether a heartbeat of this run is proven to be recent.
@@ -49,7 +49,7 @@
     heartbeat: messages.Heartbeat
     heard: clock.Millis
     silent_ms: int = SILENT_MS
-    strays: tuple[common.TaskState, ...] = ()
+    orphans: tuple[common.TaskState, ...] = ()
     former: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=FORMER_INCARNATIONS)
     )
--- a/bamboorouter/roles/agent_requests.py
+++ b/bamboorouter/roles/agent_requests.py
@@ -26,7 +26,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import options
-from bamboorouter.coordination import gate
+from bamboorouter.coordination import priority_semaphore
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
@@ -92,7 +92,7 @@
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
-        self._gate = gate.UrgencyGate(
+        self._semaphore = priority_semaphore.PrioritySemaphore(
             limit=settings.connections,
             queue_limit=settings.connections * _WAITING_PER_CONNECTION,
             time=time,
@@ -204,7 +204,7 @@
             return _refusal(dispatch, code)
         deadline = self.clock.now() + dispatch.deadline_ms
         plain = self.settings.policies == "plain"
-        code = await self._gate.enter(
+        code = await self._semaphore.enter(
             urgency=0 if plain else dispatch.urgency,
             wait_ms=dispatch.deadline_ms,
         )
@@ -217,7 +217,7 @@
                 return _refusal(dispatch, code)
             return await self._run(dispatch, deadline)
         finally:
-            self._gate.leave()
+            self._semaphore.leave()
 
     def _refuse_code(self, dispatch: messages.Dispatch) -> str:
         state = self.states.get(dispatch.upstream)
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -1,7 +1,7 @@
 """The control role: a replica of the log and, while it leads, the decisions.
 
 One server takes the links of other replicas, agents and entries. Messages of
-the consensus go to the replica; everything else goes to the leader's desk,
+the consensus go to the replica; everything else goes to the leader's handler,
 which redirects callers unless this replica holds a valid leader lease.
 """
 
@@ -11,7 +11,7 @@
 from bamboorouter import clock
 from bamboorouter import options
 from bamboorouter.coordination import explanations
-from bamboorouter.coordination import leader_desk
+from bamboorouter.coordination import leader_handler
 from bamboorouter.coordination import replica
 from bamboorouter.coordination import scheduler
 from bamboorouter.coordination.policies import bundle
@@ -39,7 +39,7 @@
         settings: Section [control] of the settings.
         addresses: Bound addresses by name.
         replica: This process's replica of the log.
-        desk: Answers what only the leader may answer.
+        handler: Answers what only the leader may answer.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         )
         self._group = control_group.ControlGroup(own=self.replica)
         self._explanations = explanations.Explanations(read=self._group.explain)
-        self.desk = leader_desk.LeaderDesk(
+        self.handler = leader_handler.LeaderHandler(
             log=self.replica,
             time=time,
             loop=scheduler.Scheduler(
@@ -86,17 +86,17 @@
         )
         bound = f"{host}:{self._server.port}"
         self.addresses = {"control.listen": bound}
-        self.desk.address = self.settings.advertise or bound
-        await self.replica.start(self.desk.address)
+        self.handler.address = self.settings.advertise or bound
+        await self.replica.start(self.handler.address)
         self._group.start()
-        self.desk.start()
+        self.handler.start()
         self._started = True
 
     async def stop(self) -> None:
         """Hands leadership over if it leads, then closes all links."""
         self._started = False
         self._explanations.stop()
-        await self.desk.stop()
+        await self.handler.stop()
         self._group.stop()
         await self.replica.stop()
         if self._server is not None:
@@ -113,5 +113,5 @@
             # The port is bound before the data folder is open.
             return messages.Redirect(leader="")
         if isinstance(message, _LEADER_CALLS):
-            return await self.desk.handle(message, source)
+            return await self.handler.handle(message, source)
         return await self.replica.handle(message, source)
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -7,7 +7,7 @@
 
 from bamboorouter import clock
 from bamboorouter.coordination import admission_queue
-from bamboorouter.coordination import gate
+from bamboorouter.coordination import priority_semaphore
 from bamboorouter.coordination import retry_budget
 from bamboorouter.coordination.policies import admission
 from bamboorouter.coordination.policies import concurrency
@@ -260,9 +260,9 @@
         self.assertEqual(len(waits), 60)
         return sorted(waits)[-1]
 
-    async def test_gate_prefers_the_urgent_and_stays_bounded(self) -> None:
+    async def test_semaphore_prefers_the_urgent_and_stays_bounded(self) -> None:
         """Guards the agent's queue against unbounded or unfair waiting."""
-        narrow = gate.UrgencyGate(
+        narrow = priority_semaphore.PrioritySemaphore(
             limit=1, queue_limit=1, time=clock.SystemClock()
         )
         self.assertEqual(await narrow.enter(urgency=5, wait_ms=100), "")
