Don't blame batch work for a flood of requests

Cause: the latency of a flooded service rises by its own load; the batch classes beside its instances were blamed and then run one at a time. Ruled out: late measurements alone (status showed the hold-back during the whole flood); in_progress as a signal, because it rises with disturbance as well. Change: agents count answers; a service that answers more than twice its usual rate teaches nothing about its neighbours, until 5 s after. A flood of more than about 20 minutes raises the usual rate, and then batch work is blamed again.

--- a/bamboorouter/coordination/measurements.py
+++ b/bamboorouter/coordination/measurements.py
@@ -2,7 +2,8 @@
 
 Sizes are learned from tasks that are not throttled. Latency of a service is
 compared with its undisturbed latency, and the batch tasks that ran beside it
-when it was measured are the suspects. Reports are late, so a task may have
+when it was measured are the suspects; a service that is slow by a flood of its
+own requests says nothing about them. Reports are late, so a task may have
 ended before its report arrives; where tasks ran is therefore kept for a while.
 """
 
@@ -11,6 +12,7 @@
 
 from bamboorouter import clock
 from bamboorouter.coordination import heartbeats
+from bamboorouter.coordination import request_rates
 from bamboorouter.coordination.policies import eviction
 from bamboorouter.coordination.policies import interference
 from bamboorouter.coordination.policies import sizes
@@ -69,6 +71,7 @@
         sizes: Learns sizes.
         interference: Learns who disturbs whom.
         throttles: Which tasks are throttled.
+        request_rates: Which services are flooded.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         self.sizes = size
         self.interference = disturb
         self.throttles = throttles
+        self.request_rates = request_rates.RequestRates()
         self._slowdowns: dict[str, dict[str, _Slowdown]] = {}
         # By worker and epoch.
         self._past_runs: dict[str, dict[int, _PastRun]] = {}
@@ -99,6 +103,7 @@
     ) -> None:
         """Learns from the measurements in a heartbeat."""
         self._note_runs(heartbeat.worker, state, wall_ms)
+        self.request_rates.observe(heartbeat, now)
         for usage in heartbeat.usage:
             row = self._row(heartbeat.worker, usage, state)
             if row is None:
@@ -109,7 +114,9 @@
                     millicores=usage.millicores,
                     memory_mb=usage.memory_mb,
                 )
-            if row.kind == "service" and usage.latency_ms > 0:
+            if row.kind != "service" or usage.latency_ms <= 0:
+                continue
+            if not self.request_rates.flooded(row.name, now):
                 beside = self._beside(heartbeat.worker, wall_ms - usage.age_ms)
                 self._observe_latency(heartbeat, usage, row, beside, now)
 
@@ -133,6 +140,7 @@
 
     def forget_old(self, now: int) -> None:
         """Drops measurements that are no longer recent."""
+        self.request_rates.forget_old(now)
         for worker, items in list(self._slowdowns.items()):
             for task in [t for t, i in items.items() if now - i.at > RECENT_MS]:
                 del items[task]
--- a/bamboorouter/protocol/common.py
+++ b/bamboorouter/protocol/common.py
@@ -108,6 +108,7 @@
         leaving: Whether it takes no new work.
         in_progress: Requests in progress.
         latency_ms: Smoothed answer time in ms.
+        answered: Requests answered since the agent knows the upstream.
     """
 
     id: str
@@ -116,3 +117,4 @@
     leaving: bool = False
     in_progress: int = 0
     latency_ms: float = 0.0
+    answered: int = 0
--- a/bamboorouter/roles/agent.py
+++ b/bamboorouter/roles/agent.py
@@ -167,6 +167,7 @@
     def _upstreams(self) -> list[common.Upstream]:
         in_progress = self.requests.in_progress()
         latency_ms = self.requests.latency_ms()
+        answered = self.requests.answered()
         all_leave = self.leaving or self._worker_drained
         return [
             msgspec.structs.replace(
@@ -176,6 +177,7 @@
                 or upstream.id in self._drained,
                 in_progress=in_progress.get(upstream.id, 0),
                 latency_ms=latency_ms.get(upstream.id, 0.0),
+                answered=answered.get(upstream.id, 0),
             )
             for upstream in (*self.tasks.upstreams(), *self._local.upstreams())
         ]
--- a/bamboorouter/roles/agent_requests.py
+++ b/bamboorouter/roles/agent_requests.py
@@ -52,14 +52,17 @@
         upstream: The announcement.
         in_progress: Requests in progress.
         latency_ms: Smoothed time of whole answers in ms; 0 before the first.
+        answered: Requests that were answered.
     """
 
     upstream: common.Upstream
     in_progress: int = 0
     latency_ms: float = 0.0
+    answered: int = 0
 
     def observe(self, elapsed_ms: float) -> None:
-        """Adds one answer time to the smoothed latency."""
+        """Adds one answer and its time to the smoothed latency."""
+        self.answered += 1
         if self.latency_ms == 0.0:
             self.latency_ms = elapsed_ms
         self.latency_ms += LATENCY_WEIGHT * (elapsed_ms - self.latency_ms)
@@ -167,6 +170,10 @@
         """Returns the requests in progress by upstream ID."""
         return {key: state.in_progress for key, state in self.states.items()}
 
+    def answered(self) -> dict[str, int]:
+        """Returns the answered requests by upstream ID."""
+        return {key: state.answered for key, state in self.states.items()}
+
     def latency_ms(self) -> dict[str, float]:
         """Returns smoothed answer times in ms by upstream ID."""
         return {key: state.latency_ms for key, state in self.states.items()}
--- /dev/null
+++ b/tests/test_request_rates.py
@@ -0,0 +1,66 @@
+"""Guards against batch work that is blamed for a flood of requests."""
+
+import unittest
+
+from bamboorouter import clock
+from bamboorouter.coordination import request_rates
+from bamboorouter.protocol import common
+from bamboorouter.protocol import messages
+
+QUIET_RATE = 60
+INSTANCES = 4
+
+
+class RequestRatesTest(unittest.TestCase):
+    """Four instances of one service, one heartbeat a second each."""
+
+    def setUp(self) -> None:
+        self.rates = request_rates.RequestRates()
+        self.answered = 0
+        self.now = clock.Millis(0)
+
+    def pass_time(self, seconds: int, rate: int) -> None:
+        for _ in range(seconds):
+            self.now = clock.Millis(self.now + 1000)
+            self.answered += rate // INSTANCES
+            for number in range(INSTANCES):
+                self.rates.observe(self.heartbeat(number), self.now)
+
+    def heartbeat(self, number: int) -> messages.Heartbeat:
+        return messages.Heartbeat(
+            agent=f"agent-{number}",
+            worker=f"agent-{number}",
+            incarnation=1,
+            sequence=1,
+            address="127.0.0.1:1",
+            zone="a",
+            rack="r",
+            capacity=common.Resources(),
+            connections=64,
+            upstreams=(
+                common.Upstream(
+                    id=f"quick/{number}@1",
+                    service="quick",
+                    url="",
+                    answered=self.answered,
+                ),
+            ),
+        )
+
+    def flooded(self) -> bool:
+        return self.rates.flooded("quick", self.now)
+
+    def test_flood_is_noticed_and_ends(self) -> None:
+        self.pass_time(10, QUIET_RATE)
+        self.assertFalse(self.flooded())
+        self.pass_time(3, 5 * QUIET_RATE)
+        self.assertTrue(self.flooded())
+        self.pass_time(20, QUIET_RATE)
+        self.assertFalse(self.flooded())
+
+    def test_disturbed_service_is_not_flooded(self) -> None:
+        self.pass_time(10, QUIET_RATE)
+        self.pass_time(30, QUIET_RATE // 5)
+        self.assertFalse(self.flooded())
+        self.pass_time(30, QUIET_RATE)
+        self.assertFalse(self.flooded())
