--- a/bamboorouter/coordination/policies/task_order.py
+++ b/bamboorouter/coordination/policies/task_order.py
@@ -84,7 +84,7 @@
         shares: Mapping[str, int],
     ) -> RowQueue:
         """Returns a queue."""
-        return _FairQueue(rows, used, shares)
+        return _FairQueue(rows=rows, used=used, shares=shares)
 
 
 class SubmissionOrder:
@@ -97,13 +97,14 @@
         shares: Mapping[str, int],
     ) -> RowQueue:
         """Returns a queue."""
-        return _PlainQueue(rows, used, shares)
+        return _PlainQueue(rows=rows, used=used, shares=shares)
 
 
 class _PlainQueue:
 
     def __init__(
         self,
+        *,
         rows: Sequence[WaitingRow],
         used: Mapping[str, float],
         shares: Mapping[str, int],
@@ -132,6 +133,7 @@
 
     def __init__(
         self,
+        *,
         rows: Sequence[WaitingRow],
         used: Mapping[str, float],
         shares: Mapping[str, int],
