Give the log, the scheduling and the request path folders of their own

The modules move without changes into log/, scheduling/ and requests/. The operations page moves to docs/OPERATIONS.md, and split_address to options.py, which ends the import circle between daemon.py and roles/entry.py.

--- a/bamboorouter/coordination/consensus.py
+++ b/bamboorouter/coordination/log/consensus.py
@@ -22,12 +22,12 @@
 from typing import Final
 
 from bamboorouter import errors
-from bamboorouter.coordination import core_state
-from bamboorouter.coordination import following
-from bamboorouter.coordination import leading
-from bamboorouter.coordination import membership
-from bamboorouter.coordination import progress
-from bamboorouter.coordination import snapshot_transfer
+from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import following
+from bamboorouter.coordination.log import leading
+from bamboorouter.coordination.log import membership
+from bamboorouter.coordination.log import progress
+from bamboorouter.coordination.log import snapshot_transfer
 from bamboorouter.protocol import messages
 from bamboorouter.state import hard_state
 from bamboorouter.state import log_store
--- a/bamboorouter/coordination/core_state.py
+++ b/bamboorouter/coordination/log/core_state.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from bamboorouter.coordination import membership
+from bamboorouter.coordination.log import membership
 from bamboorouter.protocol import messages
 from bamboorouter.state import hard_state
 from bamboorouter.state import log_store
--- a/bamboorouter/coordination/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -16,10 +16,10 @@
 
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination import consensus
-from bamboorouter.coordination import core_state
-from bamboorouter.coordination import leading
-from bamboorouter.coordination import membership
+from bamboorouter.coordination.log import consensus
+from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import leading
+from bamboorouter.coordination.log import membership
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership as members_protocol
 from bamboorouter.protocol import messages
--- a/bamboorouter/coordination/following.py
+++ b/bamboorouter/coordination/log/following.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from bamboorouter import errors
-from bamboorouter.coordination import core_state
+from bamboorouter.coordination.log import core_state
 from bamboorouter.protocol import messages
 
 # Enough to tell a diverged log apart; the whole hash would double a heartbeat.
--- a/bamboorouter/coordination/leadership.py
+++ b/bamboorouter/coordination/log/leadership.py
@@ -5,7 +5,7 @@
 
 from bamboorouter import events
 from bamboorouter import metrics
-from bamboorouter.coordination import replicated_log
+from bamboorouter.coordination.log import replicated_log
 
 
 class LeadershipFeed:
--- a/bamboorouter/coordination/leading.py
+++ b/bamboorouter/coordination/log/leading.py
@@ -7,10 +7,10 @@
 
 from typing import Final
 
-from bamboorouter.coordination import core_state
-from bamboorouter.coordination import following
-from bamboorouter.coordination import progress
-from bamboorouter.coordination import snapshot_transfer
+from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import following
+from bamboorouter.coordination.log import progress
+from bamboorouter.coordination.log import snapshot_transfer
 from bamboorouter.protocol import messages
 from bamboorouter.state import records
 from bamboorouter.state import snapshot_store
--- a/bamboorouter/coordination/member_changes.py
+++ b/bamboorouter/coordination/log/member_changes.py
@@ -9,8 +9,8 @@
 
 from bamboorouter import error_texts
 from bamboorouter import errors
-from bamboorouter.coordination import leading
-from bamboorouter.coordination import membership
+from bamboorouter.coordination.log import leading
+from bamboorouter.coordination.log import membership
 from bamboorouter.protocol import membership as members_protocol
 
 # An entry is one flush; more than one missing means it is still catching up.
--- a/bamboorouter/coordination/peers.py
+++ b/bamboorouter/coordination/log/peers.py
@@ -15,7 +15,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination import core_state
+from bamboorouter.coordination.log import core_state
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
--- a/bamboorouter/coordination/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -23,16 +23,16 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter import options
-from bamboorouter.coordination import consensus
-from bamboorouter.coordination import core_state
-from bamboorouter.coordination import engine as replica_engine
-from bamboorouter.coordination import formation
-from bamboorouter.coordination import leadership
-from bamboorouter.coordination import leading
-from bamboorouter.coordination import member_changes
-from bamboorouter.coordination import peers
-from bamboorouter.coordination import proposals
-from bamboorouter.coordination import replicated_log
+from bamboorouter.coordination.log import consensus
+from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import engine as replica_engine
+from bamboorouter.coordination.log import formation
+from bamboorouter.coordination.log import leadership
+from bamboorouter.coordination.log import leading
+from bamboorouter.coordination.log import member_changes
+from bamboorouter.coordination.log import peers
+from bamboorouter.coordination.log import proposals
+from bamboorouter.coordination.log import replicated_log
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
--- a/bamboorouter/coordination/snapshot_transfer.py
+++ b/bamboorouter/coordination/log/snapshot_transfer.py
@@ -8,8 +8,8 @@
 import dataclasses
 from typing import Final
 
-from bamboorouter.coordination import core_state
-from bamboorouter.coordination import progress
+from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import progress
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
 from bamboorouter.state import records
--- a/bamboorouter/coordination/agent_links.py
+++ b/bamboorouter/coordination/requests/agent_links.py
@@ -15,7 +15,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination import route_table
+from bamboorouter.coordination.requests import route_table
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
--- a/bamboorouter/coordination/request_dispatch.py
+++ b/bamboorouter/coordination/requests/request_dispatch.py
@@ -15,14 +15,14 @@
 from bamboorouter import error_texts
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination import admission_queue
-from bamboorouter.coordination import agent_links
-from bamboorouter.coordination import caller_requests
-from bamboorouter.coordination import reservations
-from bamboorouter.coordination import retry_budget
-from bamboorouter.coordination import route_table
 from bamboorouter.coordination.policies import concurrency
 from bamboorouter.coordination.policies import routing
+from bamboorouter.coordination.requests import admission_queue
+from bamboorouter.coordination.requests import agent_links
+from bamboorouter.coordination.requests import caller_requests
+from bamboorouter.coordination.requests import reservations
+from bamboorouter.coordination.requests import retry_budget
+from bamboorouter.coordination.requests import route_table
 from bamboorouter.protocol import messages
 
 RESERVATION_PAUSE_MS: Final = 100
--- a/bamboorouter/coordination/request_records.py
+++ b/bamboorouter/coordination/requests/request_records.py
@@ -15,7 +15,7 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
-from bamboorouter.coordination import caller_requests
+from bamboorouter.coordination.requests import caller_requests
 from bamboorouter.protocol import messages
 
 DELIVERY_PERIOD_MS: Final = 1_000
--- a/bamboorouter/coordination/reservations.py
+++ b/bamboorouter/coordination/requests/reservations.py
@@ -14,8 +14,8 @@
 from bamboorouter import error_texts
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination import caller_requests
-from bamboorouter.coordination import request_records
+from bamboorouter.coordination.requests import caller_requests
+from bamboorouter.coordination.requests import request_records
 from bamboorouter.protocol import messages
 
 KEPT_BODY_BYTES: Final = 4_096
--- a/bamboorouter/coordination/assignment_planner.py
+++ b/bamboorouter/coordination/scheduling/assignment_planner.py
@@ -15,11 +15,11 @@
 from typing import Final
 
 from bamboorouter import clock
-from bamboorouter.coordination import measurements
-from bamboorouter.coordination import worker_registry
 from bamboorouter.coordination.policies import placement
 from bamboorouter.coordination.policies import sizes
 from bamboorouter.coordination.policies import task_order
+from bamboorouter.coordination.scheduling import measurements
+from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.state import assignments
--- a/bamboorouter/coordination/faults.py
+++ b/bamboorouter/coordination/scheduling/faults.py
@@ -10,9 +10,9 @@
 
 from bamboorouter import clock
 from bamboorouter import error_texts
-from bamboorouter.coordination import assignment_planner
-from bamboorouter.coordination import leases
 from bamboorouter.coordination.policies import blame
+from bamboorouter.coordination.scheduling import assignment_planner
+from bamboorouter.coordination.scheduling import leases
 from bamboorouter.protocol import commands
 from bamboorouter.state import assignments
 from bamboorouter.state import machine
--- a/bamboorouter/coordination/heartbeats.py
+++ b/bamboorouter/coordination/scheduling/heartbeats.py
@@ -21,8 +21,8 @@
 from typing import Literal
 
 from bamboorouter import clock
-from bamboorouter.coordination import leases
-from bamboorouter.coordination import worker_registry
+from bamboorouter.coordination.scheduling import leases
+from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
--- a/bamboorouter/coordination/leader_handler.py
+++ b/bamboorouter/coordination/scheduling/leader_handler.py
@@ -15,10 +15,10 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
-from bamboorouter.coordination import operations
-from bamboorouter.coordination import replicated_log
-from bamboorouter.coordination import route_publisher
-from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.log import replicated_log
+from bamboorouter.coordination.scheduling import operations
+from bamboorouter.coordination.scheduling import route_publisher
+from bamboorouter.coordination.scheduling import scheduler
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
--- a/bamboorouter/coordination/measurements.py
+++ b/bamboorouter/coordination/scheduling/measurements.py
@@ -11,11 +11,11 @@
 from typing import Final
 
 from bamboorouter import clock
-from bamboorouter.coordination import heartbeats
-from bamboorouter.coordination import request_rates
 from bamboorouter.coordination.policies import eviction
 from bamboorouter.coordination.policies import interference
 from bamboorouter.coordination.policies import sizes
+from bamboorouter.coordination.scheduling import heartbeats
+from bamboorouter.coordination.scheduling import request_rates
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 from bamboorouter.state import machine
--- a/bamboorouter/coordination/moves.py
+++ b/bamboorouter/coordination/scheduling/moves.py
@@ -9,8 +9,8 @@
 
 from typing import Final
 
-from bamboorouter.coordination import leases
-from bamboorouter.coordination import worker_registry
+from bamboorouter.coordination.scheduling import leases
+from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import commands
 from bamboorouter.state import assignments
 from bamboorouter.state import machine
--- a/bamboorouter/coordination/operations.py
+++ b/bamboorouter/coordination/scheduling/operations.py
@@ -15,9 +15,9 @@
 from bamboorouter import clock
 from bamboorouter import error_texts
 from bamboorouter import events
-from bamboorouter.coordination import replicated_log
-from bamboorouter.coordination import route_publisher
-from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.log import replicated_log
+from bamboorouter.coordination.scheduling import route_publisher
+from bamboorouter.coordination.scheduling import scheduler
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import sheet
--- a/bamboorouter/coordination/pressure.py
+++ b/bamboorouter/coordination/scheduling/pressure.py
@@ -9,12 +9,12 @@
 from typing import Final
 
 from bamboorouter import clock
-from bamboorouter.coordination import assignment_planner
-from bamboorouter.coordination import heartbeats
-from bamboorouter.coordination import leases
-from bamboorouter.coordination import measurements
 from bamboorouter.coordination.policies import eviction
 from bamboorouter.coordination.policies import placement
+from bamboorouter.coordination.scheduling import assignment_planner
+from bamboorouter.coordination.scheduling import heartbeats
+from bamboorouter.coordination.scheduling import leases
+from bamboorouter.coordination.scheduling import measurements
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.state import assignments
--- a/bamboorouter/coordination/route_publisher.py
+++ b/bamboorouter/coordination/scheduling/route_publisher.py
@@ -17,8 +17,8 @@
 import msgspec
 
 from bamboorouter import clock
-from bamboorouter.coordination import heartbeats
-from bamboorouter.coordination import worker_registry
+from bamboorouter.coordination.scheduling import heartbeats
+from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 from bamboorouter.state import machine
--- a/bamboorouter/coordination/scheduler.py
+++ b/bamboorouter/coordination/scheduling/scheduler.py
@@ -17,17 +17,17 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import metrics
-from bamboorouter.coordination import assignment_planner
-from bamboorouter.coordination import faults
-from bamboorouter.coordination import heartbeats
-from bamboorouter.coordination import leases
-from bamboorouter.coordination import measurements
-from bamboorouter.coordination import moves
-from bamboorouter.coordination import pressure
-from bamboorouter.coordination import replicated_log
-from bamboorouter.coordination import worker_registry
+from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import bundle
 from bamboorouter.coordination.policies import eviction
+from bamboorouter.coordination.scheduling import assignment_planner
+from bamboorouter.coordination.scheduling import faults
+from bamboorouter.coordination.scheduling import heartbeats
+from bamboorouter.coordination.scheduling import leases
+from bamboorouter.coordination.scheduling import measurements
+from bamboorouter.coordination.scheduling import moves
+from bamboorouter.coordination.scheduling import pressure
+from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import messages
 
--- a/bamboorouter/daemon.py
+++ b/bamboorouter/daemon.py
@@ -80,7 +80,7 @@
             self.roles[name] = make_role(name, self.settings)
         for role in self.roles.values():
             await role.start()
-        host, port = split_address(process.health)
+        host, port = options.split_address(process.health)
         self._health = await link.serve_links(
             host=host, port=port, handler=link.no_requests, pages=self._page
         )
@@ -164,12 +164,6 @@
     raise errors.OptionsError(text=f"unknown role {name!r}", step="start")
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits "IP:port"."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _write_atomically(path: str, text: str) -> None:
     target = pathlib.Path(path)
     temporary = target.with_name(target.name + ".new")
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -168,6 +168,12 @@
                 raise ValueError(f"role {role!r} needs a section [{role}]")
 
 
+def split_address(address: str) -> tuple[str, int]:
+    """Splits "IP:port"."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def load_options(path: str) -> Options:
     """Reads and validates a settings file.
 
--- a/bamboorouter/roles/agent.py
+++ b/bamboorouter/roles/agent.py
@@ -18,8 +18,8 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter import options
-from bamboorouter.coordination import control_client
-from bamboorouter.coordination import heartbeat_phase
+from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.requests import heartbeat_phase
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 from bamboorouter.roles import agent_local
--- a/bamboorouter/roles/agent_requests.py
+++ b/bamboorouter/roles/agent_requests.py
@@ -26,7 +26,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import options
-from bamboorouter.coordination import priority_semaphore
+from bamboorouter.coordination.requests import priority_semaphore
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
--- a/bamboorouter/roles/agent_tasks.py
+++ b/bamboorouter/roles/agent_tasks.py
@@ -18,7 +18,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import options
-from bamboorouter.coordination import task_leases
+from bamboorouter.coordination.requests import task_leases
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 from bamboorouter.roles import worker_client
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -10,11 +10,11 @@
 
 from bamboorouter import clock
 from bamboorouter import options
-from bamboorouter.coordination import explanations
-from bamboorouter.coordination import leader_handler
-from bamboorouter.coordination import replica
-from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.policies import bundle
+from bamboorouter.coordination.scheduling import explanations
+from bamboorouter.coordination.scheduling import leader_handler
+from bamboorouter.coordination.scheduling import scheduler
 from bamboorouter.protocol import messages
 from bamboorouter.roles import control_group
 from bamboorouter.state import machine
--- a/bamboorouter/roles/control_group.py
+++ b/bamboorouter/roles/control_group.py
@@ -11,7 +11,7 @@
 from bamboorouter import error_texts
 from bamboorouter import errors
 from bamboorouter import metrics
-from bamboorouter.coordination import replica
+from bamboorouter.coordination.log import replica
 from bamboorouter.state import account
 from bamboorouter.state import machine
 
--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -13,19 +13,18 @@
 from aiohttp import web
 
 from bamboorouter import clock
-from bamboorouter import daemon
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import options
-from bamboorouter.coordination import admission_queue
-from bamboorouter.coordination import agent_links
-from bamboorouter.coordination import control_client
-from bamboorouter.coordination import request_dispatch
-from bamboorouter.coordination import request_records
-from bamboorouter.coordination import reservations
-from bamboorouter.coordination import retry_budget
-from bamboorouter.coordination import route_table
 from bamboorouter.coordination.policies import entry_bundle
+from bamboorouter.coordination.requests import admission_queue
+from bamboorouter.coordination.requests import agent_links
+from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.requests import request_dispatch
+from bamboorouter.coordination.requests import request_records
+from bamboorouter.coordination.requests import reservations
+from bamboorouter.coordination.requests import retry_budget
+from bamboorouter.coordination.requests import route_table
 from bamboorouter.protocol import messages
 from bamboorouter.roles import entry_http
 from bamboorouter.roles import operator_api
@@ -103,7 +102,7 @@
 
     async def start(self) -> None:
         """Binds all addresses and starts work."""
-        host, port = daemon.split_address(self.settings.listen)
+        host, port = options.split_address(self.settings.listen)
         bound = await self.server.start(host, port)
         self.addresses["entry.listen"] = f"{host}:{bound}"
         await self._serve_operators()
@@ -166,7 +165,7 @@
             access_log=None,
         )
         await self._operators.setup()
-        host, port = daemon.split_address(self.settings.operator)
+        host, port = options.split_address(self.settings.operator)
         site = web.TCPSite(self._operators, host, port)
         await site.start()
         bound = self._operators.addresses[0][1]
--- a/bamboorouter/roles/entry_http.py
+++ b/bamboorouter/roles/entry_http.py
@@ -23,9 +23,9 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter import options
-from bamboorouter.coordination import caller_requests
-from bamboorouter.coordination import reservations
-from bamboorouter.coordination import route_table
+from bamboorouter.coordination.requests import caller_requests
+from bamboorouter.coordination.requests import reservations
+from bamboorouter.coordination.requests import route_table
 from bamboorouter.protocol import common
 
 DEADLINE_HEADER: Final = "Bamboorouter-Deadline-Ms"
--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -16,8 +16,8 @@
 from bamboorouter import error_texts
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination import control_client
-from bamboorouter.coordination import explanations
+from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.scheduling import explanations
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import operator_http
 
--- a/devtools/bench_capacity.py
+++ b/devtools/bench_capacity.py
@@ -23,7 +23,7 @@
 import psutil
 
 from bamboorouter import clock
-from bamboorouter.coordination import control_client
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import messages
 from bamboorouter.state import machine
--- a/devtools/bench_log.py
+++ b/devtools/bench_log.py
@@ -21,7 +21,7 @@
 from typing import Any
 from typing import Final
 
-from bamboorouter.coordination import replica
+from bamboorouter.coordination.log import replica
 
 LOAD_S: Final = 8.0
 PACED_S: Final = 20.0
--- a/devtools/bench_path.py
+++ b/devtools/bench_path.py
@@ -21,7 +21,7 @@
 import psutil
 
 from bamboorouter import clock
-from bamboorouter.coordination import control_client
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
 from devtools import http_load
 from devtools import site
--- a/devtools/log_replica.py
+++ b/devtools/log_replica.py
@@ -24,7 +24,7 @@
 from bamboorouter import errors
 from bamboorouter import metrics
 from bamboorouter import options
-from bamboorouter.coordination import replica
+from bamboorouter.coordination.log import replica
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.state import machine
--- a/devtools/swarm.py
+++ b/devtools/swarm.py
@@ -19,8 +19,8 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
-from bamboorouter.coordination import control_client
-from bamboorouter.coordination import heartbeat_phase
+from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.requests import heartbeat_phase
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 
--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -20,10 +20,10 @@
 import random
 
 from bamboorouter import errors
-from bamboorouter.coordination import core_state
-from bamboorouter.coordination import engine
-from bamboorouter.coordination import leading
-from bamboorouter.coordination import member_changes
+from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import engine
+from bamboorouter.coordination.log import leading
+from bamboorouter.coordination.log import member_changes
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -9,8 +9,8 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
-from bamboorouter.coordination import replicated_log
-from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.log import replicated_log
+from bamboorouter.coordination.scheduling import scheduler
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from bamboorouter import clock
-from bamboorouter.coordination import control_client
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
 from bamboorouter.roles import operator_api
 from bamboorouter.transport import link
--- a/tests/replica_site.py
+++ b/tests/replica_site.py
@@ -7,8 +7,8 @@
 
 from bamboorouter import clock
 from bamboorouter import options
-from bamboorouter.coordination import engine
-from bamboorouter.coordination import replica
+from bamboorouter.coordination.log import engine
+from bamboorouter.coordination.log import replica
 from bamboorouter.transport import files
 from bamboorouter.transport import link
 from tests import list_machine
--- a/tests/site_case.py
+++ b/tests/site_case.py
@@ -8,7 +8,7 @@
 import uuid
 
 from bamboorouter import clock
-from bamboorouter.coordination import control_client
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import operator_http
 from devtools import journal
--- a/tests/test_agent_tasks.py
+++ b/tests/test_agent_tasks.py
@@ -15,7 +15,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import options
-from bamboorouter.coordination import task_leases
+from bamboorouter.coordination.requests import task_leases
 from bamboorouter.roles import agent
 from bamboorouter.roles import worker_client
 from devtools import journal
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -3,9 +3,9 @@
 import random
 import unittest
 
-from bamboorouter.coordination import consensus
-from bamboorouter.coordination import core_state
-from bamboorouter.coordination import membership
+from bamboorouter.coordination.log import consensus
+from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import membership
 from bamboorouter.protocol import membership as members_protocol
 from bamboorouter.protocol import messages
 from bamboorouter.state import hard_state
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bamboorouter import clock
-from bamboorouter.coordination import control_client
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
--- a/tests/test_control_role.py
+++ b/tests/test_control_role.py
@@ -14,7 +14,7 @@
 from bamboorouter import clock
 from bamboorouter import error_texts
 from bamboorouter import options
-from bamboorouter.coordination import control_client
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 from bamboorouter.roles import control
--- a/tests/test_heartbeat_phase.py
+++ b/tests/test_heartbeat_phase.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bamboorouter.coordination import heartbeat_phase
+from bamboorouter.coordination.requests import heartbeat_phase
 
 PERIOD_MS = 1000
 
--- a/tests/test_leader_faults.py
+++ b/tests/test_leader_faults.py
@@ -14,7 +14,7 @@
 from absl import logging as absl_logging
 
 from bamboorouter import clock
-from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.scheduling import scheduler
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -17,10 +17,11 @@
 from devtools import site
 from tests import test_docs
 
-PAGE = test_docs.ROOT / "docs" / "operations.md"
+PAGE = test_docs.ROOT / "docs" / "OPERATIONS.md"
 COMMAND = re.compile(r"^ *(bamboorouter .*)$", re.MULTILINE)
 COMMAND_TIMEOUT_S = 60
 RETRY_S = 20
+UNDECIDED = "has been decided"
 VMS = 3
 SHAPE = site.SiteShape(vms=site.GUILD.vms[:VMS])
 SAMPLE = re.compile(
@@ -41,7 +42,7 @@
 
 
 class OperationsPageTest(unittest.IsolatedAsyncioTestCase):
-    """Follows docs/operations.md from the first day to the account."""
+    """Follows docs/OPERATIONS.md from the first day to the account."""
 
     async def asyncSetUp(self) -> None:
         self.site = site.Site(shape=SHAPE)
@@ -76,11 +77,16 @@
         return process.returncode or 0, output.decode()
 
     async def run_until_done(self, line: str) -> str:
-        """Runs a command, again if it is refused for the moment."""
+        """Runs a command, again while it is refused or its subject undecided.
+
+        The leader decides on a job some time after it was submitted, so the
+        order of two tasks can be asked for before there is one.
+        """
         deadline = time.monotonic() + RETRY_S
         while True:
             code, output = await self.run_line(line)
-            if code == 0 or time.monotonic() > deadline:
+            decided = UNDECIDED not in output
+            if (code == 0 and decided) or time.monotonic() > deadline:
                 self.assertEqual(code, 0, f"{line}\n{output}")
                 return output
             await asyncio.sleep(0.5)
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -12,7 +12,7 @@
 
 from bamboorouter.cli import application
 from bamboorouter.cli import exit_codes
-from bamboorouter.coordination import explanations
+from bamboorouter.coordination.scheduling import explanations
 from bamboorouter.protocol import messages
 from tests import operator_fakes
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from bamboorouter import errors
-from bamboorouter.coordination import engine
+from bamboorouter.coordination.log import engine
 from tests import list_machine
 from tests import memory_folder
 from tests import replica_site
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from bamboorouter.coordination import agent_links
+from bamboorouter.coordination.requests import agent_links
 from tests import request_site
 
 
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -6,13 +6,13 @@
 import unittest
 
 from bamboorouter import clock
-from bamboorouter.coordination import admission_queue
-from bamboorouter.coordination import priority_semaphore
-from bamboorouter.coordination import retry_budget
 from bamboorouter.coordination.policies import admission
 from bamboorouter.coordination.policies import concurrency
 from bamboorouter.coordination.policies import fairness
 from bamboorouter.coordination.policies import routing
+from bamboorouter.coordination.requests import admission_queue
+from bamboorouter.coordination.requests import priority_semaphore
+from bamboorouter.coordination.requests import retry_budget
 from bamboorouter.protocol import common
 from tests import request_site
 
--- a/tests/test_request_rates.py
+++ b/tests/test_request_rates.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bamboorouter import clock
-from bamboorouter.coordination import request_rates
+from bamboorouter.coordination.scheduling import request_rates
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 
--- a/tests/test_request_shutdown.py
+++ b/tests/test_request_shutdown.py
@@ -12,7 +12,7 @@
 import aiohttp
 from aiohttp import web
 
-from bamboorouter.coordination import caller_requests
+from bamboorouter.coordination.requests import caller_requests
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 from tests import request_site
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -4,8 +4,8 @@
 import unittest
 
 from bamboorouter import clock
-from bamboorouter.coordination import route_publisher
-from bamboorouter.coordination import worker_registry
+from bamboorouter.coordination.scheduling import route_publisher
+from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,7 @@
 import unittest
 
 from bamboorouter import clock
-from bamboorouter.coordination import scheduler
+from bamboorouter.coordination.scheduling import scheduler
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from tests import control_fakes as fakes
--- a/tests/test_task_leases.py
+++ b/tests/test_task_leases.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bamboorouter.coordination import task_leases
+from bamboorouter.coordination.requests import task_leases
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
 
