--- a/Makefile
+++ b/Makefile
@@ -19,10 +19,10 @@
 	$(BIN)/python -m devtools.demo
 
 lint: setup
-	$(BIN)/python -m pyink --quiet --check bamboorouter devtools tests
+	$(BIN)/python -m pyink --quiet --check bamboorouter devtools platform tests
 	$(BIN)/python -m ruff check --quiet .
 	$(BIN)/python -m mypy --strict
 
 format: setup
 	$(BIN)/python -m ruff check --quiet --fix-only .
-	$(BIN)/python -m pyink --quiet bamboorouter devtools tests
+	$(BIN)/python -m pyink --quiet bamboorouter devtools platform tests
--- a/bamboorouter/clock.py
+++ b/bamboorouter/clock.py
@@ -1,9 +1,10 @@
 """Time in milliseconds.
 
 All durations and points in time inside the process are `Millis`. Leases,
-timeouts and queues use the monotonic clock, which keeps counting while the
-process is stopped. Wall time is used only for records that people read and
-for the retention of idempotency keys.
+timeouts and queues use a monotonic clock that also counts the time for which
+the process was stopped or the machine suspended: a lease that ended meanwhile
+must be seen to have ended. Wall time is used only for records that people
+read, for due times and for the retention of idempotency keys.
 """
 
 import time
@@ -33,8 +34,8 @@
     """Reads the clocks of the operating system."""
 
     def now(self) -> Millis:
-        """Returns CLOCK_MONOTONIC in ms."""
-        return Millis(time.monotonic_ns() // NS_PER_MS)
+        """Returns CLOCK_BOOTTIME in ms; CLOCK_MONOTONIC skips suspension."""
+        return Millis(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS)
 
     def wall(self) -> Millis:
         """Returns wall time in ms since the Unix epoch."""
--- /dev/null
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -0,0 +1,518 @@
+"""The leader's loop for jobs with steps: starts, stops and lost runs.
+
+A pass runs when something changed and at least every `TICK_MS`. It gives up
+runs whose worker's lease has ended, assigns ready tasks, commits the
+assignments in one command and only then pushes the orders. An order that is
+lost is found by comparing the next report of the agent with the state, and is
+sent again; both sides treat repeated orders as one.
+"""
+
+import asyncio
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import itertools
+from typing import Final
+
+import reactivex.abc
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import metrics
+from bamboorouter.coordination.jobs import ready_tasks
+from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.coordination.log import replicated_log
+from bamboorouter.coordination.policies import run_placement
+from bamboorouter.coordination.policies import worker_health
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
+from bamboorouter.state import stepped_jobs
+from bamboorouter.transport import link
+
+# Bounds the delay of what no event announces: leases and due times.
+TICK_MS: Final = 200
+# Changes that arrive together share one pass.
+PASS_PAUSE_MS: Final = 3
+PROPOSE_TIMEOUT_MS: Final = 700
+PUSH_TIMEOUT_MS: Final = 500
+# A stop order is repeated if the end isn't reported; a stop takes 0.9 s.
+REPEAT_STOP_MS: Final = 1000
+# Ended jobs can be asked for at least this long.
+KEEP_ENDED_MS: Final = 600_000
+# Keeps one command well below the size of a log entry.
+RUNS_AT_ONCE: Final = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stop:
+    """Names a run that was told to stop."""
+
+    task: jobs.TaskRef
+    attempt: int
+
+
+class JobDispatcher:
+    """Decides which task runs where, while this replica leads.
+
+    Attributes:
+        log: The replicated log.
+        clock: Source of time.
+        table: Workers by their reports.
+        health: Which workers fail what they start.
+        placement: Chooses workers for ready tasks.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: replicated_log.ReplicatedLog,
+        time: clock.Clock,
+        table: worker_table.WorkerTable,
+        placement: run_placement.RunPlacement | None = None,
+    ) -> None:
+        self.log = log
+        self.clock = time
+        self.table = table
+        self.health = worker_health.WorkerHealth()
+        self.placement = placement or run_placement.MostLeftover()
+        self._wake = asyncio.Event()
+        self._failed_on: dict[jobs.TaskRef, frozenset[str]] = {}
+        self._stopped_ms: dict[_Stop, int] = {}
+        self._ended_ms: dict[str, int] = {}
+        self._subscriptions: list[reactivex.abc.DisposableBase] = []
+        self._pushes: set[asyncio.Task[None]] = set()
+        self._loop: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begins to follow leadership and to decide."""
+        self._subscriptions = [
+            self.log.leadership.subscribe(self._lead),
+            self.log.applied.subscribe(lambda _: self._wake.set()),
+        ]
+        self._loop = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops deciding."""
+        for subscription in self._subscriptions:
+            subscription.dispose()
+        if self._loop is not None:
+            self._loop.cancel()
+            await asyncio.gather(self._loop, return_exceptions=True)
+
+    def wake(self) -> None:
+        """Has a pass run soon."""
+        self._wake.set()
+
+    def rooms(self, service: str) -> Iterable[common.Resources]:
+        """Returns what each live worker of a service has when empty."""
+        return (
+            worker.report.room
+            for worker in self.table.workers.values()
+            if worker.report.service == service
+        )
+
+    # --- Reports -------------------------------------------------------------
+
+    async def report(
+        self, report: job_messages.WorkerReport, source: link.Link
+    ) -> job_messages.WorkerReply:
+        """Takes a report of an agent.
+
+        Raises:
+            NotLeaderError: Nothing was decided.
+            UnknownResultError: The ends may be committed later.
+        """
+        state = self.log.machine.stepped
+        life = state.lives.get(report.worker)
+        current = (
+            life is not None
+            and life.session == report.session
+            and life.life == report.life
+        )
+        if not current or not self.table.note(report, source, self.clock.now()):
+            return self._reply(report, known=False)
+        await self._end(report.ends, report.worker, report.life)
+        return self._reply(report, known=True)
+
+    async def open_session(
+        self, message: job_messages.OpenWorkerSession
+    ) -> job_messages.WorkerSession:
+        """Begins a session with one life of a worker.
+
+        Raises:
+            NotLeaderError: Nothing was decided.
+            UnknownResultError: The session may begin later.
+        """
+        result = await self.log.propose(
+            job_commands.OpenSession(
+                worker=message.worker, life=message.life, room=message.room
+            ),
+            timeout_ms=PROPOSE_TIMEOUT_MS,
+        )
+        events.log(
+            events.SESSION_OPENED,
+            worker=message.worker,
+            life=message.life,
+            session=result.data["session"],
+            lost=result.data["lost"],
+            term=self.log.term(),
+        )
+        return job_messages.WorkerSession(number=result.data["session"])
+
+    def _reply(
+        self, report: job_messages.WorkerReport, *, known: bool
+    ) -> job_messages.WorkerReply:
+        orders = job_messages.RunOrders(term=self.log.term(), life=report.life)
+        if known:
+            orders = self._missing_orders(report)
+        return job_messages.WorkerReply(
+            known=known, lease_ms=worker_table.LEASE_MS, orders=orders
+        )
+
+    def _missing_orders(
+        self, report: job_messages.WorkerReport
+    ) -> job_messages.RunOrders:
+        """Compares a report with the state; returns what the agent lacks."""
+        state = self.log.machine.stepped
+        assigned = state.on_worker.get(report.worker, {})
+        held = {(run.task, run.attempt) for run in report.runs if run.ordered}
+        missing = [
+            (ref, task)
+            for ref, task in assigned.items()
+            if (ref, task.attempt) not in held and task.life == report.life
+        ]
+        surplus = [
+            run
+            for run in report.runs
+            if run.task not in assigned
+            or assigned[run.task].attempt != run.attempt
+        ]
+        return job_messages.RunOrders(
+            term=self.log.term(),
+            life=report.life,
+            starts=tuple(
+                self._start_order(ref)
+                for ref, _ in missing
+                if state.jobs[ref.job].active()
+            ),
+            stops=(
+                *(
+                    job_messages.StopOrder(task=ref, attempt=task.attempt)
+                    for ref, task in missing
+                    if not state.jobs[ref.job].active()
+                ),
+                *(
+                    job_messages.StopOrder(task=run.task, attempt=run.attempt)
+                    for run in surplus
+                ),
+            ),
+        )
+
+    # --- Loop ----------------------------------------------------------------
+
+    def _lead(self, leadership: replicated_log.Leadership) -> None:
+        if leadership.leads:
+            self.table.reset(self.clock.now())
+            self.health = worker_health.WorkerHealth()
+            self._failed_on.clear()
+            self._stopped_ms.clear()
+            self._ended_ms.clear()
+            self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(clock.seconds(TICK_MS)):
+                    await self._wake.wait()
+            await asyncio.sleep(clock.seconds(PASS_PAUSE_MS))
+            self._wake.clear()
+            if not self.log.lease_valid():
+                continue
+            try:
+                await self._pass()
+            except errors.RouterError as err:
+                events.log(
+                    events.JOB_DECISION_NOT_COMMITTED,
+                    error=str(err),
+                    term=self.log.term(),
+                )
+            except Exception as err:  # pylint: disable=broad-except
+                # A fault in one pass must not end all decisions.
+                events.log(events.DISPATCH_FAILED, error=repr(err))
+
+    async def _pass(self) -> None:
+        await self._expire_leases()
+        await self._start_ready()
+        self._stop_unwanted()
+        await self._forget_ended()
+
+    async def _expire_leases(self) -> None:
+        state = self.log.machine.stepped
+        now = self.clock.now()
+        for worker, tasks in list(state.on_worker.items()):
+            if not tasks or now < self.table.lease_end_ms(worker):
+                continue
+            ends = [
+                jobs.RunEnd(task=ref, attempt=task.attempt, how="lost")
+                for ref, task in tasks.items()
+            ]
+            events.log(
+                events.LEASES_EXPIRED,
+                worker=worker,
+                runs=len(ends),
+                lease_end_ms=self.table.lease_end_ms(worker),
+                now_ms=now,
+                term=self.log.term(),
+            )
+            await self._propose(job_commands.EndRuns(ends=tuple(ends)))
+
+    async def _start_ready(self) -> None:
+        state = self.log.machine.stepped
+        ready = ready_tasks.ready_tasks(
+            state, wall_ms=self.clock.wall(), failed_on=self._failed_on
+        )
+        if not ready:
+            return
+        placements = self.placement.place(ready, self._worker_rooms())
+        runs = tuple(
+            jobs.RunStart(
+                task=placement.task.ref,
+                worker=placement.worker.name,
+                life=placement.worker.life,
+                attempt=placement.task.attempt,
+                waiting=len(ready),
+            )
+            for placement in placements[:RUNS_AT_ONCE]
+        )
+        if not runs:
+            return
+        result = await self._propose(job_commands.StartRuns(runs=runs))
+        refused = set(result.data["refused"])
+        started = [
+            run for number, run in enumerate(runs) if number not in refused
+        ]
+        for run in started:
+            events.log(
+                events.RUN_ASSIGNED,
+                task=str(run.task),
+                attempt=run.attempt,
+                worker=run.worker,
+                life=run.life,
+                waiting=run.waiting,
+                term=self.log.term(),
+            )
+        self._push_starts(started)
+
+    def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
+        by_worker = sorted(runs, key=lambda run: run.worker)
+        for name, group in itertools.groupby(
+            by_worker, key=lambda run: run.worker
+        ):
+            worker = self.table.workers.get(name)
+            if worker is not None:
+                self._push(
+                    worker.source,
+                    job_messages.RunOrders(
+                        term=self.log.term(),
+                        life=worker.report.life,
+                        starts=tuple(
+                            self._start_order(run.task) for run in group
+                        ),
+                    ),
+                )
+
+    def _start_order(self, ref: jobs.TaskRef) -> job_messages.StartOrder:
+        state = self.log.machine.stepped
+        job = state.jobs[ref.job]
+        task = job.tasks[ref.occurrence, ref.step][ref.index]
+        step = job.spec.steps[ref.step]
+        return job_messages.StartOrder(
+            task=ref,
+            attempt=task.attempt,
+            spec=job.spec.spec,
+            checkpoint=task.checkpoint,
+            fills=step.fills,
+            target_ms=step.target_ms,
+            need=step.need,
+        )
+
+    def _worker_rooms(self) -> list[run_placement.WorkerRoom]:
+        now = self.clock.now()
+        state = self.log.machine.stepped
+        rooms = []
+        for name, worker in self.table.workers.items():
+            report = worker.report
+            life = state.lives.get(name)
+            if life is None or life.life != report.life:
+                continue
+            if not worker.usable(now):
+                continue
+            room = run_placement.WorkerRoom(
+                name=name,
+                life=life.life,
+                service=report.service,
+                labels=frozenset(report.labels),
+                rack=report.rack,
+                millicores=life.room.millicores,
+                memory_mb=life.room.memory_mb,
+                accelerators=life.room.accelerators,
+                shunned=self.health.shunned(name, now),
+            )
+            for ref in state.on_worker.get(name, {}):
+                room.add(state.step(ref))
+            rooms.append(room)
+        return rooms
+
+    def _stop_unwanted(self) -> None:
+        """Orders stops of runs whose job ended or whose worker leaves."""
+        state = self.log.machine.stepped
+        now = self.clock.now()
+        wanted: dict[_Stop, int] = {}
+        for name, tasks in state.on_worker.items():
+            worker = self.table.workers.get(name)
+            if worker is None or not tasks:
+                continue
+            stops = [
+                _Stop(ref, task.attempt)
+                for ref, task in tasks.items()
+                if _to_stop(state, ref, draining=worker.report.draining)
+            ]
+            due = []
+            for stop in stops:
+                sent = self._stopped_ms.get(stop)
+                wanted[stop] = now if sent is None else sent
+                if sent is None or now - sent >= REPEAT_STOP_MS:
+                    wanted[stop] = now
+                    due.append(stop)
+            if due:
+                self._push_stops(worker, due)
+        self._stopped_ms = wanted
+
+    def _push_stops(
+        self, worker: worker_table.LiveWorker, stops: list[_Stop]
+    ) -> None:
+        for stop in stops:
+            events.log(
+                events.RUN_STOP_ORDERED,
+                task=str(stop.task),
+                attempt=stop.attempt,
+                worker=worker.report.worker,
+                draining=worker.report.draining,
+                term=self.log.term(),
+            )
+        self._push(
+            worker.source,
+            job_messages.RunOrders(
+                term=self.log.term(),
+                life=worker.report.life,
+                stops=tuple(
+                    job_messages.StopOrder(task=stop.task, attempt=stop.attempt)
+                    for stop in stops
+                ),
+            ),
+        )
+
+    async def _forget_ended(self) -> None:
+        state = self.log.machine.stepped
+        now = self.clock.now()
+        ended = {
+            job_id for job_id, job in state.jobs.items() if not job.active()
+        }
+        self._ended_ms = {
+            job_id: self._ended_ms.get(job_id, now) for job_id in ended
+        }
+        old = tuple(
+            job_id
+            for job_id, since in self._ended_ms.items()
+            if now - since > KEEP_ENDED_MS
+        )
+        if old:
+            await self._propose(job_commands.ForgetSteps(jobs=old))
+
+    # --- Ends ----------------------------------------------------------------
+
+    async def _end(
+        self, ends: tuple[jobs.RunEnd, ...], worker: str, life: str
+    ) -> None:
+        """Commits the ends that change something."""
+        state = self.log.machine.stepped
+        current = tuple(end for end in ends if _changes(state, end))
+        if not current:
+            return
+        await self._propose(job_commands.EndRuns(ends=current))
+        now = self.clock.now()
+        for end in current:
+            events.log(
+                events.RUN_ENDED,
+                task=str(end.task),
+                attempt=end.attempt,
+                how=end.how,
+                worker=worker,
+                life=life,
+                term=self.log.term(),
+            )
+            metrics.RUNS_ENDED.labels(end.how).inc()
+            self._note_health(end, worker, now)
+
+    def _note_health(self, end: jobs.RunEnd, worker: str, now: int) -> None:
+        if end.how not in ("done", "failed"):
+            return
+        failed = end.how == "failed"
+        if failed:
+            before = self._failed_on.get(end.task, frozenset())
+            self._failed_on[end.task] = before | {worker}
+        else:
+            self._failed_on.pop(end.task, None)
+        if self.health.ended(
+            worker=worker, job=end.task.job, failed=failed, now=now
+        ):
+            events.log(events.WORKER_SHUNNED, worker=worker)
+
+    async def _propose(self, command: commands.Command) -> commands.Result:
+        return await self.log.propose(command, timeout_ms=PROPOSE_TIMEOUT_MS)
+
+    def _push(self, source: link.Link, orders: job_messages.RunOrders) -> None:
+        task = asyncio.create_task(_push(source, orders))
+        self._pushes.add(task)
+        task.add_done_callback(self._pushes.discard)
+
+
+async def _push(source: link.Link, orders: job_messages.RunOrders) -> None:
+    try:
+        async with asyncio.timeout(clock.seconds(PUSH_TIMEOUT_MS)):
+            await source.push(orders)
+    except (errors.LinkClosedError, TimeoutError) as err:
+        # The agent's next report shows what is missing.
+        events.log(
+            events.ORDERS_NOT_SENT,
+            peer=source.peer,
+            starts=len(orders.starts),
+            stops=len(orders.stops),
+            error=repr(err),
+        )
+
+
+def _changes(state: stepped_jobs.SteppedJobs, end: jobs.RunEnd) -> bool:
+    task = state.task(end.task)
+    if task is None or task.attempt != end.attempt:
+        return False
+    late = task.status == "waiting" and end.how == "done"
+    return task.status == "assigned" or late
+
+
+def _to_stop(
+    state: stepped_jobs.SteppedJobs, ref: jobs.TaskRef, *, draining: bool
+) -> bool:
+    """Whether a run is to be stopped.
+
+    On a worker that leaves, tasks that last and those that save their progress
+    go on elsewhere; the others may finish in time.
+    """
+    if not state.jobs[ref.job].active():
+        return True
+    step = state.step(ref)
+    return draining and (step.lasting or step.checkpoints)
--- /dev/null
+++ b/bamboorouter/coordination/jobs/job_desk.py
@@ -0,0 +1,163 @@
+"""Answers callers and operators about jobs, on the leader.
+
+All answers come from the replicated state under a valid leader lease, so no
+answer is older than anything that was acknowledged, and a change of the
+configuration is in force for every caller once it is committed.
+"""
+
+from typing import Final
+
+from bamboorouter import events
+from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.log import replicated_log
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
+
+# Below the 800 ms after which a caller tries another replica.
+PROPOSE_TIMEOUT_MS: Final = 700
+# Versions start at 0.
+UNCONFIGURED: Final = -1
+
+
+class JobDesk:
+    """Takes, shows and cancels jobs, and keeps the configuration.
+
+    Attributes:
+        log: The replicated log.
+        admission: Decides whether a job is accepted.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: replicated_log.ReplicatedLog,
+        gate: admission.Admission,
+    ) -> None:
+        self.log = log
+        self.admission = gate
+
+    async def submit(
+        self, message: job_messages.SubmitSteps
+    ) -> job_messages.JobAnswer:
+        """Accepts a job, or tells why not."""
+        found = self._find(message.host, message.path)
+        if isinstance(found, job_messages.JobAnswer):
+            return found
+        queue, job_id = found
+        if not job_id:
+            return job_messages.JobAnswer(outcome="no_queue")
+        state = self.log.machine.stepped
+        if job_id not in state.jobs:
+            verdict = self.admission.judge(state, queue, message.spec)
+            if verdict is not None:
+                events.log(
+                    events.JOB_REFUSED,
+                    job=job_id,
+                    queue=queue.name,
+                    version=state.version(),
+                    reason=verdict.reason,
+                    retry_after_ms=verdict.retry_after_ms,
+                    term=self.log.term(),
+                )
+                return job_messages.JobAnswer(
+                    outcome="refused", retry_after_ms=verdict.retry_after_ms
+                )
+        result = await self._propose(
+            job_commands.AcceptSteps(
+                job=job_id, queue=queue.name, spec=message.spec
+            )
+        )
+        if not result.ok:
+            return job_messages.JobAnswer(outcome="no_queue")
+        events.log(
+            events.JOB_ACCEPTED,
+            job=job_id,
+            queue=queue.name,
+            version=state.version(),
+            new=result.data["new"],
+            tasks=sum(step.count for step in message.spec.steps),
+            term=self.log.term(),
+        )
+        return self._state_of(job_id)
+
+    def read(self, message: job_messages.ReadJob) -> job_messages.JobAnswer:
+        """Returns the state of a job or the length of a queue."""
+        found = self._find(message.host, message.path)
+        if isinstance(found, job_messages.JobAnswer):
+            return found
+        queue, job_id = found
+        if job_id:
+            return self._state_of(job_id)
+        waiting = self.log.machine.stepped.waiting_jobs(queue.name)
+        return job_messages.JobAnswer(outcome="ok", waiting=waiting)
+
+    async def cancel(
+        self, message: job_messages.CancelJobSteps
+    ) -> job_messages.JobAnswer:
+        """Cancels a job."""
+        found = self._find(message.host, message.path)
+        if isinstance(found, job_messages.JobAnswer):
+            return found
+        _, job_id = found
+        if job_id not in self.log.machine.stepped.jobs:
+            return job_messages.JobAnswer(outcome="no_job")
+        result = await self._propose(job_commands.CancelSteps(job=job_id))
+        events.log(
+            events.JOB_CANCELLED,
+            job=job_id,
+            state=result.data.get("state", ""),
+            term=self.log.term(),
+        )
+        return self._state_of(job_id)
+
+    async def configure(
+        self, message: job_messages.OfferConfiguration
+    ) -> job_messages.CurrentConfiguration:
+        """Puts a configuration in force unless a later one is."""
+        offered = message.configuration.version
+        if offered > self.log.machine.stepped.version():
+            await self._propose(
+                job_commands.PutConfiguration(
+                    configuration=message.configuration
+                )
+            )
+        answer = self.configuration(with_document=False)
+        events.log(
+            events.CONFIGURATION_OFFERED,
+            version=offered,
+            in_force=answer.version,
+            term=self.log.term(),
+        )
+        return answer
+
+    def configuration(
+        self, *, with_document: bool
+    ) -> job_messages.CurrentConfiguration:
+        """Returns what is in force."""
+        state = self.log.machine.stepped
+        document = b""
+        if with_document and state.configuration is not None:
+            document = state.configuration.document
+        return job_messages.CurrentConfiguration(
+            version=state.version(), document=document
+        )
+
+    async def _propose(self, command: commands.Command) -> commands.Result:
+        return await self.log.propose(command, timeout_ms=PROPOSE_TIMEOUT_MS)
+
+    def _find(
+        self, host: str, path: str
+    ) -> tuple[jobs.QueueSettings, str] | job_messages.JobAnswer:
+        configuration = self.log.machine.stepped.configuration
+        if configuration is None:
+            return job_messages.JobAnswer(outcome="unconfigured")
+        found = configuration.match(host, path)
+        return found or job_messages.JobAnswer(outcome="no_queue")
+
+    def _state_of(self, job_id: str) -> job_messages.JobAnswer:
+        job = self.log.machine.stepped.jobs.get(job_id)
+        if job is None:
+            return job_messages.JobAnswer(outcome="no_job")
+        return job_messages.JobAnswer(outcome="ok", state=job.state())
--- /dev/null
+++ b/bamboorouter/coordination/jobs/job_leader.py
@@ -0,0 +1,126 @@
+"""Answers all messages about jobs that only a leader may answer."""
+
+from typing import Final
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.jobs import dispatcher
+from bamboorouter.coordination.jobs import job_desk
+from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.coordination.log import replica
+from bamboorouter.coordination.log import self_repair
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import messages
+from bamboorouter.transport import link
+
+CALLS: Final = (
+    job_messages.SubmitSteps,
+    job_messages.ReadJob,
+    job_messages.CancelJobSteps,
+    job_messages.OfferConfiguration,
+    job_messages.ReadConfiguration,
+    job_messages.OpenWorkerSession,
+    job_messages.WorkerReport,
+    job_messages.JoinGroup,
+)
+
+
+class JobLeader:
+    """Jobs, workers and joining replicas, as the leader serves them.
+
+    Attributes:
+        replica: This process's replica of the log.
+        dispatcher: Decides which task runs where.
+        desk: Answers callers and operators.
+        repair: Takes replicas in and replaces lost ones.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: replica.Replica,
+        time: clock.Clock,
+        repair: self_repair.SelfRepair,
+    ) -> None:
+        self.replica = own
+        self.dispatcher = dispatcher.JobDispatcher(
+            log=own, time=time, table=worker_table.WorkerTable()
+        )
+        self.desk = job_desk.JobDesk(
+            log=own,
+            gate=admission.Admission(rooms=self.dispatcher.rooms),
+        )
+        self.repair = repair
+
+    def start(self) -> None:
+        """Begins to decide while this replica leads."""
+        self.dispatcher.start()
+
+    async def stop(self) -> None:
+        """Stops deciding."""
+        await self.dispatcher.stop()
+
+    async def handle(
+        self, message: messages.Message, source: link.Link
+    ) -> messages.Message | None:
+        """Answers one message; redirects callers unless it may decide."""
+        if not self.replica.lease_valid():
+            return self.redirect()
+        try:
+            return await self._answer(message, source)
+        except errors.NotLeaderError:
+            return self.redirect()
+        except errors.UnknownResultError:
+            # The caller sends it again; all calls are safe to resend.
+            return self.redirect()
+        except errors.RefusedError as err:
+            return messages.Refusal(code=err.code, text=err.text)
+
+    def redirect(self) -> messages.Redirect:
+        """Returns where the leader is, unless it is believed to be here."""
+        leader = self.replica.leader_address()
+        return messages.Redirect(
+            leader="" if leader == self.replica.address else leader,
+            replicas=self._addresses(),
+        )
+
+    def _addresses(self) -> tuple[str, ...]:
+        return tuple(member.address for member in self.replica.members())
+
+    async def _answer(
+        self, message: messages.Message, source: link.Link
+    ) -> messages.Message | None:
+        match message:
+            case job_messages.WorkerReport():
+                return await self.dispatcher.report(message, source)
+            case job_messages.SubmitSteps():
+                return await self.desk.submit(message)
+            case job_messages.ReadJob():
+                return self.desk.read(message)
+            case job_messages.CancelJobSteps():
+                return await self.desk.cancel(message)
+            case job_messages.OfferConfiguration():
+                return await self.desk.configure(message)
+            case job_messages.ReadConfiguration():
+                return self._configuration(message)
+            case job_messages.OpenWorkerSession():
+                return await self.dispatcher.open_session(message)
+            case job_messages.JoinGroup():
+                await self.repair.take_in(message)
+                return job_messages.JoinAnswer(replicas=self._addresses())
+        raise errors.ProtocolError(
+            text=f"unexpected {type(message).__name__}",
+            step="handle",
+            peer=source.peer,
+        )
+
+    def _configuration(
+        self, message: job_messages.ReadConfiguration
+    ) -> job_messages.CurrentConfiguration:
+        current = self.desk.configuration(with_document=message.with_document)
+        return job_messages.CurrentConfiguration(
+            version=current.version,
+            document=current.document,
+            replicas=self._addresses(),
+        )
--- /dev/null
+++ b/bamboorouter/coordination/jobs/ready_tasks.py
@@ -0,0 +1,119 @@
+"""Which tasks may start now, in the order in which they get room."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import functools
+import itertools
+
+from bamboorouter.coordination.policies import job_order
+from bamboorouter.coordination.policies import run_placement
+from bamboorouter.protocol import jobs
+from bamboorouter.state import stepped_jobs
+
+
+def ready_tasks(
+    state: stepped_jobs.SteppedJobs,
+    *,
+    wall_ms: int,
+    failed_on: dict[jobs.TaskRef, frozenset[str]],
+) -> list[run_placement.ReadyTask]:
+    """Returns all tasks whose turn has come, first in line first.
+
+    Args:
+        state: The jobs.
+        wall_ms: Wall time in ms, for due times and goals.
+        failed_on: Workers on which a task failed, by task.
+    """
+    waiting = [
+        (waiting_job(job), job) for job in state.jobs.values() if job.active()
+    ]
+    waiting.sort(key=lambda pair: job_order.order_key(pair[0], wall_ms))
+    return list(
+        itertools.chain.from_iterable(
+            _ready_of(job, wall_ms, failed_on) for _, job in waiting
+        )
+    )
+
+
+def waiting_job(job: stepped_jobs.Job) -> job_order.WaitingJob:
+    """Returns what the order of jobs depends on."""
+    steps = job.spec.steps
+    open_steps = frozenset(
+        number
+        for number in range(len(steps))
+        if not all(
+            task.status == "done"
+            for (_, step), row in job.tasks.items()
+            if step == number
+            for task in row
+        )
+    )
+    return job_order.WaitingJob(
+        sequence=job.sequence,
+        priority=job.queue.priority,
+        accepted_ms=job.accepted_ms,
+        chain_ms=chain_ms(steps, range(len(steps))),
+        left_ms=chain_ms(steps, open_steps),
+        slack=job.queue.slack,
+        target_ms=job.queue.target_ms,
+    )
+
+
+def chain_ms(steps: tuple[jobs.Step, ...], counted: Iterable[int]) -> int:
+    """Returns the declared time of the longest chain of counted steps."""
+    wanted = frozenset(counted)
+
+    @functools.cache
+    def end_ms(number: int) -> int:
+        own = steps[number].estimate_ms if number in wanted else 0
+        return own + max(map(end_ms, steps[number].after), default=0)
+
+    return max(map(end_ms, range(len(steps))), default=0)
+
+
+def _ready_of(
+    job: stepped_jobs.Job,
+    wall_ms: int,
+    failed_on: dict[jobs.TaskRef, frozenset[str]],
+) -> Iterator[run_placement.ReadyTask]:
+    for (occurrence, number), row in job.tasks.items():
+        if not any(task.status == "waiting" for task in row):
+            continue
+        if not _due(job.spec, occurrence, wall_ms) or not job.step_ready(
+            occurrence, number
+        ):
+            continue
+        yield from _ready_of_step(job, occurrence, number, failed_on)
+
+
+def _ready_of_step(
+    job: stepped_jobs.Job,
+    occurrence: int,
+    number: int,
+    failed_on: dict[jobs.TaskRef, frozenset[str]],
+) -> Iterator[run_placement.ReadyTask]:
+    row = job.tasks[occurrence, number]
+    step_on: dict[str, int] = {}
+    for task in row:
+        if task.status == "assigned":
+            step_on[task.worker] = step_on.get(task.worker, 0) + 1
+    for index, task in enumerate(row):
+        if task.status != "waiting":
+            continue
+        ref = jobs.TaskRef(
+            job=job.id, occurrence=occurrence, step=number, index=index
+        )
+        yield run_placement.ReadyTask(
+            ref=ref,
+            attempt=task.attempt + 1,
+            step=job.spec.steps[number],
+            service=job.queue.service,
+            failed_on=failed_on.get(ref, frozenset()),
+            step_on=step_on,
+        )
+
+
+def _due(spec: jobs.JobSpec, occurrence: int, wall_ms: int) -> bool:
+    if not spec.repeats:
+        return True
+    return wall_ms >= spec.first_ms + occurrence * spec.interval_ms
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -100,6 +100,7 @@
         limits: When snapshots are taken and old entries are removed.
         machine: State after all applied entries.
         engine: Core, storage and state machine; set by `start`.
+        address: Address that the other replicas dial; set by `start`.
         applied: Emits the index after each applied entry.
         leadership: Emits the current and each later leadership.
     """
@@ -148,6 +149,7 @@
         self._led_term = 0
         self._follows = asyncio.Event()
         self._stopped = False
+        self.address = ""
 
     # --- Start and stop ------------------------------------------------------
 
@@ -162,6 +164,7 @@
             OptionsError: `bootstrap` doesn't contain the address.
         """
         settings = self.settings
+        self.address = address
         bootstrap = settings.bootstrap
         if bootstrap and address not in bootstrap:
             raise errors.OptionsError(
@@ -246,6 +249,10 @@
         """Returns the current term."""
         return self._state().term
 
+    def formed(self) -> bool:
+        """Whether this replica knows of a group."""
+        return self.engine.formed()
+
     def leader_address(self) -> str:
         """Returns the address of the leader; empty if unknown."""
         return self._state().leader_address
--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -26,6 +26,7 @@
     Attributes:
         addresses: Addresses of the control replicas from the settings.
         clock: Source of time.
+        handler: Called for what the leader pushes.
         last_contact: Monotonic time in ms at which the last answered call to
             a leader was sent; None before the first.
     """
@@ -40,8 +41,9 @@
     ) -> None:
         self.addresses = addresses
         self.clock = time
+        self._learned: tuple[str, ...] = ()
         self.last_contact: clock.Millis | None = None
-        self._handler = handler
+        self.handler = handler
         self._attempt_timeout_ms = attempt_timeout_ms
         self._link: link.Link | None = None
         self._target = random.choice(addresses) if addresses else ""
@@ -88,6 +90,7 @@
             if not isinstance(reply, messages.Redirect):
                 self.last_contact = sent
                 return reply
+            self.learn(reply.replicas)
             await self._leave(current, reply.leader)
             if not reply.leader or reply.leader == current.peer:
                 await self._pause()
@@ -97,6 +100,11 @@
             peer=self._target,
         ) from last_error
 
+    def learn(self, replicas: tuple[str, ...]) -> None:
+        """Takes note of where replicas are; settings may name lost ones."""
+        if replicas:
+            self._learned = replicas
+
     def contact_age_ms(self) -> int | None:
         """Returns the time since the last contact with a leader, in ms."""
         if self.last_contact is None:
@@ -117,7 +125,7 @@
             try:
                 self._link = await link.open_link(
                     address=target,
-                    handler=self._handler,
+                    handler=self.handler,
                     timeout_ms=min(timeout_ms, self._attempt_timeout_ms),
                 )
             except errors.LinkClosedError:
@@ -142,7 +150,8 @@
         await asyncio.sleep(clock.seconds(int(pause_ms)))
 
     def _next_address(self) -> str:
-        if self._target not in self.addresses:
-            return random.choice(self.addresses)
-        position = self.addresses.index(self._target) + 1
-        return self.addresses[position % len(self.addresses)]
+        known = tuple(dict.fromkeys((*self.addresses, *self._learned)))
+        if self._target not in known:
+            return random.choice(known)
+        position = known.index(self._target) + 1
+        return known[position % len(known)]
--- /dev/null
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -0,0 +1,578 @@
+"""An agent's work for its worker: sessions, leases, orders and reports.
+
+One session binds the agent to one life of its worker. Its number, given by the
+leader, begins the fencing tokens, so that orders of an earlier agent process
+are void. Three loops run: one keeps a look at the worker open and so learns
+ends at once and extends the lease; one reports to the leader, whose answers
+extend what may be granted to the worker; one opens a new session when the
+worker's life changes.
+
+An order without an answer may be carried out seconds later. The agent then
+raises its token and looks again: the worker accepts nothing older any more, and
+its list is the truth.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import contextlib
+import dataclasses
+from typing import Any
+from typing import Final
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter.coordination.policies import pacing
+from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.workers import held_runs
+from bamboorouter.coordination.workers import run_lease
+from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import messages
+from bamboorouter.transport import link
+
+# The leader counts a worker as silent after 2.5 s.
+REPORT_PERIOD_MS: Final = 1000
+REPORT_TIMEOUT_MS: Final = 3000
+# Ends that arrive together share one report.
+REPORT_PAUSE_MS: Final = 3
+# A worker that answers nothing loses its runs after this lease; a look each
+# half second renews it with room for several lost answers.
+WORKER_LEASE_MS: Final = 4000
+LOOK_WAIT_MS: Final = 500
+LOOK_PAUSE_MS: Final = 100
+# A worker without an answered look for this long gets nothing new.
+REACHABLE_MS: Final = 1200
+SESSION_PAUSE_MS: Final = 100
+# One session's tokens; a session raises its token once for a lost answer.
+TOKENS_OF_SESSION: Final = 1 << 20
+START_ATTEMPTS: Final = 4
+RETRY_PAUSE_MS: Final = 50
+# An older announcement counts only once the newer life is silent this long.
+SILENT_LIFE_MS: Final = 5000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Session:
+    """One session with one life of the worker.
+
+    Attributes:
+        announcement: What the worker said about itself last.
+        number: Number of the session.
+        port: The way to the worker.
+        token: Fencing token of the next order.
+        lease: The lease of its runs.
+        pacer: Speed of its filling runs.
+        grant_end_ms: Until when runs may go on, on the agent's clock.
+        answered_ms: When a look was answered last.
+    """
+
+    announcement: worker_port.Announcement
+    number: int
+    port: worker_port.WorkerPort
+    token: int
+    lease: run_lease.RunLease
+    pacer: pacing.Pacer
+    grant_end_ms: int = 0
+    answered_ms: int = 0
+
+    def until(self, now: int) -> int | None:
+        """Returns the lease to give, on the worker's clock."""
+        return self.lease.until(min(self.grant_end_ms, now + WORKER_LEASE_MS))
+
+
+class AgentSession:
+    """Runs the sessions of one agent.
+
+    Attributes:
+        worker: Name of the worker; stays the same over its lives.
+        client: Calls the leader.
+        ports: Opens the way to the worker.
+        clock: Source of time.
+        held: Runs that it has orders for.
+        session: The current session; None without one.
+    """
+
+    def __init__(
+        self,
+        *,
+        worker: str,
+        client: control_client.ControlClient,
+        ports: worker_port.WorkerPorts,
+        time: clock.Clock,
+    ) -> None:
+        self.worker = worker
+        self.client = client
+        self.ports = ports
+        self.clock = time
+        self.held = held_runs.HeldRuns()
+        self.session: Session | None = None
+        self._announced: worker_port.Announcement | None = None
+        self._changed = asyncio.Event()
+        self._report_due = asyncio.Event()
+        self._sequence = 0
+        self._term = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._runner: asyncio.Task[None] | None = None
+
+    # --- Interface -----------------------------------------------------------
+
+    def start(self) -> None:
+        """Begins to wait for the worker's announcements."""
+        self._runner = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops; runs go on until their lease ends or another process comes."""
+        tasks = [*self._tasks, *([self._runner] if self._runner else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self.session is not None:
+            await self.session.port.close()
+
+    def announce(self, announcement: worker_port.Announcement) -> None:
+        """Takes an announcement of the worker."""
+        known = self._announced
+        if known is not None and not self._is_newer(announcement, known):
+            return
+        self._announced = announcement
+        if known is None or known.life != announcement.life:
+            events.log(
+                events.WORKER_LIFE_CHANGED,
+                worker=self.worker,
+                life=announcement.life,
+                before=known.life if known else "",
+            )
+            self._changed.set()
+            return
+        if self.session is not None:
+            self.session.announcement = announcement
+        if known.draining != announcement.draining:
+            events.log(
+                events.WORKER_DRAINING,
+                worker=self.worker,
+                life=announcement.life,
+                draining=announcement.draining,
+            )
+            self._report_due.set()
+
+    def leave(self, worker_id: str) -> None:
+        """Takes note that a life of the worker has ended."""
+        if self._announced is None or self._announced.id != worker_id:
+            return
+        events.log(
+            events.WORKER_LEFT, worker=self.worker, life=self._announced.life
+        )
+        self._announced = None
+        self._changed.set()
+
+    async def take_orders(
+        self, message: messages.Message, source: link.Link
+    ) -> messages.Message | None:
+        """Takes what the leader pushes on the link of the client."""
+        if not isinstance(message, job_messages.RunOrders):
+            return await link.no_requests(message, source)
+        self._carry_out(message)
+        return None
+
+    def _is_newer(
+        self,
+        announcement: worker_port.Announcement,
+        known: worker_port.Announcement,
+    ) -> bool:
+        if announcement.life == known.life:
+            return announcement.sequence >= known.sequence
+        if announcement.born_ms > known.born_ms:
+            return True
+        # Its clock may have been set back in between.
+        session = self.session
+        return (
+            session is None
+            or self.clock.now() - session.answered_ms > SILENT_LIFE_MS
+        )
+
+    # --- Sessions ------------------------------------------------------------
+
+    async def _run(self) -> None:
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            announcement = self._announced
+            if announcement is None:
+                await self._report_loss()
+                continue
+            session = await self._open(announcement)
+            if session is None:
+                self._changed.set()
+                await asyncio.sleep(clock.seconds(SESSION_PAUSE_MS))
+                continue
+            await self._serve(session)
+
+    async def _report_loss(self) -> None:
+        """Tells the leader that the worker's runs ended with its life."""
+        session = self.session
+        lost = self.held.end_all("lost")
+        if session is None or not (lost or self.held.ends):
+            return
+        try:
+            await self._report_once(session)
+        except errors.RouterError as err:
+            events.log(events.REPORT_FAILED, worker=self.worker, error=str(err))
+
+    async def _open(
+        self, announcement: worker_port.Announcement
+    ) -> Session | None:
+        """Opens a session with the announced life; None if it failed."""
+        lease = run_lease.RunLease()
+        if self.session is not None:
+            await self.session.port.close()
+            if self.session.announcement.life == announcement.life:
+                lease = self.session.lease
+            else:
+                self.held.end_all("lost")
+        try:
+            reply = await self.client.call(
+                job_messages.OpenWorkerSession(
+                    worker=self.worker,
+                    life=announcement.life,
+                    room=announcement.room,
+                ),
+                timeout_ms=REPORT_TIMEOUT_MS,
+            )
+        except errors.RouterError as err:
+            events.log(
+                events.SESSION_FAILED, worker=self.worker, error=str(err)
+            )
+            return None
+        if not isinstance(reply, job_messages.WorkerSession):
+            events.log(
+                events.SESSION_FAILED, worker=self.worker, error=repr(reply)
+            )
+            return None
+        self.held.begin_life()
+        self.session = None
+        return Session(
+            announcement=self._announced or announcement,
+            number=reply.number,
+            port=self.ports.open(announcement),
+            token=reply.number * TOKENS_OF_SESSION,
+            lease=lease,
+            pacer=pacing.Pacer(),
+        )
+
+    async def _serve(self, session: Session) -> None:
+        """Runs a session until the worker's life or the session changes."""
+        self.session = session
+        for run in list(self.held.runs.values()):
+            # Nobody knows what became of orders of an earlier session.
+            run.phase = "uncertain"
+            run.since_ms = self.clock.now()
+        loops = [
+            asyncio.create_task(self._look_loop(session)),
+            asyncio.create_task(self._report_loop(session)),
+        ]
+        waiting = asyncio.create_task(self._changed.wait())
+        try:
+            await asyncio.wait(
+                [*loops, waiting], return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for task in (*loops, waiting):
+                task.cancel()
+            results = await asyncio.gather(
+                *loops, waiting, return_exceptions=True
+            )
+            for result in results:
+                if isinstance(result, Exception):
+                    events.log(
+                        events.SESSION_FAILED,
+                        worker=self.worker,
+                        error=repr(result),
+                    )
+        self._changed.set()
+
+    # --- Looks at the worker -------------------------------------------------
+
+    async def _look_loop(self, session: Session) -> None:
+        wait_ms = 0
+        while True:
+            answered = await self._look(session, wait_ms)
+            wait_ms = LOOK_WAIT_MS if answered else 0
+            if not answered:
+                self._give_up_if_silent(session)
+                await asyncio.sleep(clock.seconds(LOOK_PAUSE_MS))
+
+    async def _look(self, session: Session, wait_ms: int) -> bool:
+        """Asks the worker what it runs; returns whether it answered."""
+        sent = self.clock.now()
+        token = session.token
+        try:
+            view = await session.port.look(
+                token=token,
+                acknowledged=self.held.acknowledged,
+                until_ms=session.until(sent),
+                wait_ms=wait_ms,
+            )
+        except worker_port.RejectedError as err:
+            if err.reason == "fence" and session.token == token:
+                # A delayed call of this session's own carried a higher one.
+                session.token += 1
+            return False
+        except worker_port.OtherLifeError:
+            return False
+        except errors.RouterError:
+            session.token = max(session.token, token + 1)
+            return False
+        now = self.clock.now()
+        session.lease.note_clock(worker_ms=view.clock_ms, received_ms=now)
+        if now - session.answered_ms > REACHABLE_MS:
+            self._report_due.set()
+        session.answered_ms = now
+        if self.held.settle(view, token=token, sent_ms=sent):
+            self._report_due.set()
+        self._pace(session)
+        return True
+
+    def _give_up_if_silent(self, session: Session) -> None:
+        """Counts all runs as lost once the worker's lease has ended."""
+        now = self.clock.now()
+        if self.held.runs and session.lease.ended(now):
+            lost = self.held.end_all("lost")
+            events.log(
+                events.WORKER_LOST,
+                worker=self.worker,
+                life=session.announcement.life,
+                runs=lost,
+                silent_ms=now - session.answered_ms,
+            )
+            self._report_due.set()
+
+    def _pace(self, session: Session) -> None:
+        rows = [run for run in self.held.runs.values() if run.row and run.order]
+        changes = session.pacer.decide(
+            serving=[
+                pacing.ServingRun(
+                    latency_ms=run.row.figure, target_ms=run.order.target_ms
+                )
+                for run in rows
+                if run.row and run.order and run.order.target_ms
+            ],
+            filling=[
+                pacing.FillingRun(
+                    task=run.task,
+                    attempt=run.attempt,
+                    percent=run.row.percent,
+                )
+                for run in rows
+                if run.row and run.order and run.order.fills
+            ],
+            now=self.clock.now(),
+        )
+        for change in changes:
+            self._spawn(self._pace_one(session, change))
+
+    async def _pace_one(
+        self, session: Session, change: pacing.FillingRun
+    ) -> None:
+        try:
+            await session.port.pace(
+                change.task,
+                change.attempt,
+                percent=change.percent,
+                token=session.token,
+            )
+        except errors.RouterError as err:
+            # The next look shows its speed, and it is tried again.
+            events.log(
+                events.ORDER_FAILED, task=str(change.task), error=str(err)
+            )
+
+    # --- Orders --------------------------------------------------------------
+
+    def _carry_out(self, orders: job_messages.RunOrders) -> None:
+        session = self.session
+        if orders.term < self._term or session is None:
+            return
+        self._term = orders.term
+        if orders.life != session.announcement.life or not session.answered_ms:
+            # Before the first look nobody knows what the worker runs.
+            return
+        now = self.clock.now()
+        for order in orders.starts:
+            run = self.held.add_order(order, now)
+            if run is not None:
+                self._spawn(self._start(session, run))
+        for stop in orders.stops:
+            run = self.held.add_stop(stop, now)
+            if run is not None:
+                self._spawn(self._stop(session, run))
+            else:
+                self._report_due.set()
+
+    async def _start(self, session: Session, run: held_runs.HeldRun) -> None:
+        """Sends a start order until its fate is known or left to a look."""
+        for _ in range(START_ATTEMPTS):
+            until_ms = session.until(self.clock.now())
+            if session.announcement.draining or until_ms is None:
+                break
+            token = session.token
+            run.phase, run.token = "starting", token
+            run.since_ms = self.clock.now()
+            try:
+                await session.port.start(_start_run(run, until_ms, token))
+            except worker_port.RejectedError as err:
+                self._log_failed(run, err)
+                if err.reason == "old":
+                    self._doubt(session, run)
+                    return
+                if err.reason not in ("fence", "late"):
+                    break
+                await asyncio.sleep(clock.seconds(RETRY_PAUSE_MS))
+                if err.reason == "fence" and session.token == token:
+                    session.token += 1
+                continue
+            except errors.RouterError as err:
+                self._log_failed(run, err)
+                self._doubt(session, run)
+                return
+            if run.phase == "starting":
+                run.phase = "running"
+                run.since_ms = self.clock.now()
+            events.log(
+                events.RUN_STARTED,
+                task=str(run.task),
+                attempt=run.attempt,
+                worker=self.worker,
+                token=token,
+                until_ms=until_ms,
+            )
+            return
+        self.held.end(run, "rejected")
+        self._report_due.set()
+
+    def _doubt(self, session: Session, run: held_runs.HeldRun) -> None:
+        """Has a look settle whether the worker has a run."""
+        if run.phase == "starting":
+            run.phase = "uncertain"
+            run.since_ms = self.clock.now()
+        session.token = max(session.token, run.token + 1)
+        self._spawn(self._look_again(session))
+
+    async def _look_again(self, session: Session) -> None:
+        await self._look(session, 0)
+
+    async def _stop(self, session: Session, run: held_runs.HeldRun) -> None:
+        """Sends a stop order until the worker has taken it."""
+        key = (run.task, run.attempt)
+        while key in self.held.runs and self.session is session:
+            try:
+                await session.port.stop(
+                    run.task, run.attempt, token=session.token
+                )
+                break
+            except errors.RouterError as err:
+                self._log_failed(run, err)
+                await asyncio.sleep(clock.seconds(RETRY_PAUSE_MS))
+        run.since_ms = self.clock.now()
+        run.stopping = False
+        await self._look_again(session)
+
+    def _log_failed(
+        self, run: held_runs.HeldRun, err: errors.RouterError
+    ) -> None:
+        events.log(
+            events.ORDER_FAILED,
+            task=str(run.task),
+            attempt=run.attempt,
+            worker=self.worker,
+            token=run.token,
+            error=str(err),
+        )
+
+    # --- Reports -------------------------------------------------------------
+
+    async def _report_loop(self, session: Session) -> None:
+        while True:
+            await asyncio.sleep(clock.seconds(REPORT_PAUSE_MS))
+            self._report_due.clear()
+            try:
+                if not await self._report_once(session):
+                    return
+            except errors.RouterError as err:
+                events.log(
+                    events.REPORT_FAILED, worker=self.worker, error=str(err)
+                )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(clock.seconds(REPORT_PERIOD_MS)):
+                    await self._report_due.wait()
+
+    async def _report_once(self, session: Session) -> bool:
+        """Sends a report; returns whether the session is still current.
+
+        Raises:
+            RouterError: No leader answered.
+        """
+        sent = self.clock.now()
+        ends = list(self.held.ends)
+        reply = await self.client.call(
+            self._report(session, sent, ends), timeout_ms=REPORT_TIMEOUT_MS
+        )
+        if not isinstance(reply, job_messages.WorkerReply):
+            raise errors.ProtocolError(
+                text=f"unexpected {type(reply).__name__}",
+                step="report",
+                peer=self.worker,
+            )
+        if not reply.known:
+            events.log(
+                events.SESSION_ENDED, worker=self.worker, session=session.number
+            )
+            return False
+        session.grant_end_ms = max(session.grant_end_ms, sent + reply.lease_ms)
+        self.held.confirm(ends)
+        self._carry_out(reply.orders)
+        return True
+
+    def _report(
+        self,
+        session: Session,
+        now: int,
+        ends: list[held_runs.PendingEnd],
+    ) -> job_messages.WorkerReport:
+        self._sequence += 1
+        said = session.announcement
+        return job_messages.WorkerReport(
+            worker=self.worker,
+            life=said.life,
+            session=session.number,
+            sequence=self._sequence,
+            service=said.service,
+            zone=said.zone,
+            labels=said.labels,
+            rack=said.rack,
+            room=said.room,
+            draining=said.draining,
+            reachable=now - session.answered_ms <= REACHABLE_MS,
+            runs=tuple(run.report() for run in self.held.runs.values()),
+            ends=tuple(pending.end for pending in ends),
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _start_run(
+    run: held_runs.HeldRun, until_ms: int, token: int
+) -> worker_port.StartRun:
+    if run.order is None:
+        raise ValueError("a run without an order can't be started")
+    return worker_port.StartRun(
+        task=run.task,
+        attempt=run.attempt,
+        spec=run.order.spec,
+        checkpoint=run.order.checkpoint,
+        until_ms=until_ms,
+        token=token,
+    )
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -23,6 +23,7 @@
 REVISION_CONFLICT: Final = "revision_conflict"
 SHEET_INVALID: Final = "sheet_invalid"
 NO_SUCH_JOB: Final = "no_such_job"
+NO_SUCH_QUEUE: Final = "no_such_queue"
 JOB_EXISTS: Final = "job_exists"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
@@ -89,6 +90,7 @@
         "without replica {replica!r} only {alive} of {voters} voters answer"
     ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
+    NO_SUCH_QUEUE: "queue {queue!r} does not exist",
     JOB_AT_FAULT: "job {job!r} fails wherever it runs",
     STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
     NO_SUCH_TASK: "task {task!r} does not exist",
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -4,6 +4,8 @@
 them; a test compares that page with this module.
 """
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 from typing import Final
 
@@ -38,11 +40,23 @@
     return event
 
 
+Sink = Callable[[Event, Mapping[str, object]], None]
+_sinks: Final[list[Sink]] = []
+
+
+def use_sink(sink: Sink) -> None:
+    """Has events go to a sink instead of the text log."""
+    _sinks[:] = [sink]
+
+
 @logging.skip_log_prefix
 def log(event: Event, **fields: object) -> None:
-    """Logs an event as `BR<number> <name> key=value ...`."""
+    """Logs an event as `BR<number> <name> key=value ...`, or to the sink."""
     if event.level > logging.get_verbosity():
         return
+    for sink in _sinks:
+        sink(event, fields)
+        return
     values = " ".join(f"{key}={value!r}" for key, value in fields.items())
     logging.log(event.level, "BR%04d %s %s", event.number, event.name, values)
 
@@ -82,6 +96,34 @@
     "The handler of a message raised an unexpected error.",
 )
 
+LINES_LEFT_OUT: Final = _event(
+    14,
+    "lines_left_out",
+    logging.WARNING,
+    "An event came too often in one second; the rest was only counted.",
+)
+LINES_DROPPED: Final = _event(
+    15,
+    "lines_dropped",
+    logging.WARNING,
+    "Nobody read the log fast enough; this many lines are missing.",
+)
+SETTINGS_RELOADED: Final = _event(
+    16, "settings_reloaded", logging.INFO, "Changed settings were put in force."
+)
+SETTINGS_REFUSED: Final = _event(
+    17,
+    "settings_refused",
+    logging.ERROR,
+    "Changed settings are not valid; the earlier ones stay in force.",
+)
+ANNOUNCEMENT_REFUSED: Final = _event(
+    18,
+    "announcement_refused",
+    logging.WARNING,
+    "A message from outside can't be read; it changes nothing.",
+)
+
 # 100-199: consensus and storage.
 TORN_TAIL_CUT: Final = _event(
     100,
@@ -365,3 +407,164 @@
     logging.WARNING,
     "No leader answered an operator's call in time; its result is unknown.",
 )
+
+# 600-699: jobs with steps, on the leader.
+JOB_ACCEPTED: Final = _event(
+    600,
+    "job_accepted",
+    logging.INFO,
+    "A job was accepted, or its ID was known.",
+)
+JOB_REFUSED: Final = _event(
+    601,
+    "job_refused",
+    logging.INFO,
+    "A job was not accepted and does not run.",
+)
+JOB_CANCELLED: Final = _event(
+    602,
+    "job_cancelled",
+    logging.INFO,
+    "A job was cancelled, or had ended before.",
+)
+CONFIGURATION_OFFERED: Final = _event(
+    603,
+    "configuration_offered",
+    logging.INFO,
+    "A configuration was acknowledged; the highest version is in force.",
+)
+RUN_ASSIGNED: Final = _event(
+    604,
+    "run_assigned",
+    logging.INFO,
+    "A task was assigned to a worker and the decision committed.",
+)
+RUN_ENDED: Final = _event(
+    605,
+    "run_ended",
+    logging.INFO,
+    "The end of a run was committed.",
+)
+SESSION_OPENED: Final = _event(
+    606,
+    "session_opened",
+    logging.INFO,
+    "An agent began a session with a life of its worker.",
+)
+LEASES_EXPIRED: Final = _event(
+    607,
+    "leases_expired",
+    logging.WARNING,
+    "An agent was silent beyond the lease; its runs are counted as lost.",
+)
+JOB_DECISION_NOT_COMMITTED: Final = _event(
+    608,
+    "job_decision_not_committed",
+    logging.WARNING,
+    "A decision of the leader was not committed in time.",
+)
+DISPATCH_FAILED: Final = _event(
+    609,
+    "dispatch_failed",
+    logging.ERROR,
+    "An unexpected error ended a pass of the dispatcher.",
+)
+WORKER_SHUNNED: Final = _event(
+    610,
+    "worker_shunned",
+    logging.WARNING,
+    "Runs of several jobs failed in a row on a worker; it is avoided for a while.",
+)
+RUN_STOP_ORDERED: Final = _event(
+    611,
+    "run_stop_ordered",
+    logging.INFO,
+    "A run was ordered to stop.",
+)
+ORDERS_NOT_SENT: Final = _event(
+    612,
+    "orders_not_sent",
+    logging.WARNING,
+    "Orders could not be pushed; the next report of the agent shows what is missing.",
+)
+MEMBERS_REPAIRED: Final = _event(
+    613,
+    "members_repaired",
+    logging.WARNING,
+    "The leader replaces a lost replica or adds a voter.",
+)
+REPAIR_DELAYED: Final = _event(
+    614,
+    "repair_delayed",
+    logging.INFO,
+    "Joining or changing the group did not succeed yet.",
+)
+
+# 700-799: runs of jobs with steps, on an agent.
+WORKER_LIFE_CHANGED: Final = _event(
+    700,
+    "worker_life_changed",
+    logging.INFO,
+    "The worker announced a new life.",
+)
+WORKER_DRAINING: Final = _event(
+    701,
+    "worker_draining",
+    logging.INFO,
+    "The worker announced that it leaves, or that it stays.",
+)
+WORKER_LEFT: Final = _event(
+    702,
+    "worker_left",
+    logging.INFO,
+    "The worker ended its life as announced.",
+)
+REPORT_FAILED: Final = _event(
+    703,
+    "report_failed",
+    logging.WARNING,
+    "No leader answered the report of an agent.",
+)
+SESSION_FAILED: Final = _event(
+    704,
+    "session_failed",
+    logging.WARNING,
+    "A session could not be opened or ended by an error.",
+)
+SESSION_ENDED: Final = _event(
+    705,
+    "session_ended",
+    logging.INFO,
+    "The leader knows a newer session.",
+)
+WORKER_LOST: Final = _event(
+    706,
+    "worker_lost",
+    logging.WARNING,
+    "The worker did not answer until its lease ended; its runs are counted as lost.",
+)
+RUN_STARTED: Final = _event(
+    707,
+    "run_started",
+    logging.INFO,
+    "The worker took a start order.",
+)
+ORDER_FAILED: Final = _event(
+    708,
+    "order_failed",
+    logging.WARNING,
+    "The worker rejected an order or did not answer it.",
+)
+
+CONFIGURATION_REFUSED: Final = _event(
+    502,
+    "configuration_refused",
+    logging.WARNING,
+    "An operator sent a configuration that is not valid.",
+)
+CONFIGURATION_NOT_CONFIRMED: Final = _event(
+    503,
+    "configuration_not_confirmed",
+    logging.WARNING,
+    "No leader answered a call about the configuration in time.",
+)
--- /dev/null
+++ b/bamboorouter/json_log.py
@@ -0,0 +1,113 @@
+"""Events as JSON, one object a line, written without ever waiting.
+
+A reader that falls behind or is gone must not stop the process: what doesn't
+fit into the pipe waits in a bounded buffer, and lines beyond it are dropped and
+counted. An event that comes more often than a limit in a second is counted
+instead of written. Both counts are written as soon as lines get through again.
+"""
+
+from collections.abc import Mapping
+import os
+from typing import Any
+from typing import Final
+
+from absl import logging
+import msgspec
+
+from bamboorouter import clock
+from bamboorouter import events
+
+# A few seconds of lines at the highest rate that the limits below allow.
+BUFFER_BYTES: Final = 256 * 1024
+# Lines of one event in one second; the rest of that second is counted.
+LINES_PER_SECOND: Final = 200
+
+_LEVELS: Final = {
+    logging.DEBUG: "debug",
+    logging.INFO: "info",
+    logging.WARNING: "warning",
+    logging.ERROR: "error",
+    logging.FATAL: "fatal",
+}
+
+
+class JsonLog:
+    """Writes events to a file descriptor; `write` is a sink of `events`.
+
+    Attributes:
+        process: Name of the process, part of each line.
+        dropped: Lines that found no room since the last one that did.
+    """
+
+    def __init__(
+        self, *, descriptor: int, process: str, time: clock.Clock
+    ) -> None:
+        self.process = process
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._clock = time
+        self._pending = bytearray()
+        self._second = 0
+        self._counts: dict[int, int] = {}
+        os.set_blocking(descriptor, False)
+
+    def write(self, event: events.Event, fields: Mapping[str, object]) -> None:
+        """Writes an event, unless it comes too often."""
+        now = self._clock.now()
+        if now // clock.MS_PER_SECOND != self._second:
+            self._begin_second(now // clock.MS_PER_SECOND)
+        count = self._counts.get(event.number, 0) + 1
+        self._counts[event.number] = count
+        if count <= LINES_PER_SECOND:
+            self._put(self._line(event, fields))
+
+    def _begin_second(self, second: int) -> None:
+        left_out = {
+            number: count - LINES_PER_SECOND
+            for number, count in self._counts.items()
+            if count > LINES_PER_SECOND
+        }
+        self._second = second
+        self._counts = {}
+        for number, count in left_out.items():
+            self._put(
+                self._line(
+                    events.LINES_LEFT_OUT, {"of_event": number, "count": count}
+                )
+            )
+
+    def _line(self, event: events.Event, fields: Mapping[str, object]) -> bytes:
+        line: dict[str, Any] = {
+            "wall_ms": self._clock.wall(),
+            "clock_ms": self._clock.now(),
+            "process": self.process,
+            "event": event.number,
+            "name": event.name,
+            "level": _LEVELS[event.level],
+            **fields,
+        }
+        return msgspec.json.encode(line, enc_hook=str) + b"\n"
+
+    def _put(self, line: bytes) -> None:
+        if self.dropped and len(self._pending) < BUFFER_BYTES // 2:
+            dropped, self.dropped = self.dropped, 0
+            self._pending += self._line(
+                events.LINES_DROPPED, {"count": dropped}
+            )
+        if len(self._pending) + len(line) > BUFFER_BYTES:
+            self.dropped += 1
+        else:
+            self._pending += line
+        self._flush()
+
+    def _flush(self) -> None:
+        try:
+            while self._pending:
+                written = os.write(self._descriptor, self._pending)
+                del self._pending[:written]
+        except BlockingIOError:
+            # The rest goes out with the next line.
+            return
+        except OSError:
+            # Nobody will ever read it; the process does its work without.
+            self._pending.clear()
--- a/bamboorouter/metrics.py
+++ b/bamboorouter/metrics.py
@@ -60,6 +60,17 @@
     "Entries by which a follower is behind, as the leader sees it.",
     ("replica",),
 )
+JOB_CALL_SECONDS: Final = prometheus_client.Histogram(
+    "bamboorouter_job_call_seconds",
+    "Time from a caller's request about a job to its answer, in seconds.",
+    ("method", "status"),
+    buckets=_REQUEST_BUCKETS_S,
+)
+RUNS_ENDED: Final = prometheus_client.Counter(
+    "bamboorouter_runs_ended_total",
+    "Ended runs of tasks of jobs with steps.",
+    ("how",),
+)
 
 LINK_BYTES: Final = prometheus_client.Counter(
     "bamboorouter_link_bytes_total",
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -133,6 +133,10 @@
             measurements compare with.
         retention_mb: Size in MB above which the oldest segments of the log,
             and with them the oldest part of the account, are removed.
+        self_repair: Whether replicas join, and lost ones are replaced, without
+            an operator. The other replicas are found by `process.control`.
+        tolerated_losses: Replicas that may be lost at the same time; decides
+            how many vote if the group repairs itself.
     """
 
     listen: Address = "127.0.0.1:0"
@@ -145,6 +149,8 @@
     snapshot_entries: PositiveInt = 4096
     policies: Literal["product", "plain"] = "product"
     retention_mb: PositiveInt = 16 * 1024
+    self_repair: bool = False
+    tolerated_losses: PositiveInt = 1
 
 
 class Options(_Section, frozen=True, kw_only=True):
--- a/bamboorouter/protocol/commands.py
+++ b/bamboorouter/protocol/commands.py
@@ -1,6 +1,7 @@
 """Commands of the replicated state machine and their results.
 
-A log entry carries one `CommandBatch`. Tags never change meaning.
+A log entry carries one `CommandBatch`. Tags never change meaning; from 20 they
+stand in `job_commands`.
 """
 
 from typing import Any
@@ -9,6 +10,7 @@
 from bamboorouter.protocol import base
 from bamboorouter.protocol import codec
 from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
 
 
 class AcceptSheet(base.Wire, frozen=True, kw_only=True, tag=1):
@@ -208,6 +210,13 @@
     | ReplaceInstance
     | FailJob
     | ForgetWorker
+    | job_commands.PutConfiguration
+    | job_commands.AcceptSteps
+    | job_commands.CancelSteps
+    | job_commands.StartRuns
+    | job_commands.EndRuns
+    | job_commands.OpenSession
+    | job_commands.ForgetSteps
 )
 
 
--- a/bamboorouter/protocol/messages.py
+++ b/bamboorouter/protocol/messages.py
@@ -1,7 +1,7 @@
 """Messages between the processes of bamboorouter.
 
 Tags: 1-19 consensus, 20-39 agent and leader, 40-59 entry and agent, 60-79
-entry and leader, 80-99 operators. A tag never changes meaning.
+entry and leader, 80-99 operators; from 120 `job_messages`. A tag never changes meaning.
 """
 
 from typing import Any
@@ -11,6 +11,7 @@
 from bamboorouter.protocol import base
 from bamboorouter.protocol import codec
 from bamboorouter.protocol import common
+from bamboorouter.protocol import job_messages
 
 # --- Consensus ---------------------------------------------------------------
 
@@ -545,9 +546,11 @@
 
     Attributes:
         leader: Address of the leader; empty if unknown.
+        replicas: Addresses of all replicas of the group, as far as known.
     """
 
     leader: str
+    replicas: tuple[str, ...] = ()
 
 
 class Refusal(base.Wire, frozen=True, kw_only=True, tag=99):
@@ -585,6 +588,7 @@
     | OperatorReply
     | Redirect
     | Refusal
+    | job_messages.JobMessage
 )
 
 CODEC: Final[codec.Codec[Message]] = codec.Codec(types=Message)
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -10,8 +10,11 @@
 
 from bamboorouter import clock
 from bamboorouter import options
+from bamboorouter.coordination.jobs import job_leader
 from bamboorouter.coordination.log import replica
+from bamboorouter.coordination.log import self_repair
 from bamboorouter.coordination.policies import bundle
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.scheduling import explanations
 from bamboorouter.coordination.scheduling import leader_handler
 from bamboorouter.coordination.scheduling import scheduler
@@ -40,6 +43,7 @@
         addresses: Bound addresses by name.
         replica: This process's replica of the log.
         handler: Answers what only the leader may answer.
+        jobs: Answers what concerns jobs with steps.
     """
 
     def __init__(
@@ -75,6 +79,18 @@
             group=self._group,
             explain=self._explanations.get,
         )
+        self.jobs = job_leader.JobLeader(
+            own=self.replica,
+            time=time,
+            repair=self_repair.SelfRepair(
+                own=self.replica,
+                client=control_client.ControlClient(
+                    addresses=process.control, time=time
+                ),
+                time=time,
+                tolerated=settings.tolerated_losses,
+            ),
+        )
         self._server: link.LinkServer | None = None
         self._started = False
 
@@ -90,6 +106,9 @@
         await self.replica.start(self.handler.address)
         self._group.start()
         self.handler.start()
+        self.jobs.start()
+        if self.settings.self_repair:
+            self.jobs.repair.start()
         self._started = True
 
     async def stop(self) -> None:
@@ -97,6 +116,8 @@
         self._started = False
         self._explanations.stop()
         await self.handler.stop()
+        await self.jobs.repair.stop()
+        await self.jobs.stop()
         self._group.stop()
         await self.replica.stop()
         if self._server is not None:
@@ -114,4 +135,6 @@
             return messages.Redirect(leader="")
         if isinstance(message, _LEADER_CALLS):
             return await self.handler.handle(message, source)
+        if isinstance(message, job_leader.CALLS):
+            return await self.jobs.handle(message, source)
         return await self.replica.handle(message, source)
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -17,13 +17,17 @@
 from bamboorouter.protocol import codec
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
 from bamboorouter.state import assignments
 from bamboorouter.state import ledger
 from bamboorouter.state import plan
 from bamboorouter.state import request_keys
+from bamboorouter.state import stepped_jobs
 from bamboorouter.state import workers
 
 SNAPSHOT_VERSION: Final = 1
+# Snapshots written before jobs with steps existed end there.
+_FIELDS_WITHOUT_STEPS: Final = 8
 # Entries whose last batch of request records is remembered.
 MAX_RECORD_SOURCES: Final = 512
 
@@ -39,6 +43,7 @@
         workers: Workers, drains and quarantines.
         assignments: Tasks and their assignments.
         request_keys: Reservations of idempotency keys.
+        stepped: Jobs with steps, their configuration and sessions.
         record_sources: Incarnation and sequence of the last batch of request
             records by entry.
     """
@@ -51,6 +56,7 @@
         self.workers = workers.Workers()
         self.assignments = assignments.Assignments()
         self.request_keys = request_keys.RequestKeys()
+        self.stepped = stepped_jobs.SteppedJobs()
         self.record_sources: dict[str, tuple[int, int]] = {}
         self._appliers: dict[type, Callable[[Any], commands.Result]] = {
             commands.AcceptSheet: self._accept_sheet,
@@ -69,6 +75,13 @@
             commands.ReplaceInstance: self._replace_instance,
             commands.FailJob: self._fail_job,
             commands.ForgetWorker: self._forget_worker,
+            job_commands.PutConfiguration: self.stepped.put_configuration,
+            job_commands.AcceptSteps: self._accept_steps,
+            job_commands.CancelSteps: self.stepped.cancel,
+            job_commands.StartRuns: self.stepped.start,
+            job_commands.EndRuns: self.stepped.end,
+            job_commands.OpenSession: self.stepped.open_session,
+            job_commands.ForgetSteps: self.stepped.forget,
         }
 
     def apply(
@@ -93,14 +106,18 @@
                 self.assignments.snapshot(),
                 self.request_keys.snapshot(),
                 [[name, *pair] for name, pair in self.record_sources.items()],
+                self.stepped.snapshot(),
             ]
         )
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by a snapshot."""
-        _, index, now_ms, planned, known, assigned, keys, sources = codec.loads(
-            data
-        )
+        fields = codec.loads(data)
+        _, index, now_ms, planned, known, assigned, keys, sources = fields[
+            :_FIELDS_WITHOUT_STEPS
+        ]
+        if len(fields) > _FIELDS_WITHOUT_STEPS:
+            self.stepped.restore(fields[_FIELDS_WITHOUT_STEPS])
         self.applied_index = index
         self.now_ms = now_ms
         self.plan.restore(planned)
@@ -126,6 +143,13 @@
         self.plan.remember(operation_id, digest, result)
         return result
 
+    # Jobs with steps.
+
+    def _accept_steps(
+        self, command: job_commands.AcceptSteps
+    ) -> commands.Result:
+        return self.stepped.accept(command, self.now_ms)
+
     # Configuration.
 
     def _accept_sheet(self, command: commands.AcceptSheet) -> commands.Result:
--- /dev/null
+++ b/bamboorouter/state/stepped_jobs.py
@@ -0,0 +1,473 @@
+"""Replicated state of jobs with steps: what is accepted, running and done.
+
+A task is waiting, assigned, done or failed. An assignment names the life of a
+worker and an attempt; only the end of the current attempt changes a task. A
+run that was given up as lost but is reported done later counts as done, as
+long as the task hasn't been started again.
+
+Each command checks its invariants itself, whoever proposed it: one assignment
+for each task, steps in order, the room of the worker, and the limit of failed
+attempts.
+"""
+
+import dataclasses
+import itertools
+from typing import Any
+from typing import Final
+from typing import Literal
+
+import msgspec
+
+from bamboorouter import error_texts
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import jobs
+
+TaskStatus = Literal["waiting", "assigned", "done", "failed"]
+_EMPTY: Final = common.Resources()
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Task:
+    """One task.
+
+    Attributes:
+        status: What is to be done with it.
+        attempt: Number of its newest start; 0 before the first.
+        failures: Starts that ended as failed.
+        worker: Worker of the newest start.
+        life: Life of the worker that the newest start was for.
+        checkpoint: Progress to resume from; empty if there is none.
+    """
+
+    status: TaskStatus = "waiting"
+    attempt: int = 0
+    failures: int = 0
+    worker: str = ""
+    life: str = ""
+    checkpoint: str = ""
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Job:
+    """One accepted job.
+
+    Attributes:
+        id: ID that the caller chose.
+        sequence: Place in the order of acceptance.
+        queue: Settings of its queue when it was accepted.
+        spec: What was handed in.
+        accepted_ms: Wall time of the leader that accepted it.
+        cancelled: Whether it was cancelled.
+        failed: Whether a task has failed for good.
+        started: Whether a task was ever assigned.
+        tasks: Tasks by occurrence and step.
+        open_tasks: Tasks that are not done.
+    """
+
+    id: str
+    sequence: int
+    queue: jobs.QueueSettings
+    spec: jobs.JobSpec
+    accepted_ms: int
+    cancelled: bool = False
+    failed: bool = False
+    started: bool = False
+    tasks: dict[tuple[int, int], list[Task]]
+    open_tasks: int
+
+    def state(self) -> jobs.JobState:
+        """Returns what callers are told."""
+        if self.cancelled:
+            return "cancelled"
+        if self.failed:
+            return "failed"
+        if not self.open_tasks:
+            return "done"
+        return "running" if self.started else "queued"
+
+    def active(self) -> bool:
+        """Whether tasks may still start."""
+        return bool(self.open_tasks and not self.cancelled and not self.failed)
+
+    def step_done(self, occurrence: int, step: int) -> bool:
+        """Whether all tasks of a step are done."""
+        return all(
+            task.status == "done" for task in self.tasks[occurrence, step]
+        )
+
+    def step_ready(self, occurrence: int, step: int) -> bool:
+        """Whether all steps that a step waits for are done."""
+        return all(
+            self.step_done(occurrence, earlier)
+            for earlier in self.spec.steps[step].after
+        )
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class WorkerLife:
+    """The newest known life of a worker.
+
+    Attributes:
+        life: The life.
+        session: Number of the newest session of its agent.
+        room: What the worker has.
+    """
+
+    life: str
+    session: int
+    room: common.Resources
+
+
+def total(*amounts: common.Resources) -> common.Resources:
+    """Returns the sum of amounts."""
+    return common.Resources(
+        millicores=sum(a.millicores for a in amounts),
+        memory_mb=sum(a.memory_mb for a in amounts),
+        accelerators=sum(a.accelerators for a in amounts),
+        slots=sum(a.slots for a in amounts),
+    )
+
+
+def fits(need: common.Resources, room: common.Resources) -> bool:
+    """Whether a need fits into a room; slots are not limited."""
+    return (
+        need.millicores <= room.millicores
+        and need.memory_mb <= room.memory_mb
+        and need.accelerators <= room.accelerators
+    )
+
+
+def reserved(step: jobs.Step) -> common.Resources:
+    """Returns what a task takes from the room of a worker.
+
+    Tasks that fill use processor time that others leave, so none is reserved.
+    """
+    if not step.fills:
+        return step.need
+    return common.Resources(
+        memory_mb=step.need.memory_mb, accelerators=step.need.accelerators
+    )
+
+
+class SteppedJobs:
+    """All jobs with steps, the configuration and the workers' sessions.
+
+    Attributes:
+        configuration: What is in force; None before the first one.
+        jobs: Jobs by ID, in order of acceptance.
+        lives: Newest life of each worker by name.
+        on_worker: Assigned tasks by worker.
+        used: What the assigned tasks take from each worker's room.
+        sessions: Number of the newest session.
+        accepted: Number of jobs accepted so far.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: jobs.Configuration | None = None
+        self.jobs: dict[str, Job] = {}
+        self.lives: dict[str, WorkerLife] = {}
+        self.on_worker: dict[str, dict[jobs.TaskRef, Task]] = {}
+        self.used: dict[str, common.Resources] = {}
+        self.sessions = 0
+        self.accepted = 0
+
+    # --- Reading -------------------------------------------------------------
+
+    def version(self) -> int:
+        """Returns the version in force; -1 before the first one."""
+        return -1 if self.configuration is None else self.configuration.version
+
+    def task(self, ref: jobs.TaskRef) -> Task | None:
+        """Returns a task by its name."""
+        job = self.jobs.get(ref.job)
+        tasks = job.tasks.get((ref.occurrence, ref.step)) if job else None
+        if tasks is None or not 0 <= ref.index < len(tasks):
+            return None
+        return tasks[ref.index]
+
+    def step(self, ref: jobs.TaskRef) -> jobs.Step:
+        """Returns the step of a known task."""
+        return self.jobs[ref.job].spec.steps[ref.step]
+
+    def waiting_jobs(self, queue: str) -> int:
+        """Returns how many jobs of a queue have no started task."""
+        return sum(
+            job.queue.name == queue and not job.started and job.active()
+            for job in self.jobs.values()
+        )
+
+    def used_on(self, worker: str) -> common.Resources:
+        """Returns what the assigned tasks take from a worker's room."""
+        return self.used.get(worker, _EMPTY)
+
+    # --- Applying ------------------------------------------------------------
+
+    def put_configuration(
+        self, command: job_commands.PutConfiguration
+    ) -> commands.Result:
+        """Puts a configuration in force unless a later one is."""
+        if command.configuration.version > self.version():
+            self.configuration = command.configuration
+        return commands.Result(ok=True, data={"version": self.version()})
+
+    def accept(
+        self, command: job_commands.AcceptSteps, now_ms: int
+    ) -> commands.Result:
+        """Accepts a job, unless it is known."""
+        if command.job in self.jobs:
+            return commands.Result(ok=True, data={"new": False})
+        queue = self._queue(command.queue)
+        if queue is None:
+            return _refused(error_texts.NO_SUCH_QUEUE, queue=command.queue)
+        occurrences = range(max(1, command.spec.repeats))
+        steps = command.spec.steps
+        tasks = {
+            (occurrence, number): [Task() for _ in range(step.count)]
+            for occurrence in occurrences
+            for number, step in enumerate(steps)
+        }
+        self.accepted += 1
+        self.jobs[command.job] = Job(
+            id=command.job,
+            sequence=self.accepted,
+            queue=queue,
+            spec=command.spec,
+            accepted_ms=now_ms,
+            tasks=tasks,
+            open_tasks=sum(len(row) for row in tasks.values()),
+        )
+        return commands.Result(ok=True, data={"new": True})
+
+    def cancel(self, command: job_commands.CancelSteps) -> commands.Result:
+        """Cancels a job; an ended one stays as it is."""
+        job = self.jobs.get(command.job)
+        if job is None:
+            return _refused(error_texts.NO_SUCH_JOB, job=command.job)
+        if job.open_tasks and not job.failed:
+            job.cancelled = True
+        return commands.Result(ok=True, data={"state": job.state()})
+
+    def start(self, command: job_commands.StartRuns) -> commands.Result:
+        """Assigns what is still allowed; returns the numbers of the rest."""
+        refused = [
+            number
+            for number, run in enumerate(command.runs)
+            if not self._start_one(run)
+        ]
+        return commands.Result(ok=True, data={"refused": refused})
+
+    def end(self, command: job_commands.EndRuns) -> commands.Result:
+        """Records ends; returns how many changed something."""
+        changed = sum(self._end_one(end) for end in command.ends)
+        return commands.Result(ok=True, data={"changed": changed})
+
+    def open_session(
+        self, command: job_commands.OpenSession
+    ) -> commands.Result:
+        """Begins a session; runs on earlier lives of the worker are lost."""
+        self.sessions += 1
+        self.lives[command.worker] = WorkerLife(
+            life=command.life, session=self.sessions, room=command.room
+        )
+        lost = [
+            jobs.RunEnd(task=ref, attempt=task.attempt, how="lost")
+            for ref, task in self.on_worker.get(command.worker, {}).items()
+            if task.life != command.life
+        ]
+        for end in lost:
+            self._end_one(end)
+        return commands.Result(
+            ok=True, data={"session": self.sessions, "lost": len(lost)}
+        )
+
+    def forget(self, command: job_commands.ForgetSteps) -> commands.Result:
+        """Removes jobs of which nothing is assigned any more."""
+        for job_id in command.jobs:
+            job = self.jobs.get(job_id)
+            if job is not None and not job.active() and not _assigned(job):
+                del self.jobs[job_id]
+        return commands.Result(ok=True)
+
+    def _queue(self, name: str) -> jobs.QueueSettings | None:
+        queues = self.configuration.queues if self.configuration else ()
+        return next((queue for queue in queues if queue.name == name), None)
+
+    def _start_one(self, run: jobs.RunStart) -> bool:
+        job = self.jobs.get(run.task.job)
+        task = self.task(run.task)
+        life = self.lives.get(run.worker)
+        if job is None or task is None or life is None:
+            return False
+        need = reserved(job.spec.steps[run.task.step])
+        allowed = (
+            job.active()
+            and task.status == "waiting"
+            and run.attempt == task.attempt + 1
+            and run.life == life.life
+            and job.step_ready(run.task.occurrence, run.task.step)
+            and fits(total(self.used_on(run.worker), need), life.room)
+        )
+        if allowed:
+            job.started = True
+            task.status = "assigned"
+            task.attempt = run.attempt
+            task.worker = run.worker
+            task.life = run.life
+            self._occupy(run.task, task, need)
+        return allowed
+
+    def _occupy(
+        self, ref: jobs.TaskRef, task: Task, need: common.Resources
+    ) -> None:
+        self.on_worker.setdefault(task.worker, {})[ref] = task
+        self.used[task.worker] = total(self.used_on(task.worker), need)
+
+    def _release(self, ref: jobs.TaskRef, task: Task) -> None:
+        if self.on_worker.get(task.worker, {}).pop(ref, None) is None:
+            return
+        need = reserved(self.step(ref))
+        used = self.used_on(task.worker)
+        self.used[task.worker] = common.Resources(
+            millicores=used.millicores - need.millicores,
+            memory_mb=used.memory_mb - need.memory_mb,
+            accelerators=used.accelerators - need.accelerators,
+            slots=used.slots - need.slots,
+        )
+
+    def _end_one(self, end: jobs.RunEnd) -> bool:
+        job = self.jobs.get(end.task.job)
+        task = self.task(end.task)
+        if job is None or task is None or task.attempt != end.attempt:
+            return False
+        late = task.status == "waiting" and end.how == "done"
+        if task.status != "assigned" and not late:
+            return False
+        self._release(end.task, task)
+        task.checkpoint = end.checkpoint or task.checkpoint
+        step = job.spec.steps[end.task.step]
+        task.status = "waiting"
+        if step.lasting:
+            # It is started again however it ended, from the beginning.
+            task.checkpoint = ""
+        elif end.how == "done":
+            task.status = "done"
+            job.open_tasks -= 1
+        elif end.how == "failed":
+            task.failures += 1
+            if task.failures >= job.queue.max_attempts:
+                task.status = "failed"
+                job.failed = True
+        return True
+
+    # --- Snapshots -----------------------------------------------------------
+
+    def snapshot(self) -> list[Any]:
+        """Returns the state as plain lists."""
+        return [
+            msgspec.to_builtins(self.configuration, builtin_types=(bytes,)),
+            self.sessions,
+            self.accepted,
+            [
+                [name, life.life, life.session, msgspec.to_builtins(life.room)]
+                for name, life in self.lives.items()
+            ],
+            [_plain_job(job) for job in self.jobs.values()],
+        ]
+
+    def restore(self, data: list[Any]) -> None:
+        """Replaces the state by a snapshot."""
+        configuration, self.sessions, self.accepted, lives, rows = data
+        self.configuration = (
+            None
+            if configuration is None
+            else msgspec.convert(configuration, jobs.Configuration)
+        )
+        self.lives = {
+            name: WorkerLife(
+                life=life,
+                session=session,
+                room=msgspec.convert(room, common.Resources),
+            )
+            for name, life, session, room in lives
+        }
+        self.jobs = {row[0]: _restored_job(row) for row in rows}
+        self.on_worker = {}
+        self.used = {}
+        for ref, task in itertools.chain.from_iterable(
+            tasks_of(job) for job in self.jobs.values()
+        ):
+            if task.status == "assigned":
+                self._occupy(ref, task, reserved(self.step(ref)))
+
+
+def tasks_of(job: Job) -> "itertools.chain[tuple[jobs.TaskRef, Task]]":
+    """Returns all tasks of a job with their names."""
+    return itertools.chain.from_iterable(
+        (
+            (
+                jobs.TaskRef(
+                    job=job.id, occurrence=occurrence, step=step, index=index
+                ),
+                task,
+            )
+            for index, task in enumerate(row)
+        )
+        for (occurrence, step), row in job.tasks.items()
+    )
+
+
+def _assigned(job: Job) -> bool:
+    return any(
+        task.status == "assigned" for row in job.tasks.values() for task in row
+    )
+
+
+def _plain_job(job: Job) -> list[Any]:
+    return [
+        job.id,
+        job.sequence,
+        msgspec.to_builtins(job.queue),
+        msgspec.to_builtins(job.spec),
+        job.accepted_ms,
+        job.cancelled,
+        job.failed,
+        job.started,
+        job.open_tasks,
+        [
+            [*key, [list(dataclasses.astuple(task)) for task in row]]
+            for key, row in job.tasks.items()
+        ],
+    ]
+
+
+def _restored_job(row: list[Any]) -> Job:
+    job_id, sequence, queue, spec, accepted_ms, cancelled = row[:6]
+    failed, started, open_tasks, tasks = row[6:]
+    return Job(
+        id=job_id,
+        sequence=sequence,
+        queue=msgspec.convert(queue, jobs.QueueSettings),
+        spec=msgspec.convert(spec, jobs.JobSpec),
+        accepted_ms=accepted_ms,
+        cancelled=cancelled,
+        failed=failed,
+        started=started,
+        open_tasks=open_tasks,
+        tasks={
+            (occurrence, step): [_restored_task(fields) for fields in rows]
+            for occurrence, step, rows in tasks
+        },
+    )
+
+
+def _restored_task(fields: list[Any]) -> Task:
+    names = (field.name for field in dataclasses.fields(Task))
+    return Task(**dict(zip(names, fields, strict=True)))
+
+
+def _refused(code: str, **values: object) -> commands.Result:
+    return commands.Result(
+        ok=False, code=code, text=error_texts.text_for(code, **values)
+    )
--- a/devtools/write_events.py
+++ b/devtools/write_events.py
@@ -21,6 +21,8 @@
     (300, 399, "Agent"),
     (400, 499, "Entry"),
     (500, 599, "Operators"),
+    (600, 699, "Jobs with steps, on the leader"),
+    (700, 799, "Runs of jobs with steps, on an agent"),
 )
 LEVELS: Final = {
     logging.DEBUG: "debug",
