--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -338,6 +338,7 @@
             fills=step.fills,
             target_ms=step.target_ms,
             need=step.need,
+            image=step.image,
         )
 
     def _worker_rooms(self) -> list[run_placement.WorkerRoom]:
--- a/bamboorouter/coordination/policies/pacing.py
+++ b/bamboorouter/coordination/policies/pacing.py
@@ -15,12 +15,12 @@
 from bamboorouter.protocol import jobs
 
 # Slow down at this share of the bound, speed up below the lower one.
-SLOW_SHARE: Final = 0.75
-FREE_SHARE: Final = 0.5
+SLOW_SHARE: Final = 0.9
+FREE_SHARE: Final = 0.7
 FULL_PERCENT: Final = 100
 # Below this a task is stopped entirely; it would hardly make progress.
 LEAST_PERCENT: Final = 12
-RAISE_PERCENT: Final = 20
+RAISE_PERCENT: Final = 25
 # The worker's figure covers the last 500 ms and a change takes 100 ms.
 SETTLE_MS: Final = 600
 
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -41,6 +41,8 @@
 WORKER_LEASE_MS: Final = 4000
 LOOK_WAIT_MS: Final = 500
 LOOK_PAUSE_MS: Final = 100
+# A confirmation takes two hops and a commit.
+CONFIRM_MS: Final = 150
 # A worker without an answered look for this long gets nothing new.
 REACHABLE_MS: Final = 1200
 SESSION_PAUSE_MS: Final = 100
@@ -110,6 +112,7 @@
         self._announced: worker_port.Announcement | None = None
         self._changed = asyncio.Event()
         self._report_due = asyncio.Event()
+        self._confirmed = asyncio.Event()
         self._sequence = 0
         self._term = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -301,6 +304,11 @@
             if not answered:
                 self._give_up_if_silent(session)
                 await asyncio.sleep(clock.seconds(LOOK_PAUSE_MS))
+            elif self.held.ends:
+                # An end that isn't acknowledged is told again at once.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(clock.seconds(CONFIRM_MS)):
+                        await self._confirmed.wait()
 
     async def _look(self, session: Session, wait_ms: int) -> bool:
         """Asks the worker what it runs; returns whether it answered."""
@@ -329,6 +337,7 @@
             self._report_due.set()
         session.answered_ms = now
         if self.held.settle(view, token=token, sent_ms=sent):
+            self._confirmed.clear()
             self._report_due.set()
         self._pace(session)
         return True
@@ -361,7 +370,7 @@
                 pacing.FillingRun(
                     task=run.task,
                     attempt=run.attempt,
-                    percent=run.row.percent,
+                    percent=run.pace,
                 )
                 for run in rows
                 if run.row and run.order and run.order.fills
@@ -381,8 +390,11 @@
                 percent=change.percent,
                 token=session.token,
             )
+            run = self.held.runs.get((change.task, change.attempt))
+            if run is not None:
+                run.pace = change.percent
         except errors.RouterError as err:
-            # The next look shows its speed, and it is tried again.
+            # It is tried again after the next look.
             events.log(
                 events.ORDER_FAILED, task=str(change.task), error=str(err)
             )
@@ -530,6 +542,7 @@
             return False
         session.grant_end_ms = max(session.grant_end_ms, sent + reply.lease_ms)
         self.held.confirm(ends)
+        self._confirmed.set()
         self._carry_out(reply.orders)
         return True
 
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -36,6 +36,7 @@
         token: Fencing token of its newest start order; -1 if there was none.
         stopping: Whether it is to be stopped.
         row: What the worker listed last.
+        pace: Share of its speed that it was last told to work at, in percent.
         missed: Views in a row that didn't list the run while it was running.
     """
 
@@ -48,6 +49,7 @@
     stopping: bool = False
     row: worker_port.RunningRow | None = None
     missed: int = 0
+    pace: int = 100
 
     def report(self) -> job_messages.HeldRun:
         """Returns what the leader is told."""
@@ -62,7 +64,8 @@
             attempt=self.attempt,
             running=True,
             checkpoint=self.row.checkpoint,
-            percent=self.row.percent,
+            progress=self.row.progress,
+            pace=self.pace,
             figure=self.row.figure,
             ordered=self.order is not None,
         )
--- a/bamboorouter/coordination/workers/worker_port.py
+++ b/bamboorouter/coordination/workers/worker_port.py
@@ -78,7 +78,8 @@
         task: The task.
         attempt: Number of the start.
         checkpoint: Newest checkpoint; empty if there is none.
-        percent: Share of its speed at which it works.
+        progress: Share of its work that is done, in percent; 100 for a task
+            that lasts and has started up.
         figure: Tail latency in ms of a task that serves users; processor time
             in use, in thousandths of a processor, of any other.
     """
@@ -86,7 +87,7 @@
     task: jobs.TaskRef
     attempt: int
     checkpoint: str
-    percent: int
+    progress: int
     figure: int
 
 
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -114,7 +114,9 @@
         attempt: Number of the start.
         running: Whether the worker lists it as running.
         checkpoint: Newest checkpoint; empty if there is none.
-        percent: Share of its speed at which it works.
+        progress: Share of its work that is done, in percent; 100 for a task
+            that lasts and has started up.
+        pace: Share of its speed that it was told to work at, in percent.
         figure: For a task that serves users its tail latency in ms, else the
             processor time it uses in thousandths of a processor.
         ordered: Whether the agent knows the order; a run that it found on the
@@ -125,7 +127,8 @@
     attempt: int
     running: bool = False
     checkpoint: str = ""
-    percent: int = 100
+    progress: int = 0
+    pace: int = 100
     figure: int = 0
     ordered: bool = True
 
@@ -175,6 +178,7 @@
         fills: Whether it uses only processor time that others leave.
         target_ms: Bound for its tail latency; 0 for none.
         need: What it occupies.
+        image: What it runs; tasks of one image behave alike.
     """
 
     task: jobs.TaskRef
@@ -184,6 +188,7 @@
     fills: bool
     target_ms: int
     need: common.Resources
+    image: str = ""
 
 
 class StopOrder(base.Wire, frozen=True, kw_only=True):
