Place and pace filling runs by the learned interference of images

Cause: the agent slowed all filling runs of a worker whatever their image, and placement ignored images.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -23,6 +23,7 @@
 from bamboorouter.coordination.jobs import ready_tasks
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
+from bamboorouter.coordination.policies import image_interference
 from bamboorouter.coordination.policies import run_placement
 from bamboorouter.coordination.policies import worker_health
 from bamboorouter.protocol import commands
@@ -41,6 +42,9 @@
 PUSH_TIMEOUT_MS: Final = 500
 # A stop order is repeated if the end isn't reported; a stop takes 0.9 s.
 REPEAT_STOP_MS: Final = 1000
+# Workers measure latencies and usage over half a second.
+LEARN_PERIOD_MS: Final = 500
+FULL_PROGRESS: Final = 100
 # Ended jobs can be asked for at least this long.
 KEEP_ENDED_MS: Final = 600_000
 # Keeps one command well below the size of a log entry.
@@ -63,6 +67,7 @@
         clock: Source of time.
         table: Workers by their reports.
         health: Which workers fail what they start.
+        interference: Which images disturb which.
         placement: Chooses workers for ready tasks.
     """
 
@@ -72,13 +77,16 @@
         log: replicated_log.ReplicatedLog,
         time: clock.Clock,
         table: worker_table.WorkerTable,
-        placement: run_placement.RunPlacement | None = None,
     ) -> None:
         self.log = log
         self.clock = time
         self.table = table
         self.health = worker_health.WorkerHealth()
-        self.placement = placement or run_placement.MostLeftover()
+        self.interference = image_interference.ImageInterference()
+        self.placement: run_placement.RunPlacement = run_placement.MostLeftover(
+            interference=self.interference
+        )
+        self._learned_ms: dict[str, int] = {}
         self._wake = asyncio.Event()
         self._failed_on: dict[jobs.TaskRef, frozenset[str]] = {}
         self._stopped_ms: dict[_Stop, int] = {}
@@ -135,6 +143,7 @@
         )
         if not current or not self.table.note(report, source, self.clock.now()):
             return self._reply(report, known=False)
+        self._learn(report)
         await self._end(report.ends, report.worker, report.life)
         return self._reply(report, known=True)
 
@@ -170,7 +179,55 @@
         if known:
             orders = self._missing_orders(report)
         return job_messages.WorkerReply(
-            known=known, lease_ms=worker_table.LEASE_MS, orders=orders
+            known=known,
+            lease_ms=worker_table.LEASE_MS,
+            orders=orders,
+            disturbances=self._disturbances(report),
+        )
+
+    def _learn(self, report: job_messages.WorkerReport) -> None:
+        """Learns from figures, once for each period that they cover."""
+        now = self.clock.now()
+        last = self._learned_ms.get(report.worker)
+        if last is not None and now - last < LEARN_PERIOD_MS:
+            return
+        self._learned_ms[report.worker] = now
+        serving, loads = self._figures(report)
+        for image, share in serving:
+            self.interference.note(image, share, loads)
+
+    def _figures(
+        self, report: job_messages.WorkerReport
+    ) -> tuple[list[tuple[str, float]], dict[str, float]]:
+        """Returns serving images with their latencies, and filling loads."""
+        state = self.log.machine.stepped
+        serving: list[tuple[str, float]] = []
+        loads: dict[str, float] = {}
+        for run in report.runs:
+            if not run.running or state.task(run.task) is None:
+                continue
+            step = state.step(run.task)
+            if step.target_ms and run.progress >= FULL_PROGRESS and run.figure:
+                serving.append((step.image, run.figure / step.target_ms))
+            elif step.fills:
+                units = image_interference.load_units(
+                    run.figure, report.room.millicores
+                )
+                loads[step.image] = loads.get(step.image, 0.0) + units
+        return serving, loads
+
+    def _disturbances(
+        self, report: job_messages.WorkerReport
+    ) -> tuple[job_messages.Disturbance, ...]:
+        serving, loads = self._figures(report)
+        return tuple(
+            job_messages.Disturbance(
+                serving=image,
+                filling=filling,
+                weight=round(self.interference.weight(image, filling), 2),
+            )
+            for image in sorted({image for image, _ in serving})
+            for filling in loads
         )
 
     def _missing_orders(
--- a/bamboorouter/coordination/policies/pacing.py
+++ b/bamboorouter/coordination/policies/pacing.py
@@ -1,28 +1,37 @@
 """Slows filling tasks down while they disturb a task that serves users.
 
 Answers this load: filling tasks share a worker with a task whose tail latency
-has a bound, and how much they disturb it changes within seconds. Above a share
-of the bound all filling tasks of the worker are slowed by half; well below it
-they are given back some speed, so that the load settles near the bound without
-crossing it. The figure is a rough one of the last half second, so a change is
-followed by a pause.
+has a bound, and how much they disturb it changes within seconds. Near the bound
+the filling tasks that are known to disturb most are slowed by half, again and
+again until the latency falls; well below it they get speed back in steps. A
+task that stays over its bound for long has all filling tasks stopped, whatever
+is known about them. The figure is a rough one of the last half second, so each
+change is followed by a pause.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 from typing import Final
 
 from bamboorouter.protocol import jobs
 
 # Slow down at this share of the bound, speed up below the lower one.
-SLOW_SHARE: Final = 0.9
-FREE_SHARE: Final = 0.7
+SLOW_SHARE: Final = 0.85
+FREE_SHARE: Final = 0.65
 FULL_PERCENT: Final = 100
 # Below this a task is stopped entirely; it would hardly make progress.
-LEAST_PERCENT: Final = 12
+LEAST_PERCENT: Final = 20
 RAISE_PERCENT: Final = 25
+# Filling tasks within this share of the most disturbing one are slowed too.
+BLAME_SHARE: Final = 0.4
 # The worker's figure covers the last 500 ms and a change takes 100 ms.
 SETTLE_MS: Final = 600
+# Users are harmed after 4 s over the bound; a stop takes effect within 0.6 s.
+STOP_ALL_MS: Final = 1500
+
+# Returns how much a filling image (second) disturbs a serving one (first).
+Blame = Callable[[str, str], float]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -30,13 +39,19 @@
     """A run that serves users.
 
     Attributes:
+        image: What it runs.
         latency_ms: Its tail latency.
         target_ms: The bound.
     """
 
+    image: str
     latency_ms: int
     target_ms: int
 
+    def share(self) -> float:
+        """Returns the latency as a share of the bound."""
+        return self.latency_ms / self.target_ms
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class FillingRun:
@@ -45,50 +60,86 @@
     Attributes:
         task: The task.
         attempt: Number of the start.
+        image: What it runs.
+        millicores: Processor time that it asks for.
         percent: Share of its speed at which it works.
     """
 
     task: jobs.TaskRef
     attempt: int
+    image: str
+    millicores: int
     percent: int
 
 
 class Pacer:
-    """The speed of all filling runs of one worker.
-
-    Attributes:
-        percent: The share of their speed at which they may work.
-    """
+    """Sets the speed of the filling runs of one worker."""
 
     def __init__(self) -> None:
-        self.percent = FULL_PERCENT
         self._settled_ms = 0
+        self._over_since_ms: int | None = None
 
     def decide(
         self,
         *,
-        serving: Iterable[ServingRun],
-        filling: Iterable[FillingRun],
+        serving: Sequence[ServingRun],
+        filling: Sequence[FillingRun],
+        blame: Blame,
         now: int,
     ) -> list[FillingRun]:
         """Returns the filling runs whose speed is to change, at that speed."""
-        worst = max(
-            (run.latency_ms / run.target_ms for run in serving), default=0.0
-        )
-        if now >= self._settled_ms:
-            self._adjust(worst, now)
-        return [
-            dataclasses.replace(run, percent=self.percent)
-            for run in filling
-            if run.percent != self.percent
+        worst = max(serving, key=ServingRun.share, default=None)
+        share = 0.0 if worst is None else worst.share()
+        if share < 1:
+            self._over_since_ms = None
+        elif self._over_since_ms is None:
+            self._over_since_ms = now
+        if now < self._settled_ms:
+            return []
+        changes: list[FillingRun] = []
+        if self._over_for(now) >= STOP_ALL_MS:
+            changes = [dataclasses.replace(run, percent=0) for run in filling]
+        elif worst is not None and share >= SLOW_SHARE:
+            changes = _slowed(worst.image, filling, blame)
+        elif share < FREE_SHARE:
+            changes = [_raised(run) for run in filling]
+        before = {(run.task, run.attempt): run.percent for run in filling}
+        changes = [
+            run
+            for run in changes
+            if run.percent != before[run.task, run.attempt]
         ]
-
-    def _adjust(self, worst: float, now: int) -> None:
-        before = self.percent
-        if worst >= SLOW_SHARE:
-            halved = self.percent // 2
-            self.percent = halved if halved >= LEAST_PERCENT else 0
-        elif worst < FREE_SHARE:
-            self.percent = min(FULL_PERCENT, self.percent + RAISE_PERCENT)
-        if self.percent != before:
+        if changes:
             self._settled_ms = now + SETTLE_MS
+        return changes
+
+    def _over_for(self, now: int) -> int:
+        return 0 if self._over_since_ms is None else now - self._over_since_ms
+
+
+def _slowed(
+    serving: str, filling: Sequence[FillingRun], blame: Blame
+) -> list[FillingRun]:
+    """Returns those that disturb most at half their speed."""
+    blames = [
+        blame(serving, run.image) * run.millicores * run.percent
+        for run in filling
+    ]
+    most = max(blames, default=0.0)
+    return [
+        _halved(run)
+        for run, amount in zip(filling, blames, strict=True)
+        if run.percent and amount >= most * BLAME_SHARE
+    ]
+
+
+def _halved(run: FillingRun) -> FillingRun:
+    percent = run.percent // 2
+    return dataclasses.replace(
+        run, percent=percent if percent >= LEAST_PERCENT else 0
+    )
+
+
+def _raised(run: FillingRun) -> FillingRun:
+    percent = min(FULL_PERCENT, run.percent + RAISE_PERCENT)
+    return dataclasses.replace(run, percent=percent)
--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -2,17 +2,20 @@
 
 Answers this load: many wide steps become ready at once while the workers are
 almost full. Tasks are taken in the order given. Each goes to the worker that
-leaves it the most processor time, so that no worker becomes a hot spot; tasks
-that fill are given only processor time that nothing else is reserved or
-filling, because a crowded worker makes all of them late at once.
+leaves it the most processor time, so that no worker becomes a hot spot. Tasks
+that fill get only processor time that nothing else fills and that serving
+tasks are known to leave, because a crowded worker makes all of them late at
+once, and no worker on which they would put a serving task's latency at risk.
 """
 
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import operator
 from typing import Final
 from typing import Protocol
 
+from bamboorouter.coordination.policies import image_interference
 from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
 
@@ -22,8 +25,14 @@
 # A task far from its data takes half as long again, which outweighs a worker
 # that is fuller by this much, in thousandths of a processor.
 FAR_MILLICORES: Final = 100_000
-# Beside a task that serves users a filling task disturbs it or is throttled.
-BESIDE_SERVING_MILLICORES: Final = 20_000
+# A filling task waits rather than put a serving task at a higher risk of being
+# over its bound; what it loses by waiting is less than what users lose.
+RISK_LIMIT: Final = 0.3
+# A worker at the risk limit counts as fuller by this much, in thousandths of
+# a processor.
+RISK_MILLICORES: Final = 60_000
+# Share of their reservation that serving tasks use at most times.
+SERVING_USE: Final = 0.75
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -43,7 +52,9 @@
         used_memory_mb: Memory in use.
         used_accelerators: Accelerators in use.
         fill_millicores: Processor time that filling tasks ask for.
-        serving: Tasks that serve users.
+        serving_millicores: Part of the reservation of tasks that serve users.
+        serving: Images of tasks that serve users.
+        loads: Load units that each filling image asks for.
         shunned: Whether it gets work only for want of other workers.
     """
 
@@ -59,12 +70,16 @@
     used_memory_mb: int = 0
     used_accelerators: int = 0
     fill_millicores: int = 0
-    serving: int = 0
+    serving_millicores: int = 0
+    serving: set[str] = dataclasses.field(default_factory=set)
+    loads: dict[str, float] = dataclasses.field(default_factory=dict)
     shunned: bool = False
 
     def leftover(self) -> int:
-        """Returns processor time that nobody reserved or fills."""
-        return self.millicores - self.used_millicores - self.fill_millicores
+        """Returns processor time that nobody uses or fills."""
+        unused = int(self.serving_millicores * (1 - SERVING_USE))
+        used = self.used_millicores - unused
+        return self.millicores - used - self.fill_millicores
 
     def takes(self, need: common.Resources, *, fills: bool) -> bool:
         """Whether a task fits now."""
@@ -83,9 +98,22 @@
         self.used_accelerators += step.need.accelerators
         if step.fills:
             self.fill_millicores += step.need.millicores
+            self.loads[step.image] = self.load_with(step)[step.image]
         else:
             self.used_millicores += step.need.millicores
-        self.serving += bool(step.target_ms)
+        if step.target_ms:
+            self.serving.add(step.image)
+            self.serving_millicores += step.need.millicores
+
+    def load_with(self, step: jobs.Step) -> dict[str, float]:
+        """Returns the loads if a filling task of a step came here."""
+        units = image_interference.load_units(
+            step.need.millicores, self.millicores
+        )
+        return {
+            **self.loads,
+            step.image: self.loads.get(step.image, 0.0) + units,
+        }
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +157,16 @@
 
 
 class MostLeftover:
-    """Gives each task the allowed worker with the most leftover time."""
+    """Gives each task the allowed worker with the most leftover time.
+
+    Attributes:
+        interference: What is known about images.
+    """
+
+    def __init__(
+        self, *, interference: image_interference.ImageInterference
+    ) -> None:
+        self.interference = interference
 
     def place(
         self, tasks: Iterable[ReadyTask], workers: Sequence[WorkerRoom]
@@ -137,18 +174,36 @@
         """Returns placements of as many tasks as fit, in their order."""
         placements = []
         for task in tasks:
-            chosen = max(
-                (worker for worker in workers if _allowed(task, worker)),
-                key=lambda worker: _score(task, worker),
-                default=None,
-            )
-            if chosen is None:
+            scored = [
+                (_score(task, worker, risk), worker)
+                for worker in workers
+                if _allowed(task, worker)
+                and (risk := self._risk(task.step, worker)) <= RISK_LIMIT
+            ]
+            if not scored:
                 continue
+            _, chosen = max(scored, key=operator.itemgetter(0))
             chosen.add(task.step)
             task.step_on[chosen.name] = task.step_on.get(chosen.name, 0) + 1
             placements.append(Placement(task=task, worker=chosen))
         return placements
 
+    def _risk(self, step: jobs.Step, worker: WorkerRoom) -> float:
+        """Returns the risk for users if a task of a step came here.
+
+        A task that serves users goes first: those that fill are slowed down.
+        """
+        if step.fills:
+            loads = worker.load_with(step)
+            risks = (
+                self.interference.risk(image, loads) for image in worker.serving
+            )
+            return max(risks, default=0.0)
+        if step.target_ms:
+            risk = self.interference.risk(step.image, worker.loads)
+            return min(risk, RISK_LIMIT)
+        return 0.0
+
 
 def _allowed(task: ReadyTask, worker: WorkerRoom) -> bool:
     step = task.step
@@ -161,12 +216,12 @@
     )
 
 
-def _score(task: ReadyTask, worker: WorkerRoom) -> tuple[bool, int]:
-    score = worker.leftover()
+def _score(
+    task: ReadyTask, worker: WorkerRoom, risk: float
+) -> tuple[bool, float]:
+    score = worker.leftover() - risk / RISK_LIMIT * RISK_MILLICORES
     if worker.name in task.failed_on:
         score -= FAILED_HERE_MILLICORES
     if task.step.data_rack and worker.rack != task.step.data_rack:
         score -= FAR_MILLICORES
-    if task.step.fills and worker.serving:
-        score -= BESIDE_SERVING_MILLICORES
     return not worker.shunned, score
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -22,6 +22,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
+from bamboorouter.coordination.policies import image_interference
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import held_runs
@@ -67,6 +68,8 @@
         pacer: Speed of its filling runs.
         grant_end_ms: Until when runs may go on, on the agent's clock.
         answered_ms: When a look was answered last.
+        blame: How much a filling image (second) disturbs a serving one
+            (first), as the leader has learned.
     """
 
     announcement: worker_port.Announcement
@@ -77,6 +80,9 @@
     pacer: pacing.Pacer
     grant_end_ms: int = 0
     answered_ms: int = 0
+    blame: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def until(self, now: int) -> int | None:
         """Returns the lease to give, on the worker's clock."""
@@ -361,7 +367,9 @@
         changes = session.pacer.decide(
             serving=[
                 pacing.ServingRun(
-                    latency_ms=run.row.figure, target_ms=run.order.target_ms
+                    image=run.order.image,
+                    latency_ms=run.row.figure,
+                    target_ms=run.order.target_ms,
                 )
                 for run in rows
                 if run.row and run.order and run.order.target_ms
@@ -370,11 +378,16 @@
                 pacing.FillingRun(
                     task=run.task,
                     attempt=run.attempt,
+                    image=run.order.image,
+                    millicores=run.order.need.millicores,
                     percent=run.pace,
                 )
                 for run in rows
                 if run.row and run.order and run.order.fills
             ],
+            blame=lambda serving, filling: session.blame.get(
+                (serving, filling), image_interference.FIRST_WEIGHT
+            ),
             now=self.clock.now(),
         )
         for change in changes:
@@ -541,6 +554,10 @@
             )
             return False
         session.grant_end_ms = max(session.grant_end_ms, sent + reply.lease_ms)
+        session.blame = {
+            (pair.serving, pair.filling): pair.weight
+            for pair in reply.disturbances
+        }
         self.held.confirm(ends)
         self._confirmed.set()
         self._carry_out(reply.orders)
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -214,6 +214,20 @@
     stops: tuple[StopOrder, ...] = ()
 
 
+class Disturbance(base.Wire, frozen=True, kw_only=True):
+    """How much tasks of one image disturb those of another.
+
+    Attributes:
+        serving: Image of tasks that serve users.
+        filling: Image of tasks that fill.
+        weight: The learned weight; 0 for no disturbance.
+    """
+
+    serving: str
+    filling: str
+    weight: float
+
+
 class WorkerReply(base.Wire, frozen=True, kw_only=True, tag=144):
     """Answers a WorkerReport; all its ends are committed.
 
@@ -222,11 +236,13 @@
             one must be opened and nothing else of the reply counts.
         lease_ms: How long runs may go on, from the time of the report.
         orders: What the report showed to be missing.
+        disturbances: What was learned about images on this worker.
     """
 
     known: bool
     lease_ms: int
     orders: RunOrders
+    disturbances: tuple[Disturbance, ...] = ()
 
 
 # --- Joining -----------------------------------------------------------------
