Run a job that waits for long with nothing running where it harms least

After 1.5 s one task of such a job is placed at the lowest risk; pacing protects the serving tasks beside it.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -42,6 +42,8 @@
 PUSH_TIMEOUT_MS: Final = 500
 # A stop order is repeated if the end isn't reported; a stop takes 0.9 s.
 REPEAT_STOP_MS: Final = 1000
+# A job with ready tasks may have nothing running for 3 s while there is room.
+OVERDUE_MS: Final = 1500
 # Workers measure latencies and usage over half a second.
 LEARN_PERIOD_MS: Final = 500
 FULL_PROGRESS: Final = 100
@@ -87,6 +89,7 @@
             interference=self.interference
         )
         self._learned_ms: dict[str, int] = {}
+        self._idle_ms: dict[str, int] = {}
         self._wake = asyncio.Event()
         self._failed_on: dict[jobs.TaskRef, frozenset[str]] = {}
         self._stopped_ms: dict[_Stop, int] = {}
@@ -330,7 +333,10 @@
     async def _start_ready(self) -> None:
         state = self.log.machine.stepped
         ready = ready_tasks.ready_tasks(
-            state, wall_ms=self.clock.wall(), failed_on=self._failed_on
+            state,
+            wall_ms=self.clock.wall(),
+            failed_on=self._failed_on,
+            overdue=self._overdue_jobs(),
         )
         if not ready:
             return
@@ -364,6 +370,24 @@
             )
         self._push_starts(started)
 
+    def _overdue_jobs(self) -> frozenset[str]:
+        """Returns active jobs that have had nothing running for long."""
+        state = self.log.machine.stepped
+        now = self.clock.now()
+        running = {
+            ref.job for tasks in state.on_worker.values() for ref in tasks
+        }
+        self._idle_ms = {
+            job_id: self._idle_ms.get(job_id, now)
+            for job_id, job in state.jobs.items()
+            if job.active() and job_id not in running
+        }
+        return frozenset(
+            job_id
+            for job_id, since in self._idle_ms.items()
+            if now - since >= OVERDUE_MS
+        )
+
     def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
         by_worker = sorted(runs, key=lambda run: run.worker)
         for name, group in itertools.groupby(
--- a/bamboorouter/coordination/jobs/ready_tasks.py
+++ b/bamboorouter/coordination/jobs/ready_tasks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 import functools
 import itertools
 
@@ -16,6 +17,7 @@
     *,
     wall_ms: int,
     failed_on: dict[jobs.TaskRef, frozenset[str]],
+    overdue: frozenset[str] = frozenset(),
 ) -> list[run_placement.ReadyTask]:
     """Returns all tasks whose turn has come, first in line first.
 
@@ -23,6 +25,7 @@
         state: The jobs.
         wall_ms: Wall time in ms, for due times and goals.
         failed_on: Workers on which a task failed, by task.
+        overdue: Jobs that have waited for long with nothing running.
     """
     waiting = [
         (waiting_job(job), job) for job in state.jobs.values() if job.active()
@@ -30,7 +33,8 @@
     waiting.sort(key=lambda pair: job_order.order_key(pair[0], wall_ms))
     return list(
         itertools.chain.from_iterable(
-            _ready_of(job, wall_ms, failed_on) for _, job in waiting
+            _ready_of(job, wall_ms, failed_on, job.id in overdue)
+            for _, job in waiting
         )
     )
 
@@ -75,6 +79,7 @@
     job: stepped_jobs.Job,
     wall_ms: int,
     failed_on: dict[jobs.TaskRef, frozenset[str]],
+    overdue: bool,
 ) -> Iterator[run_placement.ReadyTask]:
     for (occurrence, number), row in job.tasks.items():
         if not any(task.status == "waiting" for task in row):
@@ -83,7 +88,10 @@
             occurrence, number
         ):
             continue
-        yield from _ready_of_step(job, occurrence, number, failed_on)
+        for task in _ready_of_step(job, occurrence, number, failed_on):
+            # One running task is enough for the job not to wait.
+            yield dataclasses.replace(task, overdue=overdue)
+            overdue = False
 
 
 def _ready_of_step(
--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -128,6 +128,8 @@
         failed_on: Workers on which it failed before.
         step_on: Tasks of its step by worker; shared by the tasks of a step
             and kept current by the policy.
+        overdue: Whether its job has waited for long with nothing running; it
+            then runs where it does the least harm.
     """
 
     ref: jobs.TaskRef
@@ -136,6 +138,7 @@
     service: str
     failed_on: frozenset[str]
     step_on: dict[str, int]
+    overdue: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -178,7 +181,10 @@
                 (_score(task, worker, risk), worker)
                 for worker in workers
                 if _allowed(task, worker)
-                and (risk := self._risk(task.step, worker)) <= RISK_LIMIT
+                and (
+                    (risk := self._risk(task.step, worker)) <= RISK_LIMIT
+                    or task.overdue
+                )
             ]
             if not scored:
                 continue
