Stop offering leases to a worker that is silent

Cause: each look offered a longer lease, also to a worker that answered none of them and might have taken it, so its lease could never be known to have ended and its runs were never given up. Found by a test of the agent's session, which failed before. Adds tests of the session against a fake worker and leader.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -84,8 +84,18 @@
         default_factory=dict
     )
 
+    def reachable(self, now: int) -> bool:
+        """Whether the worker answered a look recently."""
+        return now - self.answered_ms <= REACHABLE_MS
+
     def until(self, now: int) -> int | None:
-        """Returns the lease to give, on the worker's clock."""
+        """Returns the lease to give, on the worker's clock; None for none.
+
+        A silent worker may take a lease without an answer, so its lease could
+        never be known to have ended if it were offered more and more.
+        """
+        if not self.reachable(now):
+            return None
         return self.lease.until(min(self.grant_end_ms, now + WORKER_LEASE_MS))
 
 
@@ -339,7 +349,7 @@
             return False
         now = self.clock.now()
         session.lease.note_clock(worker_ms=view.clock_ms, received_ms=now)
-        if now - session.answered_ms > REACHABLE_MS:
+        if not session.reachable(now):
             self._report_due.set()
         session.answered_ms = now
         if self.held.settle(view, token=token, sent_ms=sent):
@@ -582,7 +592,7 @@
             rack=said.rack,
             room=said.room,
             draining=said.draining,
-            reachable=now - session.answered_ms <= REACHABLE_MS,
+            reachable=session.reachable(now),
             runs=tuple(run.report() for run in self.held.runs.values()),
             ends=tuple(pending.end for pending in ends),
         )
--- /dev/null
+++ b/tests/test_agent_session.py
@@ -0,0 +1,182 @@
+"""Guards an agent's session against runs that start twice or get lost."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from typing import cast
+import unittest
+
+from bamboorouter import clock
+from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.workers import agent_session
+from bamboorouter.coordination.workers import run_lease
+from bamboorouter.protocol import job_messages
+from tests import fake_worker
+from tests import job_builders as make
+
+
+class AgentSessionTest(unittest.IsolatedAsyncioTestCase):
+    """One agent between a fake worker and a fake leader."""
+
+    async def asyncSetUp(self) -> None:
+        self.worker = fake_worker.FakeWorker()
+        self.leader = fake_worker.FakeLeaderClient()
+        self.session = self.new_session()
+        self.session.announce(fake_worker.announcement())
+        await self.until(self.reachable)
+
+    def new_session(self) -> agent_session.AgentSession:
+        session = agent_session.AgentSession(
+            worker="agent-1",
+            client=cast(control_client.ControlClient, self.leader),
+            ports=self.worker,
+            time=clock.SystemClock(),
+        )
+        session.start()
+        self.addAsyncCleanup(session.stop)
+        return session
+
+    async def until(self, condition: Callable[[], Any]) -> None:
+        async with asyncio.timeout(fake_worker.WAIT_S):
+            while not condition():
+                await asyncio.sleep(fake_worker.PAUSE_S)
+
+    def reachable(self) -> bool:
+        return bool(self.leader.reports) and self.leader.reports[-1].reachable
+
+    async def order(self, orders: job_messages.RunOrders) -> None:
+        await self.session.take_orders(orders, cast(Any, None))
+
+    def hows(self) -> list[str]:
+        return [end.how for end in self.leader.ends]
+
+    async def test_end_is_acknowledged_only_after_the_leader_has_it(
+        self,
+    ) -> None:
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.worker.finish(make.ref(), "done")
+        await self.until(lambda: self.worker.acknowledged == 1)
+        self.assertEqual(self.hows(), ["done"])
+
+    async def test_repeated_order_starts_one_run(self) -> None:
+        for _ in range(3):
+            await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.worker.starts), 1)
+
+    async def test_order_carried_out_without_an_answer_is_found(self) -> None:
+        self.worker.unanswered = 1
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(
+            lambda: any(run.running for run in self.leader.reports[-1].runs)
+        )
+        self.assertEqual(self.hows(), [])
+
+    async def test_order_carried_out_late_is_fenced_off(self) -> None:
+        """Guards against a run that starts after it was given up."""
+        self.worker.unanswered = 1
+        self.worker.carries_out = False
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.hows() == ["rejected"])
+        self.worker.carry_out_delayed()
+        self.assertEqual(self.worker.running, {})
+
+    async def test_silent_worker_loses_its_runs_after_its_lease(self) -> None:
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.worker.silent = True
+        time = clock.SystemClock()
+        async with asyncio.timeout(10):
+            while self.hows() != ["lost"]:
+                await asyncio.sleep(fake_worker.PAUSE_S)
+        # The fake worker's clock is the agent's.
+        self.assertGreater(time.now(), self.worker.until_ms)
+
+    async def test_new_life_loses_the_runs_of_the_earlier_one(self) -> None:
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.worker.running.clear()
+        self.session.announce(fake_worker.announcement(born_ms=2))
+        await self.until(lambda: self.hows() == ["lost"])
+        self.assertEqual(self.leader.reports[-1].life, "w1@2")
+
+    async def test_delayed_announcement_of_an_earlier_life_is_ignored(
+        self,
+    ) -> None:
+        self.session.announce(fake_worker.announcement(born_ms=0))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.leader.sessions, 1)
+
+    async def test_draining_worker_starts_nothing(self) -> None:
+        self.session.announce(
+            fake_worker.announcement(sequence=2, draining=True)
+        )
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.hows() == ["rejected"])
+        self.assertEqual(self.worker.starts, [])
+
+    async def test_orders_of_an_earlier_leader_are_ignored(self) -> None:
+        await self.order(fake_worker.start_orders(make.ref("new"), term=3))
+        await self.order(fake_worker.start_orders(make.ref("old"), term=2))
+        await self.until(lambda: self.worker.running)
+        await asyncio.sleep(0.05)
+        self.assertEqual(set(self.worker.running), {make.ref("new")})
+
+    async def test_stop_that_comes_before_its_start_prevents_it(self) -> None:
+        await self.order(fake_worker.stop_orders(make.ref()))
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.hows() == ["rejected"])
+        self.assertEqual(self.worker.starts, [])
+
+    async def test_restarted_agent_finds_the_runs_of_its_predecessor(
+        self,
+    ) -> None:
+        """Guards against a second start of a run that still goes on."""
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        await self.session.stop()
+        self.leader.reports.clear()
+        self.session = self.new_session()
+        self.session.announce(fake_worker.announcement())
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(
+            lambda: self.leader.reports
+            and any(run.running for run in self.leader.reports[-1].runs)
+        )
+        self.assertEqual(len(self.worker.starts), 1)
+        self.assertEqual(self.hows(), [])
+
+    async def test_unknown_session_is_opened_again(self) -> None:
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.leader.knows = False
+        await self.until(lambda: self.leader.sessions == 2)
+        await self.until(lambda: self.reachable() and self.leader.knows)
+        self.assertEqual(self.hows(), [])
+
+
+class RunLeaseTest(unittest.TestCase):
+    """A lease ends on the worker before the agent believes it has ended."""
+
+    def test_slow_worker_clock_ends_the_lease_in_time(self) -> None:
+        lease = run_lease.RunLease()
+        lease.note_clock(worker_ms=1000, received_ms=50_000)
+        until = lease.until(56_000)
+        assert until is not None
+        # 2 % slow: so much real time passes until the worker's clock is there.
+        real_ms = (until - 1000) / 0.98
+        self.assertLessEqual(real_ms, 6000)
+        self.assertFalse(lease.ended(int(50_000 + real_ms)))
+        self.assertTrue(lease.ended(56_000 + run_lease.STOP_MARGIN_MS + 1))
+
+    def test_lease_in_the_past_is_not_given(self) -> None:
+        lease = run_lease.RunLease()
+        self.assertIsNone(lease.until(1000))
+        lease.note_clock(worker_ms=1000, received_ms=50_000)
+        self.assertIsNone(lease.until(49_000))
+
+
+if __name__ == "__main__":
+    unittest.main()
