Slow filling runs stepwise before the bound; move runs that stay slow

Cause: lasting tasks carry most of what is owed, and a second over their bound costs four times its share; pacing began at 85 % of the bound, where the tail already grows without limit. Runs that stayed slow kept their place.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -42,6 +42,10 @@
 PUSH_TIMEOUT_MS: Final = 500
 # A stop order is repeated if the end isn't reported; a stop takes 0.9 s.
 REPEAT_STOP_MS: Final = 1000
+# A run at this speed or less for so long is moved: its restart costs 0.1 s,
+# and a serving task's load swings over many seconds.
+SLOW_PERCENT: Final = 25
+SLOW_FOR_MS: Final = 1500
 # A job with ready tasks may have nothing running for 3 s while there is room.
 OVERDUE_MS: Final = 1500
 # Workers measure latencies and usage over half a second.
@@ -90,6 +94,7 @@
         )
         self._learned_ms: dict[str, int] = {}
         self._idle_ms: dict[str, int] = {}
+        self._slow_ms: dict[str, dict[tuple[jobs.TaskRef, int], int]] = {}
         self._wake = asyncio.Event()
         self._failed_on: dict[jobs.TaskRef, frozenset[str]] = {}
         self._stopped_ms: dict[_Stop, int] = {}
@@ -458,10 +463,12 @@
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
                 continue
+            slow = self._slow_runs(worker, now)
             stops = [
                 _Stop(ref, task.attempt)
                 for ref, task in tasks.items()
                 if _to_stop(state, ref, draining=worker.report.draining)
+                or (ref, task.attempt) in slow
             ]
             due = []
             for stop in stops:
@@ -474,6 +481,27 @@
                 self._push_stops(worker, due)
         self._stopped_ms = wanted
 
+    def _slow_runs(
+        self, worker: worker_table.LiveWorker, now: int
+    ) -> set[tuple[jobs.TaskRef, int]]:
+        """Returns runs that were slowed for long and can go on elsewhere."""
+        state = self.log.machine.stepped
+        slowed = {
+            (run.task, run.attempt)
+            for run in worker.report.runs
+            if run.running and run.pace <= SLOW_PERCENT
+        }
+        name = worker.report.worker
+        since = self._slow_ms.get(name, {})
+        self._slow_ms[name] = {key: since.get(key, now) for key in slowed}
+        return {
+            key
+            for key, began in self._slow_ms[name].items()
+            if now - began >= SLOW_FOR_MS
+            and state.task(key[0]) is not None
+            and state.step(key[0]).checkpoints
+        }
+
     def _push_stops(
         self, worker: worker_table.LiveWorker, stops: list[_Stop]
     ) -> None:
--- a/bamboorouter/coordination/policies/pacing.py
+++ b/bamboorouter/coordination/policies/pacing.py
@@ -1,11 +1,12 @@
 """Slows filling tasks down while they disturb a task that serves users.
 
 Answers this load: filling tasks share a worker with a task whose tail latency
-has a bound, and how much they disturb it changes within seconds. Near the bound
-the filling tasks that are known to disturb most are slowed by half, again and
-again until the latency falls; well below it they get speed back in steps. A
-task that stays over its bound for long has all filling tasks stopped, whatever
-is known about them. The figure is a rough one of the last half second, so each
+has a bound, and how much they disturb it changes within seconds. Tail latency grows
+without limit as the load nears what the worker can bear, so the filling tasks
+that are known to disturb most are slowed well before the bound, and the more
+the nearer it is; well below it they get speed back in steps. A task that stays
+over its bound for long has all filling tasks stopped, whatever is known about
+them. The figure is a rough one of the last half second, so each
 change is followed by a pause.
 """
 
@@ -16,9 +17,10 @@
 
 from bamboorouter.protocol import jobs
 
-# Slow down at this share of the bound, speed up below the lower one.
-SLOW_SHARE: Final = 0.85
-FREE_SHARE: Final = 0.65
+# Shares of the bound from which on filling tasks keep a part of their speed.
+SLOW_STEPS: Final = ((2.0, 0.0), (1.0, 0.25), (0.8, 0.5), (0.65, 0.75))
+# Below this share of the bound they get speed back.
+FREE_SHARE: Final = 0.5
 FULL_PERCENT: Final = 100
 # Below this a task is stopped entirely; it would hardly make progress.
 LEAST_PERCENT: Final = 20
@@ -99,8 +101,8 @@
         changes: list[FillingRun] = []
         if self._over_for(now) >= STOP_ALL_MS:
             changes = [dataclasses.replace(run, percent=0) for run in filling]
-        elif worst is not None and share >= SLOW_SHARE:
-            changes = _slowed(worst.image, filling, blame)
+        elif worst is not None and (kept := _kept(share)) is not None:
+            changes = _slowed(worst.image, filling, blame, kept)
         elif share < FREE_SHARE:
             changes = [_raised(run) for run in filling]
         before = {(run.task, run.attempt): run.percent for run in filling}
@@ -117,24 +119,29 @@
         return 0 if self._over_since_ms is None else now - self._over_since_ms
 
 
+def _kept(share: float) -> float | None:
+    """Returns the part of their speed that filling tasks keep."""
+    return next((kept for least, kept in SLOW_STEPS if share >= least), None)
+
+
 def _slowed(
-    serving: str, filling: Sequence[FillingRun], blame: Blame
+    serving: str, filling: Sequence[FillingRun], blame: Blame, kept: float
 ) -> list[FillingRun]:
-    """Returns those that disturb most at half their speed."""
+    """Returns those that disturb most at a part of their speed."""
     blames = [
         blame(serving, run.image) * run.millicores * run.percent
         for run in filling
     ]
     most = max(blames, default=0.0)
     return [
-        _halved(run)
+        _at_part(run, kept)
         for run, amount in zip(filling, blames, strict=True)
         if run.percent and amount >= most * BLAME_SHARE
     ]
 
 
-def _halved(run: FillingRun) -> FillingRun:
-    percent = run.percent // 2
+def _at_part(run: FillingRun, kept: float) -> FillingRun:
+    percent = int(run.percent * kept)
     return dataclasses.replace(
         run, percent=percent if percent >= LEAST_PERCENT else 0
     )
--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -162,6 +162,10 @@
     def test_only_the_harmful_image_is_slowed(self) -> None:
         self.assertEqual(self.decide(90, 0), {"heavy": 50, "light": 100})
 
+    def test_nearer_to_the_bound_more_speed_is_taken(self) -> None:
+        self.assertEqual(self.decide(70, 0)["heavy"], 75)
+        self.assertEqual(self.decide(210, 700)["heavy"], 0)
+
     def test_figures_from_before_a_change_cause_no_second_one(self) -> None:
         self.decide(90, 0)
         self.assertEqual(self.decide(90, 300)["heavy"], 50)
