Pace by utilization, pack serving tasks, order by worth for the work left

Cause: filling runs were spread beside all serving tasks, so each disturbed somebody; by deadline all heavy jobs became late together.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -21,9 +21,11 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter.coordination.jobs import ready_tasks
+from bamboorouter.coordination.jobs import run_figures
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
+from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.policies import run_placement
 from bamboorouter.coordination.policies import worker_health
 from bamboorouter.protocol import commands
@@ -48,9 +50,6 @@
 SLOW_FOR_MS: Final = 1500
 # A job with ready tasks may have nothing running for 3 s while there is room.
 OVERDUE_MS: Final = 1500
-# Workers measure latencies and usage over half a second.
-LEARN_PERIOD_MS: Final = 500
-FULL_PROGRESS: Final = 100
 # Ended jobs can be asked for at least this long.
 KEEP_ENDED_MS: Final = 600_000
 # Keeps one command well below the size of a log entry.
@@ -74,6 +73,7 @@
         table: Workers by their reports.
         health: Which workers fail what they start.
         interference: Which images disturb which.
+        figures: What workers measured of their runs.
         placement: Chooses workers for ready tasks.
     """
 
@@ -89,10 +89,10 @@
         self.table = table
         self.health = worker_health.WorkerHealth()
         self.interference = image_interference.ImageInterference()
+        self.figures = run_figures.RunFigures(interference=self.interference)
         self.placement: run_placement.RunPlacement = run_placement.MostLeftover(
             interference=self.interference
         )
-        self._learned_ms: dict[str, int] = {}
         self._idle_ms: dict[str, int] = {}
         self._slow_ms: dict[str, dict[tuple[jobs.TaskRef, int], int]] = {}
         self._wake = asyncio.Event()
@@ -151,7 +151,7 @@
         )
         if not current or not self.table.note(report, source, self.clock.now()):
             return self._reply(report, known=False)
-        self._learn(report)
+        self.figures.note(report, state, self.clock.now())
         await self._end(report.ends, report.worker, report.life)
         return self._reply(report, known=True)
 
@@ -190,52 +190,7 @@
             known=known,
             lease_ms=worker_table.LEASE_MS,
             orders=orders,
-            disturbances=self._disturbances(report),
-        )
-
-    def _learn(self, report: job_messages.WorkerReport) -> None:
-        """Learns from figures, once for each period that they cover."""
-        now = self.clock.now()
-        last = self._learned_ms.get(report.worker)
-        if last is not None and now - last < LEARN_PERIOD_MS:
-            return
-        self._learned_ms[report.worker] = now
-        serving, loads = self._figures(report)
-        for image, share in serving:
-            self.interference.note(image, share, loads)
-
-    def _figures(
-        self, report: job_messages.WorkerReport
-    ) -> tuple[list[tuple[str, float]], dict[str, float]]:
-        """Returns serving images with their latencies, and filling loads."""
-        state = self.log.machine.stepped
-        serving: list[tuple[str, float]] = []
-        loads: dict[str, float] = {}
-        for run in report.runs:
-            if not run.running or state.task(run.task) is None:
-                continue
-            step = state.step(run.task)
-            if step.target_ms and run.progress >= FULL_PROGRESS and run.figure:
-                serving.append((step.image, run.figure / step.target_ms))
-            elif step.fills:
-                units = image_interference.load_units(
-                    run.figure, report.room.millicores
-                )
-                loads[step.image] = loads.get(step.image, 0.0) + units
-        return serving, loads
-
-    def _disturbances(
-        self, report: job_messages.WorkerReport
-    ) -> tuple[job_messages.Disturbance, ...]:
-        serving, loads = self._figures(report)
-        return tuple(
-            job_messages.Disturbance(
-                serving=image,
-                filling=filling,
-                weight=round(self.interference.weight(image, filling), 2),
-            )
-            for image in sorted({image for image, _ in serving})
-            for filling in loads
+            disturbances=self.figures.weights(report.worker),
         )
 
     def _missing_orders(
@@ -285,6 +240,7 @@
             self.health = worker_health.WorkerHealth()
             self._failed_on.clear()
             self._stopped_ms.clear()
+            self.figures.reset()
             self._ended_ms.clear()
             self._wake.set()
 
@@ -425,34 +381,51 @@
             target_ms=step.target_ms,
             need=step.need,
             image=step.image,
+            percent=self._begin_percent(task.worker, step),
+        )
+
+    def _begin_percent(self, worker: str, step: jobs.Step) -> int:
+        """Returns the speed for a task that is already assigned there."""
+        room = self._room(worker) if step.fills else None
+        if room is None:
+            return pacing.FULL_PERCENT
+        return pacing.begin_percent(
+            pacing.part_of_speed(
+                own, self.interference.added(image, room.loads)
+            )
+            for image, own in room.serving
         )
 
     def _worker_rooms(self) -> list[run_placement.WorkerRoom]:
         now = self.clock.now()
+        rooms = (
+            self._room(name)
+            for name, worker in self.table.workers.items()
+            if worker.usable(now)
+        )
+        return [room for room in rooms if room is not None]
+
+    def _room(self, name: str) -> run_placement.WorkerRoom | None:
+        """Returns a worker as placement sees it; None if it isn't current."""
         state = self.log.machine.stepped
-        rooms = []
-        for name, worker in self.table.workers.items():
-            report = worker.report
-            life = state.lives.get(name)
-            if life is None or life.life != report.life:
-                continue
-            if not worker.usable(now):
-                continue
-            room = run_placement.WorkerRoom(
-                name=name,
-                life=life.life,
-                service=report.service,
-                labels=frozenset(report.labels),
-                rack=report.rack,
-                millicores=life.room.millicores,
-                memory_mb=life.room.memory_mb,
-                accelerators=life.room.accelerators,
-                shunned=self.health.shunned(name, now),
-            )
-            for ref in state.on_worker.get(name, {}):
-                room.add(state.step(ref))
-            rooms.append(room)
-        return rooms
+        worker = self.table.workers.get(name)
+        life = state.lives.get(name)
+        if worker is None or life is None or life.life != worker.report.life:
+            return None
+        room = run_placement.WorkerRoom(
+            name=name,
+            life=life.life,
+            service=worker.report.service,
+            labels=frozenset(worker.report.labels),
+            rack=worker.report.rack,
+            millicores=life.room.millicores,
+            memory_mb=life.room.memory_mb,
+            accelerators=life.room.accelerators,
+            shunned=self.health.shunned(name, self.clock.now()),
+        )
+        for ref in state.on_worker.get(name, {}):
+            room.add(state.step(ref), self.figures.own(ref))
+        return room
 
     def _stop_unwanted(self) -> None:
         """Orders stops of runs whose job ended or whose worker leaves."""
--- a/bamboorouter/coordination/jobs/ready_tasks.py
+++ b/bamboorouter/coordination/jobs/ready_tasks.py
@@ -60,9 +60,18 @@
         left_ms=chain_ms(steps, open_steps),
         slack=job.queue.slack,
         target_ms=job.queue.target_ms,
+        work=sum(step.count * _work(step) for step in steps),
+        left_work=sum(
+            sum(task.status != "done" for task in row) * _work(steps[number])
+            for (_, number), row in job.tasks.items()
+        ),
     )
 
 
+def _work(step: jobs.Step) -> int:
+    return step.need.millicores * max(1, step.estimate_ms)
+
+
 def chain_ms(steps: tuple[jobs.Step, ...], counted: Iterable[int]) -> int:
     """Returns the declared time of the longest chain of counted steps."""
     wanted = frozenset(counted)
--- a/bamboorouter/coordination/policies/image_interference.py
+++ b/bamboorouter/coordination/policies/image_interference.py
@@ -1,77 +1,106 @@
-"""Learns which images disturb which, from late and rough figures.
-
-Answers this load: tasks that fill share workers with tasks that serve users,
-and some pairs of images get along while others multiply the tail latency. The
-risk that a serving image is over its bound is modelled as a logistic function
-of the processor time that each filling image uses beside it. One step of
-stochastic gradient descent with a step size for each weight (AdaGrad) is made
-for each figure, so a pair is known after a handful of them. Weights are never
-negative: filling work doesn't make another task faster.
+"""Learns how much tasks that fill disturb tasks that serve users.
+
+Answers this load: tasks that fill share workers with tasks that serve, and
+some pairs of images get along while others multiply the tail latency, by
+amounts that are seen only in late and rough figures.
+
+Tail latency is read as utilization of a queue: latency = base / (1 - u). The
+utilization u of a serving task is its own load, which changes slowly, plus a
+weight for each filling image times the share of the worker's processors that
+the image uses. Between two figures of the same task the own load hardly
+changes, so the difference of u is explained by the difference of the filling
+loads. One normalized step of least mean squares is made for each difference.
+Weights are never negative: filling work doesn't make another task faster.
 """
 
 from collections.abc import Mapping
-import math
+import dataclasses
 from typing import Final
 
-# A pair that was never seen together counts as rather harmful, so that new
-# images are tried beside few others first.
-FIRST_WEIGHT: Final = 0.8
-# Without filling work beside it a serving task is over its bound this seldom.
-FIRST_RISK: Final = 0.09
-# Over this share of the bound a figure counts as too high.
-HIGH_SHARE: Final = 0.8
-STEP: Final = 1.0
-OWN_STEP: Final = 0.3
-# Keeps the first steps of a weight from being too large.
-DAMPING: Final = 0.3
+# An unloaded serving task's latency as a share of its bound. Lower figures
+# than that are taken as they are.
+BASE_SHARE: Final = 1 / 6
+# Above this utilization figures hardly depend on it any more.
+SATURATED: Final = 0.93
+# Weight for each tenth of a worker of a pair that was never seen together; a
+# harmful pair has about twice as much, so that it is tried with care.
+FIRST_WEIGHT: Final = 0.06
+# Below this weight a pair is taken as not disturbing.
+HARMLESS_WEIGHT: Final = 0.03
+STEP: Final = 0.3
+# Differences of less than this many load units say nothing.
+LEAST_DIFFERENCE: Final = 0.15
 
 # Share of a worker's processors that one unit of load stands for.
 LOAD_UNIT: Final = 0.1
+# Own utilization of a serving task of which nothing is known yet.
+USUAL_OWN: Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Figure:
+    """One figure of a serving task.
+
+    Attributes:
+        image: What it runs.
+        utilization: Its utilization.
+        loads: Load units that each filling image uses beside it.
+    """
+
+    image: str
+    utilization: float
+    loads: Mapping[str, float]
 
 
 class ImageInterference:
-    """The learned risks."""
+    """The learned weights."""
 
     def __init__(self) -> None:
-        self._own: dict[str, float] = {}
         self._weights: dict[tuple[str, str], float] = {}
-        self._squares: dict[tuple[str, str], float] = {}
-
-    def note(
-        self, serving: str, share: float, loads: Mapping[str, float]
-    ) -> None:
-        """Learns from one figure.
-
-        Args:
-            serving: Image of the task that serves users.
-            share: Its tail latency as a share of its bound.
-            loads: Load units that each filling image uses beside it.
-        """
-        error = self.risk(serving, loads) - float(share > HIGH_SHARE)
-        self._own[serving] = self._own_of(serving) - OWN_STEP * error
-        for filling, load in loads.items():
-            pair = (serving, filling)
-            gradient = error * load
-            squares = self._squares.get(pair, 0.0) + gradient * gradient
-            step = STEP * gradient / math.sqrt(DAMPING + squares)
-            self._squares[pair] = squares
-            self._weights[pair] = max(0.0, self.weight(*pair) - step)
-
-    def risk(self, serving: str, loads: Mapping[str, float]) -> float:
-        """Returns the risk, 0 to 1, that a serving image is over its bound."""
-        total = self._own_of(serving) + sum(
-            self.weight(serving, filling) * load
+
+    def note(self, before: Figure, after: Figure) -> None:
+        """Learns from two successive figures of one serving task."""
+        loads = {
+            filling: after.loads.get(filling, 0.0)
+            - before.loads.get(filling, 0.0)
+            for filling in {*before.loads, *after.loads}
+        }
+        size = sum(load * load for load in loads.values())
+        if size < LEAST_DIFFERENCE**2 or before.utilization >= SATURATED:
+            return
+        expected = sum(
+            self.weight(after.image, filling) * load
             for filling, load in loads.items()
         )
-        return 1 / (1 + math.exp(-total))
+        seen = min(after.utilization, SATURATED) - before.utilization
+        error = seen - expected
+        if after.utilization >= SATURATED and error < 0:
+            # It may be as much as expected; the figure can't show it.
+            return
+        for filling, load in loads.items():
+            weight = self.weight(after.image, filling)
+            self._weights[after.image, filling] = max(
+                0.0, weight + STEP * error * load / (size + LEAST_DIFFERENCE)
+            )
 
     def weight(self, serving: str, filling: str) -> float:
-        """Returns how much a filling image disturbs a serving one."""
+        """Returns what one load unit of an image adds to a utilization."""
         return self._weights.get((serving, filling), FIRST_WEIGHT)
 
-    def _own_of(self, serving: str) -> float:
-        first = math.log(FIRST_RISK / (1 - FIRST_RISK))
-        return self._own.get(serving, first)
+    def added(self, serving: str, loads: Mapping[str, float]) -> float:
+        """Returns what filling loads add to the utilization of an image."""
+        return sum(
+            self.weight(serving, filling) * load
+            for filling, load in loads.items()
+        )
+
+
+def utilization(latency_ms: float, target_ms: float) -> float:
+    """Returns the utilization that a tail latency stands for."""
+    share = latency_ms / target_ms
+    if share <= BASE_SHARE:
+        return 0.0
+    return 1 - BASE_SHARE / share
 
 
 def load_units(millicores: int, room_millicores: int) -> float:
--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -2,7 +2,9 @@
 
 Answers this load: many wide steps become ready at once while the workers are
 almost full. Tasks are taken in the order given. Each goes to the worker that
-leaves it the most processor time, so that no worker becomes a hot spot. Tasks
+leaves it the most processor time, so that no worker becomes a hot spot; only
+tasks that serve users are packed on few workers, so that others remain on which
+filling tasks disturb nobody. Tasks
 that fill get only processor time that nothing else fills and that serving
 tasks are known to leave, because a crowded worker makes all of them late at
 once, and no worker on which they would put a serving task's latency at risk.
@@ -16,6 +18,7 @@
 from typing import Protocol
 
 from bamboorouter.coordination.policies import image_interference
+from bamboorouter.coordination.policies import pacing
 from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
 
@@ -25,12 +28,12 @@
 # A task far from its data takes half as long again, which outweighs a worker
 # that is fuller by this much, in thousandths of a processor.
 FAR_MILLICORES: Final = 100_000
-# A filling task waits rather than put a serving task at a higher risk of being
-# over its bound; what it loses by waiting is less than what users lose.
-RISK_LIMIT: Final = 0.3
-# A worker at the risk limit counts as fuller by this much, in thousandths of
-# a processor.
-RISK_MILLICORES: Final = 60_000
+# A filling task waits rather than go where serving tasks leave it less than
+# this part of its speed.
+LEAST_PART: Final = 0.8
+# A worker on which a task would stand still counts as fuller by this much, in
+# thousandths of a processor.
+DISTURBED_MILLICORES: Final = 60_000
 # Share of their reservation that serving tasks use at most times.
 SERVING_USE: Final = 0.75
 
@@ -53,7 +56,8 @@
         used_accelerators: Accelerators in use.
         fill_millicores: Processor time that filling tasks ask for.
         serving_millicores: Part of the reservation of tasks that serve users.
-        serving: Images of tasks that serve users.
+        serving: Own utilization of each task that serves users, with its
+            image.
         loads: Load units that each filling image asks for.
         shunned: Whether it gets work only for want of other workers.
     """
@@ -71,7 +75,7 @@
     used_accelerators: int = 0
     fill_millicores: int = 0
     serving_millicores: int = 0
-    serving: set[str] = dataclasses.field(default_factory=set)
+    serving: list[tuple[str, float]] = dataclasses.field(default_factory=list)
     loads: dict[str, float] = dataclasses.field(default_factory=dict)
     shunned: bool = False
 
@@ -92,8 +96,15 @@
             return need.millicores <= self.leftover()
         return self.used_millicores + need.millicores <= self.millicores
 
-    def add(self, step: jobs.Step) -> None:
-        """Takes a task of a step into the sums."""
+    def add(
+        self, step: jobs.Step, own: float = image_interference.USUAL_OWN
+    ) -> None:
+        """Takes a task of a step into the sums.
+
+        Args:
+            step: The step.
+            own: Utilization of a serving task without what others add.
+        """
         self.used_memory_mb += step.need.memory_mb
         self.used_accelerators += step.need.accelerators
         if step.fills:
@@ -102,7 +113,7 @@
         else:
             self.used_millicores += step.need.millicores
         if step.target_ms:
-            self.serving.add(step.image)
+            self.serving.append((step.image, own))
             self.serving_millicores += step.need.millicores
 
     def load_with(self, step: jobs.Step) -> dict[str, float]:
@@ -178,12 +189,14 @@
         placements = []
         for task in tasks:
             scored = [
-                (_score(task, worker, risk), worker)
+                (_score(task, worker, part), worker)
                 for worker in workers
                 if _allowed(task, worker)
                 and (
-                    (risk := self._risk(task.step, worker)) <= RISK_LIMIT
+                    (part := self.part_of_speed(task.step, worker))
+                    >= LEAST_PART
                     or task.overdue
+                    or not task.step.fills
                 )
             ]
             if not scored:
@@ -194,21 +207,29 @@
             placements.append(Placement(task=task, worker=chosen))
         return placements
 
-    def _risk(self, step: jobs.Step, worker: WorkerRoom) -> float:
-        """Returns the risk for users if a task of a step came here.
+    def part_of_speed(self, step: jobs.Step, worker: WorkerRoom) -> float:
+        """Returns the part of full speed that serving tasks would leave.
 
-        A task that serves users goes first: those that fill are slowed down.
+        For a task that fills, it is the part it would have itself; for one
+        that serves users, the part that the worker's filling tasks would keep.
         """
         if step.fills:
-            loads = worker.load_with(step)
-            risks = (
-                self.interference.risk(image, loads) for image in worker.serving
-            )
-            return max(risks, default=0.0)
+            return self._part_beside(worker.serving, worker.load_with(step))
         if step.target_ms:
-            risk = self.interference.risk(step.image, worker.loads)
-            return min(risk, RISK_LIMIT)
-        return 0.0
+            newcomer = [(step.image, image_interference.USUAL_OWN)]
+            return self._part_beside(newcomer, worker.loads)
+        return 1.0
+
+    def _part_beside(
+        self, serving: list[tuple[str, float]], loads: dict[str, float]
+    ) -> float:
+        return min(
+            (
+                pacing.part_of_speed(own, self.interference.added(image, loads))
+                for image, own in serving
+            ),
+            default=1.0,
+        )
 
 
 def _allowed(task: ReadyTask, worker: WorkerRoom) -> bool:
@@ -223,9 +244,14 @@
 
 
 def _score(
-    task: ReadyTask, worker: WorkerRoom, risk: float
+    task: ReadyTask, worker: WorkerRoom, part: float
 ) -> tuple[bool, float]:
-    score = worker.leftover() - risk / RISK_LIMIT * RISK_MILLICORES
+    if task.step.target_ms:
+        # Together they leave other workers to tasks that would disturb them.
+        score = worker.used_millicores
+    else:
+        score = worker.leftover()
+    score -= int((1 - part) * DISTURBED_MILLICORES)
     if worker.name in task.failed_on:
         score -= FAILED_HERE_MILLICORES
     if task.step.data_rack and worker.rack != task.step.data_rack:
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -29,6 +29,7 @@
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
@@ -68,7 +69,7 @@
         pacer: Speed of its filling runs.
         grant_end_ms: Until when runs may go on, on the agent's clock.
         answered_ms: When a look was answered last.
-        blame: How much a filling image (second) disturbs a serving one
+        weights: How much a filling image (second) disturbs a serving one
             (first), as the leader has learned.
     """
 
@@ -80,10 +81,16 @@
     pacer: pacing.Pacer
     grant_end_ms: int = 0
     answered_ms: int = 0
-    blame: dict[tuple[str, str], float] = dataclasses.field(
+    weights: dict[tuple[str, str], float] = dataclasses.field(
         default_factory=dict
     )
 
+    def units(self, millicores: int) -> float:
+        """Returns processor time of the worker in load units."""
+        return image_interference.load_units(
+            millicores, self.announcement.room.millicores
+        )
+
     def reachable(self, now: int) -> bool:
         """Whether the worker answered a look recently."""
         return now - self.answered_ms <= REACHABLE_MS
@@ -374,53 +381,68 @@
 
     def _pace(self, session: Session) -> None:
         rows = [run for run in self.held.runs.values() if run.row and run.order]
+        serving = [
+            pacing.ServingRun(
+                image=run.order.image,
+                latency_ms=run.row.figure,
+                target_ms=run.order.target_ms,
+            )
+            for run in rows
+            if run.row and run.order and run.order.target_ms
+        ]
         changes = session.pacer.decide(
-            serving=[
-                pacing.ServingRun(
-                    image=run.order.image,
-                    latency_ms=run.row.figure,
-                    target_ms=run.order.target_ms,
-                )
-                for run in rows
-                if run.row and run.order and run.order.target_ms
-            ],
+            serving=serving,
             filling=[
                 pacing.FillingRun(
                     task=run.task,
                     attempt=run.attempt,
                     image=run.order.image,
-                    millicores=run.order.need.millicores,
+                    units=session.units(run.order.need.millicores),
+                    used=session.units(run.row.figure),
                     percent=run.pace,
                 )
                 for run in rows
                 if run.row and run.order and run.order.fills
             ],
-            blame=lambda serving, filling: session.blame.get(
+            weight=lambda serving, filling: session.weights.get(
                 (serving, filling), image_interference.FIRST_WEIGHT
             ),
             now=self.clock.now(),
         )
+        if not changes:
+            return
+        events.log(
+            events.PACE_CHANGED,
+            worker=self.worker,
+            latencies=[
+                (run.image, run.latency_ms, run.target_ms) for run in serving
+            ],
+            runs=[
+                (str(run.task), run.image, round(run.used, 2), run.percent)
+                for run in changes
+            ],
+        )
         for change in changes:
-            self._spawn(self._pace_one(session, change))
+            self._spawn(
+                self._pace_one(
+                    session, change.task, change.attempt, change.percent
+                )
+            )
 
     async def _pace_one(
-        self, session: Session, change: pacing.FillingRun
+        self, session: Session, task: jobs.TaskRef, attempt: int, percent: int
     ) -> None:
         try:
             await session.port.pace(
-                change.task,
-                change.attempt,
-                percent=change.percent,
-                token=session.token,
+                task, attempt, percent=percent, token=session.token
             )
-            run = self.held.runs.get((change.task, change.attempt))
-            if run is not None:
-                run.pace = change.percent
         except errors.RouterError as err:
             # It is tried again after the next look.
-            events.log(
-                events.ORDER_FAILED, task=str(change.task), error=str(err)
-            )
+            events.log(events.ORDER_FAILED, task=str(task), error=str(err))
+            return
+        run = self.held.runs.get((task, attempt))
+        if run is not None:
+            run.pace = percent
 
     # --- Orders --------------------------------------------------------------
 
@@ -480,11 +502,26 @@
                 worker=self.worker,
                 token=token,
                 until_ms=until_ms,
+                percent=run.order.percent if run.order else None,
             )
+            await self._begin_slowly(session, run)
             return
         self.held.end(run, "rejected")
         self._report_due.set()
 
+    async def _begin_slowly(
+        self, session: Session, run: held_runs.HeldRun
+    ) -> None:
+        """Slows a run that has just started, if that was ordered."""
+        if run.order is None or run.order.percent == run.pace:
+            return
+        await self._pace_one(
+            session,
+            run.task,
+            run.attempt,
+            run.order.percent,
+        )
+
     def _doubt(self, session: Session, run: held_runs.HeldRun) -> None:
         """Has a look settle whether the worker has a run."""
         if run.phase == "starting":
@@ -564,7 +601,7 @@
             )
             return False
         session.grant_end_ms = max(session.grant_end_ms, sent + reply.lease_ms)
-        session.blame = {
+        session.weights = {
             (pair.serving, pair.filling): pair.weight
             for pair in reply.disturbances
         }
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -568,3 +568,9 @@
     logging.WARNING,
     "No leader answered a call about the configuration in time.",
 )
+PACE_CHANGED: Final = _event(
+    709,
+    "pace_changed",
+    logging.INFO,
+    "Filling runs of a worker were slowed or given speed back.",
+)
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -179,6 +179,7 @@
         target_ms: Bound for its tail latency; 0 for none.
         need: What it occupies.
         image: What it runs; tasks of one image behave alike.
+        percent: Share of its speed at which it begins.
     """
 
     task: jobs.TaskRef
@@ -189,6 +190,7 @@
     target_ms: int
     need: common.Resources
     image: str = ""
+    percent: int = 100
 
 
 class StopOrder(base.Wire, frozen=True, kw_only=True):
