Never carry out an order whose run was given up

Cause found by reading: a copy of a start order that the partition held up arrives on the abandoned link after the run was rejected, reported and started elsewhere; the agent had forgotten it. The agent now remembers the highest ended attempt of each task and takes no orders from a closed link. A second way: a run that was stopped while its order was queued was still sent. Both tests failed before. Ruled out: leases (converted conservatively on both clocks), orders of earlier terms, late execution at the worker (fenced).

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -198,7 +198,8 @@
         """Takes what the leader pushes on the link of the client."""
         if not isinstance(message, job_messages.RunOrders):
             return await link.no_requests(message, source)
-        self._carry_out(message)
+        if not source.closed.is_set():
+            self._carry_out(message)
         return None
 
     def _is_newer(
@@ -468,7 +469,10 @@
 
     async def _start(self, session: Session, run: held_runs.HeldRun) -> None:
         """Sends a start order until its fate is known or left to a look."""
+        key = (run.task, run.attempt)
         for _ in range(START_ATTEMPTS):
+            if self.held.runs.get(key) is not run:
+                return
             until_ms = session.until(self.clock.now())
             if session.announcement.draining or until_ms is None:
                 break
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -20,6 +20,8 @@
 RunKey = tuple[jobs.TaskRef, int]
 # A view may have been overtaken by a later one, so one is no proof.
 VIEWS_WITHOUT_RUN: Final = 2
+# More than a worker ends while an order may be held up.
+REMEMBERED_TASKS: Final = 10_000
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -93,6 +95,9 @@
         ends: Ends that the leader hasn't confirmed, in order.
         acknowledged: Ends of the worker up to this number are confirmed.
         seen: Ends of the worker up to this number were taken note of.
+        over: Highest attempt of each task that has ended here. A copy of an
+            order may be held up until its run was given up and the task was
+            started elsewhere; it must not be carried out then.
     """
 
     def __init__(self) -> None:
@@ -100,6 +105,7 @@
         self.ends: list[PendingEnd] = []
         self.acknowledged = 0
         self.seen = 0
+        self.over: dict[jobs.TaskRef, int] = {}
 
     def add_order(
         self, order: job_messages.StartOrder, now: int
@@ -153,6 +159,7 @@
         """Ends a run that the worker doesn't list as ended."""
         if self.runs.pop((run.task, run.attempt), None) is not run:
             return
+        self._remember((run.task, run.attempt))
         checkpoint = run.row.checkpoint if run.row is not None else ""
         self.ends.append(
             PendingEnd(
@@ -219,6 +226,7 @@
                 continue
             self.seen = row.number
             self.runs.pop((row.end.task, row.end.attempt), None)
+            self._remember((row.end.task, row.end.attempt))
             self.ends.append(PendingEnd(number=row.number, end=row.end))
 
     def _note_running(
@@ -226,8 +234,7 @@
     ) -> None:
         run = self.runs.get(key)
         if run is None:
-            if self._has_ended(key):
-                return
+            # Also one that was given up: the leader has it stopped.
             run = self.runs[key] = HeldRun(
                 task=row.task,
                 attempt=row.attempt,
@@ -249,8 +256,13 @@
             if run.missed >= VIEWS_WITHOUT_RUN:
                 self.end(run, "lost")
 
+    def _remember(self, key: RunKey) -> None:
+        task, attempt = key
+        highest = max(attempt, self.over.pop(task, 0))
+        self.over[task] = highest
+        while len(self.over) > REMEMBERED_TASKS:
+            del self.over[next(iter(self.over))]
+
     def _has_ended(self, key: RunKey) -> bool:
-        return any(
-            (pending.end.task, pending.end.attempt) == key
-            for pending in self.ends
-        )
+        task, attempt = key
+        return attempt <= self.over.get(task, 0)
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import cast
 import unittest
+from unittest import mock
 
 from bamboorouter import clock
 from bamboorouter.coordination.requests import control_client
@@ -21,6 +22,7 @@
     async def asyncSetUp(self) -> None:
         self.worker = fake_worker.FakeWorker()
         self.leader = fake_worker.FakeLeaderClient()
+        self.link = mock.Mock(closed=asyncio.Event())
         self.session = self.new_session()
         self.session.announce(fake_worker.announcement())
         await self.until(self.reachable)
@@ -45,7 +47,7 @@
         return bool(self.leader.reports) and self.leader.reports[-1].reachable
 
     async def order(self, orders: job_messages.RunOrders) -> None:
-        await self.session.take_orders(orders, cast(Any, None))
+        await self.session.take_orders(orders, self.link)
 
     def hows(self) -> list[str]:
         return [end.how for end in self.leader.ends]
@@ -83,6 +85,30 @@
         self.worker.carry_out_delayed()
         self.assertEqual(self.worker.running, {})
 
+    async def test_order_that_was_given_up_is_not_carried_out_again(
+        self,
+    ) -> None:
+        """Replays an order that was held up by a partition.
+
+        It was sent again on a new link, given up and started elsewhere before
+        the first copy arrived.
+        """
+        self.worker.unanswered = 1
+        self.worker.carries_out = False
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.hows() == ["rejected"])
+        await self.until(lambda: not self.session.held.ends)
+        await self.order(fake_worker.start_orders(make.ref()))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.worker.starts, [])
+
+    async def test_stopped_before_it_was_sent_is_not_sent(self) -> None:
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.order(fake_worker.stop_orders(make.ref()))
+        await self.until(lambda: self.hows() == ["rejected"])
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.worker.starts, [])
+
     async def test_silent_worker_loses_its_runs_after_its_lease(self) -> None:
         await self.order(fake_worker.start_orders(make.ref()))
         await self.until(lambda: self.worker.running)
