--- /dev/null
+++ b/tests/test_job_dispatcher.py
@@ -0,0 +1,332 @@
+"""Guards the leader's decisions on jobs with steps against lost orders."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+import unittest
+from unittest import mock
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.jobs import dispatcher
+from bamboorouter.coordination.jobs import job_desk
+from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
+from tests import control_fakes
+from tests import job_builders as make
+
+WAIT_S = 5.0
+
+
+class FakeAgent:
+    """What the leader sees of one agent.
+
+    Attributes:
+        name: Name of its worker.
+        session: Number of its session.
+        orders: All pushed orders.
+        link: The link on which it reports.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.session = 0
+        self.sequence = 0
+        self.orders: list[job_messages.RunOrders] = []
+        self.link = mock.Mock(closed=asyncio.Event(), push=self._push)
+
+    async def _push(self, orders: job_messages.RunOrders) -> None:
+        self.orders.append(orders)
+
+    def started(self) -> list[jobs.TaskRef]:
+        """Returns the tasks of all pushed start orders."""
+        return [s.task for orders in self.orders for s in orders.starts]
+
+    def stopped(self) -> list[jobs.TaskRef]:
+        """Returns the tasks of all pushed stop orders."""
+        return [s.task for orders in self.orders for s in orders.stops]
+
+    def report(self, **fields: Any) -> job_messages.WorkerReport:
+        self.sequence += 1
+        values = {
+            "worker": self.name,
+            "life": f"{self.name}@1",
+            "session": self.session,
+            "sequence": self.sequence,
+            "service": "desk",
+            "zone": "z1",
+            "labels": ("a",),
+            "rack": "r1",
+            "room": make.ROOM,
+            "draining": False,
+            "reachable": True,
+            "runs": (),
+            "ends": (),
+            **fields,
+        }
+        return job_messages.WorkerReport(**values)
+
+
+class DispatcherCase(unittest.IsolatedAsyncioTestCase):
+    """A dispatcher over a log that applies at once."""
+
+    async def asyncSetUp(self) -> None:
+        self.time = clock.ManualClock(monotonic_ms=100_000)
+        self.log = control_fakes.FakeLog(time=self.time)
+        self.dispatcher = dispatcher.JobDispatcher(
+            log=self.log, time=self.time, table=worker_table.WorkerTable()
+        )
+        self.desk = job_desk.JobDesk(
+            log=self.log,
+            gate=admission.Admission(rooms=self.dispatcher.rooms),
+        )
+        self.log.apply(
+            job_commands.PutConfiguration(configuration=make.configuration())
+        )
+        self.dispatcher.start()
+        self.addAsyncCleanup(self.dispatcher.stop)
+
+    async def agent(self, name: str = "w1") -> FakeAgent:
+        agent = FakeAgent(name)
+        session = await self.dispatcher.open_session(
+            job_messages.OpenWorkerSession(
+                worker=name, life=f"{name}@1", room=make.ROOM
+            )
+        )
+        agent.session = session.number
+        await self.report(agent)
+        return agent
+
+    async def report(
+        self, agent: FakeAgent, **fields: Any
+    ) -> job_messages.WorkerReply:
+        reply = await self.dispatcher.report(agent.report(**fields), agent.link)
+        self.dispatcher.wake()
+        return reply
+
+    async def submit(self, job: str, *steps: jobs.Step) -> str:
+        answer = await self.desk.submit(
+            job_messages.SubmitSteps(
+                host="desk.example",
+                path=f"/forms/{job}",
+                spec=jobs.JobSpec(spec="work", steps=steps or (make.step(),)),
+            )
+        )
+        return answer.outcome
+
+    async def until(self, condition: Callable[[], Any]) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    async def settle(self) -> None:
+        """Lets some passes go by."""
+        for _ in range(3):
+            self.dispatcher.wake()
+            await asyncio.sleep(0.01)
+
+    def held(self, task: jobs.TaskRef, attempt: int = 1) -> Any:
+        return job_messages.HeldRun(task=task, attempt=attempt, running=True)
+
+    def ended(
+        self, task: jobs.TaskRef, how: jobs.RunOutcome, attempt: int = 1
+    ) -> tuple[jobs.RunEnd, ...]:
+        return (jobs.RunEnd(task=task, attempt=attempt, how=how),)
+
+
+class OrdersTest(DispatcherCase):
+    """Orders reach the agent, also those that were lost on the way."""
+
+    async def test_order_is_pushed_once_the_decision_is_committed(self) -> None:
+        agent = await self.agent()
+        await self.submit("a")
+        await self.until(agent.started)
+        self.assertEqual(self.log.machine.stepped.jobs["a"].state(), "running")
+
+    async def test_lost_order_comes_with_the_next_report(self) -> None:
+        agent = await self.agent()
+        await self.submit("a")
+        await self.until(agent.started)
+        reply = await self.report(agent)
+        self.assertEqual([s.task for s in reply.orders.starts], [make.ref()])
+        reply = await self.report(agent, runs=(self.held(make.ref()),))
+        self.assertEqual(reply.orders.starts, ())
+
+    async def test_decision_with_a_lost_result_is_ordered_later(self) -> None:
+        agent = await self.agent()
+        self.log.lose_results = 2
+        await self.assertRaisesUnknown(self.submit("a"))
+        await self.settle()
+        reply = await self.report(agent)
+        self.assertEqual([s.task for s in reply.orders.starts], [make.ref()])
+
+    async def assertRaisesUnknown(self, call: Any) -> None:  # noqa: N802
+        with self.assertRaises(errors.UnknownResultError):
+            await call
+
+    async def test_run_that_is_not_assigned_is_stopped(self) -> None:
+        agent = await self.agent()
+        reply = await self.report(agent, runs=(self.held(make.ref("gone")),))
+        self.assertEqual(
+            [stop.task for stop in reply.orders.stops], [make.ref("gone")]
+        )
+
+    async def test_cancelled_job_is_stopped_and_starts_nothing(self) -> None:
+        agent = await self.agent()
+        await self.submit("a", make.step(2))
+        await self.until(lambda: len(agent.started()) == 2)
+        await self.desk.cancel(
+            job_messages.CancelJobSteps(host="desk.example", path="/forms/a")
+        )
+        await self.until(lambda: len(agent.stopped()) == 2)
+        await self.report(agent, ends=self.ended(make.ref(), "stopped"))
+        await self.settle()
+        self.assertEqual(len(agent.started()), 2)
+
+    async def test_report_of_an_earlier_session_changes_nothing(self) -> None:
+        agent = await self.agent()
+        await self.submit("a")
+        await self.until(agent.started)
+        await self.agent()
+        reply = await self.report(agent, ends=self.ended(make.ref(), "done"))
+        self.assertFalse(reply.known)
+        self.assertEqual(self.log.machine.stepped.jobs["a"].state(), "running")
+
+
+class LossTest(DispatcherCase):
+    """Runs are started again only when the first is certainly over."""
+
+    async def test_silent_agent_loses_its_runs_after_the_lease(self) -> None:
+        first = await self.agent("w1")
+        await self.submit("a")
+        await self.until(first.started)
+        second = await self.agent("w2")
+        self.time.advance(worker_table.LEASE_MS)
+        await self.report(second)
+        await self.settle()
+        self.assertEqual(second.started(), [])
+        self.time.advance(worker_table.LEASE_ALLOWANCE_MS + 1)
+        await self.report(second)
+        await self.until(second.started)
+
+    async def test_new_leader_waits_for_leases_of_the_earlier_one(
+        self,
+    ) -> None:
+        first = await self.agent("w1")
+        await self.submit("a")
+        await self.until(first.started)
+        self.time.advance(worker_table.LEASE_MS)
+        self.log.elect_again()
+        second = await self.agent("w2")
+        await self.settle()
+        self.assertEqual(second.started(), [])
+        self.time.advance(
+            worker_table.LEASE_MS + worker_table.LEASE_ALLOWANCE_MS + 1
+        )
+        await self.report(second)
+        await self.until(second.started)
+
+    async def test_without_a_valid_lease_nothing_is_decided(self) -> None:
+        agent = await self.agent()
+        await self.submit("a")
+        await self.until(agent.started)
+        self.log.valid = False
+        self.time.advance(10 * worker_table.LEASE_MS)
+        await self.settle()
+        self.assertEqual(len(self.log.machine.stepped.on_worker["w1"]), 1)
+
+    async def test_draining_worker_gives_up_what_can_go_on_elsewhere(
+        self,
+    ) -> None:
+        agent = await self.agent()
+        saves = make.step(checkpoints=True)
+        lasts = make.step(lasting=True)
+        await self.submit("a", saves, make.step(), lasts)
+        await self.until(lambda: len(agent.started()) == 3)
+        await self.report(
+            agent,
+            draining=True,
+            runs=tuple(self.held(make.ref(step=s)) for s in range(3)),
+        )
+        await self.until(lambda: len(agent.stopped()) == 2)
+        self.assertEqual(
+            sorted(agent.stopped()), [make.ref(step=0), make.ref(step=2)]
+        )
+
+    async def test_slowed_run_goes_on_elsewhere(self) -> None:
+        agent = await self.agent()
+        await self.submit("a", make.step(checkpoints=True, fills=True))
+        await self.until(agent.started)
+        slow = job_messages.HeldRun(
+            task=make.ref(), attempt=1, running=True, pace=10
+        )
+        await self.report(agent, runs=(slow,))
+        await self.settle()
+        self.assertEqual(agent.stopped(), [])
+        self.time.advance(dispatcher.SLOW_FOR_MS)
+        await self.report(agent, runs=(slow,))
+        await self.until(agent.stopped)
+
+
+class DeskTest(DispatcherCase):
+    """Callers get true answers."""
+
+    async def test_job_is_one_job_however_often_it_is_sent(self) -> None:
+        await self.agent()
+        for _ in range(3):
+            self.assertEqual(await self.submit("a"), "ok")
+        self.assertEqual(self.log.machine.stepped.accepted, 1)
+
+    async def test_job_that_fits_no_worker_is_refused(self) -> None:
+        await self.agent()
+        huge = make.step(need=common.Resources(millicores=65_000))
+        self.assertEqual(await self.submit("a", huge), "refused")
+        self.assertEqual(self.log.machine.stepped.jobs, {})
+        # A known job is never refused.
+        await self.submit("b")
+        self.assertEqual(await self.submit("b", huge), "ok")
+
+    async def test_unknown_queue_and_job_are_told_apart(self) -> None:
+        def read(path: str) -> str:
+            return self.desk.read(
+                job_messages.ReadJob(host="desk.example", path=path)
+            ).outcome
+
+        self.assertEqual(read("/other/a"), "no_queue")
+        self.assertEqual(read("/forms/a"), "no_job")
+        self.assertEqual(read("/forms/"), "ok")
+
+    async def test_length_of_a_queue_counts_jobs_without_a_start(self) -> None:
+        await self.submit("a")
+        await self.submit("b")
+        answer = self.desk.read(
+            job_messages.ReadJob(host="desk.example", path="/forms/")
+        )
+        self.assertEqual(answer.waiting, 2)
+        agent = await self.agent()
+        await self.until(lambda: len(agent.started()) == 2)
+        answer = self.desk.read(
+            job_messages.ReadJob(host="desk.example", path="/forms/")
+        )
+        self.assertEqual(answer.waiting, 0)
+
+    async def test_older_configuration_is_acknowledged_and_ignored(
+        self,
+    ) -> None:
+        for version in (5, 3, 5):
+            answer = await self.desk.configure(
+                job_messages.OfferConfiguration(
+                    configuration=make.configuration(version)
+                )
+            )
+            self.assertEqual(answer.version, 5)
+        current = self.desk.configuration(with_document=True)
+        self.assertEqual(current.document, b"version 5")
+
+
+if __name__ == "__main__":
+    unittest.main()
