--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -28,6 +28,7 @@
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.policies import run_placement
 from bamboorouter.coordination.policies import worker_health
+from bamboorouter.coordination.policies import worker_speed
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
@@ -48,6 +49,12 @@
 # and a serving task's load swings over many seconds.
 SLOW_PERCENT: Final = 25
 SLOW_FOR_MS: Final = 1500
+# A rejected start is tried again after a pause that doubles each time; the
+# longest stays below the 3 s for which a task may wait beside free room.
+REJECTED_PAUSE_MS: Final = 100
+LONGEST_PAUSE_MS: Final = 1600
+# A task that was already started more often stays where it is.
+RESCUED_ATTEMPTS: Final = 2
 # A job with ready tasks may have nothing running for 3 s while there is room.
 OVERDUE_MS: Final = 1500
 # Ended jobs can be asked for at least this long.
@@ -64,6 +71,19 @@
     attempt: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Rejection:
+    """Starts of a task that workers rejected in a row.
+
+    Attributes:
+        count: How many there were.
+        until_ms: Until when it isn't tried again.
+    """
+
+    count: int
+    until_ms: int
+
+
 class JobDispatcher:
     """Decides which task runs where, while this replica leads.
 
@@ -94,6 +114,10 @@
             interference=self.interference
         )
         self._idle_ms: dict[str, int] = {}
+        self._rejections: dict[jobs.TaskRef, _Rejection] = {}
+        self._assigned_ms: dict[tuple[jobs.TaskRef, int], int] = {}
+        self._slowness: dict[str, float] = {}
+        self._slow_workers: frozenset[str] = frozenset()
         self._slow_ms: dict[str, dict[tuple[jobs.TaskRef, int], int]] = {}
         self._wake = asyncio.Event()
         self._failed_on: dict[jobs.TaskRef, frozenset[str]] = {}
@@ -152,6 +176,7 @@
         if not current or not self.table.note(report, source, self.clock.now()):
             return self._reply(report, known=False)
         self.figures.note(report, state, self.clock.now())
+        self._note_speed(report)
         await self._end(report.ends, report.worker, report.life)
         return self._reply(report, known=True)
 
@@ -180,6 +205,42 @@
         )
         return job_messages.WorkerSession(number=result.data["session"])
 
+    def _note_speed(self, report: job_messages.WorkerReport) -> None:
+        slowness = worker_speed.slowness(self._progress(report).values())
+        self._slowness.pop(report.worker, None)
+        if slowness is not None:
+            self._slowness[report.worker] = slowness
+        slow = worker_speed.slow_workers(self._slowness)
+        for worker in slow - self._slow_workers:
+            events.log(
+                events.WORKER_SLOW,
+                worker=worker,
+                slowness=round(self._slowness[worker], 1),
+                workers=len(self._slowness),
+            )
+        self._slow_workers = slow
+
+    def _progress(
+        self, report: job_messages.WorkerReport
+    ) -> dict[tuple[jobs.TaskRef, int], worker_speed.RunProgress]:
+        """Returns the runs whose speed tells about their worker's."""
+        state = self.log.machine.stepped
+        now = self.clock.now()
+        found = {}
+        for run in report.runs:
+            key = (run.task, run.attempt)
+            assigned = self._assigned_ms.get(key)
+            if assigned is None or state.task(run.task) is None:
+                continue
+            step = state.step(run.task)
+            if not step.fills and not step.lasting:
+                found[key] = worker_speed.RunProgress(
+                    age_ms=now - assigned,
+                    progress=run.progress,
+                    estimate_ms=step.estimate_ms,
+                )
+        return found
+
     def _reply(
         self, report: job_messages.WorkerReport, *, known: bool
     ) -> job_messages.WorkerReply:
@@ -242,6 +303,9 @@
             self._stopped_ms.clear()
             self.figures.reset()
             self._ended_ms.clear()
+            self._assigned_ms.clear()
+            self._rejections.clear()
+            self._slowness.clear()
             self._wake.set()
 
     async def _run(self) -> None:
@@ -299,6 +363,13 @@
             failed_on=self._failed_on,
             overdue=self._overdue_jobs(),
         )
+        now = self.clock.now()
+        ready = [
+            task
+            for task in ready
+            if task.ref not in self._rejections
+            or now >= self._rejections[task.ref].until_ms
+        ]
         if not ready:
             return
         placements = self.placement.place(ready, self._worker_rooms())
@@ -320,6 +391,7 @@
             run for number, run in enumerate(runs) if number not in refused
         ]
         for run in started:
+            self._assigned_ms[run.task, run.attempt] = now
             events.log(
                 events.RUN_ASSIGNED,
                 task=str(run.task),
@@ -421,7 +493,8 @@
             millicores=life.room.millicores,
             memory_mb=life.room.memory_mb,
             accelerators=life.room.accelerators,
-            shunned=self.health.shunned(name, self.clock.now()),
+            shunned=name in self._slow_workers
+            or self.health.shunned(name, self.clock.now()),
         )
         for ref in state.on_worker.get(name, {}):
             room.add(state.step(ref), self.figures.own(ref))
@@ -465,9 +538,18 @@
             if run.running and run.pace <= SLOW_PERCENT
         }
         name = worker.report.worker
+        rescued = {
+            key
+            for key, run in self._progress(worker.report).items()
+            if name in self._slow_workers
+            and run.age_ms >= worker_speed.LEAST_AGE_MS
+            and run.progress < worker_speed.RESCUE_PROGRESS
+            and run.slowness() > worker_speed.SLOW_FACTOR
+            and key[1] <= RESCUED_ATTEMPTS
+        }
         since = self._slow_ms.get(name, {})
         self._slow_ms[name] = {key: since.get(key, now) for key in slowed}
-        return {
+        return rescued | {
             key
             for key, began in self._slow_ms[name].items()
             if now - began >= SLOW_FOR_MS
@@ -529,6 +611,7 @@
         await self._propose(job_commands.EndRuns(ends=current))
         now = self.clock.now()
         for end in current:
+            self._assigned_ms.pop((end.task, end.attempt), None)
             events.log(
                 events.RUN_ENDED,
                 task=str(end.task),
@@ -542,12 +625,21 @@
             self._note_health(end, worker, now)
 
     def _note_health(self, end: jobs.RunEnd, worker: str, now: int) -> None:
+        if end.how == "rejected":
+            before = self._rejections.get(end.task)
+            count = 1 if before is None else before.count + 1
+            pause_ms = REJECTED_PAUSE_MS * 2 ** (count - 1)
+            self._rejections[end.task] = _Rejection(
+                count=count,
+                until_ms=now + min(pause_ms, LONGEST_PAUSE_MS),
+            )
         if end.how not in ("done", "failed"):
             return
+        self._rejections.pop(end.task, None)
         failed = end.how == "failed"
         if failed:
-            before = self._failed_on.get(end.task, frozenset())
-            self._failed_on[end.task] = before | {worker}
+            others = self._failed_on.get(end.task, frozenset())
+            self._failed_on[end.task] = others | {worker}
         else:
             self._failed_on.pop(end.task, None)
         if self.health.ended(
--- a/bamboorouter/coordination/jobs/worker_table.py
+++ b/bamboorouter/coordination/jobs/worker_table.py
@@ -12,9 +12,9 @@
 from bamboorouter.protocol import job_messages
 from bamboorouter.transport import link
 
-# How long runs may go on without an answered report. Longer than the worst
-# change of leader, so that an election throws no work away.
-LEASE_MS: Final = 6000
+# How long runs may go on without an answered report: partitions and changes of
+# leader of some seconds must throw no work away. Workers allow 10 s at most.
+LEASE_MS: Final = 9000
 # Clocks may run apart by this share of a lease, and messages take time.
 LEASE_ALLOWANCE_MS: Final = 400
 # A worker without a report for this long gets nothing new; its agent reports
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -38,9 +38,9 @@
 REPORT_TIMEOUT_MS: Final = 3000
 # Ends that arrive together share one report.
 REPORT_PAUSE_MS: Final = 3
-# A worker that answers nothing loses its runs after this lease; a look each
-# half second renews it with room for several lost answers.
-WORKER_LEASE_MS: Final = 4000
+# A worker that answers nothing loses its runs after this lease. It bears a
+# pause of the agent's process or of the path between them of some seconds.
+WORKER_LEASE_MS: Final = 6000
 LOOK_WAIT_MS: Final = 500
 LOOK_PAUSE_MS: Final = 100
 # A confirmation takes two hops and a commit.
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -499,6 +499,12 @@
     logging.INFO,
     "Joining or changing the group did not succeed yet.",
 )
+WORKER_SLOW: Final = _event(
+    615,
+    "worker_slow",
+    logging.WARNING,
+    "Work on a worker goes on far slower than elsewhere; it is avoided.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _event(
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import functools
 from typing import Any
 import unittest
 from unittest import mock
@@ -47,6 +48,9 @@
         """Returns the tasks of all pushed start orders."""
         return [s.task for orders in self.orders for s in orders.starts]
 
+    def has_started(self, count: int) -> bool:
+        return len(self.started()) == count
+
     def stopped(self) -> list[jobs.TaskRef]:
         """Returns the tasks of all pushed stop orders."""
         return [s.task for orders in self.orders for s in orders.stops]
@@ -167,6 +171,23 @@
         with self.assertRaises(errors.UnknownResultError):
             await call
 
+    async def test_rejected_start_is_repeated_after_growing_pauses(
+        self,
+    ) -> None:
+        """Guards against a loop of orders that a worker keeps rejecting."""
+        agent = await self.agent()
+        await self.submit("a")
+        await self.until(agent.started)
+        for attempt in (1, 2):
+            await self.report(
+                agent, ends=self.ended(make.ref(), "rejected", attempt)
+            )
+            await self.settle()
+            self.assertEqual(len(agent.started()), attempt)
+            self.time.advance(dispatcher.REJECTED_PAUSE_MS * attempt)
+            self.dispatcher.wake()
+            await self.until(functools.partial(agent.has_started, attempt + 1))
+
     async def test_run_that_is_not_assigned_is_stopped(self) -> None:
         agent = await self.agent()
         reply = await self.report(agent, runs=(self.held(make.ref("gone")),))
--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -7,6 +7,7 @@
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.policies import run_placement
 from bamboorouter.coordination.policies import worker_health
+from bamboorouter.coordination.policies import worker_speed
 from tests import job_builders as make
 
 FILL = make.step(fills=True, image="heavy", need=make.need(8000, 8000))
@@ -244,6 +245,46 @@
         self.assertEqual(pacing.begin_percent([0.0]), pacing.LEAST_PERCENT)
 
 
+class WorkerSpeedTest(unittest.TestCase):
+    """A slow worker is found among workers with wrong estimates."""
+
+    def worker(self, *progress: int, estimate_ms: int = 1000) -> float | None:
+        return worker_speed.slowness(
+            worker_speed.RunProgress(
+                age_ms=1000, progress=percent, estimate_ms=estimate_ms
+            )
+            for percent in progress
+        )
+
+    def slow(self, **workers: float | None) -> frozenset[str]:
+        return worker_speed.slow_workers(
+            {name: value for name, value in workers.items() if value}
+        )
+
+    def test_worker_that_stands_still_is_told_from_one_slow_task(self) -> None:
+        self.assertEqual(
+            self.slow(
+                hangs=self.worker(0, 2, 1),
+                mixed=self.worker(90, 5, 80),
+                usual=self.worker(90, 60, 80),
+            ),
+            {"hangs"},
+        )
+
+    def test_wrong_estimates_of_all_tasks_blame_nobody(self) -> None:
+        self.assertEqual(
+            self.slow(
+                a=self.worker(20, 25, estimate_ms=300),
+                b=self.worker(25, 15, estimate_ms=300),
+                c=self.worker(20, 20, estimate_ms=300),
+            ),
+            frozenset(),
+        )
+
+    def test_one_task_says_nothing_about_its_worker(self) -> None:
+        self.assertIsNone(self.worker(1))
+
+
 class WorkerHealthTest(unittest.TestCase):
     """A worker that fails all it starts is avoided for a while."""
 
