--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -393,6 +393,12 @@
     logging.WARNING,
     "An upstream failed repeatedly and is avoided until a probe succeeds.",
 )
+JOB_CALL_ANSWERED: Final = _event(
+    410,
+    "job_call_answered",
+    logging.INFO,
+    "An entry answered a caller's request about a job or a queue.",
+)
 
 # 500-599: operators.
 OPERATOR_CALL: Final = _event(
