Commit the progress of running tasks

The leader now commits new progress once a second; the test failed before. Also: a worker counts as slow only with three tasks at four times their declared time; 2.5 times with two tasks blamed a healthy worker after a restart.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -37,6 +37,8 @@
 from bamboorouter.state import stepped_jobs
 from bamboorouter.transport import link
 
+# Runs save their progress each half second; reports come each second.
+CHECKPOINT_PERIOD_MS: Final = 1000
 # Bounds the delay of what no event announces: leases and due times.
 TICK_MS: Final = 200
 # Changes that arrive together share one pass.
@@ -114,6 +116,7 @@
             interference=self.interference
         )
         self._idle_ms: dict[str, int] = {}
+        self._noted_ms = 0
         self._rejections: dict[jobs.TaskRef, _Rejection] = {}
         self._assigned_ms: dict[tuple[jobs.TaskRef, int], int] = {}
         self._slowness: dict[str, float] = {}
@@ -330,11 +333,34 @@
                 events.log(events.DISPATCH_FAILED, error=repr(err))
 
     async def _pass(self) -> None:
+        await self._note_checkpoints()
         await self._expire_leases()
         await self._start_ready()
         self._stop_unwanted()
         await self._forget_ended()
 
+    async def _note_checkpoints(self) -> None:
+        """Commits the newest progress of all runs from time to time."""
+        now = self.clock.now()
+        if now - self._noted_ms < CHECKPOINT_PERIOD_MS:
+            return
+        self._noted_ms = now
+        state = self.log.machine.stepped
+        newer = tuple(
+            jobs.Checkpoint(
+                task=run.task, attempt=run.attempt, value=run.checkpoint
+            )
+            for worker in self.table.workers.values()
+            for run in worker.report.runs
+            if run.checkpoint
+            and (task := state.task(run.task)) is not None
+            and task.status == "assigned"
+            and task.attempt == run.attempt
+            and task.checkpoint != run.checkpoint
+        )
+        if newer:
+            await self._propose(job_commands.NoteCheckpoints(checkpoints=newer))
+
     async def _expire_leases(self) -> None:
         state = self.log.machine.stepped
         now = self.clock.now()
--- a/bamboorouter/coordination/policies/worker_speed.py
+++ b/bamboorouter/coordination/policies/worker_speed.py
@@ -15,9 +15,9 @@
 
 # A task that has just started shows no progress yet.
 LEAST_AGE_MS: Final = 500
-LEAST_RUNS: Final = 2
-# Workers differ by half in what is normal; disturbed ones by factors of 4 up.
-SLOW_FACTOR: Final = 2.5
+LEAST_RUNS: Final = 3
+# Declared times of a job's tasks are wrong together, by factors of up to 3.
+SLOW_FACTOR: Final = 4.0
 # What is left of a task on a slow worker takes longer than a new start
 # elsewhere as long as its progress is below this.
 RESCUE_PROGRESS: Final = 60
--- a/bamboorouter/protocol/commands.py
+++ b/bamboorouter/protocol/commands.py
@@ -217,6 +217,7 @@
     | job_commands.EndRuns
     | job_commands.OpenSession
     | job_commands.ForgetSteps
+    | job_commands.NoteCheckpoints
 )
 
 
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -37,6 +37,12 @@
     ends: tuple[jobs.RunEnd, ...]
 
 
+class NoteCheckpoints(base.Wire, frozen=True, kw_only=True, tag=27):
+    """Records progress, so that it outlives the worker and the leader."""
+
+    checkpoints: tuple[jobs.Checkpoint, ...]
+
+
 class OpenSession(base.Wire, frozen=True, kw_only=True, tag=25):
     """Begins a session of an agent with one life of its worker.
 
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -133,6 +133,20 @@
     checkpoint: str = ""
 
 
+class Checkpoint(base.Wire, frozen=True, kw_only=True):
+    """Progress of a run that goes on.
+
+    Attributes:
+        task: The task.
+        attempt: Number of the start.
+        value: Progress to resume from.
+    """
+
+    task: TaskRef
+    attempt: int
+    value: str
+
+
 class QueueSettings(base.Wire, frozen=True, kw_only=True):
     """A queue of jobs, as configured.
 
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -82,6 +82,7 @@
             job_commands.EndRuns: self.stepped.end,
             job_commands.OpenSession: self.stepped.open_session,
             job_commands.ForgetSteps: self.stepped.forget,
+            job_commands.NoteCheckpoints: self.stepped.note_checkpoints,
         }
 
     def apply(
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -282,6 +282,20 @@
             ok=True, data={"session": self.sessions, "lost": len(lost)}
         )
 
+    def note_checkpoints(
+        self, command: job_commands.NoteCheckpoints
+    ) -> commands.Result:
+        """Records progress of runs that are still assigned."""
+        for checkpoint in command.checkpoints:
+            task = self.task(checkpoint.task)
+            if (
+                task is not None
+                and task.status == "assigned"
+                and task.attempt == checkpoint.attempt
+            ):
+                task.checkpoint = checkpoint.value
+        return commands.Result(ok=True)
+
     def forget(self, command: job_commands.ForgetSteps) -> commands.Result:
         """Removes jobs of which nothing is assigned any more."""
         for job_id in command.jobs:
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -233,6 +233,29 @@
         await self.report(second)
         await self.until(second.started)
 
+    async def test_progress_outlives_the_worker_and_the_leader(self) -> None:
+        """Replays a loss of power on all machines."""
+        agent = await self.agent("w1")
+        await self.submit("a", make.step(checkpoints=True))
+        await self.until(agent.started)
+        run = job_messages.HeldRun(
+            task=make.ref(), attempt=1, running=True, checkpoint="half"
+        )
+        await self.report(agent, runs=(run,))
+        self.time.advance(dispatcher.CHECKPOINT_PERIOD_MS)
+        await self.report(agent, runs=(run,))
+        await self.settle()
+        self.log.elect_again()
+        await self.dispatcher.open_session(
+            job_messages.OpenWorkerSession(
+                worker="w1", life="w1@2", room=make.ROOM
+            )
+        )
+        second = await self.agent("w2")
+        await self.until(second.started)
+        (start,) = second.orders[0].starts
+        self.assertEqual((start.attempt, start.checkpoint), (2, "half"))
+
     async def test_new_leader_waits_for_leases_of_the_earlier_one(
         self,
     ) -> None:
--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -283,6 +283,7 @@
 
     def test_one_task_says_nothing_about_its_worker(self) -> None:
         self.assertIsNone(self.worker(1))
+        self.assertIsNone(self.worker(1, 1))
 
 
 class WorkerHealthTest(unittest.TestCase):
