--- a/bamboorouter/cli/application.py
+++ b/bamboorouter/cli/application.py
@@ -7,6 +7,7 @@
 from bamboorouter.cli import account
 from bamboorouter.cli import explain
 from bamboorouter.cli import job
+from bamboorouter.cli import logs
 from bamboorouter.cli import member
 from bamboorouter.cli import sheet
 from bamboorouter.cli import status
@@ -32,6 +33,7 @@
         member.MembersRemoveCommand(),
         explain.ExplainCommand(),
         account.AccountVerifyCommand(),
+        logs.LogsCommand(),
     ):
         application.add(command)
     return application
--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -398,6 +398,7 @@
         ]
         if not ready:
             return
+        places = {task.ref: place for place, task in enumerate(ready, 1)}
         placements = self.placement.place(ready, self._worker_rooms())
         runs = tuple(
             jobs.RunStart(
@@ -406,6 +407,7 @@
                 life=placement.worker.life,
                 attempt=placement.task.attempt,
                 waiting=len(ready),
+                place=places[placement.task.ref],
             )
             for placement in placements[:RUNS_AT_ONCE]
         )
@@ -425,6 +427,7 @@
                 worker=run.worker,
                 life=run.life,
                 waiting=run.waiting,
+                place=run.place,
                 term=self.log.term(),
             )
         self._push_starts(started)
--- a/bamboorouter/coordination/jobs/job_desk.py
+++ b/bamboorouter/coordination/jobs/job_desk.py
@@ -58,6 +58,7 @@
                     queue=queue.name,
                     version=state.version(),
                     reason=verdict.reason,
+                    wait_ms=verdict.wait_ms,
                     retry_after_ms=verdict.retry_after_ms,
                     term=self.log.term(),
                 )
--- a/bamboorouter/coordination/jobs/ready_tasks.py
+++ b/bamboorouter/coordination/jobs/ready_tasks.py
@@ -61,10 +61,19 @@
         slack=job.queue.slack,
         target_ms=job.queue.target_ms,
         work=sum(step.count * _work(step) for step in steps),
-        left_work=sum(
-            sum(task.status != "done" for task in row) * _work(steps[number])
-            for (_, number), row in job.tasks.items()
-        ),
+        left_work=left_work(job),
+    )
+
+
+def left_work(job: stepped_jobs.Job) -> int:
+    """Returns the declared work of all tasks that are not done.
+
+    In thousandths of a processor times ms.
+    """
+    return sum(
+        sum(task.status != "done" for task in row)
+        * _work(job.spec.steps[number])
+        for (_, number), row in job.tasks.items()
     )
 
 
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -108,6 +108,7 @@
         life: Life of the worker that the run is for.
         attempt: Number of this start of the task, from 1.
         waiting: Tasks that waited when this was decided, for the account.
+        place: Place of the task among them, from 1, for the account.
     """
 
     task: TaskRef
@@ -115,6 +116,7 @@
     life: str
     attempt: int
     waiting: int = 0
+    place: int = 0
 
 
 class RunEnd(base.Wire, frozen=True, kw_only=True):
--- /dev/null
+++ b/bamboorouter/state/account_jobs.py
@@ -0,0 +1,95 @@
+"""What commands on jobs with steps say about a subject of the account.
+
+A subject is a job, one of its tasks ("job/occurrence/step/index"), a worker or
+a life of a worker.
+"""
+
+from typing import Any
+
+import msgspec
+
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import jobs
+
+Described = tuple[str, str, dict[str, Any]]
+
+
+def describe(
+    name: str, command: commands.Command, result: commands.Result | None
+) -> list[Described]:
+    """Returns what a command says about a subject.
+
+    Args:
+        name: The subject.
+        command: A command.
+        result: Its result, if it was replayed.
+
+    Returns:
+        For each record its kind, text and fields; none if the command isn't
+        about a job with steps.
+    """
+    match command:
+        case job_commands.AcceptSteps() if command.job == name:
+            return [_accepted(command, result)]
+        case job_commands.CancelSteps() if command.job == name:
+            return [("job_cancelled", "cancelled", {"job": command.job})]
+        case job_commands.StartRuns():
+            refused = set(result.data.get("refused", ())) if result else set()
+            return [
+                _started(run)
+                for number, run in enumerate(command.runs)
+                if number not in refused
+                and (
+                    _concerns(name, run.task) or name in (run.worker, run.life)
+                )
+            ]
+        case job_commands.EndRuns():
+            return [
+                _ended(end) for end in command.ends if _concerns(name, end.task)
+            ]
+        case job_commands.OpenSession() if name in (
+            command.worker,
+            command.life,
+        ):
+            lost = result.data.get("lost", "?") if result else "?"
+            text = f"session with life {command.life}; {lost} runs were lost"
+            return [("session_opened", text, {"life": command.life})]
+    return []
+
+
+def _concerns(name: str, task: jobs.TaskRef) -> bool:
+    return name in (task.job, str(task))
+
+
+def _accepted(
+    command: job_commands.AcceptSteps, result: commands.Result | None
+) -> Described:
+    steps = ", ".join(
+        f"{step.count} tasks of {step.need.millicores / 1000:g} processors"
+        for step in command.spec.steps
+    )
+    again = result is not None and not result.data.get("new", True)
+    text = f"{'sent again' if again else 'accepted'} for queue {command.queue}"
+    fields = {"job": command.job, "queue": command.queue}
+    return (
+        "job_sent_again" if again else "job_accepted",
+        f"{text}: {steps}",
+        fields,
+    )
+
+
+def _started(run: jobs.RunStart) -> Described:
+    text = (
+        f"{run.task} attempt {run.attempt} assigned to {run.worker}, number"
+        f" {run.place} of {run.waiting} waiting tasks"
+    )
+    fields: dict[str, Any] = msgspec.structs.asdict(run)
+    return ("assigned", text, {**fields, "task": str(run.task)})
+
+
+def _ended(end: jobs.RunEnd) -> Described:
+    checkpoint = f", checkpoint {end.checkpoint}" if end.checkpoint else ""
+    text = f"{end.task} attempt {end.attempt}: {end.how}{checkpoint}"
+    fields: dict[str, Any] = msgspec.structs.asdict(end)
+    return ("ended", text, {**fields, "task": str(end.task)})
--- a/bamboorouter/state/account_records.py
+++ b/bamboorouter/state/account_records.py
@@ -14,6 +14,7 @@
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
+from bamboorouter.state import account_jobs
 
 
 class Plan:
@@ -128,7 +129,7 @@
             | commands.ReplaceInstance()
         ):
             return _describe_task(name, command)
-    return []
+    return account_jobs.describe(name, command, result)
 
 
 def row_of(name: str) -> str:
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -333,6 +333,35 @@
         await self.submit("b")
         self.assertEqual(await self.submit("b", huge), "ok")
 
+    async def test_flood_is_refused_once_it_would_end_too_late(self) -> None:
+        """Replays a flood of heavy jobs that grows without bound."""
+        await self.agent()
+        heavy = make.step(
+            64, estimate_ms=2000, need=make.need(1000, 1000), fills=True
+        )
+        outcomes = [await self.submit(f"{n:x}", heavy) for n in range(20)]
+        # Goal: 2 * 2 s + 250 ms; each job takes the worker 2 s; useful until
+        # three times the goal.
+        self.assertEqual(outcomes[:7], ["ok"] * 7)
+        self.assertEqual(set(outcomes[7:]), {"refused"})
+        answer = await self.desk.submit(
+            job_messages.SubmitSteps(
+                host="desk.example",
+                path="/forms/ff",
+                spec=jobs.JobSpec(spec="work", steps=(heavy,)),
+            )
+        )
+        # By then so much is done that a new job would meet its goal.
+        self.assertGreaterEqual(answer.retry_after_ms, 14_000 - 4250)
+        self.assertLessEqual(answer.retry_after_ms, 1.5 * 14_000)
+
+    async def test_flood_refuses_nothing_that_lasts(self) -> None:
+        await self.agent()
+        heavy = make.step(64, estimate_ms=60_000, fills=True)
+        for number in range(5):
+            await self.submit(f"{number:x}", heavy)
+        self.assertEqual(await self.submit("aa", make.step(lasting=True)), "ok")
+
     async def test_unknown_queue_and_job_are_told_apart(self) -> None:
         def read(path: str) -> str:
             return self.desk.read(
