Survive power lost between two writes, a failed disk, and slow removals

Three faults of the log: - Two writes after one sync: a loss of power may keep the later one and lose the earlier, which looked like damage, so the replica never started again.

--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -108,6 +108,7 @@
         )
         self.snapshots = snapshot_store.SnapshotStore(folder=folder)
         self.applied_index = 0
+        self._shorten_due = False
         self._rng = rng
         self._snapshot_distance = self._draw_distance()
         members = self._open_snapshot()
@@ -145,6 +146,8 @@
             self.core.stored(now)
 
         self.step(sync)
+        if self._shorten_due:
+            self.step(self._shorten_log)
 
     def form(self, members: members_protocol.Members, now: int) -> None:
         """Starts a group; its first entry is durable before it is sent."""
@@ -247,7 +250,6 @@
         output = self.core.take()
         if output.saved is not None:
             hard_state.save(self.folder, output.saved)
-        self.log.write()
         for envelope in output.messages:
             self.host.post(envelope)
         if output.install is not None:
@@ -302,10 +304,15 @@
         members.forget_before(index)
         self._snapshot_distance = self._draw_distance()
         events.log(events.SNAPSHOT_WRITTEN, replica=self.id, index=index)
-        if self.log.drop_oldest(
+        self._shorten_due = True
+
+    def _shorten_log(self) -> None:
+        """Removes one segment that retention doesn't keep."""
+        self._shorten_due = self.log.drop_oldest(
             max_bytes=self.limits.retention_bytes,
             covered_index=self.snapshots.oldest_index(),
-        ):
+        )
+        if self._shorten_due:
             events.log(
                 events.LOG_SHORTENED,
                 replica=self.id,
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -511,6 +511,12 @@
     logging.WARNING,
     "Work on a worker goes on far slower than elsewhere; it is avoided.",
 )
+REPLICA_NOT_OPENED: Final = _event(
+    616,
+    "replica_not_opened",
+    logging.ERROR,
+    "The data folder can't be opened; it is tried again.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _event(
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -123,6 +123,23 @@
         if self._server is not None:
             await self._server.close()
 
+    def halted(self) -> bool:
+        """Whether the disk failed; only a new start helps."""
+        return self.replica.status().halted
+
+    async def close(self) -> None:
+        """Gives up what a failed start or a failed disk has left open."""
+        self._started = False
+        self._explanations.stop()
+        self._group.stop()
+        await self.jobs.repair.stop()
+        await self.jobs.stop()
+        await self.handler.stop()
+        if hasattr(self.replica, "engine"):
+            await self.replica.stop()
+        if self._server is not None:
+            await self._server.close()
+
     def ready(self) -> bool:
         """Whether a leader of the group is known."""
         return self._started and bool(self.replica.leader_address())
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -2,7 +2,7 @@
 
 Entries are appended to the newest segment; older segments are sealed and never
 change. `append` only stages records, `write` hands them to the file and `sync`
-makes them durable, so that a leader can send entries between the two.
+makes them durable, so that a leader can send entries before they are.
 
 On opening, every record is checked. An incomplete record at the very end was
 never acknowledged: it is cut off. Damage in a sealed segment, or damage that
@@ -95,6 +95,7 @@
         self._recent_bytes = 0
         self._staged: list[tuple[str, bytearray]] = []
         self._written = ""
+        self._unsynced = False
         self._open()
 
     @property
@@ -125,16 +126,22 @@
     def write(self) -> None:
         """Hands staged entries to the files; they aren't durable yet.
 
+        Never are two writes unsynced: a loss of power could keep the later
+        and lose the earlier one, which would look like damage.
+
         Raises:
             StorageError: The store must not be used any more.
         """
         staged, self._staged = self._staged, []
         for name, data in staged:
+            if self._unsynced:
+                self.folder.sync(self._written)
             if self._written and self._written != name:
                 # A sealed segment must be whole before the next one exists.
                 self.folder.sync(self._written)
                 self.folder.release(self._written)
             self._written = name
+            self._unsynced = True
             self.folder.append(name, bytes(data))
 
     def sync(self) -> None:
@@ -146,6 +153,7 @@
         self.write()
         if self.synced_index < self.last_index:
             self.folder.sync(self._segments[-1].name)
+            self._unsynced = False
             self.synced_index = self.last_index
 
     def truncate(self, last_index: int) -> None:
@@ -162,6 +170,7 @@
         kept = last_index - segment.base.index
         offset = self._offset(segment, last_index + 1)
         self.folder.truncate(segment.name, offset)
+        self._unsynced = False
         segment.cut(count=kept, size=offset)
         self._recent = [
             stored
@@ -183,6 +192,7 @@
         """
         self._staged = []
         self._written = ""
+        self._unsynced = False
         while self._segments:
             self.folder.remove(self._segments.pop().name)
         self._recent = []
@@ -194,7 +204,10 @@
         self.synced_index = base.index
 
     def drop_oldest(self, *, max_bytes: int, covered_index: int) -> bool:
-        """Removes whole oldest segments while the log is larger than allowed.
+        """Removes the oldest segment if the log is larger than allowed.
+
+        One at a time, because a durable removal may take a tenth of a second
+        and nothing else happens meanwhile.
 
         Args:
             max_bytes: Allowed size of all segments.
@@ -202,18 +215,19 @@
                 a restart; later entries are kept.
 
         Returns:
-            Whether a segment was removed.
+            Whether it was removed; then another may have to be.
         """
-        removed = False
-        while (
-            len(self._segments) > 1
-            and self.total_bytes > max_bytes
-            and self._segments[0].last_index <= covered_index
+        # The file written last must not be the one that is removed.
+        self.write()
+        if (
+            len(self._segments) <= 1
+            or self.total_bytes <= max_bytes
+            or self._segments[0].last_index > covered_index
         ):
-            self.folder.remove(self._segments.pop(0).name)
-            self.base = self._segments[0].base
-            removed = True
-        return removed
+            return False
+        self.folder.remove(self._segments.pop(0).name)
+        self.base = self._segments[0].base
+        return True
 
     def term_at(self, index: int) -> int:
         """Returns the term of an entry or of the base."""
@@ -368,6 +382,8 @@
     ) -> Iterator[records.StoredEntry]:
         if first_index > last_index:
             return
+        # What is staged only is in no file yet.
+        self.write()
         for segment in self._segments[self._segment_of(first_index) :]:
             if segment.base.index >= last_index:
                 return
--- a/bamboorouter/state/snapshot_store.py
+++ b/bamboorouter/state/snapshot_store.py
@@ -71,7 +71,8 @@
         self.folder.replace(name, b"".join(content))
         self.position = position
         for old in self._names()[:-_KEPT]:
-            self.folder.remove(old)
+            # One that comes back is removed with the next snapshot.
+            self.folder.remove(old, durable=False)
 
     def load(self) -> Snapshot | None:
         """Returns the newest undamaged snapshot."""
--- a/bamboorouter/transport/files.py
+++ b/bamboorouter/transport/files.py
@@ -46,8 +46,8 @@
         """Cuts a file to `size` bytes, durably."""
         ...
 
-    def remove(self, name: str) -> None:
-        """Removes a file, durably."""
+    def remove(self, name: str, *, durable: bool = True) -> None:
+        """Removes a file; unless `durable`, it may be back after a crash."""
         ...
 
     def release(self, name: str) -> None:
@@ -145,12 +145,13 @@
         except OSError as err:
             raise self._error("truncate file", name, err) from err
 
-    def remove(self, name: str) -> None:
-        """Removes a file, durably."""
+    def remove(self, name: str, *, durable: bool = True) -> None:
+        """Removes a file; unless `durable`, it may be back after a crash."""
         self._close(name)
         try:
             (self.path / name).unlink()
-            self._sync_folder()
+            if durable:
+                self._sync_folder()
         except OSError as err:
             raise self._error("remove file", name, err) from err
 
--- a/tests/memory_folder.py
+++ b/tests/memory_folder.py
@@ -12,6 +12,7 @@
 
     data: bytearray
     synced: int | None = None
+    unsynced: list[tuple[int, int]] = dataclasses.field(default_factory=list)
 
 
 class MemoryFolder:
@@ -40,6 +41,24 @@
             del file.data[kept:]
             file.synced = kept
 
+    def lose_power(self, rng: random.Random) -> None:
+        """Keeps each unsynced write, loses it, or keeps a part of it.
+
+        A lost write that a later one follows leaves zeros.
+        """
+        for name, file in list(self.files.items()):
+            if file.synced is None and rng.random() < 0.5:
+                del self.files[name]
+                continue
+            end = file.synced or 0
+            for start, stop in file.unsynced:
+                kept = rng.choice((start, stop, rng.randint(start, stop)))
+                file.data[kept:stop] = bytes(stop - kept)
+                end = max(end, kept if kept > start else 0)
+            del file.data[end:]
+            file.synced = len(file.data)
+            file.unsynced = []
+
     def names(self) -> list[str]:
         return sorted(self.files)
 
@@ -61,6 +80,7 @@
             raise _error("No space left on device", "append to file", name)
         if self.free_bytes is not None:
             self.free_bytes -= len(data)
+        file.unsynced.append((len(file.data), len(file.data) + len(data)))
         file.data.extend(data)
 
     def sync(self, name: str) -> None:
@@ -69,6 +89,7 @@
         file = self._file(name)
         if not self.lying_sync:
             file.synced = len(file.data)
+            file.unsynced = []
 
     def replace(self, name: str, data: bytes) -> None:
         if self.failing_sync:
@@ -79,8 +100,10 @@
         file = self._file(name)
         del file.data[size:]
         file.synced = size
+        file.unsynced = []
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, *, durable: bool = True) -> None:
+        del durable
         del self.files[name]
 
     def release(self, name: str) -> None:
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -94,6 +94,29 @@
         self.assertIn("torn_tail_cut", logs.output[0])
         self.assertIn(f"offset={whole}", logs.output[0])
 
+    def test_loss_of_power_between_syncs_leaves_a_log_that_opens(self) -> None:
+        """Guards against a replica that never starts again.
+
+        Of several writes after the last sync, a later one may be kept and an
+        earlier one lost.
+        """
+        for seed in range(200):
+            rng = random.Random(seed)
+            folder = memory_folder.MemoryFolder()
+            store = log_store.LogStore(folder=folder)
+            synced = 0
+            for index in range(1, 12):
+                store.append(entry(index))
+                if rng.random() < 0.6:
+                    store.write()
+                if rng.random() < 0.3:
+                    store.sync()
+                    synced = index
+            folder.lose_power(rng)
+            with self.subTest(seed=seed):
+                opened = log_store.LogStore(folder=folder)
+                self.assertGreaterEqual(opened.last_index, synced)
+
     def test_damage_before_a_whole_record_is_refused(self) -> None:
         self.fill(10)
         name = self.folder.names()[-1]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 
 from tests import platform_site
 
+import node_roles  # isort: skip
 import node_settings  # isort: skip
 import wire  # isort: skip
 
@@ -257,10 +258,31 @@
             (200, {"state": "queued"}),
         )
 
+    async def test_replica_takes_part_again_after_its_disk_failed(self) -> None:
+        """Guards against a replica that stays silent for ever."""
+        role = self.site.control["127.0.1.2"]
+        assert isinstance(role, node_roles.ControlNode)
+        failed = role.replica
+        assert failed is not None
+        failed.replica.engine.halt(OSError("disk full"))
+
+        async def back() -> bool:
+            opened = role.replica
+            return (
+                opened is not None
+                and opened is not failed
+                and not opened.halted()
+                and bool(opened.replica.leader_address())
+            )
+
+        await self.site.until(back)
+
     async def repaired(self) -> bool:
         """Whether four members with three voters are known to a leader."""
         for role in self.site.control.values():
-            replica = role._replica.replica  # type: ignore[attr-defined]
+            assert isinstance(role, node_roles.ControlNode)
+            assert role.replica is not None
+            replica = role.replica.replica
             members = replica.members()
             if replica.lease_valid():
                 voters = sum(member.voter for member in members)
