--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import json
 import os
+import pathlib
 import re
 import shlex
 import sys
+import tempfile
 import time
 import unittest
 
@@ -29,6 +32,8 @@
 )
 # Exported only once a caller was served or refused.
 NOT_YET_SEEN = {
+    "bamboorouter_job_call_seconds_bucket",
+    "bamboorouter_runs_ended_total",
     "bamboorouter_request_seconds_bucket",
     "bamboorouter_refusals_total",
 }
@@ -51,8 +56,19 @@
         await self.site.wait_ready()
         self.values: dict[str, str] = {
             "/var/lib/bamboorouter": str(self.folder("control-1")),
+            **self.log_files("entry.log", "control.log", "agents.log"),
         }
 
+    def log_files(self, *names: str) -> dict[str, str]:
+        """Writes a line about a job into each file; returns their paths."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        line = {"wall_ms": 1, "process": "p", "name": "n", "job": "ID"}
+        paths = {name: pathlib.Path(folder.name) / name for name in names}
+        for path in paths.values():
+            path.write_text(json.dumps(line), encoding="utf-8")
+        return {name: str(path) for name, path in paths.items()}
+
     def folder(self, name: str) -> object:
         return self.site.processes[name].folder / "data"
 
