--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -22,13 +22,12 @@
 from bamboorouter import metrics
 from bamboorouter.coordination.jobs import ready_tasks
 from bamboorouter.coordination.jobs import run_figures
+from bamboorouter.coordination.jobs import run_watch
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.policies import run_placement
-from bamboorouter.coordination.policies import worker_health
-from bamboorouter.coordination.policies import worker_speed
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
@@ -47,18 +46,6 @@
 PUSH_TIMEOUT_MS: Final = 500
 # A stop order is repeated if the end isn't reported; a stop takes 0.9 s.
 REPEAT_STOP_MS: Final = 1000
-# A run at this speed or less for so long is moved: its restart costs 0.1 s,
-# and a serving task's load swings over many seconds.
-SLOW_PERCENT: Final = 25
-SLOW_FOR_MS: Final = 1500
-# A rejected start is tried again after a pause that doubles each time; the
-# longest stays below the 3 s for which a task may wait beside free room.
-REJECTED_PAUSE_MS: Final = 100
-LONGEST_PAUSE_MS: Final = 1600
-# A task that was already started more often stays where it is.
-RESCUED_ATTEMPTS: Final = 2
-# A job with ready tasks may have nothing running for 3 s while there is room.
-OVERDUE_MS: Final = 1500
 # Ended jobs can be asked for at least this long.
 KEEP_ENDED_MS: Final = 600_000
 # Keeps one command well below the size of a log entry.
@@ -73,19 +60,6 @@
     attempt: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Rejection:
-    """Starts of a task that workers rejected in a row.
-
-    Attributes:
-        count: How many there were.
-        until_ms: Until when it isn't tried again.
-    """
-
-    count: int
-    until_ms: int
-
-
 class JobDispatcher:
     """Decides which task runs where, while this replica leads.
 
@@ -93,7 +67,7 @@
         log: The replicated log.
         clock: Source of time.
         table: Workers by their reports.
-        health: Which workers fail what they start.
+        watch: What is remembered about runs.
         interference: Which images disturb which.
         figures: What workers measured of their runs.
         placement: Chooses workers for ready tasks.
@@ -109,21 +83,14 @@
         self.log = log
         self.clock = time
         self.table = table
-        self.health = worker_health.WorkerHealth()
+        self.watch = run_watch.RunWatch(time=time)
         self.interference = image_interference.ImageInterference()
         self.figures = run_figures.RunFigures(interference=self.interference)
         self.placement: run_placement.RunPlacement = run_placement.MostLeftover(
             interference=self.interference
         )
-        self._idle_ms: dict[str, int] = {}
         self._noted_ms = 0
-        self._rejections: dict[jobs.TaskRef, _Rejection] = {}
-        self._assigned_ms: dict[tuple[jobs.TaskRef, int], int] = {}
-        self._slowness: dict[str, float] = {}
-        self._slow_workers: frozenset[str] = frozenset()
-        self._slow_ms: dict[str, dict[tuple[jobs.TaskRef, int], int]] = {}
         self._wake = asyncio.Event()
-        self._failed_on: dict[jobs.TaskRef, frozenset[str]] = {}
         self._stopped_ms: dict[_Stop, int] = {}
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
@@ -179,7 +146,7 @@
         if not current or not self.table.note(report, source, self.clock.now()):
             return self._reply(report, known=False)
         self.figures.note(report, state, self.clock.now())
-        self._note_speed(report)
+        self.watch.reported(report, state)
         await self._end(report.ends, report.worker, report.life)
         return self._reply(report, known=True)
 
@@ -208,42 +175,6 @@
         )
         return job_messages.WorkerSession(number=result.data["session"])
 
-    def _note_speed(self, report: job_messages.WorkerReport) -> None:
-        slowness = worker_speed.slowness(self._progress(report).values())
-        self._slowness.pop(report.worker, None)
-        if slowness is not None:
-            self._slowness[report.worker] = slowness
-        slow = worker_speed.slow_workers(self._slowness)
-        for worker in slow - self._slow_workers:
-            events.log(
-                events.WORKER_SLOW,
-                worker=worker,
-                slowness=round(self._slowness[worker], 1),
-                workers=len(self._slowness),
-            )
-        self._slow_workers = slow
-
-    def _progress(
-        self, report: job_messages.WorkerReport
-    ) -> dict[tuple[jobs.TaskRef, int], worker_speed.RunProgress]:
-        """Returns the runs whose speed tells about their worker's."""
-        state = self.log.machine.stepped
-        now = self.clock.now()
-        found = {}
-        for run in report.runs:
-            key = (run.task, run.attempt)
-            assigned = self._assigned_ms.get(key)
-            if assigned is None or state.task(run.task) is None:
-                continue
-            step = state.step(run.task)
-            if not step.fills and not step.lasting:
-                found[key] = worker_speed.RunProgress(
-                    age_ms=now - assigned,
-                    progress=run.progress,
-                    estimate_ms=step.estimate_ms,
-                )
-        return found
-
     def _reply(
         self, report: job_messages.WorkerReport, *, known: bool
     ) -> job_messages.WorkerReply:
@@ -301,14 +232,10 @@
     def _lead(self, leadership: replicated_log.Leadership) -> None:
         if leadership.leads:
             self.table.reset(self.clock.now())
-            self.health = worker_health.WorkerHealth()
-            self._failed_on.clear()
+            self.watch.reset()
             self._stopped_ms.clear()
             self.figures.reset()
             self._ended_ms.clear()
-            self._assigned_ms.clear()
-            self._rejections.clear()
-            self._slowness.clear()
             self._wake.set()
 
     async def _run(self) -> None:
@@ -386,16 +313,10 @@
         ready = ready_tasks.ready_tasks(
             state,
             wall_ms=self.clock.wall(),
-            failed_on=self._failed_on,
-            overdue=self._overdue_jobs(),
+            failed_on=self.watch.failed_on,
+            overdue=self.watch.overdue_jobs(state),
         )
-        now = self.clock.now()
-        ready = [
-            task
-            for task in ready
-            if task.ref not in self._rejections
-            or now >= self._rejections[task.ref].until_ms
-        ]
+        ready = [task for task in ready if not self.watch.held_back(task.ref)]
         if not ready:
             return
         places = {task.ref: place for place, task in enumerate(ready, 1)}
@@ -419,7 +340,7 @@
             run for number, run in enumerate(runs) if number not in refused
         ]
         for run in started:
-            self._assigned_ms[run.task, run.attempt] = now
+            self.watch.assigned(run)
             events.log(
                 events.RUN_ASSIGNED,
                 task=str(run.task),
@@ -432,24 +353,6 @@
             )
         self._push_starts(started)
 
-    def _overdue_jobs(self) -> frozenset[str]:
-        """Returns active jobs that have had nothing running for long."""
-        state = self.log.machine.stepped
-        now = self.clock.now()
-        running = {
-            ref.job for tasks in state.on_worker.values() for ref in tasks
-        }
-        self._idle_ms = {
-            job_id: self._idle_ms.get(job_id, now)
-            for job_id, job in state.jobs.items()
-            if job.active() and job_id not in running
-        }
-        return frozenset(
-            job_id
-            for job_id, since in self._idle_ms.items()
-            if now - since >= OVERDUE_MS
-        )
-
     def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
         by_worker = sorted(runs, key=lambda run: run.worker)
         for name, group in itertools.groupby(
@@ -522,8 +425,7 @@
             millicores=life.room.millicores,
             memory_mb=life.room.memory_mb,
             accelerators=life.room.accelerators,
-            shunned=name in self._slow_workers
-            or self.health.shunned(name, self.clock.now()),
+            shunned=self.watch.avoided(name),
         )
         for ref in state.on_worker.get(name, {}):
             room.add(state.step(ref), self.figures.own(ref))
@@ -538,12 +440,12 @@
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
                 continue
-            slow = self._slow_runs(worker, now)
+            moved = self.watch.runs_to_move(worker.report, state)
             stops = [
                 _Stop(ref, task.attempt)
                 for ref, task in tasks.items()
                 if _to_stop(state, ref, draining=worker.report.draining)
-                or (ref, task.attempt) in slow
+                or (ref, task.attempt) in moved
             ]
             due = []
             for stop in stops:
@@ -556,36 +458,6 @@
                 self._push_stops(worker, due)
         self._stopped_ms = wanted
 
-    def _slow_runs(
-        self, worker: worker_table.LiveWorker, now: int
-    ) -> set[tuple[jobs.TaskRef, int]]:
-        """Returns runs that were slowed for long and can go on elsewhere."""
-        state = self.log.machine.stepped
-        slowed = {
-            (run.task, run.attempt)
-            for run in worker.report.runs
-            if run.running and run.pace <= SLOW_PERCENT
-        }
-        name = worker.report.worker
-        rescued = {
-            key
-            for key, run in self._progress(worker.report).items()
-            if name in self._slow_workers
-            and run.age_ms >= worker_speed.LEAST_AGE_MS
-            and run.progress < worker_speed.RESCUE_PROGRESS
-            and run.slowness() > worker_speed.SLOW_FACTOR
-            and key[1] <= RESCUED_ATTEMPTS
-        }
-        since = self._slow_ms.get(name, {})
-        self._slow_ms[name] = {key: since.get(key, now) for key in slowed}
-        return rescued | {
-            key
-            for key, began in self._slow_ms[name].items()
-            if now - began >= SLOW_FOR_MS
-            and state.task(key[0]) is not None
-            and state.step(key[0]).checkpoints
-        }
-
     def _push_stops(
         self, worker: worker_table.LiveWorker, stops: list[_Stop]
     ) -> None:
@@ -638,9 +510,7 @@
         if not current:
             return
         await self._propose(job_commands.EndRuns(ends=current))
-        now = self.clock.now()
         for end in current:
-            self._assigned_ms.pop((end.task, end.attempt), None)
             events.log(
                 events.RUN_ENDED,
                 task=str(end.task),
@@ -651,30 +521,7 @@
                 term=self.log.term(),
             )
             metrics.RUNS_ENDED.labels(end.how).inc()
-            self._note_health(end, worker, now)
-
-    def _note_health(self, end: jobs.RunEnd, worker: str, now: int) -> None:
-        if end.how == "rejected":
-            before = self._rejections.get(end.task)
-            count = 1 if before is None else before.count + 1
-            pause_ms = REJECTED_PAUSE_MS * 2 ** (count - 1)
-            self._rejections[end.task] = _Rejection(
-                count=count,
-                until_ms=now + min(pause_ms, LONGEST_PAUSE_MS),
-            )
-        if end.how not in ("done", "failed"):
-            return
-        self._rejections.pop(end.task, None)
-        failed = end.how == "failed"
-        if failed:
-            others = self._failed_on.get(end.task, frozenset())
-            self._failed_on[end.task] = others | {worker}
-        else:
-            self._failed_on.pop(end.task, None)
-        if self.health.ended(
-            worker=worker, job=end.task.job, failed=failed, now=now
-        ):
-            events.log(events.WORKER_SHUNNED, worker=worker)
+            self.watch.ended(end, worker)
 
     async def _propose(self, command: commands.Command) -> commands.Result:
         return await self.log.propose(command, timeout_ms=PROPOSE_TIMEOUT_MS)
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -641,7 +641,16 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            events.log(
+                events.SESSION_FAILED,
+                worker=self.worker,
+                error=repr(task.exception()),
+            )
 
 
 def _start_run(
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -12,6 +12,7 @@
 from bamboorouter.coordination.jobs import admission
 from bamboorouter.coordination.jobs import dispatcher
 from bamboorouter.coordination.jobs import job_desk
+from bamboorouter.coordination.jobs import run_watch
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
@@ -184,7 +185,7 @@
             )
             await self.settle()
             self.assertEqual(len(agent.started()), attempt)
-            self.time.advance(dispatcher.REJECTED_PAUSE_MS * attempt)
+            self.time.advance(run_watch.REJECTED_PAUSE_MS * attempt)
             self.dispatcher.wake()
             await self.until(functools.partial(agent.has_started, attempt + 1))
 
@@ -310,7 +311,7 @@
         await self.report(agent, runs=(slow,))
         await self.settle()
         self.assertEqual(agent.stopped(), [])
-        self.time.advance(dispatcher.SLOW_FOR_MS)
+        self.time.advance(run_watch.SLOW_FOR_MS)
         await self.report(agent, runs=(slow,))
         await self.until(agent.stopped)
 
