Refuse only what is certain to end too late; leave harmless work where it was

Cause: the wait was counted against the room that lasting tasks leave and the goal against one declared time, both far off. The wait is now a lower bound and the goal at least the queue's usual one; the test of a burst with a wrong estimate failed before.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 import dataclasses
 import random
+import statistics
 from typing import Final
 
 from bamboorouter.coordination.jobs import ready_tasks
@@ -89,11 +90,9 @@
 ) -> Refusal | None:
     if not rooms or spec.repeats or any(step.lasting for step in spec.steps):
         return None
-    goal_ms = (
-        queue.slack * ready_tasks.chain_ms(spec.steps, range(len(spec.steps)))
-        + queue.target_ms
-    )
     wait_ms = expected_wait_ms(state, queue, rooms)
+    goal_ms = queue.slack * _usual_chain_ms(state, queue, spec)
+    goal_ms += queue.target_ms
     if wait_ms <= USEFUL_GOALS * goal_ms:
         return None
     until_useful_ms = wait_ms - goal_ms
@@ -105,31 +104,44 @@
     )
 
 
+def _usual_chain_ms(
+    state: stepped_jobs.SteppedJobs,
+    queue: jobs.QueueSettings,
+    spec: jobs.JobSpec,
+) -> float:
+    """Returns the declared chain of a job, or of its queue if that is longer.
+
+    A single declared time may be far too short; the mean of a queue is not.
+    """
+    chains = [
+        ready_tasks.chain_ms(job.spec.steps, range(len(job.spec.steps)))
+        for job in state.jobs.values()
+        if job.queue.name == queue.name and job.active()
+    ]
+    own = ready_tasks.chain_ms(spec.steps, range(len(spec.steps)))
+    return max(own, statistics.fmean(chains) if chains else 0.0)
+
+
 def expected_wait_ms(
     state: stepped_jobs.SteppedJobs,
     queue: jobs.QueueSettings,
     rooms: Iterable[common.Resources],
 ) -> float:
-    """Returns how long the work ahead of a new job takes.
+    """Returns how long the work ahead of a new job takes at least.
 
-    Tasks that last are no work ahead; they take what they reserve.
+    As if nothing else needed the workers: a job is refused only if it is
+    certain to end too late.
     """
-    ahead = 0
-    lasting = 0
-    for job in state.jobs.values():
-        same = job.queue.service == queue.service
-        if not same or not job.active():
-            continue
-        if any(step.lasting for step in job.spec.steps):
-            lasting += sum(
-                step.count * step.need.millicores for step in job.spec.steps
-            )
-        elif job.queue.priority <= queue.priority and not job.spec.repeats:
-            ahead += ready_tasks.left_work(job)
-    free = sum(room.millicores for room in rooms) - lasting
-    # However much is reserved, tasks that fill get what the others leave.
-    least = sum(room.millicores for room in rooms) // 4
-    return ahead / max(1, free, least)
+    ahead = sum(
+        ready_tasks.left_work(job)
+        for job in state.jobs.values()
+        if job.queue.service == queue.service
+        and job.queue.priority <= queue.priority
+        and job.active()
+        and not job.spec.repeats
+        and not any(step.lasting for step in job.spec.steps)
+    )
+    return ahead / max(1, sum(room.millicores for room in rooms))
 
 
 def _unsupported(spec: jobs.JobSpec) -> dict[str, bool]:
--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -34,10 +34,6 @@
 # A worker on which a task would stand still counts as fuller by this much, in
 # thousandths of a processor.
 DISTURBED_MILLICORES: Final = 60_000
-# What disturbs nobody goes beside serving tasks as long as there is room, so
-# that workers without them are left to what would disturb; outweighs leftover
-# time, in thousandths of a processor.
-HARMLESS_BESIDE_MILLICORES: Final = 100_000
 # Share of their reservation that serving tasks use at most times.
 SERVING_USE: Final = 0.75
 
@@ -193,7 +189,7 @@
         placements = []
         for task in tasks:
             scored = [
-                (self._score(task, worker, part), worker)
+                (_score(task, worker, part), worker)
                 for worker in workers
                 if _allowed(task, worker)
                 and (
@@ -235,28 +231,6 @@
             default=1.0,
         )
 
-    def _score(
-        self, task: ReadyTask, worker: WorkerRoom, part: float
-    ) -> tuple[bool, float]:
-        # Serving tasks together leave other workers to what would disturb them.
-        packed = bool(task.step.target_ms)
-        score = worker.used_millicores if packed else worker.leftover()
-        score -= int((1 - part) * DISTURBED_MILLICORES)
-        if worker.serving and not packed and self._harmless(task.step, worker):
-            score += HARMLESS_BESIDE_MILLICORES
-        if worker.name in task.failed_on:
-            score -= FAILED_HERE_MILLICORES
-        if task.step.data_rack and worker.rack != task.step.data_rack:
-            score -= FAR_MILLICORES
-        return not worker.shunned, score
-
-    def _harmless(self, step: jobs.Step, worker: WorkerRoom) -> bool:
-        return not step.fills or all(
-            self.interference.weight(image, step.image)
-            < image_interference.HARMLESS_WEIGHT
-            for image, _ in worker.serving
-        )
-
 
 def _allowed(task: ReadyTask, worker: WorkerRoom) -> bool:
     step = task.step
@@ -267,3 +241,17 @@
         and (not limit or task.step_on.get(worker.name, 0) < limit)
         and worker.takes(step.need, fills=step.fills)
     )
+
+
+def _score(
+    task: ReadyTask, worker: WorkerRoom, part: float
+) -> tuple[bool, float]:
+    # Serving tasks together leave other workers to what would disturb them.
+    packed = bool(task.step.target_ms)
+    score = worker.used_millicores if packed else worker.leftover()
+    score -= int((1 - part) * DISTURBED_MILLICORES)
+    if worker.name in task.failed_on:
+        score -= FAILED_HERE_MILLICORES
+    if task.step.data_rack and worker.rack != task.step.data_rack:
+        score -= FAR_MILLICORES
+    return not worker.shunned, score
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -356,6 +356,24 @@
         self.assertGreaterEqual(answer.retry_after_ms, 14_000 - 4250)
         self.assertLessEqual(answer.retry_after_ms, 1.5 * 14_000)
 
+    async def test_burst_that_can_be_served_late_is_accepted(self) -> None:
+        """Replays a burst of twice the usual load beside lasting tasks.
+
+        One job declares far too short a time; it must not be refused for it.
+        """
+        await self.agent()
+        lasting = make.step(4, lasting=True, need=make.need(13_000, 1000))
+        await self.submit("aa", lasting)
+        heavy = make.step(
+            16, estimate_ms=4000, need=make.need(4000, 1000), fills=True
+        )
+        outcomes = [await self.submit(f"{n:x}", heavy) for n in range(4)]
+        short = make.step(
+            16, estimate_ms=300, need=make.need(4000, 1000), fills=True
+        )
+        outcomes.append(await self.submit("bb", short))
+        self.assertEqual(set(outcomes), {"ok"})
+
     async def test_flood_refuses_nothing_that_lasts(self) -> None:
         await self.agent()
         heavy = make.step(64, estimate_ms=60_000, fills=True)
