--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -4,10 +4,10 @@
 almost full. Tasks are taken in the order given. Each goes to the worker that
 leaves it the most processor time, so that no worker becomes a hot spot; only
 tasks that serve users are packed on few workers, so that others remain on which
-filling tasks disturb nobody. Tasks
-that fill get only processor time that nothing else fills and that serving
-tasks are known to leave, because a crowded worker makes all of them late at
-once, and no worker on which they would put a serving task's latency at risk.
+filling tasks disturb nobody. A filling task gets only processor time that
+serving tasks are known to leave and nothing else fills, because a crowded
+worker makes all of them late at once, and only a worker on which it may keep
+most of its speed beside the serving tasks.
 """
 
 from collections.abc import Iterable
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Guards the adapter to the users' platform: its words, and the whole path."""
 
+import json
 import pathlib
 import re
 import tempfile
@@ -66,8 +67,6 @@
                 wire.decode_job(body)
 
     def test_configuration_that_contradicts_itself_is_refused(self) -> None:
-        import json
-
         good = platform_site.configuration()
         self.assertEqual(
             wire.decode_configuration(json.dumps(good).encode()).version, 1
@@ -82,8 +81,6 @@
             wire.decode_configuration(json.dumps(good).encode()[:-20])
 
     def test_announcement_that_can_not_be_read_names_no_worker(self) -> None:
-        import json
-
         good = platform_site.StandInWorker(address="127.0.0.1:1").announcement()
         read = wire.decode_announcement("i-1", json.dumps(good).encode())
         self.assertEqual((read.rack, read.draining), ("r1-1", False))
@@ -117,8 +114,6 @@
     """The template renders settings that can be read."""
 
     def render(self, fields: dict[str, Any]) -> node_settings.NodeSettings:
-        import json
-
         text = TEMPLATE.read_text(encoding="utf-8")
         text = re.sub(
             r"{{#([\w.]+)}}(.*?){{/\1}}",
