--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -246,11 +246,9 @@
 def _score(
     task: ReadyTask, worker: WorkerRoom, part: float
 ) -> tuple[bool, float]:
-    if task.step.target_ms:
-        # Together they leave other workers to tasks that would disturb them.
-        score = worker.used_millicores
-    else:
-        score = worker.leftover()
+    # Serving tasks together leave other workers to what would disturb them.
+    packed = bool(task.step.target_ms)
+    score = worker.used_millicores if packed else worker.leftover()
     score -= int((1 - part) * DISTURBED_MILLICORES)
     if worker.name in task.failed_on:
         score -= FAILED_HERE_MILLICORES
