--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -38,6 +38,9 @@
 
 # Runs save their progress each half second; reports come each second.
 CHECKPOINT_PERIOD_MS: Final = 1000
+# What is learned within this time may have to be learned again by the next
+# leader.
+DISTURBANCE_PERIOD_MS: Final = 1000
 # Bounds the delay of what no event announces: leases and due times.
 TICK_MS: Final = 200
 # Changes that arrive together share one pass.
@@ -90,6 +93,8 @@
             interference=self.interference
         )
         self._noted_ms = 0
+        self._disturbances_noted_ms = 0
+        self._recalled_term = 0
         self._wake = asyncio.Event()
         self._stopped_ms: dict[_Stop, int] = {}
         self._ended_ms: dict[str, int] = {}
@@ -136,6 +141,7 @@
             NotLeaderError: Nothing was decided.
             UnknownResultError: The ends may be committed later.
         """
+        self._recall()
         state = self.log.machine.stepped
         life = state.lives.get(report.worker)
         current = (
@@ -260,7 +266,9 @@
                 events.log(events.DISPATCH_FAILED, error=repr(err))
 
     async def _pass(self) -> None:
+        self._recall()
         await self._note_checkpoints()
+        await self._note_disturbances()
         await self._expire_leases()
         await self._start_ready()
         self._stop_unwanted()
@@ -288,6 +296,34 @@
         if newer:
             await self._propose(job_commands.NoteCheckpoints(checkpoints=newer))
 
+    def _recall(self) -> None:
+        """Takes over, once in a term, what earlier leaders have learned."""
+        term = self.log.term()
+        if term != self._recalled_term:
+            self._recalled_term = term
+            self.interference.restore(self.log.machine.stepped.disturbances)
+
+    async def _note_disturbances(self) -> None:
+        """Commits from time to time what was learned about images."""
+        now = self.clock.now()
+        if now - self._disturbances_noted_ms < DISTURBANCE_PERIOD_MS:
+            return
+        self._disturbances_noted_ms = now
+        changed = self.interference.changed_since(
+            self.log.machine.stepped.disturbances
+        )
+        if changed:
+            await self._propose(
+                job_commands.NoteDisturbances(
+                    disturbances=tuple(
+                        jobs.Disturbance(
+                            serving=serving, filling=filling, weight=weight
+                        )
+                        for (serving, filling), weight in changed.items()
+                    )
+                )
+            )
+
     async def _expire_leases(self) -> None:
         state = self.log.machine.stepped
         now = self.clock.now()
--- a/bamboorouter/coordination/jobs/run_figures.py
+++ b/bamboorouter/coordination/jobs/run_figures.py
@@ -69,7 +69,7 @@
         """Returns the utilization of a serving task without its neighbours."""
         return self._own.get(ref, image_interference.USUAL_OWN)
 
-    def weights(self, worker: str) -> tuple[job_messages.Disturbance, ...]:
+    def weights(self, worker: str) -> tuple[jobs.Disturbance, ...]:
         """Returns what is known about the images on a worker."""
         newest = self._newest.get(worker)
         if newest is None:
@@ -80,7 +80,7 @@
             for filling in figure.loads
         }
         return tuple(
-            job_messages.Disturbance(
+            jobs.Disturbance(
                 serving=serving,
                 filling=filling,
                 weight=round(self.interference.weight(serving, filling), 3),
--- a/bamboorouter/coordination/policies/image_interference.py
+++ b/bamboorouter/coordination/policies/image_interference.py
@@ -31,6 +31,10 @@
 # Differences of less than this many load units say nothing.
 LEAST_DIFFERENCE: Final = 0.15
 
+# A weight is worth recording again once it has changed by this much; figures
+# are rough by more.
+LEAST_CHANGE: Final = 0.01
+
 # Share of a worker's processors that one unit of load stands for.
 LOAD_UNIT: Final = 0.1
 # Own utilization of a serving task of which nothing is known yet.
@@ -58,6 +62,20 @@
     def __init__(self) -> None:
         self._weights: dict[tuple[str, str], float] = {}
 
+    def restore(self, weights: Mapping[tuple[str, str], float]) -> None:
+        """Replaces what was learned."""
+        self._weights = dict(weights)
+
+    def changed_since(
+        self, recorded: Mapping[tuple[str, str], float]
+    ) -> dict[tuple[str, str], float]:
+        """Returns the weights that differ from the recorded ones."""
+        return {
+            pair: round(weight, 3)
+            for pair, weight in self._weights.items()
+            if abs(weight - recorded.get(pair, FIRST_WEIGHT)) >= LEAST_CHANGE
+        }
+
     def note(self, before: Figure, after: Figure) -> None:
         """Learns from two successive figures of one serving task."""
         loads = {
--- a/bamboorouter/protocol/commands.py
+++ b/bamboorouter/protocol/commands.py
@@ -218,6 +218,7 @@
     | job_commands.OpenSession
     | job_commands.ForgetSteps
     | job_commands.NoteCheckpoints
+    | job_commands.NoteDisturbances
 )
 
 
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -43,6 +43,12 @@
     checkpoints: tuple[jobs.Checkpoint, ...]
 
 
+class NoteDisturbances(base.Wire, frozen=True, kw_only=True, tag=28):
+    """Records what was learned about images, so that it outlives the leader."""
+
+    disturbances: tuple[jobs.Disturbance, ...]
+
+
 class OpenSession(base.Wire, frozen=True, kw_only=True, tag=25):
     """Begins a session of an agent with one life of its worker.
 
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -216,20 +216,6 @@
     stops: tuple[StopOrder, ...] = ()
 
 
-class Disturbance(base.Wire, frozen=True, kw_only=True):
-    """How much tasks of one image disturb those of another.
-
-    Attributes:
-        serving: Image of tasks that serve users.
-        filling: Image of tasks that fill.
-        weight: The learned weight; 0 for no disturbance.
-    """
-
-    serving: str
-    filling: str
-    weight: float
-
-
 class WorkerReply(base.Wire, frozen=True, kw_only=True, tag=144):
     """Answers a WorkerReport; all its ends are committed.
 
@@ -244,7 +230,7 @@
     known: bool
     lease_ms: int
     orders: RunOrders
-    disturbances: tuple[Disturbance, ...] = ()
+    disturbances: tuple[jobs.Disturbance, ...] = ()
 
 
 # --- Joining -----------------------------------------------------------------
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -149,6 +149,20 @@
     value: str
 
 
+class Disturbance(base.Wire, frozen=True, kw_only=True):
+    """How much tasks of one image disturb those of another.
+
+    Attributes:
+        serving: Image of tasks that serve users.
+        filling: Image of tasks that fill.
+        weight: The learned weight; 0 for no disturbance.
+    """
+
+    serving: str
+    filling: str
+    weight: float
+
+
 class QueueSettings(base.Wire, frozen=True, kw_only=True):
     """A queue of jobs, as configured.
 
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -83,6 +83,7 @@
             job_commands.OpenSession: self.stepped.open_session,
             job_commands.ForgetSteps: self.stepped.forget,
             job_commands.NoteCheckpoints: self.stepped.note_checkpoints,
+            job_commands.NoteDisturbances: self.stepped.note_disturbances,
         }
 
     def apply(
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -26,6 +26,11 @@
 
 TaskStatus = Literal["waiting", "assigned", "done", "failed"]
 _EMPTY: Final = common.Resources()
+# Pairs of images that are remembered, about 100 bytes each in a snapshot. The
+# pairs that were learned about least recently are forgotten first.
+MOST_DISTURBANCES: Final = 4096
+# Serving and filling image.
+ImagePair = tuple[str, str]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -162,6 +167,7 @@
         used: What the assigned tasks take from each worker's room.
         sessions: Number of the newest session.
         accepted: Number of jobs accepted so far.
+        disturbances: How much images disturb each other, as learned.
     """
 
     def __init__(self) -> None:
@@ -172,6 +178,7 @@
         self.used: dict[str, common.Resources] = {}
         self.sessions = 0
         self.accepted = 0
+        self.disturbances: dict[ImagePair, float] = {}
 
     # --- Reading -------------------------------------------------------------
 
@@ -296,6 +303,18 @@
                 task.checkpoint = checkpoint.value
         return commands.Result(ok=True)
 
+    def note_disturbances(
+        self, command: job_commands.NoteDisturbances
+    ) -> commands.Result:
+        """Records what was learned about pairs of images."""
+        for noted in command.disturbances:
+            pair = (noted.serving, noted.filling)
+            self.disturbances.pop(pair, None)
+            self.disturbances[pair] = noted.weight
+        while len(self.disturbances) > MOST_DISTURBANCES:
+            del self.disturbances[next(iter(self.disturbances))]
+        return commands.Result(ok=True)
+
     def forget(self, command: job_commands.ForgetSteps) -> commands.Result:
         """Removes jobs of which nothing is assigned any more."""
         for job_id in command.jobs:
@@ -388,11 +407,17 @@
                 for name, life in self.lives.items()
             ],
             [_plain_job(job) for job in self.jobs.values()],
+            [[*pair, weight] for pair, weight in self.disturbances.items()],
         ]
 
     def restore(self, data: list[Any]) -> None:
         """Replaces the state by a snapshot."""
-        configuration, self.sessions, self.accepted, lives, rows = data
+        configuration, self.sessions, self.accepted, lives, rows = data[:5]
+        # Snapshots written before disturbances were recorded end here.
+        self.disturbances = {
+            (serving, filling): weight
+            for serving, filling, weight in itertools.chain(*data[5:])
+        }
         self.configuration = (
             None
             if configuration is None
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -14,6 +14,7 @@
 from bamboorouter.coordination.jobs import job_desk
 from bamboorouter.coordination.jobs import run_watch
 from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.coordination.policies import image_interference
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
@@ -268,6 +269,33 @@
         (start,) = second.orders[0].starts
         self.assertEqual((start.attempt, start.checkpoint), (2, "half"))
 
+    async def test_what_was_learned_about_images_outlives_the_leader(
+        self,
+    ) -> None:
+        """Replays replicas that restart one after the other at high load."""
+        await self.settle()
+        figures = [
+            image_interference.Figure(
+                image="site", utilization=utilization, loads={"batch": load}
+            )
+            for utilization, load in ((0.3, 0.0), (0.7, 2.0))
+        ]
+        self.dispatcher.interference.note(*figures)
+        learned = self.dispatcher.interference.weight("site", "batch")
+        self.time.advance(dispatcher.DISTURBANCE_PERIOD_MS)
+        await self.settle()
+        other = dispatcher.JobDispatcher(
+            log=self.log, time=self.time, table=worker_table.WorkerTable()
+        )
+        agent = FakeAgent("w1")
+        await other.report(agent.report(), agent.link)
+        self.assertNotAlmostEqual(
+            learned, image_interference.FIRST_WEIGHT, places=2
+        )
+        self.assertAlmostEqual(
+            other.interference.weight("site", "batch"), learned, places=3
+        )
+
     async def test_new_leader_waits_for_leases_of_the_earlier_one(
         self,
     ) -> None:
--- a/tests/test_stepped_jobs.py
+++ b/tests/test_stepped_jobs.py
@@ -174,6 +174,39 @@
         self.assertTrue(kept.start(make.ref()))
 
 
+class DisturbanceTest(unittest.TestCase):
+    """What was learned about images is kept, within bounds."""
+
+    def test_pairs_noted_least_recently_are_forgotten_first(self) -> None:
+        state = stepped_jobs.SteppedJobs()
+        for first in (0, 1, 0):
+            state.note_disturbances(
+                job_commands.NoteDisturbances(
+                    disturbances=tuple(
+                        jobs.Disturbance(
+                            serving=f"s{number}", filling="f", weight=0.5
+                        )
+                        for number in range(
+                            first, first + stepped_jobs.MOST_DISTURBANCES
+                        )
+                    )
+                )
+            )
+        self.assertEqual(
+            len(state.disturbances), stepped_jobs.MOST_DISTURBANCES
+        )
+        last = f"s{stepped_jobs.MOST_DISTURBANCES}"
+        self.assertNotIn((last, "f"), state.disturbances)
+        restored = stepped_jobs.SteppedJobs()
+        restored.restore(state.snapshot())
+        self.assertEqual(restored.disturbances, state.disturbances)
+
+    def test_snapshot_from_before_disturbances_is_read(self) -> None:
+        restored = stepped_jobs.SteppedJobs()
+        restored.restore(make.Jobs().state.snapshot()[:5])
+        self.assertEqual(restored.disturbances, {})
+
+
 class SnapshotTest(unittest.TestCase):
     """A restored state goes on like the original."""
 
