--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -63,7 +63,8 @@
     ) -> Refusal | None:
         """Returns why a job is refused; None if it is accepted."""
         unsupported = next(
-            (name for name, used in _unsupported(spec).items() if used), None
+            (name for name, used in _unsupported(queue, spec).items() if used),
+            None,
         )
         if unsupported is not None:
             return Refusal(
@@ -144,6 +145,11 @@
     return ahead / max(1, sum(room.millicores for room in rooms))
 
 
-def _unsupported(spec: jobs.JobSpec) -> dict[str, bool]:
+def _unsupported(
+    queue: jobs.QueueSettings, spec: jobs.JobSpec
+) -> dict[str, bool]:
     """Returns which features of a job can't be kept yet."""
-    return {"a gang": any(step.gang for step in spec.steps)}
+    return {
+        "a gang": any(step.gang for step in spec.steps),
+        "advice before a start": queue.advised,
+    }
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -176,6 +176,8 @@
         slack: Time that a job may take, as a multiple of its longest chain.
         target_ms: Time that a job may take in addition.
         timeout_ms: How long a caller's request may take.
+        advised: Whether only a service outside knows which workers may run
+            a step.
     """
 
     name: str
@@ -187,6 +189,7 @@
     slack: float = 1.0
     target_ms: int = 0
     timeout_ms: int = 0
+    advised: bool = False
 
 
 class ServiceSettings(base.Wire, frozen=True, kw_only=True):
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -373,6 +373,17 @@
         await self.submit("b")
         self.assertEqual(await self.submit("b", huge), "ok")
 
+    async def test_queue_that_needs_advice_is_refused(self) -> None:
+        """Workers reject every start without a ticket; the job would wait."""
+        await self.agent()
+        await self.desk.configure(
+            job_messages.OfferConfiguration(
+                configuration=make.configuration(2, make.queue(advised=True))
+            )
+        )
+        self.assertEqual(await self.submit("a"), "refused")
+        self.assertEqual(self.log.machine.stepped.jobs, {})
+
     async def test_flood_is_refused_once_it_would_end_too_late(self) -> None:
         """Replays a flood of heavy jobs that grows without bound."""
         await self.agent()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -83,6 +83,21 @@
         with self.assertRaises(wire.InvalidError):
             wire.decode_configuration(json.dumps(good).encode()[:-20])
 
+    def test_queue_that_needs_advice_is_told_from_others(self) -> None:
+        plain = platform_site.configuration()
+        advice = {"decideMs": 5, "periodMs": 1, "validMs": 900}
+        empty, advised = (
+            {**plain, "routes": [{**plain["routes"][0], "advice": value}]}
+            for value in (None, advice)
+        )
+        found = [
+            wire.decode_configuration(json.dumps(document).encode())
+            .queues[0]
+            .advised
+            for document in (plain, empty, advised)
+        ]
+        self.assertEqual(found, [False, False, True])
+
     def test_announcement_that_can_not_be_read_names_no_worker(self) -> None:
         good = platform_site.StandInWorker(address="127.0.0.1:1").announcement()
         read = wire.decode_announcement("i-1", json.dumps(good).encode())
