Refuse nothing before a new leader knows its workers

Cause: the leader had heard of one of 11 workers, so the wait behind the work ahead came out eleven times too long. A task that fits only on a larger worker was refused in the same way.

Ruled out: a true overload; the same job's wait was 11 s of the 30 s for which it is useful.

A leader gives admission no workers until 2.5 s after its election, the time within which each live worker reports; without workers only what isn't supported is refused. A refusal is repeated without being judged again for 10 s at most, as long as copies of a submission may arrive, not until its Retry-After: callers who come back earlier find what room there is.

Tests: test_new_leader_refuses_nothing_before_it_knows_the_workers (failed first), test_refusal_holds_while_copies_may_arrive.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -47,7 +47,8 @@
     """The decision, with what it must know about the fleet.
 
     Attributes:
-        rooms: Returns what each known worker of a service has when empty.
+        rooms: Returns what each known worker of a service has when empty;
+            nothing while the workers aren't known.
     """
 
     def __init__(
--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -123,7 +123,12 @@
         self._wake.set()
 
     def rooms(self, service: str) -> Iterable[common.Resources]:
-        """Returns what each live worker of a service has when empty."""
+        """Returns what each live worker of a service has when empty.
+
+        None are returned until all of them can be known.
+        """
+        if not self.table.complete(self.clock.now()):
+            return ()
         return (
             worker.report.room
             for worker in self.table.workers.values()
--- a/bamboorouter/coordination/jobs/recent_submissions.py
+++ b/bamboorouter/coordination/jobs/recent_submissions.py
@@ -1,23 +1,39 @@
 """Remembers which submissions must not be judged anew.
 
 A job whose proposal may still be committed isn't refused: the promise that it
-never runs could turn out false. A job that was refused isn't accepted before
-its caller was told to come back, as a copy of the refused submission may arrive
-late over another connection.
+never runs could turn out false. A job that was refused isn't accepted for some
+seconds, unless its caller was told to come back earlier, as a copy of the
+refused submission may arrive late over another connection.
 
 Both hold for one term. The first entry of a new leader's term settles the
 proposals of earlier ones.
 """
 
 import dataclasses
+from typing import Final
 
 from bamboorouter.coordination.jobs import admission
 
+# Callers wait 3 s for an answer, and a partition of some seconds may hold a
+# message up as long again.
+COPIES_MS: Final = 10_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Refused:
+    """A refusal.
+
+    Attributes:
+        refusal: What the caller was told.
+        at_ms: When it was told so.
+    """
+
     refusal: admission.Refusal
-    until_ms: int
+    at_ms: int
+
+    def holds(self, now: int) -> bool:
+        """Whether the job is still refused without being judged."""
+        return now - self.at_ms < min(self.refusal.retry_after_ms, COPIES_MS)
 
 
 class RecentSubmissions:
@@ -52,17 +68,14 @@
         self._refused = {
             other: refused
             for other, refused in self._refused.items()
-            if now < refused.until_ms
+            if refused.holds(now)
         }
-        self._refused[job] = _Refused(
-            refusal=refusal, until_ms=now + refusal.retry_after_ms
-        )
+        self._refused[job] = _Refused(refusal=refusal, at_ms=now)
 
     def refusal(self, job: str, now: int) -> admission.Refusal | None:
         """Returns the refusal that still holds, with the time that is left."""
         refused = self._refused.get(job)
-        if refused is None or now >= refused.until_ms:
+        if refused is None or not refused.holds(now):
             return None
-        return dataclasses.replace(
-            refused.refusal, retry_after_ms=refused.until_ms - now
-        )
+        left_ms = refused.at_ms + refused.refusal.retry_after_ms - now
+        return dataclasses.replace(refused.refusal, retry_after_ms=left_ms)
--- a/bamboorouter/coordination/jobs/worker_table.py
+++ b/bamboorouter/coordination/jobs/worker_table.py
@@ -80,6 +80,10 @@
         )
         return True
 
+    def complete(self, now: int) -> bool:
+        """Whether each live worker has had the time to report."""
+        return now - self.elected_ms >= SILENT_MS
+
     def lease_end_ms(self, worker: str) -> int:
         """Returns when runs on a worker have ended for certain."""
         known = self.workers.get(worker)
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -12,6 +12,7 @@
 from bamboorouter.coordination.jobs import admission
 from bamboorouter.coordination.jobs import dispatcher
 from bamboorouter.coordination.jobs import job_desk
+from bamboorouter.coordination.jobs import recent_submissions
 from bamboorouter.coordination.jobs import run_watch
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.policies import image_interference
@@ -96,6 +97,8 @@
             job_commands.PutConfiguration(configuration=make.configuration())
         )
         self.dispatcher.start()
+        # The workers are known by now.
+        self.time.advance(worker_table.SILENT_MS)
         self.addAsyncCleanup(self.dispatcher.stop)
 
     async def agent(self, name: str = "w1") -> FakeAgent:
@@ -400,6 +403,24 @@
         self.assertGreaterEqual(answer.retry_after_ms, 14_000 - 4250)
         self.assertLessEqual(answer.retry_after_ms, 1.5 * 14_000)
 
+    async def test_new_leader_refuses_nothing_before_it_knows_the_workers(
+        self,
+    ) -> None:
+        """Replays the first second after a loss of power on all machines."""
+        agents = [await self.agent(f"w{number}") for number in range(4)]
+        heavy = make.step(64, estimate_ms=2000, fills=True)
+        for number in range(7):
+            await self.submit(f"{number:x}", heavy)
+        self.log.elect_again()
+        await self.report(agents[0])
+        self.assertEqual(await self.submit("aa", heavy), "ok")
+        huge = make.step(need=common.Resources(millicores=65_000))
+        self.assertEqual(await self.submit("bb", huge), "ok")
+        self.time.advance(worker_table.SILENT_MS)
+        await self.report(agents[0])
+        self.assertEqual(await self.submit("cc", heavy), "refused")
+        self.assertEqual(await self.submit("dd", huge), "refused")
+
     async def test_burst_that_can_be_served_late_is_accepted(self) -> None:
         """Replays a burst of twice the usual load beside lasting tasks.
 
@@ -434,21 +455,29 @@
         self.log.apply_postponed()
         self.assertEqual(await self.submit("a", heavy), "ok")
 
-    async def test_refusal_holds_until_the_caller_may_come_back(self) -> None:
+    async def test_refusal_holds_while_copies_may_arrive(self) -> None:
         """A copy of a refused job may arrive once the load has gone."""
         await self.agent()
-        heavy = make.step(64, estimate_ms=2000, fills=True)
-        flood = [f"{n:x}" for n in range(7)]
-        for job in flood:
-            await self.submit(job, heavy)
-        answer = await self.desk.submit(self.submission("ff", heavy))
-        self.assertEqual(answer.outcome, "refused")
-        for job in flood:
-            await self.cancel(job)
-        self.time.advance(answer.retry_after_ms - 1)
-        self.assertEqual(await self.submit("ff", heavy), "refused")
-        self.time.advance(1)
-        self.assertEqual(await self.submit("ff", heavy), "ok")
+        for estimate_ms in (5000, 200):
+            heavy = make.step(64, estimate_ms=estimate_ms, fills=True)
+            flood = [f"{estimate_ms}{n:x}" for n in range(12)]
+            for job in flood:
+                await self.submit(job, heavy)
+            late = f"{estimate_ms}ff"
+            answer = await self.desk.submit(self.submission(late, heavy))
+            self.assertEqual(answer.outcome, "refused")
+            for job in flood:
+                await self.cancel(job)
+            held_ms = min(recent_submissions.COPIES_MS, answer.retry_after_ms)
+            self.time.advance(held_ms - 1)
+            again = await self.desk.submit(self.submission(late, heavy))
+            self.assertEqual(again.outcome, "refused")
+            self.assertEqual(
+                again.retry_after_ms, answer.retry_after_ms - held_ms + 1
+            )
+            self.time.advance(1)
+            self.assertEqual(await self.submit(late, heavy), "ok")
+            await self.cancel(late)
 
     async def test_flood_refuses_nothing_that_lasts(self) -> None:
         await self.agent()
