--- a/bamboorouter/cli/logs.py
+++ b/bamboorouter/cli/logs.py
@@ -26,8 +26,8 @@
     arguments: ClassVar[list[argument.Argument]] = [
         helpers.argument(
             "ids",
-            "Job, task, worker or other IDs; a line that mentions one of them"
-            " is shown.",
+            "Job, task, worker or other IDs, or names of events; a line that"
+            " mentions one of them is shown.",
             multiple=True,
         )
     ]
--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -51,8 +51,9 @@
 REPEAT_STOP_MS: Final = 1000
 # Ended jobs can be asked for at least this long.
 KEEP_ENDED_MS: Final = 600_000
-# Keeps one command well below the size of a log entry.
-RUNS_AT_ONCE: Final = 256
+# Runs or pairs of images in one command; keeps it well below the size of a log
+# entry.
+ROWS_AT_ONCE: Final = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -324,7 +325,9 @@
                         jobs.Disturbance(
                             serving=serving, filling=filling, weight=weight
                         )
-                        for (serving, filling), weight in changed.items()
+                        for (serving, filling), weight in itertools.islice(
+                            changed.items(), ROWS_AT_ONCE
+                        )
                     )
                 )
             )
@@ -371,7 +374,7 @@
                 waiting=len(ready),
                 place=places[placement.task.ref],
             )
-            for placement in placements[:RUNS_AT_ONCE]
+            for placement in placements[:ROWS_AT_ONCE]
         )
         if not runs:
             return
--- a/bamboorouter/coordination/jobs/job_desk.py
+++ b/bamboorouter/coordination/jobs/job_desk.py
@@ -170,11 +170,13 @@
     async def _accept(
         self, command: job_commands.AcceptSteps
     ) -> commands.Result:
+        earlier = self._recent.under_way(command.job)
         self._recent.proposed(command.job)
         try:
             result = await self._propose(command)
         except errors.NotLeaderError:
-            self._recent.settled(command.job)
+            if not earlier:
+                self._recent.settled(command.job)
             raise
         self._recent.settled(command.job)
         return result
--- a/bamboorouter/coordination/policies/image_interference.py
+++ b/bamboorouter/coordination/policies/image_interference.py
@@ -17,6 +17,8 @@
 import dataclasses
 from typing import Final
 
+from bamboorouter.protocol import jobs
+
 # An unloaded serving task's latency as a share of its bound. Lower figures
 # than that are taken as they are.
 BASE_SHARE: Final = 1 / 6
@@ -97,9 +99,13 @@
             return
         for filling, load in loads.items():
             weight = self.weight(after.image, filling)
+            # The pair learned about last is the last to be forgotten.
+            self._weights.pop((after.image, filling), None)
             self._weights[after.image, filling] = max(
                 0.0, weight + STEP * error * load / (size + LEAST_DIFFERENCE)
             )
+        while len(self._weights) > jobs.MOST_DISTURBANCES:
+            del self._weights[next(iter(self._weights))]
 
     def weight(self, serving: str, filling: str) -> float:
         """Returns what one load unit of an image adds to a utilization."""
--- a/bamboorouter/log_story.py
+++ b/bamboorouter/log_story.py
@@ -43,8 +43,10 @@
     fields: dict[str, Any]
 
     def mentions(self, wanted: str) -> bool:
-        """Whether a field contains a text, for example an ID."""
-        return any(wanted in str(value) for value in self.fields.values())
+        """Whether a field or the event's name contains a text, as an ID."""
+        return wanted in self.name or any(
+            wanted in str(value) for value in self.fields.values()
+        )
 
 
 def read_lines(rows: Iterable[str]) -> Iterator[Line]:
@@ -89,7 +91,7 @@
 
     Args:
         lines: Lines of all processes.
-        wanted: IDs; none for all lines.
+        wanted: IDs or names of events; none for all lines.
     """
     known = list(lines)
     ids = tuple(wanted)
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -4,6 +4,7 @@
 earlier steps have finished. A run is one start of a task on a worker.
 """
 
+from typing import Final
 from typing import Literal
 
 from bamboorouter.protocol import base
@@ -16,6 +17,10 @@
     "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "rejected"
 ]
 
+# Pairs of images that are remembered, about 100 bytes each in a snapshot. The
+# pairs that were learned about least recently are forgotten first.
+MOST_DISTURBANCES: Final = 4096
+
 JobState = Literal["queued", "running", "done", "failed", "cancelled"]
 
 
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -26,9 +26,6 @@
 
 TaskStatus = Literal["waiting", "assigned", "done", "failed"]
 _EMPTY: Final = common.Resources()
-# Pairs of images that are remembered, about 100 bytes each in a snapshot. The
-# pairs that were learned about least recently are forgotten first.
-MOST_DISTURBANCES: Final = 4096
 # Serving and filling image.
 ImagePair = tuple[str, str]
 
@@ -311,7 +308,7 @@
             pair = (noted.serving, noted.filling)
             self.disturbances.pop(pair, None)
             self.disturbances[pair] = noted.weight
-        while len(self.disturbances) > MOST_DISTURBANCES:
+        while len(self.disturbances) > jobs.MOST_DISTURBANCES:
             del self.disturbances[next(iter(self.disturbances))]
         return commands.Result(ok=True)
 
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -451,6 +451,10 @@
         self.log.postpones = False
         flood = [await self.submit(f"f{n}", heavy) for n in range(10)]
         self.assertIn("refused", flood)
+        self.log.valid = False
+        with self.assertRaises(errors.NotLeaderError):
+            await self.submit("a", heavy)
+        self.log.valid = True
         self.assertEqual(await self.submit("a", heavy), "ok")
         self.log.apply_postponed()
         self.assertEqual(await self.submit("a", heavy), "ok")
--- a/tests/test_log_story.py
+++ b/tests/test_log_story.py
@@ -52,6 +52,9 @@
         self.assertEqual(len(self.names("other")), 1)
         self.assertEqual(len(self.names()), len(ROWS))
 
+    def test_events_are_found_by_their_name(self) -> None:
+        self.assertEqual(self.names("run_ended"), ["run_ended"])
+
     def test_lines_that_are_no_events_are_skipped(self) -> None:
         rows = ["Traceback (most recent call last):", "{}", ROWS[0], "{torn"]
         self.assertEqual(len(list(log_story.read_lines(rows))), 1)
