Blame no agent for the entry's own standstill

test_crossing_answers_reach_their_callers, 504 in place of 201. Cause: the entry probes a silent link and gives the agent 500 ms. If the entry itself gets no processor time for longer, the agent's reply has arrived but its timeout is noticed first; the link is closed, and requests in progress become unknown. After a timeout the entry reads what has arrived for 50 ms before it judges.

--- a/bamboorouter/coordination/requests/agent_links.py
+++ b/bamboorouter/coordination/requests/agent_links.py
@@ -23,6 +23,8 @@
 CHECK_PERIOD_MS: Final = 250
 SILENCE_MS: Final = 500
 PROBE_TIMEOUT_MS: Final = 500
+# Within this time a running process reads what has arrived.
+UNREAD_MS: Final = 50
 FIRST_PAUSE_MS: Final = 100
 LONGEST_PAUSE_MS: Final = 5_000
 
@@ -210,9 +212,14 @@
         if current is None or current.closed.is_set():
             return
         hello = messages.AgentHello(entry=self.name, zone=self.zone)
+        received = current.received
         try:
             await current.request(hello, timeout_ms=PROBE_TIMEOUT_MS)
         except errors.RouterError as err:
+            # If this process stood still, what has arrived is read only now.
+            await asyncio.sleep(clock.seconds(UNREAD_MS))
+            if current.received > received and not current.closed.is_set():
+                return
             events.log(events.AGENT_AVOIDED, peer=address, error=str(err))
             if peer.open is current:
                 peer.open = None
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -216,6 +216,7 @@
         self.assertLess(
             agent_links.CHECK_PERIOD_MS
             + agent_links.SILENCE_MS
-            + agent_links.PROBE_TIMEOUT_MS,
+            + agent_links.PROBE_TIMEOUT_MS
+            + agent_links.UNREAD_MS,
             3_200,
         )
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import random
+import time
 import unittest
 from unittest import mock
 
@@ -13,6 +14,7 @@
 from bamboorouter import options
 from bamboorouter.protocol import messages
 from bamboorouter.roles import entry_http
+from bamboorouter.transport import link
 from tests import request_site
 
 
@@ -177,6 +179,33 @@
                 self.assertEqual(body, (str(number).encode() * 100)[::-1])
                 self.assertEqual(path, f"/{number}")
 
+    async def test_entry_that_stands_still_blames_no_agent(self) -> None:
+        """Replays a process that gets no processor time for 0.7 s.
+
+        It happens while a silent link is probed. The agent's reply has
+        arrived, but the timeout is noticed first.
+        """
+        send = link.Link.request
+        stalls = 0
+
+        async def request(
+            to: link.Link, message: messages.Message, *, timeout_ms: int
+        ) -> messages.Message:
+            nonlocal stalls
+            if isinstance(message, messages.AgentHello):
+                stalls += 1
+                asyncio.get_running_loop().call_soon(time.sleep, 0.7)
+            return await send(to, message, timeout_ms=timeout_ms)
+
+        async with self.site.client.get(f"{self.site.url}/prism/") as answer:
+            self.assertEqual(answer.status, 201)
+        with mock.patch.object(link.Link, "request", request):
+            async with self.site.client.get(
+                f"{self.site.url}/prism/", headers={"X-Delay": "3"}
+            ) as answer:
+                self.assertEqual(answer.status, 201)
+        self.assertGreater(stalls, 0)
+
     async def test_damaged_answer_is_not_delivered(self) -> None:
         """Guards against an answer that fails digest or request check."""
         whole = self.vm.requests.handle
