Never take entries of a failed write for durable

Cause: writing the log takes the staged entries out of memory before they are written. The engine reads the log to apply entries, which writes them first, and did so outside of the guard that halts a replica when its disk fails. On a full disk the error went to the link's handler, the replica went on, and its next sync, with nothing staged, called all entries durable and acknowledged them. It then lost them at its next opening. The leader never goes back behind what was acknowledged, so the follower rejected each message, each rejection caused the next message at once, with the whole rest of the log, and with two such followers of three voters nothing was committed any more. Shown by counts of messages on a scratch copy: match 673 on the leader, each reply a rejection, 20 MB a second to each of the two.

Ruled out: late rejections that reset the window (a trial that ignored them kept 0.66 GB).

The log refuses every use after a failed write, and the engine halts if a read fails; the role then opens the folder anew, as for other failures of a disk.

--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -170,9 +170,13 @@
         entries: list[messages.LogEntry] = []
         commit = self.core.state.commit
         if commit > self.applied_index:
-            entries = self.log.read(
-                self.applied_index + 1, max_bytes=leading.APPEND_BYTES
-            )
+            # Reading writes staged entries first, so it may fail as well.
+            try:
+                entries = self.log.read(
+                    self.applied_index + 1, max_bytes=leading.APPEND_BYTES
+                )
+            except errors.StorageError as err:
+                self.halt(err)
         for entry in entries[:limit]:
             if self.core.halted or entry.index > commit:
                 break
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -89,6 +89,9 @@
         self.last_term = 0
         self.last_chain = records.FIRST_CHAIN
         self.synced_index = 0
+        # Staged entries are gone after a failed write; a later sync must not
+        # take them for durable.
+        self._failed = False
         self._segment_bytes = segment_bytes
         self._segments: list[_Segment] = []
         self._recent: list[records.StoredEntry] = []
@@ -132,6 +135,15 @@
         Raises:
             StorageError: The store must not be used any more.
         """
+        if self._failed:
+            raise errors.StorageError(
+                text="an earlier write failed", step="append to file"
+            )
+        self._failed = True
+        self._write_staged()
+        self._failed = False
+
+    def _write_staged(self) -> None:
         staged, self._staged = self._staged, []
         for name, data in staged:
             if self._unsynced:
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -176,6 +176,18 @@
             list(range(reopened.first_index, 101)),
         )
 
+    def test_entries_of_a_failed_write_never_count_as_durable(self) -> None:
+        """Reading writes staged entries first and may be what fails."""
+        self.fill(3)
+        self.store.append(entry(4))
+        self.folder.free_bytes = 10
+        with self.assertRaises(errors.StorageError):
+            self.store.entries(1)
+        self.folder.free_bytes = None
+        with self.assertRaises(errors.StorageError):
+            self.store.sync()
+        self.assertEqual(self.store.synced_index, 3)
+
     def test_full_disk_leaves_a_log_that_opens(self) -> None:
         self.fill(10)
         self.folder.free_bytes = 50
