Split two modules that had grown; name types and one call once

From the reading of the whole change: - dispatcher.py had a second job, to record what later leaders need: it is kept_knowledge.py now, with one period for progress and interference. - agent_session.py had the session itself beside the loops that serve it: worker_session.py holds it, with the choice of speeds. - A run's key stood three times (run_watch, held_runs, a class of the dispatcher), a pair of images twice, and the proposal with its timeout three times: jobs.RunKey, jobs.ImagePair, job_proposals. - The refusal of a log after a failed write stood too high: a failed sync let a later one succeed as well. Both go through one guard; test_entries_of_a_failed_sync_never_count_as_durable failed first.

No change of behaviour but the last.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -10,7 +10,6 @@
 import asyncio
 from collections.abc import Iterable
 import contextlib
-import dataclasses
 import itertools
 from typing import Final
 
@@ -20,6 +19,8 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import metrics
+from bamboorouter.coordination.jobs import job_proposals
+from bamboorouter.coordination.jobs import kept_knowledge
 from bamboorouter.coordination.jobs import ready_tasks
 from bamboorouter.coordination.jobs import run_figures
 from bamboorouter.coordination.jobs import run_watch
@@ -28,7 +29,6 @@
 from bamboorouter.coordination.policies import image_interference
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.policies import run_placement
-from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
@@ -36,32 +36,17 @@
 from bamboorouter.state import stepped_jobs
 from bamboorouter.transport import link
 
-# Runs save their progress each half second; reports come each second.
-CHECKPOINT_PERIOD_MS: Final = 1000
-# What is learned within this time may have to be learned again by the next
-# leader.
-DISTURBANCE_PERIOD_MS: Final = 1000
 # Bounds the delay of what no event announces: leases and due times.
 TICK_MS: Final = 200
 # Changes that arrive together share one pass.
 PASS_PAUSE_MS: Final = 3
-PROPOSE_TIMEOUT_MS: Final = 700
 PUSH_TIMEOUT_MS: Final = 500
 # A stop order is repeated if the end isn't reported; a stop takes 0.9 s.
 REPEAT_STOP_MS: Final = 1000
 # Ended jobs can be asked for at least this long.
 KEEP_ENDED_MS: Final = 600_000
-# Runs or pairs of images in one command; keeps it well below the size of a log
-# entry.
-ROWS_AT_ONCE: Final = 256
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Stop:
-    """Names a run that was told to stop."""
-
-    task: jobs.TaskRef
-    attempt: int
+# Keeps one command well below the size of a log entry.
+RUNS_AT_ONCE: Final = 256
 
 
 class JobDispatcher:
@@ -74,6 +59,7 @@
         watch: What is remembered about runs.
         interference: Which images disturb which.
         figures: What workers measured of their runs.
+        knowledge: Keeps what later leaders need.
         placement: Chooses workers for ready tasks.
     """
 
@@ -93,11 +79,11 @@
         self.placement: run_placement.RunPlacement = run_placement.MostLeftover(
             interference=self.interference
         )
-        self._noted_ms = 0
-        self._disturbances_noted_ms = 0
-        self._recalled_term = 0
+        self.knowledge = kept_knowledge.KeptKnowledge(
+            log=log, time=time, table=table, interference=self.interference
+        )
         self._wake = asyncio.Event()
-        self._stopped_ms: dict[_Stop, int] = {}
+        self._stopped_ms: dict[jobs.RunKey, int] = {}
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
         self._pushes: set[asyncio.Task[None]] = set()
@@ -147,7 +133,7 @@
             NotLeaderError: Nothing was decided.
             UnknownResultError: The ends may be committed later.
         """
-        self._recall()
+        self.knowledge.recall()
         state = self.log.machine.stepped
         life = state.lives.get(report.worker)
         current = (
@@ -171,11 +157,11 @@
             NotLeaderError: Nothing was decided.
             UnknownResultError: The session may begin later.
         """
-        result = await self.log.propose(
+        result = await job_proposals.propose(
+            self.log,
             job_commands.OpenSession(
                 worker=message.worker, life=message.life, room=message.room
             ),
-            timeout_ms=PROPOSE_TIMEOUT_MS,
         )
         events.log(
             events.SESSION_OPENED,
@@ -272,66 +258,13 @@
                 events.log(events.DISPATCH_FAILED, error=repr(err))
 
     async def _pass(self) -> None:
-        self._recall()
-        await self._note_checkpoints()
-        await self._note_disturbances()
+        self.knowledge.recall()
+        await self.knowledge.record()
         await self._expire_leases()
         await self._start_ready()
         self._stop_unwanted()
         await self._forget_ended()
 
-    async def _note_checkpoints(self) -> None:
-        """Commits the newest progress of all runs from time to time."""
-        now = self.clock.now()
-        if now - self._noted_ms < CHECKPOINT_PERIOD_MS:
-            return
-        self._noted_ms = now
-        state = self.log.machine.stepped
-        newer = tuple(
-            jobs.Checkpoint(
-                task=run.task, attempt=run.attempt, value=run.checkpoint
-            )
-            for worker in self.table.workers.values()
-            for run in worker.report.runs
-            if run.checkpoint
-            and (task := state.task(run.task)) is not None
-            and task.status == "assigned"
-            and task.attempt == run.attempt
-            and task.checkpoint != run.checkpoint
-        )
-        if newer:
-            await self._propose(job_commands.NoteCheckpoints(checkpoints=newer))
-
-    def _recall(self) -> None:
-        """Takes over, once in a term, what earlier leaders have learned."""
-        term = self.log.term()
-        if term != self._recalled_term:
-            self._recalled_term = term
-            self.interference.restore(self.log.machine.stepped.disturbances)
-
-    async def _note_disturbances(self) -> None:
-        """Commits from time to time what was learned about images."""
-        now = self.clock.now()
-        if now - self._disturbances_noted_ms < DISTURBANCE_PERIOD_MS:
-            return
-        self._disturbances_noted_ms = now
-        changed = self.interference.changed_since(
-            self.log.machine.stepped.disturbances
-        )
-        if changed:
-            await self._propose(
-                job_commands.NoteDisturbances(
-                    disturbances=tuple(
-                        jobs.Disturbance(
-                            serving=serving, filling=filling, weight=weight
-                        )
-                        for (serving, filling), weight in itertools.islice(
-                            changed.items(), ROWS_AT_ONCE
-                        )
-                    )
-                )
-            )
-
     async def _expire_leases(self) -> None:
         state = self.log.machine.stepped
         now = self.clock.now()
@@ -350,7 +283,9 @@
                 now_ms=now,
                 term=self.log.term(),
             )
-            await self._propose(job_commands.EndRuns(ends=tuple(ends)))
+            await job_proposals.propose(
+                self.log, job_commands.EndRuns(ends=tuple(ends))
+            )
 
     async def _start_ready(self) -> None:
         state = self.log.machine.stepped
@@ -374,11 +309,13 @@
                 waiting=len(ready),
                 place=places[placement.task.ref],
             )
-            for placement in placements[:ROWS_AT_ONCE]
+            for placement in placements[:RUNS_AT_ONCE]
         )
         if not runs:
             return
-        result = await self._propose(job_commands.StartRuns(runs=runs))
+        result = await job_proposals.propose(
+            self.log, job_commands.StartRuns(runs=runs)
+        )
         refused = set(result.data["refused"])
         started = [
             run for number, run in enumerate(runs) if number not in refused
@@ -479,14 +416,14 @@
         """Orders stops of runs whose job ended or whose worker leaves."""
         state = self.log.machine.stepped
         now = self.clock.now()
-        wanted: dict[_Stop, int] = {}
+        wanted: dict[jobs.RunKey, int] = {}
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
                 continue
             moved = self.watch.runs_to_move(worker.report, state)
             stops = [
-                _Stop(ref, task.attempt)
+                (ref, task.attempt)
                 for ref, task in tasks.items()
                 if _to_stop(state, ref, draining=worker.report.draining)
                 or (ref, task.attempt) in moved
@@ -503,13 +440,13 @@
         self._stopped_ms = wanted
 
     def _push_stops(
-        self, worker: worker_table.LiveWorker, stops: list[_Stop]
+        self, worker: worker_table.LiveWorker, stops: list[jobs.RunKey]
     ) -> None:
-        for stop in stops:
+        for task, attempt in stops:
             events.log(
                 events.RUN_STOP_ORDERED,
-                task=str(stop.task),
-                attempt=stop.attempt,
+                task=str(task),
+                attempt=attempt,
                 worker=worker.report.worker,
                 draining=worker.report.draining,
                 term=self.log.term(),
@@ -520,8 +457,8 @@
                 term=self.log.term(),
                 life=worker.report.life,
                 stops=tuple(
-                    job_messages.StopOrder(task=stop.task, attempt=stop.attempt)
-                    for stop in stops
+                    job_messages.StopOrder(task=task, attempt=attempt)
+                    for task, attempt in stops
                 ),
             ),
         )
@@ -541,7 +478,9 @@
             if now - since > KEEP_ENDED_MS
         )
         if old:
-            await self._propose(job_commands.ForgetSteps(jobs=old))
+            await job_proposals.propose(
+                self.log, job_commands.ForgetSteps(jobs=old)
+            )
 
     # --- Ends ----------------------------------------------------------------
 
@@ -553,7 +492,9 @@
         current = tuple(end for end in ends if _changes(state, end))
         if not current:
             return
-        await self._propose(job_commands.EndRuns(ends=current))
+        await job_proposals.propose(
+            self.log, job_commands.EndRuns(ends=current)
+        )
         for end in current:
             events.log(
                 events.RUN_ENDED,
@@ -567,9 +508,6 @@
             metrics.RUNS_ENDED.labels(end.how).inc()
             self.watch.ended(end, worker)
 
-    async def _propose(self, command: commands.Command) -> commands.Result:
-        return await self.log.propose(command, timeout_ms=PROPOSE_TIMEOUT_MS)
-
     def _push(self, source: link.Link, orders: job_messages.RunOrders) -> None:
         task = asyncio.create_task(_push(source, orders))
         self._pushes.add(task)
--- a/bamboorouter/coordination/jobs/job_desk.py
+++ b/bamboorouter/coordination/jobs/job_desk.py
@@ -11,6 +11,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import recent_submissions
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.protocol import commands
@@ -18,8 +19,6 @@
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 
-# Below the 800 ms after which a caller tries another replica.
-PROPOSE_TIMEOUT_MS: Final = 700
 # Versions start at 0.
 UNCONFIGURED: Final = -1
 
@@ -112,7 +111,9 @@
         _, job_id = found
         if job_id not in self.log.machine.stepped.jobs:
             return job_messages.JobAnswer(outcome="no_job")
-        result = await self._propose(job_commands.CancelSteps(job=job_id))
+        result = await job_proposals.propose(
+            self.log, job_commands.CancelSteps(job=job_id)
+        )
         events.log(
             events.JOB_CANCELLED,
             job=job_id,
@@ -127,10 +128,11 @@
         """Puts a configuration in force unless a later one is."""
         offered = message.configuration.version
         if offered > self.log.machine.stepped.version():
-            await self._propose(
+            await job_proposals.propose(
+                self.log,
                 job_commands.PutConfiguration(
                     configuration=message.configuration
-                )
+                ),
             )
         answer = self.configuration(with_document=False)
         events.log(
@@ -173,7 +175,7 @@
         earlier = self._recent.under_way(command.job)
         self._recent.proposed(command.job)
         try:
-            result = await self._propose(command)
+            result = await job_proposals.propose(self.log, command)
         except errors.NotLeaderError:
             if not earlier:
                 self._recent.settled(command.job)
@@ -181,9 +183,6 @@
         self._recent.settled(command.job)
         return result
 
-    async def _propose(self, command: commands.Command) -> commands.Result:
-        return await self.log.propose(command, timeout_ms=PROPOSE_TIMEOUT_MS)
-
     def _find(
         self, host: str, path: str
     ) -> tuple[jobs.QueueSettings, str] | job_messages.JobAnswer:
--- /dev/null
+++ b/bamboorouter/coordination/jobs/job_proposals.py
@@ -0,0 +1,21 @@
+"""Commits commands about jobs."""
+
+from typing import Final
+
+from bamboorouter.coordination.log import replicated_log
+from bamboorouter.protocol import commands
+
+# Below the 800 ms after which a caller tries another replica.
+TIMEOUT_MS: Final = 700
+
+
+async def propose(
+    log: replicated_log.ReplicatedLog, command: commands.Command
+) -> commands.Result:
+    """Commits a command and returns the result of applying it.
+
+    Raises:
+        NotLeaderError: Nothing was proposed.
+        UnknownResultError: Proposed, but the result isn't known.
+    """
+    return await log.propose(command, timeout_ms=TIMEOUT_MS)
--- a/bamboorouter/coordination/jobs/run_watch.py
+++ b/bamboorouter/coordination/jobs/run_watch.py
@@ -28,9 +28,6 @@
 # A job with ready tasks may have nothing running for 3 s while there is room.
 OVERDUE_MS: Final = 1500
 
-# A task and the number of its start.
-RunKey = tuple[jobs.TaskRef, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Rejection:
@@ -64,9 +61,9 @@
         self.slow_workers: frozenset[str] = frozenset()
         self._health = worker_health.WorkerHealth()
         self._rejections: dict[jobs.TaskRef, _Rejection] = {}
-        self._assigned_ms: dict[RunKey, int] = {}
+        self._assigned_ms: dict[jobs.RunKey, int] = {}
         self._slowness: dict[str, float] = {}
-        self._slowed_ms: dict[str, dict[RunKey, int]] = {}
+        self._slowed_ms: dict[str, dict[jobs.RunKey, int]] = {}
         self._idle_ms: dict[str, int] = {}
 
     # --- What happens --------------------------------------------------------
@@ -148,7 +145,7 @@
         self,
         report: job_messages.WorkerReport,
         state: stepped_jobs.SteppedJobs,
-    ) -> set[RunKey]:
+    ) -> set[jobs.RunKey]:
         """Returns runs of a worker that get on faster elsewhere."""
         return self._rescued(report, state) | self._slowed(report, state)
 
@@ -156,7 +153,7 @@
         self,
         report: job_messages.WorkerReport,
         state: stepped_jobs.SteppedJobs,
-    ) -> set[RunKey]:
+    ) -> set[jobs.RunKey]:
         """Returns runs that hardly get on because their worker is slow."""
         if report.worker not in self.slow_workers:
             return set()
@@ -173,7 +170,7 @@
         self,
         report: job_messages.WorkerReport,
         state: stepped_jobs.SteppedJobs,
-    ) -> set[RunKey]:
+    ) -> set[jobs.RunKey]:
         """Returns runs that were slowed for long and can go on elsewhere."""
         now = self.clock.now()
         slowed = {
@@ -196,7 +193,7 @@
         self,
         report: job_messages.WorkerReport,
         state: stepped_jobs.SteppedJobs,
-    ) -> dict[RunKey, worker_speed.RunProgress]:
+    ) -> dict[jobs.RunKey, worker_speed.RunProgress]:
         """Returns the runs whose speed tells about their worker's."""
         now = self.clock.now()
         found = {}
--- a/bamboorouter/coordination/policies/image_interference.py
+++ b/bamboorouter/coordination/policies/image_interference.py
@@ -62,15 +62,15 @@
     """The learned weights."""
 
     def __init__(self) -> None:
-        self._weights: dict[tuple[str, str], float] = {}
+        self._weights: dict[jobs.ImagePair, float] = {}
 
-    def restore(self, weights: Mapping[tuple[str, str], float]) -> None:
+    def restore(self, weights: Mapping[jobs.ImagePair, float]) -> None:
         """Replaces what was learned."""
         self._weights = dict(weights)
 
     def changed_since(
-        self, recorded: Mapping[tuple[str, str], float]
-    ) -> dict[tuple[str, str], float]:
+        self, recorded: Mapping[jobs.ImagePair, float]
+    ) -> dict[jobs.ImagePair, float]:
         """Returns the weights that differ from the recorded ones."""
         return {
             pair: round(weight, 3)
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -15,19 +15,18 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
-import dataclasses
 from typing import Any
 from typing import Final
 
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
-from bamboorouter.coordination.policies import image_interference
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.coordination.workers import worker_session
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from bamboorouter.protocol import messages
@@ -38,15 +37,10 @@
 REPORT_TIMEOUT_MS: Final = 3000
 # Ends that arrive together share one report.
 REPORT_PAUSE_MS: Final = 3
-# A worker that answers nothing loses its runs after this lease. It bears a
-# pause of the agent's process or of the path between them of some seconds.
-WORKER_LEASE_MS: Final = 6000
 LOOK_WAIT_MS: Final = 500
 LOOK_PAUSE_MS: Final = 100
 # A confirmation takes two hops and a commit.
 CONFIRM_MS: Final = 150
-# A worker without an answered look for this long gets nothing new.
-REACHABLE_MS: Final = 1200
 SESSION_PAUSE_MS: Final = 100
 # One session's tokens; a session raises its token once for a lost answer.
 TOKENS_OF_SESSION: Final = 1 << 20
@@ -56,56 +50,6 @@
 SILENT_LIFE_MS: Final = 5000
 
 
-@dataclasses.dataclass(kw_only=True)
-class Session:
-    """One session with one life of the worker.
-
-    Attributes:
-        announcement: What the worker said about itself last.
-        number: Number of the session.
-        port: The way to the worker.
-        token: Fencing token of the next order.
-        lease: The lease of its runs.
-        pacer: Speed of its filling runs.
-        grant_end_ms: Until when runs may go on, on the agent's clock.
-        answered_ms: When a look was answered last.
-        weights: How much a filling image (second) disturbs a serving one
-            (first), as the leader has learned.
-    """
-
-    announcement: worker_port.Announcement
-    number: int
-    port: worker_port.WorkerPort
-    token: int
-    lease: run_lease.RunLease
-    pacer: pacing.Pacer
-    grant_end_ms: int = 0
-    answered_ms: int = 0
-    weights: dict[tuple[str, str], float] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def units(self, millicores: int) -> float:
-        """Returns processor time of the worker in load units."""
-        return image_interference.load_units(
-            millicores, self.announcement.room.millicores
-        )
-
-    def reachable(self, now: int) -> bool:
-        """Whether the worker answered a look recently."""
-        return now - self.answered_ms <= REACHABLE_MS
-
-    def until(self, now: int) -> int | None:
-        """Returns the lease to give, on the worker's clock; None for none.
-
-        A silent worker may take a lease without an answer, so its lease could
-        never be known to have ended if it were offered more and more.
-        """
-        if not self.reachable(now):
-            return None
-        return self.lease.until(min(self.grant_end_ms, now + WORKER_LEASE_MS))
-
-
 class AgentSession:
     """Runs the sessions of one agent.
 
@@ -131,7 +75,7 @@
         self.ports = ports
         self.clock = time
         self.held = held_runs.HeldRuns()
-        self.session: Session | None = None
+        self.session: worker_session.Session | None = None
         self._announced: worker_port.Announcement | None = None
         self._changed = asyncio.Event()
         self._report_due = asyncio.Event()
@@ -248,7 +192,7 @@
 
     async def _open(
         self, announcement: worker_port.Announcement
-    ) -> Session | None:
+    ) -> worker_session.Session | None:
         """Opens a session with the announced life; None if it failed."""
         lease = run_lease.RunLease()
         if self.session is not None:
@@ -278,7 +222,7 @@
             return None
         self.held.begin_life()
         self.session = None
-        return Session(
+        return worker_session.Session(
             announcement=self._announced or announcement,
             number=reply.number,
             port=self.ports.open(announcement),
@@ -287,7 +231,7 @@
             pacer=pacing.Pacer(),
         )
 
-    async def _serve(self, session: Session) -> None:
+    async def _serve(self, session: worker_session.Session) -> None:
         """Runs a session until the worker's life or the session changes."""
         self.session = session
         for run in list(self.held.runs.values()):
@@ -320,7 +264,7 @@
 
     # --- Looks at the worker -------------------------------------------------
 
-    async def _look_loop(self, session: Session) -> None:
+    async def _look_loop(self, session: worker_session.Session) -> None:
         wait_ms = 0
         while True:
             answered = await self._look(session, wait_ms)
@@ -334,7 +278,9 @@
                     async with asyncio.timeout(clock.seconds(CONFIRM_MS)):
                         await self._confirmed.wait()
 
-    async def _look(self, session: Session, wait_ms: int) -> bool:
+    async def _look(
+        self, session: worker_session.Session, wait_ms: int
+    ) -> bool:
         """Asks the worker what it runs; returns whether it answered."""
         sent = self.clock.now()
         token = session.token
@@ -366,7 +312,7 @@
         self._pace(session)
         return True
 
-    def _give_up_if_silent(self, session: Session) -> None:
+    def _give_up_if_silent(self, session: worker_session.Session) -> None:
         """Counts all runs as lost once the worker's lease has ended."""
         now = self.clock.now()
         if self.held.runs and session.lease.ended(now):
@@ -380,35 +326,9 @@
             )
             self._report_due.set()
 
-    def _pace(self, session: Session) -> None:
-        rows = [run for run in self.held.runs.values() if run.row and run.order]
-        serving = [
-            pacing.ServingRun(
-                image=run.order.image,
-                latency_ms=run.row.figure,
-                target_ms=run.order.target_ms,
-            )
-            for run in rows
-            if run.row and run.order and run.order.target_ms
-        ]
-        changes = session.pacer.decide(
-            serving=serving,
-            filling=[
-                pacing.FillingRun(
-                    task=run.task,
-                    attempt=run.attempt,
-                    image=run.order.image,
-                    units=session.units(run.order.need.millicores),
-                    used=session.units(run.row.figure),
-                    percent=run.pace,
-                )
-                for run in rows
-                if run.row and run.order and run.order.fills
-            ],
-            weight=lambda serving, filling: session.weights.get(
-                (serving, filling), image_interference.FIRST_WEIGHT
-            ),
-            now=self.clock.now(),
+    def _pace(self, session: worker_session.Session) -> None:
+        serving, changes = session.speed_changes(
+            self.held.runs.values(), self.clock.now()
         )
         if not changes:
             return
@@ -431,7 +351,11 @@
             )
 
     async def _pace_one(
-        self, session: Session, task: jobs.TaskRef, attempt: int, percent: int
+        self,
+        session: worker_session.Session,
+        task: jobs.TaskRef,
+        attempt: int,
+        percent: int,
     ) -> None:
         try:
             await session.port.pace(
@@ -467,7 +391,9 @@
             else:
                 self._report_due.set()
 
-    async def _start(self, session: Session, run: held_runs.HeldRun) -> None:
+    async def _start(
+        self, session: worker_session.Session, run: held_runs.HeldRun
+    ) -> None:
         """Sends a start order until its fate is known or left to a look."""
         key = (run.task, run.attempt)
         for _ in range(START_ATTEMPTS):
@@ -514,7 +440,7 @@
         self._report_due.set()
 
     async def _begin_slowly(
-        self, session: Session, run: held_runs.HeldRun
+        self, session: worker_session.Session, run: held_runs.HeldRun
     ) -> None:
         """Slows a run that has just started, if that was ordered."""
         if run.order is None or run.order.percent == run.pace:
@@ -526,7 +452,9 @@
             run.order.percent,
         )
 
-    def _doubt(self, session: Session, run: held_runs.HeldRun) -> None:
+    def _doubt(
+        self, session: worker_session.Session, run: held_runs.HeldRun
+    ) -> None:
         """Has a look settle whether the worker has a run."""
         if run.phase == "starting":
             run.phase = "uncertain"
@@ -534,10 +462,12 @@
         session.token = max(session.token, run.token + 1)
         self._spawn(self._look_again(session))
 
-    async def _look_again(self, session: Session) -> None:
+    async def _look_again(self, session: worker_session.Session) -> None:
         await self._look(session, 0)
 
-    async def _stop(self, session: Session, run: held_runs.HeldRun) -> None:
+    async def _stop(
+        self, session: worker_session.Session, run: held_runs.HeldRun
+    ) -> None:
         """Sends a stop order until the worker has taken it."""
         key = (run.task, run.attempt)
         while key in self.held.runs and self.session is session:
@@ -567,7 +497,7 @@
 
     # --- Reports -------------------------------------------------------------
 
-    async def _report_loop(self, session: Session) -> None:
+    async def _report_loop(self, session: worker_session.Session) -> None:
         while True:
             await asyncio.sleep(clock.seconds(REPORT_PAUSE_MS))
             self._report_due.clear()
@@ -582,7 +512,7 @@
                 async with asyncio.timeout(clock.seconds(REPORT_PERIOD_MS)):
                     await self._report_due.wait()
 
-    async def _report_once(self, session: Session) -> bool:
+    async def _report_once(self, session: worker_session.Session) -> bool:
         """Sends a report; returns whether the session is still current.
 
         Raises:
@@ -616,7 +546,7 @@
 
     def _report(
         self,
-        session: Session,
+        session: worker_session.Session,
         now: int,
         ends: list[held_runs.PendingEnd],
     ) -> job_messages.WorkerReport:
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -17,7 +17,6 @@
 from bamboorouter.protocol import jobs
 
 Phase = Literal["queued", "starting", "uncertain", "running"]
-RunKey = tuple[jobs.TaskRef, int]
 # A view may have been overtaken by a later one, so one is no proof.
 VIEWS_WITHOUT_RUN: Final = 2
 # More than a worker ends while an order may be held up.
@@ -101,7 +100,7 @@
     """
 
     def __init__(self) -> None:
-        self.runs: dict[RunKey, HeldRun] = {}
+        self.runs: dict[jobs.RunKey, HeldRun] = {}
         self.ends: list[PendingEnd] = []
         self.acknowledged = 0
         self.seen = 0
@@ -230,7 +229,7 @@
             self.ends.append(PendingEnd(number=row.number, end=row.end))
 
     def _note_running(
-        self, key: RunKey, row: worker_port.RunningRow, sent_ms: int
+        self, key: jobs.RunKey, row: worker_port.RunningRow, sent_ms: int
     ) -> None:
         run = self.runs.get(key)
         if run is None:
@@ -256,13 +255,13 @@
             if run.missed >= VIEWS_WITHOUT_RUN:
                 self.end(run, "lost")
 
-    def _remember(self, key: RunKey) -> None:
+    def _remember(self, key: jobs.RunKey) -> None:
         task, attempt = key
         highest = max(attempt, self.over.pop(task, 0))
         self.over[task] = highest
         while len(self.over) > REMEMBERED_TASKS:
             del self.over[next(iter(self.over))]
 
-    def _has_ended(self, key: RunKey) -> bool:
+    def _has_ended(self, key: jobs.RunKey) -> bool:
         task, attempt = key
         return attempt <= self.over.get(task, 0)
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -104,6 +104,10 @@
         return f"{self.job}/{self.occurrence}/{self.step}/{self.index}"
 
 
+# A task and the number of one of its starts.
+RunKey = tuple[TaskRef, int]
+
+
 class RunStart(base.Wire, frozen=True, kw_only=True):
     """An assignment of a task to one life of a worker.
 
@@ -168,6 +172,10 @@
     weight: float
 
 
+# Serving and filling image.
+ImagePair = tuple[str, str]
+
+
 class QueueSettings(base.Wire, frozen=True, kw_only=True):
     """A queue of jobs, as configured.
 
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -13,6 +13,7 @@
 import array
 import bisect
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 from typing import Final
 
@@ -89,8 +90,9 @@
         self.last_term = 0
         self.last_chain = records.FIRST_CHAIN
         self.synced_index = 0
-        # Staged entries are gone after a failed write; a later sync must not
-        # take them for durable.
+        # After a failed write staged entries are gone, and after a failed
+        # sync nobody knows what is on the disk; a later sync must not take
+        # either for durable.
         self._failed = False
         self._segment_bytes = segment_bytes
         self._segments: list[_Segment] = []
@@ -135,12 +137,18 @@
         Raises:
             StorageError: The store must not be used any more.
         """
+        with self._failing_for_good():
+            self._write_staged()
+
+    @contextlib.contextmanager
+    def _failing_for_good(self) -> Iterator[None]:
+        """Refuses all later use if what is done in it fails."""
         if self._failed:
             raise errors.StorageError(
-                text="an earlier write failed", step="append to file"
+                text="an earlier write or sync failed", step="append to file"
             )
         self._failed = True
-        self._write_staged()
+        yield
         self._failed = False
 
     def _write_staged(self) -> None:
@@ -162,11 +170,12 @@
         Raises:
             StorageError: The store must not be used any more.
         """
-        self.write()
-        if self.synced_index < self.last_index:
-            self.folder.sync(self._segments[-1].name)
-            self._unsynced = False
-            self.synced_index = self.last_index
+        with self._failing_for_good():
+            self._write_staged()
+            if self.synced_index < self.last_index:
+                self.folder.sync(self._segments[-1].name)
+                self._unsynced = False
+                self.synced_index = self.last_index
 
     def truncate(self, last_index: int) -> None:
         """Removes all entries after `last_index`, durably."""
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -26,8 +26,6 @@
 
 TaskStatus = Literal["waiting", "assigned", "done", "failed"]
 _EMPTY: Final = common.Resources()
-# Serving and filling image.
-ImagePair = tuple[str, str]
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -175,7 +173,7 @@
         self.used: dict[str, common.Resources] = {}
         self.sessions = 0
         self.accepted = 0
-        self.disturbances: dict[ImagePair, float] = {}
+        self.disturbances: dict[jobs.ImagePair, float] = {}
 
     # --- Reading -------------------------------------------------------------
 
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -188,6 +188,18 @@
             self.store.sync()
         self.assertEqual(self.store.synced_index, 3)
 
+    def test_entries_of_a_failed_sync_never_count_as_durable(self) -> None:
+        """After a failed sync a later one may succeed without the data."""
+        self.fill(3)
+        self.store.append(entry(4))
+        self.folder.failing_sync = True
+        with self.assertRaises(errors.StorageError):
+            self.store.sync()
+        self.folder.failing_sync = False
+        with self.assertRaises(errors.StorageError):
+            self.store.sync()
+        self.assertEqual(self.store.synced_index, 3)
+
     def test_full_disk_leaves_a_log_that_opens(self) -> None:
         self.fill(10)
         self.folder.free_bytes = 50
