--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -170,8 +170,8 @@
         Raises:
             StorageError: The store must not be used any more.
         """
+        self.write()
         with self._failing_for_good():
-            self._write_staged()
             if self.synced_index < self.last_index:
                 self.folder.sync(self._segments[-1].name)
                 self._unsynced = False
