Tell callers early that a request reached no leader

Calls also waited for each other's attempts to connect, 800 ms each, so that a request could wait past its deadline (test failed first).

A request that was sent and has no answer is still tried until the deadline.

--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -60,6 +60,7 @@
         message: messages.Message,
         *,
         timeout_ms: int,
+        unsent_ms: int | None = None,
         refuses: Callable[[messages.Message], bool] = _never,
     ) -> messages.Message:
         """Sends a call to the leader until it is answered.
@@ -67,6 +68,8 @@
         Args:
             message: A message that is safe to resend.
             timeout_ms: How long to keep trying.
+            unsent_ms: How long to look for a leader before the first sending;
+                None for all of `timeout_ms`.
             refuses: Whether an answer promises that the call is never carried
                 out.
 
@@ -74,18 +77,29 @@
             The leader's answer; never a Redirect.
 
         Raises:
+            NotSentError: No leader was found within `unsent_ms`.
             RequestTimeoutError: No leader answered in time; a replica may
                 have acted.
             UnknownResultError: The call was refused, but an earlier sending
                 of it has no answer and may still be carried out.
         """
         deadline = self.clock.now() + timeout_ms
+        unsent_until = deadline
+        if unsent_ms is not None:
+            unsent_until = self.clock.now() + unsent_ms
         unanswered = False
         last_error: errors.RouterError | None = None
         while (remaining := deadline - self.clock.now()) > 0:
             sent = self.clock.now()
+            if not unanswered and sent >= unsent_until:
+                raise errors.NotSentError(
+                    text=f"no leader was found within {unsent_ms} ms",
+                    step=type(message).__name__,
+                    peer=self._target,
+                ) from last_error
+            until = deadline if unanswered else unsent_until
             try:
-                current = await self._connect(min(remaining, timeout_ms))
+                current = await self._connect(max(1, until - sent))
             except errors.RouterError as err:
                 last_error = err
                 await self._pause()
@@ -139,6 +153,23 @@
             await self._link.close()
 
     async def _connect(self, timeout_ms: int) -> link.Link:
+        """Returns the open link, or one that this call or another opens.
+
+        Raises:
+            RouterError: None was open in time.
+        """
+        try:
+            async with asyncio.timeout(clock.seconds(timeout_ms)):
+                return await self._open(timeout_ms)
+        except TimeoutError as err:
+            # Other calls may each have tried an address meanwhile.
+            raise errors.LinkClosedError(
+                text=f"no link within {timeout_ms} ms",
+                step="connect",
+                peer=self._target,
+            ) from err
+
+    async def _open(self, timeout_ms: int) -> link.Link:
         async with self._opening:
             current = self._link
             if current is not None and not current.closed.is_set():
--- a/bamboorouter/errors.py
+++ b/bamboorouter/errors.py
@@ -38,6 +38,10 @@
     """No reply arrived in time; the request may have been executed."""
 
 
+class NotSentError(RouterError):
+    """No leader was found in time; the request was sent to nobody."""
+
+
 class RefusedError(RouterError):
     """The peer refused the request before doing any of it.
 
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -1,6 +1,7 @@
 """Guards against calls that disturb each other on the shared control link."""
 
 import asyncio
+import socket
 import unittest
 
 from bamboorouter import clock
@@ -134,3 +135,72 @@
             _reserve(0), timeout_ms=CALL_TIMEOUT_MS, refuses=refuses
         )
         self.assertTrue(refuses(answer))
+
+
+class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """How long a call waits while no leader can be found."""
+
+    UNSENT_MS = 300
+
+    def _client(self, port: int) -> control_client.ControlClient:
+        client = control_client.ControlClient(
+            addresses=(f"127.0.0.1:{port}",),
+            time=clock.SystemClock(),
+            attempt_timeout_ms=200,
+        )
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def _call(self, client: control_client.ControlClient) -> float:
+        """Makes a call that is sent to nobody; returns its seconds."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with self.assertRaises(errors.NotSentError):
+            await client.call(
+                _reserve(0),
+                timeout_ms=CALL_TIMEOUT_MS,
+                unsent_ms=self.UNSENT_MS,
+            )
+        return loop.time() - began
+
+    async def test_call_that_finds_no_leader_ends_early(self) -> None:
+        async def follow(
+            message: messages.Message, peer: link.Link
+        ) -> messages.Message | None:
+            del message, peer
+            return messages.Redirect(leader="")
+
+        server = await link.serve_links(
+            host="127.0.0.1", port=0, handler=follow
+        )
+        self.addAsyncCleanup(server.close)
+        took_s = await self._call(self._client(server.port))
+        self.assertGreaterEqual(took_s, clock.seconds(self.UNSENT_MS))
+        self.assertLess(took_s, 1.0)
+
+    async def test_calls_do_not_wait_for_each_others_attempts(self) -> None:
+        """Replicas without power answer nothing; each attempt times out."""
+        silent = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        client = self._client(silent.getsockname()[1])
+        took_s = await asyncio.gather(
+            *(self._call(client) for _ in range(CALLS))
+        )
+        self.assertLess(max(took_s), 1.0)
+
+    async def test_call_that_was_sent_is_not_called_unsent(self) -> None:
+        async def keep_silent(
+            message: messages.Message, peer: link.Link
+        ) -> messages.Message | None:
+            del message, peer
+            await asyncio.sleep(CALL_TIMEOUT_MS)
+            return None
+
+        server = await link.serve_links(
+            host="127.0.0.1", port=0, handler=keep_silent
+        )
+        self.addAsyncCleanup(server.close)
+        with self.assertRaises(errors.RequestTimeoutError):
+            await self._client(server.port).call(
+                _reserve(0), timeout_ms=900, unsent_ms=self.UNSENT_MS
+            )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """Guards the adapter to the users' platform: its words, and the whole path."""
 
+import asyncio
 import json
 import pathlib
 import re
@@ -297,6 +298,23 @@
             (200, {"state": "queued"}),
         )
 
+    async def test_job_that_reaches_no_leader_is_soon_reported_as_not_run(
+        self,
+    ) -> None:
+        """The caller then still has time for an entry that isn't cut off."""
+        ips = list(self.site.control)
+        await asyncio.gather(*(self.site.control.pop(ip).stop() for ip in ips))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        status, _ = await self.site.caller("POST", "/forms/00dd", JOB)
+        self.assertEqual(status, 503)
+        self.assertLess(loop.time() - began, 2.0)
+        await asyncio.gather(
+            *(self.site.start_control(ip, bootstrap=False) for ip in ips)
+        )
+        read = await self.site.caller("GET", "/forms/00dd")
+        self.assertEqual(read[0], 410)
+
     async def test_replica_takes_part_again_after_its_disk_failed(self) -> None:
         """Guards against a replica that stays silent for ever."""
         role = self.site.control["127.0.1.2"]
