Run gangs: assigned, ended and repeated as a whole

Jobs with a gang were refused.

The state machine assigns the runs of a gang all or none, under one attempt; one that is done stands for all, failures count together, progress of one is progress of all. Placement takes a gang as a whole or leaves its room to others, on one rack if its tasks are slower on several; the rest of a broken gang is stopped at once in place of waiting alone. A gang that doesn't fit on empty workers is refused. Steps whose tasks are slower on several racks stay on one where they can, too.

Open: a wide gang isn't helped against a stream of small tasks of its priority.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -1,7 +1,7 @@
 """Decides whether a job is accepted.
 
-A job is refused, before anything of it is done, if a task of it fits on no
-worker of its service even when that worker is empty, or if so much work of
+A job is refused, before anything of it is done, if a task or a gang of it doesn't
+fit on the workers of its service even when they are empty, or if so much work of
 equal or higher priority is ahead of it that it would end later than its caller
 can use it. The second answers a flood of jobs that grows without bound: what is
 accepted is still worth something when it ends, and callers of the rest learn at
@@ -63,27 +63,46 @@
         spec: jobs.JobSpec,
     ) -> Refusal | None:
         """Returns why a job is refused; None if it is accepted."""
-        unsupported = next(
-            (name for name, used in _unsupported(queue, spec).items() if used),
-            None,
-        )
-        if unsupported is not None:
+        if queue.advised:
             return Refusal(
-                reason=f"{unsupported} is not supported",
+                reason="advice before a start is not supported",
                 retry_after_ms=NO_WORKER_RETRY_MS,
             )
         rooms = list(self.rooms(queue.service))
         if rooms and any(
-            not any(stepped_jobs.fits(step.need, room) for room in rooms)
+            _most_at_once(step, rooms) < (step.count if step.gang else 1)
             for step in spec.steps
         ):
             return Refusal(
-                reason="a task fits on no worker",
+                reason="a task or a gang does not fit on the workers",
                 retry_after_ms=NO_WORKER_RETRY_MS,
             )
         return _too_late(state, queue, spec, rooms)
 
 
+def _most_at_once(step: jobs.Step, rooms: Iterable[common.Resources]) -> int:
+    """Returns how many tasks of a step fit on empty workers."""
+    need = step.need
+    counts = (
+        min(
+            (
+                has // wanted
+                for has, wanted in (
+                    (room.millicores, need.millicores),
+                    (room.memory_mb, need.memory_mb),
+                    (room.accelerators, need.accelerators),
+                )
+                if wanted
+            ),
+            default=step.count,
+        )
+        for room in rooms
+    )
+    if step.max_per_worker:
+        counts = (min(count, step.max_per_worker) for count in counts)
+    return sum(counts)
+
+
 def _too_late(
     state: stepped_jobs.SteppedJobs,
     queue: jobs.QueueSettings,
@@ -144,13 +163,3 @@
         and not any(step.lasting for step in job.spec.steps)
     )
     return ahead / max(1, sum(room.millicores for room in rooms))
-
-
-def _unsupported(
-    queue: jobs.QueueSettings, spec: jobs.JobSpec
-) -> dict[str, bool]:
-    """Returns which features of a job can't be kept yet."""
-    return {
-        "a gang": any(step.gang for step in spec.steps),
-        "advice before a start": queue.advised,
-    }
--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -543,9 +543,10 @@
     """Whether a run is to be stopped.
 
     On a worker that leaves, tasks that last and those that save their progress
-    go on elsewhere; the others may finish in time.
+    go on elsewhere; the others may finish in time. What is left of a gang would
+    only wait.
     """
-    if not state.jobs[ref.job].active():
+    if not state.jobs[ref.job].active() or state.gang_broken(ref):
         return True
     step = state.step(ref)
     return draining and (step.lasting or step.checkpoints)
--- a/bamboorouter/coordination/jobs/ready_tasks.py
+++ b/bamboorouter/coordination/jobs/ready_tasks.py
@@ -107,9 +107,9 @@
         ):
             continue
         for task in _ready_of_step(job, occurrence, number, failed_on):
-            # One running task is enough for the job not to wait.
             yield dataclasses.replace(task, overdue=overdue)
-            overdue = False
+            # One running task is enough for the job not to wait.
+            overdue = overdue and task.step.gang
 
 
 def _ready_of_step(
--- a/bamboorouter/coordination/jobs/run_watch.py
+++ b/bamboorouter/coordination/jobs/run_watch.py
@@ -147,7 +147,9 @@
         state: stepped_jobs.SteppedJobs,
     ) -> set[jobs.RunKey]:
         """Returns runs of a worker that get on faster elsewhere."""
-        return self._rescued(report, state) | self._slowed(report, state)
+        moved = self._rescued(report, state) | self._slowed(report, state)
+        # The rest of a gang would have to start anew.
+        return {key for key in moved if not state.step(key[0]).gang}
 
     def _rescued(
         self,
--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -7,16 +7,21 @@
 filling tasks disturb nobody. A filling task gets only processor time that
 serving tasks are known to leave and nothing else fills, because a crowded
 worker makes all of them late at once, and only a worker on which it may keep
-most of its speed beside the serving tasks.
+most of its speed beside the serving tasks. A gang is placed as a whole or not at
+all, because tasks that wait for others hold room without working; one whose
+tasks are slower on several racks goes on one rack if it fits there.
 """
 
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import operator
 from typing import Final
 from typing import Protocol
 
+import msgspec
+
 from bamboorouter.coordination.policies import image_interference
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.protocol import common
@@ -25,8 +30,9 @@
 # A worker on which this task failed before counts as if it were this much
 # fuller, in thousandths of a processor; it is used only for want of others.
 FAILED_HERE_MILLICORES: Final = 1_000_000
-# A task far from its data takes half as long again, which outweighs a worker
-# that is fuller by this much, in thousandths of a processor.
+# A task far from its data or from the rest of its step takes half as long
+# again, which outweighs a worker that is fuller by this much, in thousandths of
+# a processor.
 FAR_MILLICORES: Final = 100_000
 # A filling task waits rather than go where serving tasks leave it less than
 # this part of its speed.
@@ -116,16 +122,34 @@
             self.serving.append((step.image, own))
             self.serving_millicores += step.need.millicores
 
+    def remove(
+        self, step: jobs.Step, own: float = image_interference.USUAL_OWN
+    ) -> None:
+        """Takes back what `add` with the same arguments did."""
+        self.used_memory_mb -= step.need.memory_mb
+        self.used_accelerators -= step.need.accelerators
+        if step.fills:
+            self.fill_millicores -= step.need.millicores
+            self.loads[step.image] -= self._units(step)
+        else:
+            self.used_millicores -= step.need.millicores
+        if step.target_ms:
+            self.serving.remove((step.image, own))
+            self.serving_millicores -= step.need.millicores
+
     def load_with(self, step: jobs.Step) -> dict[str, float]:
         """Returns the loads if a filling task of a step came here."""
-        units = image_interference.load_units(
-            step.need.millicores, self.millicores
-        )
+        units = self._units(step)
         return {
             **self.loads,
             step.image: self.loads.get(step.image, 0.0) + units,
         }
 
+    def _units(self, step: jobs.Step) -> float:
+        return image_interference.load_units(
+            step.need.millicores, self.millicores
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ReadyTask:
@@ -151,6 +175,12 @@
     step_on: dict[str, int]
     overdue: bool = False
 
+    def gang(self) -> jobs.TaskRef | None:
+        """Returns the first task of its gang; None without one."""
+        if not self.step.gang:
+            return None
+        return msgspec.structs.replace(self.ref, index=0)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
@@ -186,27 +216,67 @@
         self, tasks: Iterable[ReadyTask], workers: Sequence[WorkerRoom]
     ) -> list[Placement]:
         """Returns placements of as many tasks as fit, in their order."""
-        placements = []
-        for task in tasks:
-            scored = [
-                (_score(task, worker, part), worker)
-                for worker in workers
-                if _allowed(task, worker)
-                and (
-                    (part := self.part_of_speed(task.step, worker))
-                    >= LEAST_PART
-                    or task.overdue
-                    or not task.step.fills
-                )
-            ]
-            if not scored:
+        placements: list[Placement] = []
+        for gang, group in itertools.groupby(tasks, key=ReadyTask.gang):
+            if gang is not None:
+                placements += self._place_gang(list(group), workers)
                 continue
-            _, chosen = max(scored, key=operator.itemgetter(0))
-            chosen.add(task.step)
-            task.step_on[chosen.name] = task.step_on.get(chosen.name, 0) + 1
-            placements.append(Placement(task=task, worker=chosen))
+            for task in group:
+                placements += self._place_all([task], workers)
         return placements
 
+    def _place_gang(
+        self, tasks: list[ReadyTask], workers: Sequence[WorkerRoom]
+    ) -> list[Placement]:
+        """Places tasks that start only together, or none of them."""
+        step = tasks[0].step
+        if len(tasks) < step.count:
+            # Others of them can't start yet.
+            return []
+        if step.rack_local:
+            racks = sorted({worker.rack for worker in workers})
+            choices = [
+                [worker for worker in workers if worker.rack == rack]
+                for rack in racks
+            ]
+            for choice in sorted(choices, key=_leftover, reverse=True):
+                if placements := self._place_all(tasks, choice):
+                    return placements
+        return self._place_all(tasks, workers)
+
+    def _place_all(
+        self, tasks: list[ReadyTask], workers: Sequence[WorkerRoom]
+    ) -> list[Placement]:
+        placements: list[Placement] = []
+        for task in tasks:
+            placement = self._place_one(task, workers)
+            if placement is None:
+                _take_back(placements)
+                return []
+            placements.append(placement)
+        return placements
+
+    def _place_one(
+        self, task: ReadyTask, workers: Sequence[WorkerRoom]
+    ) -> Placement | None:
+        racks = _racks_in_use(task, workers)
+        scored = [
+            (_score(task, worker, part, racks), worker)
+            for worker in workers
+            if _allowed(task, worker)
+            and (
+                (part := self.part_of_speed(task.step, worker)) >= LEAST_PART
+                or task.overdue
+                or not task.step.fills
+            )
+        ]
+        if not scored:
+            return None
+        _, chosen = max(scored, key=operator.itemgetter(0))
+        chosen.add(task.step)
+        task.step_on[chosen.name] = task.step_on.get(chosen.name, 0) + 1
+        return Placement(task=task, worker=chosen)
+
     def part_of_speed(self, step: jobs.Step, worker: WorkerRoom) -> float:
         """Returns the part of full speed that serving tasks would leave.
 
@@ -232,6 +302,28 @@
         )
 
 
+def _racks_in_use(
+    task: ReadyTask, workers: Iterable[WorkerRoom]
+) -> frozenset[str]:
+    """Returns the racks of a step whose tasks are slower on several."""
+    if not task.step.rack_local:
+        return frozenset()
+    return frozenset(
+        worker.rack for worker in workers if task.step_on.get(worker.name)
+    )
+
+
+def _take_back(placements: Iterable[Placement]) -> None:
+    for placement in placements:
+        task, worker = placement.task, placement.worker
+        worker.remove(task.step)
+        task.step_on[worker.name] -= 1
+
+
+def _leftover(workers: Iterable[WorkerRoom]) -> int:
+    return sum(worker.leftover() for worker in workers)
+
+
 def _allowed(task: ReadyTask, worker: WorkerRoom) -> bool:
     step = task.step
     limit = step.max_per_worker
@@ -244,7 +336,7 @@
 
 
 def _score(
-    task: ReadyTask, worker: WorkerRoom, part: float
+    task: ReadyTask, worker: WorkerRoom, part: float, racks: frozenset[str]
 ) -> tuple[bool, float]:
     # Serving tasks together leave other workers to what would disturb them.
     packed = bool(task.step.target_ms)
@@ -252,6 +344,7 @@
     score -= int((1 - part) * DISTURBED_MILLICORES)
     if worker.name in task.failed_on:
         score -= FAILED_HERE_MILLICORES
-    if task.step.data_rack and worker.rack != task.step.data_rack:
+    far_from_data = task.step.data_rack not in ("", worker.rack)
+    if far_from_data or (racks and worker.rack not in racks):
         score -= FAR_MILLICORES
     return not worker.shunned, score
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -5,11 +5,16 @@
 run that was given up as lost but is reported done later counts as done, as
 long as the task hasn't been started again.
 
+The tasks of a gang work only together: they are assigned in one command under
+the same attempt, one that is done stands for all, their failures count together,
+and progress of one is progress of all.
+
 Each command checks its invariants itself, whoever proposed it: one assignment
 for each task, steps in order, the room of the worker, and the limit of failed
 attempts.
 """
 
+import collections
 import dataclasses
 import itertools
 from typing import Any
@@ -193,6 +198,10 @@
         """Returns the step of a known task."""
         return self.jobs[ref.job].spec.steps[ref.step]
 
+    def gang_broken(self, ref: jobs.TaskRef) -> bool:
+        """Whether another task of a task's gang isn't assigned any more."""
+        return any(task.status != "assigned" for _, task in self._together(ref))
+
     def waiting_jobs(self, queue: str) -> int:
         """Returns how many jobs of a queue have no started task."""
         return sum(
@@ -252,13 +261,19 @@
         return commands.Result(ok=True, data={"state": job.state()})
 
     def start(self, command: job_commands.StartRuns) -> commands.Result:
-        """Assigns what is still allowed; returns the numbers of the rest."""
-        refused = [
-            number
-            for number, run in enumerate(command.runs)
-            if not self._start_one(run)
-        ]
-        return commands.Result(ok=True, data={"refused": refused})
+        """Assigns what is still allowed; returns the numbers of the rest.
+
+        The runs of a gang are assigned all or none.
+        """
+        groups: dict[jobs.TaskRef, list[int]] = {}
+        for number, run in enumerate(command.runs):
+            groups.setdefault(self._first_of(run.task), []).append(number)
+        refused = itertools.chain.from_iterable(
+            numbers
+            for numbers in groups.values()
+            if not self._start_together([command.runs[n] for n in numbers])
+        )
+        return commands.Result(ok=True, data={"refused": sorted(refused)})
 
     def end(self, command: job_commands.EndRuns) -> commands.Result:
         """Records ends; returns how many changed something."""
@@ -295,7 +310,8 @@
                 and task.status == "assigned"
                 and task.attempt == checkpoint.attempt
             ):
-                task.checkpoint = checkpoint.value
+                for _, member in self._together(checkpoint.task):
+                    member.checkpoint = checkpoint.value
         return commands.Result(ok=True)
 
     def note_disturbances(
@@ -322,29 +338,71 @@
         queues = self.configuration.queues if self.configuration else ()
         return next((queue for queue in queues if queue.name == name), None)
 
-    def _start_one(self, run: jobs.RunStart) -> bool:
+    def _first_of(self, ref: jobs.TaskRef) -> jobs.TaskRef:
+        """Returns the first task of a task's gang, or the task itself."""
+        if self.task(ref) is None or not self.step(ref).gang:
+            return ref
+        return msgspec.structs.replace(ref, index=0)
+
+    def _together(self, ref: jobs.TaskRef) -> list[tuple[jobs.TaskRef, Task]]:
+        """Returns a known task with all others of its gang."""
+        row = self.jobs[ref.job].tasks[ref.occurrence, ref.step]
+        if not self.step(ref).gang:
+            return [(ref, row[ref.index])]
+        return [
+            (msgspec.structs.replace(ref, index=index), task)
+            for index, task in enumerate(row)
+        ]
+
+    def _start_together(self, runs: list[jobs.RunStart]) -> bool:
+        """Assigns runs that may only start together; returns whether it did."""
+        first = runs[0].task
+        if self.task(first) is None:
+            return False
+        named = sorted(run.task for run in runs)
+        if (
+            named != [ref for ref, _ in self._together(first)]
+            or not all(self._may_start(run) for run in runs)
+            or not self._have_room(runs)
+        ):
+            return False
+        need = reserved(self.step(first))
+        for run in runs:
+            job, task = self.jobs[run.task.job], self.task(run.task)
+            assert task is not None
+            job.started = True
+            task.status = "assigned"
+            task.attempt = run.attempt
+            task.worker = run.worker
+            task.life = run.life
+            self._occupy(run.task, task, need)
+        return True
+
+    def _may_start(self, run: jobs.RunStart) -> bool:
         job = self.jobs.get(run.task.job)
         task = self.task(run.task)
         life = self.lives.get(run.worker)
         if job is None or task is None or life is None:
             return False
-        need = reserved(job.spec.steps[run.task.step])
-        allowed = (
+        return (
             job.active()
             and task.status == "waiting"
             and run.attempt == task.attempt + 1
             and run.life == life.life
             and job.step_ready(run.task.occurrence, run.task.step)
-            and fits(total(self.used_on(run.worker), need), life.room)
         )
-        if allowed:
-            job.started = True
-            task.status = "assigned"
-            task.attempt = run.attempt
-            task.worker = run.worker
-            task.life = run.life
-            self._occupy(run.task, task, need)
-        return allowed
+
+    def _have_room(self, runs: list[jobs.RunStart]) -> bool:
+        """Whether workers have room for all of the runs of one step."""
+        need = reserved(self.step(runs[0].task))
+        wanted = collections.Counter(run.worker for run in runs)
+        return all(
+            fits(
+                total(self.used_on(worker), *itertools.repeat(need, count)),
+                self.lives[worker].room,
+            )
+            for worker, count in wanted.items()
+        )
 
     def _occupy(
         self, ref: jobs.TaskRef, task: Task, need: common.Resources
@@ -372,19 +430,24 @@
         late = task.status == "waiting" and end.how == "done"
         if task.status != "assigned" and not late:
             return False
+        together = self._together(end.task)
         self._release(end.task, task)
-        task.checkpoint = end.checkpoint or task.checkpoint
-        step = job.spec.steps[end.task.step]
+        if end.checkpoint:
+            for _, member in together:
+                member.checkpoint = end.checkpoint
         task.status = "waiting"
-        if step.lasting:
+        if job.spec.steps[end.task.step].lasting:
             # It is started again however it ended, from the beginning.
             task.checkpoint = ""
         elif end.how == "done":
-            task.status = "done"
-            job.open_tasks -= 1
+            for ref, member in together:
+                self._release(ref, member)
+                member.status = "done"
+            job.open_tasks -= len(together)
         elif end.how == "failed":
             task.failures += 1
-            if task.failures >= job.queue.max_attempts:
+            failures = sum(member.failures for _, member in together)
+            if failures >= job.queue.max_attempts:
                 task.status = "failed"
                 job.failed = True
         return True
--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -56,6 +56,58 @@
         self.assertEqual(len(placed), 16)
         self.assertEqual(placed.count("w0"), 8)
 
+    def gang(
+        self, count: int, **fields: object
+    ) -> list[run_placement.ReadyTask]:
+        step = make.step(
+            count, gang=True, need=make.need(30_000, 1000), **fields
+        )
+        step_on: dict[str, int] = {}
+        return [
+            make.ready(make.ref(index=index), of=step, step_on=step_on)
+            for index in range(count)
+        ]
+
+    def test_gang_that_does_not_fit_holds_no_room(self) -> None:
+        """Half of a gang would wait beside work that could go on."""
+        tasks = [*self.gang(5), make.ready(make.ref("b"))]
+        workers = [make.room("w1"), make.room("w2")]
+        before = [(room.leftover(), room.used_memory_mb) for room in workers]
+        placements = self.policy.place(tasks, workers)
+        self.assertEqual([p.task.ref.job for p in placements], ["b"])
+        chosen = placements[0].worker
+        chosen.remove(make.step())
+        after = [(room.leftover(), room.used_memory_mb) for room in workers]
+        self.assertEqual(before, after)
+        self.assertEqual(sum(tasks[0].step_on.values()), 0)
+
+    def test_gang_of_which_a_task_can_not_start_yet_waits(self) -> None:
+        self.assertEqual(self.place(self.gang(3)[:2], make.room()), [])
+
+    def test_gang_that_is_slower_on_several_racks_goes_on_one(self) -> None:
+        workers = [
+            make.room("a1", rack="a"),
+            make.room("b1", rack="b", used_millicores=2000),
+            make.room("b2", rack="b"),
+        ]
+        placed = self.place(self.gang(4, rack_local=True), *workers)
+        self.assertEqual({name[0] for name in placed}, {"b"})
+        wide = self.place(
+            self.gang(6, rack_local=True),
+            *(make.room(f"{rack}1", rack=rack) for rack in "cde"),
+        )
+        self.assertEqual(len(wide), 6)
+
+    def test_tasks_that_are_slower_on_several_racks_stay_together(self) -> None:
+        step_on: dict[str, int] = {}
+        step = make.step(4, rack_local=True)
+        tasks = [
+            make.ready(make.ref(index=n), of=step, step_on=step_on)
+            for n in range(4)
+        ]
+        workers = [make.room(f"{rack}1", rack=rack) for rack in "abc"]
+        self.assertEqual(len(set(self.place(tasks, *workers))), 1)
+
     def test_harmful_image_stays_away_from_serving_tasks(self) -> None:
         beside = make.room("beside")
         beside.add(SERVE)
--- a/tests/test_stepped_jobs.py
+++ b/tests/test_stepped_jobs.py
@@ -132,6 +132,83 @@
         self.assertEqual(self.jobs.state.jobs["b"].state(), "running")
 
 
+class GangTest(unittest.TestCase):
+    """Tasks of a gang start, end and fail together."""
+
+    def setUp(self) -> None:
+        self.jobs = make.Jobs()
+        self.jobs.open("w1", "w1@1", make.need(2000, 2000))
+        self.jobs.open("w2", "w2@1", make.need(2000, 2000))
+        self.jobs.accept(
+            "a",
+            make.step(3, gang=True, checkpoints=True),
+            make.step(after=(0,)),
+        )
+
+    def start(self, *workers: str, attempt: int = 1) -> bool:
+        """Assigns one task after the other; returns whether that was allowed."""
+        result = self.jobs.state.start(
+            job_commands.StartRuns(
+                runs=tuple(
+                    jobs.RunStart(
+                        task=make.ref(index=index),
+                        worker=worker,
+                        life=f"{worker}@1",
+                        attempt=attempt,
+                    )
+                    for index, worker in enumerate(workers)
+                )
+            )
+        )
+        refused = result.data["refused"]
+        self.assertIn(len(refused), (0, len(workers)))
+        return not refused
+
+    def statuses(self) -> list[str]:
+        return [self.jobs.task(make.ref(index=n)).status for n in range(3)]
+
+    def test_tasks_are_assigned_all_or_none(self) -> None:
+        self.assertFalse(self.start("w1", "w2"))
+        self.assertFalse(self.start("w1", "w1", "w1"))
+        self.assertEqual(self.statuses(), ["waiting"] * 3)
+        self.assertEqual(self.jobs.state.used_on("w1").millicores, 0)
+        self.assertTrue(self.start("w1", "w1", "w2"))
+        self.assertEqual(self.jobs.state.used_on("w1").millicores, 2000)
+
+    def test_gang_does_not_start_again_before_all_its_runs_ended(self) -> None:
+        self.start("w1", "w1", "w2")
+        self.jobs.end(make.ref(index=0), "lost")
+        self.assertTrue(self.jobs.state.gang_broken(make.ref(index=1)))
+        self.assertFalse(self.start("w1", "w1", "w2", attempt=2))
+        self.jobs.end(make.ref(index=1), "broken")
+        self.jobs.end(make.ref(index=2), "broken")
+        self.assertTrue(self.start("w1", "w2", "w2", attempt=2))
+
+    def test_one_done_task_stands_for_all(self) -> None:
+        self.start("w1", "w1", "w2")
+        self.assertEqual(self.jobs.end(make.ref(index=2), "done"), 1)
+        self.assertEqual(self.statuses(), ["done"] * 3)
+        self.assertEqual(self.jobs.state.used_on("w1").millicores, 0)
+        self.assertEqual(self.jobs.end(make.ref(index=0), "done"), 0)
+        self.assertEqual(self.jobs.state.jobs["a"].open_tasks, 1)
+        self.assertTrue(self.jobs.start(make.ref(step=1)))
+
+    def test_progress_of_one_task_is_progress_of_all(self) -> None:
+        self.start("w1", "w1", "w2")
+        self.jobs.end(make.ref(index=1), "stopped", checkpoint="half")
+        self.assertEqual(self.jobs.task(make.ref(index=2)).checkpoint, "half")
+
+    def test_failures_of_all_tasks_count_together(self) -> None:
+        self.start("w1", "w1", "w2")
+        self.jobs.end(make.ref(index=0), "failed")
+        self.jobs.end(make.ref(index=1), "broken")
+        self.jobs.end(make.ref(index=2), "broken")
+        self.assertEqual(self.jobs.state.jobs["a"].state(), "running")
+        self.start("w1", "w1", "w2", attempt=2)
+        self.jobs.end(make.ref(index=2), "failed", attempt=2)
+        self.assertEqual(self.jobs.state.jobs["a"].state(), "failed")
+
+
 class ConfigurationTest(unittest.TestCase):
     """The highest version is in force, whatever arrives in which order."""
 
