--- a/bamboorouter/coordination/jobs/ready_tasks.py
+++ b/bamboorouter/coordination/jobs/ready_tasks.py
@@ -9,6 +9,7 @@
 from bamboorouter.coordination.policies import job_order
 from bamboorouter.coordination.policies import run_placement
 from bamboorouter.protocol import jobs
+from bamboorouter.state import job_records
 from bamboorouter.state import stepped_jobs
 
 
@@ -39,7 +40,7 @@
     )
 
 
-def waiting_job(job: stepped_jobs.Job) -> job_order.WaitingJob:
+def waiting_job(job: job_records.Job) -> job_order.WaitingJob:
     """Returns what the order of jobs depends on."""
     steps = job.spec.steps
     open_steps = frozenset(
@@ -65,7 +66,7 @@
     )
 
 
-def left_work(job: stepped_jobs.Job) -> int:
+def left_work(job: job_records.Job) -> int:
     """Returns the declared work of all tasks that are not done.
 
     In thousandths of a processor times ms.
@@ -94,7 +95,7 @@
 
 
 def _ready_of(
-    job: stepped_jobs.Job,
+    job: job_records.Job,
     wall_ms: int,
     failed_on: dict[jobs.TaskRef, frozenset[str]],
     overdue: bool,
@@ -113,7 +114,7 @@
 
 
 def _ready_of_step(
-    job: stepped_jobs.Job,
+    job: job_records.Job,
     occurrence: int,
     number: int,
     failed_on: dict[jobs.TaskRef, frozenset[str]],
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -19,7 +19,6 @@
 import itertools
 from typing import Any
 from typing import Final
-from typing import Literal
 
 import msgspec
 
@@ -28,88 +27,11 @@
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import jobs
+from bamboorouter.state import job_records
 
-TaskStatus = Literal["waiting", "assigned", "done", "failed"]
 _EMPTY: Final = common.Resources()
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Task:
-    """One task.
-
-    Attributes:
-        status: What is to be done with it.
-        attempt: Number of its newest start; 0 before the first.
-        failures: Starts that ended as failed.
-        worker: Worker of the newest start.
-        life: Life of the worker that the newest start was for.
-        checkpoint: Progress to resume from; empty if there is none.
-    """
-
-    status: TaskStatus = "waiting"
-    attempt: int = 0
-    failures: int = 0
-    worker: str = ""
-    life: str = ""
-    checkpoint: str = ""
-
-
-@dataclasses.dataclass(kw_only=True, eq=False)
-class Job:
-    """One accepted job.
-
-    Attributes:
-        id: ID that the caller chose.
-        sequence: Place in the order of acceptance.
-        queue: Settings of its queue when it was accepted.
-        spec: What was handed in.
-        accepted_ms: Wall time of the leader that accepted it.
-        cancelled: Whether it was cancelled.
-        failed: Whether a task has failed for good.
-        started: Whether a task was ever assigned.
-        tasks: Tasks by occurrence and step.
-        open_tasks: Tasks that are not done.
-    """
-
-    id: str
-    sequence: int
-    queue: jobs.QueueSettings
-    spec: jobs.JobSpec
-    accepted_ms: int
-    cancelled: bool = False
-    failed: bool = False
-    started: bool = False
-    tasks: dict[tuple[int, int], list[Task]]
-    open_tasks: int
-
-    def state(self) -> jobs.JobState:
-        """Returns what callers are told."""
-        if self.cancelled:
-            return "cancelled"
-        if self.failed:
-            return "failed"
-        if not self.open_tasks:
-            return "done"
-        return "running" if self.started else "queued"
-
-    def active(self) -> bool:
-        """Whether tasks may still start."""
-        return bool(self.open_tasks and not self.cancelled and not self.failed)
-
-    def step_done(self, occurrence: int, step: int) -> bool:
-        """Whether all tasks of a step are done."""
-        return all(
-            task.status == "done" for task in self.tasks[occurrence, step]
-        )
-
-    def step_ready(self, occurrence: int, step: int) -> bool:
-        """Whether all steps that a step waits for are done."""
-        return all(
-            self.step_done(occurrence, earlier)
-            for earlier in self.spec.steps[step].after
-        )
-
-
 @dataclasses.dataclass(kw_only=True, slots=True)
 class WorkerLife:
     """The newest known life of a worker.
@@ -172,9 +94,9 @@
 
     def __init__(self) -> None:
         self.configuration: jobs.Configuration | None = None
-        self.jobs: dict[str, Job] = {}
+        self.jobs: dict[str, job_records.Job] = {}
         self.lives: dict[str, WorkerLife] = {}
-        self.on_worker: dict[str, dict[jobs.TaskRef, Task]] = {}
+        self.on_worker: dict[str, dict[jobs.TaskRef, job_records.Task]] = {}
         self.used: dict[str, common.Resources] = {}
         self.sessions = 0
         self.accepted = 0
@@ -186,7 +108,7 @@
         """Returns the version in force; -1 before the first one."""
         return -1 if self.configuration is None else self.configuration.version
 
-    def task(self, ref: jobs.TaskRef) -> Task | None:
+    def task(self, ref: jobs.TaskRef) -> job_records.Task | None:
         """Returns a task by its name."""
         job = self.jobs.get(ref.job)
         tasks = job.tasks.get((ref.occurrence, ref.step)) if job else None
@@ -235,12 +157,14 @@
         occurrences = range(max(1, command.spec.repeats))
         steps = command.spec.steps
         tasks = {
-            (occurrence, number): [Task() for _ in range(step.count)]
+            (occurrence, number): [
+                job_records.Task() for _ in range(step.count)
+            ]
             for occurrence in occurrences
             for number, step in enumerate(steps)
         }
         self.accepted += 1
-        self.jobs[command.job] = Job(
+        self.jobs[command.job] = job_records.Job(
             id=command.job,
             sequence=self.accepted,
             queue=queue,
@@ -330,7 +254,7 @@
         """Removes jobs of which nothing is assigned any more."""
         for job_id in command.jobs:
             job = self.jobs.get(job_id)
-            if job is not None and not job.active() and not _assigned(job):
+            if job is not None and not job.active() and not job.assigned():
                 del self.jobs[job_id]
         return commands.Result(ok=True)
 
@@ -344,7 +268,9 @@
             return ref
         return msgspec.structs.replace(ref, index=0)
 
-    def _together(self, ref: jobs.TaskRef) -> list[tuple[jobs.TaskRef, Task]]:
+    def _together(
+        self, ref: jobs.TaskRef
+    ) -> list[tuple[jobs.TaskRef, job_records.Task]]:
         """Returns a known task with all others of its gang."""
         row = self.jobs[ref.job].tasks[ref.occurrence, ref.step]
         if not self.step(ref).gang:
@@ -405,12 +331,12 @@
         )
 
     def _occupy(
-        self, ref: jobs.TaskRef, task: Task, need: common.Resources
+        self, ref: jobs.TaskRef, task: job_records.Task, need: common.Resources
     ) -> None:
         self.on_worker.setdefault(task.worker, {})[ref] = task
         self.used[task.worker] = total(self.used_on(task.worker), need)
 
-    def _release(self, ref: jobs.TaskRef, task: Task) -> None:
+    def _release(self, ref: jobs.TaskRef, task: job_records.Task) -> None:
         if self.on_worker.get(task.worker, {}).pop(ref, None) is None:
             return
         need = reserved(self.step(ref))
@@ -464,7 +390,7 @@
                 [name, life.life, life.session, msgspec.to_builtins(life.room)]
                 for name, life in self.lives.items()
             ],
-            [_plain_job(job) for job in self.jobs.values()],
+            [job_records.plain_job(job) for job in self.jobs.values()],
             [[*pair, weight] for pair, weight in self.disturbances.items()],
         ]
 
@@ -489,81 +415,16 @@
             )
             for name, life, session, room in lives
         }
-        self.jobs = {row[0]: _restored_job(row) for row in rows}
+        self.jobs = {row[0]: job_records.restored_job(row) for row in rows}
         self.on_worker = {}
         self.used = {}
         for ref, task in itertools.chain.from_iterable(
-            tasks_of(job) for job in self.jobs.values()
+            job_records.tasks_of(job) for job in self.jobs.values()
         ):
             if task.status == "assigned":
                 self._occupy(ref, task, reserved(self.step(ref)))
 
 
-def tasks_of(job: Job) -> "itertools.chain[tuple[jobs.TaskRef, Task]]":
-    """Returns all tasks of a job with their names."""
-    return itertools.chain.from_iterable(
-        (
-            (
-                jobs.TaskRef(
-                    job=job.id, occurrence=occurrence, step=step, index=index
-                ),
-                task,
-            )
-            for index, task in enumerate(row)
-        )
-        for (occurrence, step), row in job.tasks.items()
-    )
-
-
-def _assigned(job: Job) -> bool:
-    return any(
-        task.status == "assigned" for row in job.tasks.values() for task in row
-    )
-
-
-def _plain_job(job: Job) -> list[Any]:
-    return [
-        job.id,
-        job.sequence,
-        msgspec.to_builtins(job.queue),
-        msgspec.to_builtins(job.spec),
-        job.accepted_ms,
-        job.cancelled,
-        job.failed,
-        job.started,
-        job.open_tasks,
-        [
-            [*key, [list(dataclasses.astuple(task)) for task in row]]
-            for key, row in job.tasks.items()
-        ],
-    ]
-
-
-def _restored_job(row: list[Any]) -> Job:
-    job_id, sequence, queue, spec, accepted_ms, cancelled = row[:6]
-    failed, started, open_tasks, tasks = row[6:]
-    return Job(
-        id=job_id,
-        sequence=sequence,
-        queue=msgspec.convert(queue, jobs.QueueSettings),
-        spec=msgspec.convert(spec, jobs.JobSpec),
-        accepted_ms=accepted_ms,
-        cancelled=cancelled,
-        failed=failed,
-        started=started,
-        open_tasks=open_tasks,
-        tasks={
-            (occurrence, step): [_restored_task(fields) for fields in rows]
-            for occurrence, step, rows in tasks
-        },
-    )
-
-
-def _restored_task(fields: list[Any]) -> Task:
-    names = (field.name for field in dataclasses.fields(Task))
-    return Task(**dict(zip(names, fields, strict=True)))
-
-
 def _refused(code: str, **values: object) -> commands.Result:
     return commands.Result(
         ok=False, code=code, text=error_texts.text_for(code, **values)
--- a/tests/job_builders.py
+++ b/tests/job_builders.py
@@ -4,6 +4,7 @@
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import jobs
+from bamboorouter.state import job_records
 from bamboorouter.state import stepped_jobs
 
 ROOM = common.Resources(millicores=64_000, memory_mb=250_000)
@@ -84,7 +85,7 @@
         )
         return int(result.data["session"])
 
-    def task(self, task: jobs.TaskRef) -> stepped_jobs.Task:
+    def task(self, task: jobs.TaskRef) -> job_records.Task:
         found = self.state.task(task)
         assert found is not None
         return found
