--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -7,8 +7,8 @@
 filling tasks disturb nobody. A filling task gets only processor time that
 serving tasks are known to leave and nothing else fills, because a crowded
 worker makes all of them late at once, and only a worker on which it may keep
-most of its speed beside the serving tasks. A gang is placed as a whole or not at
-all, because tasks that wait for others hold room without working; one whose
+most of its speed beside the serving tasks. A gang is placed as a whole or not
+at all, because tasks that wait for others hold room without working; one whose
 tasks are slower on several racks goes on one rack if it fits there.
 """
 
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -6,8 +6,8 @@
 long as the task hasn't been started again.
 
 The tasks of a gang work only together: they are assigned in one command under
-the same attempt, one that is done stands for all, their failures count together,
-and progress of one is progress of all.
+the same attempt, one that is done stands for all, their failures count
+together, and progress of one is progress of all.
 
 Each command checks its invariants itself, whoever proposed it: one assignment
 for each task, steps in order, the room of the worker, and the limit of failed
--- a/tests/test_stepped_jobs.py
+++ b/tests/test_stepped_jobs.py
@@ -146,7 +146,7 @@
         )
 
     def start(self, *workers: str, attempt: int = 1) -> bool:
-        """Assigns one task after the other; returns whether that was allowed."""
+        """Assigns the tasks in order; returns whether that was allowed."""
         result = self.jobs.state.start(
             job_commands.StartRuns(
                 runs=tuple(
