--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -3,9 +3,9 @@
 A job is refused, before anything of it is done, if a task or a gang of it
 doesn't fit on the workers of its service even when they are empty, or if so
 much work of equal or higher priority is ahead of it that it would end later
-than its caller can use it. The second answers a flood of jobs that grows without bound: what is
-accepted is still worth something when it ends, and callers of the rest learn at
-once when there will be room.
+than its caller can use it. The second answers a flood of jobs that grows
+without bound: what is accepted is still worth something when it ends, and
+callers of the rest learn at once when there will be room.
 """
 
 from collections.abc import Callable
