--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -93,7 +93,11 @@
             self.assertGreater(len(placed), 0)
 
     def test_wide_step_does_not_ask_each_worker_for_each_task(self) -> None:
-        tasks = [make.ready(make.ref(index=n), of=SERVE) for n in range(100)]
+        step_on: dict[str, int] = {}
+        tasks = [
+            make.ready(make.ref(index=n), of=SERVE, step_on=step_on)
+            for n in range(100)
+        ]
         workers = [make.room(f"w{number}") for number in range(50)]
         with mock.patch.object(
             self.policy, "part_of_speed", return_value=1.0
