--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from typing import Any
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
@@ -179,6 +180,13 @@
         self._seeds = tuple(f"127.0.1.{n}:{self._port}" for n in (1, 2, 3))
         self._links = replica_site.free_port()
         self._time = clock.SystemClock()
+        # The platform's port may belong to another run of the tests.
+        self._metrics_ports = [
+            mock.patch.object(module, "METRICS_PORT", replica_site.free_port())
+            for module in (agent_node, control_node, entry_node)
+        ]
+        for patch in self._metrics_ports:
+            patch.start()
         self.worker = StandInWorker(
             address=f"127.0.3.1:{replica_site.free_port()}"
         )
@@ -240,6 +248,8 @@
         await asyncio.gather(*(role.stop() for role in self.others))
         await asyncio.gather(*(r.stop() for r in self.control.values()))
         await self.worker.stop()
+        for patch in self._metrics_ports:
+            patch.stop()
 
     # --- Calls from outside --------------------------------------------------
 
