--- a/bamboorouter/coordination/jobs/job_desk.py
+++ b/bamboorouter/coordination/jobs/job_desk.py
@@ -7,8 +7,11 @@
 
 from typing import Final
 
+from bamboorouter import clock
+from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.jobs import recent_submissions
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import job_commands
@@ -26,6 +29,7 @@
 
     Attributes:
         log: The replicated log.
+        clock: Source of time.
         admission: Decides whether a job is accepted.
     """
 
@@ -33,10 +37,13 @@
         self,
         *,
         log: replicated_log.ReplicatedLog,
+        time: clock.Clock,
         gate: admission.Admission,
     ) -> None:
         self.log = log
+        self.clock = time
         self.admission = gate
+        self._recent = recent_submissions.RecentSubmissions()
 
     async def submit(
         self, message: job_messages.SubmitSteps
@@ -49,8 +56,9 @@
         if not job_id:
             return job_messages.JobAnswer(outcome="no_queue")
         state = self.log.machine.stepped
-        if job_id not in state.jobs:
-            verdict = self.admission.judge(state, queue, message.spec)
+        self._recent.enter_term(self.log.term())
+        if job_id not in state.jobs and not self._recent.under_way(job_id):
+            verdict = self._judge(job_id, queue, message.spec)
             if verdict is not None:
                 events.log(
                     events.JOB_REFUSED,
@@ -65,7 +73,7 @@
                 return job_messages.JobAnswer(
                     outcome="refused", retry_after_ms=verdict.retry_after_ms
                 )
-        result = await self._propose(
+        result = await self._accept(
             job_commands.AcceptSteps(
                 job=job_id, queue=queue.name, spec=message.spec
             )
@@ -145,6 +153,32 @@
             version=state.version(), document=document
         )
 
+    def _judge(
+        self, job_id: str, queue: jobs.QueueSettings, spec: jobs.JobSpec
+    ) -> admission.Refusal | None:
+        """Returns why a job that isn't known is refused."""
+        now = self.clock.now()
+        verdict = self._recent.refusal(job_id, now)
+        if verdict is None:
+            verdict = self.admission.judge(
+                self.log.machine.stepped, queue, spec
+            )
+            if verdict is not None:
+                self._recent.refuse(job_id, verdict, now)
+        return verdict
+
+    async def _accept(
+        self, command: job_commands.AcceptSteps
+    ) -> commands.Result:
+        self._recent.proposed(command.job)
+        try:
+            result = await self._propose(command)
+        except errors.NotLeaderError:
+            self._recent.settled(command.job)
+            raise
+        self._recent.settled(command.job)
+        return result
+
     async def _propose(self, command: commands.Command) -> commands.Result:
         return await self.log.propose(command, timeout_ms=PROPOSE_TIMEOUT_MS)
 
--- a/bamboorouter/coordination/jobs/job_leader.py
+++ b/bamboorouter/coordination/jobs/job_leader.py
@@ -49,6 +49,7 @@
         )
         self.desk = job_desk.JobDesk(
             log=own,
+            time=time,
             gate=admission.Admission(rooms=self.dispatcher.rooms),
         )
         self.repair = repair
--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import random
 from typing import Final
 
@@ -20,6 +21,11 @@
 RETRY_PAUSE_MS: Final = 50
 
 
+def _never(answer: messages.Message) -> bool:
+    del answer
+    return False
+
+
 class ControlClient:
     """Finds the leader and sends calls to it.
 
@@ -50,13 +56,19 @@
         self._opening = asyncio.Lock()
 
     async def call(
-        self, message: messages.Message, *, timeout_ms: int
+        self,
+        message: messages.Message,
+        *,
+        timeout_ms: int,
+        refuses: Callable[[messages.Message], bool] = _never,
     ) -> messages.Message:
         """Sends a call to the leader until it is answered.
 
         Args:
             message: A message that is safe to resend.
             timeout_ms: How long to keep trying.
+            refuses: Whether an answer promises that the call is never carried
+                out.
 
         Returns:
             The leader's answer; never a Redirect.
@@ -64,8 +76,11 @@
         Raises:
             RequestTimeoutError: No leader answered in time; a replica may
                 have acted.
+            UnknownResultError: The call was refused, but an earlier sending
+                of it has no answer and may still be carried out.
         """
         deadline = self.clock.now() + timeout_ms
+        unanswered = False
         last_error: errors.RouterError | None = None
         while (remaining := deadline - self.clock.now()) > 0:
             sent = self.clock.now()
@@ -82,6 +97,7 @@
                 )
             except errors.RouterError as err:
                 last_error = err
+                unanswered = True
                 # A link that still brings replies to other calls is kept.
                 if current.closed.is_set() or current.received == received:
                     await self._leave(current, "")
@@ -89,6 +105,12 @@
                 continue
             if not isinstance(reply, messages.Redirect):
                 self.last_contact = sent
+                if unanswered and refuses(reply):
+                    raise errors.UnknownResultError(
+                        text="refused after a sending without an answer",
+                        step=type(message).__name__,
+                        peer=current.peer,
+                    )
                 return reply
             self.learn(reply.replicas)
             await self._leave(current, reply.leader)
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -30,6 +30,8 @@
         valid: What `lease_valid` returns.
         lose_results: Number of next proposals whose result is lost although
             they are applied.
+        postpones: Whether proposals time out and are applied only by
+            `apply_postponed`.
         history: All applied commands with their results.
     """
 
@@ -38,6 +40,8 @@
         self.clock = time
         self.valid = True
         self.lose_results = 0
+        self.postpones = False
+        self._postponed: list[commands.Command] = []
         self.history: list[tuple[commands.Command, commands.Result]] = []
         self._applied = subject.Subject[int]()
         self._leadership = subject.BehaviorSubject(
@@ -68,12 +72,22 @@
         if not self.valid:
             raise errors.NotLeaderError(leader="", step="propose")
         await asyncio.sleep(0)
+        if self.postpones:
+            self._postponed.append(command)
+            raise errors.UnknownResultError(text="late", step="propose")
         result = self.apply(command)
         if self.lose_results:
             self.lose_results -= 1
             raise errors.UnknownResultError(text="lost", step="propose")
         return result
 
+    def apply_postponed(self) -> None:
+        """Applies what timed out while `postpones` was set."""
+        self.postpones = False
+        for command in self._postponed:
+            self.apply(command)
+        self._postponed.clear()
+
     def apply(self, command: commands.Command) -> commands.Result:
         """Applies a command without a proposal, as another leader would."""
         batch = commands.CommandBatch(
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bamboorouter import clock
+from bamboorouter import errors
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
@@ -89,3 +90,47 @@
         self.assertEqual(len(links), 1)
         unanswered.cancel()
         await client.close()
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    """A refusal is an answer only if nothing else may still happen."""
+
+    async def test_refusal_after_an_unanswered_sending_is_no_answer(
+        self,
+    ) -> None:
+        """The first sending may be carried out after the second's refusal."""
+        sendings = 0
+
+        async def lead(
+            message: messages.Message, peer: link.Link
+        ) -> messages.Message | None:
+            nonlocal sendings
+            del message, peer
+            sendings += 1
+            if sendings == 1:
+                await asyncio.sleep(CALL_TIMEOUT_MS)
+            return messages.ReservationReply(state="refused")
+
+        server = await link.serve_links(host="127.0.0.1", port=0, handler=lead)
+        self.addAsyncCleanup(server.close)
+        client = control_client.ControlClient(
+            addresses=(f"127.0.0.1:{server.port}",),
+            time=clock.SystemClock(),
+            attempt_timeout_ms=100,
+        )
+        self.addAsyncCleanup(client.close)
+
+        def refuses(answer: messages.Message) -> bool:
+            return (
+                isinstance(answer, messages.ReservationReply)
+                and answer.state == "refused"
+            )
+
+        with self.assertRaises(errors.UnknownResultError):
+            await client.call(
+                _reserve(0), timeout_ms=CALL_TIMEOUT_MS, refuses=refuses
+            )
+        answer = await client.call(
+            _reserve(0), timeout_ms=CALL_TIMEOUT_MS, refuses=refuses
+        )
+        self.assertTrue(refuses(answer))
