Keep processes and scheduling alive whatever a peer sends

Cause, each shown by a test that failed first: a job may name any number of tasks, and each replica builds all of them when it applies the log, so one job ends every replica, again at each restart; a need below zero made room that a worker doesn't have; a long chain of steps ended each pass of the leader by its recursion; an announced address that can't be read ended the agent's loop for good while its process went on; deeply nested JSON, a digit that int() can't read, a row without a task's name and an unreadable peer address raised errors that nobody expected. An announcement of another writer with a later start took over from a worker that still answered: its runs were reported lost and would have been started a second time.

Change: job_limits bounds a job at the adapter, in admission and in the state machine; one decoder at the platform's border; chains are walked, not recursed; supervision restarts a loop after an unexpected error; another life is served only once the present one no longer answers.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -17,6 +17,7 @@
 
 from bamboorouter.coordination.jobs import ready_tasks
 from bamboorouter.protocol import common
+from bamboorouter.protocol import job_limits
 from bamboorouter.protocol import jobs
 from bamboorouter.state import stepped_jobs
 
@@ -63,6 +64,9 @@
         spec: jobs.JobSpec,
     ) -> Refusal | None:
         """Returns why a job is refused; None if it is accepted."""
+        if problem := job_limits.problem(spec):
+            # It is refused whenever it comes.
+            return Refusal(reason=problem, retry_after_ms=0)
         if queue.advised:
             return Refusal(
                 reason="advice before a start is not supported",
--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -19,6 +19,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import metrics
+from bamboorouter import supervision
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import kept_knowledge
 from bamboorouter.coordination.jobs import ready_tasks
@@ -95,7 +96,7 @@
             self.log.leadership.subscribe(self._lead),
             self.log.applied.subscribe(lambda _: self._wake.set()),
         ]
-        self._loop = asyncio.create_task(self._run())
+        self._loop = supervision.start(self._run)
 
     async def stop(self) -> None:
         """Stops deciding."""
--- a/bamboorouter/coordination/jobs/ready_tasks.py
+++ b/bamboorouter/coordination/jobs/ready_tasks.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-import functools
 import itertools
 
 from bamboorouter.coordination.policies import job_order
@@ -101,13 +100,13 @@
 def chain_ms(steps: tuple[jobs.Step, ...], counted: Iterable[int]) -> int:
     """Returns the declared time of the longest chain of counted steps."""
     wanted = frozenset(counted)
-
-    @functools.cache
-    def end_ms(number: int) -> int:
-        own = steps[number].estimate_ms if number in wanted else 0
-        return own + max(map(end_ms, steps[number].after), default=0)
-
-    return max(map(end_ms, range(len(steps))), default=0)
+    ends_ms: list[int] = []
+    for number, step in enumerate(steps):
+        # Steps wait only for earlier ones.
+        begin_ms = max((ends_ms[earlier] for earlier in step.after), default=0)
+        own_ms = step.estimate_ms if number in wanted else 0
+        ends_ms.append(begin_ms + own_ms)
+    return max(ends_ms, default=0)
 
 
 def _ready_of(
--- a/bamboorouter/coordination/log/peers.py
+++ b/bamboorouter/coordination/log/peers.py
@@ -15,6 +15,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
+from bamboorouter import supervision
 from bamboorouter.coordination.log import core_state
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
@@ -161,7 +162,7 @@
             QUEUE_LIMIT
         )
         self._closing: set[asyncio.Task[None]] = set()
-        self._task = asyncio.create_task(self._run())
+        self._task = supervision.start(self._run)
 
     def send(self, message: messages.Message) -> None:
         """Queues a message; drops it if the queue is full."""
--- a/bamboorouter/coordination/log/self_repair.py
+++ b/bamboorouter/coordination/log/self_repair.py
@@ -11,6 +11,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
+from bamboorouter import supervision
 from bamboorouter.coordination.log import member_changes
 from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.policies import member_repair
@@ -53,7 +54,7 @@
 
     def start(self) -> None:
         """Begins to join or to watch over the group."""
-        self._task = asyncio.create_task(self._run())
+        self._task = supervision.start(self._run)
 
     async def stop(self) -> None:
         """Stops watching."""
--- a/bamboorouter/coordination/requests/agent_links.py
+++ b/bamboorouter/coordination/requests/agent_links.py
@@ -15,6 +15,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
+from bamboorouter import supervision
 from bamboorouter.coordination.requests import route_table
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
@@ -82,7 +83,7 @@
 
     def start(self) -> None:
         """Starts to check silent links."""
-        self._checker = asyncio.create_task(self._check_links())
+        self._checker = supervision.start(self._check_links)
 
     async def close(self) -> None:
         """Closes all links."""
--- a/bamboorouter/coordination/requests/request_records.py
+++ b/bamboorouter/coordination/requests/request_records.py
@@ -15,6 +15,7 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
+from bamboorouter import supervision
 from bamboorouter.coordination.requests import caller_requests
 from bamboorouter.protocol import messages
 
@@ -109,7 +110,7 @@
 
     def start(self) -> None:
         """Starts to deliver batches."""
-        self._sender = asyncio.create_task(self._deliver_periodically())
+        self._sender = supervision.start(self._deliver_periodically)
 
     async def stop(self, *, timeout_ms: int) -> None:
         """Delivers what is left, within a time limit."""
--- a/bamboorouter/coordination/scheduling/leader_handler.py
+++ b/bamboorouter/coordination/scheduling/leader_handler.py
@@ -15,6 +15,7 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
+from bamboorouter import supervision
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.scheduling import operations
 from bamboorouter.coordination.scheduling import route_publisher
@@ -78,7 +79,7 @@
             self.log.leadership.subscribe(self._lead),
             self.log.applied.subscribe(self._applied),
         ]
-        self._pusher = asyncio.create_task(self._push_changes())
+        self._pusher = supervision.start(self._push_changes)
 
     async def stop(self) -> None:
         """Stops deciding and pushing."""
--- a/bamboorouter/coordination/scheduling/scheduler.py
+++ b/bamboorouter/coordination/scheduling/scheduler.py
@@ -17,6 +17,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import metrics
+from bamboorouter import supervision
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import bundle
 from bamboorouter.coordination.policies import eviction
@@ -132,7 +133,7 @@
     def start(self) -> None:
         """Begins to follow leadership; the loop decides while it lasts."""
         self._subscription = self.log.leadership.subscribe(self._lead)
-        self._loop = asyncio.create_task(self._run())
+        self._loop = supervision.start(self._run)
 
     async def stop(self) -> None:
         """Stops deciding."""
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -21,6 +21,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter import events
+from bamboorouter import supervision
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import held_runs
@@ -83,13 +84,14 @@
         self._sequence = 0
         self._term = 0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._claim: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
 
     # --- Interface -----------------------------------------------------------
 
     def start(self) -> None:
         """Begins to wait for the worker's announcements."""
-        self._runner = asyncio.create_task(self._run())
+        self._runner = supervision.start(self._run)
 
     async def stop(self) -> None:
         """Stops; runs go on until their lease ends or another process comes."""
@@ -103,18 +105,16 @@
     def announce(self, announcement: worker_port.Announcement) -> None:
         """Takes an announcement of the worker."""
         known = self._announced
-        if known is not None and not self._is_newer(announcement, known):
+        if known is None:
+            self._serve_life(announcement)
             return
-        self._announced = announcement
-        if known is None or known.life != announcement.life:
-            events.log(
-                events.WORKER_LIFE_CHANGED,
-                worker=self.worker,
-                life=announcement.life,
-                before=known.life if known else "",
-            )
-            self._changed.set()
+        if not self._is_newer(announcement, known):
+            return
+        if known.life != announcement.life:
+            if self._claim is None:
+                self._claim = self._spawn(self._check_claim(announcement))
             return
+        self._announced = announcement
         if self.session is not None:
             self.session.announcement = announcement
         if known.draining != announcement.draining:
@@ -126,6 +126,38 @@
             )
             self._report_due.set()
 
+    async def _check_claim(
+        self, announcement: worker_port.Announcement
+    ) -> None:
+        """Serves another life of the worker once the present one is silent.
+
+        The announcement may come from another writer, and giving up runs of a
+        life that still answers would have them started a second time.
+        """
+        try:
+            session = self.session
+            if session is not None and await self._look(session, 0):
+                events.log(
+                    events.ANNOUNCEMENT_REFUSED,
+                    worker=self.worker,
+                    life=announcement.life,
+                    error=f"{session.announcement.life} still answers",
+                )
+            else:
+                self._serve_life(announcement)
+        finally:
+            self._claim = None
+
+    def _serve_life(self, announcement: worker_port.Announcement) -> None:
+        events.log(
+            events.WORKER_LIFE_CHANGED,
+            worker=self.worker,
+            life=announcement.life,
+            before=self._announced.life if self._announced else "",
+        )
+        self._announced = announcement
+        self._changed.set()
+
     def leave(self, worker_id: str) -> None:
         """Takes note that a life of the worker has ended."""
         if self._announced is None or self._announced.id != worker_id:
@@ -165,6 +197,8 @@
     # --- Sessions ------------------------------------------------------------
 
     async def _run(self) -> None:
+        # After an error the announced life may not be served yet.
+        self._changed.set()
         while True:
             await self._changed.wait()
             self._changed.clear()
@@ -568,10 +602,11 @@
             ends=tuple(pending.end for pending in ends),
         )
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
+        return task
 
     def _done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -25,6 +25,7 @@
 NO_SUCH_JOB: Final = "no_such_job"
 NO_SUCH_QUEUE: Final = "no_such_queue"
 JOB_EXISTS: Final = "job_exists"
+JOB_INVALID: Final = "job_invalid"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
 STALE_EPOCH: Final = "stale_epoch"
 BAD_REQUEST: Final = "bad_request"
@@ -91,6 +92,7 @@
     ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
     NO_SUCH_QUEUE: "queue {queue!r} does not exist",
+    JOB_INVALID: "job {job!r} can't be taken: {problem}",
     JOB_AT_FAULT: "job {job!r} fails wherever it runs",
     STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
     NO_SUCH_TASK: "task {task!r} does not exist",
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -124,6 +124,13 @@
     "A message from outside can't be read; it changes nothing.",
 )
 
+LOOP_RESTARTED: Final = _event(
+    19,
+    "loop_restarted",
+    logging.ERROR,
+    "A loop of the process ended by an unexpected error and begins anew.",
+)
+
 # 100-199: consensus and storage.
 TORN_TAIL_CUT: Final = _event(
     100,
--- a/bamboorouter/roles/agent.py
+++ b/bamboorouter/roles/agent.py
@@ -18,6 +18,7 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter import options
+from bamboorouter import supervision
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.requests import heartbeat_phase
 from bamboorouter.protocol import common
@@ -113,7 +114,7 @@
             await self.tasks.start()
         else:
             self.tasks.worker_answered.set()
-        self._heart = asyncio.create_task(self._beat())
+        self._heart = supervision.start(self._beat)
 
     async def stop(self) -> None:
         """Stops gracefully: requests are finished, tasks go on.
--- a/bamboorouter/roles/agent_tasks.py
+++ b/bamboorouter/roles/agent_tasks.py
@@ -18,6 +18,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import options
+from bamboorouter import supervision
 from bamboorouter.coordination.requests import task_leases
 from bamboorouter.protocol import common
 from bamboorouter.protocol import messages
@@ -81,7 +82,7 @@
             self._send_leases,
             self._collect_usage,
         )
-        self._loops = [asyncio.create_task(loop()) for loop in loops]
+        self._loops = [supervision.start(loop) for loop in loops]
 
     async def close(self) -> None:
         """Stops watching; the tasks go on under the worker's leases."""
--- a/bamboorouter/roles/control_group.py
+++ b/bamboorouter/roles/control_group.py
@@ -11,6 +11,7 @@
 from bamboorouter import error_texts
 from bamboorouter import errors
 from bamboorouter import metrics
+from bamboorouter import supervision
 from bamboorouter.coordination.log import replica
 from bamboorouter.state import account
 from bamboorouter.state import machine
@@ -44,7 +45,7 @@
         """Begins to follow which entry raised the configuration revision."""
         self._note_revision(self.replica.status().applied)
         self._subscription = self.replica.applied.subscribe(self._note_revision)
-        self._publisher = asyncio.create_task(self._publish_lag())
+        self._publisher = supervision.start(self._publish_lag)
 
     def stop(self) -> None:
         """Stops following."""
--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -16,6 +16,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import options
+from bamboorouter import supervision
 from bamboorouter.coordination.policies import entry_bundle
 from bamboorouter.coordination.requests import admission_queue
 from bamboorouter.coordination.requests import agent_links
@@ -108,7 +109,7 @@
         await self._serve_operators()
         self.links.start()
         self.recorder.start()
-        self._poller = asyncio.create_task(self._poll_periodically())
+        self._poller = supervision.start(self._poll_periodically)
 
     async def stop(self) -> None:
         """Stops gracefully: finishes what is in progress, takes no more.
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -26,6 +26,7 @@
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_limits
 from bamboorouter.protocol import jobs
 from bamboorouter.state import job_records
 
@@ -154,6 +155,10 @@
         queue = self._queue(command.queue)
         if queue is None:
             return _refused(error_texts.NO_SUCH_QUEUE, queue=command.queue)
+        if problem := job_limits.problem(command.spec):
+            return _refused(
+                error_texts.JOB_INVALID, job=command.job, problem=problem
+            )
         occurrences = range(max(1, command.spec.repeats))
         steps = command.spec.steps
         tasks = {
--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -281,6 +281,7 @@
     except (
         OSError,
         TimeoutError,
+        ValueError,  # The address can't be read.
         websockets.exceptions.WebSocketException,
     ) as err:
         raise errors.LinkClosedError(
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -29,9 +29,12 @@
         carries_out: Whether it carries unanswered orders out at once.
         delayed: Unanswered start orders that it hasn't carried out.
         starts: All start orders that it has carried out.
+        life: The life that answers.
     """
 
     def __init__(self) -> None:
+        self.life = "w1@1"
+        self._opened = ""
         self.running: dict[jobs.TaskRef, int] = {}
         self.ends: list[worker_port.EndedRow] = []
         self.token = 0
@@ -48,6 +51,7 @@
     def open(
         self, announcement: worker_port.Announcement
     ) -> worker_port.WorkerPort:
+        self._opened = announcement.life
         return self
 
     def finish(self, task: jobs.TaskRef, how: jobs.RunOutcome) -> None:
@@ -99,6 +103,10 @@
     ) -> worker_port.WorkerView:
         await asyncio.sleep(PAUSE_S)
         self._answer()
+        if self._opened != self.life:
+            raise worker_port.OtherLifeError(
+                text=self.life, step="test", peer="worker"
+            )
         self._check(token)
         self.acknowledged = acknowledged
         self.ends = [row for row in self.ends if row.number > acknowledged]
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -121,10 +121,33 @@
         await self.order(fake_worker.start_orders(make.ref()))
         await self.until(lambda: self.worker.running)
         self.worker.running.clear()
+        self.worker.life = "w1@2"
         self.session.announce(fake_worker.announcement(born_ms=2))
         await self.until(lambda: self.hows() == ["lost"])
         self.assertEqual(self.leader.reports[-1].life, "w1@2")
 
+    async def test_announcement_of_another_writer_takes_no_runs_away(
+        self,
+    ) -> None:
+        """Guards against runs given up while their worker still answers."""
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.session.announce(fake_worker.announcement(id="w9", born_ms=2))
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.hows(), [])
+        self.assertEqual(self.leader.reports[-1].life, "w1@1")
+
+    async def test_session_goes_on_after_an_unexpected_error(self) -> None:
+        """Replays an address that can't be opened."""
+        self.worker.life = "w1@2"
+        with mock.patch.object(
+            self.worker, "open", side_effect=ValueError("port out of range")
+        ):
+            self.session.announce(fake_worker.announcement(born_ms=2))
+            await self.until(lambda: self.leader.sessions == 2)
+            await asyncio.sleep(0.05)
+        await self.until(lambda: self.leader.reports[-1].life == "w1@2")
+
     async def test_delayed_announcement_of_an_earlier_life_is_ignored(
         self,
     ) -> None:
--- /dev/null
+++ b/tests/test_borders.py
@@ -0,0 +1,337 @@
+"""Feeds every border what its peers should never send.
+
+Whatever arrives, a border answers with the error that it declares; any other
+error would reach a loop or a handler that doesn't expect it. The inputs are
+drawn at random, from a seed that stays the same. BORDER_EXAMPLES sets how many
+each border gets.
+"""
+
+import asyncio
+from collections.abc import Callable
+import json
+import os
+import pathlib
+import tempfile
+from typing import Any
+import unittest
+
+import cbor2
+import hypothesis
+from hypothesis import strategies
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.jobs import ready_tasks
+from bamboorouter.protocol import commands
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_limits
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
+from bamboorouter.protocol import messages
+from bamboorouter.protocol import sheet
+from bamboorouter.transport import link
+from tests import job_builders as make
+from tests import platform_site
+
+import caller_front  # isort: skip
+import node_settings  # isort: skip
+import wire  # isort: skip
+
+EXAMPLES = int(os.environ.get("BORDER_EXAMPLES", "150"))
+
+# --- Inputs ------------------------------------------------------------------
+
+NUMBERS = strategies.one_of(
+    strategies.integers(-(10**5), 10**5),
+    strategies.sampled_from([-1, 0, 1, 300, 50_000]),
+    strategies.floats(allow_nan=False, allow_infinity=False),
+)
+VALUES = strategies.recursive(
+    strategies.none() | strategies.booleans() | NUMBERS | strategies.text(),
+    lambda inner: strategies.lists(inner, max_size=4)
+    | strategies.dictionaries(strategies.text(), inner, max_size=4),
+    max_leaves=8,
+)
+
+JOB: dict[str, Any] = {
+    "spec": "work",
+    "phases": [
+        {"count": 3, "cpu": 500, "memMb": 100, "gpu": 0, "estimateMs": 20},
+        {"count": 2, "after": [0], "antiAffinity": 1, "targetMs": 5},
+    ],
+    "repeatCount": 2,
+    "firstMs": 5,
+    "intervalMs": 10,
+}
+ANNOUNCEMENT = platform_site.StandInWorker(address="127.0.0.1:1").announcement()
+VIEW: dict[str, Any] = {
+    "clockMs": 5,
+    "born": 7,
+    "running": [["a.0.1.2", 1, "c", 40, 3]],
+    "finished": [[1, "a.0.0.0", 1, "done", ""]],
+}
+REPORT = messages.CODEC.to_plain(
+    job_messages.WorkerReport(
+        worker="w1",
+        life="w1@1",
+        session=1,
+        sequence=1,
+        service="desk",
+        zone="z1",
+        labels=("a",),
+        rack="r1",
+        room=common.Resources(millicores=1000),
+        draining=False,
+        reachable=True,
+        runs=(),
+        ends=(jobs.RunEnd(task=make.ref(), attempt=1, how="done"),),
+    )
+)
+
+
+def changed(document: Any) -> strategies.SearchStrategy[Any]:
+    """Returns a document in which some values were replaced or left out."""
+
+    @strategies.composite
+    def draw_changed(draw: strategies.DrawFn) -> Any:
+        copy = json.loads(json.dumps(document))
+        for _ in range(draw(strategies.integers(1, 3))):
+            place = copy
+            while True:
+                if isinstance(place, dict) and place:
+                    key = draw(strategies.sampled_from(sorted(place)))
+                elif isinstance(place, list) and place:
+                    key = draw(strategies.integers(0, len(place) - 1))
+                else:
+                    break
+                inner = place[key]
+                if not inner or not isinstance(inner, (dict, list)):
+                    place[key] = draw(VALUES)
+                    break
+                if draw(strategies.integers(0, 3)) == 0:
+                    place[key] = draw(VALUES)
+                    break
+                place = inner
+        return copy
+
+    return draw_changed()
+
+
+def bodies(document: Any) -> strategies.SearchStrategy[bytes]:
+    """Returns JSON close to a document, pieces of it, and plain noise."""
+    near = changed(document).map(lambda value: json.dumps(value).encode())
+    whole = json.dumps(document).encode()
+    cut = strategies.integers(0, len(whole)).map(lambda size: whole[:size])
+    deep = strategies.integers(1, 5000).map(lambda n: b'{"spec":' + b"[" * n)
+    return strategies.one_of(near, cut, deep, strategies.binary(max_size=64))
+
+
+def checked(
+    inputs: strategies.SearchStrategy[Any], check: Callable[[Any], None]
+) -> None:
+    """Calls a check with many inputs; the first that fails is shown."""
+
+    @hypothesis.settings(
+        max_examples=EXAMPLES,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(inputs)
+    def run(value: Any) -> None:
+        check(value)
+
+    run()
+
+
+class PlatformBorderTest(unittest.TestCase):
+    """What callers, operators and workers send."""
+
+    def test_job_is_taken_whole_or_refused(self) -> None:
+        checked(bodies(JOB), self._take_job)
+
+    def _take_job(self, body: bytes) -> None:
+        try:
+            spec = wire.decode_job(body)
+        except wire.InvalidError:
+            return
+        work = make.Jobs()
+        work.open()
+        judge = admission.Admission(rooms=lambda _: [make.ROOM])
+        judge.judge(work.state, make.queue(), spec)
+        command = job_commands.AcceptSteps(job="a", queue="forms", spec=spec)
+        plain = commands.BATCH_CODEC.encode(
+            commands.CommandBatch(wall_ms=1, commands=(command,))
+        )
+        self.assertEqual(
+            commands.BATCH_CODEC.decode(plain).commands, (command,)
+        )
+        self.assertTrue(work.state.accept(command, 0).ok)
+        for task in ready_tasks.ready_tasks(
+            work.state, wall_ms=10**13, failed_on={}
+        )[:4]:
+            work.start(task.ref)
+            used = work.state.used_on("w1")
+            self.assertGreaterEqual(min(used.millicores, used.memory_mb), 0)
+
+    def test_configuration(self) -> None:
+        checked(
+            bodies(platform_site.configuration()),
+            self._only(wire.InvalidError, wire.decode_configuration),
+        )
+
+    def test_announcement(self) -> None:
+        checked(
+            bodies(ANNOUNCEMENT),
+            self._only(
+                wire.InvalidError,
+                lambda body: wire.decode_announcement("i-1", body),
+            ),
+        )
+
+    def test_view_of_a_worker(self) -> None:
+        checked(bodies(VIEW), self._only(wire.InvalidError, wire.decode_view))
+
+    def test_rejection_of_a_worker(self) -> None:
+        checked(
+            bodies({"reason": "old"}),
+            self._only(wire.InvalidError, wire.decode_rejection),
+        )
+
+    def test_settings(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "settings.toml"
+
+            def load(data: bytes) -> None:
+                file.write_bytes(data)
+                node_settings.load(file)
+
+            checked(
+                strategies.binary(max_size=200),
+                self._only(errors.OptionsError, load),
+            )
+
+    def _only(
+        self, expected: type[Exception], decode: Callable[[bytes], object]
+    ) -> Callable[[bytes], None]:
+        def check(body: bytes) -> None:
+            try:
+                decode(body)
+            except expected:
+                return
+
+        return check
+
+    def test_deadline_of_a_caller(self) -> None:
+        class Request:
+            headers: dict[str, str] = {}
+
+        def check(said: str) -> None:
+            Request.headers = {wire.DEADLINE_HEADER: said}
+            timeout_ms = caller_front._timeout_ms(Request)  # type: ignore[arg-type]
+            self.assertLessEqual(timeout_ms, caller_front.LONGEST_DEADLINE_MS)
+            self.assertGreaterEqual(timeout_ms, caller_front.LEAST_TIMEOUT_MS)
+
+        digits = strategies.text(alphabet="0123456789²٣ -+.e", max_size=30)
+        checked(digits | strategies.text(max_size=10), check)
+
+
+class ProductBorderTest(unittest.TestCase):
+    """What our own processes and the sheet's planners send."""
+
+    def test_frame_of_a_link(self) -> None:
+        near = changed(REPORT).map(lambda plain: cbor2.dumps([0, 1, plain]))
+        deep = strategies.integers(1, 3000).map(lambda n: b"\x81" * n + b"\x00")
+
+        def check(frame: bytes) -> None:
+            try:
+                link._decode_frame(frame)
+            except errors.ProtocolError:
+                return
+
+        checked(near | deep | strategies.binary(max_size=64), check)
+
+    def test_sheet(self) -> None:
+        good = (platform_site.ROOT / "samples" / "guild.csv").read_bytes()
+
+        def check(data: bytes) -> None:
+            try:
+                sheet.parse_sheet(data)
+            except sheet.SheetInvalidError:
+                return
+
+        cells = strategies.tuples(
+            strategies.integers(0, len(good)), strategies.binary(max_size=9)
+        ).map(lambda cut: good[: cut[0]] + cut[1] + good[cut[0] + 3 :])
+        checked(cells | strategies.binary(max_size=64), check)
+
+    def test_link_to_an_address_that_can_not_be_read(self) -> None:
+        async def dial(address: str) -> None:
+            with self.assertRaises(errors.LinkClosedError):
+                await link.open_link(address=address, timeout_ms=50)
+
+        for address in ("", "127.0.0.1:99999", "[", "127.0.0.1:x"):
+            with self.subTest(address):
+                asyncio.run(dial(address))
+
+
+class JobLimitsTest(unittest.TestCase):
+    """One job can't end the replicas or the scheduling of all others."""
+
+    def accept(self, spec: jobs.JobSpec) -> bool:
+        command = job_commands.AcceptSteps(job="a", queue="forms", spec=spec)
+        return make.Jobs().state.accept(command, 0).ok
+
+    def test_job_with_too_many_tasks_is_refused(self) -> None:
+        """Guards against a log entry that ends each replica that applies it."""
+        # Just over the limits, so that this test bears the fault.
+        most = job_limits.MOST_TASKS
+        for spec in (
+            jobs.JobSpec(spec="w", steps=(make.step(most + 1),)),
+            jobs.JobSpec(spec="w", steps=(make.step(2),), repeats=most),
+            jobs.JobSpec(
+                spec="w", steps=(make.step(),) * (job_limits.MOST_STEPS + 1)
+            ),
+        ):
+            with self.subTest(len(spec.steps)):
+                self.assertFalse(self.accept(spec))
+                judge = admission.Admission(rooms=lambda _: [])
+                state = make.Jobs().state
+                verdict = judge.judge(state, make.queue(), spec)
+                assert verdict is not None
+                self.assertEqual(verdict.retry_after_ms, 0)
+
+    def test_need_below_zero_makes_no_room(self) -> None:
+        """Guards against workers that are given more than they have."""
+        for amount in (-60_000, 10**30):
+            step = make.step(need=make.need(millicores=amount))
+            spec = jobs.JobSpec(spec="w", steps=(step,))
+            with self.subTest(amount):
+                self.assertFalse(self.accept(spec))
+
+    def test_longest_chain_of_steps_can_be_ordered(self) -> None:
+        """Guards against a chain that ends each pass of the leader."""
+        first = make.step()
+        steps = (
+            first,
+            *(
+                make.step(after=(number,))
+                for number in range(job_limits.MOST_STEPS - 1)
+            ),
+        )
+        work = make.Jobs()
+        work.accept("a", *steps)
+        self.assertEqual(
+            ready_tasks.chain_ms(steps, range(len(steps))), 1000 * len(steps)
+        )
+        (task,) = ready_tasks.ready_tasks(
+            work.state, wall_ms=clock.Millis(0), failed_on={}
+        )
+        self.assertEqual(task.ref, make.ref())
+
+
+if __name__ == "__main__":
+    unittest.main()
