Judge the speed of runs at the moment when they were seen

Cause: an agent that wakes after a freeze of seconds reports the progress that it saw before, and the leader took the time since then for time in which its runs stood still: the worker counted as slow and its runs were stopped and started again elsewhere.

Change: a report says how old its view is; the leader judges speed once, at that moment, and no longer ages an old report.

--- a/bamboorouter/coordination/jobs/run_watch.py
+++ b/bamboorouter/coordination/jobs/run_watch.py
@@ -62,6 +62,9 @@
         self._health = worker_health.WorkerHealth()
         self._rejections: dict[jobs.TaskRef, _Rejection] = {}
         self._assigned_ms: dict[jobs.RunKey, int] = {}
+        self._progress: dict[
+            str, dict[jobs.RunKey, worker_speed.RunProgress]
+        ] = {}
         self._slowness: dict[str, float] = {}
         self._slowed_ms: dict[str, dict[jobs.RunKey, int]] = {}
         self._idle_ms: dict[str, int] = {}
@@ -98,7 +101,9 @@
         state: stepped_jobs.SteppedJobs,
     ) -> None:
         """Takes note of how fast runs go on."""
-        slowness = worker_speed.slowness(self._progress(report, state).values())
+        progress = self._progress_of(report, state)
+        self._progress[report.worker] = progress
+        slowness = worker_speed.slowness(progress.values())
         self._slowness.pop(report.worker, None)
         if slowness is not None:
             self._slowness[report.worker] = slowness
@@ -161,7 +166,7 @@
             return set()
         return {
             key
-            for key, run in self._progress(report, state).items()
+            for key, run in self._progress.get(report.worker, {}).items()
             if run.age_ms >= worker_speed.LEAST_AGE_MS
             and run.progress < worker_speed.RESCUE_PROGRESS
             and run.slowness() > worker_speed.SLOW_FACTOR
@@ -191,13 +196,17 @@
             and state.step(key[0]).checkpoints
         }
 
-    def _progress(
+    def _progress_of(
         self,
         report: job_messages.WorkerReport,
         state: stepped_jobs.SteppedJobs,
     ) -> dict[jobs.RunKey, worker_speed.RunProgress]:
-        """Returns the runs whose speed tells about their worker's."""
-        now = self.clock.now()
+        """Returns the runs whose speed tells about their worker's.
+
+        An agent that was frozen tells what it saw before; its runs got on
+        meanwhile.
+        """
+        seen_ms = self.clock.now() - report.view_age_ms
         found = {}
         for run in report.runs:
             key = (run.task, run.attempt)
@@ -207,7 +216,7 @@
             step = state.step(run.task)
             if not step.fills and not step.lasting:
                 found[key] = worker_speed.RunProgress(
-                    age_ms=now - assigned,
+                    age_ms=seen_ms - assigned,
                     progress=run.progress,
                     estimate_ms=step.estimate_ms,
                 )
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -150,6 +150,7 @@
         reachable: Whether the worker answered recently.
         runs: All runs that the agent has orders for and that have not ended.
         ends: All ends that the leader has not confirmed.
+        view_age_ms: How long ago the worker was seen as `runs` says.
     """
 
     worker: str
@@ -165,6 +166,7 @@
     reachable: bool
     runs: tuple[HeldRun, ...]
     ends: tuple[jobs.RunEnd, ...]
+    view_age_ms: int = 0
 
 
 class StartOrder(base.Wire, frozen=True, kw_only=True):
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -28,12 +28,14 @@
         self.session.announce(fake_worker.announcement())
         await self.until(self.reachable)
 
-    def new_session(self) -> agent_session.AgentSession:
+    def new_session(
+        self, time: clock.Clock | None = None
+    ) -> agent_session.AgentSession:
         session = agent_session.AgentSession(
             worker="agent-1",
             client=cast(control_client.ControlClient, self.leader),
             ports=self.worker,
-            time=clock.SystemClock(),
+            time=time or clock.SystemClock(),
         )
         session.start()
         self.addAsyncCleanup(session.stop)
@@ -194,6 +196,22 @@
         self.assertEqual(len(self.worker.starts), 1)
         self.assertEqual(self.hows(), [])
 
+    async def test_agent_that_was_paused_starts_nothing_on_its_old_grant(
+        self,
+    ) -> None:
+        """Guards against orders that were carried out after a pause."""
+        await self.session.stop()
+        self.leader.reports.clear()
+        time = clock.ManualClock(monotonic_ms=100_000)
+        self.session = self.new_session(time)
+        self.session.announce(fake_worker.announcement())
+        await self.until(self.reachable)
+        # It wakes up with an order in its hands, after its grant has ended.
+        time.advance(self.leader.lease_ms + 1)
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.hows() == ["rejected"])
+        self.assertEqual(self.worker.starts, [])
+
     async def test_unknown_session_is_opened_again(self) -> None:
         await self.order(fake_worker.start_orders(make.ref()))
         await self.until(lambda: self.worker.running)
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -344,19 +344,72 @@
             sorted(agent.stopped()), [make.ref(step=0), make.ref(step=2)]
         )
 
+    async def test_worker_whose_agent_was_frozen_does_not_count_as_slow(
+        self,
+    ) -> None:
+        """Guards against moving runs that got on while nobody looked."""
+        agents = [await self.agent(name) for name in ("w1", "w2", "w3")]
+        first = agents[0]
+        await self.submit("a", make.step(12))
+        await self.until(lambda: sum(len(a.started()) for a in agents) == 12)
+        self.time.advance(500)
+        for agent in agents:
+            await self.report(agent, runs=self.at_half(agent))
+        # The first agent freezes, and tells on waking what it saw before.
+        self.time.advance(2000)
+        stale = self.at_half(first)
+        await self.report(first, runs=stale, view_age_ms=2000)
+        await self.settle()
+        self.assertEqual(first.stopped(), [])
+        # Runs that don't get on while they are watched are moved.
+        self.time.advance(dispatcher.TICK_MS)
+        await self.report(first, runs=stale)
+        await self.until(first.stopped)
+
+    def at_half(self, agent: FakeAgent) -> tuple[job_messages.HeldRun, ...]:
+        return tuple(
+            job_messages.HeldRun(
+                task=task, attempt=1, running=True, progress=50
+            )
+            for task in agent.started()
+        )
+
     async def test_slowed_run_goes_on_elsewhere(self) -> None:
         agent = await self.agent()
         await self.submit("a", make.step(checkpoints=True, fills=True))
         await self.until(agent.started)
+        other = await self.agent("w2")
         slow = job_messages.HeldRun(
             task=make.ref(), attempt=1, running=True, pace=10
         )
+        self.time.advance(dispatcher.TICK_MS)
         await self.report(agent, runs=(slow,))
         await self.settle()
         self.assertEqual(agent.stopped(), [])
         self.time.advance(run_watch.SLOW_FOR_MS)
+        await self.report(other)
         await self.report(agent, runs=(slow,))
         await self.until(agent.stopped)
+        self.assertEqual(agent.stopped(), [make.ref()])
+
+    async def test_slowed_run_stays_while_all_others_are_full(self) -> None:
+        """Replays a burst in which stopped runs waited 30 s for room."""
+        agent = await self.agent()
+        await self.submit("a", make.step(checkpoints=True, fills=True))
+        await self.until(agent.started)
+        other = await self.agent("w2")
+        await self.submit("b", make.step(need=make.need(64_000)))
+        await self.until(other.started)
+        slow = job_messages.HeldRun(
+            task=make.ref(), attempt=1, running=True, pace=10
+        )
+        full = self.held(make.ref("b"))
+        for _ in range(3):
+            await self.report(agent, runs=(slow,))
+            await self.report(other, runs=(full,))
+            await self.settle()
+            self.time.advance(run_watch.SLOW_FOR_MS)
+        self.assertEqual(agent.stopped(), [])
 
 
 class DeskTest(DispatcherCase):
