Fence a worker's new life before its earlier runs count as lost

Cause, found by the first run of the new soak (seed 1): a worker that is born anew goes by its old name, so an order that its agent sends before it has heard of the new life is carried out there. The leader counted the earlier life's runs as lost when the session began and started them elsewhere: one task ran twice.

Change: a session that would lose runs begins in two steps. The leader gives its number without counting anything as lost; the agent looks at the new life with a token of that number, which voids all earlier orders, stops what they had started, and asks again with the ends. After a look that another life answered, nothing is sent any more.

Ruled out: giving up the runs by the token of the former session; an agent that has restarted doesn't know it.

Before: soak seed 1 ends a task twice; test_new_life_runs_no_order_of_the_earlier_one fails.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -165,10 +165,14 @@
             NotLeaderError: Nothing was decided.
             UnknownResultError: The session may begin later.
         """
+        await self._end(message.ends, message.worker, message.life)
         result = await job_proposals.propose(
             self.log,
             job_commands.OpenSession(
-                worker=message.worker, life=message.life, room=message.room
+                worker=message.worker,
+                life=message.life,
+                room=message.room,
+                fenced=message.fenced,
             ),
         )
         events.log(
@@ -177,9 +181,12 @@
             life=message.life,
             session=result.data["session"],
             lost=result.data["lost"],
+            opened=result.data["opened"],
             term=self.log.term(),
         )
-        return job_messages.WorkerSession(number=result.data["session"])
+        return job_messages.WorkerSession(
+            number=result.data["session"], opened=result.data["opened"]
+        )
 
     def _reply(
         self, report: job_messages.WorkerReport, *, known: bool
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -51,6 +51,10 @@
         """Whether the worker answered a look recently."""
         return now - self.answered_ms <= REACHABLE_MS
 
+    def doubt(self) -> None:
+        """Gives nothing new to the worker until it answers a look again."""
+        self.answered_ms = 0
+
     def until(self, now: int) -> int | None:
         """Returns the lease to give, on the worker's clock; None for none.
 
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -58,11 +58,14 @@
         worker: Name of the worker.
         life: The life.
         room: What the worker has in this life.
+        fenced: Whether no order for an earlier life can be carried out any
+            more; without that, nothing begins while there are such runs.
     """
 
     worker: str
     life: str
     room: common.Resources
+    fenced: bool = True
 
 
 class ForgetSteps(base.Wire, frozen=True, kw_only=True, tag=26):
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -89,11 +89,22 @@
 
 
 class OpenWorkerSession(base.Wire, frozen=True, kw_only=True, tag=140):
-    """Asks for a session with one life of an agent's worker."""
+    """Asks for a session with one life of an agent's worker.
+
+    Attributes:
+        worker: Name of the worker.
+        life: The life.
+        room: What the worker has in this life.
+        fenced: Whether the worker carries out no order for an earlier life any
+            more.
+        ends: Ends of such orders, which the present life had carried out.
+    """
 
     worker: str
     life: str
     room: common.Resources
+    fenced: bool = True
+    ends: tuple[jobs.RunEnd, ...] = ()
 
 
 class WorkerSession(base.Wire, frozen=True, kw_only=True, tag=141):
@@ -101,9 +112,12 @@
 
     Attributes:
         number: Number of the session; higher than all earlier ones.
+        opened: Whether it has begun; otherwise its number serves to fence off
+            orders for an earlier life, whose runs are not lost before that.
     """
 
     number: int
+    opened: bool = True
 
 
 class HeldRun(base.Wire, frozen=True, kw_only=True):
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -212,20 +212,31 @@
     def open_session(
         self, command: job_commands.OpenSession
     ) -> commands.Result:
-        """Begins a session; runs on earlier lives of the worker are lost."""
+        """Begins a session; runs on earlier lives of the worker are lost.
+
+        A new life under the same name may carry out an order that was sent to
+        the earlier one, so these runs aren't lost before they are fenced off.
+        """
         self.sessions += 1
-        self.lives[command.worker] = WorkerLife(
-            life=command.life, session=self.sessions, room=command.room
-        )
         lost = [
             jobs.RunEnd(task=ref, attempt=task.attempt, how="lost")
             for ref, task in self.on_worker.get(command.worker, {}).items()
             if task.life != command.life
         ]
-        for end in lost:
-            self._end_one(end)
+        opened = command.fenced or not lost
+        if opened:
+            self.lives[command.worker] = WorkerLife(
+                life=command.life, session=self.sessions, room=command.room
+            )
+            for end in lost:
+                self._end_one(end)
         return commands.Result(
-            ok=True, data={"session": self.sessions, "lost": len(lost)}
+            ok=True,
+            data={
+                "session": self.sessions,
+                "lost": len(lost) if opened else 0,
+                "opened": opened,
+            },
         )
 
     def note_checkpoints(
--- a/devtools/proxy.py
+++ b/devtools/proxy.py
@@ -89,11 +89,11 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
-        """Listens on a port chosen by the kernel."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listens on an address; port 0 lets the kernel choose one."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+        bound = self._server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{bound}"
 
     async def close(self) -> None:
         """Stops listening and resets all connections."""
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -159,6 +159,8 @@
         lease_ms: Lease that each answer grants.
         sessions: Number of sessions opened.
         knows: Whether the leader knows the newest session.
+        has_runs: Whether it knows of runs on an earlier life.
+        begun: All calls that began a session.
     """
 
     def __init__(self) -> None:
@@ -167,6 +169,8 @@
         self.lease_ms = 6000
         self.sessions = 0
         self.knows = True
+        self.has_runs = False
+        self.begun: list[job_messages.OpenWorkerSession] = []
 
     async def call(
         self, message: messages.Message, *, timeout_ms: int
@@ -174,7 +178,12 @@
         await asyncio.sleep(PAUSE_S)
         if isinstance(message, job_messages.OpenWorkerSession):
             self.sessions += 1
+            if self.has_runs and not message.fenced:
+                return job_messages.WorkerSession(
+                    number=self.sessions, opened=False
+                )
             self.knows = True
+            self.begun.append(message)
             return job_messages.WorkerSession(number=self.sessions)
         if not isinstance(message, job_messages.WorkerReport):
             raise errors.ProtocolError(text="unexpected", step="test")
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -128,6 +128,24 @@
         await self.until(lambda: self.hows() == ["lost"])
         self.assertEqual(self.leader.reports[-1].life, "w1@2")
 
+    async def test_new_life_runs_no_order_of_the_earlier_one(self) -> None:
+        """Replays soak seed 1: an order reached a worker just born anew.
+
+        The agent hadn't heard of the new life yet, which goes by the same
+        name; the run was counted as lost and started a second time.
+        """
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.worker.life = "w1@2"
+        self.worker.token = 0
+        self.leader.has_runs = True
+        self.session.announce(fake_worker.announcement(born_ms=2))
+        await self.until(lambda: len(self.leader.begun) == 2)
+        self.assertEqual(self.worker.running, {})
+        (end,) = self.leader.begun[-1].ends
+        self.assertEqual((end.task, end.how), (make.ref(), "stopped"))
+        self.assertTrue(self.leader.begun[-1].fenced)
+
     async def test_announcement_of_another_writer_takes_no_runs_away(
         self,
     ) -> None:
@@ -144,9 +162,9 @@
         self.worker.life = "w1@2"
         with mock.patch.object(
             self.worker, "open", side_effect=ValueError("port out of range")
-        ):
+        ) as opened:
             self.session.announce(fake_worker.announcement(born_ms=2))
-            await self.until(lambda: self.leader.sessions == 2)
+            await self.until(lambda: opened.called)
             await asyncio.sleep(0.05)
         await self.until(lambda: self.leader.reports[-1].life == "w1@2")
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,131 @@
+"""Guards the soak: its checks can fail, and short runs break no promise.
+
+Each seed that ever failed stays here as a regression case.
+"""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from devtools import soak
+from devtools import soak_checks
+from devtools import soak_schedule
+
+TASK = "5c0e.0.0.0"
+
+
+class ChecksTest(unittest.TestCase):
+    """Each promise is found broken when it is."""
+
+    def setUp(self) -> None:
+        self.history = soak_checks.History()
+        self.history.submitting("5c0e")
+        self.history.answered("5c0e", 200)
+
+    def start(self, worker: str = "w1", room_left: int = 0) -> None:
+        self.history.started(TASK, worker, room_left=room_left)
+
+    def broken(self) -> int:
+        return len(self.history.violations)
+
+    def test_nothing_is_broken_by_a_plain_run(self) -> None:
+        self.start()
+        self.history.ended(TASK, "w1", "done")
+        self.history.acknowledged(TASK, "done")
+        self.history.shown("5c0e", 200, "done")
+        self.history.finish()
+        self.assertEqual(self.history.violations, [])
+
+    def test_two_runs_at_once(self) -> None:
+        self.start()
+        self.start("w2")
+        self.assertEqual(self.broken(), 1)
+
+    def test_start_after_an_acknowledged_end(self) -> None:
+        self.start()
+        self.history.ended(TASK, "w1", "done")
+        self.history.acknowledged(TASK, "done")
+        self.start()
+        self.assertEqual(self.broken(), 1)
+
+    def test_two_done_ends(self) -> None:
+        for _ in range(2):
+            self.start()
+            self.history.ended(TASK, "w1", "done")
+        self.assertEqual(self.broken(), 1)
+
+    def test_worker_over_its_room(self) -> None:
+        self.start(room_left=-1)
+        self.assertEqual(self.broken(), 1)
+
+    def test_task_that_nobody_submitted(self) -> None:
+        self.history.started("other.0.0.0", "w1", room_left=0)
+        self.assertEqual(self.broken(), 1)
+
+    def test_refused_job_that_runs(self) -> None:
+        self.history.submitting("no")
+        self.history.answered("no", 429)
+        self.history.started("no.0.0.0", "w1", room_left=0)
+        self.history.ended("no.0.0.0", "w1", "done")
+        self.history.shown("5c0e", 200, "done")
+        self.history.finish()
+        self.assertEqual(self.broken(), 1)
+
+    def test_accepted_job_that_is_lost(self) -> None:
+        self.history.shown("5c0e", 410, "")
+        self.history.finish()
+        self.assertEqual(self.broken(), 2)
+
+    def test_job_shown_done_while_it_runs(self) -> None:
+        self.start()
+        self.history.shown("5c0e", 200, "done")
+        self.assertEqual(self.broken(), 1)
+
+    def test_configuration_that_goes_back(self) -> None:
+        self.history.configured(4)
+        self.history.read_back(3, at_least=self.history.known_version())
+        self.assertEqual(self.broken(), 1)
+
+
+class ScheduleTest(unittest.TestCase):
+    """A seed is enough to play the same faults again."""
+
+    def test_seed_decides_the_schedule(self) -> None:
+        first, second, other = (
+            soak_schedule.schedule(
+                seed, seconds=30, controls=3, entries=2, workers=4
+            )
+            for seed in (7, 7, 8)
+        )
+        self.assertEqual(first, second)
+        self.assertNotEqual(first, other)
+        self.assertGreater(len(first), 10)
+
+
+class SeededRunTest(unittest.TestCase):
+    """Real processes keep their promises under faults from outside."""
+
+    def play(self, seed: int, seconds: float = 8.0) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            history = asyncio.run(
+                soak.play(
+                    seed=seed,
+                    seconds=seconds,
+                    workers=3,
+                    path=pathlib.Path(folder),
+                )
+            )
+        self.assertEqual(history.violations, [])
+        self.assertGreater(history.counts["ended done"], 20)
+
+    def test_seed_1(self) -> None:
+        """Once a run went on twice: an order reached a worker born anew."""
+        self.play(1, seconds=10.0)
+
+    def test_fresh_seed_of_ci(self) -> None:
+        self.play(4121)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_stepped_jobs.py
+++ b/tests/test_stepped_jobs.py
@@ -118,6 +118,19 @@
         self.assertEqual((task.status, task.checkpoint), ("waiting", "half"))
         self.assertEqual(self.jobs.state.used_on("w1").millicores, 0)
 
+    def test_new_life_loses_no_runs_before_they_are_fenced_off(self) -> None:
+        self.jobs.start(make.ref())
+        command = job_commands.OpenSession(
+            worker="w1", life="w1@2", room=make.ROOM, fenced=False
+        )
+        result = self.jobs.state.open_session(command)
+        self.assertFalse(result.data["opened"])
+        self.assertEqual(self.jobs.task(make.ref()).status, "assigned")
+        self.assertEqual(self.jobs.state.lives["w1"].life, "w1@1")
+        self.jobs.end(make.ref(), "stopped")
+        result = self.jobs.state.open_session(command)
+        self.assertTrue(result.data["opened"])
+
     def test_new_session_with_the_same_life_keeps_its_runs(self) -> None:
         self.jobs.start(make.ref())
         self.jobs.open(life="w1@1")
