--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -91,6 +91,8 @@
                 self.role,
                 env={
                     **os.environ,
+                    # This checkout's code, whatever else is installed.
+                    "PYTHONPATH": str(ROOT),
                     "BAMBOOROUTER_NODE_FILE": str(self.settings),
                 },
                 stdin=asyncio.subprocess.DEVNULL,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -112,7 +112,7 @@
                 soak.play(
                     seed=seed,
                     seconds=seconds,
-                    workers=3,
+                    workers=4,
                     path=pathlib.Path(folder),
                 )
             )
