Count a repeated end in the soak only once it was acknowledged

The platform's rule counts only ends that are taken note of; the check now finds each start after an end that is acknowledged then or later, which is as strict as that rule.

--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -46,7 +46,9 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._jobs: dict[str, _Job] = {}
         self._running: dict[str, set[str]] = {}
-        self._done: set[str] = set()
+        self._starts: collections.Counter[str] = collections.Counter()
+        # Starts of a task until one of its runs was done.
+        self._starts_until_done: dict[tuple[str, int], int] = {}
         self._acknowledged: set[str] = set()
         self._started_jobs: set[str] = set()
         self._version = 0
@@ -95,6 +97,7 @@
             room_left: Processor time left on it, in thousandths.
         """
         self.counts["starts"] += 1
+        self._starts[task] += 1
         job = task.partition(".")[0]
         self._started_jobs.add(job)
         if job not in self._jobs:
@@ -110,19 +113,24 @@
             self._broken(f"{task} was started after its job was done")
         places.add(worker)
 
-    def ended(self, task: str, worker: str, how: str) -> None:
+    def ended(self, task: str, worker: str, attempt: int, how: str) -> None:
         """Notes the end of a run."""
         self.counts[f"ended {how}"] += 1
         self._running.get(task, set()).discard(worker)
         if how == "done":
-            if task in self._done:
-                self._broken(f"{task} was done twice")
-            self._done.add(task)
+            self._starts_until_done[task, attempt] = self._starts[task]
 
-    def acknowledged(self, task: str, how: str) -> None:
-        """Notes that an end was acknowledged."""
-        if how == "done":
-            self._acknowledged.add(task)
+    def acknowledged(self, task: str, attempt: int, how: str) -> None:
+        """Notes that an end was acknowledged.
+
+        An end that a worker forgot in a crash may be repeated; one that counts
+        must be the last run of its task.
+        """
+        if how != "done":
+            return
+        self._acknowledged.add(task)
+        if self._starts[task] > self._starts_until_done[task, attempt]:
+            self._broken(f"{task} was started after an end that counts")
 
     # --- Operator ------------------------------------------------------------
 
--- a/devtools/soak_worker.py
+++ b/devtools/soak_worker.py
@@ -104,8 +104,8 @@
 
     def crash(self) -> None:
         """Loses everything and is born anew under the same name."""
-        for task in list(self._runs):
-            self._history.ended(task, self.life, "lost")
+        for task, run in self._runs.items():
+            self._history.ended(task, self.life, run.attempt, "lost")
         self._begin_life()
 
     # --- Time ----------------------------------------------------------------
@@ -206,7 +206,7 @@
         self._extend(body.get("untilMs", 0))
         for row in self._ended:
             if row[0] <= body["ackCursor"]:
-                self._history.acknowledged(row[1], row[3])
+                self._history.acknowledged(row[1], row[2], row[3])
         self._ended = [r for r in self._ended if r[0] > body["ackCursor"]]
         for _ in range(int(body.get("waitMs", 0) / 1000 / TICK_S)):
             if self._ended:
@@ -227,7 +227,7 @@
         run = self._runs.pop(task)
         self._count += 1
         self._ended.append([self._count, task, run.attempt, how, ""])
-        self._history.ended(task, self.life, how)
+        self._history.ended(task, self.life, run.attempt, how)
 
     def _rejected(
         self, request: web.Request, body: dict[str, Any]
