--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo lint format
+.PHONY: setup test demo soak lint format
 
 setup: $(VENV)/.installed
 
@@ -18,6 +18,9 @@
 demo: setup
 	$(BIN)/python -m devtools.demo
 
+soak: setup
+	$(BIN)/python -m devtools.soak --runs 10
+
 lint: setup
 	$(BIN)/python -m pyink --quiet --check bamboorouter devtools platform tests
 	$(BIN)/python -m ruff check --quiet .
