Acknowledge no end of a worker by a number of its earlier life

A worker that is born anew under its old name counts its ends anew; a look that reached it before the agent knew made it forget an end that nobody had taken note of, so the task was run again after an end that counts.

Change: a number is sent until one look that carries it was answered, and never by the first look after one that failed.

Ruled out: recognising the life in the call; the platform names it only in answers.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -386,10 +386,12 @@
         """Asks the worker what it runs; returns whether it answered."""
         sent = self.clock.now()
         token = session.token
+        acknowledged = session.to_acknowledge(self.held.acknowledged)
+        session.sure = False
         try:
             view = await session.port.look(
                 token=token,
-                acknowledged=self.held.acknowledged,
+                acknowledged=acknowledged,
                 until_ms=session.until(sent),
                 wait_ms=wait_ms,
             )
@@ -410,6 +412,8 @@
         if not session.reachable(now):
             self._report_due.set()
         session.answered_ms = now
+        session.sure = True
+        session.acknowledged = max(session.acknowledged, acknowledged)
         if self.held.settle(view, token=token, sent_ms=sent):
             self._confirmed.clear()
             self._report_due.set()
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -31,6 +31,10 @@
         pacer: Speed of its filling runs.
         grant_end_ms: Until when runs may go on, on the agent's clock.
         answered_ms: When a look was answered last.
+        acknowledged: Ends up to this number were acknowledged by a look that
+            was answered.
+        sure: Whether the last look was answered, so that the next call will
+            hardly reach another life.
         weights: How much a filling image (second) disturbs a serving one
             (first), as the leader has learned.
     """
@@ -43,6 +47,8 @@
     pacer: pacing.Pacer
     grant_end_ms: int = 0
     answered_ms: int = 0
+    acknowledged: int = 0
+    sure: bool = False
     weights: dict[jobs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
@@ -51,6 +57,16 @@
         """Whether the worker answered a look recently."""
         return now - self.answered_ms <= REACHABLE_MS
 
+    def to_acknowledge(self, confirmed: int) -> int:
+        """Returns up to which number the next look acknowledges ends.
+
+        Another life may go by the same name and counts its ends anew, so
+        nothing is acknowledged twice, nor right after a look that failed.
+        """
+        if not self.sure or confirmed <= self.acknowledged:
+            return 0
+        return confirmed
+
     def doubt(self) -> None:
         """Gives nothing new to the worker until it answers a look again."""
         self.answered_ms = 0
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -30,10 +30,12 @@
         delayed: Unanswered start orders that it hasn't carried out.
         starts: All start orders that it has carried out.
         life: The life that answers.
+        cursors: Acknowledged numbers of all looks, with the life they reached.
     """
 
     def __init__(self) -> None:
         self.life = "w1@1"
+        self.cursors: list[tuple[str, int]] = []
         self._opened = ""
         self.running: dict[jobs.TaskRef, int] = {}
         self.ends: list[worker_port.EndedRow] = []
@@ -102,13 +104,14 @@
         wait_ms: int,
     ) -> worker_port.WorkerView:
         await asyncio.sleep(PAUSE_S)
+        self.cursors.append((self.life, acknowledged))
         self._answer()
         if self._opened != self.life:
             raise worker_port.OtherLifeError(
                 text=self.life, step="test", peer="worker"
             )
         self._check(token)
-        self.acknowledged = acknowledged
+        self.acknowledged = max(self.acknowledged, acknowledged)
         self.ends = [row for row in self.ends if row.number > acknowledged]
         self.until_ms = max(self.until_ms, until_ms or 0)
         return worker_port.WorkerView(
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -146,6 +146,24 @@
         self.assertEqual((end.task, end.how), (make.ref(), "stopped"))
         self.assertTrue(self.leader.begun[-1].fenced)
 
+    async def test_new_life_is_told_no_numbers_of_the_earlier_one(self) -> None:
+        """Replays soak seed 7: a look reached a worker just born anew.
+
+        It acknowledged ends up to a number of the earlier life, so the new
+        one forgot an end that nobody had taken note of.
+        """
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.worker.finish(make.ref(), "done")
+        await self.until(lambda: self.worker.acknowledged == 1)
+        await self.until(lambda: self.worker.cursors[-1] == ("w1@1", 0))
+        self.worker.life = "w1@2"
+        await self.until(
+            lambda: [life for life, _ in self.worker.cursors].count("w1@2") > 3
+        )
+        told = {cursor for life, cursor in self.worker.cursors if "@2" in life}
+        self.assertEqual(told, {0})
+
     async def test_announcement_of_another_writer_takes_no_runs_away(
         self,
     ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -132,6 +132,10 @@
         """Once a run went on twice: an order reached a worker born anew."""
         self.play(1, seconds=10.0)
 
+    def test_seed_7(self) -> None:
+        """Once a worker born anew forgot an end by its former life's number."""
+        self.play(7, seconds=11.0)
+
     def test_fresh_seed_of_ci(self) -> None:
         self.play(4121)
 
