--- a/bamboorouter/coordination/jobs/start_advice.py
+++ b/bamboorouter/coordination/jobs/start_advice.py
@@ -15,7 +15,6 @@
 from typing import Protocol
 
 from bamboorouter import clock
-from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter.coordination.policies import advised_starts
 from bamboorouter.coordination.policies import run_placement
@@ -155,11 +154,12 @@
                 allowed=len(advice.tickets),
                 took_ms=self.clock.now() - sent,
             )
-        except errors.RouterError as err:
+        except Exception as err:  # pylint: disable=broad-except
+            # Whatever the service answered, it is asked again, not at once.
             events.log(
                 events.ADVICE_FAILED,
                 step="/".join(map(str, question.key)),
-                error=str(err),
+                error=repr(err),
                 pause_ms=self._pause_ms,
             )
             await asyncio.sleep(clock.seconds(self._pause_ms))
--- a/tests/test_start_advice.py
+++ b/tests/test_start_advice.py
@@ -98,12 +98,16 @@
         allowed: Lives that may run everything.
         busy: How many questions are turned away from now on.
         questions: All questions.
+        error: What a question that is turned away ends with.
     """
 
     def __init__(self, *allowed: str) -> None:
         self.allowed = allowed
         self.busy = 0
         self.questions: list[tuple[str, ...]] = []
+        self.error: Exception = errors.RequestTimeoutError(
+            text="busy", step="advise"
+        )
 
     async def ask(
         self, key: advised_starts.StepKey, lives: Sequence[str]
@@ -112,7 +116,7 @@
         await asyncio.sleep(0)
         if self.busy:
             self.busy -= 1
-            raise errors.RequestTimeoutError(text="busy", step="advise")
+            raise self.error
         return start_advice.Advice(
             tickets={life: "t-1" for life in lives if life in self.allowed},
             valid_ms=3000,
@@ -162,6 +166,16 @@
         await self.until(agent.started)
         self.assertEqual(len(self.source.questions), 3)
 
+    async def test_unexpected_error_is_not_repeated_at_once(self) -> None:
+        self.source.busy = 1000
+        self.source.error = KeyError("worker")
+        await self.agent("w2")
+        await self.submit("a")
+        await asyncio.sleep(0.3)
+        # Pauses of 50, 100 and 200 ms.
+        self.assertLessEqual(len(self.source.questions), 3)
+        self.assertGreater(len(self.source.questions), 1)
+
     async def test_rejected_start_is_asked_for_again(self) -> None:
         agent = await self.agent("w2")
         await self.submit("a")
