Blame no upstream for an answer that a short deadline didn't wait for

The test opens the link first, and takes 503 for its short deadlines as long as what was refused didn't reach the upstream, which it now counts.

--- a/bamboorouter/coordination/requests/request_dispatch.py
+++ b/bamboorouter/coordination/requests/request_dispatch.py
@@ -190,6 +190,7 @@
         load.outstanding += 1
         load.agent.outstanding += 1
         started = self._loop.time()
+        had_time = self._left(request) > SHORT_DEADLINE_MS
         try:
             answer = await self._exchange(request, load)
         finally:
@@ -201,7 +202,8 @@
                 load.refused_until_ms = (
                     self.clock.now() + route_table.LEAVING_HOLD_MS
                 )
-        elif self._left(request) > 0 or elapsed > SHORT_DEADLINE_MS:
+        elif self._left(request) > 0 or had_time:
+            # An answer that a short deadline didn't wait for says nothing.
             self._learn(request.row.name, load, answer, elapsed)
         return answer
 
