--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -26,6 +26,7 @@
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import run_lease
+from bamboorouter.coordination.workers import session_opening
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.coordination.workers import worker_session
 from bamboorouter.protocol import job_messages
@@ -43,11 +44,7 @@
 # A confirmation takes two hops and a commit.
 CONFIRM_MS: Final = 150
 SESSION_PAUSE_MS: Final = 100
-# One session's tokens; a session raises its token once for a lost answer.
-TOKENS_OF_SESSION: Final = 1 << 20
 START_ATTEMPTS: Final = 4
-# A stop takes 0.9 s at most; looks come each 100 ms.
-FENCE_ATTEMPTS: Final = 20
 RETRY_PAUSE_MS: Final = 50
 # An older announcement counts only once the newer life is silent this long.
 SILENT_LIFE_MS: Final = 5000
@@ -239,7 +236,12 @@
                 lease = former.lease
         port = self.ports.open(announcement)
         try:
-            number = await self._agree_on_session(announcement, port)
+            number = await session_opening.agree_on_session(
+                worker=self.worker,
+                announcement=announcement,
+                client=self.client,
+                port=port,
+            )
         except errors.RouterError as err:
             events.log(
                 events.SESSION_FAILED, worker=self.worker, error=str(err)
@@ -254,85 +256,11 @@
             announcement=self._announced or announcement,
             number=number,
             port=port,
-            token=number * TOKENS_OF_SESSION,
+            token=session_opening.first_token(number),
             lease=lease,
             pacer=pacing.Pacer(),
         )
 
-    async def _agree_on_session(
-        self,
-        announcement: worker_port.Announcement,
-        port: worker_port.WorkerPort,
-    ) -> int:
-        """Returns the number of a session that the leader has begun.
-
-        An order for an earlier life may reach this one, which goes by the same
-        name. The leader starts the runs of the earlier life elsewhere as soon
-        as the session begins, so such orders are fenced off before.
-
-        Raises:
-            RouterError: No leader or no worker answered.
-        """
-        offered = await self._ask_for_session(announcement, fenced=False)
-        if offered.opened:
-            return offered.number
-        ends = await self._fence_off(port, offered.number * TOKENS_OF_SESSION)
-        begun = await self._ask_for_session(
-            announcement, fenced=True, ends=ends
-        )
-        return begun.number
-
-    async def _ask_for_session(
-        self,
-        announcement: worker_port.Announcement,
-        *,
-        fenced: bool,
-        ends: tuple[jobs.RunEnd, ...] = (),
-    ) -> job_messages.WorkerSession:
-        reply = await self.client.call(
-            job_messages.OpenWorkerSession(
-                worker=self.worker,
-                life=announcement.life,
-                room=announcement.room,
-                fenced=fenced,
-                ends=ends,
-            ),
-            timeout_ms=REPORT_TIMEOUT_MS,
-        )
-        if not isinstance(reply, job_messages.WorkerSession):
-            raise errors.ProtocolError(
-                text=f"unexpected {type(reply).__name__}",
-                step="open session",
-                peer=self.worker,
-            )
-        return reply
-
-    async def _fence_off(
-        self, port: worker_port.WorkerPort, token: int
-    ) -> tuple[jobs.RunEnd, ...]:
-        """Voids all earlier orders and stops what they had started.
-
-        Returns:
-            The ends of what they had started.
-
-        Raises:
-            RouterError: The worker didn't answer or runs went on.
-        """
-        for _ in range(FENCE_ATTEMPTS):
-            view = await port.look(
-                token=token, acknowledged=0, until_ms=None, wait_ms=0
-            )
-            if not view.running:
-                return tuple(row.end for row in view.ended)
-            for row in view.running:
-                await port.stop(row.task, row.attempt, token=token)
-            await asyncio.sleep(clock.seconds(LOOK_PAUSE_MS))
-        raise worker_port.NoAnswerError(
-            text="runs of an earlier life go on",
-            step="fence off",
-            peer=self.worker,
-        )
-
     async def _serve(self, session: worker_session.Session) -> None:
         """Runs a session until the worker's life or the session changes."""
         self.session = session
