Print the logs of a site when its test fails

Cause: unittest runs each cleanup in its own outcome, whose success is true again, so the cleanup that prints the logs took every test as passed. The result already lists the failures and errors by then. Before: tests.test_site_case fails in two of three tests; after: passes.

--- a/tests/site_case.py
+++ b/tests/site_case.py
@@ -177,6 +177,7 @@
         self.assertEqual(journal.capacity_violations(records, capacity), [])
 
     def _print_logs(self, running: site.Site) -> None:
-        outcome = self._outcome  # type: ignore[attr-defined]
-        if not outcome.success:
+        # `success` of the outcome describes the running cleanup, not the test.
+        result = self._outcome.result  # type: ignore[attr-defined]
+        if any(test is self for test, _ in result.failures + result.errors):
             print(running.tails())
