Poll a worker after a pause before its runs count as lost

The lease had expired, so all runs were reported as lost, and the leader repeated runs that had ended meanwhile; the next poll listed their ends. Runs are now lost only after an unanswered poll that was sent after the lease had expired, and during which the agent wasn't paused.

Before: 2 of 3 new tests of the agent's session fail (a paused agent; a paused agent under a new leader); after: all pass. The third holds the other side: a worker that stays silent still loses its runs.

Ruled out: the leader's side. A leader that wakes holds no valid lease, and its first tick steps down before it sends anything, since its last contact with a majority is older than an election timeout; the next leader counts all leases from its election.

The soak's check is replaced by the platform's rule: an end doesn't count as acknowledged if the worker's lease expired in between.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -44,6 +44,9 @@
 REPORT_BATCH_MS: Final = 3
 POLL_WAIT_MS: Final = 500
 POLL_RETRY_PAUSE_MS: Final = 100
+# A poll that doesn't wait for an end fails within 0.7 s, unless this process
+# was paused meanwhile.
+MAX_FAILED_POLL_MS: Final = 1000
 # The leader's confirmation of an end takes two network hops and a commit.
 CONFIRMATION_WAIT_MS: Final = 150
 SESSION_RETRY_PAUSE_MS: Final = 100
@@ -315,10 +318,11 @@
     async def _poll_loop(self, session: worker_session.Session) -> None:
         wait_ms = 0
         while True:
+            sent_ms = self.clock.now()
             answered = await self._poll(session, wait_ms)
             wait_ms = POLL_WAIT_MS if answered else 0
             if not answered:
-                self._end_runs_if_lease_expired(session)
+                self._end_runs_if_lease_expired(session, sent_ms)
                 await asyncio.sleep(clock.seconds(POLL_RETRY_PAUSE_MS))
             elif self.held.ends:
                 # The worker answers a poll immediately while it has ends that
@@ -370,11 +374,23 @@
         return True
 
     def _end_runs_if_lease_expired(
-        self, session: worker_session.Session
+        self, session: worker_session.Session, polled_ms: int
     ) -> None:
-        """Declares all runs lost once the worker's lease has expired."""
+        """Declares all runs lost once the worker's lease has expired.
+
+        If this process was paused, the lease may have expired although the
+        worker answers, and the worker may list ends of the runs. Runs are
+        therefore lost only after an unanswered poll that was sent after the
+        lease had expired, and during which this process wasn't paused.
+
+        Args:
+            session: The current session.
+            polled_ms: Time at which the last unanswered poll was sent, in ms
+                on the agent's clock.
+        """
         now = self.clock.now()
-        if self.held.runs and session.lease.expired(now):
+        paused = now - polled_ms > MAX_FAILED_POLL_MS
+        if self.held.runs and session.lease.expired(polled_ms) and not paused:
             lost = self.held.end_all("lost")
             events.log(
                 events.WORKER_LOST,
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -132,16 +132,34 @@
         if how == "done":
             self._starts_until_done[task, attempt] = self._starts[task]
 
-    def record_acknowledgement(self, task: str, attempt: int, how: str) -> None:
+    def record_acknowledgement(
+        self, task: str, attempt: int, how: str, *, lease_expired: bool
+    ) -> None:
         """Records that the system acknowledged the end of a run to its worker.
 
-        A run whose end was lost in a crash of the worker may be repeated. A
-        run whose end "done" was acknowledged must be the last of its task.
+        A run whose end was lost in a crash of the worker may be repeated, and
+        so may one whose end the worker couldn't report before its lease
+        expired: the system can't tell it from a run that the expiry stopped.
+        Any other run whose end "done" was acknowledged must be the last of its
+        task.
+
+        Args:
+            task: Name of the task.
+            attempt: Attempt that ended.
+            how: How the run ended.
+            lease_expired: Whether the worker's lease expired between the end
+                and its acknowledgement.
         """
         if how != "done":
             return
+        started_again = (
+            self._starts[task] > self._starts_until_done[task, attempt]
+        )
+        if lease_expired:
+            self.counts["repeated after an expired lease"] += started_again
+            return
         self._acknowledged.add(task)
-        if self._starts[task] > self._starts_until_done[task, attempt]:
+        if started_again:
             self._add_violation(
                 f"{task} was started after its acknowledged end"
             )
--- a/devtools/soak_worker.py
+++ b/devtools/soak_worker.py
@@ -72,6 +72,8 @@
         self._lease_end_ms = 0
         self._runs: dict[str, _Run] = {}
         self._unacknowledged_ends: list[list[Any]] = []
+        # Number of the last end before the lease last expired.
+        self._last_end_before_expiry = 0
         self._highest_attempts: dict[str, int] = {}
 
     @property
@@ -120,7 +122,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = time.monotonic()
-            expired = self._runs and self._clock_ms() > self._lease_end_ms
+            expired = self._expire_lease()
             for task, run in list(self._runs.items()):
                 if expired:
                     self._end(task, "lapsed")
@@ -217,7 +219,12 @@
         self._extend_lease(body.get("untilMs", 0))
         for row in self._unacknowledged_ends:
             if row[0] <= body["ackCursor"]:
-                self._history.record_acknowledgement(row[1], row[2], row[3])
+                self._history.record_acknowledgement(
+                    row[1],
+                    row[2],
+                    row[3],
+                    lease_expired=row[0] <= self._last_end_before_expiry,
+                )
         self._unacknowledged_ends = [
             r for r in self._unacknowledged_ends if r[0] > body["ackCursor"]
         ]
@@ -233,7 +240,15 @@
         ]
         return self._answer(running=running, finished=self._unacknowledged_ends)
 
+    def _expire_lease(self) -> bool:
+        """Returns whether the lease has expired; records the ends before it."""
+        expired = self._clock_ms() > self._lease_end_ms
+        if expired:
+            self._last_end_before_expiry = self._end_count
+        return expired
+
     def _extend_lease(self, until_ms: int) -> None:
+        self._expire_lease()
         latest_ms = self._clock_ms() + MAX_LEASE_MS
         self._lease_end_ms = max(self._lease_end_ms, min(until_ms, latest_ms))
 
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -11,6 +11,7 @@
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import agent_session
 from bamboorouter.coordination.workers import run_lease
+from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import job_messages
 from tests import fake_worker
 from tests import job_builders as make
@@ -121,6 +122,66 @@
         # The fake worker and the agent use the same clock.
         self.assertGreater(time.now(), self.worker.lease_end_ms)
 
+    async def start_paused_run(self) -> None:
+        """Starts a run, then pauses the agent for longer than its lease.
+
+        The pause falls into a poll that gets no answer. The run ends meanwhile.
+        """
+        await self.session.stop()
+        self.leader.reports.clear()
+        time = clock.ManualClock(monotonic_ms=100_000)
+        self.session = self.new_session(time)
+        self.session.announce(fake_worker.announcement())
+        await self.until(self.reachable)
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        paused = asyncio.Event()
+
+        async def poll_during_pause(**_: Any) -> worker_port.WorkerView:
+            time.advance(2 * self.leader.lease_ms)
+            self.worker.finish(make.ref(), "done")
+            patched.stop()
+            paused.set()
+            raise worker_port.NoAnswerError(
+                text="no answer", step="test", peer="worker"
+            )
+
+        patched = mock.patch.object(
+            self.worker, "poll", side_effect=poll_during_pause
+        )
+        patched.start()
+        await asyncio.wait_for(paused.wait(), fake_worker.WAIT_S)
+
+    async def test_paused_agent_polls_before_it_reports_runs_as_lost(
+        self,
+    ) -> None:
+        """Guards against repeating a run that ended while its agent was paused.
+
+        The agent reported the run as lost because its lease had expired, and
+        learned the end from the next poll. Found by the soak test with seed
+        9104.
+        """
+        await self.start_paused_run()
+        await self.until(self.outcomes)
+        self.assertEqual(self.outcomes(), ["done"])
+
+    async def test_paused_agent_of_a_new_leader_polls_before_it_reports(
+        self,
+    ) -> None:
+        await self.start_paused_run()
+        self.leader.knows_session = False
+        await self.until(self.outcomes)
+        self.assertEqual(self.outcomes(), ["done"])
+
+    async def test_paused_agent_reports_lost_runs_of_a_silent_worker(
+        self,
+    ) -> None:
+        await self.start_paused_run()
+        self.worker.ends.clear()
+        self.worker.silent = True
+        await self.until(self.outcomes)
+        self.assertEqual(self.outcomes(), ["lost"])
+
     async def test_new_life_loses_the_runs_of_the_earlier_one(self) -> None:
         await self.order(fake_worker.start_orders(make.ref()))
         await self.until(lambda: self.worker.running)
