--- a/bamboorouter/coordination/log/self_repair.py
+++ b/bamboorouter/coordination/log/self_repair.py
@@ -21,6 +21,8 @@
 JOIN_PAUSE_MS: Final = 300
 JOIN_TIMEOUT_MS: Final = 2000
 CHECK_PERIOD_MS: Final = 250
+# Replicas that start with the leader have joined by then.
+JOIN_PERIOD_MS: Final = 10_000
 # A member that knows no leader for this long, the duration of several elections,
 # sends a join request.
 NO_LEADER_TIMEOUT_MS: Final = 5000
@@ -51,6 +53,7 @@
         self._last_leader_known_ms = time.now()
         self._leading_since_ms = 0
         self._leading_term = 0
+        self._reported_term = 0
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -117,10 +120,12 @@
         await asyncio.sleep(clock.seconds(JOIN_PAUSE_MS))
 
     async def _repair(self) -> None:
+        views = self._member_views()
         change = member_repair.next_change(
-            self._member_views(), tolerated=self.tolerated_losses
+            views, tolerated=self.tolerated_losses
         )
         if change is None:
+            self._report_missing_voters(views)
             return
         events.log(
             events.MEMBERS_REPAIRED,
@@ -133,6 +138,27 @@
         else:
             await self.replica.remove(change.member)
 
+    def _report_missing_voters(
+        self, views: list[member_repair.MemberView]
+    ) -> None:
+        """Logs once a term that too few replicas have joined the group."""
+        missing = member_repair.missing_voters(views, self.tolerated_losses)
+        leading_ms = self.clock.now() - self._leading_since_ms
+        if (
+            not missing
+            or leading_ms < JOIN_PERIOD_MS
+            or self._reported_term == self._leading_term
+        ):
+            return
+        self._reported_term = self._leading_term
+        events.log(
+            events.VOTERS_MISSING,
+            missing=missing,
+            tolerated_losses=self.tolerated_losses,
+            members=len(views),
+            term=self._leading_term,
+        )
+
     def _member_views(self) -> list[member_repair.MemberView]:
         status = self.replica.status()
         now = self.clock.now()
--- a/bamboorouter/coordination/policies/member_repair.py
+++ b/bamboorouter/coordination/policies/member_repair.py
@@ -63,6 +63,12 @@
     return max(1, min(2 * tolerated + 1, most))
 
 
+def missing_voters(members: Iterable[MemberView], tolerated: int) -> int:
+    """Returns how many voters the group lacks to tolerate that many losses."""
+    voters = sum(member.voter for member in members)
+    return max(0, 2 * tolerated + 1 - voters)
+
+
 def next_change(
     members: Sequence[MemberView], *, tolerated: int
 ) -> Change | None:
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -550,6 +550,12 @@
     "The placement advice service is busy or does not answer; the request is"
     " retried after a pause.",
 )
+VOTERS_MISSING: Final = _define_event(
+    619,
+    "voters_missing",
+    logging.WARNING,
+    "Fewer replicas have joined the group than the tolerated losses need.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
--- a/tests/test_member_repair.py
+++ b/tests/test_member_repair.py
@@ -41,6 +41,12 @@
         ]
         self.assertEqual(voter_counts, [3, 5, 5, 3, 1])
 
+    def test_voters_that_the_tolerated_losses_need_are_counted(self) -> None:
+        voters = [member("a"), member("b"), member("c")]
+        learner = member("d", voter=False)
+        self.assertEqual(member_repair.missing_voters(voters, 1), 0)
+        self.assertEqual(member_repair.missing_voters([*voters, learner], 2), 2)
+
     def test_replica_with_a_lost_folder_is_replaced(self) -> None:
         group = [member("a"), member("b"), member("c", address="x")]
         successor = member("c2", address="x", voter=False, caught_up=False)
