Repeat the opening packet of a link sooner than the kernel does

Change: transport.connecting attempts further connections every 100 ms until one opens, and keeps the earlier attempts, so that a long round-trip time does no harm.

--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -28,6 +28,7 @@
 from bamboorouter import metrics
 from bamboorouter.protocol import codec
 from bamboorouter.protocol import messages
+from bamboorouter.transport import connecting
 
 MAX_FRAME_BYTES: Final = 8 * 1024 * 1024
 # Limits how long opening a link may take, and closing it as well.
@@ -288,15 +289,18 @@
         LinkClosedError: The peer can't be reached.
     """
     try:
-        socket = await websockets.asyncio.client.connect(
-            f"ws://{address}{LINK_PATH}",
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            open_timeout=clock.seconds(timeout_ms),
-            close_timeout=clock.seconds(OPEN_TIMEOUT_MS),
-            ping_interval=None,
-            proxy=None,
-        )
+        async with asyncio.timeout(clock.seconds(timeout_ms)):
+            connection = await connecting.open_connection(address)
+            socket = await websockets.asyncio.client.connect(
+                f"ws://{address}{LINK_PATH}",
+                sock=connection,
+                compression=None,
+                max_size=MAX_FRAME_BYTES,
+                open_timeout=None,
+                close_timeout=clock.seconds(OPEN_TIMEOUT_MS),
+                ping_interval=None,
+                proxy=None,
+            )
     except (
         OSError,
         TimeoutError,
