--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -556,6 +556,12 @@
     logging.WARNING,
     "Fewer replicas have joined the group than the tolerated losses need.",
 )
+SEED_UNREACHABLE: Final = _define_event(
+    620,
+    "seed_unreachable",
+    logging.WARNING,
+    "A seed that is no replica does not take the leader's address.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -14,6 +14,7 @@
 from bamboorouter.coordination.jobs import job_leader
 from bamboorouter.coordination.jobs import start_advice
 from bamboorouter.coordination.log import replica
+from bamboorouter.coordination.log import seed_notices
 from bamboorouter.coordination.log import self_repair
 from bamboorouter.coordination.policies import bundle
 from bamboorouter.coordination.requests import control_client
@@ -115,6 +116,10 @@
             ),
             advice=advice,
         )
+        repair_client = self.jobs.repair.client
+        self._seed_notices = seed_notices.SeedNotices(
+            local_replica=self.replica, seeds=lambda: repair_client.addresses
+        )
         self._server: link.LinkServer | None = None
         self._started = False
 
@@ -136,6 +141,7 @@
         self.jobs.start()
         if self.settings.self_repair:
             self.jobs.repair.start()
+            self._seed_notices.start()
         self._started = True
 
     async def stop(self) -> None:
@@ -143,6 +149,7 @@
         self._started = False
         self._explanations.stop()
         await self.handler.stop()
+        await self._seed_notices.stop()
         await self.jobs.repair.stop()
         await self.jobs.stop()
         self._group.stop()
@@ -159,6 +166,7 @@
         self._started = False
         self._explanations.stop()
         self._group.stop()
+        await self._seed_notices.stop()
         await self.jobs.repair.stop()
         await self.jobs.stop()
         await self.handler.stop()
@@ -179,6 +187,10 @@
             # Messages may arrive before the data folder is open, because the
             # port is bound first.
             return messages.Redirect(leader="")
+        if isinstance(message, messages.Redirect):
+            # This replica has a disk but hasn't joined the group yet.
+            self.jobs.repair.client.learn_replicas(message.replicas)
+            return None
         if isinstance(message, _LEADER_CALLS):
             return await self.handler.handle(message, source)
         if isinstance(message, job_leader.CALLS):
