Learn interference by comparing the tasks of a serving step with each other

Change: a sample is compared with the same step's samples on other workers, and a Kalman filter with a diagonal covariance replaces NLMS, so that a pair is known after few samples.

--- a/bamboorouter/coordination/jobs/run_measurements.py
+++ b/bamboorouter/coordination/jobs/run_measurements.py
@@ -1,14 +1,20 @@
 """Processes the latencies and processor use that workers measure for runs.
 
-Two consecutive samples of a worker are compared to estimate how much the
-best-effort images on it slow down the serving images. Each serving task's own
-utilization is estimated as well.
+Samples are compared to estimate how much the best-effort images on a worker slow
+down the serving images. The tasks of a serving step share the requests of the
+same users, so their own utilizations rise and fall together: a sample is
+compared with those of the same step on other workers, taken at about the same
+time. A step that runs on one worker only is compared with its previous sample.
+Each serving task's own utilization is estimated as well.
 A measured value covers half a second. Changes are reported at once and may
 follow each other faster, so a worker is sampled at most once per
 `SAMPLE_PERIOD_MS`.
 """
 
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
+import statistics
 from typing import Final
 
 from bamboorouter.coordination.policies import image_interference
@@ -18,14 +24,19 @@
 
 SAMPLE_PERIOD_MS: Final = 500
 # Samples further apart also differ by changes of the serving load, not only by
-# the best-effort tasks on the worker.
+# the best-effort tasks on the workers.
 MAX_SAMPLE_GAP_MS: Final = 1600
+MAX_SIBLING_GAP_MS: Final = 800
 # Progress in percent of a serving task that has started up.
 FULL_PROGRESS: Final = 100
 # Weight of a new sample in the moving average of a task's own utilization.
 SMOOTHING: Final = 0.4
 
 
+# Job, occurrence and number of a step.
+_StepKey = tuple[str, int, int]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _WorkerSample:
     """Measurements of one worker at one time.
@@ -33,10 +44,12 @@
     Attributes:
         taken_ms: Monotonic time in ms at which the report arrived.
         serving: Measurements of the running serving tasks.
+        steps: Mean measurement of the tasks of each serving step.
     """
 
     taken_ms: int
     serving: dict[jobs.TaskRef, image_interference.UtilizationSample]
+    steps: dict[_StepKey, image_interference.UtilizationSample]
 
 
 class RunMeasurements:
@@ -51,11 +64,14 @@
     ) -> None:
         self.interference = interference
         self._newest: dict[str, _WorkerSample] = {}
+        # Workers whose newest sample has measurements of a step.
+        self._workers_by_step: dict[_StepKey, set[str]] = {}
         self._own_utilization: dict[jobs.TaskRef, float] = {}
 
     def reset(self) -> None:
         """Discards measurements; the learned interference is kept."""
         self._newest.clear()
+        self._workers_by_step.clear()
         self._own_utilization.clear()
 
     def update(
@@ -75,12 +91,18 @@
         if before is not None and now - before.taken_ms < SAMPLE_PERIOD_MS:
             return
         serving = _serving_measurements(report, state)
-        self._newest[report.worker] = _WorkerSample(
-            taken_ms=now, serving=serving
+        steps = _mean_by_step(serving)
+        self._replace(
+            report.worker,
+            _WorkerSample(taken_ms=now, serving=serving, steps=steps),
         )
-        if before is not None and now - before.taken_ms <= MAX_SAMPLE_GAP_MS:
-            for ref in serving.keys() & before.serving.keys():
-                self.interference.learn(before.serving[ref], serving[ref])
+        for key, sample in steps.items():
+            reference = self._siblings(key, report.worker, now)
+            if reference is None and before is not None:
+                recent = now - before.taken_ms <= MAX_SAMPLE_GAP_MS
+                reference = before.steps.get(key) if recent else None
+            if reference is not None:
+                self.interference.learn(reference, sample)
         for ref, measurement in serving.items():
             self._update_own_utilization(ref, measurement)
 
@@ -112,6 +134,39 @@
             for serving, best_effort in sorted(pairs)
         )
 
+    def _replace(self, worker: str, sample: _WorkerSample) -> None:
+        """Stores the newest sample of a worker."""
+        before = self._newest.get(worker)
+        for key in before.steps if before is not None else ():
+            workers = self._workers_by_step[key]
+            workers.discard(worker)
+            if not workers:
+                del self._workers_by_step[key]
+        self._newest[worker] = sample
+        for key in sample.steps:
+            self._workers_by_step.setdefault(key, set()).add(worker)
+
+    def _siblings(
+        self, key: _StepKey, worker: str, now: int
+    ) -> image_interference.UtilizationSample | None:
+        """Returns the mean of a step's recent samples on other workers.
+
+        Saturated samples are left out, because they hardly depend on the
+        utilization.
+        """
+        samples = [
+            self._newest[other].steps[key]
+            for other in self._workers_by_step[key]
+            if other != worker
+            and now - self._newest[other].taken_ms <= MAX_SIBLING_GAP_MS
+        ]
+        usable = [
+            sample
+            for sample in samples
+            if sample.utilization < image_interference.SATURATED_UTILIZATION
+        ]
+        return _mean(usable) if usable else None
+
     def _update_own_utilization(
         self,
         ref: jobs.TaskRef,
@@ -128,6 +183,34 @@
         )
 
 
+def _mean_by_step(
+    serving: Mapping[jobs.TaskRef, image_interference.UtilizationSample],
+) -> dict[_StepKey, image_interference.UtilizationSample]:
+    by_step: dict[_StepKey, list[image_interference.UtilizationSample]] = {}
+    for ref, sample in serving.items():
+        key = (ref.job, ref.occurrence, ref.step)
+        by_step.setdefault(key, []).append(sample)
+    return {key: _mean(samples) for key, samples in by_step.items()}
+
+
+def _mean(
+    samples: Sequence[image_interference.UtilizationSample],
+) -> image_interference.UtilizationSample:
+    """Returns the mean of samples of one image."""
+    loads: dict[str, float] = {}
+    for sample in samples:
+        for best_effort, load in sample.loads.items():
+            loads[best_effort] = loads.get(best_effort, 0.0) + load
+    return image_interference.UtilizationSample(
+        image=samples[0].image,
+        utilization=statistics.fmean(sample.utilization for sample in samples),
+        loads={
+            best_effort: load / len(samples)
+            for best_effort, load in loads.items()
+        },
+    )
+
+
 def _serving_measurements(
     report: job_messages.WorkerReport, state: stepped_jobs.SteppedJobs
 ) -> dict[jobs.TaskRef, image_interference.UtilizationSample]:
--- a/bamboorouter/coordination/policies/image_interference.py
+++ b/bamboorouter/coordination/policies/image_interference.py
@@ -7,12 +7,13 @@
 
 A tail latency is converted to the utilization u of a queue by
 latency = base / (1 - u). The utilization of a serving task is modelled as its
-own utilization, which changes slowly, plus, for each best-effort image, a
-weight times the share of the worker's processors that the image uses, in load
-units. The own utilization hardly changes between two successive samples of a
-task, so the change of u is attributed to the change of the best-effort loads,
-by one step of normalized least mean squares (NLMS). Weights are never negative:
-best-effort work doesn't make another task faster.
+own utilization plus, for each best-effort image, a weight times the share of
+the worker's processors that the image uses, in load units. Two samples with the
+same own utilization are compared, so that the difference of u is attributed to
+the difference of the best-effort loads. Each weight has a variance, and one
+step of a Kalman filter with a diagonal covariance matrix changes a weight more
+the less is known about it. Weights are never negative: best-effort work doesn't
+make another task faster.
 """
 
 from collections.abc import Mapping
@@ -31,10 +32,16 @@
 INITIAL_WEIGHT: Final = 0.06
 # Below this weight a pair counts as not interfering.
 HARMLESS_WEIGHT: Final = 0.03
-# Step size of the NLMS update.
-LEARNING_RATE: Final = 0.3
-# Changes of less than this many load units are within the noise.
-MIN_LOAD_CHANGE: Final = 0.15
+# Standard deviation of the weight of a pair that was never measured.
+INITIAL_DEVIATION: Final = 0.06
+# Standard deviation of a weight that an earlier leader has learned.
+RESTORED_DEVIATION: Final = 0.03
+# Lowest standard deviation; weights may change over time.
+MIN_DEVIATION: Final = 0.01
+# Standard deviation of the difference of two measured utilizations.
+NOISE_DEVIATION: Final = 0.07
+# Differences of less than this many load units are within the noise.
+MIN_LOAD_DIFFERENCE: Final = 0.15
 
 # A weight is recorded again once it has changed by this much, which is less
 # than the noise of the measurements.
@@ -66,10 +73,12 @@
 
     def __init__(self) -> None:
         self._weights: dict[jobs.ImagePair, float] = {}
+        self._variances: dict[jobs.ImagePair, float] = {}
 
     def restore(self, weights: Mapping[jobs.ImagePair, float]) -> None:
         """Replaces all weights by recorded ones."""
         self._weights = dict(weights)
+        self._variances = dict.fromkeys(weights, RESTORED_DEVIATION**2)
 
     def changed_since(
         self, recorded: Mapping[jobs.ImagePair, float]
@@ -83,46 +92,69 @@
         }
 
     def learn(
-        self, before: UtilizationSample, after: UtilizationSample
+        self, reference: UtilizationSample, sample: UtilizationSample
     ) -> None:
-        """Updates weights from two successive samples of one serving task."""
-        changes = {
-            best_effort: after.loads.get(best_effort, 0.0)
-            - before.loads.get(best_effort, 0.0)
-            for best_effort in {*before.loads, *after.loads}
+        """Updates weights from two samples with the same own utilization.
+
+        Args:
+            reference: Sample of the same task at another time, or of another
+                task with the same image and the same share of the requests.
+            sample: Sample that is compared with the reference.
+        """
+        differences = {
+            best_effort: sample.loads.get(best_effort, 0.0)
+            - reference.loads.get(best_effort, 0.0)
+            for best_effort in {*reference.loads, *sample.loads}
         }
-        squared_change = sum(change * change for change in changes.values())
+        squared_difference = sum(load * load for load in differences.values())
         if (
-            squared_change < MIN_LOAD_CHANGE**2
-            or before.utilization >= SATURATED_UTILIZATION
+            squared_difference < MIN_LOAD_DIFFERENCE**2
+            or reference.utilization >= SATURATED_UTILIZATION
         ):
             return
         expected = sum(
-            self.weight(after.image, best_effort) * change
-            for best_effort, change in changes.items()
+            self.weight(sample.image, best_effort) * load
+            for best_effort, load in differences.items()
         )
         observed = (
-            min(after.utilization, SATURATED_UTILIZATION) - before.utilization
+            min(sample.utilization, SATURATED_UTILIZATION)
+            - reference.utilization
         )
         error = observed - expected
-        if after.utilization >= SATURATED_UTILIZATION and error < 0:
+        if sample.utilization >= SATURATED_UTILIZATION and error < 0:
             # The true utilization may be higher than a saturated latency shows.
             return
-        for best_effort, change in changes.items():
-            weight = self.weight(after.image, best_effort)
+        self._correct(sample.image, differences, error)
+
+    def _correct(
+        self, serving: str, differences: Mapping[str, float], error: float
+    ) -> None:
+        """Distributes an error among the weights by their variance."""
+        variances = {
+            best_effort: self._variances.get(
+                (serving, best_effort), INITIAL_DEVIATION**2
+            )
+            for best_effort in differences
+        }
+        total = NOISE_DEVIATION**2 + sum(
+            variances[best_effort] * load * load
+            for best_effort, load in differences.items()
+        )
+        for best_effort, load in differences.items():
+            gain = variances[best_effort] * load / total
+            weight = max(0.0, self.weight(serving, best_effort) + gain * error)
             # Reinserted at the end, so that the least recently updated pairs
             # are evicted first.
-            self._weights.pop((after.image, best_effort), None)
-            self._weights[after.image, best_effort] = max(
-                0.0,
-                weight
-                + LEARNING_RATE
-                * error
-                * change
-                / (squared_change + MIN_LOAD_CHANGE),
+            pair = (serving, best_effort)
+            self._weights.pop(pair, None)
+            self._weights[pair] = weight
+            self._variances[pair] = max(
+                MIN_DEVIATION**2, variances[best_effort] * (1 - gain * load)
             )
         while len(self._weights) > jobs.MAX_DISTURBANCES:
-            del self._weights[next(iter(self._weights))]
+            oldest = next(iter(self._weights))
+            del self._weights[oldest]
+            self._variances.pop(oldest, None)
 
     def weight(self, serving: str, best_effort: str) -> float:
         """Returns the utilization that a load unit adds to `serving`."""
