--- a/bamboorouter/coordination/log/seed_notices.py
+++ b/bamboorouter/coordination/log/seed_notices.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from typing import Final
 
 from bamboorouter import clock
@@ -20,7 +21,8 @@
 
 # Short compared with the time in which a client must find the leader.
 NOTICE_PERIOD_MS: Final = 250
-OPEN_TIMEOUT_MS: Final = 1000
+# A seed without power must not delay the notices to the others for long.
+OPEN_TIMEOUT_MS: Final = 500
 
 
 class SeedNotices:
@@ -52,21 +54,28 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
-        await asyncio.gather(*(link.close() for link in self._links.values()))
+        await self._close_links()
 
     async def _run(self) -> None:
         while True:
             if self.replica.lease_valid():
                 members = {m.address for m in self.replica.members()}
+                outside = [seed for seed in self.seeds() if seed not in members]
+                await self._close_links(except_to=outside)
+                replicas = tuple(sorted(members))
                 await asyncio.gather(
-                    *(
-                        self._notify(seed, tuple(sorted(members)))
-                        for seed in self.seeds()
-                        if seed not in members
-                    )
+                    *(self._notify(seed, replicas) for seed in outside)
                 )
             await asyncio.sleep(clock.seconds(NOTICE_PERIOD_MS))
 
+    async def _close_links(self, *, except_to: Collection[str] = ()) -> None:
+        """Closes the links to seeds that get no more notices."""
+        unused = [seed for seed in self._links if seed not in except_to]
+        self._unreachable.intersection_update(except_to)
+        await asyncio.gather(
+            *(self._links.pop(seed).close() for seed in unused)
+        )
+
     async def _notify(self, seed: str, replicas: tuple[str, ...]) -> None:
         try:
             current = self._links.get(seed)
