--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -144,13 +144,15 @@
 class SeededRunTest(unittest.TestCase):
     """Real processes violate no guarantee under injected faults."""
 
-    def run_soak(self, seed: int, seconds: float = 8.0) -> None:
+    def run_soak(
+        self, seed: int, seconds: float = 8.0, workers: int = 4
+    ) -> None:
         with tempfile.TemporaryDirectory() as folder:
             history = asyncio.run(
                 soak.run_soak(
                     seed=seed,
                     seconds=seconds,
-                    workers=4,
+                    workers=workers,
                     path=pathlib.Path(folder),
                 )
             )
@@ -173,6 +175,14 @@
         """
         self.run_soak(7, seconds=11.0)
 
+    def test_seed_9104(self) -> None:
+        """Guards against repeating runs that ended while their agent paused.
+
+        The agent counted them as lost from the clock alone, although its
+        worker answered and listed their ends.
+        """
+        self.run_soak(9104, seconds=15.0, workers=6)
+
     def test_fresh_seed_of_ci(self) -> None:
         self.run_soak(4121)
 
