--- a/bamboorouter/coordination/log/seed_notices.py
+++ b/bamboorouter/coordination/log/seed_notices.py
@@ -2,7 +2,7 @@
 
 Clients find the group through the seeds in their settings. A machine without a
 disk may be a seed; it belongs to no group and knows no replica. While this
-replica leads, it pushes its address and those of the other replicas to each seed
+replica leads, it sends its address and those of the other replicas to each seed
 that isn't a member.
 """
 
@@ -22,11 +22,11 @@
 # Short compared with the time in which a client must find the leader.
 NOTICE_PERIOD_MS: Final = 250
 # A seed without power must not delay the notices to the others for long.
-OPEN_TIMEOUT_MS: Final = 500
+NOTICE_TIMEOUT_MS: Final = 500
 
 
 class SeedNotices:
-    """Pushes the leader's address to seeds outside the group.
+    """Sends the leader's address to seeds outside the group.
 
     Attributes:
         replica: Replica of this process.
@@ -81,14 +81,18 @@
             current = self._links.get(seed)
             if current is None or current.closed.is_set():
                 current = self._links[seed] = await link.open_link(
-                    address=seed, timeout_ms=OPEN_TIMEOUT_MS
+                    address=seed, timeout_ms=NOTICE_TIMEOUT_MS
                 )
-            await current.push(
+            # A request shows, unlike a push, that the link still delivers.
+            await current.request(
                 messages.Redirect(
                     leader=self.replica.address, replicas=replicas
-                )
+                ),
+                timeout_ms=NOTICE_TIMEOUT_MS,
             )
         except errors.RouterError as err:
+            if silent := self._links.pop(seed, None):
+                await silent.close()
             if seed not in self._unreachable:
                 self._unreachable.add(seed)
                 events.log(events.SEED_UNREACHABLE, peer=seed, error=str(err))
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -190,7 +190,7 @@
         if isinstance(message, messages.Redirect):
             # This replica has a disk but hasn't joined the group yet.
             self.jobs.repair.client.learn_replicas(message.replicas)
-            return None
+            return message
         if isinstance(message, _LEADER_CALLS):
             return await self.handler.handle(message, source)
         if isinstance(message, job_leader.CALLS):
--- a/bamboorouter/roles/seed.py
+++ b/bamboorouter/roles/seed.py
@@ -1,6 +1,6 @@
 """A control process without a disk: redirects its callers to the leader.
 
-It belongs to no group. The leader pushes its address (see
+It belongs to no group. The leader sends its address (see
 `coordination.log.seed_notices`).
 """
 
@@ -41,5 +41,4 @@
         if isinstance(message, messages.Redirect):
             self.known = message
             self.client.learn_replicas(message.replicas)
-            return None
         return self.known
--- a/tests/test_seed.py
+++ b/tests/test_seed.py
@@ -8,8 +8,10 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from bamboorouter import clock
+from bamboorouter import errors
 from bamboorouter.coordination.log import seed_notices
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
@@ -73,6 +75,19 @@
         self.seed = await self.start_seed()
         await replica_site.wait_until(lambda: bool(self.seed.known.leader))
 
+    async def test_link_that_went_silent_is_replaced(self) -> None:
+        """Guards against notices into a connection that drops all data."""
+        await replica_site.wait_until(lambda: bool(self.seed.known.leader))
+        (silent,) = self.notices._links.values()
+        with mock.patch.object(
+            silent,
+            "request",
+            side_effect=errors.RequestTimeoutError(text="silent", step="test"),
+        ):
+            await replica_site.wait_until(silent.closed.is_set)
+        self.seed.known = messages.Redirect(leader="")
+        await replica_site.wait_until(lambda: bool(self.seed.known.leader))
+
     async def test_seed_that_knows_no_leader_says_so(self) -> None:
         await self.notices.stop()
         self.seed.known = messages.Redirect(leader="")
