Log on what evidence an agent gives up a run, and when its worker lists it again

An agent that gave up a run logged no reason, except for an expired lease, and neither a run that was listed again nor a stop order that wasn't passed on left a line.

run_given_up names the evidence, the tokens, the poll and the lease end; run_listed_again and stop_not_sent follow the run afterwards. Two counters show the same by evidence. They have labels, so like runs_ended_total they have no sample before the first run; test_operations_page lists them there. The records move to ended_runs.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -27,6 +27,7 @@
 from bamboorouter import supervision
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import session_opening
@@ -81,7 +82,7 @@
         self.client = client
         self.ports = ports
         self.clock = time
-        self.held = held_runs.HeldRuns()
+        self.held = held_runs.HeldRuns(worker=worker, time=time)
         self.session: worker_session.Session | None = None
         self._announcement: worker_port.Announcement | None = None
         self._session_due = asyncio.Event()
@@ -233,7 +234,7 @@
     async def _report_lost_runs(self) -> None:
         """Reports all runs as lost after the worker's incarnation has ended."""
         session = self.session
-        lost = self.held.end_all("lost")
+        lost = self.held.end_all("lost", "worker_left")
         if session is None or not (lost or self.held.ends):
             return
         try:
@@ -270,7 +271,7 @@
             previous is not None
             and previous.announcement.incarnation != announcement.incarnation
         ):
-            self.held.end_all("lost")
+            self.held.end_all("lost", "incarnation_replaced")
         self.held.begin_incarnation()
         self.session = None
         return worker_session.Session(
@@ -285,6 +286,10 @@
     async def _run_session(self, session: worker_session.Session) -> None:
         """Runs the loops of a session until the session ends."""
         self.session = session
+        self.held.ended.log_fields = {
+            "life": session.announcement.incarnation,
+            "session": session.number,
+        }
         for run in list(self.held.runs.values()):
             # The outcome of orders of an earlier session is unknown.
             run.phase = "uncertain"
@@ -391,13 +396,19 @@
         now = self.clock.now()
         paused = now - polled_ms > MAX_FAILED_POLL_MS
         if self.held.runs and session.lease.expired(polled_ms) and not paused:
-            lost = self.held.end_all("lost")
+            evidence = {
+                "answered_ms": session.answered_ms,
+                "polled_ms": polled_ms,
+                "lease_end_ms": session.lease.end_ms(),
+            }
+            lost = self.held.end_all("lost", "lease_expired", **evidence)
             events.log(
                 events.WORKER_LOST,
                 worker=self.worker,
                 life=session.announcement.incarnation,
                 runs=lost,
                 silent_ms=now - session.answered_ms,
+                **evidence,
             )
             self._report_due.set()
 
@@ -520,7 +531,10 @@
             )
             await self._set_initial_speed(session, run)
             return
-        self.held.end(run, "rejected")
+        evidence: ended_runs.Evidence = (
+            "never_sent" if run.token < 0 else "order_rejected"
+        )
+        self.held.end(run, "rejected", evidence)
         self._report_due.set()
 
     async def _set_initial_speed(
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -17,6 +17,8 @@
 from typing import Final
 from typing import Literal
 
+from bamboorouter import clock
+from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
@@ -25,8 +27,6 @@
 # One view without a running run is no proof, because views may arrive out of
 # order.
 LOST_AFTER_MISSED_VIEWS: Final = 2
-# More than the tasks that end on a worker while an order may be delayed.
-MAX_ENDED_TASKS: Final = 10_000
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -101,18 +101,19 @@
         last_confirmed_end: Highest number of an end that the leader has
             confirmed.
         last_listed_end: Highest number of an end that the worker has listed.
-        highest_ended: Highest attempt by task that has ended on the worker. A
-            copy of a start order may arrive after its run was declared lost
-            and the task was restarted on another worker; it must not be
-            executed then.
+        ended: Runs that have ended. A copy of a start order may arrive after
+            its run was declared lost and the task was restarted on another
+            worker; it must not be executed then.
+        clock: Source of time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, worker: str, time: clock.Clock) -> None:
         self.runs: dict[jobs.RunKey, HeldRun] = {}
         self.ends: list[PendingEnd] = []
         self.last_confirmed_end = 0
         self.last_listed_end = 0
-        self.highest_ended: dict[jobs.TaskRef, int] = {}
+        self.ended = ended_runs.EndedRuns(worker=worker)
+        self.clock = time
 
     def add_order(
         self, order: job_messages.StartOrder, now: int
@@ -125,7 +126,7 @@
         existing = self.runs.get(key)
         if existing is not None:
             existing.order = order
-        if existing is not None or self._has_ended(key):
+        if existing is not None or self.ended.forbids_start(key):
             return None
         run = HeldRun(
             task=order.task,
@@ -146,7 +147,9 @@
         is added, so that a delayed start order for it is not executed.
         """
         key = (order.task, order.attempt)
-        if self._has_ended(key):
+        if self.ended.forbids_start(key):
+            reason = "ended" if key not in self.runs else "ended_but_listed"
+            self.ended.log_stop_not_sent(key, reason)
             return None
         run = self.runs.get(key)
         if run is None:
@@ -158,18 +161,40 @@
                 since_ms=now,
             )
         elif run.phase == "queued":
-            self.end(run, "rejected")
+            self.end(run, "rejected", "never_sent")
             return None
         if run.stopping:
+            self.ended.log_stop_not_sent(key, "in_progress")
             return None
         run.stopping = True
         return run
 
-    def end(self, run: HeldRun, how: jobs.RunOutcome) -> None:
-        """Ends a run that the worker hasn't listed as ended."""
+    def end(
+        self,
+        run: HeldRun,
+        how: jobs.RunOutcome,
+        evidence: ended_runs.Evidence,
+        **fields: object,
+    ) -> None:
+        """Ends a run that the worker hasn't listed as ended.
+
+        Args:
+            run: The run.
+            how: Outcome for the leader.
+            evidence: Reason for the conclusion.
+            **fields: Details of the evidence, for the log.
+        """
         if self.runs.pop((run.task, run.attempt), None) is not run:
             return
-        self._record_ended((run.task, run.attempt))
+        self.ended.add_inferred(
+            (run.task, run.attempt),
+            ended_runs.InferredEnd(
+                how=how, evidence=evidence, at_ms=self.clock.now()
+            ),
+            token=run.token,
+            phase=run.phase,
+            **fields,
+        )
         checkpoint = run.row.checkpoint if run.row is not None else ""
         self.ends.append(
             PendingEnd(
@@ -183,11 +208,16 @@
             )
         )
 
-    def end_all(self, how: jobs.RunOutcome) -> int:
+    def end_all(
+        self,
+        how: jobs.RunOutcome,
+        evidence: ended_runs.Evidence,
+        **fields: object,
+    ) -> int:
         """Ends all runs; returns their number."""
         runs = list(self.runs.values())
         for run in runs:
-            self.end(run, how)
+            self.end(run, how, evidence, **fields)
         return len(runs)
 
     def begin_incarnation(self) -> None:
@@ -225,10 +255,10 @@
         self._add_ends(view.ended)
         listed = {(row.task, row.attempt): row for row in view.running}
         for key, row in listed.items():
-            self._update_running(key, row, sent_ms)
+            self._update_running(key, row, token, sent_ms)
         for key, run in list(self.runs.items()):
             if key not in listed and run.since_ms <= sent_ms:
-                self._update_missing(run, token)
+                self._update_missing(run, token, sent_ms)
         return len(self.ends) > ends_before
 
     def _add_ends(self, rows: Iterable[worker_port.EndedRow]) -> None:
@@ -237,14 +267,22 @@
                 continue
             self.last_listed_end = row.number
             self.runs.pop((row.end.task, row.end.attempt), None)
-            self._record_ended((row.end.task, row.end.attempt))
+            self.ended.add_listed((row.end.task, row.end.attempt))
             self.ends.append(PendingEnd(number=row.number, end=row.end))
 
     def _update_running(
-        self, key: jobs.RunKey, row: worker_port.RunningRow, sent_ms: int
+        self,
+        key: jobs.RunKey,
+        row: worker_port.RunningRow,
+        token: int,
+        sent_ms: int,
     ) -> None:
         run = self.runs.get(key)
         if run is None:
+            if self.ended.forbids_start(key):
+                self.ended.log_listed_again(
+                    key, token=token, sent_ms=sent_ms, now=self.clock.now()
+                )
             # Includes runs declared lost, which the leader will order to stop.
             run = self.runs[key] = HeldRun(
                 task=row.task,
@@ -259,21 +297,22 @@
         run.missed = 0
         run.row = row
 
-    def _update_missing(self, run: HeldRun, token: int) -> None:
+    def _update_missing(self, run: HeldRun, token: int, sent_ms: int) -> None:
         if run.phase == "uncertain" and token > run.token:
-            self.end(run, "rejected")
+            self.end(
+                run,
+                "rejected",
+                "not_in_fenced_view",
+                view_token=token,
+                view_sent_ms=sent_ms,
+            )
         elif run.phase == "running":
             run.missed += 1
             if run.missed >= LOST_AFTER_MISSED_VIEWS:
-                self.end(run, "lost")
-
-    def _record_ended(self, key: jobs.RunKey) -> None:
-        task, attempt = key
-        highest = max(attempt, self.highest_ended.pop(task, 0))
-        self.highest_ended[task] = highest
-        while len(self.highest_ended) > MAX_ENDED_TASKS:
-            del self.highest_ended[next(iter(self.highest_ended))]
-
-    def _has_ended(self, key: jobs.RunKey) -> bool:
-        task, attempt = key
-        return attempt <= self.highest_ended.get(task, 0)
+                self.end(
+                    run,
+                    "lost",
+                    "no_longer_listed",
+                    view_token=token,
+                    view_sent_ms=sent_ms,
+                )
--- a/bamboorouter/coordination/workers/run_lease.py
+++ b/bamboorouter/coordination/workers/run_lease.py
@@ -6,6 +6,7 @@
 only once the slowest clock has passed its end.
 """
 
+import math
 from typing import Final
 
 # A worker's clock may be 2 % slow; 0.5 % is added for the agent's clock.
@@ -49,12 +50,21 @@
         self._until_ms = max(self._until_ms, until_ms)
         return until_ms
 
-    def expired(self, now_ms: int) -> bool:
-        """Returns whether all granted leases have expired for certain.
+    def end_ms(self) -> int | None:
+        """Returns when all granted leases have expired for certain.
+
+        They have when they have expired on the slowest permitted clock.
 
-        They have if they have expired on the slowest permitted clock.
+        Returns:
+            The time in ms on the agent's clock; None if the worker's clock is
+            unknown.
         """
         if self._received_ms is None:
-            return True
+            return None
         longest_ms = (self._until_ms - self._worker_ms) / MIN_CLOCK_RATE
-        return now_ms > self._received_ms + longest_ms + STOP_MARGIN_MS
+        return self._received_ms + math.ceil(longest_ms) + STOP_MARGIN_MS
+
+    def expired(self, now_ms: int) -> bool:
+        """Returns whether all granted leases have expired for certain."""
+        end_ms = self.end_ms()
+        return end_ms is None or now_ms > end_ms
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -638,3 +638,23 @@
     "Runs that use only spare processor time of a worker were throttled, or"
     " their throttling was lifted.",
 )
+RUN_GIVEN_UP: Final = _define_event(
+    710,
+    "run_given_up",
+    logging.INFO,
+    "An agent concluded that a run is over or never started, although the worker"
+    " did not list its end; `evidence` names the reason.",
+)
+RUN_LISTED_AGAIN: Final = _define_event(
+    711,
+    "run_listed_again",
+    logging.WARNING,
+    "The worker lists a run as running that the agent counted as ended.",
+)
+STOP_NOT_SENT: Final = _define_event(
+    712,
+    "stop_not_sent",
+    logging.WARNING,
+    "An agent received a stop order and did not send it to the worker; `reason`"
+    " tells why.",
+)
--- a/bamboorouter/metrics.py
+++ b/bamboorouter/metrics.py
@@ -72,6 +72,17 @@
     "Ended runs of tasks of jobs with steps.",
     ("how",),
 )
+RUNS_GIVEN_UP: Final = prometheus_client.Counter(
+    "bamboorouter_runs_given_up_total",
+    "Runs whose end an agent inferred, by the evidence for it.",
+    ("evidence",),
+)
+RUNS_LISTED_AGAIN: Final = prometheus_client.Counter(
+    "bamboorouter_runs_listed_again_total",
+    "Runs that a worker lists although its agent counted them as ended, by the"
+    " evidence for the end.",
+    ("evidence",),
+)
 
 LINK_BYTES: Final = prometheus_client.Counter(
     "bamboorouter_link_bytes_total",
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -34,6 +34,8 @@
 METRICS_WITHOUT_SAMPLES = {
     "bamboorouter_job_call_seconds_bucket",
     "bamboorouter_runs_ended_total",
+    "bamboorouter_runs_given_up_total",
+    "bamboorouter_runs_listed_again_total",
     "bamboorouter_request_seconds_bucket",
     "bamboorouter_refusals_total",
 }
