--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -70,10 +70,14 @@
             worker_port.EndedRow(number=self._last_number, end=end)
         )
 
-    def execute_delayed(self) -> None:
-        """Executes the delayed orders whose fencing token is still valid."""
+    def execute_delayed(self, *, ignore_token: bool = False) -> None:
+        """Executes the delayed orders.
+
+        Args:
+            ignore_token: Whether orders that were fenced off are executed too.
+        """
         for order in self.delayed:
-            if order.token >= self.token:
+            if ignore_token or order.token >= self.token:
                 self._start_run(order)
         self.delayed.clear()
 
@@ -167,6 +171,7 @@
         reports: All received reports.
         ends: All reported ends of runs, in order.
         lease_ms: Duration in ms of the lease that each answer grants.
+        silent: Whether the leader receives and answers no calls.
         session_requests: Number of requests to open a session.
         knows_session: Whether the leader knows the latest session.
         has_earlier_runs: Whether the leader knows of runs on an earlier
@@ -178,6 +183,7 @@
         self.reports: list[job_messages.WorkerReport] = []
         self.ends: list[jobs.RunEnd] = []
         self.lease_ms = 6000
+        self.silent = False
         self.session_requests = 0
         self.knows_session = True
         self.has_earlier_runs = False
@@ -187,6 +193,8 @@
         self, message: messages.Message, *, timeout_ms: int
     ) -> messages.Message:
         await asyncio.sleep(ANSWER_DELAY_S)
+        if self.silent:
+            raise errors.RequestTimeoutError(text="no answer", step="test")
         if isinstance(message, job_messages.OpenWorkerSession):
             self.session_requests += 1
             if self.has_earlier_runs and not message.fenced:
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -17,6 +17,9 @@
 from tests import job_builders as make
 from tests import replica_site
 
+# The longest lease that a worker accepts.
+LONGEST_LEASE_MS = 10_000
+
 
 class AgentSessionTest(unittest.IsolatedAsyncioTestCase):
     """Tests the session of an agent with a fake worker and a fake leader."""
@@ -182,6 +185,89 @@
         await self.until(self.outcomes)
         self.assertEqual(self.outcomes(), ["lost"])
 
+    async def restart_with_manual_clock(self) -> clock.ManualClock:
+        """Replaces the agent process; returns the clock of the new one."""
+        await self.session.stop()
+        self.leader.reports.clear()
+        time = clock.ManualClock(monotonic_ms=100_000)
+        self.session = self.new_session(time)
+        self.session.announce(fake_worker.announcement())
+        await self.until(self.reachable)
+        return time
+
+    async def start_run(self) -> None:
+        """Starts the first attempt of a run and waits until it is reported."""
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(self.reported_running)
+
+    def reported_running(self) -> bool:
+        """Returns whether the last report lists a run as running."""
+        reports = self.leader.reports
+        return bool(reports) and any(run.running for run in reports[-1].runs)
+
+    async def test_run_that_was_given_up_as_lost_is_stopped_on_order(
+        self,
+    ) -> None:
+        """Guards against a run that goes on after its job was cancelled."""
+        time = await self.restart_with_manual_clock()
+        await self.start_run()
+        self.worker.silent = True
+        time.advance(2 * LONGEST_LEASE_MS)
+        await self.until(lambda: self.outcomes() == ["lost"])
+        self.worker.silent = False
+        await self.until(self.reported_running)
+        await self.order(fake_worker.stop_orders(make.ref()))
+        await self.until(lambda: not self.worker.running)
+
+    async def test_run_that_was_given_up_as_rejected_is_stopped_on_order(
+        self,
+    ) -> None:
+        """Guards against a run that goes on beside the task's next attempt."""
+        self.worker.unanswered = 1
+        self.worker.executes_unanswered = False
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.outcomes() == ["rejected"])
+        self.worker.execute_delayed(ignore_token=True)
+        await self.until(self.reported_running)
+        await self.order(fake_worker.stop_orders(make.ref()))
+        await self.until(lambda: not self.worker.running)
+
+    async def test_restarted_agent_waits_for_the_lease_of_its_predecessor(
+        self,
+    ) -> None:
+        """Guards against giving up runs whose lease the agent doesn't know."""
+        await self.start_run()
+        # The new process grants no lease of its own.
+        self.leader.lease_ms = 0
+        time = await self.restart_with_manual_clock()
+        await self.until(self.reported_running)
+        self.worker.silent = True
+        time.advance(LONGEST_LEASE_MS - 1)
+        polls = len(self.worker.cursors)
+        await self.until(lambda: len(self.worker.cursors) > polls + 2)
+        self.assertEqual(self.session.held.ends, [])
+        self.assertEqual(self.outcomes(), [])
+        # The worker's clock may be slow.
+        time.advance(LONGEST_LEASE_MS // 20)
+        await self.until(lambda: self.outcomes() == ["lost"])
+
+    async def test_unconfirmed_end_of_a_run_that_is_listed_is_withdrawn(
+        self,
+    ) -> None:
+        """Guards against starting a run again that was wrongly given up."""
+        time = await self.restart_with_manual_clock()
+        await self.start_run()
+        self.leader.silent = True
+        self.worker.silent = True
+        time.advance(2 * LONGEST_LEASE_MS)
+        await self.until(lambda: self.session.held.ends)
+        self.worker.silent = False
+        await self.until(lambda: self.session.held.runs)
+        self.leader.reports.clear()
+        self.leader.silent = False
+        await self.until(self.reported_running)
+        self.assertEqual(self.outcomes(), [])
+
     async def test_new_life_loses_the_runs_of_the_earlier_one(self) -> None:
         await self.order(fake_worker.start_orders(make.ref()))
         await self.until(lambda: self.worker.running)
