Stop runs on order although their end was inferred

A run that was given up and is on the worker all the same went on after its job was cancelled, and beside the task's next attempt: HeldRuns.add_stop returned None for each run with an entry in highest_ended, forever. The check came with and is right for start orders only.

Ends that the worker lists are now kept apart from ends that the agent infers. The former are final for the incarnation, so a row of an overtaken view is ignored. The latter only forbid starts: if the worker lists the run, it is held and reported, stop orders are carried out, and an inferred end that the leader has not confirmed is withdrawn. A listed end replaces an inferred one. Listed ends and their numbers are forgotten only with the incarnation, no longer with each session.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -272,7 +272,7 @@
             and previous.announcement.incarnation != announcement.incarnation
         ):
             self.held.end_all("lost", "incarnation_replaced")
-        self.held.begin_incarnation()
+            self.held.begin_incarnation()
         self.session = None
         return worker_session.Session(
             announcement=self._announcement or announcement,
--- a/bamboorouter/coordination/workers/ended_runs.py
+++ b/bamboorouter/coordination/workers/ended_runs.py
@@ -1,12 +1,18 @@
 """Remembers which runs of a worker have ended, and on what evidence.
 
-The worker lists the end of a run with a number. The agent infers an end from
-other evidence, which may turn out to be wrong: the worker may list the run
-later. Both kinds are kept, so that a copy of a start order that arrives after
-its run was given up is not executed.
+An end that the worker lists with a number is final for the incarnation: a row
+that still lists the run as running is older than the end.
+
+An end that the agent infers from other evidence may be wrong or early. If the
+worker lists such a run, the run is on the worker: the inferred end is
+withdrawn, and the run is held and stopped like any other.
+
+After an end of either kind, the run and earlier attempts of its task are never
+started, because a copy of a start order may arrive late.
 """
 
 import dataclasses
+from typing import Any
 from typing import Final
 from typing import Literal
 
@@ -57,19 +63,31 @@
     Attributes:
         worker: Name of the worker.
         log_fields: Fields that identify the session in log lines.
-        inferred: Inferred ends by run, oldest first; bounded.
-        highest: Highest ended attempt by task, oldest first; bounded.
+        listed: Runs whose end the current incarnation has listed, oldest
+            first; bounded.
+        inferred: Inferred ends that were not withdrawn, by run, oldest first;
+            bounded.
+        highest: Highest ended attempt by task, oldest first; bounded. It is
+            kept for later incarnations, because an earlier incarnation may
+            turn out to be the current one.
     """
 
     def __init__(self, *, worker: str) -> None:
         self.worker = worker
         self.log_fields: dict[str, object] = {}
+        self.listed: dict[jobs.RunKey, None] = {}
         self.inferred: dict[jobs.RunKey, InferredEnd] = {}
         self.highest: dict[jobs.TaskRef, int] = {}
 
+    def begin_incarnation(self) -> None:
+        """Forgets the ends that an earlier incarnation has listed."""
+        self.listed.clear()
+
     def add_listed(self, key: jobs.RunKey) -> None:
         """Records an end that the worker has listed."""
         self.inferred.pop(key, None)
+        self.listed[key] = None
+        _drop_oldest(self.listed)
         self._raise_highest(key)
 
     def add_inferred(
@@ -90,8 +108,7 @@
         """
         self.inferred.pop(key, None)
         self.inferred[key] = end
-        if len(self.inferred) > MAX_ENDED_TASKS:
-            del self.inferred[next(iter(self.inferred))]
+        _drop_oldest(self.inferred)
         self._raise_highest(key)
         task, attempt = key
         events.log(
@@ -107,10 +124,10 @@
         )
         metrics.RUNS_GIVEN_UP.labels(end.evidence).inc()
 
-    def log_listed_again(
+    def withdraw(
         self, key: jobs.RunKey, *, token: int, sent_ms: int, now: int
-    ) -> None:
-        """Logs that the worker lists a run that counted as ended.
+    ) -> InferredEnd | None:
+        """Withdraws and logs the inferred end of a run that the worker lists.
 
         Args:
             key: The run.
@@ -118,23 +135,28 @@
             sent_ms: Time at which the poll was sent, in ms on the agent's
                 clock.
             now: Current time in ms on the agent's clock.
+
+        Returns:
+            The end; None if there was none.
         """
-        end = self.inferred.get(key)
+        end = self.inferred.pop(key, None)
+        if end is None:
+            return None
         task, attempt = key
-        evidence = end.evidence if end else "listed"
         events.log(
             events.RUN_LISTED_AGAIN,
             task=str(task),
             attempt=attempt,
             worker=self.worker,
-            how=end.how if end else "",
-            evidence=evidence,
-            ended_age_ms=now - end.at_ms if end else None,
+            how=end.how,
+            evidence=end.evidence,
+            ended_age_ms=now - end.at_ms,
             view_token=token,
             view_age_ms=now - sent_ms,
             **self.log_fields,
         )
-        metrics.RUNS_LISTED_AGAIN.labels(evidence).inc()
+        metrics.RUNS_LISTED_AGAIN.labels(end.evidence).inc()
+        return end
 
     def log_stop_not_sent(self, key: jobs.RunKey, reason: str) -> None:
         """Logs that a stop order isn't sent to the worker."""
@@ -156,5 +178,9 @@
     def _raise_highest(self, key: jobs.RunKey) -> None:
         task, attempt = key
         self.highest[task] = max(attempt, self.highest.pop(task, 0))
-        if len(self.highest) > MAX_ENDED_TASKS:
-            del self.highest[next(iter(self.highest))]
+        _drop_oldest(self.highest)
+
+
+def _drop_oldest(ended: dict[Any, Any]) -> None:
+    if len(ended) > MAX_ENDED_TASKS:
+        del ended[next(iter(ended))]
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -10,6 +10,10 @@
 An uncertain run is resolved by a view of the worker that was requested later
 and with a higher fencing token. The worker rejects the older order from then
 on, so a run that isn't listed in the view will never start.
+
+A run that the worker lists is held, also if the agent had inferred its end. The
+inferred end is withdrawn unless the leader has confirmed it already; then the
+leader orders the run to stop. See `ended_runs`.
 """
 
 from collections.abc import Iterable
@@ -84,12 +88,14 @@
 
     Attributes:
         number: Number of the end in the worker's incarnation; 0 if the worker
-            didn't list the end.
+            didn't list the end or listed it in an earlier incarnation.
         end: The end.
+        inferred: Whether the agent inferred the end.
     """
 
     number: int
     end: jobs.RunEnd
+    inferred: bool = False
 
 
 class HeldRuns:
@@ -144,14 +150,17 @@
         """Adds a stop order; returns the run if the worker must stop it.
 
         A run that was not sent to the worker ends immediately. An unknown run
-        is added, so that a delayed start order for it is not executed.
+        is added, so that a delayed start order for it is not executed. Nothing
+        is done for a run that has ended and isn't held.
         """
         key = (order.task, order.attempt)
-        if self.ended.forbids_start(key):
-            reason = "ended" if key not in self.runs else "ended_but_listed"
-            self.ended.log_stop_not_sent(key, reason)
-            return None
         run = self.runs.get(key)
+        if run is None and key in self.ended.listed:
+            self.ended.log_stop_not_sent(key, "ended")
+            return None
+        if run is None and key in self.ended.inferred:
+            self.ended.log_stop_not_sent(key, "given_up")
+            return None
         if run is None:
             run = self.runs[key] = HeldRun(
                 task=order.task,
@@ -199,6 +208,7 @@
         self.ends.append(
             PendingEnd(
                 number=0,
+                inferred=True,
                 end=jobs.RunEnd(
                     task=run.task,
                     attempt=run.attempt,
@@ -221,7 +231,8 @@
         return len(runs)
 
     def begin_incarnation(self) -> None:
-        """Resets the numbers of ends, which restart with each incarnation."""
+        """Forgets what holds for one incarnation: its ends and their numbers."""
+        self.ended.begin_incarnation()
         self.ends = [
             dataclasses.replace(pending, number=0) for pending in self.ends
         ]
@@ -266,8 +277,10 @@
             if row.number <= self.last_listed_end:
                 continue
             self.last_listed_end = row.number
-            self.runs.pop((row.end.task, row.end.attempt), None)
-            self.ended.add_listed((row.end.task, row.end.attempt))
+            key = (row.end.task, row.end.attempt)
+            self.runs.pop(key, None)
+            self.ended.add_listed(key)
+            self._drop_inferred_end(key)
             self.ends.append(PendingEnd(number=row.number, end=row.end))
 
     def _update_running(
@@ -277,13 +290,14 @@
         token: int,
         sent_ms: int,
     ) -> None:
+        if key in self.ended.listed:
+            return
         run = self.runs.get(key)
         if run is None:
-            if self.ended.forbids_start(key):
-                self.ended.log_listed_again(
-                    key, token=token, sent_ms=sent_ms, now=self.clock.now()
-                )
-            # Includes runs declared lost, which the leader will order to stop.
+            if self.ended.withdraw(
+                key, token=token, sent_ms=sent_ms, now=self.clock.now()
+            ):
+                self._drop_inferred_end(key)
             run = self.runs[key] = HeldRun(
                 task=row.task,
                 attempt=row.attempt,
@@ -297,6 +311,15 @@
         run.missed = 0
         run.row = row
 
+    def _drop_inferred_end(self, key: jobs.RunKey) -> None:
+        """Removes an inferred end that the leader hasn't confirmed."""
+        self.ends = [
+            pending
+            for pending in self.ends
+            if not pending.inferred
+            or (pending.end.task, pending.end.attempt) != key
+        ]
+
     def _update_missing(self, run: HeldRun, token: int, sent_ms: int) -> None:
         if run.phase == "uncertain" and token > run.token:
             self.end(
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -128,13 +128,7 @@
         return worker_port.WorkerView(
             clock_ms=self._time.now(),
             running=tuple(
-                worker_port.RunningRow(
-                    task=task,
-                    attempt=attempt,
-                    checkpoint="",
-                    progress=50,
-                    figure=0,
-                )
+                running_row(task, attempt)
                 for task, attempt in self.running.items()
             ),
             ended=tuple(self.ends),
@@ -233,6 +227,13 @@
     return worker_port.Announcement(**values)
 
 
+def running_row(task: jobs.TaskRef, attempt: int) -> worker_port.RunningRow:
+    """Returns the row of a running run."""
+    return worker_port.RunningRow(
+        task=task, attempt=attempt, checkpoint="", progress=50, figure=0
+    )
+
+
 def start_orders(
     *tasks: jobs.TaskRef,
     term: int = 1,
--- /dev/null
+++ b/tests/test_held_runs.py
@@ -0,0 +1,107 @@
+"""Guards against runs of which an agent keeps a wrong state."""
+
+import unittest
+
+from bamboorouter import clock
+from bamboorouter.coordination.workers import held_runs
+from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
+from tests import fake_worker
+from tests import job_builders as make
+
+REF = make.ref()
+KEY = (REF, 1)
+
+
+def view(
+    clock_ms: int,
+    *running: jobs.TaskRef,
+    ended: tuple[worker_port.EndedRow, ...] = (),
+) -> worker_port.WorkerView:
+    """Returns a view that lists the first attempt of each task as running."""
+    return worker_port.WorkerView(
+        clock_ms=clock_ms,
+        running=tuple(fake_worker.running_row(task, 1) for task in running),
+        ended=ended,
+    )
+
+
+def end_row(number: int, *, attempt: int = 1) -> worker_port.EndedRow:
+    """Returns the row of a run that is done."""
+    return worker_port.EndedRow(
+        number=number, end=jobs.RunEnd(task=REF, attempt=attempt, how="done")
+    )
+
+
+class HeldRunsTest(unittest.TestCase):
+    """Tests which runs are held after views, orders and inferred ends."""
+
+    def setUp(self) -> None:
+        self.clock = clock.ManualClock(monotonic_ms=1000)
+        self.held = held_runs.HeldRuns(worker="agent-1", time=self.clock)
+
+    def see(self, listed: worker_port.WorkerView, token: int = 5) -> bool:
+        """Updates the runs from a view that was requested just now."""
+        return self.held.reconcile(
+            listed, token=token, sent_ms=self.clock.now()
+        )
+
+    def stop(self) -> held_runs.HeldRun | None:
+        return self.held.add_stop(
+            job_messages.StopOrder(task=REF, attempt=1), self.clock.now()
+        )
+
+    def outcomes(self) -> list[str]:
+        """Returns the outcomes of the ends for the leader."""
+        return [pending.end.how for pending in self.held.ends]
+
+    def test_run_that_ended_is_not_held_again(self) -> None:
+        """Guards against holding a run that an overtaken view lists."""
+        self.see(view(10, REF))
+        self.see(view(20, ended=(end_row(1),)))
+        self.see(view(20, REF))
+        self.assertEqual(self.held.runs, {})
+        self.assertIsNone(self.stop())
+        self.assertEqual(self.outcomes(), ["done"])
+
+    def test_listed_end_replaces_an_inferred_one(self) -> None:
+        """Guards against repeating a run that is done."""
+        self.see(view(10, REF))
+        self.held.end_all("lost", "lease_expired")
+        self.see(view(20, ended=(end_row(1),)))
+        self.assertEqual(self.outcomes(), ["done"])
+
+    def test_earlier_attempt_that_runs_after_a_later_one_is_stopped(
+        self,
+    ) -> None:
+        """Guards against a run that goes on after its task is done."""
+        self.see(view(10, ended=(end_row(1, attempt=2),)))
+        self.see(view(20, REF))
+        self.assertEqual(list(self.held.runs), [KEY])
+        self.assertIsNotNone(self.stop())
+
+    def test_new_incarnation_may_run_what_ended_on_an_earlier_one(self) -> None:
+        """Guards against ignoring a run that a delayed order has started."""
+        self.see(view(10, ended=(end_row(1),)))
+        self.held.begin_incarnation()
+        self.see(view(5, REF))
+        self.assertEqual(list(self.held.runs), [KEY])
+        self.assertIsNotNone(self.stop())
+        # The end in the earlier incarnation remains.
+        self.assertEqual(self.outcomes(), ["done"])
+
+    def test_run_that_is_listed_again_is_not_started_again(self) -> None:
+        self.see(view(10, REF))
+        self.held.end_all("lost", "lease_expired")
+        (order,) = fake_worker.start_orders(REF).starts
+        self.assertIsNone(self.held.add_order(order, self.clock.now()))
+        self.assertEqual(self.held.runs, {})
+        self.see(view(20, REF))
+        self.assertIsNone(self.held.add_order(order, self.clock.now()))
+        # The order is attached to the run, so the leader doesn't repeat it.
+        self.assertEqual(self.held.runs[KEY].order, order)
+
+
+if __name__ == "__main__":
+    unittest.main()
