Log each stop that the leader orders, and stops that are overdue

A stop that the leader put into its reply to a report left no line in the log, and only pushed stops did, without a reason. A run that goes on although the leader orders its stop with each reply was therefore invisible: neither the order nor its lack of effect was logged.

`stop_orders` now decides which runs must stop and why, apart from the dispatcher's I/O. `StopTracker` logs `run_stop_ordered` once for each run with its reason and what is assigned instead, and `run_stop_overdue` at most every 5 s while a run is still reported 5 s after its first stop order. Two counters show both. The decisions themselves are unchanged.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -27,6 +27,7 @@
 from bamboorouter.coordination.jobs import run_measurements
 from bamboorouter.coordination.jobs import run_monitor
 from bamboorouter.coordination.jobs import start_advice
+from bamboorouter.coordination.jobs import stop_orders
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
@@ -45,9 +46,6 @@
 # Batches changes that arrive together into one pass.
 PASS_BATCHING_MS: Final = 3
 PUSH_TIMEOUT_MS: Final = 500
-# A stop order is sent again if the end isn't reported by then. A stop takes
-# 0.9 s.
-STOP_RESEND_MS: Final = 1000
 # Ended jobs can be read for at least this long.
 ENDED_JOB_RETENTION_MS: Final = 600_000
 # Keeps a command well below the maximum size of a log entry, and a pass short.
@@ -66,6 +64,7 @@
         measurements: Utilization of serving runs as measured by workers.
         observations: Replicates observations for later leaders.
         advice: Asks the advice service where advised steps may run.
+        stops: Stops that were ordered.
         placement: Chooses workers for ready tasks.
     """
 
@@ -95,7 +94,7 @@
         self.advice = start_advice.StartAdvice(
             source=advice, time=time, on_answer=self._wake.set
         )
-        self._stop_sent_ms: dict[jobs.RunKey, int] = {}
+        self.stops = stop_orders.StopTracker(time=time)
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
         self._pushes: set[asyncio.Task[None]] = set()
@@ -242,31 +241,28 @@
             for ref, task in assigned.items()
             if (ref, task.attempt) not in held and task.life == report.life
         ]
-        surplus = [
-            run
-            for run in report.runs
-            if run.task not in assigned
-            or assigned[run.task].attempt != run.attempt
+        stops = [
+            *(
+                stop_orders.Stop(
+                    task=ref, attempt=task.attempt, reason="job_ended"
+                )
+                for ref, task in missing
+                if not state.jobs[ref.job].active()
+            ),
+            *stop_orders.unassigned_stops(state, report),
         ]
+        term = self.log.term()
+        self.stops.record(report.worker, stops, term=term)
+        self.stops.check_report(report, term=term)
         return job_messages.RunOrders(
-            term=self.log.term(),
+            term=term,
             life=report.life,
             starts=tuple(
                 self._start_order(ref)
                 for ref, _ in missing
                 if state.jobs[ref.job].active()
             ),
-            stops=(
-                *(
-                    job_messages.StopOrder(task=ref, attempt=task.attempt)
-                    for ref, task in missing
-                    if not state.jobs[ref.job].active()
-                ),
-                *(
-                    job_messages.StopOrder(task=run.task, attempt=run.attempt)
-                    for run in surplus
-                ),
-            ),
+            stops=tuple(stop.order() for stop in stops),
         )
 
     # --- Loop ----------------------------------------------------------------
@@ -277,7 +273,7 @@
         if leadership.leads:
             self.table.reset(self.clock.now())
             self.run_monitor.reset()
-            self._stop_sent_ms.clear()
+            self.stops.reset()
             self.measurements.reset()
             self.advice.reset()
             self._ended_ms.clear()
@@ -511,53 +507,28 @@
     def _order_stops(self) -> None:
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
-        now = self.clock.now()
-        sent_ms: dict[jobs.RunKey, int] = {}
+        term = self.log.term()
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
                 continue
-            to_move = self.run_monitor.runs_to_move(worker.report, state)
-            stops = [
-                (ref, task.attempt)
-                for ref, task in tasks.items()
-                if _must_stop(state, ref, draining=worker.report.draining)
-                or (ref, task.attempt) in to_move
-            ]
-            due = []
-            for stop in stops:
-                sent = self._stop_sent_ms.get(stop)
-                sent_ms[stop] = now if sent is None else sent
-                if sent is None or now - sent >= STOP_RESEND_MS:
-                    sent_ms[stop] = now
-                    due.append(stop)
-            if due:
-                self._push_stops(worker, due)
-        self._stop_sent_ms = sent_ms
-
-    def _push_stops(
-        self, worker: worker_table.LiveWorker, stops: list[jobs.RunKey]
-    ) -> None:
-        for task, attempt in stops:
-            events.log(
-                events.RUN_STOP_ORDERED,
-                task=str(task),
-                attempt=attempt,
-                worker=worker.report.worker,
+            stops = stop_orders.assigned_stops(
+                state,
+                name,
                 draining=worker.report.draining,
-                term=self.log.term(),
+                to_move=self.run_monitor.runs_to_move(worker.report, state),
             )
-        self._push(
-            worker.source,
-            job_messages.RunOrders(
-                term=self.log.term(),
-                life=worker.report.life,
-                stops=tuple(
-                    job_messages.StopOrder(task=task, attempt=attempt)
-                    for task, attempt in stops
-                ),
-            ),
-        )
+            self.stops.record(name, stops, term=term)
+            due = self.stops.due(name, stops)
+            if due:
+                self._push(
+                    worker.source,
+                    job_messages.RunOrders(
+                        term=term,
+                        life=worker.report.life,
+                        stops=tuple(stop.order() for stop in due),
+                    ),
+                )
 
     async def _forget_ended(self) -> None:
         state = self.log.machine.stepped
@@ -635,19 +606,3 @@
     # assigned again.
     done_late = task.status == "waiting" and end.how == "done"
     return task.status == "assigned" or done_late
-
-
-def _must_stop(
-    state: stepped_jobs.SteppedJobs, ref: jobs.TaskRef, *, draining: bool
-) -> bool:
-    """Whether a run must be stopped.
-
-    On a draining worker, long-running tasks and tasks with checkpoints are
-    stopped to be resumed on another worker; other tasks may finish in time.
-    The rest of a gang is stopped if a member is gone, because the remaining
-    runs would only wait for it.
-    """
-    if not state.jobs[ref.job].active() or state.gang_incomplete(ref):
-        return True
-    step = state.step(ref)
-    return draining and (step.lasting or step.checkpoints)
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -504,7 +504,7 @@
     611,
     "run_stop_ordered",
     logging.INFO,
-    "A run was ordered to stop.",
+    "A run was ordered to stop, for the given reason.",
 )
 ORDERS_NOT_SENT: Final = _define_event(
     612,
@@ -562,6 +562,12 @@
     logging.WARNING,
     "A seed that is no replica does not take the leader's address.",
 )
+RUN_STOP_OVERDUE: Final = _define_event(
+    621,
+    "run_stop_overdue",
+    logging.WARNING,
+    "A run is still reported long after it was ordered to stop.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
--- a/bamboorouter/metrics.py
+++ b/bamboorouter/metrics.py
@@ -72,6 +72,15 @@
     "Ended runs of tasks of jobs with steps.",
     ("how",),
 )
+STOPS_ORDERED: Final = prometheus_client.Counter(
+    "bamboorouter_stops_ordered_total",
+    "Runs of jobs with steps that were ordered to stop.",
+    ("reason",),
+)
+STOPS_OVERDUE: Final = prometheus_client.Counter(
+    "bamboorouter_stops_overdue_total",
+    "Runs still reported long after they were ordered to stop.",
+)
 
 LINK_BYTES: Final = prometheus_client.Counter(
     "bamboorouter_link_bytes_total",
