Count runs that are still to stop as taking room on their worker

The leader placed new runs beside runs that it had given up or whose job it had forgotten while the worker still ran them: only assigned runs counted. On a worker that doesn't guard its capacity such a start brings it over the capacity (LIMIT), and on one that does it is rejected.

A reported run that isn't assigned now takes the room of its step until it is no longer reported. While its size is unknown, because its job is, the worker gets no new runs, as the scheduler of declared rows already does for orphaned tasks. A start that is assigned already isn't pushed or repeated while it doesn't fit beside such runs. The capacity of a worker moves to `worker_capacities`.

Three of the new tests failed before: test_run_that_is_being_stopped_takes_its_room, test_worker_with_a_run_of_unknown_size_gets_no_runs and test_start_is_not_repeated_beside_a_run_that_came_back.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -28,6 +28,7 @@
 from bamboorouter.coordination.jobs import run_monitor
 from bamboorouter.coordination.jobs import start_advice
 from bamboorouter.coordination.jobs import stop_orders
+from bamboorouter.coordination.jobs import worker_capacities
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
@@ -228,10 +229,11 @@
     ) -> job_messages.RunOrders:
         """Returns the orders by which the agent reaches the replicated state.
 
-        The agent gets start orders for assigned runs that it doesn't hold, and
-        stop orders for runs that aren't assigned to it. If the job of an
-        assigned run has ended, a stop order replaces the start order, so that a
-        delayed start order isn't executed.
+        The agent gets start orders for assigned runs that it doesn't hold, once
+        they fit beside the runs that are still to stop, and stop orders for
+        runs that aren't assigned to it. If the job of an assigned run has
+        ended, a stop order replaces the start order, so that a delayed start
+        order isn't executed.
         """
         state = self.log.machine.stepped
         assigned = state.on_worker.get(report.worker, {})
@@ -254,13 +256,14 @@
         term = self.log.term()
         self.stops.record(report.worker, stops, term=term)
         self.stops.check_report(report, term=term)
+        may_start = worker_capacities.has_room_to_start(state, report)
         return job_messages.RunOrders(
             term=term,
             life=report.life,
             starts=tuple(
                 self._start_order(ref)
                 for ref, _ in missing
-                if state.jobs[ref.job].active()
+                if may_start and state.jobs[ref.job].active()
             ),
             stops=tuple(stop.order() for stop in stops),
         )
@@ -407,12 +410,15 @@
         ]
 
     def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
+        state = self.log.machine.stepped
         by_worker = sorted(runs, key=lambda run: run.worker)
         for name, group in itertools.groupby(
             by_worker, key=lambda run: run.worker
         ):
             worker = self.table.workers.get(name)
-            if worker is not None:
+            if worker is not None and worker_capacities.has_room_to_start(
+                state, worker.report
+            ):
                 self._push(
                     worker.source,
                     job_messages.RunOrders(
@@ -462,11 +468,13 @@
 
     def _usable_capacities(self) -> list[run_placement.WorkerCapacity]:
         """Returns the capacities of the workers that may get new runs."""
+        state = self.log.machine.stepped
         now = self.clock.now()
         capacities = (
             self._worker_capacity(name)
             for name, worker in self.table.workers.items()
             if worker.usable(now)
+            and not worker_capacities.runs_unknown_size(state, worker.report)
         )
         return [capacity for capacity in capacities if capacity is not None]
 
@@ -478,31 +486,15 @@
         Returns None if the worker's newest report isn't from its current
         incarnation.
         """
-        state = self.log.machine.stepped
         worker = self.table.workers.get(name)
-        incarnation = state.incarnations.get(name)
-        if (
-            worker is None
-            or incarnation is None
-            or incarnation.life != worker.report.life
-        ):
+        if worker is None:
             return None
-        capacity = run_placement.WorkerCapacity(
-            name=name,
-            incarnation=incarnation.life,
-            service=worker.report.service,
-            labels=frozenset(worker.report.labels),
-            rack=worker.report.rack,
-            millicores=incarnation.room.millicores,
-            memory_mb=incarnation.room.memory_mb,
-            accelerators=incarnation.room.accelerators,
+        return worker_capacities.placement_capacity(
+            self.log.machine.stepped,
+            worker.report,
             ejected=self.run_monitor.is_avoided(name),
+            own_utilization=self.measurements.own_utilization,
         )
-        for ref in state.on_worker.get(name, {}):
-            capacity.add(
-                state.step(ref), self.measurements.own_utilization(ref)
-            )
-        return capacity
 
     def _order_stops(self) -> None:
         """Orders stops of runs that must end or move to another worker."""
--- a/tests/test_stop_orders.py
+++ b/tests/test_stop_orders.py
@@ -132,3 +132,59 @@
             await self.report(agent)
         await self.report(agent, runs=runs)
         self.assertEqual(self.logged_fields(events.RUN_STOP_OVERDUE), [])
+
+
+class RoomTest(StopOrdersCase):
+    """A run takes its room until it is gone, also if it isn't assigned."""
+
+    whole_worker = make.step(need=make.need(64_000, 1000))
+
+    async def give_up_run(self) -> test_job_dispatcher.FakeAgent:
+        """Returns an agent that runs job `a`, which is given up and ended."""
+        agent = await self.start_on("w1", "a", self.whole_worker)
+        await self.cancel("a")
+        await self.report(agent, ends=self.run_ends(make.ref(), "lost"))
+        return agent
+
+    async def test_run_that_is_being_stopped_takes_its_room(self) -> None:
+        agent = await self.give_up_run()
+        runs = (self.held_run(make.ref()),)
+        await self.report(agent, runs=runs)
+        await self.submit("b", self.whole_worker)
+        await self.settle()
+        self.assertEqual(agent.started(), [make.ref("a")])
+        await self.report(agent)
+        await self.until(lambda: agent.has_started(2))
+
+    async def test_worker_with_a_run_of_unknown_size_gets_no_runs(
+        self,
+    ) -> None:
+        agent = await self.connect_agent()
+        await self.report(agent, runs=(self.held_run(make.ref("gone")),))
+        await self.submit("a")
+        await self.settle()
+        self.assertEqual(agent.started(), [])
+        await self.report(agent)
+        await self.until(agent.started)
+
+    async def test_start_is_not_repeated_beside_a_run_that_came_back(
+        self,
+    ) -> None:
+        agent = await self.give_up_run()
+        await self.report(agent)
+        await self.submit("b", self.whole_worker)
+        await self.until(lambda: agent.has_started(2))
+        reply = await self.report(agent, runs=(self.held_run(make.ref("a")),))
+        self.assertEqual(reply.orders.starts, ())
+        reply = await self.report(agent)
+        self.assertEqual(
+            [start.task for start in reply.orders.starts], [make.ref("b")]
+        )
+
+    async def test_small_run_that_is_being_stopped_leaves_room(self) -> None:
+        agent = await self.start_on("w1", "a")
+        await self.cancel("a")
+        await self.report(agent, ends=self.run_ends(make.ref(), "lost"))
+        await self.report(agent, runs=(self.held_run(make.ref()),))
+        await self.submit("b")
+        await self.until(lambda: agent.has_started(2))
