Don't push the start of a run that has ended while it was being committed

The log groups commands into entries: when the result of an assignment arrives, the cancellation of its job, or a session of another incarnation of its worker, may already be applied. The leader pushed the start order all the same, for a job whose cancellation was acknowledged (UNASKED); the stop followed one pass later. It now pushes only what the state still says must run.

test_start_of_a_job_that_is_cancelled_meanwhile_is_not_pushed failed before.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -411,7 +411,11 @@
 
     def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
         state = self.log.machine.stepped
-        by_worker = sorted(runs, key=lambda run: run.worker)
+        by_worker = sorted(
+            # The state may have changed while the assignments were committed.
+            (run for run in runs if state.must_run(run)),
+            key=lambda run: run.worker,
+        )
         for name, group in itertools.groupby(
             by_worker, key=lambda run: run.worker
         ):
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -127,6 +127,17 @@
         """Returns the step of a known task."""
         return self.jobs[ref.job].spec.steps[ref.step]
 
+    def must_run(self, run: jobs.RunStart) -> bool:
+        """Whether a run is assigned and its job hasn't ended."""
+        task = self.task(run.task)
+        return (
+            task is not None
+            and task.status == "assigned"
+            and (task.worker, task.life, task.attempt)
+            == (run.worker, run.life, run.attempt)
+            and self.jobs[run.task.job].active()
+        )
+
     def gang_incomplete(self, ref: jobs.TaskRef) -> bool:
         """Whether any task of a task's gang is not assigned."""
         return any(task.status != "assigned" for _, task in self._group_of(ref))
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -32,6 +32,8 @@
             with an unknown result.
         postpones: Whether proposals fail with an unknown result and are applied
             only by `apply_postponed`.
+        followed_by: By type of command, a command that shares the entry of the
+            next proposal of that type.
         history: All applied commands with their results.
         applied: Index of each applied entry.
         leadership: Current leadership and its changes.
@@ -43,6 +45,7 @@
         self.has_lease = True
         self.lose_results = 0
         self.postpones = False
+        self.followed_by: dict[type, commands.Command] = {}
         self._postponed: list[commands.Command] = []
         self.history: list[tuple[commands.Command, commands.Result]] = []
         self._applied = subject.Subject[int]()
@@ -83,6 +86,8 @@
             self._postponed.append(command)
             raise errors.UnknownResultError(text="late", step="propose")
         result = self.apply(command)
+        if type(command) in self.followed_by:
+            self.apply(self.followed_by.pop(type(command)))
         if self.lose_results:
             self.lose_results -= 1
             raise errors.UnknownResultError(text="lost", step="propose")
--- a/tests/test_stop_orders.py
+++ b/tests/test_stop_orders.py
@@ -8,6 +8,7 @@
 
 from bamboorouter import events
 from bamboorouter.coordination.jobs import stop_orders
+from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from tests import job_builders as make
@@ -188,3 +189,15 @@
         await self.report(agent, runs=(self.held_run(make.ref()),))
         await self.submit("b")
         await self.until(lambda: agent.has_started(2))
+
+    async def test_start_of_a_job_that_is_cancelled_meanwhile_is_not_pushed(
+        self,
+    ) -> None:
+        """The cancellation may share the log entry of the assignment."""
+        agent = await self.connect_agent()
+        self.log.followed_by[job_commands.StartRuns] = job_commands.CancelSteps(
+            job="a"
+        )
+        await self.submit("a")
+        await self.until(agent.stopped)
+        self.assertEqual(agent.started(), [])
