Don't run a task again after the success of an earlier attempt was acknowledged

What callers saw: a task that had completed ran again (TWICE). If a run was given up, its next attempt assigned and only then its success reported, the leader dropped the success and acknowledged it to the worker. If the next attempt then ended in any other way, a further attempt was started, long after the success had been acknowledged.

Cause: only the end of the current attempt changed a task. `run_ends` now maps a late success to the current attempt, whose stop is pushed at once; the worker of a run that was started already hears it again with each reply. Ends are checked again after their commit, so that one whose task is assigned again meanwhile is committed again before it is acknowledged. The replicated state applies commands as before, so replicas of both versions agree.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -24,6 +24,7 @@
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import observation_recorder
 from bamboorouter.coordination.jobs import ready_tasks
+from bamboorouter.coordination.jobs import run_ends
 from bamboorouter.coordination.jobs import run_measurements
 from bamboorouter.coordination.jobs import run_monitor
 from bamboorouter.coordination.jobs import start_advice
@@ -38,7 +39,6 @@
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
-from bamboorouter.state import stepped_jobs
 from bamboorouter.transport import link
 
 # Bounds the delay in handling expired leases and due times, which raise no
@@ -51,6 +51,8 @@
 ENDED_JOB_RETENTION_MS: Final = 600_000
 # Keeps a command well below the maximum size of a log entry, and a pass short.
 MAX_RUNS_PER_PASS: Final = 256
+# Bounds the retries if tasks are assigned again while their ends are committed.
+MAX_END_PROPOSALS: Final = 3
 
 
 class JobDispatcher:
@@ -503,7 +505,6 @@
     def _order_stops(self) -> None:
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
-        term = self.log.term()
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
@@ -514,17 +515,26 @@
                 draining=worker.report.draining,
                 to_move=self.run_monitor.runs_to_move(worker.report, state),
             )
-            self.stops.record(name, stops, term=term)
-            due = self.stops.due(name, stops)
-            if due:
-                self._push(
-                    worker.source,
-                    job_messages.RunOrders(
-                        term=term,
-                        life=worker.report.life,
-                        stops=tuple(stop.order() for stop in due),
-                    ),
-                )
+            self._push_stops(worker, stops)
+
+    def _push_stops(
+        self,
+        worker: worker_table.LiveWorker,
+        stops: list[stop_orders.Stop],
+    ) -> None:
+        """Pushes the stop orders that were not pushed recently."""
+        name, term = worker.report.worker, self.log.term()
+        self.stops.record(name, stops, term=term)
+        due = self.stops.due(name, stops)
+        if due:
+            self._push(
+                worker.source,
+                job_messages.RunOrders(
+                    term=term,
+                    life=worker.report.life,
+                    stops=tuple(stop.order() for stop in due),
+                ),
+            )
 
     async def _forget_ended(self) -> None:
         state = self.log.machine.stepped
@@ -550,28 +560,55 @@
     async def _commit_ends(
         self, ends: tuple[jobs.RunEnd, ...], worker: str, incarnation: str
     ) -> None:
-        """Commits the ends of runs that change the replicated state."""
+        """Commits the ends of runs that change the replicated state.
+
+        Raises:
+            NotLeaderError: Nothing was committed.
+            UnknownResultError: The ends may not be committed.
+        """
         state = self.log.machine.stepped
-        current = tuple(end for end in ends if _changes_state(state, end))
-        if not current:
-            return
-        await job_proposals.propose(
-            self.log, job_commands.EndRuns(ends=current)
-        )
-        for end in current:
-            if end.how == "rejected":
-                self.advice.record_rejection(end.task, incarnation)
-            events.log(
-                events.RUN_ENDED,
-                task=str(end.task),
-                attempt=end.attempt,
-                how=end.how,
-                worker=worker,
-                life=incarnation,
-                term=self.log.term(),
+        for _ in range(MAX_END_PROPOSALS):
+            effective = [
+                found
+                for end in ends
+                if (found := run_ends.effective_end(state, end)) is not None
+            ]
+            if not effective:
+                return
+            await job_proposals.propose(
+                self.log,
+                job_commands.EndRuns(
+                    ends=tuple(end.committed for end in effective)
+                ),
             )
-            metrics.RUNS_ENDED.labels(end.how).inc()
-            self.run_monitor.record_end(end, worker)
+            for end in effective:
+                self._record_end(end, worker, incarnation)
+        raise errors.UnknownResultError(
+            text="tasks were assigned again meanwhile", step="end runs"
+        )
+
+    def _record_end(
+        self, end: run_ends.EffectiveEnd, worker: str, incarnation: str
+    ) -> None:
+        reported = end.reported
+        if reported.how == "rejected":
+            self.advice.record_rejection(reported.task, incarnation)
+        events.log(
+            events.RUN_ENDED,
+            task=str(reported.task),
+            attempt=reported.attempt,
+            how=reported.how,
+            worker=worker,
+            life=incarnation,
+            current_attempt=end.committed.attempt,
+            term=self.log.term(),
+        )
+        metrics.RUNS_ENDED.labels(reported.how).inc()
+        self.run_monitor.record_end(reported, worker)
+        superseded = self.table.workers.get(end.superseded_worker)
+        if superseded is not None:
+            stop = stop_orders.superseded_stop(end.committed)
+            self._push_stops(superseded, [stop])
 
     def _push(self, source: link.Link, orders: job_messages.RunOrders) -> None:
         task = asyncio.create_task(_push(source, orders))
@@ -592,13 +629,3 @@
             stops=len(orders.stops),
             error=repr(err),
         )
-
-
-def _changes_state(state: stepped_jobs.SteppedJobs, end: jobs.RunEnd) -> bool:
-    task = state.task(end.task)
-    if task is None or task.attempt != end.attempt:
-        return False
-    # The run was considered lost, but it completed and its task has not been
-    # assigned again.
-    done_late = task.status == "waiting" and end.how == "done"
-    return task.status == "assigned" or done_late
--- a/bamboorouter/coordination/jobs/stop_orders.py
+++ b/bamboorouter/coordination/jobs/stop_orders.py
@@ -119,6 +119,11 @@
     ]
 
 
+def superseded_stop(end: jobs.RunEnd) -> Stop:
+    """Returns the stop of a run whose task an earlier attempt has completed."""
+    return Stop(task=end.task, attempt=end.attempt, reason="not_assigned")
+
+
 def _unassigned_stop(
     state: stepped_jobs.SteppedJobs, run: job_messages.HeldRun
 ) -> Stop:
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -7,7 +7,8 @@
 A task is waiting, assigned, done or failed. An assignment names the
 incarnation of a worker and an attempt; only the end of the current attempt
 changes a task. A run that was declared lost and is reported done later counts
-as done if the task has not been started again.
+as done if the task has not been started again; if it has, the leader commits
+the success under the current attempt (see `run_ends`).
 
 Gang scheduling: the tasks of a gang can only run together, so they are assigned
 by one command under the same attempt number. If one of them is done, all are;
