Count a worker's lease only while the leader observes its workers

A leader that was paused for longer than a lease, and still led, gave up all its workers in its first pass, before it read the reports that waited in its sockets: their runs, and successes among them, were dropped and the tasks started elsewhere. The same held for a leader that had rejected all reports for some seconds for want of a leader lease.

Cause: the end of a worker's lease was computed from the clock alone, so the leader's own pause passed for the silence of the agents. The table now records the gaps between the leader's observations, which are made every 100 ms under a valid leader lease, before each report and before each decision about a lease. A gap doesn't count towards the end of a lease and is logged. A worker that is really silent is given up after the same time as before, counted without the gaps; repeated pauses don't start the count again.

Two older tests let the time of a lease pass in one jump of the clock, which is a paused leader. They now let it pass in steps, with the same bounds: nothing may be given up at 9000 ms, and everything must be at 9401 ms.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -46,6 +46,8 @@
 MAX_PASS_INTERVAL_MS: Final = 200
 # Batches changes that arrive together into one pass.
 PASS_BATCHING_MS: Final = 3
+# Well below `worker_table.MAX_OBSERVATION_GAP_MS`.
+OBSERVATION_PERIOD_MS: Final = 100
 PUSH_TIMEOUT_MS: Final = 500
 # Ended jobs can be read for at least this long.
 ENDED_JOB_RETENTION_MS: Final = 600_000
@@ -101,7 +103,7 @@
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
         self._pushes: set[asyncio.Task[None]] = set()
-        self._loop: asyncio.Task[None] | None = None
+        self._loops: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Subscribes to leadership changes and starts the dispatch loop."""
@@ -109,15 +111,18 @@
             self.log.leadership.subscribe(self._on_leadership_change),
             self.log.applied.subscribe(lambda _: self._wake.set()),
         ]
-        self._loop = supervision.start(self._run_loop)
+        self._loops = [
+            supervision.start(self._run_loop),
+            supervision.start(self._observe_loop),
+        ]
 
     async def stop(self) -> None:
         """Stops the dispatch loop and cancels a pending advice request."""
         for subscription in self._subscriptions:
             subscription.dispose()
-        if self._loop is not None:
-            self._loop.cancel()
-            await asyncio.gather(self._loop, return_exceptions=True)
+        for loop in self._loops:
+            loop.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
         await self.advice.stop()
 
     def wake(self) -> None:
@@ -163,11 +168,10 @@
             and incarnation.session == report.session
             and incarnation.life == report.life
         )
-        if not current or not self.table.update(
-            report, source, self.clock.now()
-        ):
+        now = self._observe()
+        if not current or not self.table.update(report, source, now):
             return self._reply(report, known=False)
-        self.measurements.update(report, state, self.clock.now())
+        self.measurements.update(report, state, now)
         self.run_monitor.record_report(report, state)
         await self._commit_ends(report.ends, report.worker, report.life)
         return self._reply(report, known=True)
@@ -305,6 +309,25 @@
                 # An unexpected error in one pass must not end the loop.
                 events.log(events.DISPATCH_FAILED, error=repr(err))
 
+    async def _observe_loop(self) -> None:
+        # A pass may wait for commits, while reports are still received.
+        while True:
+            self._observe()
+            await asyncio.sleep(clock.seconds(OBSERVATION_PERIOD_MS))
+
+    def _observe(self) -> clock.Millis:
+        """Records that reports can be received now; returns the time in ms."""
+        now = self.clock.now()
+        gap_ms = self.table.observe(now) if self.log.lease_valid() else 0
+        if gap_ms:
+            events.log(
+                events.WORKERS_NOT_OBSERVED,
+                gap_ms=gap_ms,
+                unobserved_ms=self.table.unobserved_ms,
+                term=self.log.term(),
+            )
+        return now
+
     async def _run_pass(self) -> None:
         self.observations.restore()
         await self.observations.record()
@@ -315,9 +338,10 @@
 
     async def _expire_leases(self) -> None:
         state = self.log.machine.stepped
-        now = self.clock.now()
         for worker, tasks in list(state.on_worker.items()):
-            if not tasks or now < self.table.lease_end_ms(worker):
+            now = self._observe()
+            lease_end_ms = self.table.lease_end_ms(worker)
+            if not tasks or now < lease_end_ms:
                 continue
             ends = [
                 jobs.RunEnd(task=ref, attempt=task.attempt, how="lost")
@@ -327,8 +351,9 @@
                 events.LEASES_EXPIRED,
                 worker=worker,
                 runs=len(ends),
-                lease_end_ms=self.table.lease_end_ms(worker),
+                lease_end_ms=lease_end_ms,
                 now_ms=now,
+                unobserved_ms=self.table.unobserved_ms,
                 term=self.log.term(),
             )
             await job_proposals.propose(
--- a/bamboorouter/coordination/jobs/worker_table.py
+++ b/bamboorouter/coordination/jobs/worker_table.py
@@ -5,6 +5,12 @@
 receipt of the report and the agent from its sending, so the lease ends earlier
 on the agent. The lease of a worker that hasn't reported since the election
 counts from the election.
+
+A leader that was paused, or held no leader lease for a while, received no
+reports meanwhile; they may still wait in its sockets. Such time is no evidence
+that an agent is silent, so it doesn't count towards the end of a lease. The
+leader therefore calls `observe` often while it holds the leader lease; a long
+gap between two calls is time in which it didn't observe its workers.
 """
 
 import dataclasses
@@ -21,6 +27,8 @@
 # A worker gets no new runs after this time without a report. Agents report
 # every second.
 SILENT_MS: Final = 2500
+# The leader calls `observe` several times within this time unless it is paused.
+MAX_OBSERVATION_GAP_MS: Final = 500
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -31,11 +39,13 @@
         report: Newest report of its agent.
         source: Link on which the report arrived.
         reported_ms: Monotonic time in ms at which the report arrived.
+        unobserved_ms: `WorkerTable.unobserved_ms` at that time.
     """
 
     report: job_messages.WorkerReport
     source: link.Link
     reported_ms: int
+    unobserved_ms: int = 0
 
     def usable(self, now: int) -> bool:
         """Whether the worker may get new runs."""
@@ -53,16 +63,39 @@
     Attributes:
         workers: The workers by name.
         elected_ms: Monotonic time in ms of the election.
+        unobserved_ms: Time in ms since the election in which the leader didn't
+            observe the workers.
     """
 
     def __init__(self) -> None:
         self.workers: dict[str, LiveWorker] = {}
         self.elected_ms = 0
+        self.unobserved_ms = 0
+        self._observed_ms = 0
 
     def reset(self, now: int) -> None:
         """Clears the table after an election at a monotonic time in ms."""
         self.workers.clear()
         self.elected_ms = now
+        self.unobserved_ms = 0
+        self._observed_ms = now
+
+    def observe(self, now: int) -> int:
+        """Records that the leader holds its lease and can receive reports now.
+
+        Args:
+            now: Monotonic time in ms.
+
+        Returns:
+            The time in ms since the last call if it doesn't count as observed;
+            else 0.
+        """
+        gap_ms = now - self._observed_ms
+        self._observed_ms = now
+        if gap_ms <= MAX_OBSERVATION_GAP_MS:
+            return 0
+        self.unobserved_ms += gap_ms
+        return gap_ms
 
     def update(
         self,
@@ -76,8 +109,12 @@
             newest = (known.report.session, known.report.sequence)
             if (report.session, report.sequence) < newest:
                 return False
+        self.observe(now)
         self.workers[report.worker] = LiveWorker(
-            report=report, source=source, reported_ms=now
+            report=report,
+            source=source,
+            reported_ms=now,
+            unobserved_ms=self.unobserved_ms,
         )
         return True
 
@@ -88,8 +125,11 @@
     def lease_end_ms(self, worker: str) -> int:
         """Returns the monotonic time in ms by which a worker's lease has ended.
 
-        All runs on the worker have stopped by then.
+        All runs on the worker have stopped by then. The time moves on with each
+        gap in the leader's observation.
         """
         known = self.workers.get(worker)
         since = self.elected_ms if known is None else known.reported_ms
-        return since + LEASE_MS + LEASE_ALLOWANCE_MS
+        before = 0 if known is None else known.unobserved_ms
+        unobserved_ms = self.unobserved_ms - before
+        return since + LEASE_MS + LEASE_ALLOWANCE_MS + unobserved_ms
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -568,6 +568,13 @@
     logging.WARNING,
     "A run is still reported long after it was ordered to stop.",
 )
+WORKERS_NOT_OBSERVED: Final = _define_event(
+    622,
+    "workers_not_observed",
+    logging.WARNING,
+    "The leader was paused or held no leader lease; that time doesn't count"
+    " towards the leases of the workers.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -156,6 +156,14 @@
             self.dispatcher.wake()
             await asyncio.sleep(0.01)
 
+    async def pass_time(self, ms: int) -> None:
+        """Lets time pass for a leader that isn't paused."""
+        while ms > 0:
+            step_ms = min(ms, worker_table.MAX_OBSERVATION_GAP_MS)
+            self.time.advance(step_ms)
+            await self.settle()
+            ms -= step_ms
+
     def held_run(self, task: jobs.TaskRef, attempt: int = 1) -> Any:
         return job_messages.HeldRun(task=task, attempt=attempt, running=True)
 
@@ -252,7 +260,7 @@
         await self.submit("a")
         await self.until(first.started)
         second = await self.connect_agent("w2")
-        self.time.advance(worker_table.LEASE_MS)
+        await self.pass_time(worker_table.LEASE_MS)
         await self.report(second)
         await self.settle()
         self.assertEqual(second.started(), [])
@@ -323,7 +331,7 @@
         second = await self.connect_agent("w2")
         await self.settle()
         self.assertEqual(second.started(), [])
-        self.time.advance(
+        await self.pass_time(
             worker_table.LEASE_MS + worker_table.LEASE_ALLOWANCE_MS + 1
         )
         await self.report(second)
