--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -24,9 +24,12 @@
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import observation_recorder
 from bamboorouter.coordination.jobs import ready_tasks
+from bamboorouter.coordination.jobs import run_ends
 from bamboorouter.coordination.jobs import run_measurements
 from bamboorouter.coordination.jobs import run_monitor
 from bamboorouter.coordination.jobs import start_advice
+from bamboorouter.coordination.jobs import stop_orders
+from bamboorouter.coordination.jobs import worker_capacities
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
@@ -36,7 +39,6 @@
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
-from bamboorouter.state import stepped_jobs
 from bamboorouter.transport import link
 
 # Bounds the delay in handling expired leases and due times, which raise no
@@ -44,14 +46,15 @@
 MAX_PASS_INTERVAL_MS: Final = 200
 # Batches changes that arrive together into one pass.
 PASS_BATCHING_MS: Final = 3
+# Well below `worker_table.MAX_OBSERVATION_GAP_MS`.
+OBSERVATION_PERIOD_MS: Final = 100
 PUSH_TIMEOUT_MS: Final = 500
-# A stop order is sent again if the end isn't reported by then. A stop takes
-# 0.9 s.
-STOP_RESEND_MS: Final = 1000
 # Ended jobs can be read for at least this long.
 ENDED_JOB_RETENTION_MS: Final = 600_000
 # Keeps a command well below the maximum size of a log entry, and a pass short.
 MAX_RUNS_PER_PASS: Final = 256
+# Bounds the retries if tasks are assigned again while their ends are committed.
+MAX_END_PROPOSALS: Final = 3
 
 
 class JobDispatcher:
@@ -66,6 +69,7 @@
         measurements: Utilization of serving runs as measured by workers.
         observations: Replicates observations for later leaders.
         advice: Asks the advice service where advised steps may run.
+        stops: Stops that were ordered.
         placement: Chooses workers for ready tasks.
     """
 
@@ -95,11 +99,11 @@
         self.advice = start_advice.StartAdvice(
             source=advice, time=time, on_answer=self._wake.set
         )
-        self._stop_sent_ms: dict[jobs.RunKey, int] = {}
+        self.stops = stop_orders.StopTracker(time=time)
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
         self._pushes: set[asyncio.Task[None]] = set()
-        self._loop: asyncio.Task[None] | None = None
+        self._loops: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Subscribes to leadership changes and starts the dispatch loop."""
@@ -107,15 +111,18 @@
             self.log.leadership.subscribe(self._on_leadership_change),
             self.log.applied.subscribe(lambda _: self._wake.set()),
         ]
-        self._loop = supervision.start(self._run_loop)
+        self._loops = [
+            supervision.start(self._run_loop),
+            supervision.start(self._observe_loop),
+        ]
 
     async def stop(self) -> None:
         """Stops the dispatch loop and cancels a pending advice request."""
         for subscription in self._subscriptions:
             subscription.dispose()
-        if self._loop is not None:
-            self._loop.cancel()
-            await asyncio.gather(self._loop, return_exceptions=True)
+        for loop in self._loops:
+            loop.cancel()
+        await asyncio.gather(*self._loops, return_exceptions=True)
         await self.advice.stop()
 
     def wake(self) -> None:
@@ -161,11 +168,10 @@
             and incarnation.session == report.session
             and incarnation.life == report.life
         )
-        if not current or not self.table.update(
-            report, source, self.clock.now()
-        ):
+        now = self._observe()
+        if not current or not self.table.update(report, source, now):
             return self._reply(report, known=False)
-        self.measurements.update(report, state, self.clock.now())
+        self.measurements.update(report, state, now)
         self.run_monitor.record_report(report, state)
         await self._commit_ends(report.ends, report.worker, report.life)
         return self._reply(report, known=True)
@@ -229,10 +235,11 @@
     ) -> job_messages.RunOrders:
         """Returns the orders by which the agent reaches the replicated state.
 
-        The agent gets start orders for assigned runs that it doesn't hold, and
-        stop orders for runs that aren't assigned to it. If the job of an
-        assigned run has ended, a stop order replaces the start order, so that a
-        delayed start order isn't executed.
+        The agent gets start orders for assigned runs that it doesn't hold, once
+        they fit beside the runs that are still to stop, and stop orders for
+        runs that aren't assigned to it. If the job of an assigned run has
+        ended, a stop order replaces the start order, so that a delayed start
+        order isn't executed.
         """
         state = self.log.machine.stepped
         assigned = state.on_worker.get(report.worker, {})
@@ -242,31 +249,29 @@
             for ref, task in assigned.items()
             if (ref, task.attempt) not in held and task.life == report.life
         ]
-        surplus = [
-            run
-            for run in report.runs
-            if run.task not in assigned
-            or assigned[run.task].attempt != run.attempt
+        stops = [
+            *(
+                stop_orders.Stop(
+                    task=ref, attempt=task.attempt, reason="job_ended"
+                )
+                for ref, task in missing
+                if not state.jobs[ref.job].active()
+            ),
+            *stop_orders.unassigned_stops(state, report),
         ]
+        term = self.log.term()
+        self.stops.record(report.worker, stops, term=term)
+        self.stops.check_report(report, term=term)
+        may_start = worker_capacities.has_room_to_start(state, report)
         return job_messages.RunOrders(
-            term=self.log.term(),
+            term=term,
             life=report.life,
             starts=tuple(
                 self._start_order(ref)
                 for ref, _ in missing
-                if state.jobs[ref.job].active()
-            ),
-            stops=(
-                *(
-                    job_messages.StopOrder(task=ref, attempt=task.attempt)
-                    for ref, task in missing
-                    if not state.jobs[ref.job].active()
-                ),
-                *(
-                    job_messages.StopOrder(task=run.task, attempt=run.attempt)
-                    for run in surplus
-                ),
+                if may_start and state.jobs[ref.job].active()
             ),
+            stops=tuple(stop.order() for stop in stops),
         )
 
     # --- Loop ----------------------------------------------------------------
@@ -277,7 +282,7 @@
         if leadership.leads:
             self.table.reset(self.clock.now())
             self.run_monitor.reset()
-            self._stop_sent_ms.clear()
+            self.stops.reset()
             self.measurements.reset()
             self.advice.reset()
             self._ended_ms.clear()
@@ -304,6 +309,25 @@
                 # An unexpected error in one pass must not end the loop.
                 events.log(events.DISPATCH_FAILED, error=repr(err))
 
+    async def _observe_loop(self) -> None:
+        # A pass may wait for commits, while reports are still received.
+        while True:
+            self._observe()
+            await asyncio.sleep(clock.seconds(OBSERVATION_PERIOD_MS))
+
+    def _observe(self) -> clock.Millis:
+        """Records that reports can be received now; returns the time in ms."""
+        now = self.clock.now()
+        gap_ms = self.table.observe(now) if self.log.lease_valid() else 0
+        if gap_ms:
+            events.log(
+                events.WORKERS_NOT_OBSERVED,
+                gap_ms=gap_ms,
+                unobserved_ms=self.table.unobserved_ms,
+                term=self.log.term(),
+            )
+        return now
+
     async def _run_pass(self) -> None:
         self.observations.restore()
         await self.observations.record()
@@ -314,9 +338,10 @@
 
     async def _expire_leases(self) -> None:
         state = self.log.machine.stepped
-        now = self.clock.now()
         for worker, tasks in list(state.on_worker.items()):
-            if not tasks or now < self.table.lease_end_ms(worker):
+            now = self._observe()
+            lease_end_ms = self.table.lease_end_ms(worker)
+            if not tasks or now < lease_end_ms:
                 continue
             ends = [
                 jobs.RunEnd(task=ref, attempt=task.attempt, how="lost")
@@ -326,8 +351,9 @@
                 events.LEASES_EXPIRED,
                 worker=worker,
                 runs=len(ends),
-                lease_end_ms=self.table.lease_end_ms(worker),
+                lease_end_ms=lease_end_ms,
                 now_ms=now,
+                unobserved_ms=self.table.unobserved_ms,
                 term=self.log.term(),
             )
             await job_proposals.propose(
@@ -411,12 +437,19 @@
         ]
 
     def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
-        by_worker = sorted(runs, key=lambda run: run.worker)
+        state = self.log.machine.stepped
+        by_worker = sorted(
+            # The state may have changed while the assignments were committed.
+            (run for run in runs if state.must_run(run)),
+            key=lambda run: run.worker,
+        )
         for name, group in itertools.groupby(
             by_worker, key=lambda run: run.worker
         ):
             worker = self.table.workers.get(name)
-            if worker is not None:
+            if worker is not None and worker_capacities.has_room_to_start(
+                state, worker.report
+            ):
                 self._push(
                     worker.source,
                     job_messages.RunOrders(
@@ -466,11 +499,13 @@
 
     def _usable_capacities(self) -> list[run_placement.WorkerCapacity]:
         """Returns the capacities of the workers that may get new runs."""
+        state = self.log.machine.stepped
         now = self.clock.now()
         capacities = (
             self._worker_capacity(name)
             for name, worker in self.table.workers.items()
             if worker.usable(now)
+            and not worker_capacities.runs_unknown_size(state, worker.report)
         )
         return [capacity for capacity in capacities if capacity is not None]
 
@@ -482,82 +517,49 @@
         Returns None if the worker's newest report isn't from its current
         incarnation.
         """
-        state = self.log.machine.stepped
         worker = self.table.workers.get(name)
-        incarnation = state.incarnations.get(name)
-        if (
-            worker is None
-            or incarnation is None
-            or incarnation.life != worker.report.life
-        ):
+        if worker is None:
             return None
-        capacity = run_placement.WorkerCapacity(
-            name=name,
-            incarnation=incarnation.life,
-            service=worker.report.service,
-            labels=frozenset(worker.report.labels),
-            rack=worker.report.rack,
-            millicores=incarnation.room.millicores,
-            memory_mb=incarnation.room.memory_mb,
-            accelerators=incarnation.room.accelerators,
+        return worker_capacities.placement_capacity(
+            self.log.machine.stepped,
+            worker.report,
             ejected=self.run_monitor.is_avoided(name),
+            own_utilization=self.measurements.own_utilization,
         )
-        for ref in state.on_worker.get(name, {}):
-            capacity.add(
-                state.step(ref), self.measurements.own_utilization(ref)
-            )
-        return capacity
 
     def _order_stops(self) -> None:
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
-        now = self.clock.now()
-        sent_ms: dict[jobs.RunKey, int] = {}
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
                 continue
-            to_move = self.run_monitor.runs_to_move(worker.report, state)
-            stops = [
-                (ref, task.attempt)
-                for ref, task in tasks.items()
-                if _must_stop(state, ref, draining=worker.report.draining)
-                or (ref, task.attempt) in to_move
-            ]
-            due = []
-            for stop in stops:
-                sent = self._stop_sent_ms.get(stop)
-                sent_ms[stop] = now if sent is None else sent
-                if sent is None or now - sent >= STOP_RESEND_MS:
-                    sent_ms[stop] = now
-                    due.append(stop)
-            if due:
-                self._push_stops(worker, due)
-        self._stop_sent_ms = sent_ms
+            stops = stop_orders.assigned_stops(
+                state,
+                name,
+                draining=worker.report.draining,
+                to_move=self.run_monitor.runs_to_move(worker.report, state),
+            )
+            self._push_stops(worker, stops)
 
     def _push_stops(
-        self, worker: worker_table.LiveWorker, stops: list[jobs.RunKey]
+        self,
+        worker: worker_table.LiveWorker,
+        stops: list[stop_orders.Stop],
     ) -> None:
-        for task, attempt in stops:
-            events.log(
-                events.RUN_STOP_ORDERED,
-                task=str(task),
-                attempt=attempt,
-                worker=worker.report.worker,
-                draining=worker.report.draining,
-                term=self.log.term(),
-            )
-        self._push(
-            worker.source,
-            job_messages.RunOrders(
-                term=self.log.term(),
-                life=worker.report.life,
-                stops=tuple(
-                    job_messages.StopOrder(task=task, attempt=attempt)
-                    for task, attempt in stops
+        """Pushes the stop orders that were not pushed recently."""
+        name, term = worker.report.worker, self.log.term()
+        self.stops.record(name, stops, term=term)
+        due = self.stops.due(name, stops)
+        if due:
+            self._push(
+                worker.source,
+                job_messages.RunOrders(
+                    term=term,
+                    life=worker.report.life,
+                    stops=tuple(stop.order() for stop in due),
                 ),
-            ),
-        )
+            )
 
     async def _forget_ended(self) -> None:
         state = self.log.machine.stepped
@@ -583,28 +585,55 @@
     async def _commit_ends(
         self, ends: tuple[jobs.RunEnd, ...], worker: str, incarnation: str
     ) -> None:
-        """Commits the ends of runs that change the replicated state."""
+        """Commits the ends of runs that change the replicated state.
+
+        Raises:
+            NotLeaderError: Nothing was committed.
+            UnknownResultError: The ends may not be committed.
+        """
         state = self.log.machine.stepped
-        current = tuple(end for end in ends if _changes_state(state, end))
-        if not current:
-            return
-        await job_proposals.propose(
-            self.log, job_commands.EndRuns(ends=current)
-        )
-        for end in current:
-            if end.how == "rejected":
-                self.advice.record_rejection(end.task, incarnation)
-            events.log(
-                events.RUN_ENDED,
-                task=str(end.task),
-                attempt=end.attempt,
-                how=end.how,
-                worker=worker,
-                life=incarnation,
-                term=self.log.term(),
+        for _ in range(MAX_END_PROPOSALS):
+            effective = [
+                found
+                for end in ends
+                if (found := run_ends.effective_end(state, end)) is not None
+            ]
+            if not effective:
+                return
+            await job_proposals.propose(
+                self.log,
+                job_commands.EndRuns(
+                    ends=tuple(end.committed for end in effective)
+                ),
             )
-            metrics.RUNS_ENDED.labels(end.how).inc()
-            self.run_monitor.record_end(end, worker)
+            for end in effective:
+                self._record_end(end, worker, incarnation)
+        raise errors.UnknownResultError(
+            text="tasks were assigned again meanwhile", step="end runs"
+        )
+
+    def _record_end(
+        self, end: run_ends.EffectiveEnd, worker: str, incarnation: str
+    ) -> None:
+        reported = end.reported
+        if reported.how == "rejected":
+            self.advice.record_rejection(reported.task, incarnation)
+        events.log(
+            events.RUN_ENDED,
+            task=str(reported.task),
+            attempt=reported.attempt,
+            how=reported.how,
+            worker=worker,
+            life=incarnation,
+            current_attempt=end.committed.attempt,
+            term=self.log.term(),
+        )
+        metrics.RUNS_ENDED.labels(reported.how).inc()
+        self.run_monitor.record_end(reported, worker)
+        superseded = self.table.workers.get(end.superseded_worker)
+        if superseded is not None:
+            stop = stop_orders.superseded_stop(end.committed)
+            self._push_stops(superseded, [stop])
 
     def _push(self, source: link.Link, orders: job_messages.RunOrders) -> None:
         task = asyncio.create_task(_push(source, orders))
@@ -625,29 +654,3 @@
             stops=len(orders.stops),
             error=repr(err),
         )
-
-
-def _changes_state(state: stepped_jobs.SteppedJobs, end: jobs.RunEnd) -> bool:
-    task = state.task(end.task)
-    if task is None or task.attempt != end.attempt:
-        return False
-    # The run was considered lost, but it completed and its task has not been
-    # assigned again.
-    done_late = task.status == "waiting" and end.how == "done"
-    return task.status == "assigned" or done_late
-
-
-def _must_stop(
-    state: stepped_jobs.SteppedJobs, ref: jobs.TaskRef, *, draining: bool
-) -> bool:
-    """Whether a run must be stopped.
-
-    On a draining worker, long-running tasks and tasks with checkpoints are
-    stopped to be resumed on another worker; other tasks may finish in time.
-    The rest of a gang is stopped if a member is gone, because the remaining
-    runs would only wait for it.
-    """
-    if not state.jobs[ref.job].active() or state.gang_incomplete(ref):
-        return True
-    step = state.step(ref)
-    return draining and (step.lasting or step.checkpoints)
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -7,7 +7,8 @@
 A task is waiting, assigned, done or failed. An assignment names the
 incarnation of a worker and an attempt; only the end of the current attempt
 changes a task. A run that was declared lost and is reported done later counts
-as done if the task has not been started again.
+as done if the task has not been started again; if it has, the leader commits
+the success under the current attempt (see `run_ends`).
 
 Gang scheduling: the tasks of a gang can only run together, so they are assigned
 by one command under the same attempt number. If one of them is done, all are;
@@ -127,6 +128,17 @@
         """Returns the step of a known task."""
         return self.jobs[ref.job].spec.steps[ref.step]
 
+    def must_run(self, run: jobs.RunStart) -> bool:
+        """Whether a run is assigned and its job hasn't ended."""
+        task = self.task(run.task)
+        return (
+            task is not None
+            and task.status == "assigned"
+            and (task.worker, task.life, task.attempt)
+            == (run.worker, run.life, run.attempt)
+            and self.jobs[run.task.job].active()
+        )
+
     def gang_incomplete(self, ref: jobs.TaskRef) -> bool:
         """Whether any task of a task's gang is not assigned."""
         return any(task.status != "assigned" for _, task in self._group_of(ref))
