Let a leader that was deposed during a commit grant and order nothing

A dispatch pass and the handler of a report checked the leader lease once, at their beginning. A leader that was frozen, or cut off, while it waited for a commit went on with what it knew before: it pushed starts and stops and granted a lease to the agent. Agents ignore orders of an earlier term once they have heard of a later one, and count a grant from the sending of their report, which is before any successor's election; so this relied on the agents alone.

The lease is now checked again after each wait, before anything is sent. Without it, the report is answered by a redirect and sent again, and the orders follow from the replicated state in the next pass of whoever leads.

Failed before: test_deposed_leader_ends_its_pass, test_deposed_leader_grants_no_lease_after_a_commit and test_deposed_leader_pushes_no_orders_after_a_commit.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -157,7 +157,8 @@
             The renewed lease, and orders that the agent doesn't have yet.
 
         Raises:
-            NotLeaderError: Nothing was committed.
+            NotLeaderError: This replica doesn't hold the leader lease; the
+                report is to be sent again.
             UnknownResultError: The ends of the runs may be committed later.
         """
         self.observations.restore()
@@ -174,6 +175,7 @@
         self.measurements.update(report, state, now)
         self.run_monitor.record_report(report, state)
         await self._commit_ends(report.ends, report.worker, report.life)
+        self._require_lease("report")
         return self._reply(report, known=True)
 
     async def open_session(
@@ -331,11 +333,23 @@
     async def _run_pass(self) -> None:
         self.observations.restore()
         await self.observations.record()
+        self._require_lease("expire leases")
         await self._expire_leases()
+        self._require_lease("start runs")
         await self._start_ready()
+        self._require_lease("stop runs")
         self._order_stops()
         await self._forget_ended()
 
+    def _require_lease(self, step: str) -> None:
+        """Checks that this replica still leads after a wait for a commit.
+
+        Raises:
+            NotLeaderError: This replica doesn't hold the leader lease.
+        """
+        if not self.log.lease_valid():
+            raise errors.NotLeaderError(leader="", step=step)
+
     async def _expire_leases(self) -> None:
         state = self.log.machine.stepped
         for worker, tasks in list(state.on_worker.items()):
@@ -437,6 +451,7 @@
         ]
 
     def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
+        self._require_lease("push starts")
         state = self.log.machine.stepped
         by_worker = sorted(
             # The state may have changed while the assignments were committed.
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -7,7 +7,11 @@
 import unittest
 from unittest import mock
 
+from bamboorouter import errors
+from bamboorouter.coordination.jobs import observation_recorder
 from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_messages
 from tests import job_builders as make
 from tests import test_job_dispatcher
 
@@ -123,6 +127,47 @@
         await self.pass_time(TERM_MS + 1)
         self.assertEqual(len(self.log.machine.stepped.on_worker["w1"]), 0)
 
+    async def test_deposed_leader_grants_no_lease_after_a_commit(self) -> None:
+        """The leader lease may end while the ends in a report are committed."""
+        agent = await self.connect_agent("w1")
+        await self.submit("a")
+        await self.until(agent.started)
+        self.lose_lease_with(job_commands.EndRuns)
+        with self.assertRaises(errors.NotLeaderError):
+            await self.report(agent, ends=self.run_ends(make.ref(), "failed"))
+
+    async def test_deposed_leader_pushes_no_orders_after_a_commit(self) -> None:
+        agent = await self.connect_agent("w1")
+        self.lose_lease_with(job_commands.StartRuns)
+        await self.submit("a")
+        await self.until(lambda: not self.log.has_lease)
+        await self.settle()
+        self.assertEqual(agent.orders, [])
+
+    async def test_deposed_leader_ends_its_pass(self) -> None:
+        """A pass that was paused must not act on what it knew before."""
+        agent = await self.connect_agent("w1")
+        await self.submit("a", make.step(checkpoints=True))
+        await self.until(agent.started)
+        self.lose_lease_with(job_commands.NoteCheckpoints)
+        self.time.advance(observation_recorder.RECORD_PERIOD_MS)
+        run = job_messages.HeldRun(
+            task=make.ref(), attempt=1, running=True, checkpoint="half"
+        )
+        await self.report(agent, draining=True, runs=(run,))
+        await self.until(lambda: not self.log.has_lease)
+        await self.settle()
+        self.assertEqual(agent.stopped(), [])
+
+    def lose_lease_with(self, command: type) -> None:
+        """Ends the leader lease when the next command of a type is applied."""
+
+        def on_applied(_: int) -> None:
+            if isinstance(self.log.history[-1][0], command):
+                self.log.has_lease = False
+
+        self.log.applied.subscribe(on_applied)
+
 
 if __name__ == "__main__":
     unittest.main()
