Wait for the lease of an earlier agent process before runs count as lost

A new agent process started with a lease end of 0: if the poll after the first answered one failed, it reported runs that it had just seen as lost, although its predecessor had granted them a lease of seconds. Their next attempts started elsewhere beside them.

The lease of a new process or incarnation begins with the longest lease that a worker accepts, counted from the worker's first answer, which fences off the orders of earlier processes. Without an answer nothing counts as expired. The bound comes from the settings (max_worker_lease_ms, 10 s by default). The tests' sessions set it to the 6 s that the fake leader grants, so that the tests of silent workers take as long as before.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -66,6 +66,7 @@
         client: Client for calls to the leader.
         ports: Creates ports to incarnations of the worker.
         clock: Source of time.
+        max_lease_ms: Longest lease that the worker accepts, in ms.
         held: Runs of the worker and their state.
         session: Current session; None if there is none.
     """
@@ -77,11 +78,13 @@
         client: control_client.ControlClient,
         ports: worker_port.WorkerPorts,
         time: clock.Clock,
+        max_lease_ms: int = run_lease.MAX_WORKER_LEASE_MS,
     ) -> None:
         self.worker = worker
         self.client = client
         self.ports = ports
         self.clock = time
+        self.max_lease_ms = max_lease_ms
         self.held = held_runs.HeldRuns(worker=worker, time=time)
         self.session: worker_session.Session | None = None
         self._announcement: worker_port.Announcement | None = None
@@ -247,7 +250,7 @@
     ) -> worker_session.Session | None:
         """Opens a session with the announced incarnation; None on failure."""
         previous = self.session
-        lease = run_lease.RunLease()
+        lease = run_lease.RunLease(longest_ms=self.max_lease_ms)
         if previous is not None:
             await previous.port.close()
             previous.mark_unreachable()
--- a/bamboorouter/coordination/workers/run_lease.py
+++ b/bamboorouter/coordination/workers/run_lease.py
@@ -4,6 +4,10 @@
 agent's. The conversion assumes the slowest permitted clock: a lease ends on the
 worker no later than the agent intends, and the agent considers a lease expired
 only once the slowest clock has passed its end.
+
+An earlier agent process may have granted a lease too. It ends no later than the
+longest lease that a worker accepts, counted from the first answer of the
+worker, because orders of the earlier process are rejected from then on.
 """
 
 import math
@@ -11,14 +15,21 @@
 
 # A worker's clock may be 2 % slow; 0.5 % is added for the agent's clock.
 MIN_CLOCK_RATE: Final = 0.975
+# Longest lease that a worker accepts, unless the settings give another one.
+MAX_WORKER_LEASE_MS: Final = 10_000
 # Time that the worker needs to stop all runs after the lease has expired.
 STOP_MARGIN_MS: Final = 150
 
 
 class RunLease:
-    """Converts between the clocks of an agent and of its worker."""
+    """Converts between the clocks of an agent and of its worker.
+
+    Attributes:
+        longest_ms: Longest lease that the worker accepts, in ms on its clock.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, longest_ms: int) -> None:
+        self.longest_ms = longest_ms
         self._worker_ms = 0
         self._received_ms: int | None = None
         self._until_ms = 0
@@ -30,6 +41,8 @@
             worker_ms: Time on the worker's clock, in ms.
             received_ms: Time of the answer on the agent's clock, in ms.
         """
+        if self._received_ms is None:
+            self._until_ms = worker_ms + self.longest_ms
         self._worker_ms = worker_ms
         self._received_ms = received_ms
 
@@ -65,6 +78,9 @@
         return self._received_ms + math.ceil(longest_ms) + STOP_MARGIN_MS
 
     def expired(self, now_ms: int) -> bool:
-        """Returns whether all granted leases have expired for certain."""
+        """Returns whether all granted leases have expired for certain.
+
+        Nothing is certain before the worker's first answer.
+        """
         end_ms = self.end_ms()
-        return end_ms is None or now_ms > end_ms
+        return end_ms is not None and now_ms > end_ms
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -17,8 +17,8 @@
 from tests import job_builders as make
 from tests import replica_site
 
-# The longest lease that a worker accepts.
-LONGEST_LEASE_MS = 10_000
+# The longest lease that the fake worker accepts.
+LONGEST_LEASE_MS = 6000
 
 
 class AgentSessionTest(unittest.IsolatedAsyncioTestCase):
@@ -40,6 +40,7 @@
             client=cast(control_client.ControlClient, self.leader),
             ports=self.worker,
             time=time or clock.SystemClock(),
+            max_lease_ms=LONGEST_LEASE_MS,
         )
         session.start()
         self.addAsyncCleanup(session.stop)
@@ -418,7 +419,7 @@
     """Tests that a lease expires on the worker before it does on the agent."""
 
     def test_slow_worker_clock_ends_the_lease_in_time(self) -> None:
-        lease = run_lease.RunLease()
+        lease = run_lease.RunLease(longest_ms=1000)
         lease.record_clock(worker_ms=1000, received_ms=50_000)
         until = lease.end_on_worker(56_000)
         assert until is not None
@@ -428,8 +429,21 @@
         self.assertFalse(lease.expired(int(50_000 + real_ms)))
         self.assertTrue(lease.expired(56_000 + run_lease.STOP_MARGIN_MS + 1))
 
+    def test_lease_of_an_earlier_agent_process_is_awaited(self) -> None:
+        lease = run_lease.RunLease(longest_ms=10_000)
+        self.assertFalse(lease.expired(50_000))
+        lease.record_clock(worker_ms=1000, received_ms=50_000)
+        # The lease may be counted on a clock that is 2 % slow.
+        self.assertFalse(lease.expired(50_000 + int(10_000 / 0.98)))
+        # Later answers don't extend the lease.
+        lease.record_clock(worker_ms=6000, received_ms=55_000)
+        longest_ms = int(10_000 / run_lease.MIN_CLOCK_RATE)
+        self.assertTrue(
+            lease.expired(50_000 + longest_ms + run_lease.STOP_MARGIN_MS + 1)
+        )
+
     def test_lease_in_the_past_is_not_given(self) -> None:
-        lease = run_lease.RunLease()
+        lease = run_lease.RunLease(longest_ms=1000)
         self.assertIsNone(lease.end_on_worker(1000))
         lease.record_clock(worker_ms=1000, received_ms=50_000)
         self.assertIsNone(lease.end_on_worker(49_000))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -182,6 +182,7 @@
     def test_machine_without_a_disk(self) -> None:
         settings = self.render(self.template_values())
         self.assertEqual(settings.data_dir, "")
+        self.assertEqual(settings.max_worker_lease_ms, 10_000)
         self.assertFalse(settings.bootstrap)
         self.assertEqual(settings.replicas(), ("10.0.0.2:7000",))
 
@@ -192,11 +193,13 @@
                     "dataDir": "/data/x",
                     "limits.diskMb": 128,
                     "bootstrap": True,
+                    "bounds.holdMaxMs": 12_000,
                     "listen.control": "10.0.0.1:8166",
                 }
             )
         )
         self.assertTrue(settings.bootstrap)
+        self.assertEqual(settings.max_worker_lease_ms, 12_000)
         self.assertEqual(
             (settings.data_dir, settings.disk_mb), ("/data/x", 128)
         )
