Take no overtaken or incomplete view as proof that a run is over

Answers on different connections may overtake each other, so an older view brought ended runs back and counted as a view without a run that had started since. A worker lists at most 500 ends at a time; a run whose end came on a later list counted as rejected or lost.

The worker's clock orders the views of an incarnation: an older view only contributes its numbered ends. A view with an incomplete list of ends proves nothing about runs that it doesn't list. A new end is recognised also if it replaces an inferred one.

--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -11,6 +11,10 @@
 and with a higher fencing token. The worker rejects the older order from then
 on, so a run that isn't listed in the view will never start.
 
+Views may arrive out of order. The worker's clock orders the views of an
+incarnation: an older view only contributes ends, which are numbered. So does a
+view with an incomplete list of ends, apart from the runs that it lists.
+
 A run that the worker lists is held, also if the agent had inferred its end. The
 inferred end is withdrawn unless the leader has confirmed it already; then the
 leader orders the run to stop. See `ended_runs`.
@@ -28,8 +32,8 @@
 from bamboorouter.protocol import jobs
 
 Phase = Literal["queued", "starting", "uncertain", "running"]
-# One view without a running run is no proof, because views may arrive out of
-# order.
+# One view without a running run is no proof, because the order of two views of
+# the same ms is unknown.
 LOST_AFTER_MISSED_VIEWS: Final = 2
 
 
@@ -107,6 +111,8 @@
         last_confirmed_end: Highest number of an end that the leader has
             confirmed.
         last_listed_end: Highest number of an end that the worker has listed.
+        newest_view_ms: Time of the newest view of the incarnation, in ms on the
+            worker's clock.
         ended: Runs that have ended. A copy of a start order may arrive after
             its run was declared lost and the task was restarted on another
             worker; it must not be executed then.
@@ -118,6 +124,7 @@
         self.ends: list[PendingEnd] = []
         self.last_confirmed_end = 0
         self.last_listed_end = 0
+        self.newest_view_ms = 0
         self.ended = ended_runs.EndedRuns(worker=worker)
         self.clock = time
 
@@ -238,6 +245,7 @@
         ]
         self.last_confirmed_end = 0
         self.last_listed_end = 0
+        self.newest_view_ms = 0
 
     def confirm(self, confirmed: Iterable[PendingEnd]) -> None:
         """Removes ends that the leader has confirmed."""
@@ -262,15 +270,24 @@
             sent_ms: Time at which the poll was sent, in ms on the agent's
                 clock.
         """
-        ends_before = len(self.ends)
+        last_end = self.ends[-1:]
         self._add_ends(view.ended)
+        if view.clock_ms >= self.newest_view_ms:
+            self.newest_view_ms = view.clock_ms
+            self._update_runs(view, token=token, sent_ms=sent_ms)
+        return bool(self.ends) and self.ends[-1:] != last_end
+
+    def _update_runs(
+        self, view: worker_port.WorkerView, *, token: int, sent_ms: int
+    ) -> None:
         listed = {(row.task, row.attempt): row for row in view.running}
         for key, row in listed.items():
             self._update_running(key, row, token, sent_ms)
+        if not view.complete:
+            return
         for key, run in list(self.runs.items()):
             if key not in listed and run.since_ms <= sent_ms:
                 self._update_missing(run, token, sent_ms)
-        return len(self.ends) > ends_before
 
     def _add_ends(self, rows: Iterable[worker_port.EndedRow]) -> None:
         for row in sorted(rows, key=lambda row: row.number):
--- a/bamboorouter/coordination/workers/worker_port.py
+++ b/bamboorouter/coordination/workers/worker_port.py
@@ -120,12 +120,16 @@
     Attributes:
         clock_ms: Time on the worker's clock when it answered, in ms.
         running: All running runs.
-        ended: Ended runs that weren't acknowledged; the list may be incomplete.
+        ended: Ended runs that weren't acknowledged, those with the lowest
+            numbers first.
+        complete: Whether `ended` contains all of them. If not, a run that isn't
+            listed may have ended.
     """
 
     clock_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
+    complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_held_runs.py
+++ b/tests/test_held_runs.py
@@ -1,5 +1,6 @@
 """Guards against runs of which an agent keeps a wrong state."""
 
+import dataclasses
 import unittest
 
 from bamboorouter import clock
@@ -65,11 +66,36 @@
         self.assertIsNone(self.stop())
         self.assertEqual(self.outcomes(), ["done"])
 
+    def test_overtaken_view_changes_no_run(self) -> None:
+        """Guards against giving up a run because of an older view."""
+        self.see(view(20, REF))
+        for _ in range(held_runs.LOST_AFTER_MISSED_VIEWS):
+            self.see(view(10))
+        self.assertEqual(list(self.held.runs), [KEY])
+        other = make.ref("b")
+        self.see(view(10, REF, other, ended=(end_row(1),)))
+        self.assertEqual(self.held.runs, {})
+        self.assertEqual(self.outcomes(), ["done"])
+
+    def test_incomplete_view_proves_no_end(self) -> None:
+        """Guards against repeating a run whose end is on a later list."""
+        (order,) = fake_worker.start_orders(REF).starts
+        run = self.held.add_order(order, self.clock.now())
+        assert run is not None
+        run.phase, run.token = "uncertain", 4
+        cut = dataclasses.replace(view(10), complete=False)
+        for _ in range(held_runs.LOST_AFTER_MISSED_VIEWS):
+            self.see(cut)
+        self.see(dataclasses.replace(view(20, REF), complete=False))
+        for _ in range(held_runs.LOST_AFTER_MISSED_VIEWS):
+            self.see(dataclasses.replace(cut, clock_ms=30))
+        self.assertEqual(self.outcomes(), [])
+
     def test_listed_end_replaces_an_inferred_one(self) -> None:
         """Guards against repeating a run that is done."""
         self.see(view(10, REF))
         self.held.end_all("lost", "lease_expired")
-        self.see(view(20, ended=(end_row(1),)))
+        self.assertTrue(self.see(view(20, ended=(end_row(1),))))
         self.assertEqual(self.outcomes(), ["done"])
 
     def test_earlier_attempt_that_runs_after_a_later_one_is_stopped(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -136,6 +136,20 @@
         self.assertEqual([row.progress for row in view.running], [40])
         self.assertEqual([row.number for row in view.ended], [1])
 
+    def test_list_of_ends_that_may_be_cut_off_is_marked(self) -> None:
+        """Guards against giving up a run whose end is on a later list."""
+        for count, complete in ((499, True), (500, False)):
+            body = {
+                "clockMs": 5,
+                "born": 7,
+                "finished": [
+                    [number, f"a.0.0.{number}", 1, "done", ""]
+                    for number in range(1, count + 1)
+                ],
+            }
+            _, view = wire.decode_view(json.dumps(body).encode())
+            self.assertEqual(view.complete, complete)
+
     def test_task_names_survive_both_ways(self) -> None:
         self.assertEqual(
             wire.encode_task(wire.decode_task("5c0e.0.1.17")), "5c0e.0.1.17"
