--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,12 +10,19 @@
 from typing import Any
 import unittest
 
+from aiohttp import web
+
+from bamboorouter.coordination.workers import worker_port
+from tests import fake_worker
 from tests import platform_site
+from tests import replica_site
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
 import control_node  # isort: skip
+import http_server  # isort: skip
 import node_settings  # isort: skip
 import wire  # isort: skip
+import worker_http  # isort: skip
 
 JOB: dict[str, Any] = {
     "spec": "work",
@@ -219,6 +226,57 @@
         )
 
 
+class WorkerStatusTest(unittest.IsolatedAsyncioTestCase):
+    """Statuses of a worker's answers to orders."""
+
+    async def outcome(self, status: int, body: dict[str, Any]) -> str:
+        """Returns what the port makes of a worker's answer to a stop order."""
+
+        async def answer(_: web.Request) -> web.Response:
+            return web.json_response(body, status=status)
+
+        address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=address, routes=[("POST", wire.STOP_PATH, answer)]
+        )
+        await server.start()
+        port = worker_http.HttpWorkerPortFactory().open(
+            fake_worker.announcement(address=address)
+        )
+        try:
+            await port.stop(wire.decode_task("5c0e.0.1.17"), 1, token=1)
+        except worker_port.RejectedError as err:
+            return err.reason
+        except worker_port.NoAnswerError:
+            return "unknown"
+        except worker_port.IncarnationMismatchError:
+            return "other incarnation"
+        finally:
+            await port.close()
+            await server.stop()
+        return "executed"
+
+    async def test_status_that_is_no_rejection_leaves_the_outcome_open(
+        self,
+    ) -> None:
+        """Guards against giving up an order that the worker may execute."""
+        for status, body, outcome in (
+            (200, {}, "executed"),
+            (400, {}, "invalid"),
+            (409, {"reason": "fence"}, "fence"),
+            (409, {"reason": "other"}, "invalid"),
+            (421, {}, "other incarnation"),
+            (429, {}, "unhealthy"),
+            (503, {}, "unhealthy"),
+            (404, {}, "unknown"),
+            (500, {}, "unknown"),
+            (502, {}, "unknown"),
+            (504, {}, "unknown"),
+        ):
+            with self.subTest(status=status, body=body):
+                self.assertEqual(await self.outcome(status, body), outcome)
+
+
 class StartTest(unittest.TestCase):
     """Which modules a process imports at start."""
 
