Send a stop order until the run has ended

A stop order was sent once for each order of the leader. After an unexpected error in the call, the run stayed marked as being stopped and later orders were ignored. An order for a run that was given up was forgotten, and the leader doesn't repeat it once it has committed the end. A stop that the worker acknowledged without effect depended on the leader to be repeated.

The order is now part of the run's state: it is due while the run is held, no call is in progress and no acknowledgement is recent, and each view checks it. It outlives an inferred end, and a start order is not retried after it.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -293,10 +293,7 @@
             "life": session.announcement.incarnation,
             "session": session.number,
         }
-        for run in list(self.held.runs.values()):
-            # The outcome of orders of an earlier session is unknown.
-            run.phase = "uncertain"
-            run.since_ms = self.clock.now()
+        self.held.begin_session(self.clock.now())
         loops = [
             asyncio.create_task(self._poll_loop(session)),
             asyncio.create_task(self._report_loop(session)),
@@ -378,6 +375,7 @@
         if self.held.reconcile(view, token=token, sent_ms=sent_ms):
             self._end_confirmed.clear()
             self._report_due.set()
+        self._send_due_stops(session)
         self._adjust_speeds(session)
         return True
 
@@ -478,11 +476,10 @@
             if run is not None:
                 self._spawn(self._start_on_worker(session, run))
         for stop in orders.stops:
-            run = self.held.add_stop(stop, now)
-            if run is not None:
-                self._spawn(self._stop_on_worker(session, run))
-            else:
-                self._report_due.set()
+            self.held.add_stop(stop, now)
+        self._send_due_stops(session)
+        if self.held.ends:
+            self._report_due.set()
 
     async def _start_on_worker(
         self, session: worker_session.Session, run: held_runs.HeldRun
@@ -496,7 +493,11 @@
             if self.held.runs.get(key) is not run:
                 return
             until_ms = session.lease_until(self.clock.now())
-            if session.announcement.draining or until_ms is None:
+            if (
+                session.announcement.draining
+                or until_ms is None
+                or run.stop_ordered
+            ):
                 break
             token = session.token
             run.phase, run.token = "starting", token
@@ -566,22 +567,37 @@
     async def _poll_once(self, session: worker_session.Session) -> None:
         await self._poll(session, 0)
 
+    def _send_due_stops(self, session: worker_session.Session) -> None:
+        for run in self.held.take_due_stops(self.clock.now()):
+            if run.stop_acknowledged_ms is not None:
+                events.log(
+                    events.STOP_REPEATED,
+                    task=str(run.task),
+                    attempt=run.attempt,
+                    worker=self.worker,
+                    acknowledged_ms=run.stop_acknowledged_ms,
+                )
+            self._spawn(self._stop_on_worker(session, run))
+
     async def _stop_on_worker(
         self, session: worker_session.Session, run: held_runs.HeldRun
     ) -> None:
         """Sends a stop order until the worker acknowledges it."""
         key = (run.task, run.attempt)
-        while key in self.held.runs and self.session is session:
-            try:
-                await session.port.stop(
-                    run.task, run.attempt, token=session.token
-                )
+        try:
+            while self.held.runs.get(key) is run and self.session is session:
+                try:
+                    await session.port.stop(
+                        run.task, run.attempt, token=session.token
+                    )
+                except errors.RouterError as err:
+                    self._log_failed_order(run, err)
+                    await asyncio.sleep(clock.seconds(ORDER_RETRY_PAUSE_MS))
+                    continue
+                run.since_ms = run.stop_acknowledged_ms = self.clock.now()
                 break
-            except errors.RouterError as err:
-                self._log_failed_order(run, err)
-                await asyncio.sleep(clock.seconds(ORDER_RETRY_PAUSE_MS))
-        run.since_ms = self.clock.now()
-        run.stopping = False
+        finally:
+            run.stopping = False
         await self._poll_once(session)
 
     def _log_failed_order(
--- a/bamboorouter/coordination/workers/ended_runs.py
+++ b/bamboorouter/coordination/workers/ended_runs.py
@@ -42,7 +42,7 @@
 MAX_ENDED_TASKS: Final = 10_000
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(kw_only=True)
 class InferredEnd:
     """An end that the worker hasn't listed.
 
@@ -50,11 +50,14 @@
         how: Outcome that was reported to the leader.
         evidence: Reason for the conclusion.
         at_ms: Time of the conclusion, in ms on the agent's clock.
+        stop_ordered: Whether the leader has ordered the run to stop, which then
+            happens once the worker lists it.
     """
 
     how: jobs.RunOutcome
     evidence: Evidence
     at_ms: int
+    stop_ordered: bool
 
 
 class EndedRuns:
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -18,6 +18,10 @@
 A run that the worker lists is held, also if the agent had inferred its end. The
 inferred end is withdrawn unless the leader has confirmed it already; then the
 leader orders the run to stop. See `ended_runs`.
+
+A stop order holds until the run has ended. The worker acknowledges it before
+the run ends; if the worker lists the run for longer than a stop takes, the
+order is due again.
 """
 
 from collections.abc import Iterable
@@ -37,6 +41,10 @@
 LOST_AFTER_MISSED_VIEWS: Final = 2
 
 
+# A worker stops a run within 0.9 s.
+STOP_DURATION_MS: Final = 1000
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class HeldRun:
     """A run and its state.
@@ -49,7 +57,10 @@
         phase: Phase of the run.
         since_ms: Start of the phase, in ms on the agent's clock.
         token: Fencing token of the newest start order; -1 if none was sent.
-        stopping: Whether a stop order is in progress.
+        stop_ordered: Whether the run must be stopped.
+        stopping: Whether a stop order is being sent to the worker.
+        stop_acknowledged_ms: Time at which the worker has acknowledged the
+            newest stop order, in ms on the agent's clock; None if it hasn't.
         row: Last row of the run in a view of the worker; None if there is none.
         missed: Successive views that didn't list the run while it was running.
         pace: Last ordered speed, in percent of full speed.
@@ -61,11 +72,24 @@
     phase: Phase
     since_ms: int
     token: int = -1
+    stop_ordered: bool = False
     stopping: bool = False
+    stop_acknowledged_ms: int | None = None
     row: worker_port.RunningRow | None = None
     missed: int = 0
     pace: int = 100
 
+    def stop_due(self, now: int) -> bool:
+        """Returns whether a stop order must be sent to the worker."""
+        return (
+            self.stop_ordered
+            and not self.stopping
+            and (
+                self.stop_acknowledged_ms is None
+                or now - self.stop_acknowledged_ms > STOP_DURATION_MS
+            )
+        )
+
     def report(self) -> job_messages.HeldRun:
         """Returns the run's entry in a report to the leader."""
         if self.row is None:
@@ -151,39 +175,48 @@
         self.runs[key] = run
         return run
 
-    def add_stop(
-        self, order: job_messages.StopOrder, now: int
-    ) -> HeldRun | None:
-        """Adds a stop order; returns the run if the worker must stop it.
+    def add_stop(self, order: job_messages.StopOrder, now: int) -> None:
+        """Adds a stop order.
 
         A run that was not sent to the worker ends immediately. An unknown run
-        is added, so that a delayed start order for it is not executed. Nothing
-        is done for a run that has ended and isn't held.
+        is added, so that a delayed start order for it is not executed. A run
+        that was given up is stopped if the worker lists it.
         """
         key = (order.task, order.attempt)
         run = self.runs.get(key)
-        if run is None and key in self.ended.listed:
+        if run is not None and run.phase == "queued":
+            self.end(run, "rejected", "never_sent")
+        elif run is not None:
+            run.stop_ordered = True
+        elif key in self.ended.listed:
             self.ended.log_stop_not_sent(key, "ended")
-            return None
-        if run is None and key in self.ended.inferred:
+        elif key in self.ended.inferred:
+            self.ended.inferred[key].stop_ordered = True
             self.ended.log_stop_not_sent(key, "given_up")
-            return None
-        if run is None:
-            run = self.runs[key] = HeldRun(
+        else:
+            self.runs[key] = HeldRun(
                 task=order.task,
                 attempt=order.attempt,
                 order=None,
                 phase="uncertain",
                 since_ms=now,
+                stop_ordered=True,
             )
-        elif run.phase == "queued":
-            self.end(run, "rejected", "never_sent")
-            return None
-        if run.stopping:
-            self.ended.log_stop_not_sent(key, "in_progress")
-            return None
-        run.stopping = True
-        return run
+
+    def take_due_stops(self, now: int) -> list[HeldRun]:
+        """Returns the runs to which a stop order must be sent now."""
+        due = [run for run in self.runs.values() if run.stop_due(now)]
+        for run in due:
+            run.stopping = True
+        return due
+
+    def begin_session(self, now: int) -> None:
+        """Marks the outcome of orders of an earlier session as unknown."""
+        for run in self.runs.values():
+            run.phase = "uncertain"
+            run.since_ms = now
+            run.stopping = False
+            run.stop_acknowledged_ms = None
 
     def end(
         self,
@@ -205,7 +238,10 @@
         self.ended.add_inferred(
             (run.task, run.attempt),
             ended_runs.InferredEnd(
-                how=how, evidence=evidence, at_ms=self.clock.now()
+                how=how,
+                evidence=evidence,
+                at_ms=self.clock.now(),
+                stop_ordered=run.stop_ordered,
             ),
             token=run.token,
             phase=run.phase,
@@ -311,16 +347,17 @@
             return
         run = self.runs.get(key)
         if run is None:
-            if self.ended.withdraw(
+            inferred = self.ended.withdraw(
                 key, token=token, sent_ms=sent_ms, now=self.clock.now()
-            ):
-                self._drop_inferred_end(key)
+            )
+            self._drop_inferred_end(key)
             run = self.runs[key] = HeldRun(
                 task=row.task,
                 attempt=row.attempt,
                 order=None,
                 phase="running",
                 since_ms=sent_ms,
+                stop_ordered=inferred is not None and inferred.stop_ordered,
             )
         if run.phase != "running":
             run.phase = "running"
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -655,6 +655,13 @@
     712,
     "stop_not_sent",
     logging.WARNING,
-    "An agent received a stop order and did not send it to the worker; `reason`"
-    " tells why.",
+    "An agent received a stop order for a run that has ended or was given up; it"
+    " is sent to the worker only if the worker lists the run.",
+)
+STOP_REPEATED: Final = _define_event(
+    713,
+    "stop_repeated",
+    logging.WARNING,
+    "A run goes on for longer than a stop takes after the worker acknowledged a"
+    " stop order; the order is sent again.",
 )
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -34,6 +34,8 @@
         unanswered: Number of upcoming start orders without an answer.
         executes_unanswered: Whether unanswered start orders are executed
             immediately; otherwise only by `execute_delayed`.
+        ignored_stops: Number of upcoming stop orders that are acknowledged, but
+            not executed.
         delayed: Unanswered start orders that were not executed.
         starts: All executed start orders.
     """
@@ -50,6 +52,7 @@
         self.silent = False
         self.unanswered = 0
         self.executes_unanswered = True
+        self.ignored_stops = 0
         self.delayed: list[worker_port.StartRun] = []
         self.starts: list[worker_port.StartRun] = []
         self._time = clock.SystemClock()
@@ -98,7 +101,9 @@
     ) -> None:
         self._check_silent()
         self._check_token(token)
-        if self.running.get(task) == attempt:
+        if self.ignored_stops:
+            self.ignored_stops -= 1
+        elif self.running.get(task) == attempt:
             self.finish(task, "stopped")
 
     async def pace(
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -233,6 +233,41 @@
         await self.order(fake_worker.stop_orders(make.ref()))
         await self.until(lambda: not self.worker.running)
 
+    async def test_stop_of_a_run_that_was_given_up_is_not_forgotten(
+        self,
+    ) -> None:
+        """Guards against a run that goes on after its end was committed.
+
+        The leader no longer orders a run to stop whose end it has.
+        """
+        time = await self.restart_with_manual_clock()
+        await self.start_run()
+        self.worker.silent = True
+        time.advance(2 * LONGEST_LEASE_MS)
+        await self.until(lambda: self.outcomes() == ["lost"])
+        await self.order(fake_worker.stop_orders(make.ref()))
+        self.worker.silent = False
+        await self.until(lambda: not self.worker.running)
+
+    async def test_stop_is_sent_again_after_an_unexpected_error(self) -> None:
+        """Guards against a run that is never stopped after an error."""
+        await self.start_run()
+        with mock.patch.object(
+            self.worker, "stop", side_effect=ValueError("unexpected")
+        ) as stop:
+            await self.order(fake_worker.stop_orders(make.ref()))
+            await self.until(lambda: stop.called)
+        await self.order(fake_worker.stop_orders(make.ref()))
+        await self.until(lambda: not self.worker.running)
+
+    async def test_stop_without_effect_is_sent_again(self) -> None:
+        """Guards against a run that goes on after an acknowledged stop."""
+        await self.start_run()
+        self.worker.ignored_stops = 1
+        await self.order(fake_worker.stop_orders(make.ref()))
+        await self.until(lambda: not self.worker.ignored_stops)
+        await self.until(lambda: not self.worker.running)
+
     async def test_restarted_agent_waits_for_the_lease_of_its_predecessor(
         self,
     ) -> None:
--- a/tests/test_held_runs.py
+++ b/tests/test_held_runs.py
@@ -48,10 +48,11 @@
             listed, token=token, sent_ms=self.clock.now()
         )
 
-    def stop(self) -> held_runs.HeldRun | None:
-        return self.held.add_stop(
-            job_messages.StopOrder(task=REF, attempt=1), self.clock.now()
-        )
+    def stop(self) -> list[held_runs.HeldRun]:
+        """Orders a stop of the first attempt; returns the due stops."""
+        now = self.clock.now()
+        self.held.add_stop(job_messages.StopOrder(task=REF, attempt=1), now)
+        return self.held.take_due_stops(now)
 
     def outcomes(self) -> list[str]:
         """Returns the outcomes of the ends for the leader."""
@@ -63,7 +64,7 @@
         self.see(view(20, ended=(end_row(1),)))
         self.see(view(20, REF))
         self.assertEqual(self.held.runs, {})
-        self.assertIsNone(self.stop())
+        self.assertEqual(self.stop(), [])
         self.assertEqual(self.outcomes(), ["done"])
 
     def test_overtaken_view_changes_no_run(self) -> None:
@@ -105,7 +106,7 @@
         self.see(view(10, ended=(end_row(1, attempt=2),)))
         self.see(view(20, REF))
         self.assertEqual(list(self.held.runs), [KEY])
-        self.assertIsNotNone(self.stop())
+        self.assertEqual(self.stop(), [self.held.runs[KEY]])
 
     def test_new_incarnation_may_run_what_ended_on_an_earlier_one(self) -> None:
         """Guards against ignoring a run that a delayed order has started."""
@@ -113,7 +114,7 @@
         self.held.begin_incarnation()
         self.see(view(5, REF))
         self.assertEqual(list(self.held.runs), [KEY])
-        self.assertIsNotNone(self.stop())
+        self.assertEqual(self.stop(), [self.held.runs[KEY]])
         # The end in the earlier incarnation remains.
         self.assertEqual(self.outcomes(), ["done"])
 
