Plan evictions from the state after the pass's assignments are committed

What was seen, once: test_evicted_work_resumes_although_the_leader_is_killed found three evicted tasks where two make room for the two instances of a service.

Cause, from its logs: the leader that was killed had ordered two evictions (both agents got the order with their first reply of the new leader). The end of the first (match/5, 59.139) began a pass, which planned entries/0 on that worker. While the assignment was committed (59.144), the second eviction ended (match/0, 59.143). The pass then planned evictions from two views: the free capacity of before the commit, in which match/0 still took its place, and the tasks of after it, in which match/0 was no longer being evicted. Its room was counted nowhere, so match/1 was evicted as well. The pause between two evictions of a worker didn't prevent it, because the new leader hadn't ordered the first one.

The pass now takes the free capacity from the same state as the tasks, and reads the clocks again after the wait.

test_room_that_is_freed_during_a_pass_evicts_no_further_task plays this order of events on the scheduler; it failed before with a third eviction.

--- a/bamboorouter/coordination/scheduling/eviction_planner.py
+++ b/bamboorouter/coordination/scheduling/eviction_planner.py
@@ -6,6 +6,7 @@
 evicted for the same need.
 """
 
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 
@@ -63,6 +64,7 @@
     def make_room(
         self,
         plan: assignment_planner.Plan,
+        candidates: Iterable[placement.Candidate],
         state: machine.Machine,
         now: clock.Millis,
         wall_ms: int,
@@ -71,6 +73,9 @@
 
         Args:
             plan: Result of the pass.
+            candidates: Workers that accept tasks, with their free capacity in
+                `state`. Those of the plan won't do: tasks may have ended while
+                its assignments were committed.
             state: The replicated state.
             now: Monotonic time in ms.
             wall_ms: Wall time in ms.
@@ -85,7 +90,7 @@
             return []
         loads = {
             candidate.worker: self._worker_load(candidate, state, now, wall_ms)
-            for candidate in plan.candidates
+            for candidate in candidates
         }
         evictions: list[commands.EvictTask] = []
         for item in unplaced:
--- a/bamboorouter/coordination/scheduling/scheduler.py
+++ b/bamboorouter/coordination/scheduling/scheduler.py
@@ -473,9 +473,18 @@
             item.row.name: item.reason for item in plan.unplaced
         }
         self._retry_at_ms = plan.retry_at_ms
+        # Time has passed, and the state may have changed, during the commit.
+        now, wall_ms = self.clock.now(), self.clock.wall()
+        candidates = (
+            self.planner.candidates(state, now, wall_ms)
+            if plan.unplaced
+            else []
+        )
         followups = [
             *self.fault_detector.decide(state, plan, now, wall_ms),
-            *self.eviction_planner.make_room(plan, state, now, wall_ms),
+            *self.eviction_planner.make_room(
+                plan, candidates, state, now, wall_ms
+            ),
             *self._relieve_services(now, wall_ms),
         ]
         if self.migrations.due(state, wall_ms):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -183,6 +183,47 @@
         await agent.send_heartbeat()
         self.assertEqual(self.worker_of("web/0"), "w1")
 
+    async def test_room_that_is_freed_during_a_pass_evicts_no_further_task(
+        self,
+    ) -> None:
+        """The second eviction of two ends while a pass commits assignments."""
+        agents = [self.agent("w1"), self.agent("w2")]
+        job = make.row("job", count=8)
+        self.log.apply(make.sheet(1, job))
+        await self.exchange_heartbeats(*agents)
+        self.log.apply(make.sheet(2, job, make.service("web", count=2)))
+        first, second = (
+            self.log.machine.assignments.worker_tasks(agent.name)[0]
+            for agent in agents
+        )
+        for task in (first, second):
+            self.log.apply(
+                commands.EvictTask(
+                    task=task.task, epoch=task.epoch, reason="makes room"
+                )
+            )
+        self.log.elect_again()
+        for agent in agents:
+            await agent.send_heartbeat()
+        confirmations = [
+            commands.ConfirmEviction(
+                task=task.task, epoch=task.epoch, checkpoint="c1"
+            )
+            for task in (first, second)
+        ]
+        self.log.apply(confirmations[0])
+        self.log.followed_by[commands.Assign] = confirmations[1]
+        for _ in range(2):
+            await self.leader.run_pass()
+        evicted = [
+            command.task
+            for command, _ in self.log.history
+            if isinstance(command, commands.EvictTask)
+        ]
+        self.assertEqual(evicted, [first.task, second.task])
+        workers = {self.worker_of(f"web/{number}") for number in range(2)}
+        self.assertEqual(workers, {"w1", "w2"})
+
 
 class LeaseTest(SchedulerCase):
     """A task is reassigned only once it can't run anywhere else (P2)."""
