--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -7,18 +7,20 @@
 connections or blocks their traffic in one or both directions.
 
 The history checks invariants on what callers, workers and the operator observe
-during the run. All accepted jobs must end within `SETTLE_TIMEOUT_S` after the
-last fault.
+during the run. All accepted jobs must end within
+`soak_callers.SETTLE_TIMEOUT_S` after the last fault, apart from those that last
+until they are cancelled; these must run.
 
     python -m devtools.soak --seed 7 --seconds 30
 
 The seed determines the schedule of faults. A run that violates an invariant
 keeps its folder with the schedule, the history and the logs of all processes.
+With --basic no job is cancelled, workers carry out no calls late, and the
+schedule contains no series of faults.
 """
 
 import argparse
 import asyncio
-import contextlib
 import dataclasses
 import json
 import os
@@ -36,6 +38,7 @@
 import aiohttp
 
 from devtools import proxy
+from devtools import soak_callers
 from devtools import soak_checks
 from devtools import soak_schedule
 from devtools import soak_worker
@@ -44,18 +47,17 @@
 HOST: Final = "desk.example"
 CONTROLS: Final = 3
 ENTRIES: Final = 2
-JOBS_PER_SECOND: Final = 4.0
 # After this timeout a caller submits the job again at a random entry.
 CALL_TIMEOUT_S: Final = 3.0
-MAX_SUBMISSIONS: Final = 5
-STATE_POLL_INTERVAL_S: Final = 0.5
 CONFIGURE_INTERVAL_S: Final = 1.0
 CONFIGURE_RETRY_INTERVAL_S: Final = 0.2
-# Limit for accepted jobs to end after the last fault: leases, elections and
-# restarts take 10 s, the jobs themselves less.
-SETTLE_TIMEOUT_S: Final = 40.0
+CONFIGURE_TIMEOUT_S: Final = 40.0
 GRACE_S: Final = 6.0
 DELAY_MS: Final = 120
+# Limit for a new agent process to reach its worker.
+SESSION_TIMEOUT_S: Final = 6.0
+# Delay between the first call of an agent and a cut, as a fraction of the cut.
+CUT_DELAY_FRACTION: Final = 0.03
 
 Direction = Literal["to_target", "from_target"]
 CUT_DIRECTIONS: Final[dict[str, tuple[Direction, ...]]] = {
@@ -76,6 +78,7 @@
         log: Path of the file for its output.
         folder: Path of its data folder; None for a role without one.
         running: The operating system process; None while it is stopped.
+        lock: Serializes starts and stops.
     """
 
     name: str
@@ -84,9 +87,15 @@
     log: pathlib.Path
     folder: pathlib.Path | None = None
     running: asyncio.subprocess.Process | None = None
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
 
     async def start(self) -> None:
-        """Starts the process."""
+        """Starts the process unless it is running."""
+        async with self.lock:
+            if self.running is None:
+                await self._start()
+
+    async def _start(self) -> None:
         with self.log.open("ab") as log:
             self.running = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -110,17 +119,22 @@
 
     async def stop(self, signum: signal.Signals) -> None:
         """Sends a signal and waits; kills the process after `GRACE_S`."""
-        if self.running is None:
-            return
+        async with self.lock:
+            if self.running is not None:
+                await self._stop(self.running, signum)
+                self.running = None
+
+    async def _stop(
+        self, running: asyncio.subprocess.Process, signum: signal.Signals
+    ) -> None:
         self.send_signal(signal.SIGCONT)
         self.send_signal(signum)
         try:
             async with asyncio.timeout(GRACE_S):
-                await self.running.wait()
+                await running.wait()
         except TimeoutError:
             self.send_signal(signal.SIGKILL)
-            await self.running.wait()
-        self.running = None
+            await running.wait()
 
 
 class SoakSite:
@@ -134,7 +148,9 @@
         history: Observations and violated invariants.
     """
 
-    def __init__(self, *, path: pathlib.Path, seed: int, workers: int) -> None:
+    def __init__(
+        self, *, path: pathlib.Path, seed: int, workers: int, basic: bool
+    ) -> None:
         self.path = path
         self.history = soak_checks.History()
         self.processes: dict[str, Process] = {}
@@ -142,6 +158,7 @@
         self.proxies: dict[str, proxy.FaultProxy] = {}
         self._seed = seed
         self._worker_count = workers
+        self._basic = basic
         # Soaks that run at the same time must not share addresses. The third
         # octet is 1 for control replicas, 2 for entries, 3 for agents and 4 for
         # workers, and 9, 7 and 8 for the proxies in front of control replicas,
@@ -200,6 +217,9 @@
             agent=control,
             history=self.history,
             seed=self._seed + number,
+            failure_probability=soak_worker.FAILURE_PROBABILITY
+            if self._basic or number % 4
+            else soak_worker.HIGH_FAILURE_PROBABILITY,
         )
         worker.announced = self.proxies[name].address
         self.workers[name] = worker
@@ -253,6 +273,10 @@
         """Returns the address of an entry for callers."""
         return self.proxies[f"entry-{number}"].address
 
+    def late_orders(self) -> int:
+        """Returns the number of orders that will be carried out late."""
+        return sum(worker.late_orders for worker in self.workers.values())
+
     def operator_address(self, number: int) -> str:
         """Returns the address of a replica for the operator."""
         return f"{self._network}.1.{number}:{self._port}"
@@ -262,8 +286,21 @@
     async def inject(self, fault: soak_schedule.Fault) -> None:
         """Injects a fault and waits until it is over."""
         self.history.counts[f"fault {fault.kind}"] += 1
+        self.history.record_fault_start(fault.target)
+        try:
+            await self._inject(fault)
+        finally:
+            self.history.record_fault_end(fault.target)
+
+    async def _inject(self, fault: soak_schedule.Fault) -> None:
         if fault.kind == "crash":
             self.workers[fault.target].crash()
+        elif fault.kind == "restart_then_cut":
+            await self._restart_then_cut(fault)
+        elif fault.kind == "late":
+            self.workers[fault.target].late_enabled += 1
+            await asyncio.sleep(fault.for_s)
+            self.workers[fault.target].late_enabled -= 1
         elif fault.kind in ("reset", "delay", *CUT_DIRECTIONS):
             await self._inject_network_fault(fault, self.proxies[fault.target])
         elif fault.kind == "kill_all":
@@ -274,6 +311,25 @@
         else:
             await self._restart(self.processes[fault.target], fault)
 
+    async def _restart_then_cut(self, fault: soak_schedule.Fault) -> None:
+        """Restarts an agent and cuts its worker off after the first answers."""
+        number = fault.target.partition("-")[2]
+        worker = self.workers[f"worker-{number}"]
+        process = self.processes[fault.target]
+        await process.stop(signal.SIGKILL)
+        worker.session_opened.clear()
+        await process.start()
+        try:
+            async with asyncio.timeout(SESSION_TIMEOUT_S):
+                await worker.session_opened.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(fault.for_s * CUT_DELAY_FRACTION)
+        fault_proxy = self.proxies[worker.name]
+        fault_proxy.cut("to_target", "from_target")
+        await asyncio.sleep(fault.for_s)
+        fault_proxy.heal()
+
     async def _inject_network_fault(
         self, fault: soak_schedule.Fault, fault_proxy: proxy.FaultProxy
     ) -> None:
@@ -312,8 +368,7 @@
                 text.replace("bootstrap = true", "bootstrap = false")
             )
         await asyncio.sleep(fault.for_s / 4)
-        if process.running is None:
-            await process.start()
+        await process.start()
 
 
 class Soak:
@@ -323,6 +378,7 @@
         site: The site.
         faults: Faults to inject, in order of time.
         seconds: Duration in s during which jobs are submitted.
+        callers: The simulated callers.
     """
 
     def __init__(
@@ -332,6 +388,7 @@
         faults: list[soak_schedule.Fault],
         seconds: float,
         seed: int,
+        cancels: bool,
     ) -> None:
         self.site = site
         self.faults = faults
@@ -341,6 +398,13 @@
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         )
         self._version = 0
+        self.callers = soak_callers.Callers(
+            history=site.history,
+            requester=self,
+            entries=ENTRIES,
+            seed=seed,
+            cancels=cancels,
+        )
 
     async def run(self) -> soak_checks.History:
         """Runs the soak and returns its history."""
@@ -349,14 +413,18 @@
             await self.site.start()
             await self._configure_once()
             started_s = time.monotonic()
-            operator = asyncio.create_task(self._configure_forever())
+            background = [
+                asyncio.create_task(self._configure_forever()),
+                asyncio.create_task(self.callers.check_forever()),
+            ]
             await asyncio.gather(
-                self._submit_for(self.seconds),
+                self.callers.submit_for(self.seconds),
                 *(self._inject_at(started_s, fault) for fault in self.faults),
             )
-            await self._settle()
-            operator.cancel()
-            await asyncio.gather(operator, return_exceptions=True)
+            await self.callers.settle(self.site.late_orders)
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
             history.finish()
         finally:
             await self._session.close()
@@ -369,71 +437,17 @@
         await asyncio.sleep(max(0.0, started_s + fault.at_s - time.monotonic()))
         await self.site.inject(fault)
 
-    async def _settle(self) -> None:
-        """Polls all accepted jobs until they have ended or time is up."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SETTLE_TIMEOUT_S):
-                while open_jobs := self.site.history.open_jobs():
-                    for job in open_jobs:
-                        await self._poll_state(job)
-                    await asyncio.sleep(STATE_POLL_INTERVAL_S)
-
-    # --- Callers -------------------------------------------------------------
-
-    async def _submit_for(self, seconds: float) -> None:
-        end = time.monotonic() + seconds
-        callers: list[asyncio.Task[None]] = []
-        while time.monotonic() < end:
-            job = f"{self._rng.getrandbits(64):016x}"
-            callers.append(asyncio.create_task(self._submit(job)))
-            await asyncio.sleep(self._rng.expovariate(JOBS_PER_SECOND))
-        await asyncio.gather(*callers)
-
-    async def _submit(self, job: str) -> None:
-        """Submits a job with retries, like the platform's callers."""
-        body = self._random_job()
-        history = self.site.history
-        history.record_submission(job)
-        for _ in range(MAX_SUBMISSIONS):
-            status, _ = await self._call("POST", job, body)
-            history.record_submission_status(job, status)
-            if status == soak_checks.OK:
-                await self._poll_state(job)
-                # Simulates a submission that is duplicated and delayed.
-                if self._rng.random() < 0.2:
-                    await asyncio.sleep(self._rng.uniform(0, 3))
-                    await self._call("POST", job, body)
-                return
-            if status in soak_checks.REFUSALS:
-                return
-            await asyncio.sleep(0.1)
-
-    def _random_job(self) -> dict[str, Any]:
-        millicores = self._rng.randint(300, 2500)
-        run_ms = self._rng.randint(30, 900)
-        steps: list[dict[str, Any]] = [
-            {
-                "count": self._rng.randint(1, 5),
-                "cpu": millicores,
-                "memMb": 100,
-                "estimateMs": run_ms,
-            }
-            for _ in range(self._rng.randint(1, 3))
-        ]
-        for number in range(1, len(steps)):
-            steps[number]["after"] = [number - 1]
-        return {"spec": f"{millicores} {run_ms}", "phases": steps}
-
-    async def _poll_state(self, job: str) -> None:
-        status, answer = await self._call("GET", job)
-        state = answer.get("state", "") if isinstance(answer, dict) else ""
-        self.site.history.record_state(job, status, state)
-
-    async def _call(
-        self, method: str, job: str, body: Any = None
+    async def call(
+        self,
+        method: str,
+        job: str,
+        body: Any = None,
+        *,
+        entry: int | None = None,
     ) -> tuple[int, Any]:
-        """Returns status and body; status 0 if there is no response."""
-        address = self.site.entry_address(self._rng.randint(1, ENTRIES))
+        """Sends a request of a caller; see `soak_callers.Requester`."""
+        number = entry or self._rng.randint(1, ENTRIES)
+        address = self.site.entry_address(number)
         return await self._request(
             method, f"http://{address}/forms/{job}", body
         )
@@ -441,7 +455,7 @@
     # --- Operator ------------------------------------------------------------
 
     async def _configure_once(self) -> None:
-        deadline = time.monotonic() + SETTLE_TIMEOUT_S
+        deadline = time.monotonic() + CONFIGURE_TIMEOUT_S
         configured = False
         while not configured:
             if time.monotonic() > deadline:
@@ -510,7 +524,12 @@
 
 
 async def run_soak(
-    *, seed: int, seconds: float, workers: int, path: pathlib.Path
+    *,
+    seed: int,
+    seconds: float,
+    workers: int,
+    path: pathlib.Path,
+    basic: bool = False,
 ) -> soak_checks.History:
     """Runs one soak in a folder.
 
@@ -519,6 +538,7 @@
         seconds: Duration in s during which jobs are submitted.
         workers: Number of workers, each with an agent.
         path: Folder for settings, data and logs.
+        basic: Whether to omit cancellations, late orders and series of faults.
 
     Returns:
         What was observed, and the violated invariants.
@@ -529,11 +549,23 @@
         controls=CONTROLS,
         entries=ENTRIES,
         workers=workers,
+        series=not basic,
     )
     (path / "schedule.txt").write_text("".join(f"{f}\n" for f in faults))
-    site = SoakSite(path=path, seed=seed, workers=workers)
-    soak = Soak(site=site, faults=faults, seconds=seconds, seed=seed)
-    history = await soak.run()
+    site = SoakSite(path=path, seed=seed, workers=workers, basic=basic)
+    soak = Soak(
+        site=site,
+        faults=faults,
+        seconds=seconds,
+        seed=seed,
+        cancels=not basic,
+    )
+    try:
+        history = await soak.run()
+    finally:
+        (path / "history.txt").write_text(
+            "".join(f"{line}\n" for line in site.history.lines)
+        )
     (path / "history.json").write_text(
         json.dumps(
             {
@@ -558,16 +590,30 @@
     parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--workers", type=int, default=4)
+    parser.add_argument(
+        "--basic",
+        action="store_true",
+        help="no cancellations, late orders and series of faults",
+    )
+    parser.add_argument(
+        "--folder",
+        type=pathlib.Path,
+        default=pathlib.Path(tempfile.gettempdir()),
+        help="where to keep the folders of soaks that violate an invariant",
+    )
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
-        path = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        path = pathlib.Path(
+            tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=arguments.folder)
+        )
         history = asyncio.run(
             run_soak(
                 seed=seed,
                 seconds=arguments.seconds,
                 workers=arguments.workers,
                 path=path,
+                basic=arguments.basic,
             )
         )
         print(f"seed {seed}: {dict(sorted(history.counts.items()))}")
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -5,12 +5,28 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
+import math
+import time
+from typing import Any
 from typing import Final
 
 # Statuses that guarantee that the job never runs.
 REFUSALS: Final = (429, 503)
 OK: Final = 200
+NOT_FOUND: Final = (404, 410)
+FINAL_STATES: Final = ("done", "failed", "cancelled")
+# Known state of a job whose cancelling was acknowledged.
+CANCELLING: Final = "cancelling"
+
+# Bounds of the platform. They hold for time without a fault of a control
+# replica, of the worker or of its agent; a fault counts for `CONTACT_S` more.
+CANCEL_S: Final = 3.0
+STOP_S: Final = 0.9
+CONTACT_S: Final = 3.0
+# A fault of one control replica counts for the whole group.
+_CORE: Final = "control"
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -18,12 +34,19 @@
     """What the callers know about a job.
 
     Attributes:
+        body: Body of its submissions.
         statuses: HTTP statuses of its submissions; 0 for no response.
-        seen_done: Whether a caller has read the state "done".
+        state: Final state that a caller has read; empty if none.
+        cancel_sent: Whether a caller has sent a cancellation.
+        cancelled_s: Time of the first acknowledgement of a cancellation; None
+            if there is none.
     """
 
+    body: dict[str, Any]
     statuses: list[int] = dataclasses.field(default_factory=list)
-    seen_done: bool = False
+    state: str = ""
+    cancel_sent: bool = False
+    cancelled_s: float | None = None
 
     def accepted(self) -> bool:
         return OK in self.statuses
@@ -32,6 +55,31 @@
         answered = bool(self.statuses)
         return answered and all(s in REFUSALS for s in self.statuses)
 
+    def lasting(self) -> bool:
+        return any(s.get("longRunning") for s in self.body["phases"])
+
+    def steps(self, name: str) -> list[set[str]]:
+        """Returns the tasks of each step."""
+        return [
+            {f"{name}.0.{step}.{index}" for index in range(fields["count"])}
+            for step, fields in enumerate(self.body["phases"])
+        ]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Run:
+    """A run on a worker.
+
+    Attributes:
+        start_s: Time of its start.
+        late: Whether the worker carried the order out late.
+        reported: Whether it was reported to run on after a cancellation.
+    """
+
+    start_s: float
+    late: bool
+    reported: bool = False
+
 
 class History:
     """Observations of a soak; checks each one when it is recorded.
@@ -39,98 +87,295 @@
     Attributes:
         violations: Descriptions of the violated invariants.
         counts: Number of observations by kind.
+        lines: All observations in order, with the Unix time in s.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self.violations: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
+        self.lines: list[str] = []
+        self._clock = clock
         self._jobs: dict[str, _Job] = {}
-        self._running: dict[str, set[str]] = {}
+        # Runs by task, and by worker incarnation and attempt.
+        self._running: dict[str, dict[tuple[str, int], _Run]] = {}
         self._starts: collections.Counter[str] = collections.Counter()
         # Number of starts of a task when an attempt ended with "done", by task
         # and attempt.
         self._starts_until_done: dict[tuple[str, int], int] = {}
         self._acknowledged: set[str] = set()
         self._started_jobs: set[str] = set()
+        self._done_tasks: set[str] = set()
         self._version = 0
+        # Number of current faults and end of the last one, by place.
+        self._faults: collections.Counter[str] = collections.Counter()
+        self._last_fault_end_s: dict[str, float] = {}
+
+    # --- Faults --------------------------------------------------------------
+
+    def record_fault_start(self, target: str) -> None:
+        """Records that a fault of a process or worker begins."""
+        self._log(f"fault of {target} begins")
+        self._faults[_place(target)] += 1
+
+    def record_fault_end(self, target: str) -> None:
+        """Records that a fault of a process or worker is over."""
+        self._log(f"fault of {target} ends")
+        self._faults[_place(target)] -= 1
+        self._last_fault_end_s[_place(target)] = self._clock()
+
+    def record_stall(self) -> None:
+        """Records that the soak's own process, and so each worker, stalled."""
+        self.counts["stalls of the soak"] += 1
+        self.record_fault_start(_CORE)
+        self.record_fault_end(_CORE)
+
+    def calm_since_s(self, worker: str) -> float:
+        """Returns since when no fault affects a worker; infinity if one does.
+
+        Args:
+            worker: Name of the worker or of one of its incarnations.
+        """
+        places = (_CORE, worker.partition("@")[0])
+        if any(self._faults[place] for place in places):
+            return math.inf
+        return max(
+            self._last_fault_end_s.get(place, -math.inf) + CONTACT_S
+            for place in places
+        )
 
     # --- Callers -------------------------------------------------------------
 
-    def record_submission(self, job: str) -> None:
+    def record_submission(self, job: str, body: dict[str, Any]) -> None:
         """Records that a job is about to be submitted."""
-        self._jobs.setdefault(job, _Job())
+        self._log(f"{job} is submitted: {body}")
+        self._jobs.setdefault(job, _Job(body=body))
 
     def record_submission_status(self, job: str, status: int) -> None:
         """Records the status of a submission; 0 if there was no response."""
+        self._log(f"{job}: submission answered {status}")
         self.counts[f"submission answered {status}"] += 1
         self._jobs[job].statuses.append(status)
 
-    def record_state(self, job: str, status: int, state: str) -> None:
-        """Records the response to a query for the state of a job."""
-        if status == OK and state == "done":
-            self._jobs[job].seen_done = True
-            open_tasks = [
-                task for task in self._running if task.startswith(f"{job}.")
-            ]
-            if any(self._running[task] for task in open_tasks):
-                self._add_violation(f"{job} is reported as done while it runs")
-        if self._jobs[job].accepted() and status in (404, 410):
+    def record_cancellation(self, job: str) -> None:
+        """Records that a job is about to be cancelled."""
+        self._log(f"{job} is cancelled")
+        self._jobs[job].cancel_sent = True
+
+    def record_cancellation_status(
+        self, job: str, status: int, *, accepted: bool
+    ) -> None:
+        """Records the status of a cancellation; 0 if there was no response.
+
+        Args:
+            job: Name of the job.
+            status: HTTP status.
+            accepted: Whether the job was accepted before the cancellation was
+                sent.
+        """
+        self._log(f"{job}: cancellation answered {status}")
+        self.counts[f"cancellation answered {status}"] += 1
+        if status == OK and self._jobs[job].cancelled_s is None:
+            self._jobs[job].cancelled_s = self._clock()
+        if status in NOT_FOUND and accepted:
+            self._add_violation(
+                f"cancelling the accepted {job} is answered with {status}"
+            )
+
+    def is_accepted(self, job: str) -> bool:
+        """Returns whether a submission of a job was accepted."""
+        return self._jobs[job].accepted()
+
+    def known_state(self, job: str) -> str:
+        """Returns what callers know about the state of a job.
+
+        Returns:
+            The final state that one has read; otherwise `CANCELLING` if a
+            cancellation was acknowledged; otherwise an empty string.
+        """
+        known = self._jobs[job]
+        if known.state or known.cancelled_s is None:
+            return known.state
+        return CANCELLING
+
+    def record_state(
+        self, job: str, status: int, state: str, *, known: str = ""
+    ) -> None:
+        """Records the response to a query for the state of a job.
+
+        Args:
+            job: Name of the job.
+            status: HTTP status.
+            state: State in the response.
+            known: Result of `known_state` before the query was sent.
+        """
+        self._log(f"{job}: state {status} {state}")
+        if self._jobs[job].accepted() and status in NOT_FOUND:
             self._add_violation(f"accepted {job} is answered with {status}")
-        # Nobody cancels jobs, and the configured number of attempts is so high
-        # that the random failures of runs don't make a job fail.
-        if status == OK and state in ("failed", "cancelled"):
+        if status != OK:
+            return
+        if known == CANCELLING and state not in FINAL_STATES:
+            self._add_violation(
+                f"{job} is reported as {state} although it was cancelled"
+            )
+        if known in FINAL_STATES and state != known:
+            self._add_violation(f"{job} is reported as {state} after {known}")
+        if state == "done":
+            self._check_done(job)
+        # The configured number of attempts is so high that the random failures
+        # of runs don't make a job fail.
+        if state == "failed" or (
+            state == "cancelled" and not self._jobs[job].cancel_sent
+        ):
             self._add_violation(f"{job} is reported as {state} without a cause")
+        if state in FINAL_STATES:
+            self._jobs[job].state = state
+
+    def _check_done(self, job: str) -> None:
+        if any(
+            runs
+            for task, runs in self._running.items()
+            if task.startswith(f"{job}.")
+        ):
+            self._add_violation(f"{job} is reported as done while it runs")
+        tasks = set().union(*self._jobs[job].steps(job))
+        if missing := sorted(tasks - self._done_tasks):
+            self._add_violation(
+                f"{job} is reported as done without {', '.join(missing)}"
+            )
 
     def open_jobs(self) -> list[str]:
-        """Returns accepted jobs that no caller has seen as done."""
+        """Returns accepted jobs that must end and of which no end was seen.
+
+        A job that lasts must end only if it was cancelled.
+        """
+        return [
+            name
+            for name, job in self._jobs.items()
+            if job.accepted()
+            and not job.state
+            and (job.cancel_sent or not job.lasting())
+        ]
+
+    def lasting_jobs(self) -> list[str]:
+        """Returns accepted jobs that last and that nobody has cancelled."""
+        return [
+            name
+            for name, job in self._jobs.items()
+            if job.accepted() and job.lasting() and not job.cancel_sent
+        ]
+
+    def unfinished_jobs(self) -> list[str]:
+        """Returns submitted jobs whose end nobody has seen or ordered."""
+        return [
+            name
+            for name, job in self._jobs.items()
+            if not job.state and not job.cancel_sent
+        ]
+
+    def unanswered_cancellations(self) -> list[str]:
+        """Returns accepted jobs whose cancelling was not acknowledged."""
         return [
             name
             for name, job in self._jobs.items()
-            if job.accepted() and not job.seen_done
+            if job.accepted() and job.cancel_sent and job.cancelled_s is None
+        ]
+
+    def missing_tasks(self) -> list[str]:
+        """Returns the tasks of `lasting_jobs` that aren't running."""
+        return [
+            task
+            for name in self.lasting_jobs()
+            for task in sorted(set().union(*self._jobs[name].steps(name)))
+            if not self._running.get(task)
         ]
 
     # --- Workers -------------------------------------------------------------
 
     def record_start(
-        self, task: str, worker: str, *, free_millicores: int
+        self,
+        task: str,
+        worker: str,
+        *,
+        attempt: int,
+        spec: str,
+        free: int,
+        late: bool = False,
     ) -> None:
         """Records the start of a task.
 
         Args:
             task: Name of the task.
             worker: Name of the worker incarnation.
-            free_millicores: Unreserved processor time of the worker after the
-                start; negative if the worker is overcommitted.
+            attempt: Attempt number.
+            spec: Specification in the order.
+            free: Unreserved capacity of the worker after the start, the minimum
+                of all resources; negative if the worker is overcommitted.
+                Runs that are being stopped occupy their capacity.
+            late: Whether the worker carried the order out late.
         """
+        self._log(f"{task} attempt {attempt} starts on {worker}, late: {late}")
         self.counts["starts"] += 1
+        self.counts["starts late"] += late
         self._starts[task] += 1
-        job = task.partition(".")[0]
-        self._started_jobs.add(job)
-        if job not in self._jobs:
+        name = task.partition(".")[0]
+        self._started_jobs.add(name)
+        job = self._jobs.get(name)
+        if job is None:
             self._add_violation(f"{task} was started but never submitted")
-        if free_millicores < 0:
+        else:
+            self._check_start(task, job, spec)
+            self._check_cancelled_start(task, job, worker, late)
+        if free < 0:
             self._add_violation(f"{task} exceeds the capacity of {worker}")
-        workers = self._running.setdefault(task, set())
-        if workers:
-            self._add_violation(
-                f"{task} runs on {worker} and on {sorted(workers)}"
-            )
+        runs = self._running.setdefault(task, {})
+        if runs:
+            self._add_violation(f"{task} runs on {worker} and on {list(runs)}")
         if task in self._acknowledged:
             self._add_violation(
                 f"{task} was started after its acknowledged end"
             )
-        if job in self._jobs and self._jobs[job].seen_done:
+        runs[worker, attempt] = _Run(start_s=self._clock(), late=late)
+
+    def _check_start(self, task: str, job: _Job, spec: str) -> None:
+        if job.state == "done":
             self._add_violation(f"{task} was started after its job was done")
-        workers.add(worker)
+        if spec != job.body["spec"]:
+            self._add_violation(f"{task} was started with another spec: {spec}")
+        steps = job.steps(task.partition(".")[0])
+        number = next((n for n, s in enumerate(steps) if task in s), None)
+        if number is None:
+            self._add_violation(f"{task} isn't a task of its job")
+            return
+        for earlier in job.body["phases"][number].get("after", ()):
+            if not steps[earlier] <= self._done_tasks:
+                self._add_violation(
+                    f"{task} was started before step {earlier} was done"
+                )
+
+    def _check_cancelled_start(
+        self, task: str, job: _Job, worker: str, late: bool
+    ) -> None:
+        if job.cancelled_s is None or late:
+            return
+        now = self._clock()
+        self.counts["starts of a cancelled job"] += 1
+        after_s = now - job.cancelled_s
+        if after_s > CANCEL_S and now >= self.calm_since_s(worker):
+            self._add_violation(
+                f"{task} was started on {worker} {after_s:.2f} s after its job"
+                " was cancelled"
+            )
 
     def record_end(
         self, task: str, worker: str, attempt: int, how: str
     ) -> None:
         """Records the end of a run."""
+        self._log(f"{task} attempt {attempt} ends on {worker}: {how}")
         self.counts[f"ended {how}"] += 1
-        self._running.get(task, set()).discard(worker)
+        self._running.get(task, {}).pop((worker, attempt), None)
         if how == "done":
             self._starts_until_done[task, attempt] = self._starts[task]
+            self._done_tasks.add(task)
 
     def record_acknowledgement(
         self, task: str, attempt: int, how: str, *, lease_expired: bool
@@ -150,6 +395,10 @@
             lease_expired: Whether the worker's lease expired between the end
                 and its acknowledgement.
         """
+        self._log(
+            f"{task} attempt {attempt}: end {how} acknowledged, lease expired:"
+            f" {lease_expired}"
+        )
         if how != "done":
             return
         started_again = (
@@ -164,6 +413,32 @@
                 f"{task} was started after its acknowledged end"
             )
 
+    def cancelled_runs(self) -> list[str]:
+        """Returns the running tasks of jobs whose cancelling was acknowledged.
+
+        Adds a violation for each run that goes on beyond the bounds.
+        """
+        now = self._clock()
+        tasks = []
+        for task, runs in self._running.items():
+            job = self._jobs.get(task.partition(".")[0])
+            if job is None or job.cancelled_s is None:
+                continue
+            for (worker, attempt), run in runs.items():
+                tasks.append(task)
+                since_s = max(job.cancelled_s, self.calm_since_s(worker))
+                if run.late:
+                    since_s = max(since_s, run.start_s + CONTACT_S)
+                if now - since_s <= CANCEL_S + STOP_S or run.reported:
+                    continue
+                run.reported = True
+                self._add_violation(
+                    f"{task} attempt {attempt} runs on {worker}"
+                    f" {now - job.cancelled_s:.2f} s after its job was"
+                    f" cancelled, {now - since_s:.2f} s of them without a fault"
+                )
+        return tasks
+
     # --- Operator ------------------------------------------------------------
 
     def record_configuration(self, version: int) -> None:
@@ -190,6 +465,11 @@
 
     # --- End -----------------------------------------------------------------
 
+    def check_lasting_jobs(self) -> None:
+        """Checks that all tasks run that last until their job is cancelled."""
+        for task in self.missing_tasks():
+            self._add_violation(f"{task} isn't running although it lasts")
+
     def finish(self) -> None:
         """Checks the invariants that can only be checked at the end."""
         for name, job in self._jobs.items():
@@ -197,6 +477,20 @@
                 self._add_violation(f"{name} was always refused but ran")
         for name in self.open_jobs():
             self._add_violation(f"accepted {name} was never done")
+        for name in self.unanswered_cancellations():
+            self._add_violation(f"cancelling {name} was never acknowledged")
+
+    def _log(self, line: str) -> None:
+        self.lines.append(f"{time.time():.3f} {line}")
 
     def _add_violation(self, text: str) -> None:
+        self._log(f"VIOLATION {text}")
         self.violations.append(text)
+
+
+def _place(target: str) -> str:
+    """Returns the worker of an agent, `_CORE` for a control replica."""
+    role, _, number = target.partition("-")
+    if role == "control":
+        return _CORE
+    return f"worker-{number}" if role == "agent" else target
--- a/devtools/soak_schedule.py
+++ b/devtools/soak_schedule.py
@@ -3,6 +3,10 @@
 Faults may overlap. At most one of the three control replicas is faulty at a
 time, since the group tolerates the loss of one. All of them may still be killed
 at the same time, which keeps their data folders.
+
+A schedule may also contain series: faults that follow each other on one machine
+within seconds, for example a kill of its agent and the loss of the new agent's
+connections to the worker.
 """
 
 import dataclasses
@@ -32,6 +36,15 @@
 AGENT_KINDS: Final = ("kill", "freeze", "terminate")
 WORKER_KINDS: Final = ("crash", "reset", "cut", "delay")
 
+# Mean time between two series (exponential distribution).
+SERIES_INTERVAL_S: Final = 2.0
+SERIES_KINDS: Final = ("restart", "cut_off", "late", "crash", "herd", "sleep")
+LINK_KINDS: Final = ("reset", "cut", "cut_in", "cut_out", "delay")
+# Probability that a fault of a control replica overlaps a series.
+CONTROL_PROBABILITY: Final = 0.4
+# A stopped process is started again after a quarter of this time.
+RESTART_S: Final = 0.1
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Fault:
@@ -66,6 +79,7 @@
     controls: int,
     entries: int,
     workers: int,
+    series: bool = False,
 ) -> list[Fault]:
     """Returns the faults of a soak, in order of time.
 
@@ -75,6 +89,7 @@
         controls: Number of control replicas.
         entries: Number of entries.
         workers: Number of workers, each with an agent.
+        series: Whether to add series of faults.
     """
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -99,4 +114,87 @@
         faults.append(
             Fault(at_s=now, target=f"{role}-{number}", kind=kind, for_s=for_s)
         )
+    if series:
+        # The other faults don't depend on whether there are series.
+        series_rng = random.Random(f"series {seed}")
+        _add_series(series_rng, faults, seconds, controls, workers)
+        faults.sort(key=lambda fault: fault.at_s)
     return faults
+
+
+def _add_series(
+    rng: random.Random,
+    faults: list[Fault],
+    seconds: float,
+    controls: int,
+    workers: int,
+) -> None:
+    now = QUIET_START_S
+    while (now := now + rng.expovariate(1 / SERIES_INTERVAL_S)) < seconds:
+        kind = rng.choice(SERIES_KINDS)
+        size = max(2, workers // 2) if kind in ("herd", "late") else 1
+        for number in rng.sample(range(1, workers + 1), min(size, workers)):
+            faults += _series(rng, kind, now, number)
+        end_s = max(fault.end_s() for fault in faults if fault.at_s >= now)
+        if rng.random() < CONTROL_PROBABILITY:
+            fault = Fault(
+                at_s=rng.uniform(now, min(end_s, now + 3.0)),
+                target=f"control-{rng.randint(1, controls)}",
+                kind=rng.choice(("kill", "freeze", "reset")),
+                for_s=rng.uniform(0.3, 4.0),
+            )
+            if not any(_conflict(fault, other) for other in faults):
+                faults.append(fault)
+
+
+def _series(
+    rng: random.Random, kind: str, start_s: float, number: int
+) -> list[Fault]:
+    """Returns the faults of a series on one machine."""
+    agent, worker = f"agent-{number}", f"worker-{number}"
+
+    def fault(
+        kind: str, target: str, after_s: float, for_s: float = RESTART_S
+    ) -> Fault:
+        return Fault(
+            at_s=start_s + after_s, target=target, kind=kind, for_s=for_s
+        )
+
+    # A new process takes about 1 s until its first poll of the worker.
+    links = [
+        fault(
+            rng.choice(LINK_KINDS),
+            worker,
+            rng.uniform(0.2, 3.0),
+            rng.uniform(0.2, 4.0),
+        )
+        for _ in range(rng.randint(1, 3))
+    ]
+    restart = fault("kill", agent, 0.0)
+    late = fault("late", worker, 0.0, rng.uniform(1.0, 5.0))
+    crashes = [
+        fault("crash", worker, rng.uniform(0.0, 2.0))
+        for _ in range(rng.randint(1, 2))
+    ]
+    sleep = fault(
+        "freeze", agent, rng.uniform(0.5, 2.0), rng.uniform(3.0, 11.0)
+    )
+    return {
+        "restart": [restart, *links],
+        "cut_off": [
+            fault("restart_then_cut", agent, 0.0, rng.uniform(0.5, 8.0))
+        ],
+        "late": [late, *rng.choice(([], links, [restart], crashes))],
+        "crash": [*crashes, *rng.choice(([restart], links, [late]))],
+        "herd": [restart, links[0]],
+        "sleep": [sleep, *rng.choice(([], links, [late]))],
+    }[kind]
+
+
+def _conflict(fault: Fault, other: Fault) -> bool:
+    """Returns whether two faults may affect two control replicas at a time."""
+    return (
+        other.target.startswith("control")
+        and fault.at_s < other.end_s() + CATCH_UP_S
+        and other.at_s < fault.end_s() + CATCH_UP_S
+    )
--- a/devtools/soak_worker.py
+++ b/devtools/soak_worker.py
@@ -2,12 +2,17 @@
 
 The worker rejects stale fencing tokens and attempts, ends all runs when its
 lease expires on its own clock, repeats the end of a run until it is
-acknowledged, and can crash and restart as a new incarnation. It records all
-starts and ends in the history of the soak.
+acknowledged, and can crash and restart as a new incarnation with the same ID.
+It may leave calls unanswered and carry them out seconds later, and its answers
+may overtake each other. It records all starts and ends in the history of the
+soak.
 """
 
 import asyncio
+from collections.abc import Callable
+import contextlib
 import dataclasses
+import math
 import random
 import time
 from typing import Any
@@ -22,19 +27,38 @@
 CAPACITY_MB: Final = 8000
 ANNOUNCE_INTERVAL_S: Final = 0.5
 TICK_INTERVAL_S: Final = 0.01
-STOP_DURATION_S: Final = 0.05
+MAX_STOP_DURATION_S: Final = 0.9
 FAILURE_PROBABILITY: Final = 0.03
-MAX_LEASE_MS: Final = 6000
+# Of every fourth worker.
+HIGH_FAILURE_PROBABILITY: Final = 0.25
+MAX_LEASE_MS: Final = 10_000
+MAX_WAIT_MS: Final = 2000
+MAX_LISTED_ENDS: Final = 500
+# Probability that a call is carried out late while this is enabled.
+LATE_PROBABILITY: Final = 0.4
+LATE_S: Final = (2.0, 12.0)
+# Probability that a call without an answer is carried out at once.
+AT_ONCE_PROBABILITY: Final = 0.2
+# Probability that an answer is delayed, so that later ones overtake it.
+DELAYED_ANSWER_PROBABILITY: Final = 0.1
+MAX_ANSWER_DELAY_S: Final = 0.5
+# The agent stops waiting for the answer of a call before this time.
+UNANSWERED_S: Final = 3.0
 # Rate of the worker's clock; it may be slow by up to 2 %.
 CLOCK_RATE: Final = 0.985
 
 
+# Carries out a call; the second argument is whether it is late.
+Action = Callable[[dict[str, Any], bool], web.Response]
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Run:
-    attempt: int
     millicores: int
+    memory_mb: int
     end_s: float
-    how: str = "done"
+    how: str
+    stopping: bool = False
 
 
 class SoakWorker:
@@ -43,7 +67,10 @@
     Attributes:
         name: Name of its machine.
         announced: Address that it announces; may be that of a proxy.
-        rng: Random generator for failing runs.
+        rng: Random generator for failures and delays.
+        late_orders: Number of unanswered calls that will be carried out.
+        late_enabled: Number of faults that make calls late.
+        session_opened: Set when a call with a higher fencing token arrives.
     """
 
     def __init__(
@@ -53,10 +80,16 @@
         agent: str,
         history: soak_checks.History,
         seed: int,
+        failure_probability: float = FAILURE_PROBABILITY,
     ) -> None:
         self.name = name
         self.announced = ""
         self.rng = random.Random(seed)
+        self.late_orders = 0
+        self.late_enabled = 0
+        self.session_opened = asyncio.Event()
+        self._failure_probability = failure_probability
+        self._late_tasks: set[asyncio.Task[None]] = set()
         self._agent = agent
         self._history = history
         self._runner: web.AppRunner | None = None
@@ -70,10 +103,12 @@
         self._end_count = 0
         self._token = 0
         self._lease_end_ms = 0
-        self._runs: dict[str, _Run] = {}
+        # Runs by task and attempt.
+        self._runs: dict[tuple[str, int], _Run] = {}
         self._unacknowledged_ends: list[list[Any]] = []
         # Number of the last end before the lease last expired.
         self._last_end_before_expiry = 0
+        # Highest attempt that was stopped or has ended, by task.
         self._highest_attempts: dict[str, int] = {}
 
     @property
@@ -81,6 +116,10 @@
         """Returns the name of the current incarnation."""
         return f"{self.name}@{self._started_wall_ms}"
 
+    def lease_end_ms(self) -> int:
+        """Returns the end of the lease, in ms on the worker's clock."""
+        return self._lease_end_ms
+
     async def start(self, address: str) -> None:
         """Serves orders at an address and starts the announcements."""
         host, _, port = address.rpartition(":")
@@ -89,7 +128,9 @@
         application.router.add_post("/-/run-stop", self._stop)
         application.router.add_post("/-/hold", self._hold)
         application.router.add_post("/-/pace", self._pace)
-        self._runner = web.AppRunner(application, access_log=None)
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=0
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, host, int(port)).start()
         self._tasks = [
@@ -99,18 +140,17 @@
 
     async def close(self) -> None:
         """Stops the announcements and the server."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._late_tasks]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self._runner is not None:
             await self._runner.cleanup()
 
     def crash(self) -> None:
         """Loses all state and restarts as a new incarnation."""
-        for task, run in self._runs.items():
-            self._history.record_end(
-                task, self.incarnation, run.attempt, "lost"
-            )
+        for task, attempt in self._runs:
+            self._history.record_end(task, self.incarnation, attempt, "lost")
         self._start_incarnation()
 
     # --- Time ----------------------------------------------------------------
@@ -121,13 +161,11 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
+            self._expire_lease()
             now = time.monotonic()
-            expired = self._expire_lease()
-            for task, run in list(self._runs.items()):
-                if expired:
-                    self._end(task, "lapsed")
-                elif now >= run.end_s:
-                    self._end(task, run.how)
+            for key, run in list(self._runs.items()):
+                if now >= run.end_s:
+                    self._end(key, run.how)
 
     async def _announce_forever(self) -> None:
         timeout = aiohttp.ClientTimeout(total=1.0)
@@ -167,56 +205,130 @@
 
     # --- Orders --------------------------------------------------------------
 
-    async def _start(self, request: web.Request) -> web.Response:
+    async def _start(self, request: web.Request) -> web.StreamResponse:
+        return await self._handle(request, self._carry_out_start)
+
+    async def _stop(self, request: web.Request) -> web.StreamResponse:
+        return await self._handle(request, self._carry_out_stop)
+
+    async def _pace(self, request: web.Request) -> web.StreamResponse:
+        return await self._handle(
+            request, lambda body, late: self._reject(body) or self._answer()
+        )
+
+    async def _hold(self, request: web.Request) -> web.StreamResponse:
+        return await self._handle(request, self._carry_out_hold, waits=True)
+
+    async def _handle(
+        self, request: web.Request, action: Action, *, waits: bool = False
+    ) -> web.StreamResponse:
+        """Carries out a call now, or late and without an answer."""
         body = await request.json()
+        if request.headers.get("Expect-Instance") != f"i-{self.name}":
+            return self._answer(421)
+        late = self.late_enabled and self.rng.random() < LATE_PROBABILITY
+        if late:
+            task = asyncio.create_task(self._carry_out_late(action, body))
+            self._late_tasks.add(task)
+            task.add_done_callback(self._late_tasks.discard)
+            await asyncio.sleep(UNANSWERED_S)
+            return _break_off(request)
+        started_wall_ms = self._started_wall_ms
+        answer = action(body, False)
+        if waits and answer.status == 200:
+            wait_ms = min(int(body.get("waitMs", 0)), MAX_WAIT_MS)
+            for _ in range(int(wait_ms / 1000 / TICK_INTERVAL_S)):
+                if self._unacknowledged_ends:
+                    break
+                await asyncio.sleep(TICK_INTERVAL_S)
+            answer = self._answer_lists()
+        if self.late_enabled and (
+            self.rng.random() < DELAYED_ANSWER_PROBABILITY
+        ):
+            await asyncio.sleep(self.rng.uniform(0.0, MAX_ANSWER_DELAY_S))
+        if started_wall_ms != self._started_wall_ms:
+            # The worker crashed in the meantime.
+            return _break_off(request)
+        return answer
+
+    async def _carry_out_late(
+        self, action: Action, body: dict[str, Any]
+    ) -> None:
+        started_wall_ms = self._started_wall_ms
+        self.late_orders += 1
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._count_late_order)
+            if self.rng.random() < AT_ONCE_PROBABILITY:
+                action(body, False)
+                return
+            await asyncio.sleep(self.rng.uniform(*LATE_S))
+            # A crash loses the order.
+            if started_wall_ms == self._started_wall_ms:
+                action(body, True)
+
+    def _count_late_order(self) -> None:
+        self.late_orders -= 1
+
+    def _carry_out_start(
+        self, body: dict[str, Any], late: bool
+    ) -> web.Response:
         task, attempt = body["task"], body["attempt"]
-        if problem := self._reject(request, body):
+        if problem := self._reject(body):
             return problem
-        if task in self._runs and self._runs[task].attempt == attempt:
+        self._extend_lease(body["untilMs"])
+        if (task, attempt) in self._runs:
             return self._answer()
         if attempt <= self._highest_attempts.get(task, 0):
             return self._answer(409, reason="old")
         if body["untilMs"] <= self._clock_ms():
             return self._answer(409, reason="late")
-        self._extend_lease(body["untilMs"])
-        millicores, run_ms = map(int, body["spec"].split())
-        fails = self.rng.random() < FAILURE_PROBABILITY
-        self._highest_attempts[task] = attempt
-        self._runs[task] = _Run(
-            attempt=attempt,
+        millicores, memory_mb, run_ms = map(int, body["spec"].split())
+        # A run without a duration lasts until it fails or is stopped.
+        run_s = run_ms / 1000 or math.inf
+        fails = self.rng.random() < self._failure_probability
+        if fails and not run_ms:
+            run_s = self.rng.uniform(0.3, 6.0)
+        self._runs[task, attempt] = _Run(
             millicores=millicores,
-            end_s=time.monotonic() + run_ms / 1000,
+            memory_mb=memory_mb,
+            end_s=time.monotonic() + run_s,
             how="failed" if fails else "done",
         )
-        used = sum(run.millicores for run in self._runs.values())
+        runs = self._runs.values()
         self._history.record_start(
-            task, self.incarnation, free_millicores=CAPACITY_MILLICORES - used
+            task,
+            self.incarnation,
+            attempt=attempt,
+            spec=body["spec"],
+            free=min(
+                CAPACITY_MILLICORES - sum(run.millicores for run in runs),
+                CAPACITY_MB - sum(run.memory_mb for run in runs),
+            ),
+            late=late,
         )
         return self._answer()
 
-    async def _stop(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        if problem := self._reject(request, body):
+    def _carry_out_stop(self, body: dict[str, Any], late: bool) -> web.Response:
+        del late
+        if problem := self._reject(body):
             return problem
         task, attempt = body["task"], body["attempt"]
-        self._highest_attempts[task] = max(
-            attempt, self._highest_attempts.get(task, 0)
-        )
-        run = self._runs.get(task)
-        if run is not None and run.attempt == attempt:
-            run.how, run.end_s = "stopped", time.monotonic() + STOP_DURATION_S
+        self._block(task, attempt)
+        run = self._runs.get((task, attempt))
+        if run is not None and not run.stopping:
+            run.stopping = True
+            takes_s = self.rng.uniform(0.0, MAX_STOP_DURATION_S)
+            stopped_s = time.monotonic() + takes_s
+            # A run may still end by itself.
+            if stopped_s < run.end_s:
+                run.how, run.end_s = "stopped", stopped_s
         return self._answer()
 
-    async def _pace(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        return self._reject(request, body) or self._answer()
-
-    async def _hold(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        if problem := self._reject(request, body):
+    def _carry_out_hold(self, body: dict[str, Any], late: bool) -> web.Response:
+        del late
+        if problem := self._reject(body):
             return problem
-        started_wall_ms = self._started_wall_ms
-        self._extend_lease(body.get("untilMs", 0))
+        self._extend_lease(body.get("untilMs") or 0)
         for row in self._unacknowledged_ends:
             if row[0] <= body["ackCursor"]:
                 self._history.record_acknowledgement(
@@ -228,47 +340,46 @@
         self._unacknowledged_ends = [
             r for r in self._unacknowledged_ends if r[0] > body["ackCursor"]
         ]
-        for _ in range(int(body.get("waitMs", 0) / 1000 / TICK_INTERVAL_S)):
-            if self._unacknowledged_ends:
-                break
-            await asyncio.sleep(TICK_INTERVAL_S)
-        if started_wall_ms != self._started_wall_ms:
-            # The worker crashed and restarted during the long poll.
-            raise web.HTTPMisdirectedRequest()
-        running = [
-            [task, run.attempt, "", 50, 0] for task, run in self._runs.items()
-        ]
-        return self._answer(running=running, finished=self._unacknowledged_ends)
+        return self._answer()
+
+    def _answer_lists(self) -> web.Response:
+        return self._answer(
+            running=[[*key, "", 50, 0] for key in self._runs],
+            finished=self._unacknowledged_ends[:MAX_LISTED_ENDS],
+        )
 
-    def _expire_lease(self) -> bool:
-        """Returns whether the lease has expired; records the ends before it."""
-        expired = self._clock_ms() > self._lease_end_ms
-        if expired:
+    def _expire_lease(self) -> None:
+        """Ends all runs if the lease has expired."""
+        if self._clock_ms() > self._lease_end_ms:
             self._last_end_before_expiry = self._end_count
-        return expired
+            for key in list(self._runs):
+                self._end(key, "lapsed")
 
     def _extend_lease(self, until_ms: int) -> None:
         self._expire_lease()
         latest_ms = self._clock_ms() + MAX_LEASE_MS
         self._lease_end_ms = max(self._lease_end_ms, min(until_ms, latest_ms))
 
-    def _end(self, task: str, how: str) -> None:
-        run = self._runs.pop(task)
+    def _end(self, key: tuple[str, int], how: str) -> None:
+        del self._runs[key]
+        self._block(*key)
         self._end_count += 1
-        self._unacknowledged_ends.append(
-            [self._end_count, task, run.attempt, how, ""]
+        self._unacknowledged_ends.append([self._end_count, *key, how, ""])
+        self._history.record_end(key[0], self.incarnation, key[1], how)
+
+    def _block(self, task: str, attempt: int) -> None:
+        """Rejects later starts of a task up to an attempt."""
+        self._highest_attempts[task] = max(
+            attempt, self._highest_attempts.get(task, 0)
         )
-        self._history.record_end(task, self.incarnation, run.attempt, how)
 
-    def _reject(
-        self, request: web.Request, body: dict[str, Any]
-    ) -> web.Response | None:
-        """Returns the rejection of an order; None for a valid one."""
-        if request.headers.get("Expect-Instance") != f"i-{self.name}":
-            return self._answer(421)
+    def _reject(self, body: dict[str, Any]) -> web.Response | None:
+        """Returns the rejection of a stale token; None for a valid one."""
         token = body.get("fencingToken", 0)
         if token < self._token:
             return self._answer(409, reason="fence")
+        if token > self._token:
+            self.session_opened.set()
         self._token = token
         return None
 
@@ -279,3 +390,10 @@
             **fields,
         }
         return web.json_response(body, status=status)
+
+
+def _break_off(request: web.Request) -> web.Response:
+    """Closes the connection of a call without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,26 +5,81 @@
 
 import asyncio
 import pathlib
+import socket
 import tempfile
+from typing import Any
 import unittest
+from unittest import mock
+
+import aiohttp
 
 from devtools import soak
 from devtools import soak_checks
 from devtools import soak_schedule
+from devtools import soak_worker
 
 TASK = "5c0e.0.0.0"
+BODY = {"spec": "500 100 300", "phases": [{"count": 1, "cpu": 500}]}
+LASTING = {
+    "spec": "500 100 0",
+    "phases": [{"count": 1, "cpu": 500, "longRunning": True}],
+}
+TWO_STEPS = {
+    "spec": "500 100 300",
+    "phases": [{"count": 2}, {"count": 1, "after": [0]}],
+}
 
 
 class ChecksTest(unittest.TestCase):
     """Each violation of a guarantee is detected."""
 
     def setUp(self) -> None:
-        self.history = soak_checks.History()
-        self.history.record_submission("5c0e")
-        self.history.record_submission_status("5c0e", 200)
+        self.now_s = 0.0
+        self.history = soak_checks.History(clock=lambda: self.now_s)
+        self.submit("5c0e", BODY)
+
+    def submit(self, job: str, body: dict[str, Any], status: int = 200) -> None:
+        self.history.record_submission(job, body)
+        self.history.record_submission_status(job, status)
+
+    def start(
+        self,
+        worker: str = "worker-1@7",
+        *,
+        task: str = TASK,
+        attempt: int = 1,
+        spec: str = "500 100 300",
+        free: int = 0,
+        late: bool = False,
+    ) -> None:
+        self.history.record_start(
+            task, worker, attempt=attempt, spec=spec, free=free, late=late
+        )
+
+    def end(
+        self,
+        how: str = "done",
+        *,
+        worker: str = "worker-1@7",
+        task: str = TASK,
+        attempt: int = 1,
+    ) -> None:
+        self.history.record_end(task, worker, attempt, how)
 
-    def start(self, worker: str = "w1", free_millicores: int = 0) -> None:
-        self.history.record_start(TASK, worker, free_millicores=free_millicores)
+    def cancel(self, status: int = 200, *, accepted: bool = True) -> None:
+        self.history.record_cancellation("5c0e")
+        self.history.record_cancellation_status(
+            "5c0e", status, accepted=accepted
+        )
+
+    def fault(self, target: str) -> None:
+        self.history.record_fault_start(target)
+        self.history.record_fault_end(target)
+
+    def read(self, state: str, known: str | None = None) -> None:
+        if known is None:
+            known = self.history.known_state("5c0e")
+        self.history.record_state("5c0e", 200, state, known=known)
 
     def acknowledge(self, attempt: int, *, lease_expired: bool = False) -> None:
         self.history.record_acknowledgement(
@@ -36,44 +91,44 @@
 
     def test_nothing_is_broken_by_a_plain_run(self) -> None:
         self.start()
-        self.history.record_end(TASK, "w1", 1, "done")
+        self.end()
         self.acknowledge(1)
-        self.history.record_state("5c0e", 200, "done")
+        self.read("done")
         self.history.finish()
         self.assertEqual(self.history.violations, [])
 
     def test_two_runs_at_once(self) -> None:
         self.start()
-        self.start("w2")
+        self.start("worker-2@7", attempt=2)
         self.assertEqual(self.violation_count(), 1)
 
     def test_start_after_an_acknowledged_end(self) -> None:
         self.start()
-        self.history.record_end(TASK, "w1", 1, "done")
+        self.end()
         self.acknowledge(1)
         self.start()
         self.assertEqual(self.violation_count(), 1)
 
     def test_start_after_an_end_that_is_acknowledged_later(self) -> None:
         self.start()
-        self.history.record_end(TASK, "w1", 1, "done")
-        self.start("w2")
+        self.end()
+        self.start("worker-2@7", attempt=2)
         self.acknowledge(1)
         self.assertEqual(self.violation_count(), 1)
 
     def test_end_that_was_lost_in_a_crash_may_be_repeated(self) -> None:
         self.start()
-        self.history.record_end(TASK, "w1", 1, "done")
-        self.start("w2")
-        self.history.record_end(TASK, "w2", 2, "done")
+        self.end()
+        self.start("worker-2@7", attempt=2)
+        self.end(worker="worker-2@7", attempt=2)
         self.acknowledge(2)
         self.assertEqual(self.history.violations, [])
 
     def test_end_before_the_lease_expired_may_be_repeated(self) -> None:
         """Reproduces seed 9104: cuts and a freeze for longer than a lease."""
         self.start()
-        self.history.record_end(TASK, "w1", 1, "done")
-        self.start("w2")
+        self.end()
+        self.start("worker-2@7", attempt=2)
         self.acknowledge(1, lease_expired=True)
         self.assertEqual(self.history.violations, [])
         self.assertEqual(
@@ -82,28 +137,29 @@
 
     def test_repeated_end_counts_once_it_is_acknowledged(self) -> None:
         self.start()
-        self.history.record_end(TASK, "w1", 1, "done")
-        self.start("w2")
+        self.end()
+        self.start("worker-2@7", attempt=2)
         self.acknowledge(1, lease_expired=True)
-        self.history.record_end(TASK, "w2", 2, "done")
+        self.end(worker="worker-2@7", attempt=2)
         self.acknowledge(2)
-        self.start("w3")
+        self.start("worker-3@7", attempt=3)
         self.assertEqual(self.violation_count(), 1)
 
     def test_worker_over_its_room(self) -> None:
-        self.start(free_millicores=-1)
+        self.start(free=-1)
         self.assertEqual(self.violation_count(), 1)
 
     def test_task_that_nobody_submitted(self) -> None:
-        self.history.record_start("other.0.0.0", "w1", free_millicores=0)
+        self.start(task="other.0.0.0")
         self.assertEqual(self.violation_count(), 1)
 
     def test_refused_job_that_runs(self) -> None:
-        self.history.record_submission("no")
-        self.history.record_submission_status("no", 429)
-        self.history.record_start("no.0.0.0", "w1", free_millicores=0)
-        self.history.record_end("no.0.0.0", "w1", 1, "done")
-        self.history.record_state("5c0e", 200, "done")
+        self.submit("no", BODY, 429)
+        self.start(task="no.0.0.0")
+        self.end(task="no.0.0.0")
+        self.start()
+        self.end()
+        self.read("done")
         self.history.finish()
         self.assertEqual(self.violation_count(), 1)
 
@@ -114,9 +170,10 @@
         self.assertEqual(self.violation_count(), 2)
 
     def test_job_shown_done_while_it_runs(self) -> None:
+        """Expects a violation for the run and one for the task without end."""
         self.start()
-        self.history.record_state("5c0e", 200, "done")
-        self.assertEqual(self.violation_count(), 1)
+        self.read("done")
+        self.assertEqual(self.violation_count(), 2)
 
     def test_configuration_that_goes_back(self) -> None:
         self.history.record_configuration(4)
@@ -125,6 +182,332 @@
         )
         self.assertEqual(self.violation_count(), 1)
 
+    def test_two_attempts_at_once_on_one_worker(self) -> None:
+        self.start()
+        self.start(attempt=2)
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_run_that_a_crash_ended_may_be_repeated(self) -> None:
+        self.start()
+        self.end("lost")
+        self.start("worker-1@8", attempt=2)
+        self.assertEqual(self.history.violations, [])
+
+    def test_run_with_another_spec(self) -> None:
+        self.start(spec="500 100 301")
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_run_of_a_task_beyond_those_submitted(self) -> None:
+        self.start(task="5c0e.0.0.1")
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_step_that_starts_before_the_earlier_one_is_done(self) -> None:
+        self.submit("7f", TWO_STEPS)
+        self.start(task="7f.0.0.0")
+        self.end(task="7f.0.0.0")
+        self.start(task="7f.0.1.0")
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_step_that_starts_after_the_earlier_one(self) -> None:
+        self.submit("7f", TWO_STEPS)
+        for task in ("7f.0.0.0", "7f.0.0.1"):
+            self.start(task=task)
+            self.end(task=task)
+        self.start(task="7f.0.1.0")
+        self.assertEqual(self.history.violations, [])
+
+    # --- Cancellations -------------------------------------------------------
+
+    def run_on(self, from_s: float, to_s: float) -> list[str]:
+        """Returns the violations found while the time passes."""
+        for tenths in range(int(from_s * 10), int(to_s * 10)):
+            self.now_s = tenths / 10
+            self.history.cancelled_runs()
+        return self.history.violations
+
+    def test_run_that_goes_on_after_its_job_was_cancelled(self) -> None:
+        self.start()
+        self.cancel()
+        self.assertEqual(self.run_on(0, 3.9), [])
+        self.assertEqual(len(self.run_on(3.9, 9)), 1)
+
+    def test_run_that_is_stopped_after_its_job_was_cancelled(self) -> None:
+        self.start()
+        self.cancel()
+        self.run_on(0, 3.8)
+        self.end("stopped")
+        self.assertEqual(self.run_on(3.8, 20), [])
+        self.read("cancelled")
+        self.history.finish()
+        self.assertEqual(self.history.violations, [])
+
+    def test_run_that_goes_on_although_the_answer_to_the_cancel_is_lost(
+        self,
+    ) -> None:
+        self.start()
+        self.cancel(0)
+        self.assertEqual(self.run_on(0, 20), [])
+
+    def test_faults_extend_the_time_to_stop_a_run(self) -> None:
+        for target in ("agent-1", "worker-1", "control-2"):
+            with self.subTest(target):
+                self.setUp()
+                self.start()
+                self.cancel()
+                self.run_on(0, 2)
+                self.fault(target)
+                # The fault counts for 3 s more.
+                self.assertEqual(self.run_on(2, 8.8), [])
+                self.assertEqual(len(self.run_on(8.8, 12)), 1)
+
+    def test_faults_elsewhere_do_not_extend_the_time_to_stop(self) -> None:
+        for target in ("agent-2", "worker-11", "entry-1"):
+            with self.subTest(target):
+                self.setUp()
+                self.start()
+                self.cancel()
+                self.run_on(0, 2)
+                self.fault(target)
+                self.assertEqual(len(self.run_on(2, 5)), 1)
+
+    def test_run_is_allowed_while_a_fault_lasts(self) -> None:
+        self.history.record_fault_start("agent-1")
+        self.start()
+        self.cancel()
+        self.assertEqual(self.run_on(0, 30), [])
+
+    def test_run_that_was_started_late_has_time_from_its_start(self) -> None:
+        self.cancel()
+        self.now_s = 10.0
+        self.start(late=True)
+        self.assertEqual(self.run_on(10, 16.8), [])
+        self.assertEqual(len(self.run_on(16.8, 20)), 1)
+
+    def test_start_after_the_job_was_cancelled(self) -> None:
+        self.cancel()
+        self.now_s = 3.1
+        self.start()
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_start_soon_after_the_job_was_cancelled(self) -> None:
+        self.cancel()
+        self.now_s = 2.9
+        self.start()
+        self.assertEqual(self.history.violations, [])
+
+    def test_start_soon_after_a_fault(self) -> None:
+        self.cancel()
+        self.now_s = 3.1
+        self.fault("agent-1")
+        self.now_s = 6.0
+        self.start()
+        self.assertEqual(self.history.violations, [])
+
+    def test_cancelled_job_that_is_shown_as_running(self) -> None:
+        self.cancel()
+        self.read("running")
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_state_that_was_asked_for_before_the_cancellation(self) -> None:
+        known = self.history.known_state("5c0e")
+        self.cancel()
+        self.read("running", known)
+        self.assertEqual(self.history.violations, [])
+
+    def test_final_state_that_changes(self) -> None:
+        self.cancel()
+        self.read("cancelled")
+        self.read("failed")
+        self.assertEqual(self.violation_count(), 2)
+
+    def test_job_that_was_done_before_its_cancellation(self) -> None:
+        self.start()
+        self.end()
+        self.cancel()
+        self.read("done")
+        self.read("done")
+        self.assertEqual(self.history.violations, [])
+
+    def test_job_shown_as_cancelled_that_nobody_cancelled(self) -> None:
+        self.read("cancelled")
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_cancellation_of_an_accepted_job_that_is_not_found(self) -> None:
+        self.cancel(410)
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_cancellation_that_overtakes_the_submission(self) -> None:
+        self.cancel(410, accepted=False)
+        self.assertEqual(self.history.violations, [])
+
+    def test_cancellation_that_is_never_acknowledged(self) -> None:
+        self.cancel(0)
+        self.read("cancelled")
+        self.history.finish()
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_lasting_job_whose_task_does_not_run(self) -> None:
+        self.submit("7f", LASTING)
+        self.history.check_lasting_jobs()
+        self.assertEqual(self.violation_count(), 1)
+
+    def test_lasting_job_whose_task_runs(self) -> None:
+        self.submit("7f", LASTING)
+        self.start(task="7f.0.0.0", spec="500 100 0")
+        self.history.check_lasting_jobs()
+        self.start()
+        self.end()
+        self.read("done")
+        self.history.finish()
+        self.assertEqual(self.history.violations, [])
+
+
+class WorkerTest(unittest.IsolatedAsyncioTestCase):
+    """The simulated worker follows the platform's specification."""
+
+    async def asyncSetUp(self) -> None:
+        self.history = soak_checks.History()
+        self.history.record_submission("5c0e", LASTING)
+        self.worker = soak_worker.SoakWorker(
+            name="worker-1",
+            agent="127.0.0.1:9",
+            history=self.history,
+            seed=1,
+            failure_probability=0.0,
+        )
+        server = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        server.close()
+        await self.worker.start(address)
+        self.client = aiohttp.ClientSession(base_url=f"http://{address}")
+
+    async def asyncTearDown(self) -> None:
+        await self.client.close()
+        await self.worker.close()
+
+    async def call(
+        self, path: str, *, instance: str = "i-worker-1", **body: Any
+    ) -> tuple[int, dict[str, Any]]:
+        headers = {"Expect-Instance": instance}
+        async with self.client.post(
+            f"/-/{path}", json={"fencingToken": 1, **body}, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def start(
+        self, attempt: int = 1, *, spec: str = "500 100 0", **fields: Any
+    ) -> tuple[int, str]:
+        _, answer = await self.call("pace")
+        body = {"untilMs": answer["clockMs"] + 5000, **fields}
+        status, answer = await self.call(
+            "run-start", task=TASK, attempt=attempt, spec=spec, **body
+        )
+        return status, answer.get("reason", "")
+
+    async def stop(self, attempt: int = 1, **fields: Any) -> int:
+        status, _ = await self.call(
+            "run-stop", task=TASK, attempt=attempt, **fields
+        )
+        return status
+
+    async def lists(self, **fields: Any) -> tuple[list[Any], list[Any]]:
+        _, answer = await self.call("hold", **{"ackCursor": 0, **fields})
+        return answer["running"], answer["finished"]
+
+    async def test_stale_token_and_other_instance_have_no_effect(self) -> None:
+        self.assertEqual(await self.start(fencingToken=3), (200, ""))
+        self.assertEqual(await self.start(2), (409, "fence"))
+        self.assertEqual(await self.stop(), 409)
+        status, _ = await self.call("hold", instance="i-other", ackCursor=0)
+        self.assertEqual(status, 421)
+        running, _ = await self.lists(fencingToken=3)
+        self.assertEqual(running, [[TASK, 1, "", 50, 0]])
+
+    async def test_start_that_is_repeated_is_carried_out_once(self) -> None:
+        self.assertEqual(await self.start(), (200, ""))
+        self.assertEqual(await self.start(), (200, ""))
+        self.assertEqual(self.history.counts["starts"], 1)
+
+    async def test_run_that_was_stopped_before_its_start_is_rejected(
+        self,
+    ) -> None:
+        self.assertEqual(await self.stop(4), 200)
+        self.assertEqual(await self.start(3), (409, "old"))
+        self.assertEqual(await self.start(4), (409, "old"))
+        self.assertEqual(await self.start(5), (200, ""))
+
+    async def test_stop_keeps_the_room_until_the_end_is_listed(self) -> None:
+        await self.start()
+        await self.stop()
+        running, finished = await self.lists(waitMs=2000)
+        self.assertEqual(
+            (running, finished), ([], [[1, TASK, 1, "stopped", ""]])
+        )
+        _, finished = await self.lists()
+        self.assertEqual(len(finished), 1)
+        _, finished = await self.lists(ackCursor=1)
+        self.assertEqual(finished, [])
+        self.assertEqual(await self.start(), (409, "old"))
+
+    async def test_lease_is_bounded_and_never_shortened(self) -> None:
+        _, answer = await self.call("pace")
+        self.assertEqual((await self.start(untilMs=1)), (409, "late"))
+        await self.call("hold", ackCursor=0, untilMs=answer["clockMs"] + 900)
+        self.assertEqual(await self.start(), (200, ""))
+        await self.call("hold", ackCursor=0, untilMs=1)
+        await asyncio.sleep(1.2)
+        running, _ = await self.lists()
+        self.assertEqual(len(running), 1)
+        _, answer = await self.call("hold", ackCursor=0, untilMs=10**9)
+        self.assertLessEqual(
+            self.worker.lease_end_ms(),
+            answer["clockMs"] + soak_worker.MAX_LEASE_MS,
+        )
+
+    async def test_lease_that_expires_ends_all_runs(self) -> None:
+        _, answer = await self.call("pace")
+        await self.start(untilMs=answer["clockMs"] + 200)
+        _, finished = await self.lists(waitMs=2000)
+        self.assertEqual(finished, [[1, TASK, 1, "lapsed", ""]])
+
+    async def test_crash_forgets_everything(self) -> None:
+        await self.start(fencingToken=9)
+        self.worker.crash()
+        running, finished = await self.lists(fencingToken=0)
+        self.assertEqual((running, finished), ([], []))
+        self.assertEqual(await self.start(), (200, ""))
+        self.assertEqual(self.history.violations, [])
+
+    async def test_late_call_with_a_stale_token_has_no_effect(self) -> None:
+        for token, starts in ((1, 1), (2, 0)):
+            with (
+                self.subTest(token=token),
+                mock.patch.multiple(
+                    soak_worker,
+                    LATE_PROBABILITY=1.0,
+                    AT_ONCE_PROBABILITY=0.0,
+                    LATE_S=(0.3, 0.3),
+                    UNANSWERED_S=0.1,
+                ),
+            ):
+                self.worker.crash()
+                self.history.counts.clear()
+                _, answer = await self.call("pace")
+                self.worker.late_enabled = 1
+                with self.assertRaises(aiohttp.ClientError):
+                    await self.call(
+                        "run-start",
+                        task=TASK,
+                        attempt=1,
+                        spec="500 100 0",
+                        untilMs=answer["clockMs"] + 5000,
+                    )
+                self.worker.late_enabled = 0
+                self.assertEqual(self.worker.late_orders, 1)
+                await self.lists(fencingToken=token)
+                await asyncio.sleep(0.5)
+                self.assertEqual(self.history.counts["starts late"], starts)
+
 
 class ScheduleTest(unittest.TestCase):
     """A seed determines the schedule of faults."""
@@ -140,13 +523,36 @@
         self.assertNotEqual(first, other)
         self.assertGreater(len(first), 10)
 
+    def test_series_leave_the_other_faults_as_they_are(self) -> None:
+        plain, with_series, repeated = (
+            soak_schedule.schedule(
+                9104,
+                seconds=30,
+                controls=3,
+                entries=2,
+                workers=12,
+                series=series,
+            )
+            for series in (False, True, True)
+        )
+        self.assertEqual(with_series, repeated)
+        self.assertEqual(
+            [fault for fault in with_series if fault in plain], plain
+        )
+        self.assertIn("late", {fault.kind for fault in with_series})
+
 
 class SeededRunTest(unittest.TestCase):
     """Real processes violate no guarantee under injected faults."""
 
     def run_soak(
-        self, seed: int, seconds: float = 8.0, workers: int = 4
-    ) -> None:
+        self,
+        seed: int,
+        seconds: float = 8.0,
+        workers: int = 4,
+        *,
+        basic: bool = True,
+    ) -> soak_checks.History:
         with tempfile.TemporaryDirectory() as folder:
             history = asyncio.run(
                 soak.run_soak(
@@ -154,10 +560,12 @@
                     seconds=seconds,
                     workers=workers,
                     path=pathlib.Path(folder),
+                    basic=basic,
                 )
             )
         self.assertEqual(history.violations, [])
         self.assertGreater(history.counts["ended done"], 20)
+        return history
 
     def test_seed_1(self) -> None:
         """Guards against a task that runs twice.
