Reopen the replica after a full disk, in the daemon too

Cause: a replica halts for good after a failed write. Only the platform's adapter opened it again; the daemon left it halted, so the second full disk took the majority.

Now ControlRole itself keeps a replica open, for both. It closes the folder of the halted replica at once (later writes raise), closes all links so that callers and replicas don't wait for answers, waits a limited time for the rest to stop, and opens a new instance with an increasing delay, whatever the error. The port stays bound; callers are redirected meanwhile. A halted replica logs its failure once. DiskFolder wraps the errors of listing and closing, and removes the incomplete file of a failed replacement, which kept a full disk full.

Events 114 to 116 and the gauge bamboorouter_replica_halted show the state.

--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -5,7 +5,8 @@
 and the scheduling of syncs, so that a test can control all three.
 
 A failed write or sync halts the replica. The content of the disk is unknown from
-then on, so the replica acknowledges nothing until a restart has read it again.
+then on, so the replica acknowledges nothing more. A new engine has to read the
+folder again.
 """
 
 from collections.abc import Callable
@@ -88,6 +89,7 @@
         snapshots: Snapshots in the data folder.
         core: The consensus core.
         applied_index: Index of the newest applied entry.
+        failure: Error that halted the replica; None while it isn't halted.
     """
 
     def __init__(
@@ -104,8 +106,11 @@
         limits: Limits | None = None,
         timing: core_state.Timing | None = None,
     ) -> None:
+        folder.remove_temporary()
         self.id = hard_state.open_identity(folder)
+        saved = hard_state.load(folder)
         self.folder = folder
+        self.failure: Exception | None = None
         self.machine = machine
         self.host = host
         self.limits = limits or Limits()
@@ -124,7 +129,7 @@
             address=address,
             log=self.log,
             snapshots=self.snapshots,
-            saved=hard_state.load(folder),
+            saved=saved,
             members=members,
             commit=self.applied_index,
             rng=rng,
@@ -179,6 +184,8 @@
 
     def apply(self, limit: int) -> bool:
         """Applies up to `limit` committed entries; returns whether any remain."""
+        if self.core.halted:
+            return False
         entries: list[messages.LogEntry] = []
         commit = self.core.state.commit
         if commit > self.applied_index:
@@ -196,11 +203,14 @@
         return not self.core.halted and commit > self.applied_index
 
     def halt(self, error: Exception) -> None:
-        """Halts the replica until a restart.
+        """Halts the replica for good; only the first call has an effect.
 
         Args:
             error: Failure of storage or of the application of an entry.
         """
+        if self.failure is not None:
+            return
+        self.failure = error
         events.log(events.STORAGE_FAILED, replica=self.id, error=str(error))
         self.core.halt()
 
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -192,18 +192,36 @@
         self._after_step()
 
     async def stop(self) -> None:
-        """Transfers leadership if this replica leads, then closes all links."""
-        if self._core().leader_state is not None:
+        """Transfers leadership if this replica leads, then closes all links.
+
+        Also stops a replica whose start failed.
+        """
+        if self._opened() and self._core().leader_state is not None:
             await self._transfer_leadership()
-        self._stopped = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self.release_folder()
         if self._formation_task is not None:
             self._formation_task.cancel()
             await asyncio.gather(self._formation_task, return_exceptions=True)
-        self._proposals.fail_all(leader="")
         await self._peers.close()
 
+    def release_folder(self) -> None:
+        """Halts this replica and closes its folder, to which it then can't write.
+
+        Pending proposals fail. `stop` is still required to close the links.
+        """
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._proposals.fail_all(leader="")
+        if self._opened():
+            self._core().halt()
+            self._publish_changes()
+        self._folder.close()
+
+    def _opened(self) -> bool:
+        # `start` sets the engine once it has opened the folder.
+        return hasattr(self, "engine")
+
     async def _transfer_leadership(self) -> None:
         """Transfers leadership; waits at most TRANSFER_TIMEOUT_MS for that.
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -148,7 +148,7 @@
     "storage_failed",
     logging.ERROR,
     "Storage or the application of an entry failed; the replica acknowledges"
-    " nothing until it is restarted.",
+    " nothing until it has opened its data folder again.",
 )
 LEADER_ELECTED: Final = _define_event(
     102, "leader_elected", logging.INFO, "This replica became the leader."
@@ -195,7 +195,7 @@
     "apply_failed",
     logging.ERROR,
     "The state machine raised an error; the replica takes no part in the"
-    " protocol until it is restarted.",
+    " protocol until it has opened its data folder again.",
 )
 PEER_REPLACED: Final = _define_event(
     112,
@@ -212,6 +212,27 @@
     " the account.",
 )
 
+REPLICA_HALTED: Final = _define_event(
+    114,
+    "replica_halted",
+    logging.ERROR,
+    "The replica stopped after a storage failure; its data folder is opened"
+    " again after a delay.",
+)
+REPLICA_REOPENED: Final = _define_event(
+    115,
+    "replica_reopened",
+    logging.WARNING,
+    "The replica opened its data folder again and takes part in the protocol.",
+)
+REPLICA_NOT_CLOSED: Final = _define_event(
+    116,
+    "replica_not_closed",
+    logging.ERROR,
+    "A failed replica could not be stopped completely; it can't write any"
+    " longer, and the next one is opened anyway.",
+)
+
 # 200-299: control role.
 SCHEDULER_LEADS: Final = _define_event(
     200,
@@ -534,7 +555,8 @@
     616,
     "replica_not_opened",
     logging.ERROR,
-    "The data folder could not be opened; the start is retried.",
+    "The data folder could not be opened; the next attempt follows after"
+    " `retry_ms`.",
 )
 
 ADVICE_TAKEN: Final = _define_event(
--- a/bamboorouter/metrics.py
+++ b/bamboorouter/metrics.py
@@ -56,6 +56,11 @@
 LEADS: Final = prometheus_client.Gauge(
     "bamboorouter_leads", "1 if this replica leads its group."
 )
+REPLICA_HALTED: Final = prometheus_client.Gauge(
+    "bamboorouter_replica_halted",
+    "1 if the control replica of this process takes no part in its group,"
+    " because its storage failed.",
+)
 REPLICA_LAG_ENTRIES: Final = prometheus_client.Gauge(
     "bamboorouter_replica_lag_entries",
     "Entries by which a follower is behind, as the leader sees it.",
--- a/bamboorouter/roles/control.py
+++ b/bamboorouter/roles/control.py
@@ -1,40 +1,51 @@
 """The control role: a replica of the log that schedules while it leads.
 
-One server accepts the links of other replicas, agents and entries. Calls that
-only the leader answers go to `LeaderHandler` or, for jobs with steps, to
-`JobLeader`. Both redirect the sender unless this replica holds a valid leader
-lease. All other messages, such as those of the consensus, go to the replica.
+One server accepts the links of other replicas, agents and entries for as long
+as the role runs. The replica behind it is an instance that the role opens, and
+replaces by a new one after a storage failure:
+
+1. A replica whose write, sync or read fails halts: it holds no leader lease,
+   answers nothing and fails all pending proposals.
+2. Its data folder is closed, so that it can't write any longer, and all links
+   are closed, so that callers and replicas soon try another replica. Until the
+   next replica is open, callers are redirected.
+3. The halted instance is stopped. This is waited for a limited time.
+4. A new instance reads the folder. The attempts are repeated with an increasing
+   delay until one succeeds; a replica that soon halts again keeps the delay.
+
+A new instance grants no vote until the lease of any leader that the halted one
+heard has ended: the time of opening counts as its last contact with a leader.
 """
 
+import asyncio
+from collections.abc import Coroutine
 import pathlib
+from typing import Any
 from typing import Final
 
 from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import metrics
 from bamboorouter import options
-from bamboorouter.coordination.jobs import job_leader
+from bamboorouter import supervision
 from bamboorouter.coordination.jobs import start_advice
 from bamboorouter.coordination.log import replica
-from bamboorouter.coordination.log import seed_notices
-from bamboorouter.coordination.log import self_repair
-from bamboorouter.coordination.policies import bundle
-from bamboorouter.coordination.requests import control_client
-from bamboorouter.coordination.scheduling import explanations
-from bamboorouter.coordination.scheduling import leader_handler
-from bamboorouter.coordination.scheduling import scheduler
 from bamboorouter.protocol import messages
-from bamboorouter.roles import control_group
-from bamboorouter.state import machine
+from bamboorouter.roles import control_instance
 from bamboorouter.transport import files
 from bamboorouter.transport import link
 
-_LEADER_CALLS: Final = (
-    messages.Heartbeat,
-    messages.EntryPoll,
-    messages.Reserve,
-    messages.RecordOutcome,
-    messages.RequestRecords,
-    messages.OperatorCall,
-)
+HALT_POLL_MS: Final = 50
+CLOSE_TIMEOUT_MS: Final = 3000
+REOPEN_MIN_DELAY_MS: Final = 500
+# An attempt on a full disk is cheap: it fails at the first small write.
+REOPEN_MAX_DELAY_MS: Final = 2000
+# Other failures, such as a damaged record, don't end by themselves, and an
+# attempt may read the whole log.
+REOPEN_MAX_DELAY_DAMAGED_MS: Final = 30_000
+# A replica that ran for this time starts with the shortest delay again.
+STABLE_MS: Final = 10_000
 
 
 class ControlRole:
@@ -44,9 +55,8 @@
         process: Section [process] of the settings.
         settings: Section [control] of the settings.
         addresses: Bound addresses by name.
-        replica: This process's replica of the log.
-        handler: Handles calls that only the leader may answer.
-        jobs: Handles calls about jobs with steps.
+        instance: The open replica with its services; None while the data folder
+            can't be opened.
     """
 
     def __init__(
@@ -73,126 +83,184 @@
         self.process = process
         self.settings = settings
         self.addresses: dict[str, str] = {}
-        time = time or clock.SystemClock()
+        self.instance: control_instance.ControlInstance | None = None
+        self._clock = time or clock.SystemClock()
         self._last_leader_contact_ms = (
-            time.now()
+            self._clock.now()
             if last_leader_contact_ms is None
             else last_leader_contact_ms
         )
-        self.replica = replica.Replica(
-            process=process,
-            settings=settings,
-            folder=files.DiskFolder(path=pathlib.Path(settings.data_dir)),
-            machine=machine.Machine(),
-            time=time,
-        )
-        self._group = control_group.ControlGroup(local_replica=self.replica)
-        self._explanations = explanations.ExplanationRunner(
-            read=self._group.explain
-        )
-        self.handler = leader_handler.LeaderHandler(
-            log=self.replica,
-            time=time,
-            scheduling_loop=scheduler.Scheduler(
-                log=self.replica,
-                time=time,
-                service_lease_ms=settings.service_lease_ms,
-                batch_lease_ms=settings.batch_lease_ms,
-                policies=bundle.by_name(settings.policies),
-            ),
-            group=self._group,
-            explain=self._explanations.get,
-        )
-        self.jobs = job_leader.JobLeader(
-            local_replica=self.replica,
-            time=time,
-            repair=self_repair.SelfRepair(
-                local_replica=self.replica,
-                client=control_client.ControlClient(
-                    addresses=process.control, time=time
-                ),
-                time=time,
-                tolerated_losses=settings.tolerated_losses,
-            ),
-            advice=advice,
-        )
-        repair_client = self.jobs.repair.client
-        self._seed_notices = seed_notices.SeedNotices(
-            local_replica=self.replica, seeds=lambda: repair_client.addresses
-        )
+        self._advice = advice
+        self._seeds = process.control
         self._server: link.LinkServer | None = None
-        self._started = False
+        self._keeper: asyncio.Task[None] | None = None
+        self._delay_ms = 0
+        self._opened_ms = self._clock.now()
+        # Time since which no replica takes part; None while one does.
+        self._halted_ms: int | None = None
+
+    @property
+    def replica(self) -> replica.Replica | None:
+        """The open replica of the log; None if there is none."""
+        return self.instance.replica if self.instance is not None else None
 
     async def start(self) -> None:
-        """Binds the address, opens the data folder and joins the group."""
+        """Binds the address, opens the data folder and joins the group.
+
+        If storage fails, the role starts without a replica and opens it later.
+
+        Raises:
+            OptionsError: `bootstrap` doesn't contain the address.
+        """
         host, _, port = self.settings.listen.rpartition(":")
         self._server = await link.serve_links(
             host=host, port=int(port), handler=self._handle
         )
-        bound = f"{host}:{self._server.port}"
-        self.addresses = {"control.listen": bound}
-        self.handler.address = self.settings.advertise or bound
-        await self.replica.start(
-            self.handler.address,
-            last_leader_contact_ms=self._last_leader_contact_ms,
-        )
-        self._group.start()
-        self.handler.start()
-        self.jobs.start()
-        if self.settings.self_repair:
-            self.jobs.repair.start()
-            self._seed_notices.start()
-        self._started = True
+        self.addresses = {"control.listen": f"{host}:{self._server.port}"}
+        error = await self._open(self._last_leader_contact_ms)
+        if isinstance(error, errors.OptionsError):
+            await self.stop()
+            raise error
+        self._keeper = supervision.start(self._keep_open)
 
     async def stop(self) -> None:
         """Transfers leadership if this replica leads, then closes all links."""
-        self._started = False
-        self._explanations.stop()
-        await self.handler.stop()
-        await self._seed_notices.stop()
-        await self.jobs.repair.stop()
-        await self.jobs.stop()
-        self._group.stop()
-        await self.replica.stop()
-        if self._server is not None:
-            await self._server.close()
-
-    def halted(self) -> bool:
-        """Whether storage failed, so that the replica must be restarted."""
-        return self.replica.status().halted
-
-    async def close(self) -> None:
-        """Releases all resources after a failed start or a storage failure."""
-        self._started = False
-        self._explanations.stop()
-        self._group.stop()
-        await self._seed_notices.stop()
-        await self.jobs.repair.stop()
-        await self.jobs.stop()
-        await self.handler.stop()
-        # The replica has an engine only once its start has opened the folder.
-        if hasattr(self.replica, "engine"):
-            await self.replica.stop()
+        if self._keeper is not None:
+            self._keeper.cancel()
+            await asyncio.gather(self._keeper, return_exceptions=True)
+        instance, self.instance = self.instance, None
+        if instance is not None:
+            await instance.stop()
         if self._server is not None:
             await self._server.close()
 
     def ready(self) -> bool:
-        """Whether the role is started and a leader of the group is known."""
-        return self._started and bool(self.replica.leader_address())
+        """Whether a replica is open that knows the leader of its group."""
+        return self.replica is not None and bool(self.replica.leader_address())
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Replaces the addresses at which control replicas may be found."""
+        self._seeds = seeds
+        if self.instance is not None:
+            self.instance.set_seeds(seeds)
 
     async def _handle(
         self, message: messages.Message, source: link.Link
     ) -> messages.Message | None:
-        if not self._started:
-            # Messages may arrive before the data folder is open, because the
-            # port is bound first.
+        if self.instance is None:
             return messages.Redirect(leader="")
-        if isinstance(message, messages.Redirect):
-            # This replica has a disk but hasn't joined the group yet.
-            self.jobs.repair.client.learn_replicas(message.replicas)
-            return message
-        if isinstance(message, _LEADER_CALLS):
-            return await self.handler.handle(message, source)
-        if isinstance(message, job_leader.CALLS):
-            return await self.jobs.handle(message, source)
-        return await self.replica.handle(message, source)
+        return await self.instance.handle(message, source)
+
+    # --- Recovery from storage failures --------------------------------------
+
+    async def _keep_open(self) -> None:
+        """Replaces the replica whenever its storage has failed."""
+        while True:
+            instance = self.instance
+            if instance is None:
+                await asyncio.sleep(clock.seconds(self._delay_ms))
+                await self._open(self._clock.now())
+            elif (failure := instance.failure()) is not None:
+                await self._close_halted(instance, failure)
+            else:
+                await asyncio.sleep(clock.seconds(HALT_POLL_MS))
+
+    async def _open(self, last_leader_contact_ms: int) -> Exception | None:
+        """Opens the replica; logs and returns the error if that fails."""
+        try:
+            self.instance = await self._open_instance(last_leader_contact_ms)
+        except Exception as err:  # pylint: disable=broad-except
+            self._count_as_halted(err)
+            events.log(
+                events.REPLICA_NOT_OPENED,
+                error=str(err) or repr(err),
+                retry_ms=self._delay_ms,
+            )
+            return err
+        self._opened_ms = self._clock.now()
+        metrics.REPLICA_HALTED.set(0)
+        if self._halted_ms is not None:
+            events.log(
+                events.REPLICA_REOPENED,
+                replica=self.instance.replica.engine.id,
+                halted_for_ms=self._opened_ms - self._halted_ms,
+            )
+            self._halted_ms = None
+        return None
+
+    async def _open_instance(
+        self, last_leader_contact_ms: int
+    ) -> control_instance.ControlInstance:
+        instance = control_instance.ControlInstance(
+            process=self.process,
+            settings=self.settings,
+            folder=files.DiskFolder(path=pathlib.Path(self.settings.data_dir)),
+            time=self._clock,
+            seeds=self._seeds,
+            advice=self._advice,
+        )
+        bound = self.addresses["control.listen"]
+        try:
+            await instance.start(
+                self.settings.advertise or bound,
+                last_leader_contact_ms=last_leader_contact_ms,
+            )
+        except Exception:
+            await self._discard(instance)
+            raise
+        return instance
+
+    async def _close_halted(
+        self, instance: control_instance.ControlInstance, failure: Exception
+    ) -> None:
+        self.instance = None
+        self._count_as_halted(failure)
+        events.log(
+            events.REPLICA_HALTED,
+            replica=instance.replica.engine.id,
+            error=str(failure) or repr(failure),
+            ran_for_ms=self._clock.now() - self._opened_ms,
+        )
+        await self._discard(instance)
+
+    async def _discard(
+        self, instance: control_instance.ControlInstance
+    ) -> None:
+        """Closes the folder at once, then links and services if they can be."""
+        instance.release_folder()
+        if self._server is not None:
+            await _run_limited(self._server.close_links(), "close links")
+        await _run_limited(instance.stop(), "stop replica")
+
+    def _count_as_halted(self, failure: Exception) -> None:
+        """Records that no replica takes part and sets the next delay."""
+        now = self._clock.now()
+        metrics.REPLICA_HALTED.set(1)
+        if self._halted_ms is None:
+            self._halted_ms = now
+            if now - self._opened_ms >= STABLE_MS:
+                self._delay_ms = 0
+        limit = (
+            REOPEN_MAX_DELAY_MS
+            if isinstance(failure.__cause__, OSError)
+            else REOPEN_MAX_DELAY_DAMAGED_MS
+        )
+        self._delay_ms = max(
+            REOPEN_MIN_DELAY_MS, min(2 * self._delay_ms, limit)
+        )
+
+
+async def _run_limited(work: Coroutine[Any, Any, None], step: str) -> None:
+    """Runs work for at most CLOSE_TIMEOUT_MS; logs a failure or a timeout.
+
+    Work that doesn't end when it is cancelled isn't waited for any longer.
+    """
+    task = asyncio.create_task(work)
+    try:
+        await asyncio.wait({task}, timeout=clock.seconds(CLOSE_TIMEOUT_MS))
+    finally:
+        task.cancel()
+    if not task.done():
+        events.log(events.REPLICA_NOT_CLOSED, step=step, error="timed out")
+    elif not task.cancelled() and (error := task.exception()) is not None:
+        events.log(events.REPLICA_NOT_CLOSED, step=step, error=repr(error))
--- a/bamboorouter/transport/files.py
+++ b/bamboorouter/transport/files.py
@@ -4,12 +4,17 @@
 by an implementation that loses unsynced data, runs out of space or fails.
 """
 
+import contextlib
+import errno
 import os
 import pathlib
+from typing import Final
 from typing import Protocol
 
 from bamboorouter import errors
 
+_TEMPORARY_SUFFIX: Final = ".new"
+
 
 class Folder(Protocol):
     """Files of one data folder, by name.
@@ -57,6 +62,14 @@
         """Releases the handle of a file that is no longer appended to."""
         ...
 
+    def remove_temporary(self) -> None:
+        """Removes what interrupted or failed replacements have left over."""
+        ...
+
+    def close(self) -> None:
+        """Releases all handles; every later write raises StorageError."""
+        ...
+
 
 class DiskFolder:
     """A data folder on disk.
@@ -70,6 +83,7 @@
         self._handles: dict[str, int] = {}
         # Names of new files whose directory entry is not durable yet.
         self._unsynced_names: set[str] = set()
+        self._closed = False
         try:
             path.mkdir(parents=True, exist_ok=True)
         except OSError as err:
@@ -77,12 +91,14 @@
 
     def names(self) -> list[str]:
         """Returns the names of all files, sorted."""
-        # A ".new" file is left over from an interrupted `replace`.
-        return sorted(
-            entry.name
-            for entry in self.path.iterdir()
-            if entry.is_file() and not entry.name.endswith(".new")
-        )
+        try:
+            return sorted(
+                entry.name
+                for entry in self.path.iterdir()
+                if entry.is_file() and entry.suffix != _TEMPORARY_SUFFIX
+            )
+        except OSError as err:
+            raise self._error("list files", "", err) from err
 
     def read(self, name: str) -> bytes:
         """Returns the whole content of a file."""
@@ -129,9 +145,10 @@
 
     def replace(self, name: str, data: bytes) -> None:
         """Replaces a file atomically and durably."""
-        self._close_handle(name)
-        temporary_path = self.path / f"{name}.new"
+        temporary_path = self.path / f"{name}{_TEMPORARY_SUFFIX}"
         try:
+            self._require_open()
+            self._close_handle(name)
             with open(temporary_path, "wb") as file:
                 file.write(data)
                 file.flush()
@@ -139,6 +156,9 @@
             temporary_path.replace(self.path / name)
             self._sync_folder()
         except OSError as err:
+            # A full disk needs the room of the incomplete file.
+            with contextlib.suppress(OSError):
+                temporary_path.unlink()
             raise self._error("replace file", name, err) from err
 
     def truncate(self, name: str, size: int) -> None:
@@ -152,8 +172,9 @@
 
     def remove(self, name: str, *, durable: bool = True) -> None:
         """Removes a file; unless `durable`, a crash may undo the removal."""
-        self._close_handle(name)
         try:
+            self._require_open()
+            self._close_handle(name)
             (self.path / name).unlink()
             if durable:
                 self._sync_folder()
@@ -162,9 +183,34 @@
 
     def release(self, name: str) -> None:
         """Releases the handle of a file that is no longer appended to."""
-        self._close_handle(name)
+        try:
+            self._close_handle(name)
+        except OSError as err:
+            raise self._error("close file", name, err) from err
+
+    def remove_temporary(self) -> None:
+        """Removes what interrupted or failed replacements have left over."""
+        try:
+            for entry in self.path.iterdir():
+                if entry.suffix == _TEMPORARY_SUFFIX:
+                    entry.unlink()
+        except OSError as err:
+            raise self._error("remove temporary files", "", err) from err
+
+    def close(self) -> None:
+        """Releases all handles; every later write raises StorageError."""
+        self._closed = True
+        for name in list(self._handles):
+            # Nothing depends on unsynced data of a closed folder.
+            with contextlib.suppress(OSError):
+                self._close_handle(name)
+
+    def _require_open(self) -> None:
+        if self._closed:
+            raise OSError(errno.EBADF, "the folder is closed")
 
     def _handle(self, name: str) -> int:
+        self._require_open()
         handle = self._handles.get(name)
         if handle is None:
             path = self.path / name
--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -336,10 +336,14 @@
         self.links = links
         self._server = server
 
+    async def close_links(self) -> None:
+        """Closes all links; new ones are still accepted."""
+        await asyncio.gather(*(link.close() for link in list(self.links)))
+
     async def close(self) -> None:
         """Stops listening and closes all links."""
         self._server.close(close_connections=False)
-        await asyncio.gather(*(link.close() for link in list(self.links)))
+        await self.close_links()
         await self._server.wait_closed()
 
 
--- a/tests/memory_folder.py
+++ b/tests/memory_folder.py
@@ -126,6 +126,12 @@
     def release(self, name: str) -> None:
         del name
 
+    def remove_temporary(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
     def _file(self, name: str) -> _File:
         if name not in self.files:
             raise _error("No such file or directory", "read file", name)
--- a/tests/test_control_role.py
+++ b/tests/test_control_role.py
@@ -229,7 +229,8 @@
             file.unlink()
         unused = f"127.0.0.1:{replica_site.free_port()}"
         await self.start((self.address, unused, "127.0.0.1:1"))
-        reply = await self.role.handler.handle(
+        assert self.role.instance is not None
+        reply = await self.role.instance.handler.handle(
             messages.EntryPoll(
                 entry="e",
                 incarnation=1,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -348,17 +348,19 @@
         """Guards against a replica that never rejoins after a disk fault."""
         role = self.site.control["127.0.1.2"]
         assert isinstance(role, control_node.ControlNode)
-        failed = role.replica
+        assert role.replica is not None
+        failed = role.replica.replica
         assert failed is not None
-        failed.replica.engine.halt(OSError("disk full"))
+        failed.engine.halt(OSError("disk full"))
 
         async def replica_reopened() -> bool:
-            opened = role.replica
+            assert role.replica is not None
+            opened = role.replica.replica
             return (
                 opened is not None
                 and opened is not failed
-                and not opened.halted()
-                and bool(opened.replica.leader_address())
+                and not opened.status().halted
+                and bool(opened.leader_address())
             )
 
         await self.site.wait_until(replica_reopened)
@@ -374,6 +376,7 @@
         for role in self.site.control.values():
             assert isinstance(role, control_node.ControlNode)
             assert role.replica is not None
+            assert role.replica.replica is not None
             replicas.append(role.replica.replica)
         running = {replica.engine.id for replica in replicas}
         return any(
