Ask a worker before its incarnation counts as over

A departure of the worker, which may be delayed, repeated or of an earlier incarnation with the same ID, ended all runs without asking whether the worker still answers. An announcement by another writer did so after one unanswered poll, or after a poll on a port that was closed because the session was being reopened. The runs went on beside their next attempts.

incarnation_check polls the incarnation over a new connection. It is over if another incarnation answers in its place, or if three polls aren't answered and it has announced its end or the announced successor answers. A departing worker that answers counts as draining; a newer announcement that it doesn't drain supersedes the departure. A departure that names its start doesn't concern another incarnation. A view that arrives after its session is discarded.

A restart at the same address is recognised by the first answer. The test of a session that goes on after an error lets the first port through, which is now the check's, so that the session loop still meets the error. The fake worker gives out one port for each incarnation.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -18,6 +18,7 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
+import dataclasses
 from typing import Any
 from typing import Final
 
@@ -29,6 +30,7 @@
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import held_runs
+from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import session_opening
 from bamboorouter.coordination.workers import worker_port
@@ -94,7 +96,10 @@
         self._report_sequence = 0
         self._highest_term = 0
         self._background: set[asyncio.Task[None]] = set()
+        # Incarnation that has announced its end; empty if none has.
+        self._leaving = ""
         self._takeover_check: asyncio.Task[None] | None = None
+        self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
 
     # --- Interface -----------------------------------------------------------
@@ -130,10 +135,22 @@
                     self._check_takeover(announcement)
                 )
             return
+        if self._leaving:
+            if announcement.sequence == current.sequence:
+                return
+            if not announcement.draining:
+                self._leaving = ""
+        self._update_announcement(announcement)
+
+    def _update_announcement(
+        self, announcement: worker_port.Announcement
+    ) -> None:
+        """Replaces the announcement of the current incarnation."""
+        current = self._announcement
         self._announcement = announcement
         if self.session is not None:
             self.session.announcement = announcement
-        if current.draining != announcement.draining:
+        if current is not None and current.draining != announcement.draining:
             events.log(
                 events.WORKER_DRAINING,
                 worker=self.worker,
@@ -145,25 +162,27 @@
     async def _check_takeover(
         self, announcement: worker_port.Announcement
     ) -> None:
-        """Accepts another incarnation only if the current one doesn't answer.
-
-        The announcement may come from a process other than the worker. If the
-        runs of an incarnation that still answers were declared lost, they would
-        be started a second time.
-        """
+        """Accepts another incarnation if the current one is over."""
+        current, contradiction = self._announcement, ""
         try:
-            session = self.session
-            if session is not None and await self._poll(session, 0):
-                events.log(
-                    events.ANNOUNCEMENT_REFUSED,
-                    worker=self.worker,
-                    life=announcement.incarnation,
-                    error=f"{session.announcement.incarnation} still answers",
+            if self.session is not None and current is not None:
+                contradiction = await incarnation_check.find_contradiction(
+                    self.ports,
+                    current=current,
+                    announced=announcement,
+                    token=self._token(),
                 )
-            else:
-                self._accept_incarnation(announcement)
         finally:
             self._takeover_check = None
+        if not contradiction:
+            self._accept_incarnation(announcement)
+            return
+        events.log(
+            events.ANNOUNCEMENT_REFUSED,
+            worker=self.worker,
+            life=announcement.incarnation,
+            error=contradiction,
+        )
 
     def _accept_incarnation(
         self, announcement: worker_port.Announcement
@@ -175,19 +194,53 @@
             before=self._announcement.incarnation if self._announcement else "",
         )
         self._announcement = announcement
+        self._leaving = ""
         self._session_due.set()
 
-    def leave(self, worker_id: str) -> None:
-        """Handles the end of an incarnation of the worker."""
-        if self._announcement is None or self._announcement.id != worker_id:
+    def leave(self, worker_id: str, *, started_ms: int | None = None) -> None:
+        """Handles a message that an incarnation of the worker ends.
+
+        Until the worker no longer answers, it is treated as draining. A newer
+        announcement that it doesn't drain supersedes the message.
+
+        Args:
+            worker_id: ID of the worker.
+            started_ms: Start of the incarnation, in ms since the epoch on the
+                worker's clock; None if unknown.
+        """
+        current = self._announcement
+        if (
+            current is None
+            or current.id != worker_id
+            or started_ms not in (None, current.started_ms)
+        ):
             return
         events.log(
-            events.WORKER_LEFT,
-            worker=self.worker,
-            life=self._announcement.incarnation,
+            events.WORKER_LEFT, worker=self.worker, life=current.incarnation
         )
-        self._announcement = None
-        self._session_due.set()
+        self._leaving = current.incarnation
+        self._update_announcement(dataclasses.replace(current, draining=True))
+        if self._departure_check is None:
+            self._departure_check = self._spawn(self._check_departure(current))
+
+    async def _check_departure(self, current: worker_port.Announcement) -> None:
+        """Ends the current incarnation once it no longer answers."""
+        try:
+            if await incarnation_check.wait_for_departure(
+                self.ports,
+                current,
+                token=self._token,
+                leaving=lambda: self._leaving == current.incarnation,
+            ):
+                self._leaving = ""
+                self._announcement = None
+                self._session_due.set()
+        finally:
+            self._departure_check = None
+
+    def _token(self) -> int:
+        """Returns the current fencing token."""
+        return self.session.token if self.session is not None else 0
 
     async def handle_message(
         self, message: messages.Message, source: link.Link
@@ -365,6 +418,9 @@
         except errors.RouterError:
             session.token = max(session.token, token + 1)
             return False
+        if self.session is not session:
+            # The view may be of an earlier incarnation.
+            return False
         now = self.clock.now()
         session.lease.record_clock(worker_ms=view.clock_ms, received_ms=now)
         if not session.reachable(now):
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -580,7 +580,8 @@
     702,
     "worker_left",
     logging.INFO,
-    "The worker shut down as announced.",
+    "The worker announced that it ends now; it counts as draining until it no"
+    " longer answers.",
 )
 REPORT_FAILED: Final = _define_event(
     703,
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -19,7 +19,7 @@
 class FakeWorker:
     """A worker that receives the agent's orders and polls as method calls.
 
-    It implements both `WorkerPort` and its factory, `WorkerPorts`.
+    It implements `WorkerPorts`; its ports are `FakePort`s.
 
     Attributes:
         incarnation: ID of the incarnation that answers.
@@ -31,6 +31,7 @@
         acknowledged: Highest acknowledged number of an end.
         lease_end_ms: End of the lease in ms on the worker's clock.
         silent: Whether the worker answers no calls.
+        unanswered_polls: Number of upcoming polls without an answer.
         unanswered: Number of upcoming start orders without an answer.
         executes_unanswered: Whether unanswered start orders are executed
             immediately; otherwise only by `execute_delayed`.
@@ -43,13 +44,13 @@
     def __init__(self) -> None:
         self.incarnation = "w1@1"
         self.cursors: list[tuple[str, int]] = []
-        self._opened_incarnation = ""
         self.running: dict[jobs.TaskRef, int] = {}
         self.ends: list[worker_port.EndedRow] = []
         self.token = 0
         self.acknowledged = 0
         self.lease_end_ms = 0
         self.silent = False
+        self.unanswered_polls = 0
         self.unanswered = 0
         self.executes_unanswered = True
         self.ignored_stops = 0
@@ -61,8 +62,7 @@
     def open(
         self, announcement: worker_port.Announcement
     ) -> worker_port.WorkerPort:
-        self._opened_incarnation = announcement.incarnation
-        return self
+        return FakePort(self, announcement.incarnation)
 
     def finish(self, task: jobs.TaskRef, outcome: jobs.RunOutcome) -> None:
         """Ends the run of a task; the end is kept until it is acknowledged."""
@@ -114,6 +114,7 @@
     async def poll(
         self,
         *,
+        expected: str,
         token: int,
         acknowledged: int,
         until_ms: int | None,
@@ -122,7 +123,10 @@
         await asyncio.sleep(ANSWER_DELAY_S)
         self.cursors.append((self.incarnation, acknowledged))
         self._check_silent()
-        if self._opened_incarnation != self.incarnation:
+        if self.unanswered_polls:
+            self.unanswered_polls -= 1
+            raise self._no_answer_error()
+        if expected != self.incarnation:
             raise worker_port.IncarnationMismatchError(
                 text=self.incarnation, step="test", peer="worker"
             )
@@ -139,9 +143,6 @@
             ended=tuple(self.ends),
         )
 
-    async def close(self) -> None:
-        pass
-
     def _start_run(self, order: worker_port.StartRun) -> None:
         self.running[order.task] = order.attempt
         self.starts.append(order)
@@ -163,6 +164,51 @@
         )
 
 
+class FakePort:
+    """A port to one incarnation of a fake worker.
+
+    Attributes:
+        worker: The fake worker.
+        incarnation: ID of the incarnation that the port was opened for.
+    """
+
+    def __init__(self, worker: FakeWorker, incarnation: str) -> None:
+        self.worker = worker
+        self.incarnation = incarnation
+
+    async def start(self, order: worker_port.StartRun) -> None:
+        await self.worker.start(order)
+
+    async def stop(
+        self, task: jobs.TaskRef, attempt: int, *, token: int
+    ) -> None:
+        await self.worker.stop(task, attempt, token=token)
+
+    async def pace(
+        self, task: jobs.TaskRef, attempt: int, *, percent: int, token: int
+    ) -> None:
+        await self.worker.pace(task, attempt, percent=percent, token=token)
+
+    async def poll(
+        self,
+        *,
+        token: int,
+        acknowledged: int,
+        until_ms: int | None,
+        wait_ms: int,
+    ) -> worker_port.WorkerView:
+        return await self.worker.poll(
+            expected=self.incarnation,
+            token=token,
+            acknowledged=acknowledged,
+            until_ms=until_ms,
+            wait_ms=wait_ms,
+        )
+
+    async def close(self) -> None:
+        pass
+
+
 class FakeLeaderClient:
     """Answers an agent's calls in place of the leader.
 
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -10,6 +10,7 @@
 from bamboorouter import clock
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import agent_session
+from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import job_messages
@@ -368,14 +369,64 @@
         self.assertEqual(self.outcomes(), [])
         self.assertEqual(self.leader.reports[-1].life, "w1@1")
 
+    async def test_announcement_of_another_writer_and_a_lost_poll_end_nothing(
+        self,
+    ) -> None:
+        """Guards against replacing a worker that is silent for a moment."""
+        await self.start_run()
+        self.worker.unanswered_polls = incarnation_check.MAX_POLLS
+        self.session.announce(fake_worker.announcement(id="w9", started_ms=2))
+        await self.until(lambda: not self.worker.unanswered_polls)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.outcomes(), [])
+        self.assertEqual(self.leader.session_requests, 1)
+
+    async def test_worker_that_left_loses_its_runs(self) -> None:
+        """Guards against waiting for the lease of a worker that has left."""
+        await self.start_run()
+        self.session.leave("w1", started_ms=1)
+        self.worker.silent = True
+        await self.until(lambda: self.outcomes() == ["lost"])
+
+    async def test_worker_that_leaves_keeps_its_runs_while_it_answers(
+        self,
+    ) -> None:
+        """Guards against repeating runs after a delayed departure."""
+        await self.start_run()
+        self.session.leave("w1")
+        await self.until(lambda: self.leader.reports[-1].draining)
+        await self.order(fake_worker.start_orders(make.ref("b")))
+        await self.until(lambda: self.outcomes() == ["rejected"])
+        # A newer announcement shows that the departure was delayed.
+        self.session.announce(fake_worker.announcement(sequence=2))
+        await self.until(lambda: not self.leader.reports[-1].draining)
+        self.worker.unanswered_polls = incarnation_check.MAX_POLLS
+        await self.until(lambda: not self.worker.unanswered_polls)
+        await self.until(self.reachable)
+        self.assertEqual(self.outcomes(), ["rejected"])
+        self.assertTrue(self.reported_running())
+
+    async def test_departure_of_an_earlier_incarnation_is_ignored(self) -> None:
+        self.session.leave("w1", started_ms=0)
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.leader.reports[-1].draining)
+
     async def test_session_goes_on_after_an_unexpected_error(self) -> None:
         """Guards against a session loop that ends if a port can't be opened."""
         self.worker.incarnation = "w1@2"
+        # The first port is the one that checks the current incarnation.
+        ports = [self.worker.open(fake_worker.announcement())]
+
+        def open_port(_: worker_port.Announcement) -> worker_port.WorkerPort:
+            if ports:
+                return ports.pop()
+            raise ValueError("port out of range")
+
         with mock.patch.object(
-            self.worker, "open", side_effect=ValueError("port out of range")
+            self.worker, "open", side_effect=open_port
         ) as opened:
             self.session.announce(fake_worker.announcement(started_ms=2))
-            await self.until(lambda: opened.called)
+            await self.until(lambda: opened.call_count > 1)
             await asyncio.sleep(0.05)
         await self.until(lambda: self.leader.reports[-1].life == "w1@2")
 
