Don't end a task because of a list that was requested before it started

The agent reported a task as stopped (lost_by_worker) that it had admitted and started while a request for the worker's task list was open, if the list was made before the start and arrived after its answer: only tasks that were being started when the list was requested were excepted. The leader assigned the task again while it ran.

Only a task whose start was confirmed when the list was requested can be lost. The test failed before.

--- a/bamboorouter/roles/agent_tasks.py
+++ b/bamboorouter/roles/agent_tasks.py
@@ -372,8 +372,10 @@
             wait_ms = (
                 LIST_POLL_TIMEOUT_MS if self.worker_answered.is_set() else 0
             )
-            starting = {
-                held.task for held in self.ledger.running() if not held.started
+            started = {
+                (held.task, held.epoch)
+                for held in self.ledger.running()
+                if held.started
             }
             try:
                 listing = await self._worker.tasks(known=known, wait_ms=wait_ms)
@@ -387,20 +389,21 @@
                 await asyncio.sleep(clock.seconds(RETRY_BACKOFF_MS))
                 continue
             known = listing.version
-            self._update_ledger(listing, starting)
+            self._update_ledger(listing, started)
             if not self.worker_answered.is_set():
                 events.log(events.WORKER_LISTED, tasks=len(listing.tasks))
                 self.worker_answered.set()
 
     def _update_ledger(
-        self, listing: worker_client.WorkerTasks, starting: set[str]
+        self, listing: worker_client.WorkerTasks, started: set[tuple[str, int]]
     ) -> None:
         """Updates the ledger from the worker's task list.
 
         Args:
             listing: The worker's task list.
-            starting: IDs of tasks whose start was unconfirmed when the list
-                was requested; the list may lack them, so they aren't lost.
+            started: IDs and epochs of tasks whose start was confirmed when the
+                list was requested. The list may lack others, so only these are
+                lost if it does.
         """
         changed = False
         for task in listing.tasks:
@@ -412,9 +415,12 @@
                 changed = self._update_held_task(held, task) or changed
         listed = {(task.task, task.epoch) for task in listing.tasks}
         for held in list(self.ledger.running()):
-            lost = (held.task, held.epoch) not in listed and held.started
-            if lost and held.task not in starting:
-                held.end("stopped", checkpoint="", detail="lost_by_worker")
+            if (held.task, held.epoch) in started - listed:
+                held.end(
+                    "stopped",
+                    checkpoint="",
+                    detail="lost_by_worker",
+                )
                 changed = True
         if changed:
             self.on_change()
--- a/tests/test_agent_tasks.py
+++ b/tests/test_agent_tasks.py
@@ -4,10 +4,13 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import tempfile
 import time
+from typing import Literal
 import unittest
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
@@ -16,11 +19,14 @@
 from bamboorouter import errors
 from bamboorouter import options
 from bamboorouter.coordination.requests import task_leases
+from bamboorouter.protocol import messages
 from bamboorouter.roles import agent
+from bamboorouter.roles import agent_tasks
 from bamboorouter.roles import worker_client
 from devtools import journal
 from devtools import worker
 from tests import fake_leader
+from tests import replica_site
 
 HEARTBEAT_MS = 100
 # Age in ms at which the worker reports its usage samples.
@@ -45,6 +51,22 @@
     )
 
 
+def listed_task(
+    state: Literal["running", "stopped"],
+) -> worker_client.WorkerTask:
+    """Returns match/0 as the worker reports it."""
+    return worker_client.WorkerTask(
+        task="match/0",
+        epoch=1,
+        kind="batch",
+        millicores=1000,
+        memory_mb=500,
+        accelerators=0,
+        slots=1,
+        state=state,
+    )
+
+
 class AgentTestCase(unittest.IsolatedAsyncioTestCase):
     """Starts an agent with a worker and a fake leader."""
 
@@ -239,6 +261,99 @@
         self.assertEqual(self.leader.last.applied_revision, 7)
 
 
+class TaskListTest(unittest.IsolatedAsyncioTestCase):
+    """Tests what the agent concludes from the worker's task lists."""
+
+    async def asyncSetUp(self) -> None:
+        self.listings: asyncio.Queue[worker_client.WorkerTasks] = (
+            asyncio.Queue()
+        )
+        self.worker = mock.AsyncMock(spec=worker_client.HttpWorker)
+        self.worker.tasks.side_effect = self.next_listing
+        self.worker.usage.return_value = ()
+        self.worker.start.return_value = listed_task("running")
+        self.worker.stop.return_value = listed_task("stopped")
+        self.tasks = agent_tasks.AgentTasks(
+            settings=options.AgentOptions(
+                worker="http://127.0.0.1:1",
+                processors=PROCESSORS,
+                memory_mb=8000,
+            ),
+            time=clock.ManualClock(),
+            worker=self.worker,
+            in_progress=dict,
+            on_change=lambda: None,
+        )
+        await self.tasks.start()
+        self.addAsyncCleanup(self.tasks.close)
+        self.list_tasks()
+        await self.tasks.worker_answered.wait()
+
+    async def next_listing(self, **_: object) -> worker_client.WorkerTasks:
+        return await self.listings.get()
+
+    def list_tasks(self, *tasks: worker_client.WorkerTask) -> None:
+        """Makes the worker answer the request for its tasks."""
+        self.listings.put_nowait(
+            worker_client.WorkerTasks(version="", at_ms=0, tasks=tasks)
+        )
+
+    async def start_task(self) -> task_leases.HeldTask:
+        """Orders the start of match/0 and waits for the worker's answer."""
+        leader = fake_leader.FakeLeader()
+        leader.assign("match/0", 1)
+        self.tasks.apply(
+            messages.HeartbeatReply(
+                sequence=1,
+                leader_term=1,
+                revision=1,
+                starts=(leader.starts["match/0"],),
+            ),
+            sent=0,
+        )
+        held = self.tasks.ledger.tasks["match/0"]
+        await self.until(lambda: held.started or held.ended)
+        return held
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        await replica_site.wait_until(condition, timeout_s=WAIT_MS / 1000)
+
+    async def test_list_requested_before_a_start_does_not_end_the_task(
+        self,
+    ) -> None:
+        """Guards against repeating a task that an older list lacks."""
+        held = await self.start_task()
+        self.list_tasks()
+        await self.until(self.listings.empty)
+        await asyncio.sleep(0.05)
+        self.assertEqual(held.state, "running")
+        # The next list was requested after the start.
+        self.list_tasks()
+        await self.until(lambda: held.ended)
+        self.assertEqual(held.detail, "lost_by_worker")
+
+    async def test_list_made_before_a_stop_does_not_restart_the_task(
+        self,
+    ) -> None:
+        held = await self.start_task()
+        self.tasks.apply(
+            messages.HeartbeatReply(
+                sequence=2,
+                leader_term=1,
+                revision=1,
+                orders=(
+                    messages.TaskOrder(task="match/0", epoch=1, action="stop"),
+                ),
+            ),
+            sent=0,
+        )
+        await self.until(lambda: held.ended)
+        self.list_tasks(listed_task("running"))
+        await self.until(self.listings.empty)
+        await asyncio.sleep(0.05)
+        self.assertEqual(held.state, "stopped")
+
+
 class UpstreamsTest(AgentTestCase):
     """Tests announcements of upstreams on the agent's local address."""
 
