Stop a task that the worker runs although its end was inferred

The ledger treated an end that the agent had inferred like one that the worker had reported: stop orders for the task were ignored and no driver ran, so a task whose delayed start order was executed after a second copy had been refused went on until its lease ended.

Inferred ends are marked and withdrawn if the worker lists the task as running; the task is then stopped, because the leader may have been told of the end. An end that the worker has reported stays, because a list may be older. The test failed before.

--- a/bamboorouter/coordination/requests/task_leases.py
+++ b/bamboorouter/coordination/requests/task_leases.py
@@ -8,6 +8,11 @@
 
 A task uses capacity until the worker confirms its end, no matter who started
 it.
+
+The agent may infer an end that the worker hasn't reported, for example if the
+worker no longer lists the task. Such an end is withdrawn if the worker lists the
+task as running. The task is then stopped, because the leader may have been told
+of the end.
 """
 
 import collections
@@ -54,6 +59,7 @@
         started: Whether the worker confirmed the start.
         checkpoint: Last checkpoint that the worker confirmed.
         detail: Reason for the end.
+        end_inferred: Whether the agent inferred the end.
         url: Base URL of a service task once it runs.
         throttled: Whether the leader ordered throttling.
         throttle_applied: Whether the worker confirmed the throttling.
@@ -72,6 +78,7 @@
     started: bool = False
     checkpoint: str = ""
     detail: str = ""
+    end_inferred: bool = False
     url: str = ""
     throttled: bool = False
     throttle_applied: bool = False
@@ -86,13 +93,42 @@
         """Name of the sheet row that the task belongs to."""
         return self.task.rpartition("/")[0]
 
-    def end(self, state: TaskEnd, *, checkpoint: str, detail: str) -> None:
-        """Records the confirmed end unless one is already recorded."""
+    def end(
+        self,
+        state: TaskEnd,
+        *,
+        checkpoint: str,
+        detail: str,
+        inferred: bool = False,
+    ) -> None:
+        """Records the end unless one is already recorded.
+
+        Args:
+            state: How the task ended.
+            checkpoint: Last checkpoint; empty if there is no new one.
+            detail: Reason for the end.
+            inferred: Whether the agent inferred the end.
+        """
         if self.ended:
             return
         self.state = state
         self.checkpoint = checkpoint or self.checkpoint
         self.detail = detail or self.detail
+        self.end_inferred = inferred
+
+    def withdraw_inferred_end(self) -> bool:
+        """Marks a task with an inferred end as running and to be stopped.
+
+        Returns:
+            Whether the task had an inferred end.
+        """
+        if not self.ended or not self.end_inferred:
+            return False
+        self.state = "running"
+        self.end_inferred = False
+        self.started = True
+        self.goal = "stop"
+        return True
 
     def set_goal(self, goal: TaskGoal, detail: str) -> bool:
         """Sets the goal of a running task; returns whether it changed.
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -268,7 +268,7 @@
     "task_found",
     logging.INFO,
     "The worker runs a task that this run of the agent did not start, usually"
-    " because the agent was restarted.",
+    " because the agent was restarted, or that it counted as ended.",
 )
 LEASE_ENDED: Final = _define_event(
     303,
--- a/bamboorouter/roles/agent_tasks.py
+++ b/bamboorouter/roles/agent_tasks.py
@@ -264,6 +264,7 @@
                 "stopped" if assignment_over else "failed",
                 checkpoint=order.resume_from,
                 detail=f"{err.code}: {err.text}",
+                inferred=True,
             )
             return
         held.started = True
@@ -285,7 +286,7 @@
         except errors.RefusedError as err:
             # A worker refuses a stop only if it holds another epoch of the
             # task, so this epoch no longer runs.
-            held.end("stopped", checkpoint="", detail=err.code)
+            held.end("stopped", checkpoint="", detail=err.code, inferred=True)
             return
         if reported.state != "running":
             held.end(
@@ -420,6 +421,7 @@
                     "stopped",
                     checkpoint="",
                     detail="lost_by_worker",
+                    inferred=True,
                 )
                 changed = True
         if changed:
@@ -461,6 +463,14 @@
             Whether the state or the URL changed.
         """
         before = (held.state, held.url)
+        if task.state == "running" and held.withdraw_inferred_end():
+            events.log(
+                events.TASK_FOUND,
+                task=task.task,
+                epoch=task.epoch,
+                state=before[0],
+            )
+            self._ensure_driver(held)
         held.url = task.url
         held.checkpoint = task.checkpoint or held.checkpoint
         if task.state != "running":
--- a/tests/test_agent_tasks.py
+++ b/tests/test_agent_tasks.py
@@ -332,6 +332,23 @@
         await self.until(lambda: held.ended)
         self.assertEqual(held.detail, "lost_by_worker")
 
+    async def test_task_that_runs_after_it_was_given_up_is_stopped(
+        self,
+    ) -> None:
+        """Guards against a task that nobody can stop.
+
+        The first start order is executed late, after the second was refused.
+        """
+        self.worker.start.side_effect = [
+            errors.UnknownResultError(text="no answer", step="test"),
+            errors.RefusedError(code="busy", text="busy", step="test"),
+        ]
+        held = await self.start_task()
+        self.assertEqual(held.state, "failed")
+        self.list_tasks(listed_task("running"))
+        await self.until(lambda: self.worker.stop.called)
+        await self.until(lambda: held.state == "stopped")
+
     async def test_list_made_before_a_stop_does_not_restart_the_task(
         self,
     ) -> None:
