Don't let a late session request end the runs of a newer incarnation

If a worker restarts twice, a copy of the request by which its agent had the session of the first restart begun may arrive after the second one, for example from a socket of a leader that was frozen.

Cause: "fenced" names no token, so it was believed of sessions that were opened after that token was offered. The request can now carry the number of the offered session; a number that isn't above that of the current session fences off none of its runs, and the request is answered with a new offer. A request without the number is handled as before, so agents of both versions work.

The agent doesn't send the number yet; until it does, the fault remains.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -203,7 +203,7 @@
                 worker=message.worker,
                 life=message.life,
                 room=message.room,
-                fenced=message.fenced,
+                fenced=self._is_fenced(message),
             ),
         )
         events.log(
@@ -219,6 +219,20 @@
             number=result.data["session"], opened=result.data["opened"]
         )
 
+    def _is_fenced(self, message: job_messages.OpenWorkerSession) -> bool:
+        """Whether the runs that the message would end are fenced off.
+
+        A session that was opened after the fencing token was offered has higher
+        tokens: a late message doesn't fence off its runs.
+        """
+        current = self.log.machine.stepped.incarnations.get(message.worker)
+        superseded = (
+            current is not None
+            and current.life != message.life
+            and 0 < message.fence <= current.session
+        )
+        return message.fenced and not superseded
+
     def _reply(
         self, report: job_messages.WorkerReport, *, known: bool
     ) -> job_messages.WorkerReply:
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -119,6 +119,8 @@
             incarnations.
         ends: Ends of runs that were ordered for an earlier incarnation, but
             were started by the current one.
+        fence: If `fenced`, number of the offered session by whose token the
+            orders were fenced off; 0 if the agent doesn't tell.
     """
 
     worker: str
@@ -126,6 +128,7 @@
     room: common.Resources
     fenced: bool = True
     ends: tuple[jobs.RunEnd, ...] = ()
+    fence: int = 0
 
 
 class WorkerSession(base.Wire, frozen=True, kw_only=True, tag=141):
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -3,6 +3,8 @@
 Guards against a task that runs again after its success was acknowledged.
 """
 
+import unittest
+
 from bamboorouter import errors
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.protocol import job_messages
@@ -118,3 +120,7 @@
         self.assertEqual(self.job_state(), "running")
         await self.settle()
         self.assertEqual(self.second.stopped(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_stop_orders.py
+++ b/tests/test_stop_orders.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Mapping
+import unittest
 from unittest import mock
 
 from bamboorouter import events
@@ -201,3 +202,7 @@
         await self.submit("a")
         await self.until(agent.stopped)
         self.assertEqual(agent.started(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
