Don't move runs on the evidence of a report from before a pause

A leader that was paused moved each run that its last report had shown as throttled: the time since then, its own pause included, counted as the time for which the run was slow. One observation sufficed where two are meant. Runs are now moved only while the worker isn't silent.

test_run_that_was_slow_before_a_pause_is_not_moved failed before.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -559,15 +559,16 @@
     def _order_stops(self) -> None:
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
+        now = self.clock.now()
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
                 continue
+            to_move: set[jobs.RunKey] = set()
+            if not worker.silent(now):
+                to_move = self.run_monitor.runs_to_move(worker.report, state)
             stops = stop_orders.assigned_stops(
-                state,
-                name,
-                draining=worker.report.draining,
-                to_move=self.run_monitor.runs_to_move(worker.report, state),
+                state, name, draining=worker.report.draining, to_move=to_move
             )
             self._push_stops(worker, stops)
 
--- a/bamboorouter/coordination/jobs/worker_table.py
+++ b/bamboorouter/coordination/jobs/worker_table.py
@@ -47,12 +47,16 @@
     reported_ms: int
     unobserved_ms: int = 0
 
+    def silent(self, now: int) -> bool:
+        """Whether the newest report is too old to base a decision on it."""
+        return now - self.reported_ms >= SILENT_MS
+
     def usable(self, now: int) -> bool:
         """Whether the worker may get new runs."""
         return (
             self.report.reachable
             and not self.report.draining
-            and now - self.reported_ms < SILENT_MS
+            and not self.silent(now)
             and not self.source.closed.is_set()
         )
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -183,6 +183,10 @@
         await agent.send_heartbeat()
         self.assertEqual(self.worker_of("web/0"), "w1")
 
+
+class EvictionTest(SchedulerCase):
+    """No more tasks are evicted than make room."""
+
     async def test_room_that_is_freed_during_a_pass_evicts_no_further_task(
         self,
     ) -> None:
--- a/tests/test_worker_table.py
+++ b/tests/test_worker_table.py
@@ -127,6 +127,21 @@
         await self.pass_time(TERM_MS + 1)
         self.assertEqual(len(self.log.machine.stepped.on_worker["w1"]), 0)
 
+    async def test_run_that_was_slow_before_a_pause_is_not_moved(self) -> None:
+        agent = await self.connect_agent("w1")
+        await self.submit("a", make.step(checkpoints=True, fills=True))
+        await self.until(agent.started)
+        slow_run = job_messages.HeldRun(
+            task=make.ref(), attempt=1, running=True, pace=10
+        )
+        await self.report(agent, runs=(slow_run,))
+        await self.settle()
+        self.time.advance(2 * worker_table.SILENT_MS)
+        await self.settle()
+        self.assertEqual(agent.stopped(), [])
+        await self.report(agent, runs=(slow_run,))
+        await self.until(agent.stopped)
+
     async def test_deposed_leader_grants_no_lease_after_a_commit(self) -> None:
         """The leader lease may end while the ends in a report are committed."""
         agent = await self.connect_agent("w1")
