Show that the late failure of a run that was given up is not counted

If a run is given up and its failure is reported later, the leader acknowledges the failure without counting it: with two attempts allowed, a third one starts after two acknowledged failures (BUDGET). Counting it once, however often it is reported, needs a record of the attempts that were given up in the replicated task, which replicas of the previous version don't have; that isn't decided yet.

--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -13,8 +13,8 @@
 from tests import test_job_dispatcher
 
 
-class LateSuccessTest(test_job_dispatcher.DispatcherCase):
-    """A run that was given up turns out to have completed."""
+class LateEndTest(test_job_dispatcher.DispatcherCase):
+    """A run that was given up turns out to have completed or failed."""
 
     async def give_up_first_run(self, *steps: jobs.Step) -> None:
         """Gives up the first attempt, on w1, and assigns the second, to w2."""
@@ -121,6 +121,16 @@
         await self.settle()
         self.assertEqual(self.second.stopped(), [])
 
+    async def test_late_failure_counts_towards_the_attempts(self) -> None:
+        """Two attempts are allowed, and both failed."""
+        await self.give_up_first_run()
+        await self.report(
+            self.first, draining=True, ends=self.run_ends(make.ref(), "failed")
+        )
+        await self.end_second_run("failed")
+        self.assertEqual(self.second.started(), [make.ref()])
+        self.assertEqual(self.job_state(), "failed")
+
 
 if __name__ == "__main__":
     unittest.main()
