--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -3,6 +3,8 @@
 Guards against a task that runs again after its success was acknowledged.
 """
 
+import unittest
+
 from bamboorouter import errors
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.protocol import job_messages
@@ -11,8 +13,8 @@
 from tests import test_job_dispatcher
 
 
-class LateSuccessTest(test_job_dispatcher.DispatcherCase):
-    """A run that was given up turns out to have completed."""
+class LateEndTest(test_job_dispatcher.DispatcherCase):
+    """A run that was given up turns out to have completed or failed."""
 
     async def give_up_first_run(self, *steps: jobs.Step) -> None:
         """Gives up the first attempt, on w1, and assigns the second, to w2."""
@@ -118,3 +120,17 @@
         self.assertEqual(self.job_state(), "running")
         await self.settle()
         self.assertEqual(self.second.stopped(), [])
+
+    async def test_late_failure_counts_towards_the_attempts(self) -> None:
+        """Two attempts are allowed, and both failed."""
+        await self.give_up_first_run()
+        await self.report(
+            self.first, draining=True, ends=self.run_ends(make.ref(), "failed")
+        )
+        await self.end_second_run("failed")
+        self.assertEqual(self.second.started(), [make.ref()])
+        self.assertEqual(self.job_state(), "failed")
+
+
+if __name__ == "__main__":
+    unittest.main()
