Make durable what a replica reads when it opens its folder

What callers could see: an acknowledged change is lost, or a replica can't open its log, after a process ended or its sync failed and the power failed later.

Cause: opening counted every record that it read as synced. Records that were written, but whose sync was missing (killed process) or failed, were read from the page cache and acknowledged. After a failed sync another sync isn't enough, since the kernel may regard the pages as clean. A write after such a restart could also be the second unsynced one of the file, which a power failure may keep without the first. Term and vote had the same gap if the rename was done and the sync of the folder failed.

Opening now saves term and vote again, and replaces the newest segment by a synced copy. Older segments were synced before their successor was created. On a full disk the first of these writes fails, so a replica doesn't join its group before there is room, and the attempt is cheap.

Evidence: five new tests of tests.test_log_store fail on the old stores (entries lost after a failed sync and after a kill, "is damaged" after two writes, vote forgotten, log opened on a full disk) and pass now. MemoryFolder models a failed sync after which syncs succeed without effect, a rename that isn't durable, and replacements on a full disk.

--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -6,7 +6,7 @@
 
 A failed write or sync halts the replica. The content of the disk is unknown from
 then on, so the replica acknowledges nothing more. A new engine has to read the
-folder again.
+folder again and makes durable what it has read before it acknowledges anything.
 """
 
 from collections.abc import Callable
@@ -108,7 +108,7 @@
     ) -> None:
         folder.remove_temporary()
         self.id = hard_state.open_identity(folder)
-        saved = hard_state.load(folder)
+        saved = hard_state.reopen(folder)
         self.folder = folder
         self.failure: Exception | None = None
         self.machine = machine
--- a/bamboorouter/state/hard_state.py
+++ b/bamboorouter/state/hard_state.py
@@ -83,6 +83,19 @@
     return HardState(term=term, voted_for=voted_for, led=any(led))
 
 
+def reopen(folder: files.Folder) -> HardState:
+    """Returns the saved term and vote and makes them durable.
+
+    An earlier run may have replaced the file without syncing the folder.
+
+    Raises:
+        StorageError: Term and vote are missing, damaged or can't be saved.
+    """
+    state = load(folder)
+    save(folder, state)
+    return state
+
+
 def save(folder: files.Folder, state: HardState) -> None:
     """Saves term and vote durably."""
     body = cbor2.dumps([state.term, state.voted_for, state.led])
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -9,6 +9,11 @@
 was never acknowledged and is truncated. Damage in a sealed segment, or damage
 that is followed by an undamaged record, raises an error that names file and
 offset, because acknowledged entries may be missing.
+
+Opening then replaces the newest segment by a copy that is synced. The process
+that wrote it may have ended before its sync, or the sync may have failed. After
+a failed sync the kernel may regard the data as written: a read returns it, and
+the next sync of the file succeeds, but a power failure loses it.
 """
 
 import array
@@ -470,12 +475,15 @@
             name for name in self.folder.names() if name.startswith(_PREFIX)
         ]
         for position, name in enumerate(names):
-            self._open_segment(name, newest=position == len(names) - 1)
+            newest = position == len(names) - 1
+            data = self.folder.read(name)
+            self._open_segment(name, data, newest=newest)
+            if newest and self._segments and self._segments[-1].name == name:
+                self.folder.replace(name, data[: self._segments[-1].size])
         self._last_written = self._segments[-1].name if self._segments else ""
         self.synced_index = self.last_index
 
-    def _open_segment(self, name: str, *, newest: bool) -> None:
-        data = self.folder.read(name)
+    def _open_segment(self, name: str, data: bytes, *, newest: bool) -> None:
         base = records.parse_segment_header(data)
         if base is None:
             self._remove_headerless_segment(name, data, newest=newest)
@@ -514,7 +522,7 @@
         while position < len(data):
             parsed = records.parse_entry(data, position)
             if parsed is None:
-                self._truncate_tail(segment, data, position, newest=newest)
+                self._check_torn_tail(segment, data, position, newest=newest)
                 return
             stored, end = parsed
             if (
@@ -529,9 +537,14 @@
             self._cache_entry(stored, end - position)
             position = end
 
-    def _truncate_tail(
+    def _check_torn_tail(
         self, segment: _Segment, data: bytes, position: int, *, newest: bool
     ) -> None:
+        """Logs an incomplete record at the end of the log.
+
+        Raises:
+            StorageError: The record isn't the last one of the log.
+        """
         if not newest or records.find_entry(data, position + 1) is not None:
             raise _damage_error(segment.name, position)
         events.log(
@@ -540,7 +553,6 @@
             offset=position,
             removed=len(data) - position,
         )
-        self.folder.truncate(segment.name, position)
 
 
 def _damage_error(
--- a/tests/memory_folder.py
+++ b/tests/memory_folder.py
@@ -15,11 +15,17 @@
         synced: Number of durable bytes; None until the directory entry of the
             file is durable.
         unsynced: Start and end offsets of each unsynced write.
+        dropped: Whether a sync failed; later syncs then succeed, but don't make
+            the data durable, as with the page cache of Linux.
+        replaced: The durable file of the same name, if this one has replaced it
+            without a sync of the folder.
     """
 
     data: bytearray
     synced: int | None = None
     unsynced: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+    dropped: bool = False
+    replaced: "_File | None" = None
 
 
 class MemoryFolder:
@@ -29,6 +35,8 @@
         files: Files by name.
         free_bytes: Free disk space in bytes; None without a limit.
         failing_sync: Whether every sync and replacement of a file fails.
+        failing_folder_sync: Whether a replacement fails after the file was
+            renamed, so that a loss of power undoes it.
         lying_sync: Whether syncs succeed without making data durable.
     """
 
@@ -36,6 +44,7 @@
         self.files: dict[str, _File] = {}
         self.free_bytes: int | None = None
         self.failing_sync = False
+        self.failing_folder_sync = False
         self.lying_sync = False
 
     def crash(self, rng: random.Random) -> None:
@@ -67,6 +76,9 @@
             if file.synced is None and rng.random() < 0.5:
                 del self.files[name]
                 continue
+            if file.replaced is not None:
+                self.files[name] = file.replaced
+                continue
             end = file.synced or 0
             for start, stop in file.unsynced:
                 kept = rng.choice((start, stop, rng.randint(start, stop)))
@@ -101,17 +113,24 @@
         file.data.extend(data)
 
     def sync(self, name: str) -> None:
+        file = self._file(name)
         if self.failing_sync:
+            file.dropped = True
             raise _error("Input/output error", "sync file", name)
-        file = self._file(name)
-        if not self.lying_sync:
+        if not self.lying_sync and not file.dropped:
             file.synced = len(file.data)
             file.unsynced = []
 
     def replace(self, name: str, data: bytes) -> None:
         if self.failing_sync:
             raise _error("Input/output error", "replace file", name)
+        if self.free_bytes is not None and len(data) > self.free_bytes:
+            raise _error("No space left on device", "replace file", name)
+        old = self.files.get(name)
         self.files[name] = _File(bytearray(data), synced=len(data))
+        if self.failing_folder_sync:
+            self.files[name].replaced = old
+            raise _error("Input/output error", "replace file", name)
 
     def truncate(self, name: str, size: int) -> None:
         file = self._file(name)
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -215,6 +215,58 @@
         self.folder.free_bytes = None
         self.assertEqual(self.open().last_index, 10)
 
+    def test_entries_read_after_a_failed_sync_survive_a_power_failure(
+        self,
+    ) -> None:
+        """Guards against an acknowledgement of what only a cache holds."""
+        for seed in range(20):
+            self.folder = memory_folder.MemoryFolder()
+            self.store = self.open()
+            self.append_synced(3)
+            self.store.append(entry(4))
+            self.folder.failing_sync = True
+            with self.assertRaises(errors.StorageError):
+                self.store.sync()
+            self.folder.failing_sync = False
+            synced = self.open().synced_index
+            self.folder.lose_power(random.Random(seed))
+            self.assertGreaterEqual(self.open().last_index, synced)
+
+    def test_entries_read_after_a_kill_survive_a_power_failure(self) -> None:
+        """A killed process leaves its files as they were, synced or not."""
+        for seed in range(20):
+            self.folder = memory_folder.MemoryFolder()
+            self.store = self.open()
+            self.append_synced(3)
+            self.store.append(entry(4))
+            self.store.write()
+            synced = self.open().synced_index
+            self.folder.lose_power(random.Random(seed))
+            self.assertGreaterEqual(self.open().last_index, synced)
+
+    def test_kill_before_a_power_failure_leaves_a_log_that_opens(self) -> None:
+        """Two unsynced writes could lose the first and keep the second."""
+        for seed in range(20):
+            self.folder = memory_folder.MemoryFolder()
+            self.store = self.open()
+            self.append_synced(3)
+            for index in (4, 5):
+                self.store.append(entry(index))
+                self.store.write()
+                self.store = self.open()
+            self.store.append(entry(6))
+            self.store.write()
+            self.folder.lose_power(random.Random(seed))
+            self.assertGreaterEqual(self.open().last_index, 5)
+
+    def test_log_that_cannot_be_made_durable_is_not_opened(self) -> None:
+        self.append_synced(3)
+        self.folder.free_bytes = 10
+        with self.assertRaisesRegex(errors.StorageError, "No space"):
+            self.open()
+        self.folder.free_bytes = None
+        self.assertEqual(self.open().last_index, 3)
+
 
 class HardStateTest(unittest.TestCase):
     """Stored identity, term, vote and snapshots."""
@@ -239,6 +291,21 @@
         with self.assertRaisesRegex(errors.StorageError, "no identity"):
             hard_state.open_identity(self.folder)
 
+    def test_vote_read_after_a_failed_save_survives_a_power_failure(
+        self,
+    ) -> None:
+        """Guards against a term or vote that is used and then forgotten."""
+        hard_state.open_identity(self.folder)
+        self.folder.failing_folder_sync = True
+        with self.assertRaises(errors.StorageError):
+            hard_state.save(
+                self.folder, hard_state.HardState(term=5, voted_for="a")
+            )
+        self.folder.failing_folder_sync = False
+        used = hard_state.reopen(self.folder)
+        self.folder.lose_power(random.Random(1))
+        self.assertEqual(hard_state.load(self.folder), used)
+
     def test_damaged_vote_is_refused(self) -> None:
         hard_state.open_identity(self.folder)
         self.folder.files["vote"].data[-1] ^= 1
