--- a/tests/full_disk.py
+++ b/tests/full_disk.py
@@ -16,13 +16,25 @@
 
     Attributes:
         full: Data folders whose disk is full.
+        full_for: Start of the names of the files that don't fit; empty for all.
+        writes_left: Number of writes that still fit on a full disk.
         refused: Number of writes that each data folder refused.
     """
 
     def __init__(self) -> None:
         self.full: set[pathlib.Path] = set()
+        self.full_for = ""
+        self.writes_left: dict[pathlib.Path, int] = {}
         self.refused: dict[pathlib.Path, int] = {}
 
+    def refuses(self, path: pathlib.Path, name: str) -> bool:
+        """Counts a write; returns whether it finds no room."""
+        if path not in self.full or not name.startswith(self.full_for):
+            return False
+        left = self.writes_left.get(path, 0)
+        self.writes_left[path] = max(0, left - 1)
+        return left == 0
+
     def open(self, *, path: pathlib.Path) -> "DiskFolder":
         """Opens a data folder in place of `files.DiskFolder`."""
         return DiskFolder(path=path, disks=self)
@@ -40,13 +52,13 @@
         self.disks = disks
 
     def append(self, name: str, data: bytes) -> None:
-        if self.path in self.disks.full:
+        if self.disks.refuses(self.path, name):
             super().append(name, data[: len(data) // 2])
             raise self._full("append to file", name)
         super().append(name, data)
 
     def replace(self, name: str, data: bytes) -> None:
-        if self.path in self.disks.full:
+        if self.disks.refuses(self.path, name):
             (self.path / f"{name}.new").write_bytes(data[: len(data) // 2])
             raise self._full("replace file", name)
         super().replace(name, data)
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -10,6 +10,8 @@
 from unittest import mock
 
 from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import metrics
 from bamboorouter import options
 from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.requests import control_client
@@ -18,6 +20,7 @@
 from bamboorouter.transport import files
 from devtools import site
 from tests import full_disk
+from tests import list_machine
 from tests import replica_site
 from tests import site_case
 
@@ -45,6 +48,7 @@
         self.addresses = tuple(
             f"127.0.0.1:{replica_site.free_port()}" for _ in range(3)
         )
+        self.snapshot_entries = 4096
         self.roles = [self.make_role(address) for address in self.addresses]
         self.revision = 0
         self.client = control_client.ControlClient(
@@ -67,6 +71,7 @@
                 listen=address,
                 data_dir=str(self.data_dir(address)),
                 bootstrap=self.addresses,
+                snapshot_entries=self.snapshot_entries,
             ),
         )
 
@@ -129,6 +134,14 @@
         self.assertGreater(self.disks.refused.get(path, 0), before)
         await changes
 
+    async def assert_fails(self, role: control.ControlRole) -> None:
+        """Waits until a replica is out, and makes room again."""
+        path = self.data_dir(role.settings.listen)
+        change = asyncio.create_task(self.change())
+        await replica_site.wait_until(lambda: role.replica is None)
+        await change
+        self.disks.full.discard(path)
+
     async def assert_recovered(self) -> None:
         await self.change()
         await replica_site.wait_until(
@@ -152,6 +165,131 @@
             await self.fill(role)
             await self.assert_recovered()
 
+    async def test_disk_full_at_the_first_start_delays_the_group(self) -> None:
+        """Guards against a process that ends or stays out after its start."""
+        path = self.data_dir(self.addresses[2])
+        self.disks.full.add(path)
+        await asyncio.gather(*(role.start() for role in self.roles))
+        self.assertIsNone(self.roles[2].replica)
+        self.assertFalse(self.roles[2].ready())
+        self.assertEqual(halted_metric(), 1)
+        self.disks.full.discard(path)
+        await self.assert_recovered()
+        self.assertEqual(halted_metric(), 0)
+
+    async def test_disk_full_at_a_restart_delays_only_its_replica(self) -> None:
+        await self.start()
+        await self.roles[0].stop()
+        self.disks.full.add(self.data_dir(self.addresses[0]))
+        self.roles[0] = self.make_role(self.addresses[0])
+        await self.roles[0].start()
+        self.assertIsNone(self.roles[0].replica)
+        await self.change()
+        self.disks.full.clear()
+        await self.assert_recovered()
+
+    async def test_disk_that_is_full_again_while_it_is_reopened(self) -> None:
+        await self.start()
+        role = self.roles[0]
+        path = self.data_dir(self.addresses[0])
+        self.disks.full.add(path)
+        await self.change()
+        await replica_site.wait_until(lambda: role.replica is None)
+        # Opening writes twice, so the disk is full again in between, before
+        # the first entry, or before the second one.
+        for writes in (1, 2, 3):
+            refused = self.disks.refused[path]
+            self.disks.writes_left[path] = writes
+            async with asyncio.timeout(2 * RECOVERY_S):
+                while (
+                    self.disks.refused[path] == refused
+                    or self.disks.writes_left[path]
+                ):
+                    await self.change()
+                    await asyncio.sleep(0.1)
+        self.disks.full.clear()
+        await self.assert_recovered()
+
+    async def test_unexpected_errors_while_reopening_are_survived(self) -> None:
+        """Guards against a recovery that ends with an error of another kind."""
+        await self.start()
+        role = self.roles[0]
+        self.disks.full.add(self.data_dir(self.addresses[0]))
+        failing = mock.AsyncMock(side_effect=RuntimeError("unexpected"))
+        with mock.patch.object(replica.Replica, "start", failing):
+            await self.assert_fails(role)
+            await replica_site.wait_until(lambda: failing.await_count > 2)
+        await self.assert_recovered()
+
+    async def test_replica_that_cannot_be_stopped_delays_but_writes_nothing(
+        self,
+    ) -> None:
+        """Guards against an endless wait, and two replicas on one folder."""
+        await self.start()
+        role = self.roles[0]
+        failed = self.opened(role)
+        self.disks.full.add(self.data_dir(self.addresses[0]))
+        never = asyncio.Event()
+
+        async def hang() -> None:
+            while not never.is_set():
+                with contextlib.suppress(asyncio.CancelledError):
+                    await never.wait()
+
+        assert role.instance is not None
+        with mock.patch.object(role.instance, "stop", hang):
+            await self.assert_fails(role)
+            await self.assert_recovered()
+            with self.assertRaisesRegex(errors.StorageError, "closed"):
+                failed.log.folder.append("log-1", b"late")
+            never.set()
+        await failed.stop()
+
+    async def test_calls_at_a_leader_with_a_full_disk_end_at_once(self) -> None:
+        """Guards against callers that wait for a halted leader."""
+        await self.start()
+        role = self.roles[0]
+        await self.elect(role)
+        leader = self.opened(role)
+        self.disks.full.add(self.data_dir(self.addresses[0]))
+        with self.assertRaises(errors.UnknownResultError):
+            async with asyncio.timeout(0.5):
+                await leader.propose(
+                    list_machine.cancel("a"), timeout_ms=TIMEOUT_MS
+                )
+        self.assertFalse(leader.lease_valid())
+        with self.assertRaises(errors.NotLeaderError):
+            await leader.propose(
+                list_machine.cancel("b"), timeout_ms=TIMEOUT_MS
+            )
+        self.disks.full.clear()
+        await self.assert_recovered()
+
+    async def test_snapshot_that_finds_no_room_is_taken_later(self) -> None:
+        self.snapshot_entries = 20
+        self.roles = [self.make_role(address) for address in self.addresses]
+        await self.start()
+        role = self.roles[0]
+        path = self.data_dir(self.addresses[0])
+        self.disks.full_for = "snapshot-"
+        self.disks.full.add(path)
+        async with asyncio.timeout(20):
+            while path not in self.disks.refused:
+                await self.change()
+        await replica_site.wait_until(lambda: role.replica is None)
+        self.disks.full.clear()
+        await self.assert_recovered()
+        await replica_site.wait_until(
+            lambda: any(path.glob("snapshot-*[0-9]")), timeout_s=RECOVERY_S
+        )
+        self.assertEqual(list(path.glob("*.new")), [])
+
+
+def halted_metric() -> float:
+    (family,) = metrics.REPLICA_HALTED.collect()
+    (sample,) = family.samples
+    return float(sample.value)
+
 
 class FullDiskOfProcessesTest(site_case.SiteTestCase):
     """Control processes that can't write to any file for a while."""
