Name the fence of a session that begins after earlier orders were fenced off

If a worker restarts twice, a late copy of the request by which its agent had the session of the first restart begun ended the runs of the second one, and their tasks ran twice.

--- a/bamboorouter/coordination/workers/session_opening.py
+++ b/bamboorouter/coordination/workers/session_opening.py
@@ -10,7 +10,8 @@
 2. The agent polls the worker with a fencing token of that number, after which
    the worker rejects all earlier orders.
 3. The agent stops the runs that earlier orders had started.
-4. The agent reports the ends of those runs, and the leader begins the session.
+4. The agent reports the ends of those runs, and the leader begins the session,
+   unless it has begun a newer one meanwhile, whose runs are not fenced off.
 """
 
 import asyncio
@@ -52,16 +53,27 @@
         port: Port to the incarnation.
 
     Raises:
-        RouterError: The leader or the worker didn't answer, or runs of an
-            earlier incarnation didn't stop.
+        RouterError: The leader or the worker didn't answer, runs of an earlier
+            incarnation didn't stop, or a newer session was opened meanwhile.
     """
     offered = await _request_session(client, worker, announcement, fenced=False)
     if offered.opened:
         return offered.number
     ends = await _fence_off(worker, port, first_token(offered.number))
     begun = await _request_session(
-        client, worker, announcement, fenced=True, ends=ends
+        client,
+        worker,
+        announcement,
+        fenced=True,
+        fence=offered.number,
+        ends=ends,
     )
+    if not begun.opened:
+        raise errors.ProtocolError(
+            text="a newer session was opened meanwhile",
+            step="open session",
+            peer=worker,
+        )
     return begun.number
 
 
@@ -71,6 +83,7 @@
     announcement: worker_port.Announcement,
     *,
     fenced: bool,
+    fence: int = 0,
     ends: tuple[jobs.RunEnd, ...] = (),
 ) -> job_messages.WorkerSession:
     reply = await client.call(
@@ -79,6 +92,7 @@
             life=announcement.incarnation,
             room=announcement.capacity,
             fenced=fenced,
+            fence=fence,
             ends=ends,
         ),
         timeout_ms=OPEN_TIMEOUT_MS,
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -221,6 +221,8 @@
         knows_session: Whether the leader knows the latest session.
         has_earlier_runs: Whether the leader knows of runs on an earlier
             incarnation; requests that don't fence them are then refused.
+        superseded_offers: Number of upcoming fenced requests that are answered
+            with a new offer.
         opened_sessions: Requests whose session was opened.
     """
 
@@ -232,6 +234,7 @@
         self.session_requests = 0
         self.knows_session = True
         self.has_earlier_runs = False
+        self.superseded_offers = 0
         self.opened_sessions: list[job_messages.OpenWorkerSession] = []
 
     async def call(
@@ -246,6 +249,11 @@
                 return job_messages.WorkerSession(
                     number=self.session_requests, opened=False
                 )
+            if message.fenced and self.superseded_offers:
+                self.superseded_offers -= 1
+                return job_messages.WorkerSession(
+                    number=self.session_requests, opened=False
+                )
             self.knows_session = True
             self.opened_sessions.append(message)
             return job_messages.WorkerSession(number=self.session_requests)
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -334,6 +334,20 @@
         self.assertEqual((end.task, end.how), (make.ref(), "stopped"))
         self.assertTrue(self.leader.opened_sessions[-1].fenced)
 
+    async def test_session_that_was_superseded_while_it_was_fenced_is_not_used(
+        self,
+    ) -> None:
+        """Guards against a late request that ends runs of a newer session."""
+        before = self.leader.session_requests
+        self.worker.incarnation = "w1@2"
+        self.leader.has_earlier_runs = True
+        self.leader.superseded_offers = 1
+        self.session.announce(fake_worker.announcement(started_ms=2))
+        await self.until(lambda: len(self.leader.opened_sessions) == 2)
+        # The second offer is the third of four requests.
+        self.assertEqual(self.leader.opened_sessions[-1].fence, before + 3)
+        self.assertEqual(self.leader.session_requests, before + 4)
+
     async def test_new_life_is_told_no_numbers_of_the_earlier_one(self) -> None:
         """Guards against losing the end of a run when its worker restarts.
 
