Test that an unfenced order of an earlier incarnation is stopped

A session that the leader opens at once isn't fenced before its first poll, so the new incarnation may execute an order for the earlier one.

--- a/bamboorouter/coordination/workers/session_opening.py
+++ b/bamboorouter/coordination/workers/session_opening.py
@@ -11,6 +11,10 @@
    the worker rejects all earlier orders.
 3. The agent stops the runs that earlier orders had started.
 4. The agent reports the ends of those runs, and the leader begins the session.
+
+If the session begins immediately, an order for the earlier incarnation may
+still be executed until the first poll. The agent then holds and reports the run
+that it finds, and the leader orders it to stop.
 """
 
 import asyncio
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -310,11 +310,13 @@
     )
 
 
-def stop_orders(*tasks: jobs.TaskRef) -> job_messages.RunOrders:
+def stop_orders(
+    *tasks: jobs.TaskRef, incarnation: str = "w1@1"
+) -> job_messages.RunOrders:
     """Returns orders to stop the first attempt of each task."""
     return job_messages.RunOrders(
         term=1,
-        life="w1@1",
+        life=incarnation,
         stops=tuple(
             job_messages.StopOrder(task=task, attempt=1) for task in tasks
         ),
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -334,6 +334,29 @@
         self.assertEqual((end.task, end.how), (make.ref(), "stopped"))
         self.assertTrue(self.leader.opened_sessions[-1].fenced)
 
+    async def test_order_of_an_earlier_life_that_is_not_fenced_is_stopped(
+        self,
+    ) -> None:
+        """Guards against a run that nobody can stop after a restart.
+
+        The leader opens the session at once if it knows of no run on the
+        earlier incarnation. Until the first poll, the new incarnation executes
+        orders for the earlier one.
+        """
+        await self.start_run()
+        self.worker.incarnation = "w1@2"
+        self.worker.token = 0
+        self.session.announce(fake_worker.announcement(started_ms=2))
+        await self.until(
+            lambda: self.leader.reports[-1].life == "w1@2"
+            and self.reported_running()
+        )
+        await self.order(
+            fake_worker.stop_orders(make.ref(), incarnation="w1@2")
+        )
+        await self.until(lambda: not self.worker.running)
+        await self.until(lambda: self.outcomes()[-1] == "stopped")
+
     async def test_new_life_is_told_no_numbers_of_the_earlier_one(self) -> None:
         """Guards against losing the end of a run when its worker restarts.
 
