--- a/bamboorouter/coordination/workers/session_opening.py
+++ b/bamboorouter/coordination/workers/session_opening.py
@@ -12,6 +12,10 @@
 3. The agent stops the runs that earlier orders had started.
 4. The agent reports the ends of those runs, and the leader begins the session,
    unless it has begun a newer one meanwhile, whose runs are not fenced off.
+
+If the session begins immediately, an order for the earlier incarnation may
+still be executed until the first poll. The agent then holds and reports the run
+that it finds, and the leader orders it to stop.
 """
 
 import asyncio
