--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,6 +10,7 @@
 
 from bamboorouter import errors
 from bamboorouter.coordination.log import engine
+from tests import full_disk
 from tests import list_machine
 from tests import memory_folder
 from tests import replica_site
@@ -182,6 +183,28 @@
         await self.assert_converged(jobs)
         self.assertGreater(lagging.replica.log.first_index, 20)
 
+    async def test_full_disk_while_a_snapshot_arrives_loses_nothing(
+        self,
+    ) -> None:
+        limits = engine.Limits(
+            snapshot_entries=10, segment_bytes=50_000, retention_bytes=100_000
+        )
+        leader = await self.start(3, limits=limits)
+        lagging = self.others(leader)[0]
+        await self.crash(lagging)
+        jobs = [f"{number}:" + "x" * 5000 for number in range(150)]
+        for job in jobs:
+            await self.commit(leader, job)
+        disks = full_disk.Disks()
+        disks.full_for = "snapshot-"
+        disks.full.add(lagging.path)
+        await lagging.start(folder=disks.open(path=lagging.path))
+        await replica_site.wait_until(lambda: lagging.replica.status().halted)
+        self.assertEqual(lagging.replica.status().applied, 0)
+        await lagging.crash()
+        await self.restart(lagging)
+        await self.assert_converged(jobs)
+
     async def test_lost_folder_then_a_second_loss_keeps_everything(
         self,
     ) -> None:
