--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -591,8 +591,12 @@
         """
         self.run_soak(9104, seconds=15.0, workers=6)
 
-    def test_fresh_seed_of_ci(self) -> None:
-        self.run_soak(4121)
+    def test_cancelled_jobs_and_late_orders(self) -> None:
+        """Guards against a run that goes on after its job was cancelled."""
+        history = self.run_soak(4213, basic=False)
+        self.assertGreater(history.counts["cancellation answered 200"], 5)
+        self.assertGreater(history.counts["fault late"], 0)
+        self.assertGreater(history.counts["fault restart_then_cut"], 0)
 
 
 if __name__ == "__main__":
