Repeat an acknowledged stop only if the worker lists the run afterwards

The order is due again if a view that was requested longer after the acknowledgement than a stop takes lists the run.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -624,7 +624,7 @@
         await self._poll(session, 0)
 
     def _send_due_stops(self, session: worker_session.Session) -> None:
-        for run in self.held.take_due_stops(self.clock.now()):
+        for run in self.held.take_due_stops():
             if run.stop_acknowledged_ms is not None:
                 events.log(
                     events.STOP_REPEATED,
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -61,6 +61,8 @@
         stopping: Whether a stop order is being sent to the worker.
         stop_acknowledged_ms: Time at which the worker has acknowledged the
             newest stop order, in ms on the agent's clock; None if it hasn't.
+        listed_ms: Time at which the newest view that lists the run was
+            requested, in ms on the agent's clock; 0 if there is none.
         row: Last row of the run in a view of the worker; None if there is none.
         missed: Successive views that didn't list the run while it was running.
         pace: Last ordered speed, in percent of full speed.
@@ -75,18 +77,19 @@
     stop_ordered: bool = False
     stopping: bool = False
     stop_acknowledged_ms: int | None = None
+    listed_ms: int = 0
     row: worker_port.RunningRow | None = None
     missed: int = 0
     pace: int = 100
 
-    def stop_due(self, now: int) -> bool:
+    def stop_due(self) -> bool:
         """Returns whether a stop order must be sent to the worker."""
         return (
             self.stop_ordered
             and not self.stopping
             and (
                 self.stop_acknowledged_ms is None
-                or now - self.stop_acknowledged_ms > STOP_DURATION_MS
+                or self.listed_ms - self.stop_acknowledged_ms > STOP_DURATION_MS
             )
         )
 
@@ -203,9 +206,9 @@
                 stop_ordered=True,
             )
 
-    def take_due_stops(self, now: int) -> list[HeldRun]:
+    def take_due_stops(self) -> list[HeldRun]:
         """Returns the runs to which a stop order must be sent now."""
-        due = [run for run in self.runs.values() if run.stop_due(now)]
+        due = [run for run in self.runs.values() if run.stop_due()]
         for run in due:
             run.stopping = True
         return due
@@ -363,6 +366,7 @@
             run.phase = "running"
             run.since_ms = sent_ms
         run.missed = 0
+        run.listed_ms = sent_ms
         run.row = row
 
     def _drop_inferred_end(self, key: jobs.RunKey) -> None:
--- a/tests/test_held_runs.py
+++ b/tests/test_held_runs.py
@@ -50,9 +50,10 @@
 
     def stop(self) -> list[held_runs.HeldRun]:
         """Orders a stop of the first attempt; returns the due stops."""
-        now = self.clock.now()
-        self.held.add_stop(job_messages.StopOrder(task=REF, attempt=1), now)
-        return self.held.take_due_stops(now)
+        self.held.add_stop(
+            job_messages.StopOrder(task=REF, attempt=1), self.clock.now()
+        )
+        return self.held.take_due_stops()
 
     def outcomes(self) -> list[str]:
         """Returns the outcomes of the ends for the leader."""
@@ -92,6 +93,19 @@
             self.see(dataclasses.replace(cut, clock_ms=30))
         self.assertEqual(self.outcomes(), [])
 
+    def test_acknowledged_stop_is_due_again_only_if_the_run_is_listed(
+        self,
+    ) -> None:
+        """Guards against repeating orders to a worker that doesn't answer."""
+        self.see(view(10, REF))
+        (run,) = self.stop()
+        run.stopping = False
+        run.stop_acknowledged_ms = self.clock.now()
+        self.clock.advance(held_runs.STOP_DURATION_MS + 1)
+        self.assertEqual(self.stop(), [])
+        self.see(view(20, REF))
+        self.assertEqual(self.stop(), [run])
+
     def test_listed_end_replaces_an_inferred_one(self) -> None:
         """Guards against repeating a run that is done."""
         self.see(view(10, REF))
