Keep the incarnation of a session while the next one is opened

Cause: a new incarnation that announced itself again while the opening of its session failed replaced the announcement in the session with the earlier one. The next opening then took the session for one with the same incarnation, so runs and the numbers of ends weren't reset: the ends of the new incarnation were ignored up to the last number of the earlier one, and its runs given up as no longer listed.

A session's announcement is only replaced by one of its own incarnation, and a session begins with an announcement of the incarnation that it was opened with. test_ends_of_a_new_life_are_heard_after_its_session_opens_late failed before.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -148,8 +148,14 @@
         """Replaces the announcement of the current incarnation."""
         current = self._announcement
         self._announcement = announcement
-        if self.session is not None:
-            self.session.announcement = announcement
+        session = self.session
+        # While a session with a new incarnation is being opened, the current
+        # one is still that of the earlier incarnation.
+        if (
+            session is not None
+            and session.announcement.incarnation == announcement.incarnation
+        ):
+            session.announcement = announcement
         if current is not None and current.draining != announcement.draining:
             events.log(
                 events.WORKER_DRAINING,
@@ -330,8 +336,11 @@
             self.held.end_all("lost", "incarnation_replaced")
             self.held.begin_incarnation()
         self.session = None
+        newest = self._announcement
+        if newest is None or newest.incarnation != announcement.incarnation:
+            newest = announcement
         return worker_session.Session(
-            announcement=self._announcement or announcement,
+            announcement=newest,
             number=number,
             port=port,
             token=session_opening.first_token(number),
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -73,6 +73,13 @@
             worker_port.EndedRow(number=self._last_number, end=end)
         )
 
+    def restart(self, incarnation: str) -> None:
+        """Begins an incarnation that knows nothing of the earlier one."""
+        self.incarnation = incarnation
+        self.running.clear()
+        self.ends.clear()
+        self.token = self.acknowledged = self._last_number = 0
+
     def execute_delayed(self, *, ignore_token: bool = False) -> None:
         """Executes the delayed orders.
 
@@ -221,6 +228,8 @@
         knows_session: Whether the leader knows the latest session.
         has_earlier_runs: Whether the leader knows of runs on an earlier
             incarnation; requests that don't fence them are then refused.
+        failed_session_requests: Number of requests to open a session that were
+            not answered.
         superseded_offers: Number of upcoming fenced requests that are answered
             with a new offer.
         opened_sessions: Requests whose session was opened.
@@ -235,6 +244,7 @@
         self.knows_session = True
         self.has_earlier_runs = False
         self.superseded_offers = 0
+        self.failed_session_requests = 0
         self.opened_sessions: list[job_messages.OpenWorkerSession] = []
 
     async def call(
@@ -242,6 +252,9 @@
     ) -> messages.Message:
         await asyncio.sleep(ANSWER_DELAY_S)
         if self.silent:
+            self.failed_session_requests += isinstance(
+                message, job_messages.OpenWorkerSession
+            )
             raise errors.RequestTimeoutError(text="no answer", step="test")
         if isinstance(message, job_messages.OpenWorkerSession):
             self.session_requests += 1
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -314,6 +314,34 @@
         await self.until(lambda: self.outcomes() == ["lost"])
         self.assertEqual(self.leader.reports[-1].life, "w1@2")
 
+    async def test_ends_of_a_new_life_are_heard_after_its_session_opens_late(
+        self,
+    ) -> None:
+        """Guards against ends that are ignored as those of an earlier life.
+
+        The new life announced itself again while the leader didn't answer.
+        Found by the soak test with seed 9104.
+        """
+        await self.start_run()
+        self.worker.finish(make.ref(), "done")
+        await self.until(lambda: self.worker.acknowledged == 1)
+        self.leader.silent = True
+        self.worker.restart("w1@2")
+        self.session.announce(fake_worker.announcement(started_ms=2))
+        await self.until(lambda: self.leader.failed_session_requests)
+        self.session.announce(
+            fake_worker.announcement(started_ms=2, sequence=2)
+        )
+        self.leader.silent = False
+        await self.until(lambda: self.leader.reports[-1].life == "w1@2")
+        await self.order(
+            fake_worker.start_orders(make.ref("b"), incarnation="w1@2")
+        )
+        await self.until(lambda: self.worker.running)
+        self.worker.finish(make.ref("b"), "done")
+        await self.until(lambda: self.worker.acknowledged == 1)
+        self.assertEqual(self.outcomes(), ["done", "done"])
+
     async def test_new_life_runs_no_order_of_the_earlier_one(self) -> None:
         """Guards against a run that starts twice when its worker restarts.
 
