Keep the room of a superseded run until its agent has accounted for it

A success of attempt 1 was reported 20 ms after attempt 2 had been assigned to another worker; since it is committed under attempt 2. That released the room of attempt 2, which was given away while its start order was under way, so attempt 2 ran beside what replaced it.

A superseded run now counts like a run that is still to stop, until its agent reports it or its end, or reports without it after its start order must have arrived.

test_superseded_run_takes_its_room_until_its_end_is_reported failed before.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -70,6 +70,7 @@
         observations: Replicates observations for later leaders.
         advice: Asks the advice service where advised steps may run.
         stops: Stops that were ordered.
+        superseded: Superseded runs that may run although they aren't reported.
         placement: Chooses workers for ready tasks.
     """
 
@@ -100,6 +101,7 @@
             source=advice, time=time, on_answer=self._wake.set
         )
         self.stops = stop_orders.StopTracker(time=time)
+        self.superseded = worker_capacities.SupersededRuns()
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
         self._pushes: set[asyncio.Task[None]] = set()
@@ -172,6 +174,7 @@
         now = self._observe()
         if not current or not self.table.update(report, source, now):
             return self._reply(report, known=False)
+        self.superseded.update(report, now)
         self.measurements.update(report, state, now)
         self.run_monitor.record_report(report, state)
         await self._commit_ends(report.ends, report.worker, report.life)
@@ -278,7 +281,7 @@
         term = self.log.term()
         self.stops.record(report.worker, stops, term=term)
         self.stops.check_report(report, term=term)
-        may_start = worker_capacities.has_room_to_start(state, report)
+        may_start = self._has_room_to_start(report)
         return job_messages.RunOrders(
             term=term,
             life=report.life,
@@ -299,6 +302,7 @@
             self.table.reset(self.clock.now())
             self.run_monitor.reset()
             self.stops.reset()
+            self.superseded.reset()
             self.measurements.reset()
             self.advice.reset()
             self._ended_ms.clear()
@@ -476,9 +480,7 @@
             by_worker, key=lambda run: run.worker
         ):
             worker = self.table.workers.get(name)
-            if worker is not None and worker_capacities.has_room_to_start(
-                state, worker.report
-            ):
+            if worker is not None and self._has_room_to_start(worker.report):
                 self._push(
                     worker.source,
                     job_messages.RunOrders(
@@ -552,10 +554,18 @@
         return worker_capacities.placement_capacity(
             self.log.machine.stepped,
             worker.report,
+            superseded=self.superseded.tasks(name),
             ejected=self.run_monitor.is_avoided(name),
             own_utilization=self.measurements.own_utilization,
         )
 
+    def _has_room_to_start(self, report: job_messages.WorkerReport) -> bool:
+        return worker_capacities.has_room_to_start(
+            self.log.machine.stepped,
+            report,
+            self.superseded.tasks(report.worker),
+        )
+
     def _order_stops(self) -> None:
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
@@ -663,6 +673,11 @@
         superseded = self.table.workers.get(end.superseded_worker)
         if superseded is not None:
             stop = stop_orders.superseded_stop(end.committed)
+            self.superseded.add(
+                end.superseded_worker,
+                (stop.task, stop.attempt),
+                self.clock.now(),
+            )
             self._push_stops(superseded, [stop])
 
     def _push(self, source: link.Link, orders: job_messages.RunOrders) -> None:
--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -6,6 +6,7 @@
 import unittest
 
 from bamboorouter import errors
+from bamboorouter.coordination.jobs import worker_capacities
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
@@ -74,6 +75,34 @@
             (job_messages.StopOrder(task=make.ref(), attempt=2),),
         )
 
+    async def test_superseded_run_takes_its_room_until_its_end_is_reported(
+        self,
+    ) -> None:
+        """Guards against a start beside a run whose order is under way."""
+        whole_worker = make.step(need=make.need(64_000, 1000))
+        await self.give_up_first_run(whole_worker)
+        await self.report_success()
+        await self.submit("b", whole_worker)
+        # This report was sent before the start order arrived.
+        await self.report(self.second)
+        await self.settle()
+        self.assertEqual(self.second.started(), [make.ref()])
+        await self.report(
+            self.second, ends=self.run_ends(make.ref(), "stopped", attempt=2)
+        )
+        await self.until(lambda: self.second.has_started(2))
+
+    async def test_room_of_a_superseded_run_that_is_never_reported_is_freed(
+        self,
+    ) -> None:
+        whole_worker = make.step(need=make.need(64_000, 1000))
+        await self.give_up_first_run(whole_worker)
+        await self.report_success()
+        await self.submit("b", whole_worker)
+        await self.pass_time(worker_capacities.MAX_UNREPORTED_MS)
+        await self.report(self.second)
+        await self.until(lambda: self.second.has_started(2))
+
     async def test_success_counts_after_the_next_attempt_was_lost_too(
         self,
     ) -> None:
