--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -39,6 +39,7 @@
             not executed.
         delayed: Unanswered start orders that were not executed.
         starts: All executed start orders.
+        time: Clock of the worker.
     """
 
     def __init__(self) -> None:
@@ -56,7 +57,7 @@
         self.ignored_stops = 0
         self.delayed: list[worker_port.StartRun] = []
         self.starts: list[worker_port.StartRun] = []
-        self._time = clock.SystemClock()
+        self.time: clock.Clock = clock.SystemClock()
         self._last_number = 0
 
     def open(
@@ -142,7 +143,7 @@
         self.ends = [row for row in self.ends if row.number > acknowledged]
         self.lease_end_ms = max(self.lease_end_ms, until_ms or 0)
         return worker_port.WorkerView(
-            clock_ms=self._time.now(),
+            clock_ms=self.time.now(),
             running=tuple(
                 running_row(task, attempt)
                 for task, attempt in self.running.items()
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -22,8 +22,8 @@
 LONGEST_LEASE_MS = 6000
 
 
-class AgentSessionTest(unittest.IsolatedAsyncioTestCase):
-    """Tests the session of an agent with a fake worker and a fake leader."""
+class AgentSessionCase(unittest.IsolatedAsyncioTestCase):
+    """A session of an agent with a fake worker and a fake leader."""
 
     async def asyncSetUp(self) -> None:
         self.worker = fake_worker.FakeWorker()
@@ -60,6 +60,10 @@
         """Returns the outcomes of all ends that the leader has received."""
         return [end.how for end in self.leader.ends]
 
+
+class AgentSessionTest(AgentSessionCase):
+    """Tests the session of an agent with a fake worker and a fake leader."""
+
     async def test_end_is_acknowledged_only_after_the_leader_has_it(
         self,
     ) -> None:
