Take no view with a malformed row as proof that a run is over

A row of a running run that can't be read was dropped, and the view counted as complete: after two of them the run was given up as no longer listed, and its task started again.

--- a/bamboorouter/coordination/workers/worker_port.py
+++ b/bamboorouter/coordination/workers/worker_port.py
@@ -122,8 +122,8 @@
         running: All running runs.
         ended: Ended runs that weren't acknowledged, those with the lowest
             numbers first.
-        complete: Whether `ended` contains all of them. If not, a run that isn't
-            listed may have ended.
+        complete: Whether both lists contain all of them. If not, a run that
+            isn't listed may be running or may have ended.
     """
 
     clock_ms: int
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -157,6 +157,14 @@
             _, view = wire.decode_view(json.dumps(body).encode())
             self.assertEqual(view.complete, complete)
 
+    def test_view_with_a_malformed_row_is_incomplete(self) -> None:
+        """Guards against giving up a run whose row can't be read."""
+        good = ["5c0e.0.1.17", 1, "", 40, 0]
+        for running, complete in (([good], True), ([good, ["?"]], False)):
+            body = {"clockMs": 5, "born": 7, "running": running, "finished": []}
+            _, view = wire.decode_view(json.dumps(body).encode())
+            self.assertEqual(view.complete, complete)
+
     def test_task_names_survive_both_ways(self) -> None:
         self.assertEqual(
             wire.encode_task(wire.decode_task("5c0e.0.1.17")), "5c0e.0.1.17"
