Forget the lease of a worker that rejects a poll in favour of another process

A process whose orders were fenced off by another agent process counted the rejected poll as unanswered, and its own last grant as the worker's lease: it reported the runs as lost while the other process renewed their lease. The next session of the same process used that lease too.

Both tests of tests.test_two_agent_processes failed before. It needs two live processes of one agent, for example one that is paused while its successor runs.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -417,7 +417,8 @@
             )
         except worker_port.RejectedError as err:
             if err.reason == "fence" and session.token == token:
-                # A delayed call of this session had a higher token.
+                # A call of another agent process had a higher token.
+                session.lease.invalidate()
                 session.token += 1
             return False
         except worker_port.IncarnationMismatchError:
--- a/bamboorouter/coordination/workers/run_lease.py
+++ b/bamboorouter/coordination/workers/run_lease.py
@@ -7,7 +7,8 @@
 
 An earlier agent process may have granted a lease too. It ends no later than the
 longest lease that a worker accepts, counted from the first answer of the
-worker, because orders of the earlier process are rejected from then on.
+worker, because orders of the earlier process are rejected from then on. The
+same holds for a process whose own orders were rejected in favour of another.
 """
 
 import math
@@ -46,6 +47,13 @@
         self._worker_ms = worker_ms
         self._received_ms = received_ms
 
+    def invalidate(self) -> None:
+        """Forgets the lease, because another agent process may have granted one.
+
+        The next answer of the worker counts as its first one.
+        """
+        self._received_ms = None
+
     def end_on_worker(self, end_ms: int) -> int | None:
         """Returns the end of a lease on the worker's clock.
 
