Don't assign a task while a worker reports an earlier run of it

A run that was given up and is reported again was ordered to stop, and its task was assigned at the same moment: both ran until the stop had taken effect (TWICE). Only the replicated state decided whether a task may start.

A task now waits until no report within its worker's lease shows a run of it that isn't assigned.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -405,6 +405,8 @@
         ]
         if not ready:
             return
+        still_running = self._tasks_still_running()
+        ready = [task for task in ready if task.ref not in still_running]
         positions = {
             task.ref: position for position, task in enumerate(ready, 1)
         }
@@ -447,6 +449,22 @@
             )
         self._push_starts(started)
 
+    def _tasks_still_running(self) -> set[jobs.TaskRef]:
+        """Returns the tasks of which a worker may still run an earlier attempt.
+
+        A run that is reported but isn't assigned is over once the lease of its
+        worker has ended.
+        """
+        now = self.clock.now()
+        return stop_orders.tasks_still_running(
+            self.log.machine.stepped,
+            [
+                worker.report
+                for name, worker in self.table.workers.items()
+                if now < self.table.lease_end_ms(name)
+            ],
+        )
+
     def _with_allowed_workers(
         self,
         ready: list[run_placement.ReadyTask],
--- a/bamboorouter/coordination/jobs/stop_orders.py
+++ b/bamboorouter/coordination/jobs/stop_orders.py
@@ -84,6 +84,30 @@
     ]
 
 
+def tasks_still_running(
+    state: stepped_jobs.SteppedJobs,
+    reports: Iterable[job_messages.WorkerReport],
+) -> set[jobs.TaskRef]:
+    """Returns the tasks with a reported run that isn't assigned.
+
+    The other tasks of a gang are included, since all of it starts together.
+    Reports from earlier incarnations of workers are ignored.
+    """
+    current = (
+        report
+        for report in reports
+        if (incarnation := state.incarnations.get(report.worker)) is not None
+        and incarnation.life == report.life
+    )
+    return {
+        member
+        for report in current
+        for run in unassigned_runs(state, report)
+        if state.task(run.task) is not None
+        for member, _ in state.group_of(run.task)
+    }
+
+
 def unassigned_stops(
     state: stepped_jobs.SteppedJobs, report: job_messages.WorkerReport
 ) -> list[Stop]:
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -141,7 +141,7 @@
 
     def gang_incomplete(self, ref: jobs.TaskRef) -> bool:
         """Whether any task of a task's gang is not assigned."""
-        return any(task.status != "assigned" for _, task in self._group_of(ref))
+        return any(task.status != "assigned" for _, task in self.group_of(ref))
 
     def waiting_jobs(self, queue: str) -> int:
         """Returns how many active jobs of a queue have not started a task."""
@@ -270,7 +270,7 @@
                 and task.status == "assigned"
                 and task.attempt == checkpoint.attempt
             ):
-                for _, member in self._group_of(checkpoint.task):
+                for _, member in self.group_of(checkpoint.task):
                     member.checkpoint = checkpoint.value
         return commands.Result(ok=True)
 
@@ -304,7 +304,7 @@
             return ref
         return msgspec.structs.replace(ref, index=0)
 
-    def _group_of(
+    def group_of(
         self, ref: jobs.TaskRef
     ) -> list[tuple[jobs.TaskRef, job_records.Task]]:
         """Returns a known task with the other tasks of its gang, if any."""
@@ -327,7 +327,7 @@
             return False
         refs = sorted(run.task for run in runs)
         if (
-            refs != [ref for ref, _ in self._group_of(first)]
+            refs != [ref for ref, _ in self.group_of(first)]
             or not all(self._can_start(run) for run in runs)
             or not self._have_capacity(runs)
         ):
@@ -396,7 +396,7 @@
         late_success = task.status == "waiting" and end.how == "done"
         if task.status != "assigned" and not late_success:
             return False
-        group = self._group_of(end.task)
+        group = self.group_of(end.task)
         self._release(end.task, task)
         if end.checkpoint:
             for _, member in group:
