Simulate disks that fail and are read again while the process runs

The simulation only knew disks that fail until a crash, which also drops the unsynced data. The new fault model opens the folder again with that data still readable, and later crashes lose it.

Opening writes to the folder, so a start on a disk that is broken at that time fails; the simulation then retries it, as the control role does.

--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -67,6 +67,8 @@
         down_ms: Minimum and maximum downtime of a crashed replica, in ms.
         crash_after_vote: Probability that a replica crashes after it has
             granted a vote.
+        reopens: Whether the process keeps running when a disk has failed, and
+            opens the folder again with the unsynced data still readable.
     """
 
     interval_ms: tuple[int, int] = (200, 2500)
@@ -86,11 +88,19 @@
     )
     down_ms: tuple[int, int] = (50, 4000)
     crash_after_vote: float = 0.0
+    reopens: bool = False
 
 
 NO_FAULTS = FaultModel(
     interval_ms=(10**9, 10**9), loss=0, duplicates=0, delayed=0
 )
+# Replicas whose disk failed read it again, and may crash soon after.
+DISK_FAULTS = FaultModel(
+    interval_ms=(100, 1000),
+    weights={"break_disk": 8, "crash": 6, "cut": 2},
+    down_ms=(5, 500),
+    reopens=True,
+)
 # Short crashes around votes and an unreliable network cause many elections and
 # few commits. Delayed vote requests reach voters that have restarted since.
 ELECTION_FAULTS = FaultModel(
@@ -185,6 +195,8 @@
         steps: Number of executed events.
         faults: Number of injected faults by kind.
         replaced: Number of lost replicas that were replaced completely.
+        reopened: Number of replicas that read their folder again after a
+            storage failure.
     """
 
     def __init__(
@@ -218,6 +230,7 @@
         self.acknowledged: dict[str, int] = {}
         self.faults: dict[str, int] = {}
         self.replaced = 0
+        self.reopened = 0
         self._mutate_folder = mutate_folder
         self._mutate_engine = mutate_engine
         self._on_crash = on_crash
@@ -435,20 +448,37 @@
         node.timer_ms = None
         node.sync_pending = False
         node.paused_until = 0
-        node.engine = engine.Engine(
-            folder=node.folder,
-            machine=node.machine,
-            host=node,
-            group="main",
-            address=f"slot-{node.slot}",
-            rng=random.Random(self.rng.random()),
-            now=node.now(),
-            last_leader_contact_ms=node.to_local(node.stopped_ms),
-            limits=LIMITS,
-        )
+        try:
+            node.engine = engine.Engine(
+                folder=node.folder,
+                machine=node.machine,
+                host=node,
+                group="main",
+                address=f"slot-{node.slot}",
+                rng=random.Random(self.rng.random()),
+                now=node.now(),
+                last_leader_contact_ms=node.to_local(node.stopped_ms),
+                limits=LIMITS,
+            )
+        except errors.StorageError:
+            if node.folder.free_bytes is None and not node.folder.failing_sync:
+                raise
+            self._retry_start(node)
+            return
         self._mutate_engine(node.engine)
         self._finish_step(node)
 
+    def _retry_start(self, node: Node) -> None:
+        """Starts a replica later, whose disk can't be written now."""
+        node.engine = None
+        run_number = node.run_number
+
+        def start() -> None:
+            if node.engine is None and node.run_number == run_number:
+                self._start(node)
+
+        self.schedule(500, start)
+
     def _stop(self, node: Node) -> None:
         if node.engine is not None:
             node.engine = None
@@ -621,7 +651,20 @@
             node.folder.failing_sync = True
         else:
             node.folder.free_bytes = self.rng.randint(0, 300)
-        self.schedule(3000, lambda: self._fault_crash(node))
+        if self.fault_model.reopens:
+            self.schedule(1000, lambda: self._reopen(node))
+        else:
+            self.schedule(3000, lambda: self._fault_crash(node))
+
+    def _reopen(self, node: Node) -> None:
+        """Opens the folder of a failed replica again without a crash."""
+        node.folder.failing_sync = False
+        node.folder.free_bytes = None
+        if node.engine is not None and node.engine.core.halted:
+            node.stopped_ms = self.time_ms
+            self._on_crash(node)
+            self._start(node)
+            self.reopened += 1
 
     def _fault_transfer(self, node: Node) -> None:
         running = node.engine
--- a/tests/test_consensus_random.py
+++ b/tests/test_consensus_random.py
@@ -22,6 +22,7 @@
 TIMING = core_state.Timing()
 SEEDS = range(8)
 ELECTION_SEEDS = range(100, 110)
+DISK_SEEDS = range(200, 210)
 # Seeds of which at least one has to detect an injected fault.
 INJECTED_FAULT_SEEDS = range(60)
 
@@ -55,6 +56,19 @@
                 cluster.run(DURATION_MS)
                 self.assertGreater(len(cluster.acknowledged), 100)
 
+    def test_promises_hold_while_disks_fail_and_are_read_again(self) -> None:
+        """Guards against unsynced data that counts as durable once reread."""
+        reopened = 0
+        for seed in DISK_SEEDS:
+            with self.subTest(seed=seed):
+                cluster = simulation.Simulation(
+                    seed=seed, fault_model=simulation.DISK_FAULTS
+                )
+                cluster.run(DURATION_MS)
+                self.assertGreater(len(cluster.acknowledged), 100)
+                reopened += cluster.reopened
+        self.assertGreater(reopened, 2 * len(DISK_SEEDS))
+
     def test_leader_is_elected_again_without_a_wait_after_a_power_loss(
         self,
     ) -> None:
