Show that ends of a restarted worker are ignored after a failed opening

Cause: AgentSession._update_announcement sets the announcement of the current session, which is still the session with the earlier incarnation while the next one can't be opened. _open_session then compares the new incarnation with itself and calls neither end_all nor begin_incarnation. last_listed_end keeps the number of the earlier incarnation, so the ends with lower numbers are ignored and their runs are given up as no longer listed.

--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -73,6 +73,16 @@
             worker_port.EndedRow(number=self._last_number, end=end)
         )
 
+    def restart(self, incarnation: str) -> None:
+        """Loses all state and continues as another incarnation."""
+        self.incarnation = incarnation
+        self.running.clear()
+        self.ends.clear()
+        self.token = 0
+        self.acknowledged = 0
+        self.lease_end_ms = 0
+        self._last_number = 0
+
     def execute_delayed(self, *, ignore_token: bool = False) -> None:
         """Executes the delayed orders.
 
