--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -21,6 +21,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import dataclasses
 import json
 import os
@@ -28,6 +29,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -44,6 +46,8 @@
 from devtools import soak_worker
 
 ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
+NETWORKS: Final = 128
+RESERVATION_PORT: Final = 19_999
 HOST: Final = "desk.example"
 CONTROLS: Final = 3
 ENTRIES: Final = 2
@@ -159,11 +163,14 @@
         self._seed = seed
         self._worker_count = workers
         self._basic = basic
-        # Soaks that run at the same time must not share addresses. The third
-        # octet is 1 for control replicas, 2 for entries, 3 for agents and 4 for
+        # Soaks that run at the same time must not share addresses. The socket
+        # reserves a network, 127.x.0.0, until it is closed. The third octet is 1 for control replicas, 2 for entries, 3 for agents and 4 for
         # workers, and 9, 7 and 8 for the proxies in front of control replicas,
         # entries and workers.
-        self._network = f"127.{64 + os.getpid() % 128}"
+        self._reservation = _reserve_network()
+        self._network = (
+            "127." + self._reservation.getsockname()[0].split(".")[1]
+        )
         self._port = 20_000 + os.getpid() % 10_000
         self._link_port = self._port + 10
 
@@ -232,6 +239,7 @@
         )
         await asyncio.gather(*(w.close() for w in self.workers.values()))
         await asyncio.gather(*(p.close() for p in self.proxies.values()))
+        self._reservation.close()
 
     async def _add_proxy(self, name: str, address: str, target: str) -> None:
         fault_proxy = proxy.FaultProxy()
@@ -371,6 +379,19 @@
         await process.start()
 
 
+def _reserve_network() -> socket.socket:
+    """Returns a socket whose address reserves its network for one soak.
+
+    Raises:
+        OSError: All networks are reserved.
+    """
+    for offset in range(NETWORKS):
+        host = f"127.{64 + (os.getpid() + offset) % NETWORKS}.0.1"
+        with contextlib.suppress(OSError):
+            return socket.create_server((host, RESERVATION_PORT))
+    raise OSError("all networks for soaks are reserved")
+
+
 class Soak:
     """Applies load and faults to a site and checks the outcome.
 
