--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -1,6 +1,7 @@
 """Tracks the state of the runs of a worker on its agent.
 
-The phase of a run is:
+A run is held from its first order, or from the first view that lists it, to its
+end. It is given up if the agent infers the end. The phase of a run is:
 
 * queued: the start order has not been sent;
 * starting: the start order has not been answered;
@@ -36,11 +37,9 @@
 from bamboorouter.protocol import jobs
 
 Phase = Literal["queued", "starting", "uncertain", "running"]
-# One view without a running run is no proof, because the order of two views of
-# the same ms is unknown.
+# One view without a running run is no proof: if it and the view that lists the
+# run have the same time in ms, their order is unknown.
 LOST_AFTER_MISSED_VIEWS: Final = 2
-
-
 # A worker stops a run within 0.9 s.
 STOP_DURATION_MS: Final = 1000
 
