Compute a worker's unassigned runs once for its capacity

A pass scanned them three times, now twice. A capacity with a run of unknown size counts as unknown.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -548,13 +548,11 @@
 
     def _usable_capacities(self) -> list[run_placement.WorkerCapacity]:
         """Returns the capacities of the workers that may get new runs."""
-        state = self.log.machine.stepped
         now = self.clock.now()
         capacities = (
             self._worker_capacity(name)
             for name, worker in self.table.workers.items()
             if worker.usable(now)
-            and not worker_capacities.runs_unknown_size(state, worker.report)
         )
         return [capacity for capacity in capacities if capacity is not None]
 
@@ -563,8 +561,7 @@
     ) -> run_placement.WorkerCapacity | None:
         """Returns the free capacity and load of a worker for placement.
 
-        Returns None if the worker's newest report isn't from its current
-        incarnation.
+        Returns None if the capacity is unknown.
         """
         worker = self.table.workers.get(name)
         if worker is None:
--- a/bamboorouter/coordination/jobs/worker_capacities.py
+++ b/bamboorouter/coordination/jobs/worker_capacities.py
@@ -82,7 +82,8 @@
         own_utilization: Returns the utilization that a serving task causes.
 
     Returns:
-        The capacity; None if the report isn't from the current incarnation.
+        The capacity; None if it is unknown, because the report isn't from the
+        current incarnation or contains a run of unknown size.
     """
     incarnation = state.incarnations.get(report.worker)
     if incarnation is None or incarnation.life != report.life:
@@ -98,27 +99,14 @@
         accelerators=incarnation.room.accelerators,
         ejected=ejected,
     )
-    assigned = state.on_worker.get(report.worker, {})
-    unassigned = (
-        task
-        for task in _unassigned_tasks(state, report, superseded)
-        if state.task(task) is not None
-    )
-    for ref in (*assigned, *unassigned):
+    unassigned = _unassigned_tasks(state, report, superseded)
+    if not _sizes_known(state, unassigned):
+        return None
+    for ref in (*state.on_worker.get(report.worker, {}), *unassigned):
         capacity.add(state.step(ref), own_utilization(ref))
     return capacity
 
 
-def runs_unknown_size(
-    state: stepped_jobs.SteppedJobs, report: job_messages.WorkerReport
-) -> bool:
-    """Whether a worker reports a run whose size is unknown."""
-    return any(
-        state.task(run.task) is None
-        for run in stop_orders.unassigned_runs(state, report)
-    )
-
-
 def has_room_to_start(
     state: stepped_jobs.SteppedJobs,
     report: job_messages.WorkerReport,
@@ -137,21 +125,23 @@
     if not unassigned:
         return True
     incarnation = state.incarnations.get(report.worker)
-    if incarnation is None or runs_unknown_size(state, report):
+    if incarnation is None or not _sizes_known(state, unassigned):
         return False
     return stepped_jobs.fits(
         stepped_jobs.total(
             state.used_on(report.worker),
-            *(
-                stepped_jobs.reserved(state.step(task))
-                for task in unassigned
-                if state.task(task) is not None
-            ),
+            *(stepped_jobs.reserved(state.step(task)) for task in unassigned),
         ),
         incarnation.room,
     )
 
 
+def _sizes_known(
+    state: stepped_jobs.SteppedJobs, tasks: Iterable[jobs.TaskRef]
+) -> bool:
+    return all(state.task(task) is not None for task in tasks)
+
+
 def _unassigned_tasks(
     state: stepped_jobs.SteppedJobs,
     report: job_messages.WorkerReport,
