Compare the state of a job with what was accepted before the query was sent

The trace: the query was sent at 237.284, the job accepted at 237.300 and acknowledged at 237.306; the answer to the query, 410, was read at 237.320. The two calls overlapped, so both answers are right. The check looked at what was accepted when the answer arrived.

It now looks at what was accepted before the query was sent, as the check of cancellations does. Any 410 to a later query stays a violation.

--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -222,10 +222,13 @@
         return status
 
     async def _poll_state(self, job: str) -> None:
+        accepted = self.history.is_accepted(job)
         known = self.history.known_state(job)
         status, answer = await self._call("GET", job)
         state = answer.get("state", "") if isinstance(answer, dict) else ""
-        self.history.record_state(job, status, state, known=known)
+        self.history.record_state(
+            job, status, state, accepted=accepted, known=known
+        )
 
     async def _call(
         self,
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -198,7 +198,13 @@
         return CANCELLING
 
     def record_state(
-        self, job: str, status: int, state: str, *, known: str = ""
+        self,
+        job: str,
+        status: int,
+        state: str,
+        *,
+        accepted: bool,
+        known: str = "",
     ) -> None:
         """Records the response to a query for the state of a job.
 
@@ -206,10 +212,11 @@
             job: Name of the job.
             status: HTTP status.
             state: State in the response.
+            accepted: Whether the job was accepted before the query was sent.
             known: Result of `known_state` before the query was sent.
         """
         self._log(f"{job}: state {status} {state}")
-        if self._jobs[job].accepted() and status in NOT_FOUND:
+        if accepted and status in NOT_FOUND:
             self._add_violation(f"accepted {job} is answered with {status}")
         if status != OK:
             return
