Measure the duration of a call on the client's clock

Cause: the client counts deadlines on a clock in whole ms, so the 300 ms may begin up to 1 ms before the call, while the test measured with a finer clock. The test now measures on the same clock, on which a call never ends before its deadline; the bounds are unchanged.

--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -160,15 +160,16 @@
 
     async def _time_call(self, client: control_client.ControlClient) -> float:
         """Makes a call that fails unsent; returns its duration in s."""
-        loop = asyncio.get_running_loop()
-        start_s = loop.time()
+        # Whole ms, as on the client's clock, which deadlines refer to.
+        time = clock.SystemClock()
+        start_ms = time.now()
         with self.assertRaises(errors.NotSentError):
             await client.call(
                 _reserve(0),
                 timeout_ms=CALL_TIMEOUT_MS,
                 first_send_timeout_ms=self.FIRST_SEND_TIMEOUT_MS,
             )
-        return loop.time() - start_s
+        return clock.seconds(time.now() - start_ms)
 
     async def test_call_that_finds_no_leader_ends_early(self) -> None:
         async def redirect(
