--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import math
 import pathlib
 import resource
 import tempfile
@@ -13,6 +14,7 @@
 from bamboorouter import errors
 from bamboorouter import metrics
 from bamboorouter import options
+from bamboorouter.coordination.log import engine
 from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
@@ -279,6 +281,15 @@
         await replica_site.wait_until(lambda: role.replica is None)
         self.disks.full.clear()
         await self.assert_recovered()
+        # The reopened replica draws another interval, which may be longer.
+        longest = math.ceil(
+            self.snapshot_entries
+            * (1 + engine.SNAPSHOT_JITTER)
+            * engine.LEADER_INTERVAL_FACTOR
+        )
+        while self.opened(role).status().applied < longest:
+            await self.change()
+            await replica_site.wait_until(lambda: self.follows(role))
         await replica_site.wait_until(
             lambda: any(path.glob("snapshot-*[0-9]")), timeout_s=RECOVERY_S
         )
