--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -272,13 +272,18 @@
         self.roles = [self.make_role(address) for address in self.addresses]
         await self.start()
         role = self.roles[0]
+        failed = self.opened(role)
         path = self.data_dir(self.addresses[0])
         self.disks.full_for = "snapshot-"
         self.disks.full.add(path)
         async with asyncio.timeout(20):
             while path not in self.disks.refused:
                 await self.change()
-        await replica_site.wait_until(lambda: role.replica is None)
+        # The role may have opened the next replica already.
+        await replica_site.wait_until(lambda: role.replica is not failed)
+        self.assertTrue(failed.status().halted)
+        with self.assertRaisesRegex(errors.StorageError, "closed"):
+            failed.log.folder.append("log-1", b"late")
         self.disks.full.clear()
         await self.assert_recovered()
         # The reopened replica draws another interval, which may be longer.
