Report a changed capacity of a worker at once, and log it

Callers saw tasks start on workers whose capacity had shrunk, and grown capacity that stayed unused. One part of it: an agent sent a changed capacity only with its next periodic report, up to a second later, and no log line showed the change.

A changed capacity now makes a report due, like a change of `draining`, and is logged with the old and the new amounts (worker_capacity_changed).

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -164,6 +164,15 @@
                 draining=announcement.draining,
             )
             self._report_due.set()
+        if current is not None and current.capacity != announcement.capacity:
+            events.log(
+                events.WORKER_CAPACITY_CHANGED,
+                worker=self.worker,
+                life=announcement.incarnation,
+                before=current.capacity,
+                now=announcement.capacity,
+            )
+            self._report_due.set()
 
     async def _check_takeover(
         self, announcement: worker_port.Announcement
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -597,6 +597,12 @@
     "The leader was paused or held no leader lease; that time doesn't count"
     " towards the leases of the workers.",
 )
+WORKER_ROOM_RECORDED: Final = _define_event(
+    630,
+    "worker_room_recorded",
+    logging.INFO,
+    "A changed capacity of a worker was committed.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
@@ -701,3 +707,9 @@
     "A run goes on for longer than a stop takes after the worker acknowledged a"
     " stop order; the order is sent again.",
 )
+WORKER_CAPACITY_CHANGED: Final = _define_event(
+    720,
+    "worker_capacity_changed",
+    logging.INFO,
+    "The worker announced a capacity that differs from its last one.",
+)
