Decide on the newest capacity of a worker, not that of its session

Callers saw tasks start on workers whose capacity had shrunk (LIMIT), and jobs that only a grown worker could hold were accepted and never started (LOST).

Cause: placement, the pushing of starts and the check of assignments in the state machine used the capacity with which the session was opened. Only admission used the newest report. has_room_to_start also returned True at once if nothing unassigned ran, even if the assigned runs no longer fitted.

worker_rooms now says what a worker's capacity is: for each resource the lower of the replicated and the reported amount, so that a shrunk worker gets nothing beyond its capacity before the change is committed. The leader commits changes in both directions with the next pass (NoteCheckpoints.rooms, an optional field; worker_room_recorded), so that the state machine and later leaders have them. A report of an earlier session is not committed, as its session may have begun with a newer capacity. An entry without the field changes nothing.

An assigned run that the agent doesn't hold and that no longer fits is withdrawn by a stop order (reason no_room); it is placed elsewhere once the agent confirms that it isn't running. Runs on the worker go on. The order of a run that the report lists is repeated in any case: it starts nothing, and a restarted agent learns from it what the run needs.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -256,9 +256,9 @@
 
         The agent gets start orders for assigned runs that it doesn't hold, once
         they fit beside the runs that are still to stop, and stop orders for
-        runs that aren't assigned to it. If the job of an assigned run has
-        ended, a stop order replaces the start order, so that a delayed start
-        order isn't executed.
+        runs that aren't assigned to it or no longer fit its worker. If the job
+        of an assigned run has ended, a stop order replaces the start order, so
+        that a delayed start order isn't executed.
         """
         state = self.log.machine.stepped
         assigned = state.on_worker.get(report.worker, {})
@@ -268,6 +268,12 @@
             for ref, task in assigned.items()
             if (ref, task.attempt) not in held and task.life == report.life
         ]
+        decided = worker_capacities.decide_missing(
+            state,
+            report,
+            self.superseded.tasks(report.worker),
+            [ref for ref, _ in missing if state.jobs[ref.job].active()],
+        )
         stops = [
             *(
                 stop_orders.Stop(
@@ -276,20 +282,21 @@
                 for ref, task in missing
                 if not state.jobs[ref.job].active()
             ),
+            *(
+                stop_orders.Stop(
+                    task=ref, attempt=assigned[ref].attempt, reason="no_room"
+                )
+                for ref in decided.withdrawn
+            ),
             *stop_orders.unassigned_stops(state, report),
         ]
         term = self.log.term()
         self.stops.record(report.worker, stops, term=term)
         self.stops.check_report(report, term=term)
-        may_start = self._has_room_to_start(report)
         return job_messages.RunOrders(
             term=term,
             life=report.life,
-            starts=tuple(
-                self._start_order(ref)
-                for ref, _ in missing
-                if may_start and state.jobs[ref.job].active()
-            ),
+            starts=tuple(self._start_order(ref) for ref in decided.starts),
             stops=tuple(stop.order() for stop in stops),
         )
 
@@ -350,6 +357,7 @@
 
     async def _run_pass(self) -> None:
         self.observations.restore()
+        await self.observations.record_rooms()
         await self.observations.record()
         self._require_lease("expire leases")
         await self._expire_leases()
--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -3,13 +3,18 @@
 Task checkpoints and the interference between images are known only from the
 reports of agents and would be lost with the leader. Changes are committed
 periodically, and a new leader restores what was committed before its term.
+
+Changed capacities of workers are committed without delay, because assignments
+are checked against the replicated ones.
 """
 
 import itertools
 from typing import Final
 
 from bamboorouter import clock
+from bamboorouter import events
 from bamboorouter.coordination.jobs import job_proposals
+from bamboorouter.coordination.jobs import worker_rooms
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
@@ -24,7 +29,7 @@
 
 
 class ObservationRecorder:
-    """Commits checkpoints and interference weights, and restores the latter.
+    """Commits observations, and restores interference weights.
 
     Attributes:
         log: The replicated log.
@@ -55,6 +60,35 @@
             self._restored_term = term
             self.interference.restore(self.log.machine.stepped.disturbances)
 
+    async def record_rooms(self) -> None:
+        """Commits the changed capacities of workers.
+
+        Raises:
+            RouterError: The changes may not be committed.
+        """
+        state = self.log.machine.stepped
+        rooms = worker_rooms.changed_rooms(
+            state, (worker.report for worker in self.table.workers.values())
+        )
+        if not rooms:
+            return
+        before = {
+            changed.worker: state.incarnations[changed.worker].room
+            for changed in rooms
+        }
+        await job_proposals.propose(
+            self.log, job_commands.NoteCheckpoints(rooms=rooms)
+        )
+        for changed in rooms:
+            events.log(
+                events.WORKER_ROOM_RECORDED,
+                worker=changed.worker,
+                life=changed.life,
+                before=before[changed.worker],
+                now=changed.room,
+                term=self.log.term(),
+            )
+
     async def record(self) -> None:
         """Commits changes, at most once per `RECORD_PERIOD_MS`.
 
--- a/bamboorouter/coordination/jobs/stop_orders.py
+++ b/bamboorouter/coordination/jobs/stop_orders.py
@@ -9,6 +9,9 @@
   draining, or it is to be moved. The order is pushed, and repeated until the
   end of the run is committed.
 
+A run that was not started yet is withdrawn by the same order if the capacity of
+its worker has shrunk below what it needs.
+
 The decisions are functions of the replicated state and a report. `StopTracker`
 logs each stop once with its reason, and logs again if the run is still reported
 long after it must have stopped.
@@ -43,6 +46,7 @@
     "gang_incomplete",
     "draining",
     "move",
+    "no_room",
 ]
 
 
--- a/bamboorouter/coordination/jobs/worker_capacities.py
+++ b/bamboorouter/coordination/jobs/worker_capacities.py
@@ -1,11 +1,15 @@
 """Computes how much of a worker's capacity is taken.
 
+The capacity is that of `worker_rooms`, which may change while the worker runs.
 Every run that a worker may still run takes capacity: the runs that are assigned
 to it, the reported runs that aren't assigned to it but have not stopped yet,
 and the superseded runs. The size of a run is that of its step. While a run of
 unknown size is reported, because its job is unknown, its worker gets no new
 runs.
 
+If the capacity shrinks, assigned runs may no longer fit. Those that the worker
+has continue. The others are withdrawn by a stop order and placed elsewhere.
+
 A run is superseded if an earlier attempt of its task turns out to have
 succeeded. It is no longer assigned then, but its start order may be under way.
 """
@@ -13,10 +17,15 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
 from typing import Final
 
 from bamboorouter.coordination.jobs import stop_orders
+from bamboorouter.coordination.jobs import worker_rooms
 from bamboorouter.coordination.policies import run_placement
+from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from bamboorouter.state import stepped_jobs
@@ -26,6 +35,20 @@
 MAX_UNREPORTED_MS: Final = 2000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MissingRuns:
+    """What to order for assigned runs whose orders an agent lacks.
+
+    Attributes:
+        starts: Tasks whose start is ordered now.
+        withdrawn: Tasks that no longer fit the worker and are to be placed
+            elsewhere.
+    """
+
+    starts: tuple[jobs.TaskRef, ...] = ()
+    withdrawn: tuple[jobs.TaskRef, ...] = ()
+
+
 class SupersededRuns:
     """Superseded runs that may run although their agents don't report them."""
 
@@ -85,18 +108,18 @@
         The capacity; None if it is unknown, because the report isn't from the
         current incarnation or contains a run of unknown size.
     """
-    incarnation = state.incarnations.get(report.worker)
-    if incarnation is None or incarnation.life != report.life:
+    room = worker_rooms.current_room(state, report)
+    if room is None:
         return None
     capacity = run_placement.WorkerCapacity(
         name=report.worker,
-        incarnation=incarnation.life,
+        incarnation=report.life,
         service=report.service,
         labels=frozenset(report.labels),
         rack=report.rack,
-        millicores=incarnation.room.millicores,
-        memory_mb=incarnation.room.memory_mb,
-        accelerators=incarnation.room.accelerators,
+        millicores=room.millicores,
+        memory_mb=room.memory_mb,
+        accelerators=room.accelerators,
         ejected=ejected,
     )
     unassigned = _unassigned_tasks(state, report, superseded)
@@ -114,28 +137,81 @@
 ) -> bool:
     """Whether the assigned runs of a worker may all be started now.
 
-    They may not if they don't fit beside the runs that are still to stop.
+    They may not if they don't fit beside the runs that are still to stop, or
+    if the worker's capacity has shrunk.
 
     Args:
         state: The replicated jobs.
         report: Newest report of the worker.
         superseded: Tasks of the superseded runs of the worker.
     """
+    room = worker_rooms.current_room(state, report)
     unassigned = _unassigned_tasks(state, report, superseded)
-    if not unassigned:
-        return True
-    incarnation = state.incarnations.get(report.worker)
-    if incarnation is None or not _sizes_known(state, unassigned):
+    if room is None or not _sizes_known(state, unassigned):
         return False
     return stepped_jobs.fits(
         stepped_jobs.total(
-            state.used_on(report.worker),
-            *(stepped_jobs.reserved(state.step(task)) for task in unassigned),
+            state.used_on(report.worker), *_reserved(state, unassigned)
         ),
-        incarnation.room,
+        room,
+    )
+
+
+def decide_missing(
+    state: stepped_jobs.SteppedJobs,
+    report: job_messages.WorkerReport,
+    superseded: Iterable[jobs.TaskRef],
+    missing: Sequence[jobs.TaskRef],
+) -> MissingRuns:
+    """Decides which of the runs whose orders an agent lacks are ordered now.
+
+    The order of a run that the report lists is always repeated, because it
+    starts nothing and tells a restarted agent what the run needs. Of the other
+    runs, those that fit beside the listed assigned ones keep their worker, and
+    are ordered once they also fit beside the runs that are still to stop.
+
+    Args:
+        state: The replicated jobs.
+        report: Newest report of the worker.
+        superseded: Tasks of the superseded runs of the worker.
+        missing: Tasks of the assigned runs without an order.
+    """
+    room = worker_rooms.current_room(state, report)
+    if room is None or not missing:
+        return MissingRuns()
+    assigned = state.on_worker.get(report.worker, {})
+    reported = {(run.task, run.attempt) for run in report.runs}
+    listed = {
+        ref for ref, task in assigned.items() if (ref, task.attempt) in reported
+    }
+    used = stepped_jobs.total(*_reserved(state, listed))
+    repeated, fitting, withdrawn = [], [], []
+    for ref in missing:
+        if ref in listed:
+            repeated.append(ref)
+            continue
+        with_run = stepped_jobs.total(used, *_reserved(state, [ref]))
+        if not stepped_jobs.fits(with_run, room):
+            withdrawn.append(ref)
+            continue
+        used = with_run
+        fitting.append(ref)
+    unassigned = _unassigned_tasks(state, report, superseded)
+    may_start = _sizes_known(state, unassigned) and stepped_jobs.fits(
+        stepped_jobs.total(used, *_reserved(state, unassigned)), room
+    )
+    return MissingRuns(
+        starts=(*repeated, *(fitting if may_start else ())),
+        withdrawn=tuple(withdrawn),
     )
 
 
+def _reserved(
+    state: stepped_jobs.SteppedJobs, tasks: Iterable[jobs.TaskRef]
+) -> Iterator[common.Resources]:
+    return (stepped_jobs.reserved(state.step(task)) for task in tasks)
+
+
 def _sizes_known(
     state: stepped_jobs.SteppedJobs, tasks: Iterable[jobs.TaskRef]
 ) -> bool:
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -44,9 +44,15 @@
 
 
 class NoteCheckpoints(base.Wire, frozen=True, kw_only=True, tag=27):
-    """Records progress, so that it survives the worker and the leader."""
+    """Records what agents report, so that it survives the worker and leader.
 
-    checkpoints: tuple[jobs.Checkpoint, ...]
+    Attributes:
+        checkpoints: Checkpoints of runs that are still in progress.
+        rooms: Changed capacities of current incarnations of workers.
+    """
+
+    checkpoints: tuple[jobs.Checkpoint, ...] = ()
+    rooms: tuple[jobs.WorkerRoom, ...] = ()
 
 
 class NoteDisturbances(base.Wire, frozen=True, kw_only=True, tag=28):
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -45,7 +45,7 @@
     Attributes:
         life: ID of the incarnation.
         session: Number of the newest session of its agent.
-        room: Capacity of the worker.
+        room: Capacity of the worker, as committed last.
     """
 
     life: str
@@ -262,7 +262,11 @@
     def note_checkpoints(
         self, command: job_commands.NoteCheckpoints
     ) -> commands.Result:
-        """Records checkpoints of runs that are still assigned."""
+        """Records checkpoints of assigned runs, and capacities of workers."""
+        for noted in command.rooms:
+            incarnation = self.incarnations.get(noted.worker)
+            if incarnation is not None and incarnation.life == noted.life:
+                incarnation.room = noted.room
         for checkpoint in command.checkpoints:
             task = self.task(checkpoint.task)
             if (
--- /dev/null
+++ b/tests/test_worker_room.py
@@ -0,0 +1,267 @@
+"""Guards against starts beyond a capacity that changes while a worker runs."""
+
+import unittest
+
+import msgspec
+
+from bamboorouter.coordination.jobs import run_monitor
+from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
+from bamboorouter.state import stepped_jobs
+from tests import job_builders as make
+from tests import test_job_dispatcher
+from tests import test_stop_orders
+
+SMALL = make.need(1000, 1000)
+LARGE = make.need(128_000, 500_000)
+TASK_8000 = make.step(need=make.need(8000, 1000))
+TASK_65000 = make.step(need=make.need(65_000, 1000))
+
+
+class WorkerRoomCase(test_stop_orders.StopOrdersCase):
+    """A dispatcher whose workers report changed capacities."""
+
+    async def report_room(
+        self,
+        agent: test_job_dispatcher.FakeAgent,
+        room: common.Resources,
+        *tasks: jobs.TaskRef,
+    ) -> job_messages.WorkerReply:
+        """Reports a capacity, and the first attempts of running tasks."""
+        return await self.report(
+            agent, room=room, runs=tuple(map(self.held_run, tasks))
+        )
+
+    def accept(self, job: str, *steps: jobs.Step) -> None:
+        """Accepts a job without a check whether it fits a worker."""
+        self.log.apply(
+            job_commands.AcceptSteps(
+                job=job,
+                queue="forms",
+                spec=jobs.JobSpec(spec="work", steps=steps or (make.step(),)),
+            )
+        )
+
+    async def until_replicated(self, room: common.Resources) -> None:
+        await self.until(lambda: self.replicated_room() == room)
+
+    def replicated_room(self, worker: str = "w1") -> common.Resources:
+        return self.log.machine.stepped.incarnations[worker].room
+
+
+class ShrunkRoomTest(WorkerRoomCase):
+    """No start brings a worker over its newest reported capacity."""
+
+    async def test_shrunk_worker_gets_no_task_beyond_its_room(self) -> None:
+        busy = await self.start_on(
+            "w2", "a", make.step(need=make.need(64_000, 1000))
+        )
+        shrunk = await self.connect_agent("w1")
+        await self.report_room(shrunk, SMALL)
+        await self.report(busy, runs=(self.held_run(make.ref()),))
+        await self.submit("b", TASK_8000)
+        await self.settle()
+        self.assertEqual(shrunk.started(), [])
+        await self.report_room(shrunk, make.CAPACITY)
+        await self.until(shrunk.started)
+
+    async def test_task_goes_to_the_worker_that_has_room_for_it(self) -> None:
+        shrunk = await self.connect_agent("w1")
+        await self.report_room(shrunk, SMALL)
+        other = await self.connect_agent("w2")
+        await self.submit("a", TASK_8000)
+        await self.until(other.started)
+        self.assertEqual(shrunk.started(), [])
+
+    async def test_room_that_shrinks_in_one_resource_only_counts(self) -> None:
+        agent = await self.connect_agent()
+        await self.report_room(agent, make.need(128_000, 500))
+        self.accept("a")
+        await self.settle()
+        self.assertEqual(agent.started(), [])
+
+    async def test_start_that_no_longer_fits_is_placed_elsewhere(self) -> None:
+        """The room shrinks between the assignment and the order."""
+        shrunk = await self.connect_agent("w1")
+        await self.submit("a", TASK_8000)
+        await self.until(shrunk.started)
+        other = await self.connect_agent("w2")
+        # The pushed order was lost: the report doesn't list the run.
+        reply = await self.report_room(shrunk, SMALL)
+        self.assertEqual(reply.orders.starts, ())
+        self.assertEqual(self.reply_stops(reply), [(make.ref(), 1)])
+        self.assertEqual(self.stop_reasons(), ["no_room"])
+        await self.report(
+            shrunk, room=SMALL, ends=self.run_ends(make.ref(), "rejected")
+        )
+        self.time.advance(run_monitor.REJECTION_BACKOFF_MS)
+        self.dispatcher.wake()
+        await self.until(other.started)
+        self.assertEqual(len(shrunk.started()), 1)
+
+    async def test_start_that_still_fits_is_repeated(self) -> None:
+        agent = await self.connect_agent()
+        await self.submit("a", make.step(3, need=make.need(8000, 1000)))
+        await self.until(lambda: agent.has_started(3))
+        first, second, third = (make.ref(index=index) for index in range(3))
+        reply = await self.report_room(agent, make.need(20_000, 9000), second)
+        self.assertEqual([start.task for start in reply.orders.starts], [first])
+        self.assertEqual(self.reply_stops(reply), [(third, 1)])
+
+    async def test_run_that_is_being_stopped_counts_in_a_shrunk_room(
+        self,
+    ) -> None:
+        agent = await self.start_on("w1", "a", TASK_8000)
+        await self.cancel("a")
+        await self.report(agent, ends=self.run_ends(make.ref(), "lost"))
+        room = make.need(12_000, 9000)
+        await self.report_room(agent, room, make.ref("a"))
+        self.accept("b", TASK_8000)
+        await self.settle()
+        self.assertEqual(agent.started(), [make.ref("a")])
+        await self.report_room(agent, room)
+        await self.until(lambda: agent.has_started(2))
+
+    async def test_runs_beyond_a_shrunk_room_go_on(self) -> None:
+        agent = await self.start_on("w1", "a", TASK_8000)
+        reply = await self.report_room(agent, SMALL, make.ref())
+        await self.settle()
+        self.assertEqual(self.reply_stops(reply), [])
+        self.assertEqual(agent.stopped(), [])
+
+    async def test_order_is_repeated_for_a_run_that_is_on_the_worker(
+        self,
+    ) -> None:
+        """A restarted agent needs the orders of the runs that it finds."""
+        agent = await self.start_on("w1", "a", TASK_8000)
+        found = job_messages.HeldRun(
+            task=make.ref(), attempt=1, running=True, ordered=False
+        )
+        reply = await self.report(agent, room=SMALL, runs=(found,))
+        self.assertEqual(
+            [start.task for start in reply.orders.starts], [make.ref()]
+        )
+        self.assertEqual(self.reply_stops(reply), [])
+
+    async def test_worker_without_any_room_gets_nothing(self) -> None:
+        agent = await self.connect_agent()
+        await self.report_room(agent, common.Resources())
+        self.accept("a", make.step(image="x", target_ms=100))
+        self.accept("b", make.step(image="y", fills=True))
+        await self.settle()
+        self.assertEqual(agent.started(), [])
+
+
+class GrownRoomTest(WorkerRoomCase):
+    """A grown capacity is used soon."""
+
+    async def test_grown_worker_gets_a_task_of_its_new_size(self) -> None:
+        agent = await self.connect_agent()
+        await self.report_room(agent, LARGE)
+        self.assertEqual(await self.submit("a", TASK_65000), "ok")
+        await self.until(agent.started)
+
+    async def test_worker_that_grows_back_gets_tasks_again(self) -> None:
+        agent = await self.connect_agent()
+        await self.report_room(agent, SMALL)
+        await self.settle()
+        await self.report_room(agent, make.CAPACITY)
+        await self.submit("a", TASK_8000)
+        await self.until(agent.started)
+
+    async def test_job_that_fits_a_shrunk_worker_no_more_may_be_sent_again(
+        self,
+    ) -> None:
+        agent = await self.connect_agent()
+        await self.report_room(agent, SMALL)
+        submission = self.submission("a", TASK_8000)
+        answer = await self.job_handler.submit(submission)
+        self.assertEqual(answer.outcome, "refused")
+        self.assertGreater(answer.retry_after_ms, 0)
+        await self.report_room(agent, make.CAPACITY)
+        self.time.advance(answer.retry_after_ms)
+        await self.report_room(agent, make.CAPACITY)
+        answer = await self.job_handler.submit(submission)
+        self.assertEqual(answer.outcome, "ok")
+
+
+class ReplicatedRoomTest(WorkerRoomCase):
+    """The room is replicated, so that every replica checks against it."""
+
+    async def test_both_directions_are_committed(self) -> None:
+        agent = await self.connect_agent()
+        for room in (SMALL, LARGE):
+            await self.report_room(agent, room)
+            await self.until_replicated(room)
+
+    async def test_room_of_an_earlier_session_is_not_committed(self) -> None:
+        """A new session of the incarnation may have begun with a newer room."""
+        agent = await self.connect_agent()
+        await self.report_room(agent, SMALL)
+        await self.until_replicated(SMALL)
+        await self.dispatcher.open_session(
+            job_messages.OpenWorkerSession(worker="w1", life="w1@1", room=LARGE)
+        )
+        await self.settle()
+        self.assertEqual(self.replicated_room(), LARGE)
+
+    async def test_new_leader_uses_the_smaller_of_both_rooms(self) -> None:
+        agent = await self.connect_agent()
+        self.log.elect_again()
+        await self.report_room(agent, SMALL)
+        await self.submit("a", TASK_8000)
+        await self.settle()
+        self.assertEqual(agent.started(), [])
+
+    async def test_new_leader_waits_for_a_report(self) -> None:
+        agent = await self.connect_agent()
+        await self.report_room(agent, SMALL)
+        self.log.elect_again()
+        await self.submit("a", TASK_8000)
+        await self.pass_time(worker_table.SILENT_MS)
+        self.assertEqual(agent.started(), [])
+
+
+class RecordedRoomTest(unittest.TestCase):
+    """A committed capacity applies to the current incarnation only."""
+
+    def setUp(self) -> None:
+        self.jobs = make.Jobs()
+        self.jobs.open_session()
+
+    def record(self, room: common.Resources, life: str = "w1@1") -> None:
+        self.jobs.state.note_checkpoints(
+            job_commands.NoteCheckpoints(
+                rooms=(jobs.WorkerRoom(worker="w1", life=life, room=room),)
+            )
+        )
+
+    def test_assignments_are_checked_against_the_recorded_room(self) -> None:
+        self.jobs.accept("a", TASK_65000)
+        self.jobs.accept("b", TASK_8000)
+        self.assertFalse(self.jobs.start(make.ref("a")))
+        self.record(LARGE)
+        self.assertTrue(self.jobs.start(make.ref("a")))
+        self.record(SMALL)
+        self.assertFalse(self.jobs.start(make.ref("b")))
+        self.assertEqual(self.jobs.task(make.ref("a")).status, "assigned")
+
+    def test_room_of_an_earlier_incarnation_changes_nothing(self) -> None:
+        self.jobs.open_session(incarnation="w1@2")
+        self.record(SMALL)
+        self.assertEqual(self.jobs.state.incarnations["w1"].room, make.CAPACITY)
+
+    def test_recorded_room_is_part_of_a_snapshot(self) -> None:
+        self.record(SMALL)
+        restored = stepped_jobs.SteppedJobs()
+        restored.restore(self.jobs.state.snapshot())
+        self.assertEqual(restored.incarnations["w1"].room, SMALL)
+
+    def test_entry_of_an_earlier_version_changes_no_room(self) -> None:
+        # The tag and the only field that the command had.
+        command = msgspec.convert([27, []], job_commands.NoteCheckpoints)
+        self.jobs.state.note_checkpoints(command)
+        self.assertEqual(self.jobs.state.incarnations["w1"].room, make.CAPACITY)
