Check on the agent that a run fits its worker before it is started

Callers saw starts that bring a worker over its capacity (LIMIT). The leader decides on the newest report that it has. An order that is under way when the worker announces a lower capacity, a capacity that shrinks while a session is being opened, and a run that the leader doesn't know of yet are known only to the agent, which sent each order: workers of services without enforcesCapacity start what they are told to.

Before an agent sends a start order, also a repeated one, the run must now fit beside everything that the worker may have: listed runs, also while they are being stopped, and orders that may be carried out. Otherwise the run ends as rejected (evidence never_sent, with the resource that is short) and is placed elsewhere after the backoff of run_monitor. As in the state machine, a best-effort run reserves memory and accelerators only.

Beside a run of unknown size nothing starts. Such a run was found on the worker by a restarted agent. The repeated start order tells its size, and a stop order now does too (StopOrder.reserves, optional), if the agent lacks the start order.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -276,16 +276,12 @@
         )
         stops = [
             *(
-                stop_orders.Stop(
-                    task=ref, attempt=task.attempt, reason="job_ended"
-                )
-                for ref, task in missing
+                stop_orders.missing_stop(state, ref, "job_ended")
+                for ref, _ in missing
                 if not state.jobs[ref.job].active()
             ),
             *(
-                stop_orders.Stop(
-                    task=ref, attempt=assigned[ref].attempt, reason="no_room"
-                )
+                stop_orders.missing_stop(state, ref, "no_room")
                 for ref in decided.withdrawn
             ),
             *stop_orders.unassigned_stops(state, report),
--- a/bamboorouter/coordination/jobs/stop_orders.py
+++ b/bamboorouter/coordination/jobs/stop_orders.py
@@ -26,6 +26,7 @@
 from bamboorouter import clock
 from bamboorouter import events
 from bamboorouter import metrics
+from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from bamboorouter.state import stepped_jobs
@@ -60,6 +61,8 @@
         reason: Why it must stop.
         assigned_attempt: Attempt that is assigned instead; 0 if there is none.
         assigned_worker: Worker of that attempt; empty if there is none.
+        reserves: What the run reserves on its worker; None if unknown or if
+            its agent has the start order.
     """
 
     task: jobs.TaskRef
@@ -67,10 +70,13 @@
     reason: StopReason
     assigned_attempt: int = 0
     assigned_worker: str = ""
+    reserves: common.Resources | None = None
 
     def order(self) -> job_messages.StopOrder:
         """Returns the order to send."""
-        return job_messages.StopOrder(task=self.task, attempt=self.attempt)
+        return job_messages.StopOrder(
+            task=self.task, attempt=self.attempt, reserves=self.reserves
+        )
 
 
 # --- Decisions ---------------------------------------------------------------
@@ -147,6 +153,20 @@
     ]
 
 
+def missing_stop(
+    state: stepped_jobs.SteppedJobs, ref: jobs.TaskRef, reason: StopReason
+) -> Stop:
+    """Returns the stop of an assigned run that its agent doesn't hold."""
+    task = state.task(ref)
+    assert task is not None
+    return Stop(
+        task=ref,
+        attempt=task.attempt,
+        reason=reason,
+        reserves=stepped_jobs.reserved(state.step(ref)),
+    )
+
+
 def superseded_stop(end: jobs.RunEnd) -> Stop:
     """Returns the stop of a run whose task an earlier attempt has completed."""
     return Stop(task=end.task, attempt=end.attempt, reason="not_assigned")
@@ -159,6 +179,7 @@
     if task is None:
         return Stop(task=run.task, attempt=run.attempt, reason="job_unknown")
     assigned = task.status == "assigned"
+    reserves = stepped_jobs.reserved(state.step(run.task))
     active = state.jobs[run.task.job].active()
     return Stop(
         task=run.task,
@@ -166,6 +187,7 @@
         reason="not_assigned" if active else "job_ended",
         assigned_attempt=task.attempt if assigned else 0,
         assigned_worker=task.worker if assigned else "",
+        reserves=None if run.ordered else reserves,
     )
 
 
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -33,6 +33,7 @@
 from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import session_opening
+from bamboorouter.coordination.workers import start_room
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.coordination.workers import worker_session
 from bamboorouter.protocol import job_messages
@@ -564,6 +565,7 @@
         If the outcome remains uncertain, a poll determines it.
         """
         key = (run.task, run.attempt)
+        shortage = ""
         for _ in range(MAX_START_ATTEMPTS):
             if self.held.runs.get(key) is not run:
                 return
@@ -574,6 +576,11 @@
                 or run.stop_ordered
             ):
                 break
+            shortage = start_room.find_shortage(
+                run, self.held.runs.values(), session.announcement.capacity
+            )
+            if shortage:
+                break
             token = session.token
             run.phase, run.token = "starting", token
             run.since_ms = self.clock.now()
@@ -613,7 +620,7 @@
         evidence: ended_runs.Evidence = (
             "never_sent" if run.token < 0 else "order_rejected"
         )
-        self.held.end(run, "rejected", evidence)
+        self.held.end(run, "rejected", evidence, shortage=shortage)
         self._report_due.set()
 
     async def _set_initial_speed(
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -33,8 +33,10 @@
 from bamboorouter import clock
 from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.state import resource_math
 
 Phase = Literal["queued", "starting", "uncertain", "running"]
 # One view without a running run is no proof: if it and the view that lists the
@@ -65,6 +67,8 @@
         row: Last row of the run in a view of the worker; None if there is none.
         missed: Successive views that didn't list the run while it was running.
         pace: Last ordered speed, in percent of full speed.
+        stop_reserves: What the run reserves on the worker according to its
+            stop order; None if unknown.
     """
 
     task: jobs.TaskRef
@@ -80,6 +84,13 @@
     row: worker_port.RunningRow | None = None
     missed: int = 0
     pace: int = 100
+    stop_reserves: common.Resources | None = None
+
+    def reserves(self) -> common.Resources | None:
+        """Returns what the run reserves on the worker; None if unknown."""
+        if self.order is None:
+            return self.stop_reserves
+        return resource_math.reserved(self.order.need, fills=self.order.fills)
 
     def stop_due(self) -> bool:
         """Returns whether a stop order must be sent to the worker."""
@@ -190,6 +201,7 @@
             self.end(run, "rejected", "never_sent")
         elif run is not None:
             run.stop_ordered = True
+            run.stop_reserves = order.reserves or run.stop_reserves
         elif key in self.ended.listed:
             self.ended.log_stop_not_sent(key, "ended")
         elif key in self.ended.inferred:
@@ -203,6 +215,7 @@
                 phase="uncertain",
                 since_ms=now,
                 stop_ordered=True,
+                stop_reserves=order.reserves,
             )
 
     def take_due_stops(self) -> list[HeldRun]:
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -246,10 +246,13 @@
     Attributes:
         task: The task.
         attempt: Number of the attempt.
+        reserves: What the run reserves on the worker until it has ended, for
+            agents that don't have its start order; None if unknown.
     """
 
     task: jobs.TaskRef
     attempt: int
+    reserves: common.Resources | None = None
 
 
 class RunOrders(base.Wire, frozen=True, kw_only=True, tag=143):
--- a/bamboorouter/state/resource_math.py
+++ b/bamboorouter/state/resource_math.py
@@ -74,6 +74,21 @@
     )
 
 
+def reserved(need: common.Resources, *, fills: bool) -> common.Resources:
+    """Returns what a task of a job with steps reserves on a worker.
+
+    Args:
+        need: Resources that the task needs.
+        fills: Whether it runs on idle processor time of other tasks, so that
+            no processors are reserved for it.
+    """
+    if not fills:
+        return need
+    return common.Resources(
+        memory_mb=need.memory_mb, accelerators=need.accelerators
+    )
+
+
 def missing(need: common.Resources, free: common.Resources) -> str:
     """Names the first resource of which `need` exceeds `free`, if any."""
     pairs = (
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -34,6 +34,7 @@
 from bamboorouter.protocol import job_limits
 from bamboorouter.protocol import jobs
 from bamboorouter.state import job_records
+from bamboorouter.state import resource_math
 
 _NO_RESOURCES: Final = common.Resources()
 
@@ -73,16 +74,8 @@
 
 
 def reserved(step: jobs.Step) -> common.Resources:
-    """Returns what a task of a step reserves on a worker.
-
-    Tasks of a step with `fills` run on idle processor time of other tasks, so
-    no processors are reserved for them.
-    """
-    if not step.fills:
-        return step.need
-    return common.Resources(
-        memory_mb=step.need.memory_mb, accelerators=step.need.accelerators
-    )
+    """Returns what a task of a step reserves on a worker."""
+    return resource_math.reserved(step.need, fills=step.fills)
 
 
 class SteppedJobs:
--- a/tests/test_agent_room.py
+++ b/tests/test_agent_room.py
@@ -3,13 +3,18 @@
 import itertools
 from unittest import mock
 
+import msgspec
+
 from bamboorouter import events
 from bamboorouter.coordination.workers import agent_session
+from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import common
+from bamboorouter.protocol import jobs
 from tests import fake_worker
 from tests import job_builders as make
 from tests import test_agent_session
 
+A, B, C = (make.ref(job) for job in "abc")
 SMALL = make.need(1000, 1000)
 HOUR_MS = 3_600_000
 LARGE = make.need(128_000, 500_000)
@@ -39,6 +44,52 @@
             )
         )
 
+    async def order_starts(
+        self,
+        *tasks: jobs.TaskRef,
+        need: common.Resources,
+        fills: bool = False,
+    ) -> None:
+        """Orders the first attempts of tasks of one size in one message."""
+        orders = fake_worker.start_orders(*tasks)
+        starts = tuple(
+            msgspec.structs.replace(order, need=need, fills=fills)
+            for order in orders.starts
+        )
+        await self.order(msgspec.structs.replace(orders, starts=starts))
+
+    async def order_stop(
+        self, task: jobs.TaskRef, reserves: common.Resources | None = None
+    ) -> None:
+        orders = fake_worker.stop_orders(task)
+        stops = tuple(
+            msgspec.structs.replace(order, reserves=reserves)
+            for order in orders.stops
+        )
+        await self.order(msgspec.structs.replace(orders, stops=stops))
+
+    async def until_running(self, *tasks: jobs.TaskRef) -> None:
+        await self.until(lambda: set(self.worker.running) == set(tasks))
+
+    async def until_ended(self, *outcomes: str) -> None:
+        await self.until(lambda: self.outcomes() == list(outcomes))
+
+    async def until_held(self, task: jobs.TaskRef, phase: str) -> None:
+        await self.until(
+            lambda: (
+                (run := self.session.held.runs.get((task, 1))) is not None
+                and run.phase == phase
+            )
+        )
+
+    async def restart_agent(self) -> None:
+        """Replaces the agent process; the worker's runs continue."""
+        await self.session.stop()
+        self.leader.reports.clear()
+        self.session = self.new_session()
+        self.session.announce(fake_worker.announcement())
+        await self.until(self.reachable)
+
     async def until_reported(self, capacity: common.Resources) -> None:
         await self.until(lambda: self.leader.reports[-1].room == capacity)
 
@@ -77,3 +128,145 @@
             [room for room, _ in itertools.groupby(self.reported_rooms())],
             [make.CAPACITY, SMALL, LARGE],
         )
+
+
+class LastCheckTest(AgentRoomCase):
+    """No start order that exceeds the announced capacity is sent."""
+
+    async def test_start_beyond_a_shrunk_capacity_is_not_sent(self) -> None:
+        self.announce(SMALL)
+        with mock.patch.object(events, "log") as log:
+            await self.order_starts(A, need=make.need(8000, 500))
+            await self.until_ended("rejected")
+        self.assertEqual(self.worker.starts, [])
+        (given_up,) = (
+            call.kwargs
+            for call in log.call_args_list
+            if call.args[0] is events.RUN_GIVEN_UP
+        )
+        self.assertEqual(
+            (given_up["evidence"], given_up["shortage"]),
+            ("never_sent", "processors"),
+        )
+
+    async def test_start_within_a_grown_capacity_is_sent(self) -> None:
+        self.announce(LARGE)
+        await self.order_starts(A, need=make.need(100_000, 400_000))
+        await self.until_running(A)
+
+    async def test_each_resource_counts(self) -> None:
+        await self.order_starts(A, need=make.need(1000, 250_001))
+        await self.until_ended("rejected")
+        await self.order_starts(
+            B, need=common.Resources(millicores=1, accelerators=1)
+        )
+        await self.until_ended("rejected", "rejected")
+        self.assertEqual(self.worker.starts, [])
+
+    async def test_orders_that_arrive_together_are_checked_one_by_one(
+        self,
+    ) -> None:
+        await self.order_starts(A, B, need=make.need(40_000, 1000))
+        await self.until_ended("rejected")
+        await self.until_running(A)
+
+    async def test_run_that_is_being_stopped_counts_until_it_ends(self) -> None:
+        await self.order_starts(A, need=make.need(40_000, 1000))
+        await self.until_running(A)
+        self.worker.ignored_stops = 1
+        await self.order_stop(A)
+        await self.order_starts(B, need=make.need(40_000, 1000))
+        await self.until_ended("rejected")
+        self.worker.finish(A, "stopped")
+        await self.until_ended("rejected", "stopped")
+        await self.order_starts(C, need=make.need(40_000, 1000))
+        await self.until_running(C)
+
+    async def test_order_without_an_answer_counts(self) -> None:
+        self.worker.unanswered = 1
+        # No view resolves the order meanwhile.
+        self.worker.unanswered_polls = 10
+        await self.order_starts(A, need=make.need(40_000, 1000))
+        await self.until_held(A, "uncertain")
+        await self.order_starts(B, need=make.need(40_000, 1000))
+        await self.until_ended("rejected")
+        self.assertEqual([order.task for order in self.worker.starts], [A])
+
+    async def test_best_effort_run_reserves_memory_only(self) -> None:
+        whole = make.need(64_000, 100_000)
+        await self.order_starts(A, need=whole)
+        await self.until_running(A)
+        await self.order_starts(B, need=whole, fills=True)
+        await self.until_running(A, B)
+        await self.order_starts(C, need=whole, fills=True)
+        await self.until_ended("rejected")
+
+    async def test_capacity_that_shrinks_before_an_order_is_repeated(
+        self,
+    ) -> None:
+        start, late = self.worker.start, [True]
+
+        async def reject_first(order: worker_port.StartRun) -> None:
+            if late:
+                late.clear()
+                self.announce(SMALL)
+                raise worker_port.RejectedError(
+                    reason="late", step="test", peer="worker"
+                )
+            await start(order)
+
+        with mock.patch.object(self.worker, "start", side_effect=reject_first):
+            await self.order_starts(A, need=make.need(8000, 1000))
+            await self.until_ended("rejected")
+        self.assertEqual(self.worker.starts, [])
+
+
+class FoundRunTest(AgentRoomCase):
+    """A restarted agent counts the runs that it finds on the worker."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.order_starts(A, need=make.need(8000, 1000))
+        await self.until_running(A)
+        await self.restart_agent()
+        await self.until_held(A, "running")
+
+    async def test_nothing_starts_beside_a_run_of_unknown_size(self) -> None:
+        await self.order_starts(B, need=make.need())
+        await self.until_ended("rejected")
+        self.assertEqual(set(self.worker.running), {A})
+
+    async def test_repeated_order_tells_the_size(self) -> None:
+        await self.order_starts(A, need=make.need(8000, 1000))
+        await self.order_starts(B, need=make.need(56_000, 1000))
+        await self.until_running(A, B)
+        await self.order_starts(C, need=make.need())
+        await self.until_ended("rejected")
+
+    async def test_stop_order_tells_the_size(self) -> None:
+        self.worker.ignored_stops = 1
+        await self.order_stop(A, reserves=make.need(8000, 1000))
+        await self.order_starts(B, need=make.need(56_000, 1000))
+        await self.until_running(A, B)
+        await self.order_starts(C, need=make.need())
+        await self.until_ended("rejected")
+
+
+class SessionOpeningTest(AgentRoomCase):
+    """A capacity that changes while a session is opened counts at once."""
+
+    async def test_first_report_has_the_newest_capacity(self) -> None:
+        self.leader.silent = True
+        failed = self.leader.failed_session_requests
+        await self.session.stop()
+        self.leader.reports.clear()
+        self.session = self.new_session()
+        self.session.announce(fake_worker.announcement())
+        await self.until(lambda: self.leader.failed_session_requests > failed)
+        self.announce(SMALL)
+        self.leader.silent = False
+        await self.until(self.reachable)
+        self.assertEqual(set(self.reported_rooms()), {SMALL})
+        await self.order_starts(A, need=make.need(8000, 500))
+        await self.until_ended("rejected")
+        self.assertEqual(self.worker.starts, [])
--- a/tests/test_worker_room.py
+++ b/tests/test_worker_room.py
@@ -146,6 +146,18 @@
         )
         self.assertEqual(self.reply_stops(reply), [])
 
+    async def test_stop_tells_the_size_of_a_run_without_an_order(self) -> None:
+        await self.start_on("w1", "a", TASK_8000)
+        other = await self.connect_agent("w2")
+        for ordered, reserves in ((False, TASK_8000.need), (True, None)):
+            found = job_messages.HeldRun(
+                task=make.ref(), attempt=1, running=True, ordered=ordered
+            )
+            reply = await self.report(other, runs=(found,))
+            self.assertEqual(
+                [stop.reserves for stop in reply.orders.stops], [reserves]
+            )
+
     async def test_worker_without_any_room_gets_nothing(self) -> None:
         agent = await self.connect_agent()
         await self.report_room(agent, common.Resources())
