Count a run on a shrunk worker as a load of at most the whole worker

Pacing and the learning of interference convert processor time to load units, a share of the worker's announced capacity. A best-effort run that began before the capacity shrank could count as any multiple of the worker: with a capacity of 0, 8,000 millicores were 80,000 units. Nothing divided by zero, but one sample at unchanged latency then taught that the image doesn't interfere at all (weight 0), and the pacing of its runs on other workers relied on that.

The share is now at most 1. The new test failed before (share 8000 instead of 1); after one such sample a weight of 0.2 stays above HARMLESS_WEIGHT.

--- a/bamboorouter/coordination/policies/image_interference.py
+++ b/bamboorouter/coordination/policies/image_interference.py
@@ -179,5 +179,10 @@
 
 
 def load_units(millicores: int, worker_millicores: int) -> float:
-    """Converts millicores to load units of a worker."""
-    return millicores / max(1, worker_millicores) / LOAD_UNIT_SHARE
+    """Converts millicores to load units of a worker.
+
+    A run that began before the worker's capacity shrank may use more than the
+    worker has now; it counts as a load of the whole worker.
+    """
+    share = min(1.0, millicores / max(1, worker_millicores))
+    return share / LOAD_UNIT_SHARE
--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -304,6 +304,27 @@
         self.assertAlmostEqual(image_interference.utilization(100, 100), 5 / 6)
         self.assertEqual(image_interference.utilization(10, 100), 0.0)
 
+    def test_run_on_a_shrunk_worker_is_at_most_the_load_of_all_of_it(
+        self,
+    ) -> None:
+        """Guards against a weight of zero after a capacity has shrunk."""
+        for capacity in (0, 1, 8000):
+            units = image_interference.load_units(8000, capacity)
+            self.assertAlmostEqual(
+                units * image_interference.LOAD_UNIT_SHARE, 1.0
+            )
+        self.assertEqual(image_interference.load_units(0, 0), 0.0)
+        learned = image_interference.ImageInterference()
+        train(learned, heavy=0.2)
+        before, shrunk = (
+            sample(0.5, heavy=image_interference.load_units(1600, capacity))
+            for capacity in (16_000, 0)
+        )
+        learned.learn(before, shrunk)
+        self.assertGreater(
+            learned.weight("desk", "heavy"), image_interference.HARMLESS_WEIGHT
+        )
+
 
 class JobOrderTest(unittest.TestCase):
     """Jobs that can still meet their deadline are ordered first."""
