Play random capacities beside starts, ends, elections and restarts

tests.test_room_random connects a dispatcher with sessions of three agents and workers that start whatever they are told to. A start may exceed a worker's capacity only if it fitted one that was announced when its order was sent or later; no task may run on two workers; once all capacities are back, all jobs end. The decisions come from a seed; ROOM_SEEDS plays others.

--- /dev/null
+++ b/tests/test_room_random.py
@@ -0,0 +1,305 @@
+"""Plays capacities that change at random beside starts, ends and elections.
+
+A dispatcher and the agents' sessions run in one process with workers that start
+whatever they are told to. The decisions of a play are drawn from its seed; the
+order of events also depends on timing.
+"""
+
+import asyncio
+import os
+import random
+from typing import cast
+import unittest
+from unittest import mock
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter.coordination.jobs import dispatcher
+from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.workers import agent_session
+from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
+from bamboorouter.protocol import messages
+from bamboorouter.state import resource_math
+from tests import control_fakes
+from tests import fake_worker
+from tests import job_builders as make
+from tests import replica_site
+
+SEEDS = (1, 2, 3)
+WORKERS = 3
+EVENTS = 150
+EVENT_PAUSE_S = 0.01
+MAX_ORDER_DELAY_S = 0.03
+MAX_STOP_S = 0.1
+FULL = make.need(16_000, 16_000)
+# Sizes of tasks and capacities, in sixteenths of `FULL`.
+TASK_SIZES = (1, 2, 4, 8, 16)
+CAPACITIES = (0, 1, 4, 8, 12, 16, 16, 16)
+OUTCOMES: tuple[jobs.RunOutcome, ...] = ("done", "done", "done", "failed")
+# All tasks have ended by then although the workers were full.
+MAX_DRAIN_S = 60.0
+
+
+def share(sixteenths: int) -> common.Resources:
+    """Returns a share of a full worker."""
+    return make.need(sixteenths * 1000, sixteenths * 1000)
+
+
+class ModelWorker(fake_worker.FakeWorker):
+    """A worker that checks each start against its announced capacities.
+
+    A start may exceed the current capacity only if it fitted a capacity that
+    was announced when the order was sent, or later.
+
+    Attributes:
+        name: Name of the worker.
+        capacity: Capacity that was announced last.
+        violations: Starts that exceeded all these capacities, and starts of
+            tasks that run on another worker.
+        changes: Capacities announced so far.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        log: control_fakes.FakeLog,
+        choose: random.Random,
+        others: dict[str, "ModelWorker"],
+    ) -> None:
+        super().__init__()
+        self.name = name
+        self.incarnation = f"{name}@1"
+        self.capacity = FULL
+        self.changes = [FULL]
+        self.violations: list[str] = []
+        self._log = log
+        self._choose = choose
+        self._others = others
+
+    def announcement(self) -> worker_port.Announcement:
+        return fake_worker.announcement(
+            id=self.name, sequence=len(self.changes), capacity=self.capacity
+        )
+
+    def change_capacity(self) -> None:
+        self.capacity = share(self._choose.choice(CAPACITIES))
+        self.changes.append(self.capacity)
+
+    async def start(self, order: worker_port.StartRun) -> None:
+        sent = len(self.changes) - 1
+        await asyncio.sleep(self._choose.uniform(0, MAX_ORDER_DELAY_S))
+        known = order.task in self.running
+        await super().start(order)
+        if not known:
+            self._check_room(order, self.changes[sent:])
+
+    async def stop(
+        self, task: jobs.TaskRef, attempt: int, *, token: int
+    ) -> None:
+        self._check_token(token)
+        if self.running.get(task) == attempt:
+            delay_s = self._choose.uniform(0, MAX_STOP_S)
+            asyncio.get_running_loop().call_later(
+                delay_s, self._stop_run, task, attempt
+            )
+
+    def _stop_run(self, task: jobs.TaskRef, attempt: int) -> None:
+        if self.running.get(task) == attempt:
+            self.finish(task, "stopped")
+
+    def _check_room(
+        self, order: worker_port.StartRun, capacities: list[common.Resources]
+    ) -> None:
+        steps = (self._log.machine.stepped.step(task) for task in self.running)
+        used = resource_math.total(
+            resource_math.reserved(step.need, fills=step.fills)
+            for step in steps
+        )
+        if not any(resource_math.fits(used, room) for room in capacities):
+            self.violations.append(f"{order.task}: {used} in {capacities}")
+        for other in self._others.values():
+            if other is not self and order.task in other.running:
+                self.violations.append(f"{order.task} runs twice")
+
+
+class LeaderClient:
+    """Passes an agent's calls to the dispatcher, and its orders back."""
+
+    def __init__(self, leader: dispatcher.JobDispatcher) -> None:
+        self.leader = leader
+        self.session: agent_session.AgentSession | None = None
+        self.link = mock.Mock(closed=asyncio.Event(), push=self._push)
+
+    async def _push(self, orders: job_messages.RunOrders) -> None:
+        await asyncio.sleep(0)
+        if self.session is not None:
+            await self.session.handle_message(orders, self.link)
+
+    async def call(
+        self, message: messages.Message, *, timeout_ms: int
+    ) -> messages.Message:
+        del timeout_ms
+        await asyncio.sleep(fake_worker.ANSWER_DELAY_S)
+        if isinstance(message, job_messages.OpenWorkerSession):
+            return await self.leader.open_session(message)
+        if not isinstance(message, job_messages.WorkerReport):
+            raise errors.ProtocolError(text="unexpected message", step="test")
+        reply = await self.leader.report(message, self.link)
+        self.leader.wake()
+        return reply
+
+
+class RandomRoomTest(unittest.IsolatedAsyncioTestCase):
+    """Capacities, jobs, ends, elections and restarted agents at random."""
+
+    def setUp(self) -> None:
+        self.time = clock.SystemClock()
+        self.log = control_fakes.FakeLog(time=self.time)
+        self.log.apply(
+            job_commands.PutConfiguration(
+                configuration=make.configuration(
+                    1, make.queue(max_attempts=1000)
+                )
+            )
+        )
+        self.workers: dict[str, ModelWorker] = {}
+        self.sessions: dict[str, agent_session.AgentSession] = {}
+        self.jobs = 0
+
+    async def start_agent(self, worker: ModelWorker) -> None:
+        previous = self.sessions.pop(worker.name, None)
+        if previous is not None:
+            await previous.stop()
+        client = LeaderClient(self.leader)
+        session = agent_session.AgentSession(
+            worker=worker.name,
+            client=cast(control_client.ControlClient, client),
+            ports=worker,
+            time=self.time,
+        )
+        client.session = self.sessions[worker.name] = session
+        session.start()
+        self.addAsyncCleanup(session.stop)
+        session.announce(worker.announcement())
+
+    def accept_job(self) -> None:
+        self.jobs += 1
+        size = self.choose.choice(TASK_SIZES)
+        gang = size <= 4 and not self.choose.randrange(5)
+        step = make.step(
+            2 if gang else self.choose.randint(1, 3),
+            need=share(size),
+            gang=gang,
+            fills=not gang and not self.choose.randrange(6),
+            checkpoints=not self.choose.randrange(2),
+        )
+        self.log.apply(
+            job_commands.AcceptSteps(
+                job=f"{self.jobs:x}",
+                queue="forms",
+                spec=jobs.JobSpec(spec="work", steps=(step,)),
+            )
+        )
+
+    def end_run(self, worker: ModelWorker) -> None:
+        if worker.running:
+            task = self.choose.choice(sorted(worker.running))
+            worker.finish(task, self.choose.choice(OUTCOMES))
+
+    def cancel_job(self) -> None:
+        job = self.choose.randint(1, max(1, self.jobs))
+        self.log.apply(job_commands.CancelSteps(job=f"{job:x}"))
+
+    def change_capacity(self, worker: ModelWorker) -> None:
+        worker.change_capacity()
+        self.sessions[worker.name].announce(worker.announcement())
+
+    async def play_event(self) -> None:
+        worker = self.workers[self.choose.choice(sorted(self.workers))]
+        event = self.choose.random()
+        if event < 0.3:
+            self.accept_job()
+        elif event < 0.55:
+            self.end_run(worker)
+        elif event < 0.85:
+            self.change_capacity(worker)
+        elif event < 0.91:
+            self.cancel_job()
+        elif event < 0.95:
+            worker.unanswered = 1
+            worker.executes_unanswered = True
+        elif event < 0.97:
+            self.log.elect_again()
+        else:
+            await self.start_agent(worker)
+
+    def open_jobs(self) -> list[str]:
+        return [
+            job.id
+            for job in self.log.machine.stepped.jobs.values()
+            if job.active() or job.assigned()
+        ]
+
+    async def finish_all(self) -> None:
+        """Lets all workers grow back, and ends all runs."""
+        for worker in self.workers.values():
+            worker.capacity = FULL
+            worker.changes.append(FULL)
+            self.sessions[worker.name].announce(worker.announcement())
+
+        def finished() -> bool:
+            for worker in self.workers.values():
+                for task in list(worker.running):
+                    worker.finish(task, "done")
+            return not self.open_jobs()
+
+        await replica_site.wait_until(finished, timeout_s=MAX_DRAIN_S)
+
+    async def play(self, seed: int) -> None:
+        self.choose = random.Random(seed)
+        self.leader = dispatcher.JobDispatcher(
+            log=self.log, time=self.time, table=worker_table.WorkerTable()
+        )
+        self.leader.start()
+        self.addAsyncCleanup(self.leader.stop)
+        for number in range(WORKERS):
+            name = f"w{number}"
+            self.workers[name] = ModelWorker(
+                name,
+                log=self.log,
+                choose=self.choose,
+                others=self.workers,
+            )
+            await self.start_agent(self.workers[name])
+        for _ in range(EVENTS):
+            await self.play_event()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        await self.finish_all()
+        violations = [
+            violation
+            for worker in self.workers.values()
+            for violation in worker.violations
+        ]
+        self.assertEqual(violations, [], f"seed {seed}")
+        starts = sum(len(worker.starts) for worker in self.workers.values())
+        self.assertGreater(starts, EVENTS // 10, f"seed {seed}")
+
+
+def _add_plays() -> None:
+    """Adds a test for each seed; ROOM_SEEDS replaces the seeds."""
+    given = os.environ.get("ROOM_SEEDS", "")
+    for seed in map(int, given.split(",")) if given else SEEDS:
+
+        async def play(self: RandomRoomTest, seed: int = seed) -> None:
+            await self.play(seed)
+
+        setattr(RandomRoomTest, f"test_seed_{seed}", play)
+
+
+_add_plays()
