--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -34,6 +34,7 @@
 from bamboorouter.protocol import job_limits
 from bamboorouter.protocol import jobs
 from bamboorouter.state import job_records
+from bamboorouter.state import resource_math
 
 _NO_RESOURCES: Final = common.Resources()
 
@@ -45,7 +46,7 @@
     Attributes:
         life: ID of the incarnation.
         session: Number of the newest session of its agent.
-        room: Capacity of the worker.
+        room: Capacity of the worker, as committed last.
     """
 
     life: str
@@ -73,16 +74,8 @@
 
 
 def reserved(step: jobs.Step) -> common.Resources:
-    """Returns what a task of a step reserves on a worker.
-
-    Tasks of a step with `fills` run on idle processor time of other tasks, so
-    no processors are reserved for them.
-    """
-    if not step.fills:
-        return step.need
-    return common.Resources(
-        memory_mb=step.need.memory_mb, accelerators=step.need.accelerators
-    )
+    """Returns what a task of a step reserves on a worker."""
+    return resource_math.reserved(step.need, fills=step.fills)
 
 
 class SteppedJobs:
@@ -262,7 +255,11 @@
     def note_checkpoints(
         self, command: job_commands.NoteCheckpoints
     ) -> commands.Result:
-        """Records checkpoints of runs that are still assigned."""
+        """Records checkpoints of assigned runs, and capacities of workers."""
+        for noted in command.rooms:
+            incarnation = self.incarnations.get(noted.worker)
+            if incarnation is not None and incarnation.life == noted.life:
+                incarnation.room = noted.room
         for checkpoint in command.checkpoints:
             task = self.task(checkpoint.task)
             if (
