Refuse odd addresses and IDs of announcements

A port was read by int(), which takes signs, spaces, underscores and digits of any script, so '10.0.0.1: 80' named a worker. An ID with a line break made each poll raise ValueError, which is none of the errors of a worker port: the session ended and began anew for ever.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,11 +7,18 @@
 from typing import Any
 import unittest
 
+from aiohttp import web
+
+from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import value_limits
+from tests import fake_worker
 from tests import platform_site
+from tests import replica_site
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
+import http_server  # isort: skip
 import wire  # isort: skip
+import worker_http  # isort: skip
 
 # Numbers beyond 64 bits, and beyond the range of a float.
 HUGE_NUMBERS = (10**30, 10**400)
@@ -55,6 +62,33 @@
             with self.subTest(list(fields)):
                 self.assert_refused(**fields)
 
+    def test_address_that_int_takes_and_the_platform_never_writes(self) -> None:
+        """Guards against orders to an address that nobody has announced."""
+        for address in (
+            "10.0.0.1: 80",
+            "10.0.0.1:+80",
+            "10.0.0.1:8_0",
+            "10.0.0.1:\u0668\u0660",  # Arabic-Indic digits.
+            "10.0.0.1:080",
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.1:" + "9" * 5000,
+            "::1:80",
+            "desk.example:80",
+            "10.0.0.1",
+        ):
+            with self.subTest(address[:20]):
+                self.assert_refused(addr=address)
+
+    def test_id_that_no_header_can_carry(self) -> None:
+        """Guards against a poll that fails for another reason than silence."""
+        for worker_id in ("", "a\r\nb", "a\0b", "a\udcff", "i" * 2000):
+            with (
+                self.subTest(worker_id[:5]),
+                self.assertRaises(wire.InvalidError),
+            ):
+                wire.decode_announcement(worker_id, encode(ANNOUNCEMENT))
+
     def test_largest_plausible_values_are_taken(self) -> None:
         announcement = wire.decode_announcement(
             "i-1",
@@ -70,5 +104,28 @@
         self.assertEqual(announcement.sequence, value_limits.MAX_SERIAL)
 
 
+class WorkerPortTest(unittest.IsolatedAsyncioTestCase):
+    """A port to an incarnation whose ID or answers are odd."""
+
+    async def test_poll_with_an_id_that_no_header_can_carry(self) -> None:
+        """Guards against a poll loop that fails for ever at the same entry."""
+
+        async def answer(_: web.Request) -> web.Response:
+            return web.json_response({"clockMs": 1, "born": 1})
+
+        address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=address, routes=[("POST", wire.HOLD_PATH, answer)]
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        port = worker_http.HttpWorkerPortFactory().open(
+            fake_worker.announcement(id="a\r\nb", address=address)
+        )
+        self.addAsyncCleanup(port.close)
+        with self.assertRaises(worker_port.NoAnswerError):
+            await port.poll(token=0, acknowledged=0, until_ms=None, wait_ms=0)
+
+
 if __name__ == "__main__":
     unittest.main()
