Check each value of a worker's lists against its range

A clock of 10^30 was the time of the newest view for good, so all later ones were ignored; with 10^400 the end of the lease raised OverflowError. An end numbered 10^30 hid all later ends. Rows were read with int() and str(), which take digits of any script, fractions, booleans and None (as the checkpoint 'None', which is replicated).

--- a/bamboorouter/protocol/value_limits.py
+++ b/bamboorouter/protocol/value_limits.py
@@ -33,6 +33,7 @@
 TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
 Serial = Annotated[int, msgspec.Meta(ge=0, le=MAX_SERIAL)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 Millicores = Annotated[int, msgspec.Meta(ge=0, le=MAX_MILLICORES)]
 MemoryMb = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
 Accelerators = Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -104,6 +104,76 @@
         self.assertEqual(announcement.sequence, value_limits.MAX_SERIAL)
 
 
+class ViewTest(unittest.TestCase):
+    """Odd rows of a worker's view are skipped; an odd view is refused."""
+
+    RUNNING = ("a.0.1.2", 1, "c", 40, 3)
+    ENDED = (1, "a.0.0.0", 1, "done", "")
+
+    def decode(self, **fields: Any) -> worker_port.WorkerView:
+        body = {"clockMs": 5, "born": 7, **fields}
+        return wire.decode_view(encode(body))[1]
+
+    def test_clock_or_start_out_of_range(self) -> None:
+        """Guards against a view that is the newest for good."""
+        for number in (*HUGE_NUMBERS, -1):
+            for field in ("clockMs", "born"):
+                with (
+                    self.subTest(field, number=str(number)[:5]),
+                    self.assertRaises(wire.InvalidError),
+                ):
+                    self.decode(**{field: number})
+
+    def test_odd_value_of_a_running_run(self) -> None:
+        """Guards against odd values in reports and in the replicated state."""
+        text = "x" * (value_limits.MAX_TEXT_CHARACTERS + 1)
+        for position, values in (
+            (0, (None, 7, "a.0.1", "a.0.1.-2", "a.0.1.\u0662", "a.0.1.1_0")),
+            (0, (f"a.0.1.{10**30}", f"{text}.0.1.2", ".0.1.2")),
+            (1, ("1", 1.5, True, -1, None, *HUGE_NUMBERS)),
+            (2, (None, 5, ["c"], text)),
+            (3, ("40", -1, 101, None, *HUGE_NUMBERS)),
+            (4, ("3", -1, None, *HUGE_NUMBERS)),
+        ):
+            for value in values:
+                row = [*self.RUNNING]
+                row[position] = value
+                with self.subTest(position=position, value=str(value)[:9]):
+                    view = self.decode(running=[self.RUNNING, row])
+                    self.assertEqual(len(view.running), 1)
+                    self.assertFalse(view.complete)
+
+    def test_odd_value_of_an_ended_run(self) -> None:
+        """Guards against a number after which all later ends are ignored."""
+        text = "x" * (value_limits.MAX_TEXT_CHARACTERS + 1)
+        odd_values: tuple[tuple[int, tuple[Any, ...]], ...] = (
+            (0, ("2", 1.5, True, 0, -1, None, *HUGE_NUMBERS)),
+            (1, (None, 7, "a.0.1", "a.0.1.1_0")),
+            (2, ("1", 1.5, -1, None, *HUGE_NUMBERS)),
+            (3, ("gone", None, 7, ["done"], {})),
+            (4, (None, 5, text)),
+        )
+        for position, values in odd_values:
+            for value in values:
+                row = [*self.ENDED]
+                row[position] = value
+                with self.subTest(position=position, value=str(value)[:9]):
+                    view = self.decode(finished=[row, self.ENDED])
+                    self.assertEqual(len(view.ended), 1)
+                    self.assertFalse(view.complete)
+
+    def test_rough_figures_may_be_fractions(self) -> None:
+        view = self.decode(running=[("a.0.1.2", 1, "c", 40.5, 3.7)])
+        self.assertEqual((view.running[0].figure, view.complete), (3, True))
+
+    def test_deeply_nested_row_is_skipped(self) -> None:
+        nested: Any = []
+        for _ in range(500):
+            nested = [nested]
+        view = self.decode(running=[nested, self.RUNNING])
+        self.assertEqual((len(view.running), view.complete), (1, False))
+
+
 class WorkerPortTest(unittest.IsolatedAsyncioTestCase):
     """A port to an incarnation whose ID or answers are odd."""
 
