Limit the size of answers of workers and of the advice service

An agent read an answer of its worker whole, whatever its size, and a control replica that of the advice service, so one endless answer could exceed the memory of the process, again after each restart.

tests.test_odd_entries.WorkerPortTest.test_answer_that_is_too_large failed before: the whole answer was read.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,10 +3,12 @@
 An odd value must be refused, or at least not hide the true ones after it.
 """
 
+import contextlib
 import json
 from typing import Any
 import unittest
 
+import aiohttp
 from aiohttp import web
 
 from bamboorouter.coordination.workers import worker_port
@@ -16,12 +18,14 @@
 from tests import replica_site
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
+import bounded_body  # isort: skip
 import http_server  # isort: skip
 import wire  # isort: skip
 import worker_http  # isort: skip
 
 # Numbers beyond 64 bits, and beyond the range of a float.
 HUGE_NUMBERS = (10**30, 10**400)
+CHUNK_BYTES = 64 * 1024
 ANNOUNCEMENT = platform_site.StandInWorker(address="10.0.0.1:80").announcement()
 
 
@@ -196,6 +200,40 @@
         with self.assertRaises(worker_port.NoAnswerError):
             await port.poll(token=0, acknowledged=0, until_ms=None, wait_ms=0)
 
+    async def test_answer_that_is_too_large(self) -> None:
+        """Guards against an agent that runs out of memory, again and again."""
+
+        async def answer(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            if await request.read() != b"chunked":
+                response.content_length = 2 * bounded_body.MAX_BYTES
+            await response.prepare(request)
+            with contextlib.suppress(ConnectionError):
+                for _ in range(2 * bounded_body.MAX_BYTES // CHUNK_BYTES):
+                    await response.write(b" " * CHUNK_BYTES)
+            return response
+
+        address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=address, routes=[("POST", wire.HOLD_PATH, answer)]
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        port = worker_http.HttpWorkerPortFactory().open(
+            fake_worker.announcement(address=address)
+        )
+        self.addAsyncCleanup(port.close)
+        with self.assertRaisesRegex(worker_port.NoAnswerError, "too large"):
+            await port.poll(token=0, acknowledged=0, until_ms=None, wait_ms=0)
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(
+                f"http://{address}{wire.HOLD_PATH}", data=b"chunked"
+            ) as response,
+        ):
+            with self.assertRaises(bounded_body.BodyTooLargeError):
+                await bounded_body.read(response)
+
 
 if __name__ == "__main__":
     unittest.main()
