Order announcements by the worker's clock too

An announcement with a sequence number that is a million too high was the newest of its incarnation for good. The true ones after it counted as older, so the agent of a draining worker went on starting runs there, and a wrong 'draining' lasted until the worker's next start.

Only the sequence number was compared. Announcements also carry the worker's clock, and the agent knows that clock from the answers to its polls. An announcement from its future is refused; one whose sequence number and clock disagree counts only if it was sent just now; a delayed one is earlier by both and never counts.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -28,6 +28,7 @@
 from bamboorouter import supervision
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.workers import announcement_order
 from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import incarnation_check
@@ -90,6 +91,7 @@
         self.held = held_runs.HeldRuns(worker=worker, time=time)
         self.session: worker_session.Session | None = None
         self._announcement: worker_port.Announcement | None = None
+        self._order = announcement_order.AnnouncementOrder()
         self._session_due = asyncio.Event()
         self._report_due = asyncio.Event()
         self._end_confirmed = asyncio.Event()
@@ -127,14 +129,24 @@
         if current is None:
             self._accept_incarnation(announcement)
             return
-        if not self._supersedes(announcement, current):
-            return
         if current.incarnation != announcement.incarnation:
-            if self._takeover_check is None:
+            if (
+                self._may_succeed(announcement, current)
+                and self._takeover_check is None
+            ):
                 self._takeover_check = self._spawn(
                     self._check_takeover(announcement)
                 )
             return
+        contradiction = self._order.find_contradiction(
+            announcement,
+            current,
+            worker_ms=self._worker_ms(current),
+            now=self.clock.now(),
+        )
+        if contradiction:
+            self._log_refusal(announcement, contradiction)
+            return
         if self._leaving:
             if announcement.sequence == current.sequence:
                 return
@@ -142,6 +154,27 @@
                 self._leaving = ""
         self._update_announcement(announcement)
 
+    def _worker_ms(self, current: worker_port.Announcement) -> int | None:
+        """Returns the latest time on the clock of the current incarnation."""
+        session = self.session
+        if (
+            session is None
+            or session.announcement.incarnation != current.incarnation
+        ):
+            return None
+        return session.latest_worker_ms(self.clock.now())
+
+    def _log_refusal(
+        self, announcement: worker_port.Announcement, reason: str
+    ) -> None:
+        events.log(
+            events.ANNOUNCEMENT_REFUSED,
+            worker=self.worker,
+            life=announcement.incarnation,
+            sequence=announcement.sequence,
+            error=reason,
+        )
+
     def _update_announcement(
         self, announcement: worker_port.Announcement
     ) -> None:
@@ -183,12 +216,7 @@
         if not contradiction:
             self._accept_incarnation(announcement)
             return
-        events.log(
-            events.ANNOUNCEMENT_REFUSED,
-            worker=self.worker,
-            life=announcement.incarnation,
-            error=contradiction,
-        )
+        self._log_refusal(announcement, contradiction)
 
     def _accept_incarnation(
         self, announcement: worker_port.Announcement
@@ -258,13 +286,12 @@
             self._execute_orders(message)
         return None
 
-    def _supersedes(
+    def _may_succeed(
         self,
         announcement: worker_port.Announcement,
         current: worker_port.Announcement,
     ) -> bool:
-        if announcement.incarnation == current.incarnation:
-            return announcement.sequence >= current.sequence
+        """Returns whether another incarnation may have replaced this one."""
         if announcement.started_ms > current.started_ms:
             return True
         # The worker's clock may have been set back before the restart.
@@ -432,6 +459,10 @@
             # The view may be of an earlier incarnation.
             return False
         now = self.clock.now()
+        session.view_clock_ms, session.view_requested_ms = (
+            view.clock_ms,
+            sent_ms,
+        )
         session.lease.record_clock(worker_ms=view.clock_ms, received_ms=now)
         if not session.reachable(now):
             self._report_due.set()
--- a/bamboorouter/coordination/workers/worker_port.py
+++ b/bamboorouter/coordination/workers/worker_port.py
@@ -60,6 +60,8 @@
         rack: Rack of the worker; empty if unknown.
         capacity: Total resources of the worker.
         draining: Whether the worker is about to leave.
+        clock_ms: Time on the worker's clock when it sent the announcement, in
+            ms; None if it isn't told.
     """
 
     id: str
@@ -72,6 +74,7 @@
     rack: str
     capacity: common.Resources
     draining: bool
+    clock_ms: int | None = None
 
     @property
     def incarnation(self) -> str:
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 from typing import Final
 
 from bamboorouter.coordination.policies import image_interference
@@ -14,6 +15,8 @@
 # Lease of the runs on a worker, which stops them when it expires. It tolerates
 # a pause of the agent process or of the network of a few seconds.
 WORKER_LEASE_MS: Final = 6000
+# A worker's clock may be fast relative to the agent's.
+MAX_CLOCK_RATE: Final = 1.025
 # A worker that answered no poll for this long gets no new runs.
 MAX_POLL_AGE_MS: Final = 1200
 
@@ -33,6 +36,10 @@
             agent's clock.
         answered_ms: Time of the last answered poll, in ms on the agent's clock;
             0 before the first one and after the worker was marked unreachable.
+        view_clock_ms: Time of the newest view, in ms on the worker's clock;
+            None before the first one.
+        view_requested_ms: Time at which that view was requested, in ms on the
+            agent's clock.
         acknowledged: Ends up to this number were acknowledged by an answered
             poll.
         last_poll_answered: Whether the last poll was answered, so that the next
@@ -49,6 +56,8 @@
     pacer: pacing.Pacer
     grant_end_ms: int = 0
     answered_ms: int = 0
+    view_clock_ms: int | None = None
+    view_requested_ms: int = 0
     acknowledged: int = 0
     last_poll_answered: bool = False
     weights: dict[jobs.ImagePair, float] = dataclasses.field(
@@ -79,6 +88,20 @@
         """Marks the worker as unreachable until it answers a poll."""
         self.answered_ms = 0
 
+    def latest_worker_ms(self, now: int) -> int | None:
+        """Returns the latest possible time on the worker's clock.
+
+        Args:
+            now: Current time in ms on the agent's clock.
+
+        Returns:
+            The time in ms; None before the first view.
+        """
+        if self.view_clock_ms is None:
+            return None
+        elapsed_ms = (now - self.view_requested_ms) * MAX_CLOCK_RATE
+        return self.view_clock_ms + math.ceil(elapsed_ms)
+
     def lease_until(self, now: int) -> int | None:
         """Returns the lease end to grant, on the worker's clock.
 
