Ask the worker before its first announcement counts

The first announcement that a new agent got was accepted without a check. With a wrong start the leader committed a session for an incarnation that doesn't exist, and the true announcements were compared with it. Without a session, a later announcement replaced the current one without a check too.

The agent now polls the address and refuses the announcement if another incarnation answers. A worker that rejects the poll proves nothing, because a new agent doesn't know the fencing token of its predecessor; if another incarnation answers when the session is opened, the announcement is refuted then. Announcements that arrive during the check are kept, and a message that the worker leaves removes them.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -56,6 +56,8 @@
 SESSION_RETRY_PAUSE_MS: Final = 100
 MAX_START_ATTEMPTS: Final = 4
 ORDER_RETRY_PAUSE_MS: Final = 50
+# Announced incarnations that are checked before the first one is accepted.
+MAX_UNCHECKED: Final = 8
 # The current incarnation is replaced by one with an earlier start time only
 # after the current one has been silent for this long.
 SILENT_INCARNATION_MS: Final = 5000
@@ -100,6 +102,11 @@
         self._background: set[asyncio.Task[None]] = set()
         # Incarnation that has announced its end; empty if none has.
         self._leaving = ""
+        # Newest announcements by incarnation that wait for a check.
+        self._unchecked: dict[str, worker_port.Announcement] = {}
+        # Incarnation in whose place another one answered when its session was
+        # to be opened; empty if there is none.
+        self._refuted = ""
         self._takeover_check: asyncio.Task[None] | None = None
         self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
@@ -127,7 +134,7 @@
         """Handles an announcement of the worker."""
         current = self._announcement
         if current is None:
-            self._accept_incarnation(announcement)
+            self._check_first(announcement)
             return
         if current.incarnation != announcement.incarnation:
             if (
@@ -198,19 +205,52 @@
             )
             self._report_due.set()
 
+    def _check_first(self, announcement: worker_port.Announcement) -> None:
+        """Checks the first announcement, and keeps the newest meanwhile."""
+        waiting = self._unchecked.get(announcement.incarnation)
+        if waiting is None or announcement.sequence > waiting.sequence:
+            self._unchecked[announcement.incarnation] = announcement
+        if len(self._unchecked) > MAX_UNCHECKED:
+            del self._unchecked[next(iter(self._unchecked))]
+        if self._takeover_check is None:
+            self._takeover_check = self._spawn(self._accept_first())
+
+    async def _accept_first(self) -> None:
+        """Accepts the first announcement that the worker doesn't refute."""
+        try:
+            while self._unchecked:
+                incarnation, announcement = next(iter(self._unchecked.items()))
+                replaced = await incarnation_check.is_replaced(
+                    self.ports, announcement, self._token()
+                )
+                newest = self._unchecked.pop(incarnation, None)
+                if newest is None:
+                    continue
+                if not replaced:
+                    self._accept_incarnation(newest)
+                    return
+                self._log_refusal(newest, "another incarnation answers")
+        finally:
+            self._unchecked.clear()
+            self._takeover_check = None
+
     async def _check_takeover(
         self, announcement: worker_port.Announcement
     ) -> None:
         """Accepts another incarnation if the current one is over."""
         current, contradiction = self._announcement, ""
         try:
-            if self.session is not None and current is not None:
+            if current is not None and current.incarnation != self._refuted:
                 contradiction = await incarnation_check.find_contradiction(
                     self.ports,
                     current=current,
                     announced=announcement,
                     token=self._token(),
                 )
+            elif await incarnation_check.is_replaced(
+                self.ports, announcement, self._token()
+            ):
+                contradiction = "another incarnation answers"
         finally:
             self._takeover_check = None
         if not contradiction:
@@ -228,7 +268,7 @@
             before=self._announcement.incarnation if self._announcement else "",
         )
         self._announcement = announcement
-        self._leaving = ""
+        self._leaving = self._refuted = ""
         self._session_due.set()
 
     def leave(self, worker_id: str, *, started_ms: int | None = None) -> None:
@@ -243,6 +283,12 @@
                 worker's clock; None if unknown.
         """
         current = self._announcement
+        self._unchecked = {
+            incarnation: waiting
+            for incarnation, waiting in self._unchecked.items()
+            if waiting.id != worker_id
+            or started_ms not in (None, waiting.started_ms)
+        }
         if (
             current is None
             or current.id != worker_id
@@ -354,6 +400,8 @@
             events.log(
                 events.SESSION_FAILED, worker=self.worker, error=str(err)
             )
+            if isinstance(err, worker_port.IncarnationMismatchError):
+                self._refuted = announcement.incarnation
             await port.close()
             return None
         if (
--- a/bamboorouter/coordination/workers/incarnation_check.py
+++ b/bamboorouter/coordination/workers/incarnation_check.py
@@ -10,6 +10,9 @@
 * If it doesn't answer several polls in succession, it is over if it has also
   announced its end, or if the incarnation that announces itself as its successor
   answers.
+
+The first announcement that an agent gets is checked as well: it is wrong if
+another incarnation answers.
 """
 
 import asyncio
@@ -88,6 +91,21 @@
     return ""
 
 
+async def is_replaced(
+    ports: worker_port.WorkerPorts,
+    announcement: worker_port.Announcement,
+    token: int,
+) -> bool:
+    """Returns whether another incarnation answers in place of this one.
+
+    A worker that rejects the poll or doesn't answer proves nothing: a new agent
+    doesn't know the fencing token of its predecessor, and the worker may not
+    listen yet.
+    """
+    answer = await poll_incarnation(ports, announcement, token)
+    return answer == "replaced"
+
+
 async def wait_for_departure(
     ports: worker_port.WorkerPorts,
     current: worker_port.Announcement,
--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -1,5 +1,10 @@
 """Guards against an agent that follows a wrong announcement for good."""
 
+import asyncio
+from typing import Any
+from unittest import mock
+
+from bamboorouter.coordination.workers import worker_port
 from tests import fake_worker
 from tests import test_agent_session
 
@@ -56,3 +61,96 @@
         self.announce(2, draining=True)
         await self.until(self.draining)
         self.assertEqual(self.leader.reports[-1].life, "w1@1")
+
+
+class FencedWorker(fake_worker.FakeWorker):
+    """A worker that checks the token of a poll before anything else."""
+
+    async def poll(
+        self, *, token: int, **fields: Any
+    ) -> worker_port.WorkerView:
+        self._check_token(token)
+        return await super().poll(token=token, **fields)
+
+
+class FirstAnnouncementTest(test_agent_session.AgentSessionCase):
+    """The first announcement that a new agent gets is wrong."""
+
+    async def asyncSetUp(self) -> None:
+        self.worker = fake_worker.FakeWorker()
+        self.leader = fake_worker.FakeLeaderClient()
+        self.link = mock.Mock(closed=asyncio.Event())
+        self.session = self.new_session()
+
+    def lives(self) -> set[str]:
+        """Returns the incarnations for which a session was opened."""
+        return {opened.life for opened in self.leader.opened_sessions}
+
+    async def test_wrong_start_opens_no_session(self) -> None:
+        """Guards against a replicated incarnation that doesn't exist."""
+        self.session.announce(fake_worker.announcement(started_ms=FAR_MS))
+        await self.until(lambda: self.session._takeover_check is None)
+        self.session.announce(fake_worker.announcement(sequence=2))
+        await self.until(self.reachable)
+        self.assertEqual(self.lives(), {"w1@1"})
+
+    async def test_true_announcement_during_the_check_is_not_lost(self) -> None:
+        self.session.announce(fake_worker.announcement(started_ms=FAR_MS))
+        self.session.announce(fake_worker.announcement(sequence=2))
+        await self.until(self.reachable)
+        self.assertEqual(self.lives(), {"w1@1"})
+
+    async def test_newest_announcement_during_the_check_counts(self) -> None:
+        self.session.announce(fake_worker.announcement())
+        self.session.announce(
+            fake_worker.announcement(sequence=2, draining=True)
+        )
+        self.session.announce(fake_worker.announcement())
+        await self.until(self.reachable)
+        self.assertTrue(self.leader.reports[-1].draining)
+
+    async def test_wrong_start_that_can_not_be_checked_is_corrected(
+        self,
+    ) -> None:
+        """The worker rejects polls of a new agent: an earlier one fenced it."""
+        for has_earlier_runs in (False, True):
+            with self.subTest(has_earlier_runs=has_earlier_runs):
+                await self.session.stop()
+                await self.asyncSetUp()
+                self.worker = FencedWorker()
+                self.session = self.new_session()
+                self.leader.has_earlier_runs = has_earlier_runs
+                self.worker.token = 1
+                self.session.announce(
+                    fake_worker.announcement(started_ms=FAR_MS)
+                )
+                await self.until(lambda: self.leader.session_requests)
+                for sequence in range(2, 50):
+                    self.session.announce(
+                        fake_worker.announcement(sequence=sequence)
+                    )
+                    await asyncio.sleep(0.1)
+                    if self.reachable():
+                        break
+                self.assertEqual(self.leader.reports[-1].life, "w1@1")
+                self.assertTrue(self.reachable())
+
+    async def test_worker_that_does_not_answer_yet_is_served_later(
+        self,
+    ) -> None:
+        self.worker.silent = True
+        self.session.announce(fake_worker.announcement())
+        await self.until(lambda: self.leader.opened_sessions)
+        self.worker.silent = False
+        await self.until(self.reachable)
+
+    async def test_worker_that_leaves_during_the_check_gets_no_session(
+        self,
+    ) -> None:
+        self.session.announce(fake_worker.announcement())
+        self.session.leave("w1", started_ms=1)
+        await self.until(lambda: self.session._takeover_check is None)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.lives(), set())
+        self.session.announce(fake_worker.announcement(sequence=2))
+        await self.until(self.reachable)
