Take a view that was requested after the newest one arrived

One view with a clock hours ahead was the newest for as long: all later views were ignored, so the agent noticed neither starts nor missing runs. The views of an incarnation were ordered by the worker's clock alone. A view that was requested after another had arrived is newer whatever its clock says; the clock now only orders views whose polls overlapped.

tests.test_held_runs.HeldRunsTest.test_view_with_a_wrong_clock_hides_no_later_one failed before.

--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -12,9 +12,11 @@
 and with a higher fencing token. The worker rejects the older order from then
 on, so a run that isn't listed in the view will never start.
 
-Views may arrive out of order. The worker's clock orders the views of an
-incarnation: an older view only contributes ends, which are numbered. So does a
-view with an incomplete list of ends, apart from the runs that it lists.
+Views may arrive out of order. A view that was requested after the newest one had
+arrived is newer; the worker's clock orders all others of an incarnation. A wrong
+clock thus hides no view that is requested later. An older view only contributes
+ends, which are numbered. So does a view with an incomplete list of ends, apart
+from the runs that it lists.
 
 A run that the worker lists is held, also if the agent had inferred its end. The
 inferred end is withdrawn unless the leader has confirmed it already; then the
@@ -139,6 +141,8 @@
         last_listed_end: Highest number of an end that the worker has listed.
         newest_view_ms: Time of the newest view of the incarnation, in ms on the
             worker's clock.
+        newest_view_received_ms: Time at which that view arrived, in ms on the
+            agent's clock.
         ended: Runs that have ended. A copy of a start order may arrive after
             its run was declared lost and the task was restarted on another
             worker; it must not be executed then.
@@ -151,6 +155,7 @@
         self.last_confirmed_end = 0
         self.last_listed_end = 0
         self.newest_view_ms = 0
+        self.newest_view_received_ms = 0
         self.ended = ended_runs.EndedRuns(worker=worker)
         self.clock = time
 
@@ -284,6 +289,7 @@
         self.last_confirmed_end = 0
         self.last_listed_end = 0
         self.newest_view_ms = 0
+        self.newest_view_received_ms = 0
 
     def confirm(self, confirmed: Iterable[PendingEnd]) -> None:
         """Removes ends that the leader has confirmed."""
@@ -310,8 +316,12 @@
         """
         last_end = self.ends[-1:]
         self._add_ends(view.ended)
-        if view.clock_ms >= self.newest_view_ms:
+        if (
+            view.clock_ms >= self.newest_view_ms
+            or sent_ms > self.newest_view_received_ms
+        ):
             self.newest_view_ms = view.clock_ms
+            self.newest_view_received_ms = self.clock.now()
             self._update_runs(view, token=token, sent_ms=sent_ms)
         return bool(self.ends) and self.ends[-1:] != last_end
 
--- a/tests/test_held_runs.py
+++ b/tests/test_held_runs.py
@@ -79,6 +79,29 @@
         self.assertEqual(self.held.runs, {})
         self.assertEqual(self.outcomes(), ["done"])
 
+    def test_view_with_a_wrong_clock_hides_no_later_one(self) -> None:
+        """Guards against runs whose end or start is never noticed."""
+        self.see(view(10**12, REF))
+        self.clock.advance(1)
+        other = make.ref("b")
+        for clock_ms in (20, 30):
+            self.see(view(clock_ms, other))
+            self.clock.advance(1)
+        self.assertEqual(list(self.held.runs), [(other, 1)])
+        self.assertEqual(self.outcomes(), ["lost"])
+
+    def test_view_requested_before_the_newest_one_arrived_is_older(
+        self,
+    ) -> None:
+        """Guards against giving up a run because of an overtaken view."""
+        sent_ms = self.clock.now()
+        self.clock.advance(5)
+        self.see(view(20, REF))
+        self.clock.advance(5)
+        for _ in range(held_runs.LOST_AFTER_MISSED_VIEWS):
+            self.held.reconcile(view(10), token=5, sent_ms=sent_ms)
+        self.assertEqual(list(self.held.runs), [KEY])
+
     def test_incomplete_view_proves_no_end(self) -> None:
         """Guards against repeating a run whose end is on a later list."""
         (order,) = fake_worker.start_orders(REF).starts
