Doubt a worker's clock that doesn't fit its earlier answers

One answer with a clock hours ahead set the end of the granted lease hours ahead, for good: if the worker fell silent later, its runs were never given up. A clock that went back had the same effect.

Both clocks advance alike, so an answer that doesn't fit is used only if the next one agrees with it; the worker is polled again after 100 ms. Leases are granted on the earlier clock meanwhile, which ends them earlier at most. A corrected clock also corrects the end of the lease: the worker shortens any lease to the longest one it accepts.

tests.test_agent_session.RunLeaseTest: three tests failed before.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -466,6 +466,9 @@
             if not answered:
                 self._end_runs_if_lease_expired(session, sent_ms)
                 await asyncio.sleep(clock.seconds(POLL_RETRY_PAUSE_MS))
+            elif session.lease.in_doubt:
+                wait_ms = 0
+                await asyncio.sleep(clock.seconds(POLL_RETRY_PAUSE_MS))
             elif self.held.ends:
                 # The worker answers a poll immediately while it has ends that
                 # aren't acknowledged, so wait for the leader's confirmation.
--- a/bamboorouter/coordination/workers/run_lease.py
+++ b/bamboorouter/coordination/workers/run_lease.py
@@ -9,6 +9,11 @@
 longest lease that a worker accepts, counted from the first answer of the
 worker, because orders of the earlier process are rejected from then on. The
 same holds for a process whose own orders were rejected in favour of another.
+
+Both clocks advance alike. An answer whose clock doesn't fit the earlier ones is
+wrong, was processed late, or tells that the worker or this machine was
+suspended. It counts only if the next answer agrees with it; until then the
+earlier clock is used, which may end a lease too early, but not too late.
 """
 
 import math
@@ -18,6 +23,10 @@
 MIN_CLOCK_RATE: Final = 0.975
 # Longest lease that a worker accepts, unless the settings give another one.
 MAX_WORKER_LEASE_MS: Final = 10_000
+# Allowed difference between the advances of both clocks, besides their rates: an
+# answer may be processed late.
+MAX_CLOCK_DEVIATION_MS: Final = 2000
+MAX_RATE_DEVIATION: Final = 0.05
 # Time that the worker needs to stop all runs after the lease has expired.
 STOP_MARGIN_MS: Final = 150
 
@@ -34,6 +43,13 @@
         self._worker_ms = 0
         self._received_ms: int | None = None
         self._until_ms = 0
+        # Time on the worker's clock and of receipt of the answer in doubt.
+        self._doubtful: tuple[int, int] | None = None
+
+    @property
+    def in_doubt(self) -> bool:
+        """Returns whether the next answer decides on the worker's clock."""
+        return self._doubtful is not None
 
     def record_clock(self, *, worker_ms: int, received_ms: int) -> None:
         """Records the worker's clock from an answer.
@@ -42,8 +58,16 @@
             worker_ms: Time on the worker's clock, in ms.
             received_ms: Time of the answer on the agent's clock, in ms.
         """
+        answer = (worker_ms, received_ms)
         if self._received_ms is None:
             self._until_ms = worker_ms + self.longest_ms
+        elif not _agree((self._worker_ms, self._received_ms), answer):
+            if self._doubtful is None or not _agree(self._doubtful, answer):
+                self._doubtful = answer
+                return
+            # Whatever was granted, the worker has shortened.
+            self._until_ms = worker_ms + self.longest_ms
+        self._doubtful = None
         self._worker_ms = worker_ms
         self._received_ms = received_ms
 
@@ -53,6 +77,7 @@
         The next answer of the worker counts as its first one.
         """
         self._received_ms = None
+        self._doubtful = None
 
     def end_on_worker(self, end_ms: int) -> int | None:
         """Returns the end of a lease on the worker's clock.
@@ -92,3 +117,11 @@
         """
         end_ms = self.end_ms()
         return end_ms is not None and now_ms > end_ms
+
+
+def _agree(earlier: tuple[int, int], later: tuple[int, int]) -> bool:
+    """Returns whether both clocks have advanced alike between two answers."""
+    worker_elapsed_ms = later[0] - earlier[0]
+    elapsed_ms = later[1] - earlier[1]
+    allowed_ms = MAX_CLOCK_DEVIATION_MS + MAX_RATE_DEVIATION * elapsed_ms
+    return abs(worker_elapsed_ms - elapsed_ms) <= allowed_ms
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -603,6 +603,50 @@
         lease.record_clock(worker_ms=1000, received_ms=50_000)
         self.assertIsNone(lease.end_on_worker(49_000))
 
+    def test_one_wrong_clock_changes_no_lease(self) -> None:
+        """Guards against runs of a silent worker that are never given up."""
+        lease = run_lease.RunLease(longest_ms=10_000)
+        lease.record_clock(worker_ms=1000, received_ms=50_000)
+        lease.record_clock(worker_ms=1500, received_ms=50_500)
+        for wrong_ms in (3_600_000, 0):
+            lease.record_clock(worker_ms=wrong_ms, received_ms=51_000)
+            until = lease.end_on_worker(57_000)
+            assert until is not None
+            self.assertLessEqual(until, 8000)
+            self.assertGreater(until, 7000)
+            lease.record_clock(worker_ms=2500, received_ms=51_500)
+        self.assertTrue(lease.expired(51_500 + 11_000))
+
+    def test_wrong_first_clock_is_corrected(self) -> None:
+        lease = run_lease.RunLease(longest_ms=10_000)
+        lease.record_clock(worker_ms=3_600_000, received_ms=50_000)
+        lease.end_on_worker(56_000)
+        for elapsed_ms in (500, 600, 700):
+            lease.record_clock(
+                worker_ms=1000 + elapsed_ms, received_ms=50_000 + elapsed_ms
+            )
+        until = lease.end_on_worker(56_700)
+        assert until is not None
+        self.assertLessEqual(until, 7700)
+        self.assertTrue(lease.expired(50_700 + 11_000))
+
+    def test_clock_that_has_jumped_is_taken_from_two_answers(self) -> None:
+        """Guards against leases that end while the worker answers."""
+        for jumped_ms in (20_000, -20_000):
+            with self.subTest(jumped_ms):
+                lease = run_lease.RunLease(longest_ms=10_000)
+                lease.record_clock(worker_ms=30_000, received_ms=50_000)
+                lease.end_on_worker(56_000)
+                for elapsed_ms in (500, 600):
+                    lease.record_clock(
+                        worker_ms=30_000 + jumped_ms + elapsed_ms,
+                        received_ms=50_000 + elapsed_ms,
+                    )
+                until = lease.end_on_worker(56_600)
+                assert until is not None
+                self.assertGreater(until, 30_000 + jumped_ms + 6000)
+                self.assertTrue(lease.expired(50_600 + 11_000))
+
 
 if __name__ == "__main__":
     unittest.main()
