Take no single end number that is far above the others

One end with a number far too high hid all later ends: their runs counted as lost and were started again. It was acknowledged too, which covers all lower numbers. Ends were compared with the highest listed number.

The agent now remembers which numbers it has taken.

A worker answers a poll at once while it lists ends.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -477,6 +477,9 @@
                         clock.seconds(CONFIRMATION_WAIT_MS)
                     ):
                         await self._end_confirmed.wait()
+            elif self.held.unsettled:
+                # The worker lists ends that can't be acknowledged yet.
+                await asyncio.sleep(clock.seconds(POLL_RETRY_PAUSE_MS))
 
     async def _poll(
         self, session: worker_session.Session, wait_ms: int
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -33,6 +33,7 @@
 from typing import Literal
 
 from bamboorouter import clock
+from bamboorouter.coordination.workers import end_numbers
 from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import job_messages
@@ -138,7 +139,9 @@
         ends: Ends that the leader hasn't confirmed, in order.
         last_confirmed_end: Highest number of an end that the leader has
             confirmed.
-        last_listed_end: Highest number of an end that the worker has listed.
+        end_numbers: Numbers of the ends that the worker has listed.
+        unsettled: Whether the newest view lists ends, or isn't complete. The
+            worker then answers the next poll without delay.
         newest_view_ms: Time of the newest view of the incarnation, in ms on the
             worker's clock.
         newest_view_received_ms: Time at which that view arrived, in ms on the
@@ -153,9 +156,10 @@
         self.runs: dict[jobs.RunKey, HeldRun] = {}
         self.ends: list[PendingEnd] = []
         self.last_confirmed_end = 0
-        self.last_listed_end = 0
+        self.end_numbers = end_numbers.EndNumbers()
         self.newest_view_ms = 0
         self.newest_view_received_ms = 0
+        self.unsettled = False
         self.ended = ended_runs.EndedRuns(worker=worker)
         self.clock = time
 
@@ -287,7 +291,7 @@
             dataclasses.replace(pending, number=0) for pending in self.ends
         ]
         self.last_confirmed_end = 0
-        self.last_listed_end = 0
+        self.end_numbers = end_numbers.EndNumbers()
         self.newest_view_ms = 0
         self.newest_view_received_ms = 0
 
@@ -315,7 +319,9 @@
                 clock.
         """
         last_end = self.ends[-1:]
-        self._add_ends(view.ended)
+        if not self._add_ends(view.ended):
+            view = dataclasses.replace(view, complete=False)
+        self.unsettled = bool(view.ended) or not view.complete
         if (
             view.clock_ms >= self.newest_view_ms
             or sent_ms > self.newest_view_received_ms
@@ -337,16 +343,16 @@
             if key not in listed and run.since_ms <= sent_ms:
                 self._update_missing(run, token, sent_ms)
 
-    def _add_ends(self, rows: Iterable[worker_port.EndedRow]) -> None:
-        for row in sorted(rows, key=lambda row: row.number):
-            if row.number <= self.last_listed_end:
-                continue
-            self.last_listed_end = row.number
+    def _add_ends(self, rows: Iterable[worker_port.EndedRow]) -> bool:
+        """Adds new ends; returns whether all ends of the list are known."""
+        new, all_known = self.end_numbers.take_new(rows)
+        for row in new:
             key = (row.end.task, row.end.attempt)
             self.runs.pop(key, None)
             self.ended.add_listed(key)
             self._drop_inferred_end(key)
             self.ends.append(PendingEnd(number=row.number, end=row.end))
+        return all_known
 
     def _update_running(
         self,
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 from typing import Any
 from typing import cast
 import unittest
@@ -561,6 +562,32 @@
         await self.until(lambda: self.outcomes() == ["rejected"])
         self.assertEqual(self.worker.starts, [])
 
+    async def test_end_that_can_not_be_taken_causes_no_burst_of_polls(
+        self,
+    ) -> None:
+        """Guards against an agent that polls without a pause.
+
+        A worker answers at once while it lists ends.
+        """
+        views = [
+            worker_port.WorkerView(
+                clock_ms=1, running=(), ended=(), complete=False
+            )
+        ]
+        polls = 0
+
+        async def poll(**_: Any) -> worker_port.WorkerView:
+            nonlocal polls
+            polls += 1
+            await asyncio.sleep(0)
+            return dataclasses.replace(
+                views[0], clock_ms=self.worker.time.now()
+            )
+
+        with mock.patch.object(self.worker, "poll", poll):
+            await asyncio.sleep(0.5)
+        self.assertLess(polls, 20)
+
     async def test_unknown_session_is_opened_again(self) -> None:
         await self.order(fake_worker.start_orders(make.ref()))
         await self.until(lambda: self.worker.running)
--- a/tests/test_held_runs.py
+++ b/tests/test_held_runs.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bamboorouter import clock
+from bamboorouter.coordination.workers import end_numbers
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import job_messages
@@ -116,6 +117,45 @@
             self.see(dataclasses.replace(cut, clock_ms=30))
         self.assertEqual(self.outcomes(), [])
 
+    def test_number_that_is_far_too_high_hides_no_end(self) -> None:
+        """Guards against repeating runs whose ends are ignored."""
+        other = make.ref("b")
+        self.see(view(10, REF, other))
+        odd = dataclasses.replace(
+            end_row(10**11), end=jobs.RunEnd(task=other, attempt=1, how="done")
+        )
+        self.see(view(20, REF, other, ended=(odd,)))
+        self.see(view(30, other, ended=(end_row(1),)))
+        self.assertEqual(list(self.held.runs), [(other, 1)])
+        self.assertEqual([pending.number for pending in self.held.ends], [1])
+        self.held.confirm(self.held.ends)
+        self.assertEqual(self.held.last_confirmed_end, 1)
+
+    def test_run_whose_end_is_in_doubt_is_not_lost(self) -> None:
+        self.see(view(10, REF))
+        doubtful = view(20, ended=(end_row(10**11),))
+        for _ in range(end_numbers.MIN_LISTS - 1):
+            self.see(doubtful)
+            self.assertEqual(self.outcomes(), [])
+        self.see(doubtful)
+        self.assertEqual(self.outcomes(), ["done"])
+
+    def test_new_agent_takes_over_high_numbers(self) -> None:
+        rows = tuple(end_row(50_000 + n, attempt=n) for n in range(1, 4))
+        for _ in range(end_numbers.MIN_LISTS):
+            self.see(view(10, ended=rows))
+        self.see(view(20, ended=(end_row(50_004, attempt=4),)))
+        self.assertEqual(
+            [pending.number for pending in self.held.ends],
+            [50_001, 50_002, 50_003, 50_004],
+        )
+
+    def test_end_that_is_listed_again_is_not_new(self) -> None:
+        self.see(view(10, ended=(end_row(1), end_row(2, attempt=2))))
+        self.held.confirm(self.held.ends)
+        self.see(view(20, ended=(end_row(2, attempt=2), end_row(1))))
+        self.assertEqual(self.held.ends, [])
+
     def test_acknowledged_stop_is_due_again_only_if_the_run_is_listed(
         self,
     ) -> None:
