Bound configurations, jobs and departures

Three holes of the same kind, each in a decoder that took any value:

* A configuration with version 10^30 was in force for good, on every replica, and later ones were acknowledged without effect; one with a version below 0 was acknowledged too.
A slack factor of 1e300 made the allowed time of a job infinite.
* A step could depend on the same step any number of times, and its label, rack and image could have any length.
Such a job was replicated and slowed each pass of the leader down.
New jobs are now refused for it, at the adapter and by the leader; the state machine still applies jobs of earlier versions.
* A departure whose body can't be read counted as one of the present incarnation.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -88,7 +88,10 @@
         Returns:
             The refusal, or None if the job is accepted.
         """
-        if problem := job_limits.find_violation(spec):
+        problem = job_limits.find_violation(spec) or job_limits.find_excess(
+            spec
+        )
+        if problem:
             # A retry of an invalid job would be refused as well.
             return Refusal(reason=problem, retry_after_ms=0)
         if queue.advised and not self.has_advice_source:
--- a/bamboorouter/protocol/job_limits.py
+++ b/bamboorouter/protocol/job_limits.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from bamboorouter.protocol import jobs
+from bamboorouter.protocol import value_limits
 
 # Limit on the tasks of a job in all its occurrences. Each task takes about 150
 # bytes on a replica. At the target size, 4,900 batch tasks of all jobs run at
@@ -46,6 +47,23 @@
     return None
 
 
+def find_excess(spec: jobs.JobSpec) -> str | None:
+    """Returns why a new job is too large, or None if it isn't.
+
+    Only checked before a job is proposed: each replica must apply a job of the
+    log in the same way, and earlier versions accepted such jobs.
+    """
+    for number, step in enumerate(spec.steps):
+        if len(step.after) > MAX_STEPS:
+            return f"step {number} depends on too many steps"
+        if any(
+            len(text) > value_limits.MAX_NAME_CHARACTERS
+            for text in (step.label, step.data_rack, step.image)
+        ):
+            return f"step {number} has a text that is too long"
+    return None
+
+
 def _amounts(step: jobs.Step) -> tuple[int, ...]:
     return (
         step.need.millicores,
--- a/bamboorouter/protocol/value_limits.py
+++ b/bamboorouter/protocol/value_limits.py
@@ -24,6 +24,7 @@
 MAX_MEMORY_MB: Final = 1_000_000_000
 MAX_ACCELERATORS: Final = 1_000_000
 MAX_PERCENT: Final = 100
+MAX_FACTOR: Final = 1_000_000
 MAX_PORT: Final = 65_535
 
 MAX_NAME_CHARACTERS: Final = 1024
@@ -38,6 +39,7 @@
 MemoryMb = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
 Accelerators = Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
 Percent = Annotated[float, msgspec.Meta(ge=0, le=MAX_PERCENT)]
+Factor = Annotated[float, msgspec.Meta(ge=0, le=MAX_FACTOR)]
 Measurement = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS)]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,16 +4,24 @@
 """
 
 import contextlib
+import itertools
 import json
 from typing import Any
 import unittest
 
 import aiohttp
 from aiohttp import web
+import msgspec
 
+from bamboorouter.coordination.jobs import admission
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_limits
+from bamboorouter.protocol import jobs
 from bamboorouter.protocol import value_limits
 from tests import fake_worker
+from tests import job_builders as make
 from tests import platform_site
 from tests import replica_site
 
@@ -178,6 +186,134 @@
         self.assertEqual((len(view.running), view.complete), (1, False))
 
 
+class DepartureTest(unittest.TestCase):
+    """A message that a worker leaves may have no body, but no odd one."""
+
+    def test_start_of_the_incarnation(self) -> None:
+        self.assertIsNone(wire.decode_departure(b""))
+        self.assertIsNone(wire.decode_departure(b"{}"))
+        self.assertEqual(wire.decode_departure(b'{"born":7}'), 7)
+
+    def test_body_that_can_not_be_read(self) -> None:
+        """Guards against draining a worker because of another writer."""
+        for body in (b"{", b"[]", b'{"born":"7"}', encode({"born": 10**30})):
+            with (
+                self.subTest(body[:12]),
+                self.assertRaises(wire.InvalidError),
+            ):
+                wire.decode_departure(body)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Odd configurations are refused as a whole."""
+
+    def assert_refused(self, **fields: Any) -> None:
+        document = {**platform_site.configuration(), **fields}
+        with self.assertRaises(wire.InvalidError):
+            wire.decode_configuration(encode(document))
+
+    def test_version_out_of_range(self) -> None:
+        """Guards against a version that is the highest for good."""
+        for version in (*HUGE_NUMBERS, value_limits.MAX_SERIAL + 1, -1):
+            with self.subTest(str(version)[:5]):
+                self.assert_refused(version=version)
+
+    def test_value_of_a_route_out_of_range(self) -> None:
+        """Guards against values that reach every replica.
+
+        With a slack factor of 1e300, the time that a job may take is infinite.
+        """
+        route = platform_site.configuration()["routes"][0]
+        text = "x" * (value_limits.MAX_NAME_CHARACTERS + 1)
+        for field, value in itertools.chain(
+            itertools.product(
+                (
+                    "timeoutMs",
+                    "targetLatencyMs",
+                    "priority",
+                    "maxAttempts",
+                    "slackFactor",
+                ),
+                (*HUGE_NUMBERS, -1),
+            ),
+            (("slackFactor", 1e300),),
+            itertools.product(("name", "host", "pathPrefix"), (text,)),
+        ):
+            with self.subTest(field, value=str(value)[:5]):
+                self.assert_refused(routes=[{**route, field: value}])
+
+    def test_name_of_a_service_that_is_too_long(self) -> None:
+        text = "x" * (value_limits.MAX_NAME_CHARACTERS + 1)
+        self.assert_refused(services=[{"name": "desk"}, {"name": text}])
+
+    def test_largest_version_is_taken(self) -> None:
+        document = platform_site.configuration(value_limits.MAX_SERIAL)
+        self.assertEqual(
+            wire.decode_configuration(encode(document)).version,
+            value_limits.MAX_SERIAL,
+        )
+
+
+class JobTest(unittest.TestCase):
+    """Odd jobs are refused at each border, before they are replicated."""
+
+    STEP: dict[str, Any] = {"count": 1, "cpu": 500}
+
+    def test_step_with_a_text_or_list_that_is_too_long(self) -> None:
+        """Guards against a job that slows every pass of the leader down."""
+        text = "x" * (value_limits.MAX_NAME_CHARACTERS + 1)
+        for fields in (
+            {"after": [0] * (job_limits.MAX_STEPS + 1)},
+            {"constraints": text},
+            {"dataRack": text},
+            {"image": text},
+        ):
+            body = {
+                "spec": "w",
+                "phases": [self.STEP, {**self.STEP, **fields}],
+            }
+            with (
+                self.subTest(list(fields)),
+                self.assertRaises(wire.InvalidError),
+            ):
+                wire.decode_job(encode(body))
+
+    def test_leader_refuses_a_job_that_a_peer_has_not_checked(self) -> None:
+        step = jobs.Step(
+            count=1,
+            need=common.Resources(millicores=1),
+            after=(0,) * (job_limits.MAX_STEPS + 1),
+        )
+        spec = jobs.JobSpec(
+            spec="w", steps=(msgspec.structs.replace(step, after=()), step)
+        )
+        refusal = admission.Admission(worker_capacities=lambda _: []).check(
+            make.Jobs().state, make.queue(), spec
+        )
+        assert refusal is not None
+        self.assertEqual(refusal.retry_after_ms, 0)
+
+    def test_job_that_an_earlier_version_accepted_stays_accepted(self) -> None:
+        """Guards against replicas that apply the same entry differently."""
+        step = jobs.Step(
+            count=1, need=common.Resources(millicores=1), image="x" * 5000
+        )
+        command = job_commands.AcceptSteps(
+            job="a", queue="forms", spec=jobs.JobSpec(spec="w", steps=(step,))
+        )
+        self.assertTrue(make.Jobs().state.accept(command, 0).ok)
+
+    def test_number_that_is_no_integer(self) -> None:
+        for field in ("count", "cpu", "estimateMs"):
+            for value in (1.5, "1", True, None, *HUGE_NUMBERS):
+                body = {"spec": "w", "phases": [{**self.STEP, field: value}]}
+                with (
+                    self.subTest(field, value=str(value)[:5]),
+                    self.assertRaises(wire.InvalidError),
+                ):
+                    wire.decode_job(encode(body))
+
+
 class WorkerPortTest(unittest.IsolatedAsyncioTestCase):
     """A port to an incarnation whose ID or answers are odd."""
 
