Bound the answers of the advice service and skip odd rows

One row that can't be read made the whole answer invalid, for ever, and no other step was asked about meanwhile. A validity of 10^30 ms made a ticket that never expires; one of 0 ms made a request without a pause after each answer.

The rows that can be read now count, and the workers of the others are asked about again. An answer that leaves something open is repeated after the usual backoff, and other steps come first.

--- a/bamboorouter/coordination/jobs/start_advice.py
+++ b/bamboorouter/coordination/jobs/start_advice.py
@@ -3,7 +3,8 @@
 A step is advised if the settings of its queue say so. At most one request is
 pending at a time. Advised steps wait for the answer, other steps don't. If the
 service is busy or doesn't answer, the request is retried with exponential
-backoff. An advised step never starts without an answer.
+backoff. An advised step never starts without an answer. If an answer can't be
+read, other steps are asked about before its step is again.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from typing import Protocol
 
 from bamboorouter import clock
+from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter.coordination.policies import advised_starts
 from bamboorouter.coordination.policies import run_placement
@@ -32,10 +34,13 @@
     Attributes:
         tickets: Tickets by the incarnation of a worker that may run the step.
         valid_ms: Time in ms for which workers accept the tickets.
+        complete: Whether the whole answer could be read. If not, a worker
+            without a ticket may be allowed.
     """
 
     tickets: Mapping[str, str]
     valid_ms: int
+    complete: bool = True
 
 
 class AdviceSource(Protocol):
@@ -85,6 +90,8 @@
         self._on_answer = on_answer
         self._backoff_ms = INITIAL_BACKOFF_MS
         self._pending: asyncio.Task[None] | None = None
+        # Step whose last answer couldn't be read; None if there is none.
+        self._unread_step: advised_starts.StepKey | None = None
 
     async def stop(self) -> None:
         """Cancels the pending request."""
@@ -139,7 +146,11 @@
         if self.source is None or self._pending is not None:
             return
         request = self.ticket_cache.next_request(
-            steps.values(), workers, self.clock.now()
+            sorted(
+                steps.values(), key=lambda step: step.key == self._unread_step
+            ),
+            workers,
+            self.clock.now(),
         )
         if request is not None:
             self._pending = asyncio.create_task(self._ask(self.source, request))
@@ -150,10 +161,16 @@
         sent = self.clock.now()
         try:
             advice = await source.ask(request.key, request.incarnations)
-            self._backoff_ms = INITIAL_BACKOFF_MS
+            if not advice.complete:
+                request = dataclasses.replace(
+                    request, incarnations=tuple(advice.tickets)
+                )
             self.ticket_cache.record_answer(
                 request, advice.tickets, until_ms=sent + advice.valid_ms
             )
+            _check_usable(advice)
+            self._backoff_ms = INITIAL_BACKOFF_MS
+            self._unread_step = None
             events.log(
                 events.ADVICE_TAKEN,
                 step="/".join(map(str, request.key)),
@@ -164,6 +181,8 @@
         except Exception as err:  # pylint: disable=broad-except
             # The answer may be malformed in any way; the request is retried
             # after a backoff.
+            if isinstance(err, errors.ProtocolError):
+                self._unread_step = request.key
             events.log(
                 events.ADVICE_FAILED,
                 step="/".join(map(str, request.key)),
@@ -177,6 +196,17 @@
             self._on_answer()
 
 
+def _check_usable(advice: Advice) -> None:
+    """Raises ProtocolError if the same request must be repeated."""
+    problem = ""
+    if not advice.complete:
+        problem = "rows of the answer can't be read"
+    elif advice.tickets and advice.valid_ms <= advised_starts.TICKET_MARGIN_MS:
+        problem = f"tickets are valid for {advice.valid_ms} ms only"
+    if problem:
+        raise errors.ProtocolError(text=problem, step="ask for advice")
+
+
 def step_key(ref: jobs.TaskRef) -> advised_starts.StepKey:
     """Returns the key of a task's step."""
     return ref.job, ref.occurrence, ref.step
--- a/tests/test_start_advice.py
+++ b/tests/test_start_advice.py
@@ -16,6 +16,7 @@
 from bamboorouter.coordination.policies import advised_starts
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import jobs
+from bamboorouter.protocol import value_limits
 from tests import job_builders as make
 from tests import platform_site
 from tests import test_job_dispatcher
@@ -107,6 +108,9 @@
     Attributes:
         allowed: Incarnations that may run every step.
         failures_left: Number of requests that still fail with `error`.
+        valid_ms: Validity of the tickets, in ms.
+        unread: Incarnations whose rows can't be read.
+        failing_job: Job about which each request fails with `error`.
         requests: Incarnations named in each request.
         error: Exception raised for a failed request.
     """
@@ -114,6 +118,9 @@
     def __init__(self, *allowed: str) -> None:
         self.allowed = allowed
         self.failures_left = 0
+        self.valid_ms = 3000
+        self.unread: set[str] = set()
+        self.failing_job = ""
         self.requests: list[tuple[str, ...]] = []
         self.error: Exception = errors.RequestTimeoutError(
             text="busy", step="advise"
@@ -127,13 +134,17 @@
         if self.failures_left:
             self.failures_left -= 1
             raise self.error
+        if key[0] == self.failing_job:
+            raise self.error
         return start_advice.Advice(
             tickets={
                 incarnation: "t-1"
                 for incarnation in incarnations
                 if incarnation in self.allowed
+                and incarnation not in self.unread
             },
-            valid_ms=3000,
+            valid_ms=self.valid_ms,
+            complete=self.unread.isdisjoint(incarnations),
         )
 
 
@@ -195,6 +206,39 @@
         self.assertLessEqual(len(self.source.requests), 3)
         self.assertGreater(len(self.source.requests), 1)
 
+    async def test_tickets_without_validity_are_not_asked_for_at_once(
+        self,
+    ) -> None:
+        """Guards against requests without a pause."""
+        self.source.valid_ms = 0
+        await self.connect_agent("w2")
+        await self.submit("a")
+        await asyncio.sleep(0.3)
+        self.assertLessEqual(len(self.source.requests), 3)
+        self.assertGreater(len(self.source.requests), 1)
+
+    async def test_worker_whose_row_can_not_be_read_is_asked_about_again(
+        self,
+    ) -> None:
+        """Guards against a step that never starts: no other worker may."""
+        self.source.unread = {"w2@1"}
+        agent = await self.connect_agent("w2")
+        await self.submit("a")
+        await self.until(lambda: len(self.source.requests) == 2)
+        self.source.unread = set()
+        await self.until(agent.started)
+
+    async def test_step_with_invalid_answers_does_not_hold_up_others(
+        self,
+    ) -> None:
+        self.source.failing_job = "a"
+        self.source.error = errors.ProtocolError(text="odd", step="advise")
+        agent = await self.connect_agent("w2")
+        await self.submit("a")
+        await self.submit("b")
+        await self.until(agent.started)
+        self.assertEqual(agent.started(), [make.ref("b")])
+
     async def test_rejected_start_is_asked_for_again(self) -> None:
         agent = await self.connect_agent("w2")
         await self.submit("a")
@@ -235,6 +279,10 @@
 
     async def asyncSetUp(self) -> None:
         self.status = 200
+        self.document: dict[str, object] = {
+            "allowed": [["i-2", "t-2"], ["i-9", "t-9"]],
+            "validMs": 3000,
+        }
         self.bodies: list[object] = []
         application = web.Application()
         application.router.add_post("/-/advise", self.answer)
@@ -248,10 +296,7 @@
 
     async def answer(self, request: web.Request) -> web.Response:
         self.bodies.append(json.loads(await request.read()))
-        return web.json_response(
-            {"allowed": [["i-2", "t-2"], ["i-9", "t-9"]], "validMs": 3000},
-            status=self.status,
-        )
+        return web.json_response(self.document, status=self.status)
 
     async def test_tickets_come_back_by_life(self) -> None:
         """The protocol names workers by instance, the advice by incarnation."""
@@ -262,6 +307,30 @@
         self.assertEqual(advice.tickets, {"i-2@6": "t-2"})
         self.assertEqual(advice.valid_ms, 3000)
 
+    async def test_odd_rows_are_skipped(self) -> None:
+        self.document["allowed"] = [
+            ["i-1", 7],
+            ["i-2"],
+            7,
+            ["i-3", "t-3"],
+            ["i-4", "x" * (value_limits.MAX_TEXT_CHARACTERS + 1)],
+        ]
+        advice = await self.source.ask(
+            KEY, [f"i-{number}@5" for number in range(1, 5)]
+        )
+        self.assertEqual(advice.tickets, {"i-3@5": "t-3"})
+        self.assertFalse(advice.complete)
+
+    async def test_validity_out_of_range_is_an_error(self) -> None:
+        """Guards against tickets that never expire."""
+        for valid_ms in (10**30, 10**400, -1, None, 1.5):
+            self.document["validMs"] = valid_ms
+            with (
+                self.subTest(str(valid_ms)[:5]),
+                self.assertRaises(errors.ProtocolError),
+            ):
+                await self.source.ask(KEY, ["i-2@5"])
+
     async def test_busy_and_absent_service_are_errors(self) -> None:
         self.status = 429
         with self.assertRaises(errors.RouterError):
