--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,375 @@
+"""Guards against single odd values in messages of other programs.
+
+An odd value must be refused, or at least not hide the true ones after it.
+"""
+
+import contextlib
+import itertools
+import json
+from typing import Any
+import unittest
+
+import aiohttp
+from aiohttp import web
+import msgspec
+
+from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import common
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_limits
+from bamboorouter.protocol import jobs
+from bamboorouter.protocol import value_limits
+from tests import fake_worker
+from tests import job_builders as make
+from tests import platform_site
+from tests import replica_site
+
+# platform_site adds the adapter's folder to sys.path, so it is imported first.
+import bounded_body  # isort: skip
+import http_server  # isort: skip
+import wire  # isort: skip
+import worker_http  # isort: skip
+
+# Numbers beyond 64 bits, and beyond the range of a float.
+HUGE_NUMBERS = (10**30, 10**400)
+CHUNK_BYTES = 64 * 1024
+ANNOUNCEMENT = platform_site.StandInWorker(address="10.0.0.1:80").announcement()
+
+
+def encode(document: Any) -> bytes:
+    return json.dumps(document).encode()
+
+
+class AnnouncementTest(unittest.TestCase):
+    """Odd announcements are refused as a whole."""
+
+    def assert_refused(self, **fields: Any) -> None:
+        with self.assertRaises(wire.InvalidError):
+            wire.decode_announcement("i-1", encode({**ANNOUNCEMENT, **fields}))
+
+    def test_number_out_of_range(self) -> None:
+        """Guards against a sequence or start that is the newest for good.
+
+        A capacity out of range would become the replicated room of the worker.
+        """
+        for number in (*HUGE_NUMBERS, -1):
+            for field in ("seq", "born"):
+                with self.subTest(field, number=str(number)[:5]):
+                    self.assert_refused(**{field: number})
+            for field in ("cpu", "memMb", "gpu"):
+                with self.subTest(field, number=str(number)[:5]):
+                    capacity = {**ANNOUNCEMENT["capacity"], field: number}
+                    self.assert_refused(capacity=capacity)
+
+    def test_text_or_list_that_is_too_long(self) -> None:
+        """Guards against reports that are too large for a message."""
+        text = "x" * (value_limits.MAX_NAME_CHARACTERS + 1)
+        for fields in (
+            {"service": text},
+            {"zone": text},
+            {"labels": [text]},
+            {"labels": ["a"] * (value_limits.MAX_LABELS + 1)},
+        ):
+            with self.subTest(list(fields)):
+                self.assert_refused(**fields)
+
+    def test_address_that_int_takes_and_the_platform_never_writes(self) -> None:
+        """Guards against orders to an address that nobody has announced."""
+        for address in (
+            "10.0.0.1: 80",
+            "10.0.0.1:+80",
+            "10.0.0.1:8_0",
+            "10.0.0.1:\u0668\u0660",  # Arabic-Indic digits.
+            "10.0.0.1:080",
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.1:" + "9" * 5000,
+            "::1:80",
+            "desk.example:80",
+            "10.0.0.1",
+        ):
+            with self.subTest(address[:20]):
+                self.assert_refused(addr=address)
+
+    def test_id_that_no_header_can_carry(self) -> None:
+        """Guards against a poll that fails for another reason than silence."""
+        for worker_id in ("", "a\r\nb", "a\0b", "a\udcff", "i" * 2000):
+            with (
+                self.subTest(worker_id[:5]),
+                self.assertRaises(wire.InvalidError),
+            ):
+                wire.decode_announcement(worker_id, encode(ANNOUNCEMENT))
+
+    def test_largest_plausible_values_are_taken(self) -> None:
+        announcement = wire.decode_announcement(
+            "i-1",
+            encode(
+                {
+                    **ANNOUNCEMENT,
+                    "seq": value_limits.MAX_SERIAL,
+                    "capacity": {"cpu": 10**6, "memMb": 10**8, "gpu": 10**3},
+                    "labels": ["x" * value_limits.MAX_NAME_CHARACTERS] * 9,
+                }
+            ),
+        )
+        self.assertEqual(announcement.sequence, value_limits.MAX_SERIAL)
+
+
+class ViewTest(unittest.TestCase):
+    """Odd rows of a worker's view are skipped; an odd view is refused."""
+
+    RUNNING = ("a.0.1.2", 1, "c", 40, 3)
+    ENDED = (1, "a.0.0.0", 1, "done", "")
+
+    def decode(self, **fields: Any) -> worker_port.WorkerView:
+        body = {"clockMs": 5, "born": 7, **fields}
+        return wire.decode_view(encode(body))[1]
+
+    def test_clock_or_start_out_of_range(self) -> None:
+        """Guards against a view that is the newest for good."""
+        for number in (*HUGE_NUMBERS, -1):
+            for field in ("clockMs", "born"):
+                with (
+                    self.subTest(field, number=str(number)[:5]),
+                    self.assertRaises(wire.InvalidError),
+                ):
+                    self.decode(**{field: number})
+
+    def test_odd_value_of_a_running_run(self) -> None:
+        """Guards against odd values in reports and in the replicated state."""
+        text = "x" * (value_limits.MAX_TEXT_CHARACTERS + 1)
+        for position, values in (
+            (0, (None, 7, "a.0.1", "a.0.1.-2", "a.0.1.\u0662", "a.0.1.1_0")),
+            (0, (f"a.0.1.{10**30}", f"{text}.0.1.2", ".0.1.2")),
+            (1, ("1", 1.5, True, -1, None, *HUGE_NUMBERS)),
+            (2, (None, 5, ["c"], text)),
+            (3, ("40", -1, 101, None, *HUGE_NUMBERS)),
+            (4, ("3", -1, None, *HUGE_NUMBERS)),
+        ):
+            for value in values:
+                row = [*self.RUNNING]
+                row[position] = value
+                with self.subTest(position=position, value=str(value)[:9]):
+                    view = self.decode(running=[self.RUNNING, row])
+                    self.assertEqual(len(view.running), 1)
+                    self.assertFalse(view.complete)
+
+    def test_odd_value_of_an_ended_run(self) -> None:
+        """Guards against a number after which all later ends are ignored."""
+        text = "x" * (value_limits.MAX_TEXT_CHARACTERS + 1)
+        odd_values: tuple[tuple[int, tuple[Any, ...]], ...] = (
+            (0, ("2", 1.5, True, 0, -1, None, *HUGE_NUMBERS)),
+            (1, (None, 7, "a.0.1", "a.0.1.1_0")),
+            (2, ("1", 1.5, -1, None, *HUGE_NUMBERS)),
+            (3, ("gone", None, 7, ["done"], {})),
+            (4, (None, 5, text)),
+        )
+        for position, values in odd_values:
+            for value in values:
+                row = [*self.ENDED]
+                row[position] = value
+                with self.subTest(position=position, value=str(value)[:9]):
+                    view = self.decode(finished=[row, self.ENDED])
+                    self.assertEqual(len(view.ended), 1)
+                    self.assertFalse(view.complete)
+
+    def test_rough_figures_may_be_fractions(self) -> None:
+        view = self.decode(running=[("a.0.1.2", 1, "c", 40.5, 3.7)])
+        self.assertEqual((view.running[0].figure, view.complete), (3, True))
+
+    def test_deeply_nested_row_is_skipped(self) -> None:
+        nested: Any = []
+        for _ in range(500):
+            nested = [nested]
+        view = self.decode(running=[nested, self.RUNNING])
+        self.assertEqual((len(view.running), view.complete), (1, False))
+
+
+class DepartureTest(unittest.TestCase):
+    """A message that a worker leaves may have no body, but no odd one."""
+
+    def test_start_of_the_incarnation(self) -> None:
+        self.assertIsNone(wire.decode_departure(b""))
+        self.assertIsNone(wire.decode_departure(b"{}"))
+        self.assertEqual(wire.decode_departure(b'{"born":7}'), 7)
+
+    def test_body_that_can_not_be_read(self) -> None:
+        """Guards against draining a worker because of another writer."""
+        for body in (b"{", b"[]", b'{"born":"7"}', encode({"born": 10**30})):
+            with (
+                self.subTest(body[:12]),
+                self.assertRaises(wire.InvalidError),
+            ):
+                wire.decode_departure(body)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Odd configurations are refused as a whole."""
+
+    def assert_refused(self, **fields: Any) -> None:
+        document = {**platform_site.configuration(), **fields}
+        with self.assertRaises(wire.InvalidError):
+            wire.decode_configuration(encode(document))
+
+    def test_version_out_of_range(self) -> None:
+        """Guards against a version that is the highest for good."""
+        for version in (*HUGE_NUMBERS, value_limits.MAX_SERIAL + 1, -1):
+            with self.subTest(str(version)[:5]):
+                self.assert_refused(version=version)
+
+    def test_value_of_a_route_out_of_range(self) -> None:
+        """Guards against values that reach every replica.
+
+        With a slack factor of 1e300, the time that a job may take is infinite.
+        """
+        route = platform_site.configuration()["routes"][0]
+        text = "x" * (value_limits.MAX_NAME_CHARACTERS + 1)
+        for field, value in itertools.chain(
+            itertools.product(
+                (
+                    "timeoutMs",
+                    "targetLatencyMs",
+                    "priority",
+                    "maxAttempts",
+                    "slackFactor",
+                ),
+                (*HUGE_NUMBERS, -1),
+            ),
+            (("slackFactor", 1e300),),
+            itertools.product(("name", "host", "pathPrefix"), (text,)),
+        ):
+            with self.subTest(field, value=str(value)[:5]):
+                self.assert_refused(routes=[{**route, field: value}])
+
+    def test_name_of_a_service_that_is_too_long(self) -> None:
+        text = "x" * (value_limits.MAX_NAME_CHARACTERS + 1)
+        self.assert_refused(services=[{"name": "desk"}, {"name": text}])
+
+    def test_largest_version_is_taken(self) -> None:
+        document = platform_site.configuration(value_limits.MAX_SERIAL)
+        self.assertEqual(
+            wire.decode_configuration(encode(document)).version,
+            value_limits.MAX_SERIAL,
+        )
+
+
+class JobTest(unittest.TestCase):
+    """Odd jobs are refused at each border, before they are replicated."""
+
+    STEP: dict[str, Any] = {"count": 1, "cpu": 500}
+
+    def test_step_with_a_text_or_list_that_is_too_long(self) -> None:
+        """Guards against a job that slows every pass of the leader down."""
+        text = "x" * (value_limits.MAX_NAME_CHARACTERS + 1)
+        for fields in (
+            {"after": [0] * (job_limits.MAX_STEPS + 1)},
+            {"constraints": text},
+            {"dataRack": text},
+            {"image": text},
+        ):
+            body = {
+                "spec": "w",
+                "phases": [self.STEP, {**self.STEP, **fields}],
+            }
+            with (
+                self.subTest(list(fields)),
+                self.assertRaises(wire.InvalidError),
+            ):
+                wire.decode_job(encode(body))
+
+    def test_leader_refuses_a_job_that_a_peer_has_not_checked(self) -> None:
+        step = jobs.Step(
+            count=1,
+            need=common.Resources(millicores=1),
+            after=(0,) * (job_limits.MAX_STEPS + 1),
+        )
+        spec = jobs.JobSpec(
+            spec="w", steps=(msgspec.structs.replace(step, after=()), step)
+        )
+        refusal = admission.Admission(worker_capacities=lambda _: []).check(
+            make.Jobs().state, make.queue(), spec
+        )
+        assert refusal is not None
+        self.assertEqual(refusal.retry_after_ms, 0)
+
+    def test_job_that_an_earlier_version_accepted_stays_accepted(self) -> None:
+        """Guards against replicas that apply the same entry differently."""
+        step = jobs.Step(
+            count=1, need=common.Resources(millicores=1), image="x" * 5000
+        )
+        command = job_commands.AcceptSteps(
+            job="a", queue="forms", spec=jobs.JobSpec(spec="w", steps=(step,))
+        )
+        self.assertTrue(make.Jobs().state.accept(command, 0).ok)
+
+    def test_number_that_is_no_integer(self) -> None:
+        for field in ("count", "cpu", "estimateMs"):
+            for value in (1.5, "1", True, None, *HUGE_NUMBERS):
+                body = {"spec": "w", "phases": [{**self.STEP, field: value}]}
+                with (
+                    self.subTest(field, value=str(value)[:5]),
+                    self.assertRaises(wire.InvalidError),
+                ):
+                    wire.decode_job(encode(body))
+
+
+class WorkerPortTest(unittest.IsolatedAsyncioTestCase):
+    """A port to an incarnation whose ID or answers are odd."""
+
+    async def test_poll_with_an_id_that_no_header_can_carry(self) -> None:
+        """Guards against a poll loop that fails for ever at the same entry."""
+
+        async def answer(_: web.Request) -> web.Response:
+            return web.json_response({"clockMs": 1, "born": 1})
+
+        address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=address, routes=[("POST", wire.HOLD_PATH, answer)]
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        port = worker_http.HttpWorkerPortFactory().open(
+            fake_worker.announcement(id="a\r\nb", address=address)
+        )
+        self.addAsyncCleanup(port.close)
+        with self.assertRaises(worker_port.NoAnswerError):
+            await port.poll(token=0, acknowledged=0, until_ms=None, wait_ms=0)
+
+    async def test_answer_that_is_too_large(self) -> None:
+        """Guards against an agent that runs out of memory, again and again."""
+
+        async def answer(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            if await request.read() != b"chunked":
+                response.content_length = 2 * bounded_body.MAX_BYTES
+            await response.prepare(request)
+            with contextlib.suppress(ConnectionError):
+                for _ in range(2 * bounded_body.MAX_BYTES // CHUNK_BYTES):
+                    await response.write(b" " * CHUNK_BYTES)
+            return response
+
+        address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=address, routes=[("POST", wire.HOLD_PATH, answer)]
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+        port = worker_http.HttpWorkerPortFactory().open(
+            fake_worker.announcement(address=address)
+        )
+        self.addAsyncCleanup(port.close)
+        with self.assertRaisesRegex(worker_port.NoAnswerError, "too large"):
+            await port.poll(token=0, acknowledged=0, until_ms=None, wait_ms=0)
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(
+                f"http://{address}{wire.HOLD_PATH}", data=b"chunked"
+            ) as response,
+        ):
+            with self.assertRaises(bounded_body.BodyTooLargeError):
+                await bounded_body.read(response)
+
+
+if __name__ == "__main__":
+    unittest.main()
