Move resumable runs off a worker whose capacity has shrunk for long

Once a capacity shrinks, a worker may have more runs than it has room for. That breaks no rule, but all of them are delayed, or its memory runs out and they fail, which counts towards their attempts.

Runs still go on, unless all of this holds: the worker has been over its capacity for 2 s, the run reserves some of a resource that is exceeded, it resumes from a checkpoint and isn't part of a gang or lasting, and another worker has room for it now. Then the newest runs leave until the others fit (worker_overcommitted, stop reason move).

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -27,6 +27,7 @@
 from bamboorouter.coordination.jobs import run_ends
 from bamboorouter.coordination.jobs import run_measurements
 from bamboorouter.coordination.jobs import run_monitor
+from bamboorouter.coordination.jobs import shrunk_workers
 from bamboorouter.coordination.jobs import start_advice
 from bamboorouter.coordination.jobs import stop_orders
 from bamboorouter.coordination.jobs import worker_capacities
@@ -71,6 +72,7 @@
         advice: Asks the advice service where advised steps may run.
         stops: Stops that were ordered.
         superseded: Superseded runs that may run although they aren't reported.
+        shrunk: Workers whose runs reserve more than their capacity.
         placement: Chooses workers for ready tasks.
     """
 
@@ -102,6 +104,7 @@
         )
         self.stops = stop_orders.StopTracker(time=time)
         self.superseded = worker_capacities.SupersededRuns()
+        self.shrunk = shrunk_workers.ShrunkWorkers(time=time)
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
         self._pushes: set[asyncio.Task[None]] = set()
@@ -306,6 +309,7 @@
             self.run_monitor.reset()
             self.stops.reset()
             self.superseded.reset()
+            self.shrunk.reset()
             self.measurements.reset()
             self.advice.reset()
             self._ended_ms.clear()
@@ -589,6 +593,11 @@
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
         now = self.clock.now()
+        leaving = self.shrunk.runs_to_move(
+            state,
+            (worker.report for worker in self.table.workers.values()),
+            self._usable_capacities,
+        )
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
@@ -596,6 +605,7 @@
             to_move: set[jobs.RunKey] = set()
             if not worker.silent(now):
                 to_move = self.run_monitor.runs_to_move(worker.report, state)
+                to_move |= leaving.get(name, set())
             stops = stop_orders.assigned_stops(
                 state, name, draining=worker.report.draining, to_move=to_move
             )
--- a/bamboorouter/coordination/jobs/worker_capacities.py
+++ b/bamboorouter/coordination/jobs/worker_capacities.py
@@ -8,7 +8,8 @@
 runs.
 
 If the capacity shrinks, assigned runs may no longer fit. Those that the worker
-has continue. The others are withdrawn by a stop order and placed elsewhere.
+doesn't have yet are withdrawn by a stop order and placed elsewhere;
+`shrunk_workers` decides on the others.
 
 A run is superseded if an earlier attempt of its task turns out to have
 succeeded. It is no longer assigned then, but its start order may be under way.
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -603,6 +603,12 @@
     logging.INFO,
     "A changed capacity of a worker was committed.",
 )
+WORKER_OVERCOMMITTED: Final = _define_event(
+    631,
+    "worker_overcommitted",
+    logging.WARNING,
+    "The capacity of a worker shrank below what its runs reserve.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
--- a/tests/test_room_random.py
+++ b/tests/test_room_random.py
@@ -15,6 +15,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter.coordination.jobs import dispatcher
+from bamboorouter.coordination.jobs import shrunk_workers
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import agent_session
@@ -36,6 +37,8 @@
 EVENT_PAUSE_S = 0.01
 MAX_ORDER_DELAY_S = 0.03
 MAX_STOP_S = 0.1
+# Several capacities pass in the real time.
+MIN_EXCESS_MS = 30
 FULL = make.need(16_000, 16_000)
 # Sizes of tasks and capacities, in sixteenths of `FULL`.
 TASK_SIZES = (1, 2, 4, 8, 16)
@@ -159,6 +162,11 @@
     """Capacities, jobs, ends, elections and restarted agents at random."""
 
     def setUp(self) -> None:
+        patcher = mock.patch.object(
+            shrunk_workers, "MIN_EXCESS_MS", MIN_EXCESS_MS
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
         self.time = clock.SystemClock()
         self.log = control_fakes.FakeLog(time=self.time)
         self.log.apply(
