Test a capacity that changes during a commit and before an election

Two orders of events that were only reasoned about: a report with a lower capacity that arrives while an assignment is being committed, and a growth that the former leader hadn't committed.

--- a/tests/test_worker_room.py
+++ b/tests/test_worker_room.py
@@ -1,11 +1,13 @@
 """Guards against starts beyond a capacity that changes while a worker runs."""
 
 import unittest
+from unittest import mock
 
 import msgspec
 
 from bamboorouter.coordination.jobs import run_monitor
 from bamboorouter.coordination.jobs import worker_table
+from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
@@ -102,6 +104,25 @@
         await self.until(other.started)
         self.assertEqual(len(shrunk.started()), 1)
 
+    async def test_room_that_shrinks_during_the_commit_counts(self) -> None:
+        agent = await self.connect_agent("w1")
+        propose = self.log.propose
+
+        async def shrink_after_assignment(
+            command: commands.Command, *, timeout_ms: int
+        ) -> commands.Result:
+            result = await propose(command, timeout_ms=timeout_ms)
+            if isinstance(command, job_commands.StartRuns):
+                await self.report_room(agent, SMALL)
+            return result
+
+        with mock.patch.object(self.log, "propose", shrink_after_assignment):
+            await self.submit("a", TASK_8000)
+            await self.until(self.stop_reasons)
+            await self.settle()
+        self.assertEqual(self.stop_reasons(), ["no_room"])
+        self.assertEqual(agent.started(), [])
+
     async def test_start_that_still_fits_is_repeated(self) -> None:
         agent = await self.connect_agent()
         await self.submit("a", make.step(3, need=make.need(8000, 1000)))
@@ -228,6 +249,16 @@
         await self.settle()
         self.assertEqual(agent.started(), [])
 
+    async def test_new_leader_commits_a_growth_that_was_not_committed(
+        self,
+    ) -> None:
+        agent = await self.connect_agent()
+        self.log.elect_again()
+        await self.report_room(agent, LARGE)
+        self.accept("a", TASK_65000)
+        await self.until(agent.started)
+        self.assertEqual(self.replicated_room(), LARGE)
+
     async def test_new_leader_waits_for_a_report(self) -> None:
         agent = await self.connect_agent()
         await self.report_room(agent, SMALL)
