Refuse tagged values in messages between processes

A frame could contain any tagged CBOR value: a number of more than 64 bits, which became the replicated room of a worker, or a list that contains itself, a pattern or an e-mail, which fail only where they are encoded or used. No message of this project has a tag, so a frame with one now closes the link like any other that can't be decoded.

tests.test_borders: eight values failed before.

--- a/bamboorouter/protocol/codec.py
+++ b/bamboorouter/protocol/codec.py
@@ -7,6 +7,7 @@
 
 import typing
 from typing import Any
+from typing import Final
 from typing import Generic
 from typing import TypeVar
 
@@ -83,3 +84,37 @@
         return cbor2.loads(data)
     except (cbor2.CBORDecodeError, ValueError, EOFError) as err:
         raise errors.ProtocolError(text=str(err), step="decode CBOR") from err
+
+
+def loads_untagged(data: bytes) -> Any:
+    """Decodes one CBOR item that contains no tags.
+
+    Messages have none. A tagged item may be a number of more than 64 bits, a
+    list that contains itself or an object of the decoder, which would fail only
+    where it is used or sent on.
+
+    Raises:
+        ProtocolError: The bytes aren't one complete CBOR item without tags.
+    """
+    try:
+        return cbor2.loads(
+            data, semantic_decoders=_NO_DECODERS, tag_hook=_refuse_tag
+        )
+    except (cbor2.CBORDecodeError, ValueError, EOFError) as err:
+        raise errors.ProtocolError(
+            text=str(err.__cause__ or err), step="decode CBOR"
+        ) from err
+
+
+def _refuse_tag(*_: object) -> Any:
+    raise ValueError("messages contain no tags")
+
+
+# The tags that the library decodes itself; `tag_hook` handles all others.
+_NO_DECODERS: Final = dict.fromkeys(
+    (
+        *(0, 1, 2, 3, 4, 5, 25, 28, 29, 30, 35, 36, 37, 100),
+        *(256, 258, 260, 261, 1004, 43000, 55799),
+    ),
+    _refuse_tag,
+)
--- a/bamboorouter/transport/link.py
+++ b/bamboorouter/transport/link.py
@@ -241,7 +241,7 @@
         raise errors.ProtocolError(
             text="frame is text, not binary", step="decode frame"
         )
-    fields = codec.loads(frame)
+    fields = codec.loads_untagged(frame)
     if (
         not isinstance(fields, list)
         or len(fields) != 3
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -271,6 +271,46 @@
 
         run_check(mutated | nested | strategies.binary(max_size=64), check)
 
+    def test_tagged_value_in_a_frame(self) -> None:
+        """Guards against values that fail only where they are sent on.
+
+        Each is an argument of a call of an operator, which the sender of the
+        frame encodes as CBOR again.
+        """
+        call = messages.CODEC.to_plain(
+            messages.OperatorCall(
+                operation="status",
+                operation_id="1",
+                operator="o",
+                arguments={},
+            )
+        )
+        empty = cbor2.dumps([0, 1, call])
+        self.assertEqual(empty[-1:], cbor2.dumps({}))
+        for name, value in (
+            ("number of more than 64 bits", cbor2.dumps(10**30)),
+            ("list that contains itself", b"\xd8\x1c\x81\xd8\x1d\x00"),
+            ("network", b"\xd9\x01\x05\xa1\x01\x02"),
+            ("e-mail", b"\xd8\x24" + cbor2.dumps("x")),
+            ("time", b"\xc1\x00"),
+            ("pattern", b"\xd8\x23" + cbor2.dumps("(a+)+$")),
+            ("unknown tag", b"\xd9\x03\xe8\x01"),
+        ):
+            frame = empty[:-1] + cbor2.dumps({"a": 0})[:-1] + value
+            with self.subTest(name), self.assertRaises(errors.ProtocolError):
+                link._decode_frame(frame)
+
+    def test_capacity_of_more_than_64_bits_in_a_frame(self) -> None:
+        """Guards against an agent of an earlier version."""
+        message = job_messages.OpenWorkerSession(
+            worker="w1",
+            life="w1@1",
+            room=common.Resources(millicores=10**30),
+        )
+        frame = cbor2.dumps([0, 1, messages.CODEC.to_plain(message)])
+        with self.assertRaises(errors.ProtocolError):
+            link._decode_frame(frame)
+
     def test_sheet(self) -> None:
         valid = (platform_site.ROOT / "samples" / "guild.csv").read_bytes()
 
