Refuse operator calls that no message can carry

A body with 5,000 levels raised RecursionError in the interface (500), in the operator's tool and in the agent for an answer of its worker, where no caller expects it.

One decoder of JSON bodies now turns RecursionError into DecodeError, and the interface answers 400 for what can't be sent on.

--- a/bamboorouter/client.py
+++ b/bamboorouter/client.py
@@ -18,6 +18,7 @@
 from bamboorouter import clock
 from bamboorouter import error_texts
 from bamboorouter import errors
+from bamboorouter.protocol import json_body
 from bamboorouter.protocol import operator_http
 
 # Both are longer than an entry waits for the leader (`roles.operator_api`), so
@@ -183,7 +184,7 @@
         self, status: int, body: bytes
     ) -> operator_http.ReplyBody | None:
         try:
-            reply = msgspec.json.decode(body, type=operator_http.ReplyBody)
+            reply = json_body.decode(body, operator_http.ReplyBody)
         except msgspec.DecodeError:
             reply = operator_http.ReplyBody(
                 ok=False,
--- a/bamboorouter/roles/agent_local.py
+++ b/bamboorouter/roles/agent_local.py
@@ -19,6 +19,7 @@
 from bamboorouter import clock
 from bamboorouter import events
 from bamboorouter.protocol import common
+from bamboorouter.protocol import json_body
 
 ANNOUNCEMENT_TIMEOUT_MS: Final = 30_000
 ANNOUNCEMENT_PERIOD_MS: Final = 10_000
@@ -120,7 +121,7 @@
 
     async def _handle_announce(self, request: web.Request) -> web.Response:
         try:
-            body = msgspec.json.decode(await request.read(), type=Announcement)
+            body = json_body.decode(await request.read(), Announcement)
         except (msgspec.DecodeError, msgspec.ValidationError) as err:
             return web.json_response({"text": str(err)}, status=400)
         known = self.announced.get(body.id)
--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -18,6 +18,7 @@
 from bamboorouter import events
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.scheduling import explanations
+from bamboorouter.protocol import json_body
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import operator_http
 
@@ -49,11 +50,13 @@
                 404, f"operation {operation!r} does not exist"
             )
         try:
-            body = msgspec.json.decode(
-                await request.read(), type=operator_http.CallBody
+            body = json_body.decode(
+                await request.read(), operator_http.CallBody
             )
         except msgspec.DecodeError as err:
             return _error_response(operator_http.STATUS_MALFORMED, str(err))
+        if problem := json_body.find_unsendable(body.arguments):
+            return _error_response(operator_http.STATUS_MALFORMED, problem)
         return await self._forward(operation, body)
 
     async def _forward(
--- a/bamboorouter/roles/worker_client.py
+++ b/bamboorouter/roles/worker_client.py
@@ -17,7 +17,6 @@
 """
 
 import asyncio
-from typing import Any
 from typing import Final
 from typing import Literal
 from typing import Protocol
@@ -30,6 +29,7 @@
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter.protocol import common
+from bamboorouter.protocol import json_body
 
 REQUEST_TIMEOUT_MS: Final = 1000
 MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
@@ -356,9 +356,9 @@
     """
     try:
         if status == 200:
-            return msgspec.json.decode(content, type=response_type)
+            return json_body.decode(content, response_type)
         if status == 409:
-            refusal: Any = msgspec.json.decode(content, type=RefusalBody)
+            refusal = json_body.decode(content, RefusalBody)
             raise errors.RefusedError(
                 code=refusal.code, text=refusal.text, step=step, peer=peer
             )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,18 +8,24 @@
 import json
 from typing import Any
 import unittest
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
 import msgspec
 
+from bamboorouter import clock
+from bamboorouter import errors
 from bamboorouter.coordination.jobs import admission
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_limits
 from bamboorouter.protocol import jobs
+from bamboorouter.protocol import messages
 from bamboorouter.protocol import value_limits
+from bamboorouter.roles import operator_api
+from bamboorouter.roles import worker_client
 from tests import fake_worker
 from tests import job_builders as make
 from tests import platform_site
@@ -314,6 +320,70 @@
                     wire.decode_job(encode(body))
 
 
+class OperatorCallTest(unittest.IsolatedAsyncioTestCase):
+    """Arguments of an operator that no message between processes can carry.
+
+    The leader would close the link of the entry, which other calls share.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.client = mock.Mock()
+        self.client.clock = clock.SystemClock()
+        self.client.call = mock.AsyncMock(
+            return_value=messages.OperatorReply(ok=True)
+        )
+        runner = web.AppRunner(operator_api.make_application(self.client))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.url = f"http://127.0.0.1:{runner.addresses[0][1]}/v1/status"
+
+    async def status(self, arguments: bytes) -> int:
+        """Returns the status of a call with arguments encoded as JSON."""
+        body = (
+            b'{"operation_id":"1","operator":"o","arguments":{"a":%s}}'
+            % arguments
+        )
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(self.url, data=body) as response,
+        ):
+            return response.status
+
+    async def test_arguments_that_can_not_be_sent_are_malformed(self) -> None:
+        for arguments in (
+            b"%d" % 10**30,
+            b'[[1,{"b":-%d}]]' % 10**30,
+            b"[" * 100 + b"]" * 100,
+            b"[" * 5000 + b"]" * 5000,
+            b"[" * 100_000,
+        ):
+            with self.subTest(arguments[:10]):
+                self.assertEqual(await self.status(arguments), 400)
+        self.client.call.assert_not_called()
+
+    async def test_other_arguments_are_sent(self) -> None:
+        for arguments in (b"[[[[1]]]]", b'{"b":"x"}', b"1.5", b"null"):
+            with self.subTest(arguments):
+                self.assertEqual(await self.status(arguments), 200)
+
+
+class WorkerAnswerTest(unittest.TestCase):
+    """Answers of a worker of the product."""
+
+    def test_deeply_nested_answer_is_malformed(self) -> None:
+        """Guards against an error that no caller expects."""
+        for status in (200, 409):
+            body = b'{"x":' + b"[" * 100_000
+            with (
+                self.subTest(status),
+                self.assertRaises(errors.UnknownResultError),
+            ):
+                worker_client._decode_response(
+                    status, body, worker_client.RefusalBody, "step", "peer"
+                )
+
+
 class WorkerPortTest(unittest.IsolatedAsyncioTestCase):
     """A port to an incarnation whose ID or answers are odd."""
 
