Keep reading settings after a file that can't be read

Deeply nested TOML raises RecursionError in tomllib. The reader of a running process didn't expect it and ended, so the process followed no later change of its seeds. A reload without seeds removed the ones in use; a client that knew no replica then raised IndexError at each call. Numbers had no range: a lease of 10^400 ms can't become a float, and a NaN counted as a change every second.

--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -217,6 +217,8 @@
 
     def _next_address(self) -> str:
         known = tuple(dict.fromkeys((*self.addresses, *self._learned_replicas)))
+        if not known:
+            return self._target
         if self._target not in known:
             return random.choice(known)
         position = known.index(self._target) + 1
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -197,7 +197,7 @@
     step = "read settings"
     try:
         data = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+    except (OSError, ValueError, RecursionError) as err:
         raise errors.OptionsError(text=str(err), step=step, peer=path) from err
     try:
         return msgspec.convert(data, Options)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,8 @@
 import contextlib
 import itertools
 import json
+import pathlib
+import tempfile
 from typing import Any
 import unittest
 from unittest import mock
@@ -16,11 +18,14 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
+from bamboorouter import options
 from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_limits
+from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import value_limits
@@ -34,6 +39,8 @@
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
 import bounded_body  # isort: skip
 import http_server  # isort: skip
+import node_settings  # isort: skip
+import settings_watch  # isort: skip
 import wire  # isort: skip
 import worker_http  # isort: skip
 
@@ -384,6 +391,102 @@
                 )
 
 
+class SettingsTest(unittest.TestCase):
+    """Odd settings are refused, and a running process keeps the earlier ones."""
+
+    VALID = """
+        name = "agent-1"
+        zone = "z1"
+        ip = "10.0.0.1"
+        ports = [7000, 7010]
+        seeds = ["10.0.0.2:8166"]
+        """
+    NESTED = (
+        "x = " + "[" * 5000 + "]" * 5000,
+        "x = " + "{a = " * 5000,
+        "x = " + "9" * 5000,
+    )
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = pathlib.Path(folder.name) / "settings.toml"
+        self.file.write_text(self.VALID, encoding="utf-8")
+        self.role = mock.Mock()
+
+    def write(self, text: str) -> None:
+        self.file.write_text(text, encoding="utf-8")
+
+    def test_file_that_no_parser_can_read(self) -> None:
+        """Guards against a process that never reads its settings again."""
+        for text in self.NESTED:
+            self.write(self.VALID + text)
+            with self.subTest(text[:8]):
+                with self.assertRaises(errors.OptionsError):
+                    node_settings.load(self.file)
+                with self.assertRaises(errors.OptionsError):
+                    options.load_options(str(self.file))
+
+    def test_number_out_of_range(self) -> None:
+        """Guards against a lease that no float can express, among others."""
+        for text in (
+            f"max_worker_lease_ms = {10**400}",
+            "max_worker_lease_ms = 0",
+            "tolerated_losses = -1",
+            f"tolerated_losses = {10**30}",
+            "disk_mb = -1",
+            "grace_s = nan",
+            "grace_s = inf",
+        ):
+            self.write(f"{self.VALID}\n{text}\n")
+            with (
+                self.subTest(text[:30]),
+                self.assertRaises(errors.OptionsError),
+            ):
+                node_settings.load(self.file)
+
+    def test_odd_seed_is_left_out(self) -> None:
+        self.write(
+            self.VALID.replace(
+                "seeds = [", 'seeds = ["x", "", "10.0.0.3:99999", ":8166", '
+            )
+        )
+        settings = node_settings.load(self.file)
+        self.assertEqual(settings.replicas(), ("10.0.0.2:7000",))
+
+    def test_reload_without_a_valid_seed_keeps_the_earlier_ones(self) -> None:
+        watch = settings_watch.SettingsWatch(
+            role=self.role,
+            file=self.file,
+            current=node_settings.load(self.file),
+        )
+        for text in (
+            self.VALID.replace('"10.0.0.2:8166"', ""),
+            self.VALID.replace("10.0.0.2:8166", "x"),
+            *(self.VALID + text for text in self.NESTED),
+            self.VALID[:-30],
+            "",
+        ):
+            self.write(text)
+            watch.apply()
+        self.role.set_seeds.assert_not_called()
+        self.write(self.VALID.replace("10.0.0.2", "10.0.0.4"))
+        watch.apply()
+        self.role.set_seeds.assert_called_once_with(("10.0.0.4:7000",))
+
+
+class NoSeedTest(unittest.IsolatedAsyncioTestCase):
+    """A client without the address of any replica."""
+
+    async def test_call_fails_as_if_no_replica_answered(self) -> None:
+        client = control_client.ControlClient(
+            addresses=(), time=clock.SystemClock()
+        )
+        self.addAsyncCleanup(client.close)
+        with self.assertRaises(errors.RouterError):
+            await client.call(job_messages.ReadConfiguration(), timeout_ms=200)
+
+
 class WorkerPortTest(unittest.IsolatedAsyncioTestCase):
     """A port to an incarnation whose ID or answers are odd."""
 
