Split checkpoints into commands that the log accepts

The leader commits the newer checkpoints of all workers in one command. Some 64 checkpoints of 64 KiB from one worker exceeded the largest command (4 MiB), so none of any worker was recorded, and no interference either, once a second for as long as they were reported. They are now split into batches of 1 MiB.

--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -5,6 +5,8 @@
 periodically, and a new leader restores what was committed before its term.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import itertools
 from typing import Final
 
@@ -21,6 +23,10 @@
 RECORD_PERIOD_MS: Final = 1000
 # Keeps a command well below the maximum size of a log entry.
 MAX_PAIRS_PER_COMMAND: Final = 256
+MAX_BATCH_BYTES: Final = 1024 * 1024
+# Size of a checkpoint in a command without its value, if the ID of its job has
+# the usual length.
+CHECKPOINT_OVERHEAD_BYTES: Final = 64
 
 
 class ObservationRecorder:
@@ -65,8 +71,7 @@
         if now - self._recorded_ms < RECORD_PERIOD_MS:
             return
         self._recorded_ms = now
-        checkpoints = self._newer_checkpoints()
-        if checkpoints:
+        for checkpoints in batches(self._newer_checkpoints()):
             await job_proposals.propose(
                 self.log, job_commands.NoteCheckpoints(checkpoints=checkpoints)
             )
@@ -104,3 +109,24 @@
                 changed.items(), MAX_PAIRS_PER_COMMAND
             )
         )
+
+
+def batches(
+    checkpoints: Iterable[jobs.Checkpoint],
+) -> Iterator[tuple[jobs.Checkpoint, ...]]:
+    """Splits checkpoints so that each batch fits into a command.
+
+    Otherwise a few long ones would keep those of all workers from being
+    recorded.
+    """
+    batch: list[jobs.Checkpoint] = []
+    size = 0
+    for checkpoint in checkpoints:
+        added = len(checkpoint.value.encode()) + CHECKPOINT_OVERHEAD_BYTES
+        if batch and size + added > MAX_BATCH_BYTES:
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(checkpoint)
+        size += added
+    if batch:
+        yield tuple(batch)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,8 +20,11 @@
 from bamboorouter import errors
 from bamboorouter import options
 from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.jobs import observation_recorder
+from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_limits
@@ -475,6 +478,31 @@
         self.role.set_seeds.assert_called_once_with(("10.0.0.4:7000",))
 
 
+class CheckpointTest(unittest.TestCase):
+    """Long checkpoints of one worker, together with those of others."""
+
+    def test_checkpoints_fit_into_commands(self) -> None:
+        """Guards against checkpoints that are never recorded again."""
+        long = "x" * value_limits.MAX_TEXT_CHARACTERS
+        checkpoints = [
+            jobs.Checkpoint(
+                task=make.ref(index=index),
+                attempt=1,
+                value=long if index < 80 else "short",
+            )
+            for index in range(100)
+        ]
+        batches = list(observation_recorder.batches(checkpoints))
+        self.assertEqual(list(itertools.chain(*batches)), checkpoints)
+        for batch in batches:
+            command = job_commands.NoteCheckpoints(checkpoints=batch)
+            encoded = commands.BATCH_CODEC.encode(
+                commands.CommandBatch(wall_ms=1, commands=(command,))
+            )
+            self.assertLess(len(encoded), replica.MAX_COMMAND_BYTES)
+        self.assertEqual(list(observation_recorder.batches(())), [])
+
+
 class NoSeedTest(unittest.IsolatedAsyncioTestCase):
     """A client without the address of any replica."""
 
