--- a/bamboorouter/coordination/jobs/job_handler.py
+++ b/bamboorouter/coordination/jobs/job_handler.py
@@ -18,6 +18,7 @@
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.protocol import value_limits
 
 # Configuration version before the first configuration; versions start at 0.
 UNCONFIGURED: Final = -1
@@ -57,7 +58,7 @@
         if isinstance(found, job_messages.JobAnswer):
             return found
         queue, job_id = found
-        if not job_id:
+        if not 0 < len(job_id) <= value_limits.MAX_JOB_ID_CHARACTERS:
             return job_messages.JobAnswer(outcome="no_queue")
         state = self.log.machine.stepped
         self._recent.enter_term(self.log.term())
--- a/bamboorouter/protocol/value_limits.py
+++ b/bamboorouter/protocol/value_limits.py
@@ -28,6 +28,8 @@
 MAX_PORT: Final = 65_535
 
 MAX_NAME_CHARACTERS: Final = 1024
+# The name of a task, with the ID of its job and three numbers, is a name too.
+MAX_JOB_ID_CHARACTERS: Final = 512
 MAX_TEXT_CHARACTERS: Final = 64 * 1024
 MAX_LABELS: Final = 256
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,6 +3,7 @@
 An odd value must be refused, or at least not hide the true ones after it.
 """
 
+import asyncio
 import contextlib
 import itertools
 import json
@@ -14,6 +15,7 @@
 
 import aiohttp
 from aiohttp import web
+import cbor2
 import msgspec
 
 from bamboorouter import clock
@@ -38,9 +40,11 @@
 from tests import job_builders as make
 from tests import platform_site
 from tests import replica_site
+from tests import test_job_dispatcher
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
 import bounded_body  # isort: skip
+import caller_api  # isort: skip
 import http_server  # isort: skip
 import node_settings  # isort: skip
 import settings_watch  # isort: skip
@@ -503,6 +507,72 @@
         self.assertEqual(list(observation_recorder.batches(())), [])
 
 
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    """Requests of callers with an odd host, path or deadline."""
+
+    async def asyncSetUp(self) -> None:
+        client = mock.Mock()
+        client.call = self.call
+        client.contact_age_ms.return_value = 0
+        handler = caller_api.CallerHandler(
+            client=client, time=clock.SystemClock()
+        )
+        self.address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=self.address, routes=[("GET", "/{path:.*}", handler.read)]
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+
+    async def call(
+        self, message: messages.Message, **_: Any
+    ) -> messages.Message:
+        cbor2.dumps(messages.CODEC.to_plain(message))
+        return job_messages.JobAnswer(outcome="ok", state="queued")
+
+    async def status(self, head: bytes) -> int:
+        """Returns the status of a request with this head."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head + b"\r\nConnection: close\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
+
+    async def test_host_or_path_that_is_no_text_names_no_queue(self) -> None:
+        for head in (
+            b"GET /forms/00ff HTTP/1.1\r\nHost: desk\xff",
+            b"GET /forms/\xff HTTP/1.1\r\nHost: desk",
+            b"GET /forms/%ff HTTP/1.1\r\nHost: desk",
+            b"GET /forms/%ed%a0%80 HTTP/1.1\r\nHost: desk",
+        ):
+            with self.subTest(head):
+                self.assertIn(await self.status(head), (200, 400, 404))
+
+    async def test_deadline_out_of_range(self) -> None:
+        for value in (b"9" * 5000, b"-1", b"nan", b"1e400", b"\xff"):
+            head = b"GET /forms/00ff HTTP/1.1\r\nHost: desk\r\n"
+            with self.subTest(value[:5]):
+                self.assertEqual(
+                    await self.status(head + b"Deadline-Ms: " + value), 200
+                )
+
+
+class LongJobIdTest(test_job_dispatcher.DispatcherCase):
+    """An ID that is too long to be part of the name of a task."""
+
+    async def test_job_with_a_long_id_is_not_accepted(self) -> None:
+        """Guards against runs whose rows can't be read."""
+        longest = "x" * value_limits.MAX_JOB_ID_CHARACTERS
+        self.assertEqual(await self.submit(longest), "ok")
+        self.assertEqual(await self.submit(longest + "x"), "no_queue")
+        self.assertEqual(list(self.log.machine.stepped.jobs), [longest])
+        name = wire.encode_task(
+            make.ref(longest, occurrence=9999, step=255, index=9999)
+        )
+        self.assertLess(len(name), value_limits.MAX_NAME_CHARACTERS)
+
+
 class NoSeedTest(unittest.IsolatedAsyncioTestCase):
     """A client without the address of any replica."""
 
