Try every kind of odd value in each field of each decoder

Eighteen odd values and random ones replace each field and row of the messages that other programs send. The result must be an object within bounds or the documented error, within 2 s of processor time.

The reason of a rejection had no maximum length.

--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -8,16 +8,23 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import itertools
 import json
+import math
 import os
 import pathlib
 import tempfile
+import time
 from typing import Any
 import unittest
 
 import cbor2
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from bamboorouter import clock
 from bamboorouter import errors
@@ -29,8 +36,12 @@
 from bamboorouter.protocol import job_limits
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.protocol import json_body
 from bamboorouter.protocol import messages
+from bamboorouter.protocol import operator_http
 from bamboorouter.protocol import sheet
+from bamboorouter.protocol import value_limits
+from bamboorouter.state import stepped_jobs
 from bamboorouter.transport import link
 from tests import job_builders as make
 from tests import platform_site
@@ -40,6 +51,8 @@
 import node_settings  # isort: skip
 import wire  # isort: skip
 
+# Processor time of a decoder, with much reserve for a busy machine.
+MAX_DECODE_S = 2.0
 EXAMPLES = int(os.environ.get("BORDER_EXAMPLES", "150"))
 
 # --- Inputs ------------------------------------------------------------------
@@ -47,10 +60,16 @@
 NUMBERS = strategies.one_of(
     strategies.integers(-(10**5), 10**5),
     strategies.sampled_from([-1, 0, 1, 300, 50_000]),
+    # Beyond the exact range of a float, 64 bits and the range of a float.
+    strategies.sampled_from([1 << 53, 1 << 63, 1 << 64, 10**30, 10**400]),
+    strategies.sampled_from([-(1 << 63), -(10**30), 1e300, -1e300]),
     strategies.floats(allow_nan=False, allow_infinity=False),
 )
+TEXTS = strategies.text() | strategies.sampled_from(
+    ["x" * 2000, "x" * 70_000, "10.0.0.1: 80", "a.0.0.\u0661", "\r\n", "1"]
+)
 VALUES = strategies.recursive(
-    strategies.none() | strategies.booleans() | NUMBERS | strategies.text(),
+    strategies.none() | strategies.booleans() | NUMBERS | TEXTS,
     lambda inner: strategies.lists(inner, max_size=4)
     | strategies.dictionaries(strategies.text(), inner, max_size=4),
     max_leaves=8,
@@ -73,6 +92,12 @@
     "running": [["a.0.1.2", 1, "c", 40, 3]],
     "finished": [[1, "a.0.0.0", 1, "done", ""]],
 }
+# Each is tried in each field, besides random values.
+ODD_VALUES: tuple[Any, ...] = (
+    *(None, True, -1, 0, 1.5, 1 << 53, 1 << 63, 1 << 64, 10**30, 10**400),
+    *(-(10**30), 1e300, "", "x" * 70_000, [], {}, [[1]], {"a": 1}),
+)
+ADVICE: dict[str, Any] = {"allowed": [["i-1", "t-1"]], "validMs": 900}
 REPORT = messages.CODEC.to_plain(
     job_messages.WorkerReport(
         worker="w1",
@@ -120,6 +145,67 @@
     return draw_mutation()
 
 
+def any_value_in_any_field(
+    document: Any,
+) -> strategies.SearchStrategy[bytes]:
+    """Returns the document with one odd value, for each field alike."""
+    return strategies.tuples(
+        strategies.sampled_from(list(_paths(document))), VALUES
+    ).map(lambda drawn: replace_value(document, *drawn))
+
+
+def replace_value(document: Any, path: tuple[Any, ...], value: Any) -> bytes:
+    """Returns a document as JSON in which one value is replaced."""
+    copy = json.loads(json.dumps(document))
+    container = copy
+    for key in path[:-1]:
+        container = container[key]
+    container[path[-1]] = value
+    return json.dumps(copy).encode()
+
+
+def _paths(document: Any) -> Iterator[tuple[Any, ...]]:
+    """Yields the path of each field and row of a document."""
+    items: Iterable[tuple[Any, Any]] = ()
+    if isinstance(document, dict):
+        items = document.items()
+    elif isinstance(document, list):
+        items = enumerate(document)
+    for key, value in items:
+        yield (key,)
+        for path in _paths(value):
+            yield (key, *path)
+
+
+def find_value_out_of_bounds(value: Any) -> str:
+    """Returns a value of a decoded object that is out of bounds, or nothing."""
+    if isinstance(value, bool | None):
+        return ""
+    if isinstance(value, int):
+        in_bounds = abs(value) <= value_limits.MAX_SERIAL
+        return "" if in_bounds else f"number {value}"
+    if isinstance(value, float):
+        return "" if math.isfinite(value) else f"number {value}"
+    if isinstance(value, str):
+        in_bounds = len(value) <= value_limits.MAX_TEXT_CHARACTERS
+        return "" if in_bounds else f"text {value[:20]!r}"
+    if isinstance(value, bytes):
+        return ""
+    if dataclasses.is_dataclass(value):
+        inner = [
+            getattr(value, field.name) for field in dataclasses.fields(value)
+        ]
+    elif isinstance(value, msgspec.Struct):
+        inner = [getattr(value, name) for name in value.__struct_fields__]
+    elif isinstance(value, dict):
+        inner = [*value, *value.values()]
+    elif isinstance(value, tuple | list):
+        inner = list(value)
+    else:
+        return f"unexpected {type(value).__name__}"
+    return next(filter(None, map(find_value_out_of_bounds, inner)), "")
+
+
 def bodies(document: Any) -> strategies.SearchStrategy[bytes]:
     """Returns mutated, truncated and deeply nested JSON, and random bytes."""
     mutated = mutations(document).map(lambda value: json.dumps(value).encode())
@@ -250,6 +336,116 @@
         run_check(digits | strategies.text(max_size=10), check)
 
 
+class AnyValueTest(unittest.TestCase):
+    """Any JSON value in any field gives an object within bounds or an error."""
+
+    def check(
+        self,
+        document: Any,
+        decode: Callable[[bytes], object],
+        error: type[Exception] = wire.InvalidError,
+    ) -> None:
+        def check_body(body: bytes) -> None:
+            started_s = time.process_time()
+            try:
+                decoded = decode(body)
+            except error:
+                decoded = None
+            self.assertLess(time.process_time() - started_s, MAX_DECODE_S)
+            self.assertEqual(find_value_out_of_bounds(decoded), "")
+
+        for path, value in itertools.product(_paths(document), ODD_VALUES):
+            check_body(replace_value(document, path, value))
+        run_check(any_value_in_any_field(document), check_body)
+
+    def test_job(self) -> None:
+        self.check(JOB, wire.decode_job)
+
+    def test_configuration(self) -> None:
+        self.check(
+            platform_site.configuration(),
+            lambda body: msgspec.structs.replace(
+                wire.decode_configuration(body), document=b""
+            ),
+        )
+
+    def test_announcement(self) -> None:
+        self.check(
+            ANNOUNCEMENT, lambda body: wire.decode_announcement("i-1", body)
+        )
+
+    def test_departure(self) -> None:
+        self.check({"born": 7}, wire.decode_departure)
+
+    def test_view(self) -> None:
+        self.check(VIEW, wire.decode_view)
+
+    def test_advice(self) -> None:
+        self.check(ADVICE, wire.decode_advice)
+
+    def test_rejection(self) -> None:
+        self.check({"reason": "old"}, wire.decode_rejection)
+
+    def test_arguments_of_an_operator(self) -> None:
+        """What passes the check can be sent to the leader and decoded there."""
+
+        def decode(body: bytes) -> object:
+            call = json_body.decode(body, operator_http.CallBody)
+            if problem := json_body.find_unsendable(call.arguments):
+                raise ValueError(problem)
+            message = messages.OperatorCall(
+                operation="status",
+                operation_id=call.operation_id,
+                operator=call.operator,
+                arguments=call.arguments,
+            )
+            frame = link._encode_frame(0, 1, message)
+            self.assertEqual(link._decode_frame(frame)[2], message)
+            return None
+
+        self.check(
+            {
+                "operation_id": "1",
+                "operator": "o",
+                "arguments": {"a": [1], "b": {"c": "d"}},
+            },
+            decode,
+            ValueError,
+        )
+
+    def test_report_that_a_leader_takes(self) -> None:
+        """Whatever a leader takes from an agent, it can commit and apply."""
+
+        def check(frame: bytes) -> None:
+            try:
+                _, _, message = link._decode_frame(frame)
+            except errors.ProtocolError:
+                return
+            if not isinstance(message, job_messages.WorkerReport):
+                return
+            job_state = make.Jobs()
+            job_state.accept("a", make.step())
+            command_list = (
+                job_commands.OpenSession(
+                    worker=message.worker, life=message.life, room=message.room
+                ),
+                job_commands.EndRuns(ends=message.ends),
+            )
+            batch = commands.CommandBatch(wall_ms=1, commands=command_list)
+            encoded = commands.BATCH_CODEC.encode(batch)
+            self.assertEqual(commands.BATCH_CODEC.decode(encoded), batch)
+            job_state.state.open_session(command_list[0])
+            job_state.state.end(command_list[1])
+            restored = stepped_jobs.SteppedJobs()
+            plain = cbor2.loads(cbor2.dumps(job_state.state.snapshot()))
+            restored.restore(plain)
+
+        run_check(
+            mutations(REPORT).map(lambda plain: cbor2.dumps([0, 1, plain])),
+            check,
+        )
+
+
 class ProductBorderTest(unittest.TestCase):
     """Tests input from other processes of the router, and sheets."""
 
