--- a/bamboorouter/protocol/value_limits.py
+++ b/bamboorouter/protocol/value_limits.py
@@ -28,6 +28,8 @@
 MAX_PORT: Final = 65_535
 
 MAX_NAME_CHARACTERS: Final = 1024
+# The name of a task, with the ID of its job and three numbers, is a name too.
+MAX_JOB_ID_CHARACTERS: Final = 512
 MAX_TEXT_CHARACTERS: Final = 64 * 1024
 MAX_LABELS: Final = 256
 
@@ -38,6 +40,7 @@
 Millicores = Annotated[int, msgspec.Meta(ge=0, le=MAX_MILLICORES)]
 MemoryMb = Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)]
 Accelerators = Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Percent = Annotated[float, msgspec.Meta(ge=0, le=MAX_PERCENT)]
 Factor = Annotated[float, msgspec.Meta(ge=0, le=MAX_FACTOR)]
 Measurement = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -3,31 +3,51 @@
 An odd value must be refused, or at least not hide the true ones after it.
 """
 
+import asyncio
 import contextlib
 import itertools
 import json
+import pathlib
+import tempfile
 from typing import Any
 import unittest
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
+import cbor2
 import msgspec
 
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import options
 from bamboorouter.coordination.jobs import admission
+from bamboorouter.coordination.jobs import observation_recorder
+from bamboorouter.coordination.log import replica
+from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_limits
+from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.protocol import messages
 from bamboorouter.protocol import value_limits
+from bamboorouter.roles import operator_api
+from bamboorouter.roles import worker_client
 from tests import fake_worker
 from tests import job_builders as make
 from tests import platform_site
 from tests import replica_site
+from tests import test_job_dispatcher
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
 import bounded_body  # isort: skip
+import caller_api  # isort: skip
 import http_server  # isort: skip
+import node_settings  # isort: skip
+import settings_watch  # isort: skip
 import wire  # isort: skip
 import worker_http  # isort: skip
 
@@ -314,6 +334,257 @@
                     wire.decode_job(encode(body))
 
 
+class OperatorCallTest(unittest.IsolatedAsyncioTestCase):
+    """Arguments of an operator that no message between processes can carry.
+
+    The leader would close the link of the entry, which other calls share.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.client = mock.Mock()
+        self.client.clock = clock.SystemClock()
+        self.client.call = mock.AsyncMock(
+            return_value=messages.OperatorReply(ok=True)
+        )
+        runner = web.AppRunner(operator_api.make_application(self.client))
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        self.url = f"http://127.0.0.1:{runner.addresses[0][1]}/v1/status"
+
+    async def status(self, arguments: bytes) -> int:
+        """Returns the status of a call with arguments encoded as JSON."""
+        body = (
+            b'{"operation_id":"1","operator":"o","arguments":{"a":%s}}'
+            % arguments
+        )
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(self.url, data=body) as response,
+        ):
+            return response.status
+
+    async def test_arguments_that_can_not_be_sent_are_malformed(self) -> None:
+        for arguments in (
+            b"%d" % 10**30,
+            b'[[1,{"b":-%d}]]' % 10**30,
+            b"[" * 100 + b"]" * 100,
+            b"[" * 5000 + b"]" * 5000,
+            b"[" * 100_000,
+        ):
+            with self.subTest(arguments[:10]):
+                self.assertEqual(await self.status(arguments), 400)
+        self.client.call.assert_not_called()
+
+    async def test_other_arguments_are_sent(self) -> None:
+        for arguments in (b"[[[[1]]]]", b'{"b":"x"}', b"1.5", b"null"):
+            with self.subTest(arguments):
+                self.assertEqual(await self.status(arguments), 200)
+
+
+class WorkerAnswerTest(unittest.TestCase):
+    """Answers of a worker of the product."""
+
+    def test_deeply_nested_answer_is_malformed(self) -> None:
+        """Guards against an error that no caller expects."""
+        for status in (200, 409):
+            body = b'{"x":' + b"[" * 100_000
+            with (
+                self.subTest(status),
+                self.assertRaises(errors.UnknownResultError),
+            ):
+                worker_client._decode_response(
+                    status, body, worker_client.RefusalBody, "step", "peer"
+                )
+
+
+class SettingsTest(unittest.TestCase):
+    """Odd settings are refused, and a running process keeps the earlier ones."""
+
+    VALID = """
+        name = "agent-1"
+        zone = "z1"
+        ip = "10.0.0.1"
+        ports = [7000, 7010]
+        seeds = ["10.0.0.2:8166"]
+        """
+    NESTED = (
+        "x = " + "[" * 5000 + "]" * 5000,
+        "x = " + "{a = " * 5000,
+        "x = " + "9" * 5000,
+    )
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = pathlib.Path(folder.name) / "settings.toml"
+        self.file.write_text(self.VALID, encoding="utf-8")
+        self.role = mock.Mock()
+
+    def write(self, text: str) -> None:
+        self.file.write_text(text, encoding="utf-8")
+
+    def test_file_that_no_parser_can_read(self) -> None:
+        """Guards against a process that never reads its settings again."""
+        for text in self.NESTED:
+            self.write(self.VALID + text)
+            with self.subTest(text[:8]):
+                with self.assertRaises(errors.OptionsError):
+                    node_settings.load(self.file)
+                with self.assertRaises(errors.OptionsError):
+                    options.load_options(str(self.file))
+
+    def test_number_out_of_range(self) -> None:
+        """Guards against a lease that no float can express, among others."""
+        for text in (
+            f"max_worker_lease_ms = {10**400}",
+            "max_worker_lease_ms = 0",
+            "tolerated_losses = -1",
+            f"tolerated_losses = {10**30}",
+            "disk_mb = -1",
+            "grace_s = nan",
+            "grace_s = inf",
+        ):
+            self.write(f"{self.VALID}\n{text}\n")
+            with (
+                self.subTest(text[:30]),
+                self.assertRaises(errors.OptionsError),
+            ):
+                node_settings.load(self.file)
+
+    def test_odd_seed_is_left_out(self) -> None:
+        self.write(
+            self.VALID.replace(
+                "seeds = [", 'seeds = ["x", "", "10.0.0.3:99999", ":8166", '
+            )
+        )
+        settings = node_settings.load(self.file)
+        self.assertEqual(settings.replicas(), ("10.0.0.2:7000",))
+
+    def test_reload_without_a_valid_seed_keeps_the_earlier_ones(self) -> None:
+        watch = settings_watch.SettingsWatch(
+            role=self.role,
+            file=self.file,
+            current=node_settings.load(self.file),
+        )
+        for text in (
+            self.VALID.replace('"10.0.0.2:8166"', ""),
+            self.VALID.replace("10.0.0.2:8166", "x"),
+            *(self.VALID + text for text in self.NESTED),
+            self.VALID[:-30],
+            "",
+        ):
+            self.write(text)
+            watch.apply()
+        self.role.set_seeds.assert_not_called()
+        self.write(self.VALID.replace("10.0.0.2", "10.0.0.4"))
+        watch.apply()
+        self.role.set_seeds.assert_called_once_with(("10.0.0.4:7000",))
+
+
+class CheckpointTest(unittest.TestCase):
+    """Long checkpoints of one worker, together with those of others."""
+
+    def test_checkpoints_fit_into_commands(self) -> None:
+        """Guards against checkpoints that are never recorded again."""
+        long = "x" * value_limits.MAX_TEXT_CHARACTERS
+        checkpoints = [
+            jobs.Checkpoint(
+                task=make.ref(index=index),
+                attempt=1,
+                value=long if index < 80 else "short",
+            )
+            for index in range(100)
+        ]
+        batches = list(observation_recorder.batches(checkpoints))
+        self.assertEqual(list(itertools.chain(*batches)), checkpoints)
+        for batch in batches:
+            command = job_commands.NoteCheckpoints(checkpoints=batch)
+            encoded = commands.BATCH_CODEC.encode(
+                commands.CommandBatch(wall_ms=1, commands=(command,))
+            )
+            self.assertLess(len(encoded), replica.MAX_COMMAND_BYTES)
+        self.assertEqual(list(observation_recorder.batches(())), [])
+
+
+class CallerTest(unittest.IsolatedAsyncioTestCase):
+    """Requests of callers with an odd host, path or deadline."""
+
+    async def asyncSetUp(self) -> None:
+        client = mock.Mock()
+        client.call = self.call
+        client.contact_age_ms.return_value = 0
+        handler = caller_api.CallerHandler(
+            client=client, time=clock.SystemClock()
+        )
+        self.address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=self.address, routes=[("GET", "/{path:.*}", handler.read)]
+        )
+        await server.start()
+        self.addAsyncCleanup(server.stop)
+
+    async def call(
+        self, message: messages.Message, **_: Any
+    ) -> messages.Message:
+        cbor2.dumps(messages.CODEC.to_plain(message))
+        return job_messages.JobAnswer(outcome="ok", state="queued")
+
+    async def status(self, head: bytes) -> int:
+        """Returns the status of a request with this head."""
+        host, port = self.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head + b"\r\nConnection: close\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
+
+    async def test_host_or_path_that_is_no_text_names_no_queue(self) -> None:
+        for head in (
+            b"GET /forms/00ff HTTP/1.1\r\nHost: desk\xff",
+            b"GET /forms/\xff HTTP/1.1\r\nHost: desk",
+            b"GET /forms/%ff HTTP/1.1\r\nHost: desk",
+            b"GET /forms/%ed%a0%80 HTTP/1.1\r\nHost: desk",
+        ):
+            with self.subTest(head):
+                self.assertIn(await self.status(head), (200, 400, 404))
+
+    async def test_deadline_out_of_range(self) -> None:
+        for value in (b"9" * 5000, b"-1", b"nan", b"1e400", b"\xff"):
+            head = b"GET /forms/00ff HTTP/1.1\r\nHost: desk\r\n"
+            with self.subTest(value[:5]):
+                self.assertEqual(
+                    await self.status(head + b"Deadline-Ms: " + value), 200
+                )
+
+
+class LongJobIdTest(test_job_dispatcher.DispatcherCase):
+    """An ID that is too long to be part of the name of a task."""
+
+    async def test_job_with_a_long_id_is_not_accepted(self) -> None:
+        """Guards against runs whose rows can't be read."""
+        longest = "x" * value_limits.MAX_JOB_ID_CHARACTERS
+        self.assertEqual(await self.submit(longest), "ok")
+        self.assertEqual(await self.submit(longest + "x"), "no_queue")
+        self.assertEqual(list(self.log.machine.stepped.jobs), [longest])
+        name = wire.encode_task(
+            make.ref(longest, occurrence=9999, step=255, index=9999)
+        )
+        self.assertLess(len(name), value_limits.MAX_NAME_CHARACTERS)
+
+
+class NoSeedTest(unittest.IsolatedAsyncioTestCase):
+    """A client without the address of any replica."""
+
+    async def test_call_fails_as_if_no_replica_answered(self) -> None:
+        client = control_client.ControlClient(
+            addresses=(), time=clock.SystemClock()
+        )
+        self.addAsyncCleanup(client.close)
+        with self.assertRaises(errors.RouterError):
+            await client.call(job_messages.ReadConfiguration(), timeout_ms=200)
+
+
 class WorkerPortTest(unittest.IsolatedAsyncioTestCase):
     """A port to an incarnation whose ID or answers are odd."""
 
