Log how each incarnation of a worker ended

The log didn't tell a worker that crashed from one that was drained: session_opened has only the number of lost runs. The agent now names in its request for a session the incarnation that is over, whether it drained or announced its end, and for how long it has been silent. If the agent was restarted meanwhile, the leader's newest report decides. incarnation_ended (630) and a counter tell the outcome.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -21,6 +21,7 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter import supervision
+from bamboorouter.coordination.jobs import incarnation_ends
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import observation_recorder
 from bamboorouter.coordination.jobs import ready_tasks
@@ -200,6 +201,9 @@
             UnknownResultError: The session may be opened later.
         """
         await self._commit_ends(message.ends, message.worker, message.life)
+        end = incarnation_ends.incarnation_end(
+            message, self.log.machine.stepped, self.table
+        )
         result = await job_proposals.propose(
             self.log,
             job_commands.OpenSession(
@@ -218,6 +222,13 @@
             opened=result.data["opened"],
             term=self.log.term(),
         )
+        if result.data["opened"]:
+            incarnation_ends.log_end(
+                message,
+                end,
+                lost=result.data["lost"],
+                term=self.log.term(),
+            )
         return job_messages.WorkerSession(
             number=result.data["session"], opened=result.data["opened"]
         )
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -322,6 +322,9 @@
                 announcement=announcement,
                 client=self.client,
                 port=port,
+                previous=session_opening.previous_incarnation(
+                    previous, announcement, self.clock.now()
+                ),
             )
         except errors.RouterError as err:
             events.log(
@@ -424,9 +427,11 @@
         except worker_port.IncarnationMismatchError:
             # Later calls would reach the other incarnation as well.
             session.mark_unreachable()
+            session.record_failed_poll(self.clock.now())
             return False
         except errors.RouterError:
             session.token = max(session.token, token + 1)
+            session.record_failed_poll(self.clock.now())
             return False
         if self.session is not session:
             # The view may be of an earlier incarnation.
@@ -437,6 +442,7 @@
             self._report_due.set()
         session.answered_ms = now
         session.last_poll_answered = True
+        session.silent_since_ms = None
         session.acknowledged = max(session.acknowledged, acknowledged)
         if self.held.reconcile(view, token=token, sent_ms=sent_ms):
             self._end_confirmed.clear()
--- a/bamboorouter/coordination/workers/session_opening.py
+++ b/bamboorouter/coordination/workers/session_opening.py
@@ -19,12 +19,14 @@
 """
 
 import asyncio
+import dataclasses
 from typing import Final
 
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.coordination.workers import worker_session
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 
@@ -36,6 +38,45 @@
 MAX_FENCE_ATTEMPTS: Final = 20
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PreviousIncarnation:
+    """What an agent knows of an incarnation that is over.
+
+    Attributes:
+        name: Name of the incarnation; empty if the agent knows of none.
+        left: Whether it drained or announced its end.
+        silent_ms: Time since its first unanswered call, in ms; 0 if unknown.
+    """
+
+    name: str = ""
+    left: bool = False
+    silent_ms: int = 0
+
+
+def previous_incarnation(
+    session: worker_session.Session | None,
+    announcement: worker_port.Announcement,
+    now: int,
+) -> PreviousIncarnation:
+    """Returns the incarnation that an announced one replaces.
+
+    Args:
+        session: The agent's last session; None if there is none.
+        announcement: The announcement.
+        now: Current time in ms on the agent's clock.
+    """
+    if session is None:
+        return PreviousIncarnation()
+    last = session.announcement
+    if last.incarnation == announcement.incarnation:
+        return PreviousIncarnation()
+    return PreviousIncarnation(
+        name=last.incarnation,
+        left=last.draining,
+        silent_ms=session.silent_ms(now),
+    )
+
+
 def first_token(number: int) -> int:
     """Returns the lowest fencing token of a session."""
     return number * TOKENS_PER_SESSION
@@ -47,6 +88,7 @@
     announcement: worker_port.Announcement,
     client: control_client.ControlClient,
     port: worker_port.WorkerPort,
+    previous: PreviousIncarnation,
 ) -> int:
     """Returns the number of a session that the leader has begun.
 
@@ -55,12 +97,15 @@
         announcement: Announcement of the incarnation.
         client: Client for calls to the leader.
         port: Port to the incarnation.
+        previous: The incarnation that it replaces.
 
     Raises:
         RouterError: The leader or the worker didn't answer, runs of an earlier
             incarnation didn't stop, or a newer session was opened meanwhile.
     """
-    offered = await _request_session(client, worker, announcement, fenced=False)
+    offered = await _request_session(
+        client, worker, announcement, previous, fenced=False
+    )
     if offered.opened:
         return offered.number
     ends = await _fence_off(worker, port, first_token(offered.number))
@@ -68,6 +113,7 @@
         client,
         worker,
         announcement,
+        previous,
         fenced=True,
         fence=offered.number,
         ends=ends,
@@ -85,6 +131,7 @@
     client: control_client.ControlClient,
     worker: str,
     announcement: worker_port.Announcement,
+    previous: PreviousIncarnation,
     *,
     fenced: bool,
     fence: int = 0,
@@ -98,6 +145,9 @@
             fenced=fenced,
             fence=fence,
             ends=ends,
+            previous=previous.name,
+            previous_left=previous.left,
+            silent_ms=previous.silent_ms,
         ),
         timeout_ms=OPEN_TIMEOUT_MS,
     )
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -37,6 +37,8 @@
             poll.
         last_poll_answered: Whether the last poll was answered, so that the next
             call is unlikely to reach another incarnation.
+        silent_since_ms: Time of the first failed poll after the last answered
+            one, in ms on the agent's clock; None if the last poll was answered.
         weights: Learned interference weight by pair of a serving and a
             best-effort image, from the leader.
     """
@@ -51,6 +53,7 @@
     answered_ms: int = 0
     acknowledged: int = 0
     last_poll_answered: bool = False
+    silent_since_ms: int | None = None
     weights: dict[jobs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
@@ -59,6 +62,16 @@
         """Returns whether the worker answered a poll recently."""
         return now - self.answered_ms <= MAX_POLL_AGE_MS
 
+    def record_failed_poll(self, now: int) -> None:
+        """Records that a poll has failed now, in ms on the agent's clock."""
+        self.last_poll_answered = False
+        if self.silent_since_ms is None:
+            self.silent_since_ms = now
+
+    def silent_ms(self, now: int) -> int:
+        """Returns for how long no poll was answered, in ms; 0 if unknown."""
+        return 0 if self.silent_since_ms is None else now - self.silent_since_ms
+
     def next_acknowledged(self, confirmed: int) -> int:
         """Returns the number up to which the next poll acknowledges ends.
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -597,6 +597,13 @@
     "The leader was paused or held no leader lease; that time doesn't count"
     " towards the leases of the workers.",
 )
+INCARNATION_ENDED: Final = _define_event(
+    630,
+    "incarnation_ended",
+    logging.INFO,
+    "A session with another incarnation of a worker began; `how` tells whether"
+    " the earlier one crashed, left, or ended in an unknown way.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
--- a/bamboorouter/metrics.py
+++ b/bamboorouter/metrics.py
@@ -88,6 +88,11 @@
     " evidence for the end.",
     ("evidence",),
 )
+INCARNATIONS_ENDED: Final = prometheus_client.Counter(
+    "bamboorouter_incarnations_ended_total",
+    "Incarnations of workers that another one has replaced.",
+    ("how",),
+)
 STOPS_ORDERED: Final = prometheus_client.Counter(
     "bamboorouter_stops_ordered_total",
     "Runs of jobs with steps that were ordered to stop.",
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -1,5 +1,7 @@
 """Commands of the replicated state machine for jobs with steps."""
 
+from typing import Literal
+
 from bamboorouter.protocol import base
 from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
@@ -55,6 +57,22 @@
     disturbances: tuple[jobs.Disturbance, ...]
 
 
+class IncarnationEnd(base.Wire, frozen=True, kw_only=True):
+    """How an incarnation of a worker ended.
+
+    Attributes:
+        life: ID of the incarnation; empty if none ended.
+        how: "crashed" if it neither drained nor announced its end, "left" if it
+            did, "unknown" if nobody knows.
+        silent_ms: Time in ms for which it hadn't answered when its end was
+            reported; 0 if unknown.
+    """
+
+    life: str = ""
+    how: Literal["crashed", "left", "unknown"] = "unknown"
+    silent_ms: int = 0
+
+
 class OpenSession(base.Wire, frozen=True, kw_only=True, tag=25):
     """Opens a session of an agent with one incarnation of its worker.
 
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -121,6 +121,10 @@
             were started by the current one.
         fence: If `fenced`, number of the offered session by whose token the
             orders were fenced off; 0 if the agent doesn't tell.
+        previous: ID of the incarnation of the agent's last session, if it is
+            over; empty if the agent knows of none.
+        previous_left: Whether that incarnation drained or announced its end.
+        silent_ms: Time in ms since its first unanswered call; 0 if unknown.
     """
 
     worker: str
@@ -129,6 +133,9 @@
     fenced: bool = True
     ends: tuple[jobs.RunEnd, ...] = ()
     fence: int = 0
+    previous: str = ""
+    previous_left: bool = False
+    silent_ms: int = 0
 
 
 class WorkerSession(base.Wire, frozen=True, kw_only=True, tag=141):
--- /dev/null
+++ b/tests/test_incarnation_ends.py
@@ -0,0 +1,135 @@
+"""Tests how the leader tells a crash of a worker from its departure.
+
+Guards against taking a drained worker for one that a task has crashed.
+"""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from bamboorouter import events
+from bamboorouter.protocol import job_messages
+from tests import fake_worker
+from tests import job_builders as make
+from tests import test_agent_session
+from tests import test_job_dispatcher
+
+
+class ReportedEndTest(test_agent_session.AgentSessionCase):
+    """What an agent tells of an incarnation that is over."""
+
+    async def restart(self) -> job_messages.OpenWorkerSession:
+        """Restarts the worker; returns the request to open a session."""
+        self.worker.silent = True
+        await asyncio.sleep(0.15)
+        self.worker.silent = False
+        self.worker.restart("w1@2")
+        self.session.announce(fake_worker.announcement(started_ms=2))
+        await self.until(lambda: self.leader.opened_sessions[-1].life == "w1@2")
+        return self.leader.opened_sessions[-1]
+
+    async def test_first_session_replaces_no_incarnation(self) -> None:
+        self.assertEqual(self.leader.opened_sessions[0].previous, "")
+
+    async def test_incarnation_that_says_nothing_has_not_left(self) -> None:
+        request = await self.restart()
+        self.assertEqual(request.previous, "w1@1")
+        self.assertFalse(request.previous_left)
+        self.assertGreater(request.silent_ms, 0)
+
+    async def test_incarnation_that_drained_has_left(self) -> None:
+        self.session.announce(
+            fake_worker.announcement(sequence=2, draining=True)
+        )
+        self.assertTrue((await self.restart()).previous_left)
+
+    async def test_incarnation_that_announced_its_end_has_left(self) -> None:
+        self.session.leave("w1", started_ms=1)
+        self.assertTrue((await self.restart()).previous_left)
+
+    async def test_session_that_is_opened_again_replaces_no_incarnation(
+        self,
+    ) -> None:
+        self.leader.knows_session = False
+        await self.until(lambda: len(self.leader.opened_sessions) == 2)
+        self.assertEqual(self.leader.opened_sessions[1].previous, "")
+
+
+class LoggedEndTest(test_job_dispatcher.DispatcherCase):
+    """How the leader decides and logs the end of an incarnation."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        patcher = mock.patch.object(events, "log")
+        self.log_event = patcher.start()
+        self.addCleanup(patcher.stop)
+        self.agent = await self.connect_agent()
+
+    async def reopen(self, life: str = "w1@2", **fields: object) -> None:
+        await self.dispatcher.open_session(
+            job_messages.OpenWorkerSession(
+                worker="w1",
+                life=life,
+                room=make.CAPACITY,
+                **fields,  # type: ignore[arg-type]
+            )
+        )
+
+    def logged(self) -> list[tuple[object, object]]:
+        """Returns how which incarnations ended."""
+        return [
+            (call.kwargs["life"], call.kwargs["how"])
+            for call in self.log_event.call_args_list
+            if call.args[0] is events.INCARNATION_ENDED
+        ]
+
+    async def test_agent_that_saw_the_crash_is_believed(self) -> None:
+        await self.reopen(previous="w1@1", silent_ms=3000)
+        self.assertEqual(self.logged(), [("w1@1", "crashed")])
+
+    async def test_agent_that_saw_the_worker_leave_is_believed(self) -> None:
+        await self.reopen(previous="w1@1", previous_left=True)
+        self.assertEqual(self.logged(), [("w1@1", "left")])
+
+    async def test_last_report_decides_if_the_agent_was_restarted(
+        self,
+    ) -> None:
+        await self.reopen()
+        self.assertEqual(self.logged(), [("w1@1", "crashed")])
+
+    async def test_last_report_of_a_draining_worker_shows_that_it_left(
+        self,
+    ) -> None:
+        await self.report(self.agent, draining=True)
+        await self.reopen()
+        self.assertEqual(self.logged(), [("w1@1", "left")])
+
+    async def test_end_is_unknown_to_a_new_leader_and_a_new_agent(
+        self,
+    ) -> None:
+        self.dispatcher.table.reset(self.time.now())
+        await self.reopen()
+        self.assertEqual(self.logged(), [("w1@1", "unknown")])
+
+    async def test_agent_that_missed_an_incarnation_does_not_decide(
+        self,
+    ) -> None:
+        self.dispatcher.table.reset(self.time.now())
+        await self.reopen(previous="w1@0", previous_left=True)
+        self.assertEqual(self.logged(), [("w1@1", "unknown")])
+
+    async def test_session_with_the_same_incarnation_ends_nothing(self) -> None:
+        await self.reopen("w1@1")
+        self.assertEqual(self.logged(), [])
+
+    async def test_session_that_is_not_opened_ends_nothing(self) -> None:
+        await self.submit("a")
+        await self.until(self.agent.started)
+        await self.reopen(previous="w1@1", fenced=False)
+        self.assertEqual(self.logged(), [])
+        await self.reopen(previous="w1@1", fenced=True)
+        self.assertEqual(self.logged(), [("w1@1", "crashed")])
+
+
+if __name__ == "__main__":
+    unittest.main()
