Add failing tests of tasks that crash their workers

Simulated workers behind the dispatcher and the fake log: a task that crashes its worker is started 8 times in 25 s where the rule allows five starts; two of them among eight small jobs a second cause 22 crashes, with which 170 runs of others are lost.

--- /dev/null
+++ b/tests/test_crashing_tasks.py
@@ -0,0 +1,47 @@
+"""Tests what the leader does with tasks that crash their workers.
+
+Guards against starting such a task again and again (rule BUDGET: it must not be
+started three times more after three workers have crashed under it), and against
+giving up the jobs that ran beside it.
+"""
+
+import unittest
+
+from tests import job_builders as make
+from tests import simulated_workers
+
+# Three crashes, and fewer than three starts more.
+MAX_STARTS = 5
+# The first crash comes without a warning; a worker has 9 runs on average.
+MAX_LOST_RUNS = 50
+
+
+class CrashingTaskTest(simulated_workers.SimulatedSiteCase):
+    """Tasks that crash their workers run beside others."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.add_workers(6)
+
+    async def test_task_that_crashes_its_workers_is_given_up(self) -> None:
+        await self.submit_killer("killer")
+        await self.pass_steps(25_000)
+        self.assertLessEqual(self.starts[make.ref("killer")], MAX_STARTS)
+        self.assertEqual(self.job_state("killer"), "failed")
+
+    async def test_jobs_beside_crashing_tasks_are_done(self) -> None:
+        """Two such tasks among eight small jobs a second."""
+        await self.pass_busy_seconds(2, jobs_per_s=8)
+        await self.submit_killer("killer-1")
+        await self.submit_killer("killer-2")
+        await self.pass_busy_seconds(20, jobs_per_s=8)
+        await self.pass_steps(15_000)
+        self.assertEqual(self.states_of_small_jobs(), {"done"})
+        for name in sorted(self.killers):
+            self.assertEqual(self.job_state(name), "failed")
+        self.assertLessEqual(max(self.starts.values()), MAX_STARTS)
+        self.assertLessEqual(self.lost, MAX_LOST_RUNS)
+
+
+if __name__ == "__main__":
+    unittest.main()
