Count a failure that is reported after its run was given up

The replicated task kept only its newest attempt, so no leader could tell which attempts were given up.

The first listed end of such a run removes the record: a failure counts towards the attempts, and at the limit the job fails and the current attempt is stopped. Further reports of the same end find no record and change nothing.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -202,7 +202,10 @@
         """
         await self._commit_ends(message.ends, message.worker, message.life)
         end = incarnation_ends.incarnation_end(
-            message, self.log.machine.stepped, self.table
+            message,
+            self.log.machine.stepped,
+            self.table,
+            wall_ms=self.clock.wall(),
         )
         result = await job_proposals.propose(
             self.log,
@@ -211,6 +214,7 @@
                 life=message.life,
                 room=message.room,
                 fenced=self._is_fenced(message),
+                ended=end,
             ),
         )
         events.log(
@@ -400,7 +404,8 @@
                 term=self.log.term(),
             )
             await job_proposals.propose(
-                self.log, job_commands.EndRuns(ends=tuple(ends))
+                self.log,
+                job_commands.EndRuns(ends=tuple(ends), tracked=True),
             )
 
     async def _start_ready(self) -> None:
@@ -440,7 +445,8 @@
         if not runs:
             return
         result = await job_proposals.propose(
-            self.log, job_commands.StartRuns(runs=runs)
+            self.log,
+            job_commands.StartRuns(runs=runs, at_ms=self.clock.wall()),
         )
         refused = set(result.data["refused"])
         started = [
@@ -669,7 +675,8 @@
             await job_proposals.propose(
                 self.log,
                 job_commands.EndRuns(
-                    ends=tuple(end.committed for end in effective)
+                    ends=tuple(end.committed for end in effective),
+                    tracked=True,
                 ),
             )
             for end in effective:
--- a/bamboorouter/coordination/jobs/incarnation_ends.py
+++ b/bamboorouter/coordination/jobs/incarnation_ends.py
@@ -10,6 +10,7 @@
 """
 
 from typing import Final
+from typing import Literal
 
 from bamboorouter import events
 from bamboorouter import metrics
@@ -25,6 +26,8 @@
     message: job_messages.OpenWorkerSession,
     state: stepped_jobs.SteppedJobs,
     table: worker_table.WorkerTable,
+    *,
+    wall_ms: int,
 ) -> job_commands.IncarnationEnd:
     """Returns how the incarnation ended that a new session would replace.
 
@@ -32,21 +35,21 @@
         message: Request of an agent to open the session.
         state: The replicated jobs.
         table: Workers that reported to this leader.
+        wall_ms: Current wall time in ms since the epoch.
     """
     current = state.incarnations.get(message.worker)
     if current is None or current.life == message.life:
         return NOT_ENDED
-    if message.previous == current.life:
-        return job_commands.IncarnationEnd(
-            life=current.life,
-            how="left" if message.previous_left else "crashed",
-            silent_ms=max(0, message.silent_ms),
-        )
+    how: Literal["crashed", "left", "unknown"] = "unknown"
+    silent_ms = 0
     known = table.workers.get(message.worker)
-    if known is None or known.report.life != current.life:
-        return job_commands.IncarnationEnd(life=current.life, how="unknown")
+    if message.previous == current.life:
+        how = "left" if message.previous_left else "crashed"
+        silent_ms = max(0, message.silent_ms)
+    elif known is not None and known.report.life == current.life:
+        how = "left" if known.report.draining else "crashed"
     return job_commands.IncarnationEnd(
-        life=current.life, how="left" if known.report.draining else "crashed"
+        life=current.life, how=how, over_ms=wall_ms - silent_ms
     )
 
 
@@ -75,6 +78,6 @@
         how=end.how,
         next_life=message.life,
         lost=lost,
-        silent_ms=end.silent_ms,
+        silent_ms=message.silent_ms,
         term=term,
     )
--- a/bamboorouter/coordination/jobs/run_ends.py
+++ b/bamboorouter/coordination/jobs/run_ends.py
@@ -1,10 +1,14 @@
 """Decides which reported ends of runs change the replicated jobs.
 
-Only the end of a task's current attempt changes the task, with one exception. A
-run that was given up may have completed all the same, and its end is reported
-after the next attempt was assigned. The report is acknowledged, so the task
-must not run again: the success counts as that of the current attempt, which
-must stop. A lasting task has no success; it runs on.
+Only the end of a task's current attempt changes the task, with two exceptions. A
+run that was given up may have ended otherwise, and its end is reported after
+the next attempt was assigned. The report is acknowledged, so it has to count:
+
+* If the run completed, the task must not run again: the success counts as that
+  of the current attempt, which must stop. A lasting task has no success; it
+  runs on.
+* Any other end that a worker lists resolves the record of the run; a failure
+  counts towards the attempts (see `given_up_runs`).
 """
 
 import dataclasses
@@ -46,10 +50,12 @@
     if task.status == "assigned" and task.attempt == end.attempt:
         return EffectiveEnd(reported=end, committed=end)
     succeeded = end.how == "done" and not state.step(end.task).lasting
-    if not succeeded or end.attempt > task.attempt:
-        return None
-    return EffectiveEnd(
-        reported=end,
-        committed=msgspec.structs.replace(end, attempt=task.attempt),
-        superseded_worker=task.worker if task.status == "assigned" else "",
-    )
+    if succeeded and end.attempt <= task.attempt:
+        return EffectiveEnd(
+            reported=end,
+            committed=msgspec.structs.replace(end, attempt=task.attempt),
+            superseded_worker=task.worker if task.status == "assigned" else "",
+        )
+    if state.resolves_given_up_run(end):
+        return EffectiveEnd(reported=end, committed=end)
+    return None
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -34,15 +34,30 @@
 
 
 class StartRuns(base.Wire, frozen=True, kw_only=True, tag=23):
-    """Assigns tasks to workers; each run is validated on its own."""
+    """Assigns tasks to workers; each run is validated on its own.
+
+    Attributes:
+        runs: The assignments.
+        at_ms: Wall time of the leader in ms since the epoch; 0 from leaders of
+            earlier versions.
+    """
 
     runs: tuple[jobs.RunStart, ...]
+    at_ms: int = 0
 
 
 class EndRuns(base.Wire, frozen=True, kw_only=True, tag=24):
-    """Records ends of runs; ends of earlier attempts have no effect."""
+    """Records ends of runs.
+
+    Attributes:
+        ends: The ends. An end of an earlier attempt has an effect only if that
+            attempt is recorded as given up.
+        tracked: Whether runs that are given up are recorded; False from leaders
+            of earlier versions.
+    """
 
     ends: tuple[jobs.RunEnd, ...]
+    tracked: bool = False
 
 
 class NoteCheckpoints(base.Wire, frozen=True, kw_only=True, tag=27):
@@ -64,13 +79,13 @@
         life: ID of the incarnation; empty if none ended.
         how: "crashed" if it neither drained nor announced its end, "left" if it
             did, "unknown" if nobody knows.
-        silent_ms: Time in ms for which it hadn't answered when its end was
-            reported; 0 if unknown.
+        over_ms: Wall time of the leader by which it was over, in ms since the
+            epoch.
     """
 
     life: str = ""
     how: Literal["crashed", "left", "unknown"] = "unknown"
-    silent_ms: int = 0
+    over_ms: int = 0
 
 
 class OpenSession(base.Wire, frozen=True, kw_only=True, tag=25):
@@ -85,12 +100,15 @@
         fenced: Whether orders for earlier incarnations are fenced off and
             can't be carried out any more. If not, the session isn't opened
             while runs are assigned to an earlier incarnation.
+        ended: How the earlier incarnation ended; without an ID from leaders of
+            earlier versions, so that its runs aren't recorded.
     """
 
     worker: str
     life: str
     room: common.Resources
     fenced: bool = True
+    ended: IncarnationEnd = IncarnationEnd()
 
 
 class ForgetSteps(base.Wire, frozen=True, kw_only=True, tag=26):
--- a/bamboorouter/state/job_records.py
+++ b/bamboorouter/state/job_records.py
@@ -3,15 +3,39 @@
 import dataclasses
 import itertools
 from typing import Any
+from typing import Final
 from typing import Literal
 
 import msgspec
 
 from bamboorouter.protocol import jobs
 
+_FIELDS_WITHOUT_GIVEN_UP_RUNS: Final = 6
+
 TaskStatus = Literal["waiting", "assigned", "done", "failed"]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GivenUpRun:
+    """A run that has ended without the word of its worker.
+
+    Attributes:
+        attempt: Number of the attempt.
+        worker: Its worker.
+        life: Incarnation of the worker.
+        assigned_ms: Wall time of the leader at the assignment, in ms since the
+            epoch; 0 if unknown.
+        lost: Whether the run may have been on the worker; otherwise it was
+            rejected.
+    """
+
+    attempt: int
+    worker: str
+    life: str
+    assigned_ms: int
+    lost: bool
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Task:
     """State of one task.
@@ -24,6 +48,9 @@
         life: Incarnation of the worker that the newest attempt was assigned
             to.
         checkpoint: Checkpoint to resume from; empty if there is none.
+        assigned_ms: Wall time of the leader at the newest assignment, in ms
+            since the epoch; 0 if unknown.
+        given_up: Newest runs that were given up (see `given_up_runs`).
     """
 
     status: TaskStatus = "waiting"
@@ -32,6 +59,8 @@
     worker: str = ""
     life: str = ""
     checkpoint: str = ""
+    assigned_ms: int = 0
+    given_up: tuple[GivenUpRun, ...] = ()
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -159,5 +188,14 @@
 
 
 def _restored_task(fields: list[Any]) -> Task:
-    names = (field.name for field in dataclasses.fields(Task))
-    return Task(**dict(zip(names, fields, strict=True)))
+    names = [field.name for field in dataclasses.fields(Task)]
+    # Snapshots written before given-up runs were recorded have fewer fields.
+    if len(fields) not in (_FIELDS_WITHOUT_GIVEN_UP_RUNS, len(names)):
+        raise ValueError(f"a task with {len(fields)} fields")
+    values = dict(zip(names, fields, strict=False))
+    run_names = [field.name for field in dataclasses.fields(GivenUpRun)]
+    values["given_up"] = tuple(
+        GivenUpRun(**dict(zip(run_names, run, strict=True)))
+        for run in values.get("given_up", ())
+    )
+    return Task(**values)
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -5,8 +5,9 @@
 job repeats all its steps; each repetition is an occurrence.
 
 A task is waiting, assigned, done or failed. An assignment names the
-incarnation of a worker and an attempt; only the end of the current attempt
-changes a task. A run that was declared lost and is reported done later counts
+incarnation of a worker and an attempt. Apart from the end of the current
+attempt, only that of an attempt that was given up changes a task (see
+`given_up_runs`). A run that was declared lost and is reported done later counts
 as done if the task has not been started again; if it has, the leader commits
 the success under the current attempt (see `run_ends`).
 
@@ -33,6 +34,7 @@
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_limits
 from bamboorouter.protocol import jobs
+from bamboorouter.state import given_up_runs
 from bamboorouter.state import job_records
 
 _NO_RESOURCES: Final = common.Resources()
@@ -96,6 +98,7 @@
         used: Resources reserved by the assigned tasks, by worker.
         last_session: Number of the newest session.
         accepted_count: Number of jobs accepted so far.
+        given_up: Runs that were given up.
         disturbances: Measured weight of the interference, by image of the
             serving tasks and image of the filling tasks.
     """
@@ -108,6 +111,7 @@
         self.used: dict[str, common.Resources] = {}
         self.last_session = 0
         self.accepted_count = 0
+        self.given_up = given_up_runs.GivenUpRuns()
         self.disturbances: dict[jobs.ImagePair, float] = {}
 
     # --- Reading -------------------------------------------------------------
@@ -139,6 +143,19 @@
             and self.jobs[run.task.job].active()
         )
 
+    def resolves_given_up_run(self, end: jobs.RunEnd) -> bool:
+        """Whether an end is that of a run that was given up.
+
+        Only an end that a worker has listed is; lost and rejected runs haven't
+        been listed.
+        """
+        task = self.task(end.task)
+        return (
+            task is not None
+            and end.how not in ("lost", "rejected")
+            and given_up_runs.find_run(task, end.attempt) is not None
+        )
+
     def gang_incomplete(self, ref: jobs.TaskRef) -> bool:
         """Whether any task of a task's gang is not assigned."""
         return any(task.status != "assigned" for _, task in self.group_of(ref))
@@ -219,13 +236,17 @@
         refused = itertools.chain.from_iterable(
             numbers
             for numbers in groups.values()
-            if not self._start_group([command.runs[n] for n in numbers])
+            if not self._start_group(
+                [command.runs[n] for n in numbers], command.at_ms
+            )
         )
         return commands.Result(ok=True, data={"refused": sorted(refused)})
 
     def end(self, command: job_commands.EndRuns) -> commands.Result:
         """Ends runs; the result holds how many of them changed a task."""
-        changed = sum(self._end_run(end) for end in command.ends)
+        changed = sum(
+            self._end_run(end, tracked=command.tracked) for end in command.ends
+        )
         return commands.Result(ok=True, data={"changed": changed})
 
     def open_session(
@@ -249,7 +270,7 @@
                 life=command.life, session=self.last_session, room=command.room
             )
             for end in lost:
-                self._end_run(end)
+                self._end_run(end, tracked=bool(command.ended.life))
         return commands.Result(
             ok=True,
             data={
@@ -291,6 +312,7 @@
         for job_id in command.jobs:
             job = self.jobs.get(job_id)
             if job is not None and not job.active() and not job.assigned():
+                self.given_up.forget(job_records.tasks_of(job))
                 del self.jobs[job_id]
         return commands.Result(ok=True)
 
@@ -316,9 +338,13 @@
             for index, task in enumerate(members)
         ]
 
-    def _start_group(self, runs: list[jobs.RunStart]) -> bool:
+    def _start_group(self, runs: list[jobs.RunStart], at_ms: int) -> bool:
         """Assigns the runs of one group if all are valid.
 
+        Args:
+            runs: The runs.
+            at_ms: Wall time of the assignment in ms; 0 if unknown.
+
         Returns:
             Whether the runs were assigned.
         """
@@ -341,6 +367,7 @@
             task.attempt = run.attempt
             task.worker = run.worker
             task.life = run.life
+            task.assigned_ms = at_ms
             self._reserve(run.task, task, need)
         return True
 
@@ -388,16 +415,30 @@
             slots=used.slots - need.slots,
         )
 
-    def _end_run(self, end: jobs.RunEnd) -> bool:
+    def _end_run(self, end: jobs.RunEnd, *, tracked: bool) -> bool:
+        """Ends a run.
+
+        Args:
+            end: The end.
+            tracked: Whether runs that are given up are recorded.
+
+        Returns:
+            Whether the end changed its task.
+        """
         job = self.jobs.get(end.task.job)
         task = self.task(end.task)
-        if job is None or task is None or task.attempt != end.attempt:
+        if job is None or task is None:
             return False
+        resolved = tracked and self._resolve_given_up_run(job, task, end)
+        if task.attempt != end.attempt:
+            return resolved
         late_success = task.status == "waiting" and end.how == "done"
         if task.status != "assigned" and not late_success:
-            return False
+            return resolved
         group = self.group_of(end.task)
         self._release(end.task, task)
+        if tracked and end.how in ("lost", "rejected"):
+            self.given_up.add(end.task, task, lost=end.how == "lost")
         if end.checkpoint:
             for _, member in group:
                 member.checkpoint = end.checkpoint
@@ -411,13 +452,45 @@
                 member.status = "done"
             job.open_tasks -= len(group)
         elif end.how == "failed":
-            task.failures += 1
-            failures = sum(member.failures for _, member in group)
-            if failures >= job.queue.max_attempts:
-                task.status = "failed"
-                job.failed = True
+            self._count_failure(job, end.task, task)
         return True
 
+    def _resolve_given_up_run(
+        self, job: job_records.Job, task: job_records.Task, end: jobs.RunEnd
+    ) -> bool:
+        """Takes note of how a run ended that was given up.
+
+        Returns:
+            Whether the end is that of such a run.
+        """
+        if not self.resolves_given_up_run(end):
+            return False
+        self.given_up.resolve(end.task, task, end.attempt)
+        if (
+            end.how == "failed"
+            and task.status in ("waiting", "assigned")
+            and not job.spec.steps[end.task.step].lasting
+        ):
+            self._count_failure(job, end.task, task)
+        return True
+
+    def _count_failure(
+        self, job: job_records.Job, ref: jobs.TaskRef, task: job_records.Task
+    ) -> None:
+        """Counts a failure; at the limit, the job fails.
+
+        A later attempt that is assigned takes its resources until its end.
+        """
+        task.failures += 1
+        failures = sum(member.failures for _, member in self.group_of(ref))
+        if failures >= job.queue.max_attempts:
+            self._fail(job, task)
+
+    def _fail(self, job: job_records.Job, task: job_records.Task) -> None:
+        job.failed = True
+        if task.status == "waiting":
+            task.status = "failed"
+
     # --- Snapshots -----------------------------------------------------------
 
     def snapshot(self) -> list[Any]:
@@ -466,6 +539,11 @@
         self.jobs = {job[0]: job_records.job_from_lists(job) for job in plain}
         self.on_worker = {}
         self.used = {}
+        self.given_up.restore(
+            itertools.chain.from_iterable(
+                job_records.tasks_of(job) for job in self.jobs.values()
+            )
+        )
         for ref, task in itertools.chain.from_iterable(
             job_records.tasks_of(job) for job in self.jobs.values()
         ):
