Clear the crashes under a task whose run goes on

A task that runs for long is on a worker whenever that crashes for other reasons: it would collect crashes over its life until its job fails. A run that is listed for longer than the age at the last crash under its task, and for 3 s at least, now clears the count; a task that crashes its workers never gets there. The leader counts the age from its first report of the run and commits the decision with the checkpoints.

Tests: what counts as a crash (departure, unknown end, expired lease, late end, rejected run, repeated command, restored replica), when a job fails, where suspects are placed, and with simulated workers: elections between and after crashes, a worker that is down for longer than its lease, gangs, a late crash, workers that leave, are cut off or crash by themselves.

--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -1,14 +1,16 @@
 """Replicates what a leader observes, so that later leaders can use it.
 
-Task checkpoints and the interference between images are known only from the
-reports of agents and would be lost with the leader. Changes are committed
-periodically, and a new leader restores what was committed before its term.
+Task checkpoints, the interference between images, and the runs that clear their
+tasks of crashes are known only from the reports of agents and would be lost
+with the leader. Changes are committed periodically, and a new leader restores
+what was committed before its term.
 """
 
 import itertools
 from typing import Final
 
 from bamboorouter import clock
+from bamboorouter.coordination.jobs import crash_survival
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
@@ -31,6 +33,7 @@
         clock: Source of time.
         table: Workers that reported to this leader.
         interference: How much best-effort images slow down serving images.
+        crash_survival: Ages of the runs of tasks under which workers crashed.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         self.clock = time
         self.table = table
         self.interference = interference
+        self.crash_survival = crash_survival.CrashSurvival()
         self._recorded_ms = 0
         self._restored_term = 0
 
@@ -53,6 +57,7 @@
         term = self.log.term()
         if term != self._restored_term:
             self._restored_term = term
+            self.crash_survival.reset()
             self.interference.restore(self.log.machine.stepped.disturbances)
 
     async def record(self) -> None:
@@ -66,10 +71,17 @@
             return
         self._recorded_ms = now
         checkpoints = self._newer_checkpoints()
-        if checkpoints:
+        cleared = self.crash_survival.survivors(
+            self.table.workers.values(), self.log.machine.stepped
+        )
+        if checkpoints or cleared:
             await job_proposals.propose(
-                self.log, job_commands.NoteCheckpoints(checkpoints=checkpoints)
+                self.log,
+                job_commands.NoteCheckpoints(
+                    checkpoints=checkpoints, cleared=cleared
+                ),
             )
+            crash_survival.log_cleared(cleared, term=self.log.term())
         disturbances = self._changed_disturbances()
         if disturbances:
             await job_proposals.propose(
--- a/bamboorouter/coordination/jobs/worker_table.py
+++ b/bamboorouter/coordination/jobs/worker_table.py
@@ -47,6 +47,10 @@
     reported_ms: int
     unobserved_ms: int = 0
 
+    def observed_ms(self) -> int:
+        """Returns when the worker was in the reported state, in ms."""
+        return self.reported_ms - self.report.view_age_ms
+
     def silent(self, now: int) -> bool:
         """Whether the newest report is too old to base a decision on it."""
         return now - self.reported_ms >= SILENT_MS
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -61,9 +61,16 @@
 
 
 class NoteCheckpoints(base.Wire, frozen=True, kw_only=True, tag=27):
-    """Records progress, so that it survives the worker and the leader."""
+    """Records progress, so that it survives the worker and the leader.
+
+    Attributes:
+        checkpoints: The newest checkpoints.
+        cleared: Runs that have gone on for longer than those of the task under
+            which workers crashed; these crashes don't count any more.
+    """
 
     checkpoints: tuple[jobs.Checkpoint, ...]
+    cleared: tuple[jobs.RunId, ...] = ()
 
 
 class NoteDisturbances(base.Wire, frozen=True, kw_only=True, tag=28):
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -119,6 +119,18 @@
 RunKey = tuple[TaskRef, int]
 
 
+class RunId(base.Wire, frozen=True, kw_only=True):
+    """Identifies a run.
+
+    Attributes:
+        task: The task.
+        attempt: Number of the attempt.
+    """
+
+    task: TaskRef
+    attempt: int
+
+
 class RunStart(base.Wire, frozen=True, kw_only=True):
     """An assignment of a task to one incarnation of a worker.
 
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -333,7 +333,7 @@
     def note_checkpoints(
         self, command: job_commands.NoteCheckpoints
     ) -> commands.Result:
-        """Records checkpoints of runs that are still assigned."""
+        """Records checkpoints of assigned runs, and clears suspects."""
         for checkpoint in command.checkpoints:
             task = self.task(checkpoint.task)
             if (
@@ -343,6 +343,14 @@
             ):
                 for _, member in self.group_of(checkpoint.task):
                     member.checkpoint = checkpoint.value
+        for run in command.cleared:
+            task = self.task(run.task)
+            if (
+                task is not None
+                and task.status == "assigned"
+                and task.attempt == run.attempt
+            ):
+                self.given_up.clear_crashes(run.task, task)
         return commands.Result(ok=True)
 
     def note_disturbances(
--- a/tests/simulated_workers.py
+++ b/tests/simulated_workers.py
@@ -36,6 +36,7 @@
         ends: Ends that the leader hasn't acknowledged.
         down_since_ms: Time of the crash; None while the worker runs.
         leaving: Whether the worker drains.
+        cut_off: Whether the leader gets no reports of its agent.
     """
 
     def __init__(self, name: str, site: "SimulatedSiteCase") -> None:
@@ -46,6 +47,7 @@
         self.ends: list[jobs.RunEnd] = []
         self.down_since_ms: int | None = None
         self.leaving = False
+        self.cut_off = False
 
     @property
     def name(self) -> str:
@@ -79,6 +81,11 @@
 
     async def step(self) -> None:
         """Lets the worker and its agent work for `STEP_MS`."""
+        if self.cut_off:
+            # The leases of the runs expire.
+            self.runs.clear()
+            self.agent.orders.clear()
+            return
         if self.down_since_ms is not None:
             if self.site.now - self.down_since_ms < self.site.restart_ms:
                 await self._report()
@@ -107,9 +114,14 @@
                 if age_ms >= self.site.crash_after_ms:
                     self.crash()
                     return
-            elif age_ms >= self.site.run_time_ms(key[0]):
+            elif age_ms >= self.site.run_time_ms(key[0]) and not self._lasts(
+                key
+            ):
                 self._end(key, "done")
 
+    def _lasts(self, key: jobs.RunKey) -> bool:
+        return self.site.log.machine.stepped.step(key[0]).lasting
+
     def _end(self, key: jobs.RunKey, how: jobs.RunOutcome) -> None:
         if self.runs.pop(key, None) is not None:
             task, attempt = key
--- /dev/null
+++ b/tests/test_crash_counts.py
@@ -0,0 +1,449 @@
+"""Tests how the replicated state counts crashes of workers under a task.
+
+Guards against a task that is started again and again because a crash under it
+isn't counted (rule BUDGET), and against one that is given up for a crash that
+was none.
+"""
+
+from typing import Literal
+import unittest
+
+import cbor2
+
+from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import jobs
+from bamboorouter.state import crash_conviction
+from bamboorouter.state import given_up_runs
+from bamboorouter.state import job_records
+from bamboorouter.state import stepped_jobs
+from tests import job_builders as make
+
+How = Literal["crashed", "left", "unknown"]
+EARLY_MS = given_up_runs.EARLY_CRASH_MS
+START_MS = 1_700_000_000_000
+
+
+class CrashCase(unittest.TestCase):
+    """Workers whose incarnations are replaced.
+
+    Attributes:
+        jobs: The replicated state.
+        now_ms: Wall time of the leader.
+    """
+
+    def setUp(self) -> None:
+        self.jobs = make.Jobs()
+        self.now_ms = START_MS
+        self._numbers: dict[str, int] = {}
+        for worker in ("w1", "w2", "w3", "w4", "w5"):
+            self.open(worker)
+        self.jobs.accept("a")
+
+    @property
+    def state(self) -> stepped_jobs.SteppedJobs:
+        """The replicated jobs."""
+        return self.jobs.state
+
+    def life(self, worker: str) -> str:
+        """Returns the newest incarnation of a worker."""
+        return f"{worker}@{self._numbers[worker]}"
+
+    def open(
+        self,
+        worker: str,
+        how: How | None = "crashed",
+        *,
+        life: str = "",
+        age_ms: int = 50,
+    ) -> job_commands.OpenSession:
+        """Opens a session with a new incarnation, or with `life`.
+
+        Args:
+            worker: Name of the worker.
+            how: How the earlier one ended; None from an earlier leader.
+            life: The incarnation.
+            age_ms: Time from the last start to the end of the earlier one.
+
+        Returns:
+            The command.
+        """
+        before = self.state.incarnations.get(worker)
+        if not life:
+            self._numbers[worker] = self._numbers.get(worker, 0) + 1
+        ended = job_commands.IncarnationEnd()
+        if before is not None and how is not None:
+            ended = job_commands.IncarnationEnd(
+                life=before.life, how=how, over_ms=self.now_ms + age_ms
+            )
+        command = job_commands.OpenSession(
+            worker=worker,
+            life=life or self.life(worker),
+            room=make.CAPACITY,
+            ended=ended,
+        )
+        self.state.open_session(command)
+        return command
+
+    def start(
+        self, task: jobs.TaskRef | None = None, worker: str = "w1"
+    ) -> int:
+        """Starts the next attempt of a task; returns its number."""
+        ref = task or make.ref()
+        attempt = self.jobs.task(ref).attempt + 1
+        result = self.state.start(
+            job_commands.StartRuns(
+                runs=(
+                    jobs.RunStart(
+                        task=ref,
+                        worker=worker,
+                        life=self.life(worker),
+                        attempt=attempt,
+                    ),
+                ),
+                at_ms=self.now_ms,
+            )
+        )
+        self.assertEqual(result.data["refused"], [])
+        return attempt
+
+    def end(
+        self,
+        how: jobs.RunOutcome,
+        attempt: int,
+        task: jobs.TaskRef | None = None,
+    ) -> None:
+        self.state.end(
+            job_commands.EndRuns(
+                ends=(
+                    jobs.RunEnd(
+                        task=task or make.ref(), attempt=attempt, how=how
+                    ),
+                ),
+                tracked=True,
+            )
+        )
+
+    def crash(
+        self, *tasks: jobs.TaskRef, worker: str = "w1", age_ms: int = 50
+    ) -> None:
+        """Starts tasks on a worker, which then crashes."""
+        for task in tasks or (make.ref(),):
+            self.start(task, worker)
+        self.open(worker, age_ms=age_ms)
+
+    def task(self, ref: jobs.TaskRef | None = None) -> job_records.Task:
+        return self.jobs.task(ref or make.ref())
+
+    def crashes(self, ref: jobs.TaskRef | None = None) -> int:
+        return self.task(ref).crashes
+
+    def job_state(self, job: str = "a") -> str:
+        return self.state.jobs[job].state()
+
+
+class CountTest(CrashCase):
+    """What counts as a crash under a task."""
+
+    def test_crash_of_the_worker_of_a_run_counts(self) -> None:
+        self.crash()
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 1))
+        self.assertEqual(self.task().status, "waiting")
+
+    def test_end_of_a_worker_that_left_does_not_count(self) -> None:
+        self.start()
+        self.open("w1", "left")
+        self.assertEqual(self.crashes(), 0)
+
+    def test_end_that_nobody_knows_does_not_count(self) -> None:
+        self.start()
+        self.open("w1", "unknown")
+        self.assertEqual(self.crashes(), 0)
+
+    def test_session_with_the_same_incarnation_counts_nothing(self) -> None:
+        self.start()
+        self.open("w1", life=self.life("w1"))
+        self.assertEqual((self.crashes(), self.task().status), (0, "assigned"))
+
+    def test_repeated_command_counts_once(self) -> None:
+        self.start()
+        command = self.open("w1")
+        self.state.open_session(command)
+        self.assertEqual(self.crashes(), 1)
+
+    def test_run_whose_lease_expired_before_the_crash_is_known_counts(
+        self,
+    ) -> None:
+        self.start()
+        self.end("lost", 1)
+        self.assertEqual(self.crashes(), 0)
+        self.start(worker="w2")
+        self.open("w1")
+        self.assertEqual(self.crashes(), 1)
+        self.assertEqual(self.task().status, "assigned")
+
+    def test_several_runs_on_one_incarnation_count_once(self) -> None:
+        for attempt in (1, 2):
+            self.start()
+            self.end("lost", attempt)
+        self.start()
+        self.open("w1")
+        self.assertEqual(self.crashes(), 1)
+
+    def test_run_that_was_rejected_does_not_count(self) -> None:
+        self.start()
+        self.end("rejected", 1)
+        self.open("w1")
+        self.assertEqual(self.crashes(), 0)
+
+    def test_run_whose_end_is_listed_did_not_crash_its_worker(self) -> None:
+        self.start()
+        self.end("lost", 1)
+        self.end("lapsed", 1)
+        self.open("w1")
+        self.assertEqual(self.crashes(), 0)
+
+    def test_end_that_is_listed_after_the_crash_takes_it_back(self) -> None:
+        self.crash()
+        self.end("failed", 1)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (0, 0))
+        self.assertEqual(self.task().failures, 1)
+
+    def test_crash_is_taken_back_if_the_incarnation_goes_on(self) -> None:
+        first = self.life("w1")
+        self.crash()
+        self.open("w1", "unknown", life=first)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (0, 0))
+
+    def test_crash_with_an_unknown_start_is_not_early(self) -> None:
+        self.jobs.start(make.ref(), incarnation=self.life("w1"))
+        self.open("w1")
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
+
+    def test_crash_of_an_old_run_is_not_early(self) -> None:
+        self.crash(age_ms=EARLY_MS + 1)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
+
+    def test_task_that_is_done_is_not_a_suspect(self) -> None:
+        self.crash()
+        self.start(worker="w2")
+        self.end("lost", 2)
+        self.end("done", 2)
+        self.open("w2")
+        self.assertEqual(self.job_state(), "done")
+
+    def test_session_of_an_earlier_leader_counts_nothing(self) -> None:
+        self.start()
+        self.open("w1", None)
+        self.assertEqual((self.crashes(), self.task().given_up), (0, ()))
+
+
+class SurvivalTest(CrashCase):
+    """Crashes that don't count any more."""
+
+    def clear(self, attempt: int) -> None:
+        self.state.note_checkpoints(
+            job_commands.NoteCheckpoints(
+                checkpoints=(),
+                cleared=(jobs.RunId(task=make.ref(), attempt=attempt),),
+            )
+        )
+
+    def test_run_that_goes_on_clears_its_task(self) -> None:
+        self.crash()
+        attempt = self.start(worker="w2")
+        self.clear(attempt)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (0, 0))
+        self.open("w2")
+        self.assertEqual(self.crashes(), 1)
+
+    def test_other_attempt_clears_nothing(self) -> None:
+        self.crash()
+        self.clear(1)
+        self.start(worker="w2")
+        self.clear(1)
+        self.assertEqual(self.crashes(), 1)
+
+    def test_cleared_crash_is_not_taken_back_again(self) -> None:
+        self.crash()
+        self.clear(self.start(worker="w2"))
+        self.open("w2")
+        self.end("lapsed", 1)
+        self.assertEqual(self.crashes(), 1)
+
+
+class GivenUpTest(CrashCase):
+    """When a job fails because of crashes."""
+
+    def test_second_early_crash_without_other_starts_is_enough(self) -> None:
+        self.crash()
+        self.assertEqual(self.job_state(), "running")
+        self.crash(worker="w2")
+        self.assertEqual(self.job_state(), "failed")
+
+    def test_two_crashes_long_after_the_start_are_not_enough(self) -> None:
+        for worker in ("w1", "w2"):
+            self.crash(worker=worker, age_ms=EARLY_MS + 1)
+        self.assertEqual(self.job_state(), "running")
+        self.crash(worker="w3", age_ms=EARLY_MS + 1)
+        self.assertEqual(self.job_state(), "failed")
+
+    def test_other_recent_start_leaves_open_who_is_to_blame(self) -> None:
+        self.jobs.accept("b")
+        self.crash()
+        self.crash(make.ref(), make.ref("b"), worker="w2")
+        self.assertEqual(self.job_state(), "running")
+        self.crash(worker="w3")
+        self.assertEqual(self.job_state(), "failed")
+        self.assertEqual(self.job_state("b"), "running")
+
+    def test_tasks_of_one_job_are_no_excuse_for_each_other(self) -> None:
+        self.jobs.accept("b", make.step(2))
+        both = (make.ref("b"), make.ref("b", index=1))
+        self.crash(*both)
+        self.crash(*both, worker="w2")
+        self.assertEqual(self.job_state("b"), "failed")
+
+    def test_equal_suspects_are_given_up_after_the_fourth_crash(self) -> None:
+        self.jobs.accept("b")
+        for worker in ("w1", "w2", "w3"):
+            self.crash(make.ref(), make.ref("b"), worker=worker)
+            self.assertEqual(self.job_state(), "running")
+        self.crash(make.ref(), make.ref("b"), worker="w4")
+        self.assertEqual(self.job_state(), "failed")
+        self.assertEqual(self.job_state("b"), "failed")
+
+    def test_lesser_suspect_is_spared_after_its_third_crash(self) -> None:
+        self.jobs.accept("b")
+        late = EARLY_MS + 1
+        self.crash(make.ref("b"), worker="w5", age_ms=late)
+        for worker in ("w1", "w2"):
+            self.start(make.ref("b"), worker)
+            self.now_ms += late
+            self.crash(worker=worker)
+        # The crashes under "a" are early; those under "b" aren't.
+        self.assertEqual(self.crashes(make.ref("b")), 3)
+        self.assertEqual(self.job_state("b"), "running")
+
+    def test_single_attempt_is_not_used_up_by_a_crash(self) -> None:
+        self.jobs.state.put_configuration(
+            job_commands.PutConfiguration(
+                configuration=make.configuration(2, make.queue(max_attempts=1))
+            )
+        )
+        self.jobs.accept("b")
+        self.crash(make.ref("b"))
+        self.assertEqual(self.job_state("b"), "running")
+        self.start(make.ref("b"))
+        self.end("done", 2, make.ref("b"))
+        self.assertEqual(self.job_state("b"), "done")
+
+    def test_gang_fails_with_the_member_that_crashes_its_workers(self) -> None:
+        self.jobs.accept("g", make.step(2, gang=True))
+        for attempt, worker in enumerate(("w1", "w2"), 1):
+            runs = [
+                jobs.RunStart(
+                    task=make.ref("g", index=index),
+                    worker=name,
+                    life=self.life(name),
+                    attempt=attempt,
+                )
+                for index, name in enumerate((worker, "w5"))
+            ]
+            self.state.start(
+                job_commands.StartRuns(runs=tuple(runs), at_ms=self.now_ms)
+            )
+            self.open(worker)
+            self.end("broken", attempt, make.ref("g", index=1))
+        self.assertEqual(self.job_state("g"), "failed")
+        self.assertEqual(self.crashes(make.ref("g", index=1)), 0)
+
+    def test_lasting_task_is_given_up_as_well(self) -> None:
+        self.jobs.accept("b", make.step(lasting=True))
+        self.crash(make.ref("b"))
+        self.crash(make.ref("b"), worker="w2")
+        self.assertEqual(self.job_state("b"), "failed")
+
+    def test_late_attempt_elsewhere_keeps_its_room_until_its_end(self) -> None:
+        """The second crash is known only after the third start."""
+        self.crash()
+        self.start(worker="w2")
+        self.end("lost", 2)
+        attempt = self.start(worker="w3")
+        self.open("w2")
+        self.assertEqual(self.job_state(), "failed")
+        self.assertEqual(self.task().status, "assigned")
+        self.end("stopped", attempt)
+        self.assertEqual(self.state.used_on("w3").millicores, 0)
+
+    def test_cancelled_job_stays_cancelled(self) -> None:
+        self.crash()
+        self.start(worker="w2")
+        self.state.cancel(job_commands.CancelSteps(job="a"))
+        self.open("w2")
+        self.assertEqual(self.job_state(), "cancelled")
+
+
+class SnapshotTest(CrashCase):
+    """The count survives a replica."""
+
+    def restore(self) -> None:
+        """Replaces the state by one from its snapshot."""
+        plain = cbor2.loads(cbor2.dumps(self.state.snapshot()))
+        self.jobs.state = stepped_jobs.SteppedJobs()
+        self.jobs.state.restore(plain)
+
+    def test_restored_replica_decides_as_the_others(self) -> None:
+        self.start()
+        self.restore()
+        self.open("w1")
+        self.restore()
+        self.start(worker="w2")
+        self.end("lost", 2)
+        self.restore()
+        self.open("w2")
+        self.assertEqual(self.job_state(), "failed")
+
+    def test_snapshots_of_both_replicas_are_equal(self) -> None:
+        self.crash()
+        self.start(worker="w2")
+        self.end("lost", 2)
+        other = self.state
+        self.restore()
+        self.assertEqual(self.state.snapshot(), other.snapshot())
+        command = self.open("w2", "left")
+        other.open_session(command)
+        self.assertEqual(self.state.snapshot(), other.snapshot())
+
+
+class ConvictionTest(unittest.TestCase):
+    """Limits on the starts of a task that crashes each worker."""
+
+    def test_task_is_given_up_after_five_crashes_whatever_else(self) -> None:
+        """No other task, however suspicious, may delay it further."""
+        worst = crash_conviction.CrashedTask(
+            ref=make.ref("b"), crashes=9, early=9, early_now=True
+        )
+        outcomes = []
+        for crashes in range(1, 6):
+            killer = crash_conviction.CrashedTask(
+                ref=make.ref(), crashes=crashes, early=0, early_now=False
+            )
+            outcomes.append(
+                killer in crash_conviction.convicted([killer, worst])
+            )
+        self.assertEqual(outcomes, [False] * 4 + [True])
+
+    def test_lesser_suspect_is_spared_after_its_fourth_crash(self) -> None:
+        killer, bystander = (
+            crash_conviction.CrashedTask(
+                ref=make.ref(name), crashes=4, early=early, early_now=True
+            )
+            for name, early in (("a", 4), ("b", 3))
+        )
+        self.assertEqual(
+            crash_conviction.convicted([killer, bystander]), [killer]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -275,6 +275,99 @@
         self.assertEqual(self.place([task], make.worker_capacity("w1")), ["w1"])
 
 
+class SuspectPlacementTest(unittest.TestCase):
+    """Tasks under which workers crashed are kept apart, and from others."""
+
+    def setUp(self) -> None:
+        self.policy = run_placement.MostHeadroomPlacement(
+            interference=image_interference.ImageInterference()
+        )
+
+    def worker(
+        self, name: str, *suspicions: int, runs: int = 0
+    ) -> run_placement.WorkerCapacity:
+        return make.worker_capacity(
+            name, suspicions=list(suspicions), runs=len(suspicions) + runs
+        )
+
+    def chosen(
+        self,
+        suspicion: int,
+        *workers: run_placement.WorkerCapacity,
+    ) -> str:
+        """Returns the worker that a task is placed on."""
+        (placement,) = self.policy.place(
+            [make.ready(suspicion=suspicion)], list(workers)
+        )
+        return placement.worker.name
+
+    def test_suspect_goes_to_the_worker_with_the_fewest_runs(self) -> None:
+        workers = [self.worker("w1", runs=3), self.worker("w2", runs=2)]
+        workers[1].used_millicores = 30_000
+        self.assertEqual(self.chosen(1, *workers), "w2")
+        self.assertEqual(self.chosen(0, *workers), "w1")
+
+    def test_suspect_avoids_other_suspects(self) -> None:
+        workers = (self.worker("w1", 1), self.worker("w2", runs=20))
+        self.assertEqual(self.chosen(1, *workers), "w2")
+
+    def test_most_suspicious_tasks_are_kept_apart_first(self) -> None:
+        workers = (self.worker("w1", 3), self.worker("w2", 2, 2, 1, 1))
+        self.assertEqual(self.chosen(3, *workers), "w2")
+
+    def test_other_task_avoids_a_worker_with_a_repeated_suspect(self) -> None:
+        workers = (self.worker("w1", 2), self.worker("w2", 1))
+        workers[1].used_millicores = 30_000
+        self.assertEqual(self.chosen(0, *workers), "w2")
+
+    def test_suspect_waits_for_no_better_worker(self) -> None:
+        self.assertEqual(self.chosen(2, self.worker("w1", 3, runs=9)), "w1")
+        self.assertEqual(self.chosen(0, self.worker("w1", 3, runs=9)), "w1")
+
+    def test_worker_that_fails_all_runs_is_worse_than_a_suspect(self) -> None:
+        workers = (self.worker("w1"), self.worker("w2", 2))
+        workers[0].ejected = True
+        self.assertEqual(self.chosen(1, *workers), "w2")
+
+    def test_suspects_of_one_pass_are_spread(self) -> None:
+        step = make.step(4)
+        counts: dict[str, int] = {}
+        tasks = [
+            make.ready(
+                make.ref(index=index),
+                of=step,
+                tasks_by_worker=counts,
+                suspicion=suspicion,
+            )
+            for index, suspicion in enumerate((1, 0, 1, 2))
+        ]
+        workers = [
+            self.worker(f"w{number}", runs=number) for number in (1, 2, 3)
+        ]
+        placed = {
+            placement.task.ref.index: placement.worker.name
+            for placement in self.policy.place(tasks, workers)
+        }
+        suspects = {placed[index] for index in (0, 2, 3)}
+        self.assertEqual(suspects, {"w1", "w2", "w3"})
+
+    def test_gang_that_does_not_fit_leaves_no_suspicion(self) -> None:
+        step = make.step(2, gang=True, need=make.need(40_000))
+        counts: dict[str, int] = {}
+        tasks = [
+            make.ready(
+                make.ref(index=index),
+                of=step,
+                tasks_by_worker=counts,
+                suspicion=1,
+            )
+            for index in range(2)
+        ]
+        worker = self.worker("w1")
+        self.assertEqual(self.policy.place(tasks, [worker]), [])
+        self.assertEqual((worker.runs, worker.suspicions), (0, []))
+
+
 class InterferenceTest(unittest.TestCase):
     """A harmful pair of images is learned from a few samples."""
 
