--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -21,6 +21,7 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter import supervision
+from bamboorouter.coordination.jobs import incarnation_ends
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import observation_recorder
 from bamboorouter.coordination.jobs import ready_tasks
@@ -203,6 +204,12 @@
             UnknownResultError: The session may be opened later.
         """
         await self._commit_ends(message.ends, message.worker, message.life)
+        end = incarnation_ends.incarnation_end(
+            message,
+            self.log.machine.stepped,
+            self.table,
+            wall_ms=self.clock.wall(),
+        )
         result = await job_proposals.propose(
             self.log,
             job_commands.OpenSession(
@@ -210,6 +217,7 @@
                 life=message.life,
                 room=message.room,
                 fenced=self._is_fenced(message),
+                ended=end,
             ),
         )
         events.log(
@@ -221,6 +229,7 @@
             opened=result.data["opened"],
             term=self.log.term(),
         )
+        incarnation_ends.log_end(message, end, result, term=self.log.term())
         return job_messages.WorkerSession(
             number=result.data["session"], opened=result.data["opened"]
         )
@@ -397,7 +406,8 @@
                 term=self.log.term(),
             )
             await job_proposals.propose(
-                self.log, job_commands.EndRuns(ends=tuple(ends))
+                self.log,
+                job_commands.EndRuns(ends=tuple(ends), tracked=True),
             )
 
     async def _start_ready(self) -> None:
@@ -437,7 +447,8 @@
         if not runs:
             return
         result = await job_proposals.propose(
-            self.log, job_commands.StartRuns(runs=runs)
+            self.log,
+            job_commands.StartRuns(runs=runs, at_ms=self.clock.wall()),
         )
         refused = set(result.data["refused"])
         started = [
@@ -672,7 +683,8 @@
             await job_proposals.propose(
                 self.log,
                 job_commands.EndRuns(
-                    ends=tuple(end.committed for end in effective)
+                    ends=tuple(end.committed for end in effective),
+                    tracked=True,
                 ),
             )
             for end in effective:
--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -1,8 +1,9 @@
 """Replicates what a leader observes, so that later leaders can use it.
 
-Task checkpoints and the interference between images are known only from the
-reports of agents and would be lost with the leader. Changes are committed
-periodically, and a new leader restores what was committed before its term.
+Task checkpoints, the interference between images, and the runs that clear their
+tasks of crashes are known only from the reports of agents and would be lost
+with the leader. Changes are committed periodically, and a new leader restores
+what was committed before its term.
 
 Changed capacities of workers are committed without delay, because assignments
 are checked against the replicated ones.
@@ -15,6 +16,7 @@
 
 from bamboorouter import clock
 from bamboorouter import events
+from bamboorouter.coordination.jobs import crash_survival
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import worker_rooms
 from bamboorouter.coordination.jobs import worker_table
@@ -42,6 +44,7 @@
         clock: Source of time.
         table: Workers that reported to this leader.
         interference: How much best-effort images slow down serving images.
+        crash_survival: Ages of the runs of tasks under which workers crashed.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         self.clock = time
         self.table = table
         self.interference = interference
+        self.crash_survival = crash_survival.CrashSurvival()
         self._recorded_ms = 0
         self._restored_term = 0
 
@@ -64,6 +68,7 @@
         term = self.log.term()
         if term != self._restored_term:
             self._restored_term = term
+            self.crash_survival.reset()
             self.interference.restore(self.log.machine.stepped.disturbances)
 
     async def record_rooms(self) -> None:
@@ -83,7 +88,7 @@
             for changed in rooms
         }
         await job_proposals.propose(
-            self.log, job_commands.NoteCheckpoints(rooms=rooms)
+            self.log, job_commands.NoteCheckpoints(checkpoints=(), rooms=rooms)
         )
         for changed in rooms:
             events.log(
@@ -105,10 +110,19 @@
         if now - self._recorded_ms < RECORD_PERIOD_MS:
             return
         self._recorded_ms = now
+        cleared = self.crash_survival.survivors(
+            self.table.workers.values(), self.log.machine.stepped
+        )
         for checkpoints in batches(self._newer_checkpoints()):
             await job_proposals.propose(
                 self.log, job_commands.NoteCheckpoints(checkpoints=checkpoints)
             )
+        if cleared:
+            await job_proposals.propose(
+                self.log,
+                job_commands.NoteCheckpoints(checkpoints=(), cleared=cleared),
+            )
+            crash_survival.log_cleared(cleared, term=self.log.term())
         disturbances = self._changed_disturbances()
         if disturbances:
             await job_proposals.propose(
--- a/bamboorouter/coordination/jobs/worker_capacities.py
+++ b/bamboorouter/coordination/jobs/worker_capacities.py
@@ -29,6 +29,7 @@
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.state import crash_conviction
 from bamboorouter.state import stepped_jobs
 
 # A start order arrives before its push times out, or not at all; the agent
@@ -127,7 +128,9 @@
     if not _sizes_known(state, unassigned):
         return None
     for ref in (*state.on_worker.get(report.worker, {}), *unassigned):
-        capacity.add(state.step(ref), own_utilization(ref))
+        capacity.add(
+            state.step(ref), own_utilization(ref), _suspicion(state, ref)
+        )
     return capacity
 
 
@@ -213,6 +216,11 @@
     return (stepped_jobs.reserved(state.step(task)) for task in tasks)
 
 
+def _suspicion(state: stepped_jobs.SteppedJobs, ref: jobs.TaskRef) -> int:
+    task = state.task(ref)
+    return 0 if task is None else crash_conviction.suspicion(task)
+
+
 def _sizes_known(
     state: stepped_jobs.SteppedJobs, tasks: Iterable[jobs.TaskRef]
 ) -> bool:
--- a/tests/test_worker_room.py
+++ b/tests/test_worker_room.py
@@ -278,7 +278,8 @@
     def record(self, room: common.Resources, life: str = "w1@1") -> None:
         self.jobs.state.note_checkpoints(
             job_commands.NoteCheckpoints(
-                rooms=(jobs.WorkerRoom(worker="w1", life=life, room=room),)
+                checkpoints=(),
+                rooms=(jobs.WorkerRoom(worker="w1", life=life, room=room),),
             )
         )
 
