--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -66,11 +66,13 @@
         run_s: Run time of a task in seconds.
         started_ms: Start of the worker in ms since the epoch.
         started: Name and attempt of each started task.
+        cpu: Announced processor time, in thousandths of a core.
     """
 
     def __init__(self, *, address: str, run_s: float = 0.02) -> None:
         self.address = address
         self.run_s = run_s
+        self.cpu = 8000
         self.started_ms = int(time.time() * 1000)
         self.started: list[tuple[str, int]] = []
         self._running: dict[str, tuple[int, float]] = {}
@@ -104,7 +106,7 @@
             "slots": 8,
             "state": state,
             "coldLeftMs": 0,
-            "capacity": {"cpu": 8000, "memMb": 8000, "gpu": 0},
+            "capacity": {"cpu": self.cpu, "memMb": 8000, "gpu": 0},
             "labels": ["a", "r1-1"],
             "clockMs": self._clock_ms(),
             "seq": seq,
