Let a job wait for a worker to grow again rather than refuse it

Admission now refuses a job only if it doesn't fit the largest capacities that the workers' incarnations have reported to this leader; the expected wait still counts what they have now. A refusal names a time to retry of at most 60 s and jitter, since capacity may be back by then.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -2,7 +2,9 @@
 
 A job is refused before any of its tasks starts in two cases:
 
-- One of its tasks or gangs doesn't fit on the idle workers of its service.
+- One of its tasks or gangs doesn't fit on the idle workers of its service. A
+  worker counts with the largest capacity that it is known to have had: one
+  that has shrunk may grow again, and the job waits for that.
 - So much work of equal or higher priority is queued ahead that the job would
   have to wait for more than `MAX_WAIT_FACTOR` times its target time. Its result
   is assumed to be useless by then. Under sustained overload, accepted jobs then
@@ -31,6 +33,9 @@
 NO_WORKER_RETRY_MS: Final = 30_000
 # Multiple of a job's target time after which its result is no longer useful.
 MAX_WAIT_FACTOR: Final = 3
+# A retry isn't put off for longer: within this time capacity may grow and work
+# may be cancelled.
+MAX_RETRY_MS: Final = 60_000
 # Up to this share of the excess wait is added at random, so that callers that
 # were refused together don't retry together.
 RETRY_JITTER: Final = 0.5
@@ -59,6 +64,8 @@
     Attributes:
         worker_capacities: Returns the capacity of each known worker of a
             service; empty while the workers aren't known.
+        largest_capacities: Returns the largest capacity that each of these
+            workers is known to have had.
         has_advice_source: Whether an advice service is configured that decides
             where advised steps may run.
     """
@@ -67,9 +74,13 @@
         self,
         *,
         worker_capacities: Callable[[str], Iterable[common.Resources]],
+        largest_capacities: (
+            Callable[[str], Iterable[common.Resources]] | None
+        ) = None,
         has_advice_source: bool = False,
     ) -> None:
         self.worker_capacities = worker_capacities
+        self.largest_capacities = largest_capacities or worker_capacities
         self.has_advice_source = has_advice_source
 
     def check(
@@ -97,8 +108,9 @@
                 retry_after_ms=NO_WORKER_RETRY_MS,
             )
         capacities = list(self.worker_capacities(queue.service))
-        if capacities and any(
-            _max_concurrent_tasks(step, capacities)
+        largest = list(self.largest_capacities(queue.service))
+        if largest and any(
+            _max_concurrent_tasks(step, largest)
             < (step.count if step.gang else 1)
             for step in spec.steps
         ):
@@ -156,7 +168,7 @@
     target_ms += queue.target_ms
     if wait_ms <= MAX_WAIT_FACTOR * target_ms:
         return None
-    excess_wait_ms = wait_ms - target_ms
+    excess_wait_ms = min(wait_ms - target_ms, MAX_RETRY_MS)
     jitter = 1 + RETRY_JITTER * random.random()
     return Refusal(
         reason="it would complete too late to be useful",
--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -141,11 +141,24 @@
         """
         if not self.table.is_complete(self.clock.now()):
             return ()
-        return (
-            worker.report.room
+        return (worker.report.room for worker in self._workers_of(service))
+
+    def largest_capacities(self, service: str) -> Iterable[common.Resources]:
+        """Returns the largest capacity that each live worker has reported.
+
+        Unlike `worker_capacities`, they include what workers lack now and may
+        have again.
+        """
+        if not self.table.is_complete(self.clock.now()):
+            return ()
+        return (worker.largest_room for worker in self._workers_of(service))
+
+    def _workers_of(self, service: str) -> list[worker_table.LiveWorker]:
+        return [
+            worker
             for worker in self.table.workers.values()
             if worker.report.service == service
-        )
+        ]
 
     # --- Reports -------------------------------------------------------------
 
--- a/bamboorouter/coordination/jobs/job_leader.py
+++ b/bamboorouter/coordination/jobs/job_leader.py
@@ -57,6 +57,7 @@
             time=time,
             admission_policy=admission.Admission(
                 worker_capacities=self.dispatcher.worker_capacities,
+                largest_capacities=self.dispatcher.largest_capacities,
                 has_advice_source=advice is not None,
             ),
         )
--- a/bamboorouter/coordination/jobs/worker_rooms.py
+++ b/bamboorouter/coordination/jobs/worker_rooms.py
@@ -18,6 +18,7 @@
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.state import resource_math
 from bamboorouter.state import stepped_jobs
 
 
@@ -36,13 +37,7 @@
     incarnation = state.incarnations.get(report.worker)
     if incarnation is None or incarnation.life != report.life:
         return None
-    replicated, reported = incarnation.room, report.room
-    return common.Resources(
-        millicores=min(replicated.millicores, reported.millicores),
-        memory_mb=min(replicated.memory_mb, reported.memory_mb),
-        accelerators=min(replicated.accelerators, reported.accelerators),
-        slots=min(replicated.slots, reported.slots),
-    )
+    return resource_math.lowest(incarnation.room, report.room)
 
 
 def changed_rooms(
--- a/bamboorouter/coordination/jobs/worker_table.py
+++ b/bamboorouter/coordination/jobs/worker_table.py
@@ -16,7 +16,9 @@
 import dataclasses
 from typing import Final
 
+from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
+from bamboorouter.state import resource_math
 from bamboorouter.transport import link
 
 # Runs must survive partitions and leader changes of some seconds. Workers allow
@@ -39,12 +41,15 @@
         report: Newest report of its agent.
         source: Link on which the report arrived.
         reported_ms: Monotonic time in ms at which the report arrived.
+        largest_room: The largest amount of each resource that the incarnation
+            has reported to this leader as its capacity.
         unobserved_ms: `WorkerTable.unobserved_ms` at that time.
     """
 
     report: job_messages.WorkerReport
     source: link.Link
     reported_ms: int
+    largest_room: common.Resources
     unobserved_ms: int = 0
 
     def silent(self, now: int) -> bool:
@@ -113,11 +118,17 @@
             newest = (known.report.session, known.report.sequence)
             if (report.session, report.sequence) < newest:
                 return False
+        largest_room = report.room
+        if known is not None and known.report.life == report.life:
+            largest_room = resource_math.highest(
+                known.largest_room, report.room
+            )
         self.observe(now)
         self.workers[report.worker] = LiveWorker(
             report=report,
             source=source,
             reported_ms=now,
+            largest_room=largest_room,
             unobserved_ms=self.unobserved_ms,
         )
         return True
--- a/bamboorouter/state/resource_math.py
+++ b/bamboorouter/state/resource_math.py
@@ -32,6 +32,26 @@
     )
 
 
+def lowest(a: common.Resources, b: common.Resources) -> common.Resources:
+    """Returns the lower amount of each kind of resource."""
+    return common.Resources(
+        millicores=min(a.millicores, b.millicores),
+        memory_mb=min(a.memory_mb, b.memory_mb),
+        accelerators=min(a.accelerators, b.accelerators),
+        slots=min(a.slots, b.slots),
+    )
+
+
+def highest(a: common.Resources, b: common.Resources) -> common.Resources:
+    """Returns the higher amount of each kind of resource."""
+    return common.Resources(
+        millicores=max(a.millicores, b.millicores),
+        memory_mb=max(a.memory_mb, b.memory_mb),
+        accelerators=max(a.accelerators, b.accelerators),
+        slots=max(a.slots, b.slots),
+    )
+
+
 def total(amounts: Iterable[common.Resources]) -> common.Resources:
     """Returns the sum of any number of amounts."""
     result = NO_RESOURCES
