--- a/bamboorouter/coordination/jobs/worker_rooms.py
+++ b/bamboorouter/coordination/jobs/worker_rooms.py
@@ -37,6 +37,9 @@
     incarnation = state.incarnations.get(report.worker)
     if incarnation is None or incarnation.life != report.life:
         return None
+    if incarnation.room == report.room:
+        # Almost always, and in each pass.
+        return report.room
     return resource_math.lowest(incarnation.room, report.room)
 
 
