Bound the rows, columns and faults of a sheet

A second row with 50,000 unknown columns, about 300 KB, took 48.8 s of processor time, because each name was counted among all; 39,990 invalid rows took 8.2 s and kept several faults for each, of which 1,000 are reported. The leader parses the sheet, so it lost its lease, and the operator's program sent the sheet to the next one. Rows and columns now have a maximum, and parsing ends with the last fault that is reported.

tests.test_odd_entries.SheetTest: the three tests failed before.

--- a/bamboorouter/protocol/sheet.py
+++ b/bamboorouter/protocol/sheet.py
@@ -14,6 +14,7 @@
 import decimal
 import hashlib
 import io
+import itertools
 import re
 from typing import Any
 from typing import Final
@@ -26,6 +27,9 @@
 # of a control replica.
 MAX_TASKS: Final = 20_000
 MAX_FAULTS: Final = 1_000
+# Each row that isn't empty has at least one task.
+MAX_ROWS: Final = 2 * MAX_TASKS
+MAX_COLUMNS: Final = 64
 _MILLICORES_PER_PROCESSOR: Final = 1000
 _NAME_PATTERN: Final = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 _NAME_ALLOWED: Final = "1 to 64 letters, digits, '_', '.' or '-'"
@@ -120,6 +124,8 @@
     rows: list[common.SheetRow] = []
     names: dict[str, int] = {}
     for number, record in enumerate(records[2:], start=3):
+        if len(faults) >= MAX_FAULTS:
+            break
         if not any(cell.strip() for cell in record):
             continue
         row, found = _parse_row(number, columns, record)
@@ -154,7 +160,7 @@
         SheetInvalidError: At least one value is invalid.
     """
     values = {"kind": "job", **{k: str(v) for k, v in fields.items()}}
-    unknown = [name for name in values if name not in COLUMNS]
+    unknown = [name for name in values if name not in COLUMNS][:MAX_FAULTS]
     faults = [
         _fault(0, name, values[name], "no such column") for name in unknown
     ]
@@ -174,13 +180,19 @@
 def _parse_csv(data: bytes) -> list[list[str]]:
     try:
         text = data.decode("utf-8-sig")
-        return list(csv.reader(io.StringIO(text, newline=""), strict=True))
+        reader = csv.reader(io.StringIO(text, newline=""), strict=True)
+        records = list(itertools.islice(reader, MAX_ROWS + 1))
     except UnicodeDecodeError as err:
         fault = _fault(0, "", f"byte {err.start}", "text in UTF-8")
         raise SheetInvalidError(faults=(fault,)) from err
     except csv.Error as err:
         fault = _fault(0, "", str(err), "well-formed CSV")
         raise SheetInvalidError(faults=(fault,)) from err
+    if len(records) > MAX_ROWS:
+        allowed = f"at most {MAX_ROWS} rows"
+        fault = _fault(MAX_ROWS + 1, "", "", allowed)
+        raise SheetInvalidError(faults=(fault,))
+    return records
 
 
 def _parse_revision(records: list[list[str]], faults: list[Fault]) -> int:
@@ -200,6 +212,11 @@
     records: list[list[str]], faults: list[Fault]
 ) -> tuple[str, ...]:
     header = records[1] if len(records) > 1 else []
+    if len(header) > MAX_COLUMNS:
+        allowed = f"at most {MAX_COLUMNS} columns"
+        raise SheetInvalidError(
+            faults=(_fault(2, "", str(len(header)), allowed),)
+        )
     columns = tuple(cell.strip() for cell in header)
     for name in _REQUIRED_COLUMNS:
         if name not in columns:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,6 +9,8 @@
 import json
 import pathlib
 import tempfile
+import time
+import tracemalloc
 from typing import Any
 import unittest
 from unittest import mock
@@ -33,6 +35,7 @@
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from bamboorouter.protocol import messages
+from bamboorouter.protocol import sheet
 from bamboorouter.protocol import value_limits
 from bamboorouter.roles import operator_api
 from bamboorouter.roles import worker_client
@@ -573,6 +576,42 @@
         self.assertLess(len(name), value_limits.MAX_NAME_CHARACTERS)
 
 
+class SheetTest(unittest.TestCase):
+    """Sheets that would take the leader's memory or time.
+
+    The operator's program sends such a sheet again, to the next leader.
+    """
+
+    HEADER = "kind,name,owner,urgency,place,processors,memory_mb"
+
+    def faults(self, *rows: str) -> list[sheet.Fault]:
+        """Returns the faults of a sheet after its revision."""
+        text = "\n".join(("revision,1", *rows))
+        started_s = time.process_time()
+        with self.assertRaises(sheet.SheetInvalidError) as caught:
+            sheet.parse_sheet(text.encode())
+        self.assertLess(time.process_time() - started_s, 2.0)
+        return list(caught.exception.faults)
+
+    def test_many_invalid_rows(self) -> None:
+        rows = ["x"] * (sheet.MAX_ROWS - 10)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        faults = self.faults(self.HEADER, *rows)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertEqual(len(faults), sheet.MAX_FAULTS)
+        self.assertLess(peak_bytes, 16 * 1024 * 1024)
+
+    def test_too_many_rows(self) -> None:
+        (fault,) = self.faults(self.HEADER, *[""] * (sheet.MAX_ROWS + 10))
+        self.assertIn("rows", fault.allowed)
+
+    def test_too_many_columns(self) -> None:
+        columns = ",".join(str(number) for number in range(50_000))
+        (fault,) = self.faults(columns, columns)
+        self.assertIn("columns", fault.allowed)
+
+
 class NoSeedTest(unittest.IsolatedAsyncioTestCase):
     """A client without the address of any replica."""
 
