Limit the texts of an operator's call

The target of a drain, the ID of a job and the subject of an explanation could have 4 MiB. A target is replicated and part of each status, which then exceeds the largest message. A replica was added with any value as its address, also with 'None'.

--- a/bamboorouter/coordination/scheduling/operations.py
+++ b/bamboorouter/coordination/scheduling/operations.py
@@ -22,6 +22,7 @@
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import sheet
+from bamboorouter.protocol import value_limits
 from bamboorouter.state import assignments
 from bamboorouter.state import machine
 
@@ -230,7 +231,11 @@
             await self.group.change_members(
                 action=action,
                 member=_text_argument(call, "replica"),
-                address=str(call.arguments.get("address", "")),
+                address=(
+                    _text_argument(call, "address")
+                    if action == "add_learner"
+                    else ""
+                ),
                 timeout_ms=PROPOSE_TIMEOUT_MS,
             )
         members = self.group.members()
@@ -332,7 +337,10 @@
 
 def _text_argument(call: messages.OperatorCall, argument: str) -> str:
     value = call.arguments.get(argument)
-    if not isinstance(value, str) or not value:
+    if (
+        not isinstance(value, str)
+        or not 0 < len(value) <= value_limits.MAX_NAME_CHARACTERS
+    ):
         raise _BadArgumentError(argument=argument)
     return value
 
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -20,6 +20,7 @@
 import time
 from typing import Any
 import unittest
+from unittest import mock
 
 import cbor2
 import hypothesis
@@ -30,6 +31,7 @@
 from bamboorouter import errors
 from bamboorouter.coordination.jobs import admission
 from bamboorouter.coordination.jobs import ready_tasks
+from bamboorouter.coordination.scheduling import operations
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
@@ -43,6 +45,7 @@
 from bamboorouter.protocol import value_limits
 from bamboorouter.state import stepped_jobs
 from bamboorouter.transport import link
+from tests import control_fakes
 from tests import job_builders as make
 from tests import platform_site
 
@@ -521,6 +524,60 @@
         ).map(lambda edit: valid[: edit[0]] + edit[1] + valid[edit[0] + 3 :])
         run_check(edited | strategies.binary(max_size=64), check)
 
+    def test_operator_call(self) -> None:
+        """Any arguments give a reply, and no long text is replicated."""
+        log = control_fakes.FakeLog(time=clock.SystemClock())
+        handler = operations.OperatorHandler(
+            log=log,
+            time=clock.SystemClock(),
+            scheduling_loop=mock.Mock(),
+            routes=mock.Mock(),
+            group=mock.AsyncMock(members=mock.Mock(return_value=[])),
+            explain=mock.AsyncMock(return_value={}),
+        )
+        arguments = {
+            "drain": {"target": "vm-1", "on": True},
+            "cancel_job": {"job": "sums"},
+            "explain": {"subject": "sums", "before": "5"},
+            "members": {"action": "add_learner", "replica": "r", "address": ""},
+            "submit_job": {
+                "row": {
+                    "name": "sums",
+                    "owner": "o",
+                    "urgency": 5,
+                    "place": 1,
+                    "processors": "0.5",
+                    "memory_mb": 10,
+                }
+            },
+            "submit_sheet": {"csv": "revision,1\n"},
+        }
+
+        async def check(operation: str, body: bytes) -> None:
+            reply = await handler.call(
+                messages.OperatorCall(
+                    operation=operation,
+                    operation_id=f"{len(log.history)}",
+                    operator="o",
+                    arguments=json.loads(body),
+                )
+            )
+            self.assertIsInstance(reply, messages.OperatorReply)
+
+        for operation, valid in arguments.items():
+            for path, value in itertools.product(_paths(valid), ODD_VALUES):
+                asyncio.run(check(operation, replace_value(valid, path, value)))
+        for command, _ in log.history:
+            self.assertEqual(find_value_out_of_bounds(command), "")
+            self.assertLess(
+                len(
+                    commands.BATCH_CODEC.encode(
+                        commands.CommandBatch(wall_ms=1, commands=(command,))
+                    )
+                ),
+                10_000,
+            )
+
     def test_link_to_an_address_that_can_not_be_read(self) -> None:
         async def dial(address: str) -> None:
             with self.assertRaises(errors.LinkClosedError):
