Let no single declared run time decide on all other jobs

One accepted job with a declared run time of 35 years counted as work ahead of all others of its service: jobs of other queues were refused for as long as it was active. In its own queue it raised the mean critical path, so that nothing was refused there any more. The wait also became the time after which a retry may succeed, a number of more than 64 bits behind the largest jobs, which no message can carry.

No job now counts for more work than all others together, no critical path for more than 100 times the median of its queue, and a retry is suggested after 10 min at most. A job alone ahead of another no longer causes a refusal; it would be scheduled after it if it is longer.

tests.test_odd_entries.OddJobTest.test_other_jobs_are_not_refused_for_it failed before.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -29,6 +29,13 @@
 # New workers may join within this time; an earlier retry is likely to find the
 # same workers.
 NO_WORKER_RETRY_MS: Final = 30_000
+# Workers join and jobs end or are cancelled meanwhile.
+MAX_RETRY_AFTER_MS: Final = 600_000
+# A critical path that is this many times as long as the median of its queue
+# counts as declared wrongly.
+MAX_MEDIAN_FACTOR: Final = 100
+# Jobs may declare no run time at all.
+MIN_MEDIAN_MS: Final = 1000
 # Multiple of a job's target time after which its result is no longer useful.
 MAX_WAIT_FACTOR: Final = 3
 # Up to this share of the excess wait is added at random, so that callers that
@@ -163,7 +170,7 @@
     jitter = 1 + RETRY_JITTER * random.random()
     return Refusal(
         reason="it would complete too late to be useful",
-        retry_after_ms=int(excess_wait_ms * jitter),
+        retry_after_ms=min(int(excess_wait_ms * jitter), MAX_RETRY_AFTER_MS),
         wait_ms=int(wait_ms),
     )
 
@@ -186,10 +193,23 @@
     job_path_ms = ready_tasks.critical_path_ms(
         spec.steps, range(len(spec.steps))
     )
-    return max(
-        job_path_ms,
-        statistics.fmean(queue_paths_ms) if queue_paths_ms else 0.0,
-    )
+    return max(job_path_ms, _mean_without_outliers(queue_paths_ms))
+
+
+def _sum_without_outlier(amounts: list[int]) -> int:
+    """Returns a sum in which no amount exceeds the sum of all others."""
+    largest = max(amounts, default=0)
+    others = sum(amounts) - largest
+    return others + min(largest, others)
+
+
+def _mean_without_outliers(amounts: list[int]) -> float:
+    """Returns the mean of amounts, each at most a multiple of the median."""
+    if not amounts:
+        return 0.0
+    median = max(statistics.median_low(amounts), MIN_MEDIAN_MS)
+    limit = MAX_MEDIAN_FACTOR * median
+    return statistics.fmean(min(amount, limit) for amount in amounts)
 
 
 def expected_wait_ms(
@@ -200,9 +220,11 @@
     """Returns a lower bound in ms for the wait of a new job.
 
     The bound assumes that no other work needs the workers, so that a job is
-    refused only if it is certain to complete too late.
+    refused only if it is certain to complete too late. The declaration of one
+    job may be far too long; such a job is scheduled after shorter ones and must
+    not cause the refusal of all others.
     """
-    work_ahead = sum(
+    work_ahead = [
         ready_tasks.remaining_work(job)
         for job in state.jobs.values()
         if job.queue.service == queue.service
@@ -210,7 +232,7 @@
         and job.active()
         and not job.spec.repeats
         and not any(step.lasting for step in job.spec.steps)
-    )
-    return work_ahead / max(
+    ]
+    return _sum_without_outlier(work_ahead) / max(
         1, sum(capacity.millicores for capacity in capacities)
     )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -39,6 +39,7 @@
 from bamboorouter.protocol import value_limits
 from bamboorouter.roles import operator_api
 from bamboorouter.roles import worker_client
+from bamboorouter.transport import link
 from tests import fake_worker
 from tests import job_builders as make
 from tests import platform_site
@@ -612,6 +613,54 @@
         self.assertIn("columns", fault.allowed)
 
 
+class OddJobTest(test_job_dispatcher.DispatcherCase):
+    """A job whose declared sizes are far too large is accepted."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.log.apply(
+            job_commands.PutConfiguration(
+                configuration=make.configuration(
+                    2,
+                    make.queue(),
+                    make.queue(name="other", prefix="/other/"),
+                )
+            )
+        )
+
+    async def test_other_jobs_are_not_refused_for_it(self) -> None:
+        """Guards against queues that refuse every job after an odd one."""
+        await self.connect_agent()
+        odd = make.step(estimate_ms=job_limits.MAX_AMOUNT)
+        self.log.apply(
+            job_commands.AcceptSteps(
+                job="odd",
+                queue="other",
+                spec=jobs.JobSpec(spec="work", steps=(odd,)),
+            )
+        )
+        outcomes = [await self.submit(f"{n:x}") for n in range(4)]
+        self.assertEqual(set(outcomes), {"ok"})
+
+    async def test_refusal_behind_odd_jobs_can_be_sent(self) -> None:
+        """Guards against a refusal that closes the link of an entry."""
+        largest = make.step(
+            job_limits.MAX_TASKS,
+            estimate_ms=job_limits.MAX_AMOUNT,
+            need=make.need(job_limits.MAX_AMOUNT, 1),
+        )
+        for number in range(3):
+            await self.submit(f"odd-{number}", largest)
+        await self.connect_agent()
+        answer = await self.job_handler.submit(self.submission("a"))
+        self.assertEqual(answer.outcome, "refused")
+        self.assertLessEqual(
+            answer.retry_after_ms, admission.MAX_RETRY_AFTER_MS
+        )
+        frame = link._encode_frame(1, 1, answer)
+        self.assertEqual(link._decode_frame(frame)[2], answer)
+
+
 class NoSeedTest(unittest.IsolatedAsyncioTestCase):
     """A client without the address of any replica."""
 
