Bound the answers of the product's worker

An agent passed numbers of its worker on in heartbeats whatever their size. One of more than 64 bits can't be a part of a message, so the leader would close the agent's link at each heartbeat. A measurement out of range is now skipped and logged; a list of tasks with an odd one is refused, because a missing task would count as ended.

tests.test_odd_entries.WorkerAnswerTest: the two new tests failed before.

--- a/bamboorouter/protocol/common.py
+++ b/bamboorouter/protocol/common.py
@@ -3,6 +3,7 @@
 from typing import Literal
 
 from bamboorouter.protocol import base
+from bamboorouter.protocol import value_limits
 
 # Outcome of a caller's request. "completed": the upstream sent a whole response.
 # "failed": its response was malformed, oversized or incomplete. "not_run": the
@@ -94,12 +95,12 @@
         age_ms: Age of the measurement in ms when it was reported.
     """
 
-    task: str
-    epoch: int
-    millicores: int
-    memory_mb: int
-    latency_ms: int = 0
-    age_ms: int = 0
+    task: value_limits.Name
+    epoch: value_limits.Serial
+    millicores: value_limits.Count
+    memory_mb: value_limits.Count
+    latency_ms: value_limits.Count = 0
+    age_ms: value_limits.TimeMs = 0
 
 
 class Upstream(base.Wire, frozen=True, kw_only=True):
--- a/bamboorouter/protocol/value_limits.py
+++ b/bamboorouter/protocol/value_limits.py
@@ -34,6 +34,7 @@
 MAX_LABELS: Final = 256
 
 TimeMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+SignedMs = Annotated[int, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
 Serial = Annotated[int, msgspec.Meta(ge=0, le=MAX_SERIAL)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
--- a/bamboorouter/roles/worker_client.py
+++ b/bamboorouter/roles/worker_client.py
@@ -17,6 +17,10 @@
 """
 
 import asyncio
+from collections.abc import Iterable
+from collections.abc import Iterator
+import reprlib
+from typing import Any
 from typing import Final
 from typing import Literal
 from typing import Protocol
@@ -28,8 +32,10 @@
 
 from bamboorouter import clock
 from bamboorouter import errors
+from bamboorouter import events
 from bamboorouter.protocol import common
 from bamboorouter.protocol import json_body
+from bamboorouter.protocol import value_limits
 
 REQUEST_TIMEOUT_MS: Final = 1000
 MAX_RESPONSE_BYTES: Final = 4 * 1024 * 1024
@@ -93,18 +99,18 @@
         throttled: Whether the task is throttled.
     """
 
-    task: str
-    epoch: int
+    task: value_limits.Name
+    epoch: value_limits.Serial
     kind: common.TaskKind
-    millicores: int
-    memory_mb: int
-    accelerators: int
-    slots: int
+    millicores: value_limits.Millicores
+    memory_mb: value_limits.MemoryMb
+    accelerators: value_limits.Accelerators
+    slots: value_limits.Count
     state: Literal["running", "finished", "failed", "evicted", "stopped"]
-    remaining_ms: int = 0
-    checkpoint: str = ""
-    url: str = ""
-    detail: str = ""
+    remaining_ms: value_limits.SignedMs = 0
+    checkpoint: value_limits.Text = ""
+    url: value_limits.Name = ""
+    detail: value_limits.Text = ""
     throttled: bool = False
 
 
@@ -117,8 +123,8 @@
         tasks: All tasks on the worker.
     """
 
-    version: str
-    at_ms: int
+    version: value_limits.Name
+    at_ms: value_limits.TimeMs
     tasks: tuple[WorkerTask, ...]
 
 
@@ -176,10 +182,10 @@
     """Response to `GET /usage`.
 
     Attributes:
-        usage: Delayed measurements since the last call.
+        usage: Delayed measurements since the last call, as plain rows.
     """
 
-    usage: tuple[common.Usage, ...]
+    usage: list[Any]
 
 
 class RefusalBody(Model, frozen=True, kw_only=True):
@@ -295,7 +301,7 @@
     async def usage(self) -> tuple[common.Usage, ...]:
         """Returns the delayed measurements since the last call."""
         report = await self._call("GET", "/usage", None, UsageReport)
-        return report.usage
+        return tuple(_parse_usage(report.usage))
 
     async def close(self) -> None:
         """Closes connections."""
@@ -340,6 +346,19 @@
             return response.status, content
 
 
+def _parse_usage(rows: Iterable[Any]) -> Iterator[common.Usage]:
+    """Yields the measurements; skips and logs malformed rows."""
+    for row in rows:
+        try:
+            yield msgspec.convert(row, common.Usage)
+        except msgspec.ValidationError as err:
+            events.log(
+                events.ANNOUNCEMENT_REFUSED,
+                row=reprlib.repr(row),
+                error=str(err),
+            )
+
+
 def _task_path(task: str) -> str:
     return f"/tasks/{parse.quote(task, safe='')}"
 
--- a/devtools/worker.py
+++ b/devtools/worker.py
@@ -274,7 +274,7 @@
         while self._usage and now - self._usage[0][0] >= self._lag_ms:
             sampled_ms, usage = self._usage.popleft()
             rows.append(msgspec.structs.replace(usage, age_ms=now - sampled_ms))
-        return worker_client.UsageReport(usage=tuple(rows))
+        return worker_client.UsageReport(usage=[*rows])
 
     async def close(self) -> None:
         """Stops all tasks, as a shutdown of the VM would."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -12,6 +12,7 @@
 import time
 import tracemalloc
 from typing import Any
+from typing import TypeVar
 import unittest
 from unittest import mock
 
@@ -57,6 +58,7 @@
 
 # Numbers beyond 64 bits, and beyond the range of a float.
 HUGE_NUMBERS = (10**30, 10**400)
+T = TypeVar("T", bound=worker_client.Model)
 CHUNK_BYTES = 64 * 1024
 ANNOUNCEMENT = platform_site.StandInWorker(address="10.0.0.1:80").announcement()
 
@@ -389,6 +391,56 @@
 class WorkerAnswerTest(unittest.TestCase):
     """Answers of a worker of the product."""
 
+    USAGE = ("job/1", 1, 500, 100, 0, 900)
+
+    def decode(self, document: Any, kind: type[T]) -> T:
+        return worker_client._decode_response(
+            200, encode(document), kind, "step", "peer"
+        )
+
+    def test_measurement_that_no_message_can_carry_is_skipped(self) -> None:
+        """Guards against heartbeats that close the link to the leader."""
+        for position in range(1, len(self.USAGE)):
+            for value in (*HUGE_NUMBERS, -1, None, "1"):
+                row = [*self.USAGE]
+                row[position] = value
+                report = self.decode(
+                    {"usage": [row, self.USAGE]}, worker_client.UsageReport
+                )
+                with self.subTest(position=position, value=str(value)[:5]):
+                    (usage,) = worker_client._parse_usage(report.usage)
+                    self.assertEqual(usage.age_ms, 900)
+
+    def test_task_out_of_range_is_malformed(self) -> None:
+        task = {
+            "task": "job/1",
+            "epoch": 1,
+            "kind": "batch",
+            "millicores": 500,
+            "memory_mb": 100,
+            "accelerators": 0,
+            "slots": 1,
+            "state": "running",
+        }
+        listing: dict[str, Any] = {"version": "1", "at_ms": 5, "tasks": [task]}
+        self.assertEqual(
+            self.decode(listing, worker_client.WorkerTasks).tasks[0].epoch, 1
+        )
+        text = "x" * (value_limits.MAX_TEXT_CHARACTERS + 1)
+        for field, value in (
+            *itertools.product(
+                ("epoch", "millicores", "slots", "remaining_ms"), HUGE_NUMBERS
+            ),
+            ("checkpoint", text),
+            ("detail", text),
+        ):
+            odd = {**listing, "tasks": [{**task, field: value}]}
+            with (
+                self.subTest(field, value=str(value)[:5]),
+                self.assertRaises(errors.UnknownResultError),
+            ):
+                self.decode(odd, worker_client.WorkerTasks)
+
     def test_deeply_nested_answer_is_malformed(self) -> None:
         """Guards against an error that no caller expects."""
         for status in (200, 409):
