--- a/bamboorouter/state/hard_state.py
+++ b/bamboorouter/state/hard_state.py
@@ -6,19 +6,24 @@
 """
 
 import dataclasses
+import re
 import secrets
 from typing import Final
 
 import cbor2
+import msgspec
 import xxhash
 
 from bamboorouter import errors
+from bamboorouter.protocol import codec
+from bamboorouter.protocol import value_limits
 from bamboorouter.transport import files
 
 _IDENTITY: Final = "identity"
 _VOTE: Final = "vote"
 _ID_BYTES: Final = 8
 _CHECKSUM_BYTES: Final = 8
+_IDENTITY_PATTERN: Final = re.compile(r"[A-Za-z0-9_.-]{1,64}")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -38,15 +43,28 @@
     led: bool = False
 
 
+class _StoredState(msgspec.Struct, array_like=True):
+    term: value_limits.Serial
+    voted_for: str
+    led: bool = False  # Earlier versions did not store it.
+
+
 def open_identity(folder: files.Folder) -> str:
     """Returns the replica ID of a data folder; an empty folder gets a new ID.
 
     Raises:
-        StorageError: The folder holds data but no identity.
+        StorageError: The folder holds data but no valid identity.
     """
     names = folder.names()
     if _IDENTITY in names:
-        return folder.read(_IDENTITY).decode("ascii")
+        identity = folder.read(_IDENTITY).decode("ascii", errors="replace")
+        if not _IDENTITY_PATTERN.fullmatch(identity):
+            raise errors.StorageError(
+                text="the identity is damaged",
+                step="open identity",
+                peer=_IDENTITY,
+            )
+        return identity
     if any(name != _VOTE for name in names):
         raise errors.StorageError(
             text="the data folder has files but no identity",
@@ -78,9 +96,17 @@
         raise errors.StorageError(
             text="term and vote are damaged", step="open vote", peer=_VOTE
         )
-    # Earlier versions did not store `led`.
-    term, voted_for, *led = cbor2.loads(body)
-    return HardState(term=term, voted_for=voted_for, led=any(led))
+    try:
+        stored = msgspec.convert(codec.loads(body), _StoredState)
+    except (errors.ProtocolError, msgspec.ValidationError) as err:
+        raise errors.StorageError(
+            text=f"term and vote are of another version: {err}",
+            step="open vote",
+            peer=_VOTE,
+        ) from err
+    return HardState(
+        term=stored.term, voted_for=stored.voted_for, led=stored.led
+    )
 
 
 def reopen(folder: files.Folder) -> HardState:
--- a/bamboorouter/state/snapshot_store.py
+++ b/bamboorouter/state/snapshot_store.py
@@ -9,17 +9,23 @@
 """
 
 import dataclasses
+import re
 import struct
 from typing import Final
 
 import cbor2
+import msgspec
 import xxhash
 
+from bamboorouter import errors
 from bamboorouter import events
+from bamboorouter.protocol import codec
+from bamboorouter.protocol import value_limits
 from bamboorouter.state import records
 from bamboorouter.transport import files
 
 _PREFIX: Final = "snapshot-"
+_NAME_PATTERN: Final = re.compile(rf"{_PREFIX}[0-9]{{20}}")
 _RETAINED_SNAPSHOTS: Final = 2
 _CHECKSUM_BYTES: Final = 8
 _LENGTH: Final = struct.Struct(">I")
@@ -40,6 +46,13 @@
     data: bytes
 
 
+class _Header(msgspec.Struct, array_like=True):
+    index: value_limits.Serial
+    term: value_limits.Serial
+    chain: bytes
+    members: bytes
+
+
 class SnapshotStore:
     """Reads and writes snapshots.
 
@@ -92,7 +105,9 @@
 
     def _names(self) -> list[str]:
         return [
-            name for name in self.folder.names() if name.startswith(_PREFIX)
+            name
+            for name in self.folder.names()
+            if _NAME_PATTERN.fullmatch(name)
         ]
 
 
@@ -106,11 +121,15 @@
     ):
         return None
     (length,) = _LENGTH.unpack_from(data, _CHECKSUM_BYTES)
-    index, term, chain, members = cbor2.loads(
-        data[header_start : header_start + length]
-    )
+    try:
+        plain = codec.loads(data[header_start : header_start + length])
+        header = msgspec.convert(plain, _Header)
+    except (errors.ProtocolError, msgspec.ValidationError):
+        return None
     return Snapshot(
-        position=records.LogPosition(index=index, term=term, chain=chain),
-        members=members,
+        position=records.LogPosition(
+            index=header.index, term=header.term, chain=header.chain
+        ),
+        members=header.members,
         data=bytes(view[header_start + length :]),
     )
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import itertools
 import json
@@ -26,6 +27,7 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import xxhash
 
 from bamboorouter import clock
 from bamboorouter import errors
@@ -43,10 +45,14 @@
 from bamboorouter.protocol import operator_http
 from bamboorouter.protocol import sheet
 from bamboorouter.protocol import value_limits
+from bamboorouter.state import hard_state
+from bamboorouter.state import log_store
+from bamboorouter.state import snapshot_store
 from bamboorouter.state import stepped_jobs
 from bamboorouter.transport import link
 from tests import control_fakes
 from tests import job_builders as make
+from tests import memory_folder
 from tests import platform_site
 
 # The import of platform_site has added the folder of these modules to the path.
@@ -588,6 +594,117 @@
                 asyncio.run(dial(address))
 
 
+class FileTest(unittest.TestCase):
+    """Tests the files of a replica with odd content or names.
+
+    What can't be read must be a StorageError, so that the role reports it and
+    tries again, or be passed over.
+    """
+
+    ID = "0123456789abcdef"
+
+    def folder(self) -> memory_folder.MemoryFolder:
+        """Returns a data folder with one file of each kind."""
+        folder = memory_folder.MemoryFolder()
+        hard_state.create(folder, self.ID)
+        log = log_store.LogStore(folder=folder)
+        for index in range(1, 4):
+            log.append(
+                messages.LogEntry(
+                    term=1,
+                    index=index,
+                    kind=messages.KIND_COMMANDS,
+                    payload=b"x" * 20,
+                )
+            )
+        log.sync()
+        snapshot_store.SnapshotStore(folder=folder).save(
+            snapshot_store.Snapshot(
+                position=log.position_at(2), members=b"m", data=b"state"
+            )
+        )
+        return folder
+
+    def open(self, folder: memory_folder.MemoryFolder) -> None:
+        """Reads every file as a replica does when it opens the folder."""
+        with contextlib.suppress(errors.StorageError):
+            hard_state.open_identity(folder)
+        with contextlib.suppress(errors.StorageError):
+            hard_state.load(folder)
+        with contextlib.suppress(errors.StorageError):
+            log = log_store.LogStore(folder=folder)
+            list(log.entries(log.first_index))
+        with contextlib.suppress(errors.StorageError):
+            snapshots = snapshot_store.SnapshotStore(folder=folder)
+            snapshots.load()
+            snapshots.oldest_index()
+
+    def test_random_content(self) -> None:
+        names = self.folder().names()
+
+        def check(drawn: tuple[str, int, bytes]) -> None:
+            name, offset, data = drawn
+            folder = self.folder()
+            content = folder.read(name)
+            offset = min(offset, len(content))
+            folder.replace(
+                name, content[:offset] + data + content[offset + len(data) :]
+            )
+            self.open(folder)
+
+        run_check(
+            strategies.tuples(
+                strategies.sampled_from(names),
+                strategies.integers(0, 200),
+                strategies.binary(max_size=40),
+            ),
+            check,
+        )
+
+    def test_valid_checksum_of_odd_content(self) -> None:
+        """Guards against files of another version of the program."""
+        for body in (
+            b"",
+            b"\xff",
+            cbor2.dumps(7),
+            cbor2.dumps([]),
+            cbor2.dumps([10**400, "", True]),
+            cbor2.dumps(["1", 5, True]),
+            cbor2.dumps([1, "a", True, "more"]),
+            b"\x81" * 5000 + b"\x00",
+        ):
+            folder = self.folder()
+            checksum = xxhash.xxh3_64_digest(body)
+            with self.subTest(body[:10]):
+                folder.replace("vote", checksum + body)
+                header = len(body).to_bytes(4, "big") + body
+                folder.replace(
+                    "snapshot-00000000000000000002",
+                    xxhash.xxh3_64_digest(header) + header,
+                )
+                self.open(folder)
+
+    def test_file_with_an_odd_name(self) -> None:
+        for name in (
+            "snapshot-",
+            "snapshot-x",
+            "snapshot-00000000000000000002.old",
+            "log-",
+            "log-x",
+            "lost+found",
+            "core",
+        ):
+            folder = self.folder()
+            folder.replace(name, b"odd")
+            with self.subTest(name):
+                self.open(folder)
+                snapshots = snapshot_store.SnapshotStore(folder=folder)
+                found = snapshots.load()
+                assert found is not None
+                self.assertEqual(found.data, b"state")
+                self.assertEqual(snapshots.oldest_index(), 2)
+
+
 class JobLimitsTest(unittest.TestCase):
     """Tests that no job can stop the replicas or the scheduling of others."""
 
