Prefer an announced incarnation that answers

Of several first announcements, one whose address doesn't answer was accepted if it came first; the true one then had to wait for a takeover check. With a wrong address under the right start, the session kept its port to that address after the true address had won.

All announced incarnations are now polled before one without an answer counts, and a changed address opens the session anew.

tests.test_odd_announcements: the two new tests failed before.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -188,6 +188,9 @@
         """Replaces the announcement of the current incarnation."""
         current = self._announcement
         self._announcement = announcement
+        if current is not None and current.address != announcement.address:
+            # The session has a port to the earlier address.
+            self._session_due.set()
         session = self.session
         # While a session with a new incarnation is being opened, the current
         # one is still that of the earlier incarnation.
@@ -216,20 +219,31 @@
             self._takeover_check = self._spawn(self._accept_first())
 
     async def _accept_first(self) -> None:
-        """Accepts the first announcement that the worker doesn't refute."""
+        """Accepts the first incarnation that answers.
+
+        If none does, the first one that no other incarnation refutes counts.
+        """
+        unanswered: dict[str, worker_port.Announcement] = {}
         try:
             while self._unchecked:
                 incarnation, announcement = next(iter(self._unchecked.items()))
-                replaced = await incarnation_check.is_replaced(
-                    self.ports, announcement, self._token()
-                )
+                answer: incarnation_check.Answer = "silent"
+                if incarnation not in unanswered:
+                    answer = await incarnation_check.poll_incarnation(
+                        self.ports, announcement, self._token()
+                    )
                 newest = self._unchecked.pop(incarnation, None)
                 if newest is None:
-                    continue
-                if not replaced:
+                    unanswered.pop(incarnation, None)
+                elif answer == "view":
                     self._accept_incarnation(newest)
                     return
-                self._log_refusal(newest, "another incarnation answers")
+                elif answer == "replaced":
+                    self._log_refusal(newest, "another incarnation answers")
+                else:
+                    unanswered[incarnation] = newest
+            if unanswered:
+                self._accept_incarnation(next(iter(unanswered.values())))
         finally:
             self._unchecked.clear()
             self._takeover_check = None
--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -73,6 +73,19 @@
         return await super().poll(token=token, **fields)
 
 
+class LocatedWorker(fake_worker.FakeWorker):
+    """A worker that answers at its own address only."""
+
+    def open(
+        self, announcement: worker_port.Announcement
+    ) -> worker_port.WorkerPort:
+        if announcement.address == fake_worker.announcement().address:
+            return super().open(announcement)
+        other = fake_worker.FakeWorker()
+        other.silent = True
+        return other.open(announcement)
+
+
 class FirstAnnouncementTest(test_agent_session.AgentSessionCase):
     """The first announcement that a new agent gets is wrong."""
 
@@ -154,3 +167,30 @@
         self.assertEqual(self.lives(), set())
         self.session.announce(fake_worker.announcement(sequence=2))
         await self.until(self.reachable)
+
+    async def test_incarnation_that_answers_comes_first(self) -> None:
+        self.worker = LocatedWorker()
+        self.session = self.new_session()
+        self.session.announce(
+            fake_worker.announcement(started_ms=FAR_MS, address="10.0.0.9:1")
+        )
+        self.session.announce(fake_worker.announcement(sequence=2))
+        await self.until(self.reachable)
+        self.assertEqual(self.lives(), {"w1@1"})
+
+    async def test_wrong_address_is_replaced_by_the_true_one(self) -> None:
+        """Guards against a session whose polls never reach the worker."""
+        self.worker = LocatedWorker()
+        self.session = self.new_session()
+        self.session.announce(
+            fake_worker.announcement(sequence=10**6, address="10.0.0.9:1")
+        )
+        await self.until(lambda: self.session.session is not None)
+        for sequence in range(2, 10):
+            self.session.announce(
+                fake_worker.announcement(
+                    sequence=sequence, clock_ms=self.worker.time.now()
+                )
+            )
+            await asyncio.sleep(0.4)
+        await self.until(self.reachable)
