--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -30,6 +30,7 @@
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import announcement_order
 from bamboorouter.coordination.workers import ended_runs
+from bamboorouter.coordination.workers import first_announcements
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
@@ -56,8 +57,6 @@
 SESSION_RETRY_PAUSE_MS: Final = 100
 MAX_START_ATTEMPTS: Final = 4
 ORDER_RETRY_PAUSE_MS: Final = 50
-# Announced incarnations that are checked before the first one is accepted.
-MAX_UNCHECKED: Final = 8
 # The current incarnation is replaced by one with an earlier start time only
 # after the current one has been silent for this long.
 SILENT_INCARNATION_MS: Final = 5000
@@ -102,8 +101,9 @@
         self._background: set[asyncio.Task[None]] = set()
         # Incarnation that has announced its end; empty if none has.
         self._leaving = ""
-        # Newest announcements by incarnation that wait for a check.
-        self._unchecked: dict[str, worker_port.Announcement] = {}
+        self._first = first_announcements.FirstAnnouncements(
+            ports=ports, on_refusal=self._log_refusal
+        )
         # Incarnation in whose place another one answered when its session was
         # to be opened; empty if there is none.
         self._refuted = ""
@@ -134,7 +134,9 @@
         """Handles an announcement of the worker."""
         current = self._announcement
         if current is None:
-            self._check_first(announcement)
+            self._first.add(announcement)
+            if self._takeover_check is None:
+                self._takeover_check = self._spawn(self._accept_first())
             return
         if current.incarnation != announcement.incarnation:
             if (
@@ -208,45 +210,15 @@
             )
             self._report_due.set()
 
-    def _check_first(self, announcement: worker_port.Announcement) -> None:
-        """Checks the first announcement, and keeps the newest meanwhile."""
-        waiting = self._unchecked.get(announcement.incarnation)
-        if waiting is None or announcement.sequence > waiting.sequence:
-            self._unchecked[announcement.incarnation] = announcement
-        if len(self._unchecked) > MAX_UNCHECKED:
-            del self._unchecked[next(iter(self._unchecked))]
-        if self._takeover_check is None:
-            self._takeover_check = self._spawn(self._accept_first())
-
     async def _accept_first(self) -> None:
-        """Accepts the first incarnation that answers.
-
-        If none does, the first one that no other incarnation refutes counts.
-        """
-        unanswered: dict[str, worker_port.Announcement] = {}
+        """Accepts the first incarnation, once it was checked."""
         try:
-            while self._unchecked:
-                incarnation, announcement = next(iter(self._unchecked.items()))
-                answer: incarnation_check.Answer = "silent"
-                if incarnation not in unanswered:
-                    answer = await incarnation_check.poll_incarnation(
-                        self.ports, announcement, self._token()
-                    )
-                newest = self._unchecked.pop(incarnation, None)
-                if newest is None:
-                    unanswered.pop(incarnation, None)
-                elif answer == "view":
-                    self._accept_incarnation(newest)
-                    return
-                elif answer == "replaced":
-                    self._log_refusal(newest, "another incarnation answers")
-                else:
-                    unanswered[incarnation] = newest
-            if unanswered:
-                self._accept_incarnation(next(iter(unanswered.values())))
+            chosen = await self._first.choose(self._token())
         finally:
-            self._unchecked.clear()
+            self._first.clear()
             self._takeover_check = None
+        if chosen is not None:
+            self._accept_incarnation(chosen)
 
     async def _check_takeover(
         self, announcement: worker_port.Announcement
@@ -297,12 +269,7 @@
                 worker's clock; None if unknown.
         """
         current = self._announcement
-        self._unchecked = {
-            incarnation: waiting
-            for incarnation, waiting in self._unchecked.items()
-            if waiting.id != worker_id
-            or started_ms not in (None, waiting.started_ms)
-        }
+        self._first.remove(worker_id, started_ms)
         if (
             current is None
             or current.id != worker_id
