--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,7 +9,10 @@
 import json
 import pathlib
 import tempfile
+import time
+import tracemalloc
 from typing import Any
+from typing import TypeVar
 import unittest
 from unittest import mock
 
@@ -33,9 +36,11 @@
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from bamboorouter.protocol import messages
+from bamboorouter.protocol import sheet
 from bamboorouter.protocol import value_limits
 from bamboorouter.roles import operator_api
 from bamboorouter.roles import worker_client
+from bamboorouter.transport import link
 from tests import fake_worker
 from tests import job_builders as make
 from tests import platform_site
@@ -53,6 +58,7 @@
 
 # Numbers beyond 64 bits, and beyond the range of a float.
 HUGE_NUMBERS = (10**30, 10**400)
+T = TypeVar("T", bound=worker_client.Model)
 CHUNK_BYTES = 64 * 1024
 ANNOUNCEMENT = platform_site.StandInWorker(address="10.0.0.1:80").announcement()
 
@@ -385,6 +391,56 @@
 class WorkerAnswerTest(unittest.TestCase):
     """Answers of a worker of the product."""
 
+    USAGE = ("job/1", 1, 500, 100, 0, 900)
+
+    def decode(self, document: Any, kind: type[T]) -> T:
+        return worker_client._decode_response(
+            200, encode(document), kind, "step", "peer"
+        )
+
+    def test_measurement_that_no_message_can_carry_is_skipped(self) -> None:
+        """Guards against heartbeats that close the link to the leader."""
+        for position in range(1, len(self.USAGE)):
+            for value in (*HUGE_NUMBERS, -1, None, "1"):
+                row = [*self.USAGE]
+                row[position] = value
+                report = self.decode(
+                    {"usage": [row, self.USAGE]}, worker_client.UsageReport
+                )
+                with self.subTest(position=position, value=str(value)[:5]):
+                    (usage,) = worker_client._parse_usage(report.usage)
+                    self.assertEqual(usage.age_ms, 900)
+
+    def test_task_out_of_range_is_malformed(self) -> None:
+        task = {
+            "task": "job/1",
+            "epoch": 1,
+            "kind": "batch",
+            "millicores": 500,
+            "memory_mb": 100,
+            "accelerators": 0,
+            "slots": 1,
+            "state": "running",
+        }
+        listing: dict[str, Any] = {"version": "1", "at_ms": 5, "tasks": [task]}
+        self.assertEqual(
+            self.decode(listing, worker_client.WorkerTasks).tasks[0].epoch, 1
+        )
+        text = "x" * (value_limits.MAX_TEXT_CHARACTERS + 1)
+        for field, value in (
+            *itertools.product(
+                ("epoch", "millicores", "slots", "remaining_ms"), HUGE_NUMBERS
+            ),
+            ("checkpoint", text),
+            ("detail", text),
+        ):
+            odd = {**listing, "tasks": [{**task, field: value}]}
+            with (
+                self.subTest(field, value=str(value)[:5]),
+                self.assertRaises(errors.UnknownResultError),
+            ):
+                self.decode(odd, worker_client.WorkerTasks)
+
     def test_deeply_nested_answer_is_malformed(self) -> None:
         """Guards against an error that no caller expects."""
         for status in (200, 409):
@@ -573,6 +629,90 @@
         self.assertLess(len(name), value_limits.MAX_NAME_CHARACTERS)
 
 
+class SheetTest(unittest.TestCase):
+    """Sheets that would take the leader's memory or time.
+
+    The operator's program sends such a sheet again, to the next leader.
+    """
+
+    HEADER = "kind,name,owner,urgency,place,processors,memory_mb"
+
+    def faults(self, *rows: str) -> list[sheet.Fault]:
+        """Returns the faults of a sheet after its revision."""
+        text = "\n".join(("revision,1", *rows))
+        started_s = time.process_time()
+        with self.assertRaises(sheet.SheetInvalidError) as caught:
+            sheet.parse_sheet(text.encode())
+        self.assertLess(time.process_time() - started_s, 2.0)
+        return list(caught.exception.faults)
+
+    def test_many_invalid_rows(self) -> None:
+        rows = ["x"] * (sheet.MAX_ROWS - 10)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        faults = self.faults(self.HEADER, *rows)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        self.assertEqual(len(faults), sheet.MAX_FAULTS)
+        self.assertLess(peak_bytes, 16 * 1024 * 1024)
+
+    def test_too_many_rows(self) -> None:
+        (fault,) = self.faults(self.HEADER, *[""] * (sheet.MAX_ROWS + 10))
+        self.assertIn("rows", fault.allowed)
+
+    def test_too_many_columns(self) -> None:
+        columns = ",".join(str(number) for number in range(50_000))
+        (fault,) = self.faults(columns, columns)
+        self.assertIn("columns", fault.allowed)
+
+
+class OddJobTest(test_job_dispatcher.DispatcherCase):
+    """A job whose declared sizes are far too large is accepted."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.log.apply(
+            job_commands.PutConfiguration(
+                configuration=make.configuration(
+                    2,
+                    make.queue(),
+                    make.queue(name="other", prefix="/other/"),
+                )
+            )
+        )
+
+    async def test_other_jobs_are_not_refused_for_it(self) -> None:
+        """Guards against queues that refuse every job after an odd one."""
+        await self.connect_agent()
+        odd = make.step(estimate_ms=job_limits.MAX_AMOUNT)
+        self.log.apply(
+            job_commands.AcceptSteps(
+                job="odd",
+                queue="other",
+                spec=jobs.JobSpec(spec="work", steps=(odd,)),
+            )
+        )
+        outcomes = [await self.submit(f"{n:x}") for n in range(4)]
+        self.assertEqual(set(outcomes), {"ok"})
+
+    async def test_refusal_behind_odd_jobs_can_be_sent(self) -> None:
+        """Guards against a refusal that closes the link of an entry."""
+        largest = make.step(
+            job_limits.MAX_TASKS,
+            estimate_ms=job_limits.MAX_AMOUNT,
+            need=make.need(job_limits.MAX_AMOUNT, 1),
+        )
+        for number in range(3):
+            await self.submit(f"odd-{number}", largest)
+        await self.connect_agent()
+        answer = await self.job_handler.submit(self.submission("a"))
+        self.assertEqual(answer.outcome, "refused")
+        self.assertLessEqual(
+            answer.retry_after_ms, admission.MAX_RETRY_AFTER_MS
+        )
+        frame = link._encode_frame(1, 1, answer)
+        self.assertEqual(link._decode_frame(frame)[2], answer)
+
+
 class NoSeedTest(unittest.IsolatedAsyncioTestCase):
     """A client without the address of any replica."""
 
