Give an order back at once if no connection to the worker was opened

Callers waited for 3 s and more for tasks that were assigned to a worker just after it had crashed: their start orders were refused by its host, counted as uncertain, and stayed so until another incarnation answered. They counted as suspects of the crash as well. A refused connection proves that the order wasn't sent, so the run is reported as rejected, and the agent reports the worker as unreachable until it answers a poll. An order on a connection that breaks stays uncertain.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -561,6 +561,7 @@
         If the outcome remains uncertain, a poll determines it.
         """
         key = (run.task, run.attempt)
+        evidence: ended_runs.Evidence = "never_sent"
         for _ in range(MAX_START_ATTEMPTS):
             if self.held.runs.get(key) is not run:
                 return
@@ -578,6 +579,7 @@
                 await session.port.start(_start_message(run, until_ms, token))
             except worker_port.RejectedError as err:
                 self._log_failed_order(run, err)
+                evidence = "order_rejected"
                 if err.reason == "old":
                     # This attempt or a later one has ended on the worker.
                     self._resolve_by_poll(session, run)
@@ -589,6 +591,13 @@
                 if err.reason == "fence" and session.token == token:
                     session.token += 1
                 continue
+            except worker_port.NotDeliveredError as err:
+                # Every earlier order was rejected, so none may be executed.
+                self._log_failed_order(run, err)
+                evidence = "not_delivered"
+                # Further orders wait until the worker answers a poll.
+                session.mark_unreachable()
+                break
             except errors.RouterError as err:
                 self._log_failed_order(run, err)
                 self._resolve_by_poll(session, run)
@@ -607,9 +616,6 @@
             )
             await self._set_initial_speed(session, run)
             return
-        evidence: ended_runs.Evidence = (
-            "never_sent" if run.token < 0 else "order_rejected"
-        )
         self.held.end(run, "rejected", evidence)
         self._report_due.set()
 
--- a/bamboorouter/coordination/workers/ended_runs.py
+++ b/bamboorouter/coordination/workers/ended_runs.py
@@ -21,6 +21,7 @@
 from bamboorouter.protocol import jobs
 
 # "never_sent": no start order was sent to the worker.
+# "not_delivered": no connection for the start order could be opened.
 # "order_rejected": the worker rejected each start order.
 # "not_in_fenced_view": a view that was requested with a higher fencing token
 #     than the start order doesn't list the run.
@@ -30,6 +31,7 @@
 # "worker_left": the worker announced its end.
 Evidence = Literal[
     "never_sent",
+    "not_delivered",
     "order_rejected",
     "not_in_fenced_view",
     "no_longer_listed",
--- a/bamboorouter/coordination/workers/worker_port.py
+++ b/bamboorouter/coordination/workers/worker_port.py
@@ -39,6 +39,10 @@
     """The worker didn't answer; it may still execute the order."""
 
 
+class NotDeliveredError(NoAnswerError):
+    """No connection to the worker could be opened; the order wasn't sent."""
+
+
 class IncarnationMismatchError(errors.RouterError):
     """Another incarnation of the worker answered and did nothing."""
 
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -33,6 +33,7 @@
         silent: Whether the worker answers no calls.
         unanswered_polls: Number of upcoming polls without an answer.
         unanswered: Number of upcoming start orders without an answer.
+        refused: Number of upcoming start orders whose connection is refused.
         executes_unanswered: Whether unanswered start orders are executed
             immediately; otherwise only by `execute_delayed`.
         ignored_stops: Number of upcoming stop orders that are acknowledged, but
@@ -53,6 +54,7 @@
         self.silent = False
         self.unanswered_polls = 0
         self.unanswered = 0
+        self.refused = 0
         self.executes_unanswered = True
         self.ignored_stops = 0
         self.delayed: list[worker_port.StartRun] = []
@@ -94,6 +96,11 @@
 
     async def start(self, order: worker_port.StartRun) -> None:
         self._check_silent()
+        if self.refused:
+            self.refused -= 1
+            raise worker_port.NotDeliveredError(
+                text="refused", step="test", peer="worker"
+            )
         if self.unanswered:
             self.unanswered -= 1
             if self.executes_unanswered:
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -97,6 +97,36 @@
         self.worker.execute_delayed()
         self.assertEqual(self.worker.running, {})
 
+    async def test_order_that_was_not_delivered_is_given_back_at_once(
+        self,
+    ) -> None:
+        """No connection was opened, so the worker can't execute it later."""
+        reports = len(self.leader.reports)
+        self.worker.refused = 1
+        self.worker.unanswered_polls = 5
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.outcomes() == ["rejected"])
+        self.assertFalse(
+            all(report.reachable for report in self.leader.reports[reports:])
+        )
+        self.assertEqual(self.worker.starts, [])
+        # The worker answers the next poll.
+        await self.until(self.reachable)
+        await self.order(fake_worker.start_orders(make.ref(index=1)))
+        await self.until(lambda: self.worker.running)
+
+    async def test_order_without_an_answer_is_not_given_back_before_a_poll(
+        self,
+    ) -> None:
+        """Guards against a second run of an order that is executed late."""
+        self.worker.unanswered = 1
+        self.worker.executes_unanswered = False
+        self.worker.unanswered_polls = 3
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.unanswered_polls < 3)
+        self.assertEqual(self.outcomes(), [])
+        await self.until(lambda: self.outcomes() == ["rejected"])
+
     async def test_order_that_was_given_up_is_not_carried_out_again(
         self,
     ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -285,6 +285,41 @@
                 self.assertEqual(await self.outcome(status, body), outcome)
 
 
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """Whether an order can have reached the worker."""
+
+    async def error(self, address: str) -> worker_port.NoAnswerError:
+        """Returns the error of a stop order."""
+        port = worker_http.HttpWorkerPortFactory().open(
+            fake_worker.announcement(address=address)
+        )
+        try:
+            with self.assertRaises(worker_port.NoAnswerError) as raised:
+                await port.stop(wire.decode_task("5c0e.0.1.17"), 1, token=1)
+        finally:
+            await port.close()
+        return raised.exception
+
+    async def test_order_without_a_connection_was_not_delivered(self) -> None:
+        error = await self.error(f"127.0.0.1:{replica_site.free_port()}")
+        self.assertIsInstance(error, worker_port.NotDeliveredError)
+
+    async def test_order_on_a_connection_that_breaks_may_be_executed(
+        self,
+    ) -> None:
+        async def break_connection(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read(1)
+            writer.close()
+
+        server = await asyncio.start_server(break_connection, "127.0.0.1", 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            error = await self.error(f"127.0.0.1:{port}")
+        self.assertNotIsInstance(error, worker_port.NotDeliveredError)
+
+
 class StartTest(unittest.TestCase):
     """Which modules a process imports at start."""
 
