Report unconfirmed ends with the request for a session

A worker listed the end of a run while no leader answered, and restarted. The request for a session with the new incarnation came first: the leader declared the run lost, started its task a second time, counted a crash under it, and got the end only with the next report. The agent now sends the ends that the leader hasn't confirmed with the request, and the leader commits them first; repeating them in the report changes nothing.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -323,7 +323,10 @@
                 client=self.client,
                 port=port,
                 previous=lambda: session_opening.previous_incarnation(
-                    previous, announcement, self.clock.now()
+                    previous,
+                    announcement,
+                    (pending.end for pending in self.held.ends),
+                    self.clock.now(),
                 ),
             )
         except errors.RouterError as err:
--- a/bamboorouter/coordination/workers/session_opening.py
+++ b/bamboorouter/coordination/workers/session_opening.py
@@ -20,6 +20,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 from typing import Final
 
@@ -47,16 +48,20 @@
         name: Name of the incarnation; empty if the agent knows of none.
         left: Whether it drained or announced its end.
         silent_ms: Time since its first unanswered call, in ms; 0 if unknown.
+        ends: Ends of its runs that the leader hasn't confirmed. A run that has
+            ended must not be restarted when the session begins.
     """
 
     name: str = ""
     left: bool = False
     silent_ms: int = 0
+    ends: tuple[jobs.RunEnd, ...] = ()
 
 
 def previous_incarnation(
     session: worker_session.Session | None,
     announcement: worker_port.Announcement,
+    ends: Iterable[jobs.RunEnd],
     now: int,
 ) -> PreviousIncarnation:
     """Returns the incarnation that an announced one replaces.
@@ -64,6 +69,7 @@
     Args:
         session: The agent's last session; None if there is none.
         announcement: The announcement.
+        ends: Ends of runs that the leader hasn't confirmed.
         now: Current time in ms on the agent's clock.
     """
     if session is None:
@@ -75,6 +81,7 @@
         name=last.incarnation,
         left=last.draining,
         silent_ms=session.silent_ms(now),
+        ends=tuple(ends),
     )
 
 
@@ -145,7 +152,7 @@
             room=announcement.capacity,
             fenced=fenced,
             fence=fence,
-            ends=ends,
+            ends=(*previous.ends, *ends),
             previous=previous.name,
             previous_left=previous.left,
             silent_ms=previous.silent_ms,
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -117,8 +117,9 @@
         room: Capacity of the worker in this incarnation.
         fenced: Whether the worker no longer carries out orders for earlier
             incarnations.
-        ends: Ends of runs that were ordered for an earlier incarnation, but
-            were started by the current one.
+        ends: Ends of runs that were ordered for an earlier incarnation: those
+            that the leader hasn't confirmed, and those that were started by the
+            current one.
         fence: If `fenced`, number of the offered session by whose token the
             orders were fenced off; 0 if the agent doesn't tell.
         previous: ID of the incarnation of the agent's last session, if it is
--- a/tests/test_incarnation_ends.py
+++ b/tests/test_incarnation_ends.py
@@ -47,6 +47,21 @@
         self.session.leave("w1", started_ms=1)
         self.assertTrue((await self.restart()).previous_left)
 
+    async def test_unconfirmed_ends_come_with_the_request(self) -> None:
+        """Guards against a second run of a task that the worker completed."""
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        self.leader.silent = True
+        self.worker.finish(make.ref(), "done")
+        await self.until(lambda: self.session.held.ends)
+        self.worker.restart("w1@2")
+        self.session.announce(fake_worker.announcement(started_ms=2))
+        await self.until(lambda: self.leader.failed_session_requests)
+        self.leader.silent = False
+        await self.until(lambda: self.leader.opened_sessions[-1].life == "w1@2")
+        (end,) = self.leader.opened_sessions[-1].ends
+        self.assertEqual((end.task, end.how), (make.ref(), "done"))
+
     async def test_session_that_is_opened_again_replaces_no_incarnation(
         self,
     ) -> None:
@@ -122,6 +137,16 @@
         await self.reopen("w1@1")
         self.assertEqual(self.logged(), [])
 
+    async def test_end_that_comes_with_the_request_is_no_loss(self) -> None:
+        await self.submit("a")
+        await self.until(self.agent.started)
+        await self.reopen(
+            previous="w1@1", ends=self.run_ends(make.ref(), "done")
+        )
+        await self.settle()
+        job = self.log.machine.stepped.jobs["a"]
+        self.assertEqual((job.state(), job.tasks[0, 0][0].crashes), ("done", 0))
+
     async def test_session_that_is_not_opened_ends_nothing(self) -> None:
         await self.submit("a")
         await self.until(self.agent.started)
