--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -499,6 +499,15 @@
             sent_ms,
         )
         session.lease.record_clock(worker_ms=view.clock_ms, received_ms=now)
+        if session.lease.in_doubt:
+            events.log(
+                events.ANNOUNCEMENT_REFUSED,
+                worker=self.worker,
+                life=session.announcement.incarnation,
+                error="the worker's clock doesn't fit its earlier answers",
+                clock_ms=view.clock_ms,
+                took_ms=now - sent_ms,
+            )
         if not session.reachable(now):
             self._report_due.set()
         session.answered_ms = now
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -33,6 +33,7 @@
 from typing import Literal
 
 from bamboorouter import clock
+from bamboorouter import events
 from bamboorouter.coordination.workers import end_numbers
 from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import worker_port
@@ -320,6 +321,13 @@
         """
         last_end = self.ends[-1:]
         if not self._add_ends(view.ended):
+            events.log(
+                events.ANNOUNCEMENT_REFUSED,
+                worker=self.ended.worker,
+                error="numbers of ends are far above the others",
+                highest=self.end_numbers.highest,
+                **self.ended.log_fields,
+            )
             view = dataclasses.replace(view, complete=False)
         self.unsettled = bool(view.ended) or not view.complete
         if (
