Commit long sequences of jobs through long syncs in the test of the replica

test_follower_gets_a_snapshot_for_removed_entries failed once with NotLeaderError, and another test of the module with UnknownResultError.

Cause, in the test: three replicas share one event loop, which a sync blocks. A sync of more than the lease (0.8 s) ends the lease of the leader, and its next command is refused; after 1.5 s without an answer the leader steps down, and the command in flight ends with an unknown result. The test expected each of 150 commands to be accepted. That the failures of 4 December had a sync as long is not shown: neither logs nor the time of the syncs were kept.

The product keeps its promise in both cases, which a new test shows: during a sync of 1.2 s and of 2.0 s the leader refuses commands, within 3 s the group accepts them again, and all replicas apply the same jobs, each once. The new test fails if a leader proposes without its lease.

The three tests with 150 to 1000 commands now commit them one after another at the current leader, and repeat a job that wasn't applied.

--- a/tests/memory_folder.py
+++ b/tests/memory_folder.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import time
 
 from bamboorouter import errors
 
@@ -38,6 +39,7 @@
         failing_folder_sync: Whether a replacement fails after the file was
             renamed, so that a loss of power undoes it.
         lying_sync: Whether syncs succeed without making data durable.
+        next_sync_s: Duration of the next sync in seconds; it blocks the caller.
     """
 
     def __init__(self) -> None:
@@ -46,6 +48,7 @@
         self.failing_sync = False
         self.failing_folder_sync = False
         self.lying_sync = False
+        self.next_sync_s = 0.0
 
     def crash(self, rng: random.Random) -> None:
         """Truncates each file at a random offset in its unsynced data.
@@ -113,6 +116,9 @@
         file.data.extend(data)
 
     def sync(self, name: str) -> None:
+        if self.next_sync_s:
+            time.sleep(self.next_sync_s)
+            self.next_sync_s = 0.0
         file = self._file(name)
         if self.failing_sync:
             file.dropped = True
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import pathlib
 import tempfile
 import time
@@ -19,6 +20,7 @@
 FAILOVER_S = 3.0
 # How long a leader may act after the last answer of a majority.
 LEASE_S = 0.8
+CLOCK_RESOLUTION_S = 0.001
 
 
 class ReplicaTest(unittest.IsolatedAsyncioTestCase):
@@ -71,6 +73,32 @@
         )
         self.assertTrue(all(result.ok for result in results))
 
+    async def commit_in_turn(self, jobs: list[str]) -> replica_site.Node:
+        """Commits jobs one after another; returns the leader of the last one.
+
+        All replicas share the event loop, so a long sync of one of them ends
+        the lease of a leader, which then refuses commands. A job is repeated
+        unless it was applied. A leader that had a majority within the lease must
+        accept it.
+        """
+        # Time at which the last applied command was sent.
+        sent = -math.inf
+        leader = await replica_site.wait_for_leader(self.running_nodes)
+        for job in jobs:
+            while job not in leader.machine.jobs:
+                now = time.monotonic()
+                try:
+                    await self.commit(leader, job)
+                    sent = now
+                except (errors.NotLeaderError, errors.UnknownResultError):
+                    self.assertGreaterEqual(
+                        time.monotonic() - sent, LEASE_S - CLOCK_RESOLUTION_S
+                    )
+                    leader = await replica_site.wait_for_leader(
+                        self.running_nodes
+                    )
+        return leader
+
     async def assert_converged(self, jobs: list[str]) -> None:
         await replica_site.wait_until(
             lambda: all(
@@ -157,11 +185,9 @@
         leader = await self.start(3, limits=limits)
         lagging = self.others(leader)[0]
         jobs = [str(number) for number in range(1000)]
-        for job in jobs[:150]:
-            await self.commit(leader, job)
+        await self.commit_in_turn(jobs[:150])
         await self.crash(lagging)
-        for job in jobs[150:]:
-            await self.commit(leader, job)
+        await self.commit_in_turn(jobs[150:])
         await self.restart(lagging)
         # A follower draws its snapshot interval at random, here at least 75.
         self.assertGreaterEqual(lagging.replica.status().applied, 75)
@@ -176,8 +202,7 @@
         await self.crash(lagging)
         # Large enough for a snapshot of several chunks.
         jobs = [f"{number}:" + "x" * 5000 for number in range(150)]
-        for job in jobs:
-            await self.commit(leader, job)
+        leader = await self.commit_in_turn(jobs)
         self.assertGreater(leader.replica.log.first_index, 20)
         await self.restart(lagging)
         await self.assert_converged(jobs)
@@ -193,8 +218,7 @@
         lagging = self.others(leader)[0]
         await self.crash(lagging)
         jobs = [f"{number}:" + "x" * 5000 for number in range(150)]
-        for job in jobs:
-            await self.commit(leader, job)
+        await self.commit_in_turn(jobs)
         disks = full_disk.Disks()
         disks.full_for = "snapshot-"
         disks.full.add(lagging.path)
@@ -269,3 +293,34 @@
         await self.commit(successor, "b")
         self.assertEqual(successor.machine.jobs[0], "a")
         self.assertEqual(successor.machine.jobs[-1], "b")
+
+    async def test_sync_that_outlasts_the_lease_loses_nothing(self) -> None:
+        """A lease ends in the first sync, and a term in the second one."""
+        self.make_nodes(3)
+        folders = [memory_folder.MemoryFolder() for _ in self.running_nodes]
+        for node, folder in zip(self.running_nodes, folders, strict=True):
+            await node.start(folder=folder)
+        jobs: list[str] = []
+        for duration_s in (1.2, 2.0):
+            leader = await replica_site.wait_for_leader(self.running_nodes)
+            folder = folders[self.running_nodes.index(leader)]
+            during = asyncio.create_task(
+                self.commit(leader, f"during {duration_s}")
+            )
+            await self.block_next_sync(folder, duration_s)
+            blocked_until = time.monotonic()
+            with self.assertRaises(errors.NotLeaderError):
+                await self.commit(leader, "refused")
+            with contextlib.suppress(errors.UnknownResultError):
+                await during
+            jobs += [f"during {duration_s}", f"after {duration_s}"]
+            await self.commit_in_turn(jobs)
+            self.assertLess(time.monotonic() - blocked_until, FAILOVER_S)
+        await self.assert_converged(jobs)
+
+    async def block_next_sync(
+        self, folder: memory_folder.MemoryFolder, duration_s: float
+    ) -> None:
+        """Returns after the sync, before the loop reads further messages."""
+        folder.next_sync_s = duration_s
+        await replica_site.wait_until(lambda: not folder.next_sync_s)
