Report how a process of a test site ended

What the log shows: worker-3 had been restarted in round 1 and answered the agent's list 0.3 s before round 2 paused it, so its start had finished. The site sends SIGKILL in round 2 to agent-1 and worker-1 only, and Popen polls a process before it signals it, so it doesn't signal a reused id. So a signal from outside the test is the likely cause, not shown.

The error now names the process id and the exit status or the signal, which tells a signal from an exit by itself when this is seen again.

--- a/devtools/site.py
+++ b/devtools/site.py
@@ -176,6 +176,19 @@
         """Whether the process is running or paused."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def exit_text(self) -> str:
+        """Describes how the process ended, for error messages."""
+        if self.process is None:
+            return "never started"
+        status = self.process.returncode
+        if status is None:
+            return f"process {self.process.pid} runs"
+        if status >= 0:
+            return f"process {self.process.pid} exited with status {status}"
+        reason = signal.Signals(-status).name
+        return f"process {self.process.pid} was ended by {reason}"
+
 
 class SiteError(Exception):
     """The site or one of its processes didn't behave as expected."""
@@ -466,7 +479,8 @@
     def _process(self, name: str) -> asyncio.subprocess.Process:
         managed = self.processes[name]
         if managed.process is None or not managed.running:
-            raise SiteError(f"{name} isn't running\n{self.tail(name)}")
+            text = f"{name} isn't running ({managed.exit_text})"
+            raise SiteError(f"{text}\n{self.tail(name)}")
         return managed.process
 
     def _find_dialer(self, link: tuple[int, int]) -> str:
@@ -606,7 +620,7 @@
         deadline = time.monotonic() + START_TIMEOUT_S
         while not managed.ready_file.exists():
             if not managed.running or time.monotonic() > deadline:
-                text = f"{managed.name} did not start"
+                text = f"{managed.name} did not start ({managed.exit_text})"
                 raise SiteError(f"{text}\n{self.tail(managed.name)}")
             await asyncio.sleep(POLL_INTERVAL_S)
         managed.addresses = json.loads(managed.ready_file.read_text())
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import os
+import signal
 
 import aiohttp
 
@@ -70,3 +72,14 @@
         for run in self.site.runs():
             self.assertEqual(run.state, "stopped")
             self.assertLess(run.end_ms, frozen_ms + simulated_tasks.TICK_MS)
+
+    async def test_signal_that_ended_a_paused_worker_is_reported(self) -> None:
+        self.site.freeze_vm(1)
+        process = self.site.processes["worker-1"].process
+        assert process is not None
+        os.kill(process.pid, signal.SIGKILL)
+        await process.wait()
+        with self.assertRaisesRegex(
+            site.SiteError, r"worker-1 isn't running \(process \d+ .* SIGKILL"
+        ):
+            self.site.thaw_vm(1)
