Let the soak's tasks crash workers, and its workers shrink, grow and leave

Check the limits of attempts after failures and after crashes, the capacity in force at a start and starts after draining was acknowledged. Agents also get announcements of other writers.

--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -15,15 +15,22 @@
 
 The seed determines the schedule of faults. A run that violates an invariant
 keeps its folder with the schedule, the history and the logs of all processes.
-With --basic no job is cancelled, workers carry out no calls late, and the
-schedule contains no series of faults.
+
+Groups of faults can be left out with --without, and all of them with --basic:
+
+- "cancellations": jobs are cancelled, workers carry out calls late, and the
+  schedule contains series of faults.
+- "crashing": some jobs have a task that crashes its workers or always fails.
+- "capacity": workers shrink and grow.
+- "leaving": workers drain and leave.
+- "odd": agents get announcements of other writers.
 """
 
 import argparse
 import asyncio
 import contextlib
-import dataclasses
 import json
+import math
 import os
 import pathlib
 import random
@@ -40,12 +47,14 @@
 import aiohttp
 
 from devtools import proxy
+from devtools import soak_attempts
 from devtools import soak_callers
 from devtools import soak_checks
+from devtools import soak_odd
+from devtools import soak_process
 from devtools import soak_schedule
 from devtools import soak_worker
 
-ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 NETWORKS: Final = 128
 RESERVATION_PORT: Final = 19_999
 HOST: Final = "desk.example"
@@ -56,13 +65,14 @@
 CONFIGURE_INTERVAL_S: Final = 1.0
 CONFIGURE_RETRY_INTERVAL_S: Final = 0.2
 CONFIGURE_TIMEOUT_S: Final = 40.0
-GRACE_S: Final = 6.0
 DELAY_MS: Final = 120
 # Limit for a new agent process to reach its worker.
 SESSION_TIMEOUT_S: Final = 6.0
 # Delay between the first call of an agent and a cut, as a fraction of the cut.
 CUT_DELAY_FRACTION: Final = 0.03
 
+GROUPS: Final = ("cancellations", "crashing", "capacity", "leaving", "odd")
+
 Direction = Literal["to_target", "from_target"]
 CUT_DIRECTIONS: Final[dict[str, tuple[Direction, ...]]] = {
     "cut": ("to_target", "from_target"),
@@ -71,76 +81,6 @@
 }
 
 
-@dataclasses.dataclass(kw_only=True)
-class Process:
-    """A process of the system, which may be stopped and started again.
-
-    Attributes:
-        name: Unique name, for example "control-1".
-        role: Role that it runs.
-        settings: Path of its settings file.
-        log: Path of the file for its output.
-        folder: Path of its data folder; None for a role without one.
-        running: The operating system process; None while it is stopped.
-        lock: Serializes starts and stops.
-    """
-
-    name: str
-    role: str
-    settings: pathlib.Path
-    log: pathlib.Path
-    folder: pathlib.Path | None = None
-    running: asyncio.subprocess.Process | None = None
-    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
-
-    async def start(self) -> None:
-        """Starts the process unless it is running."""
-        async with self.lock:
-            if self.running is None:
-                await self._start()
-
-    async def _start(self) -> None:
-        with self.log.open("ab") as log:
-            self.running = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(ROOT / "platform" / "main.py"),
-                self.role,
-                env={
-                    **os.environ,
-                    # Takes precedence over an installed version.
-                    "PYTHONPATH": str(ROOT),
-                    "BAMBOOROUTER_NODE_FILE": str(self.settings),
-                },
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-    def send_signal(self, signum: signal.Signals) -> None:
-        """Sends a signal if the process is running."""
-        if self.running is not None and self.running.returncode is None:
-            self.running.send_signal(signum)
-
-    async def stop(self, signum: signal.Signals) -> None:
-        """Sends a signal and waits; kills the process after `GRACE_S`."""
-        async with self.lock:
-            if self.running is not None:
-                await self._stop(self.running, signum)
-                self.running = None
-
-    async def _stop(
-        self, running: asyncio.subprocess.Process, signum: signal.Signals
-    ) -> None:
-        self.send_signal(signal.SIGCONT)
-        self.send_signal(signum)
-        try:
-            async with asyncio.timeout(GRACE_S):
-                await running.wait()
-        except TimeoutError:
-            self.send_signal(signal.SIGKILL)
-            await running.wait()
-
-
 class SoakSite:
     """All processes, workers and proxies of one soak.
 
@@ -153,16 +93,21 @@
     """
 
     def __init__(
-        self, *, path: pathlib.Path, seed: int, workers: int, basic: bool
+        self,
+        *,
+        path: pathlib.Path,
+        seed: int,
+        workers: int,
+        groups: frozenset[str],
     ) -> None:
         self.path = path
         self.history = soak_checks.History()
-        self.processes: dict[str, Process] = {}
+        self.processes: dict[str, soak_process.Process] = {}
         self.workers: dict[str, soak_worker.SoakWorker] = {}
         self.proxies: dict[str, proxy.FaultProxy] = {}
         self._seed = seed
         self._worker_count = workers
-        self._basic = basic
+        self._groups = groups
         # Soaks that run at the same time must not share addresses. The socket
         # reserves a network, 127.x.0.0, until it is closed. The third octet is 1 for control replicas, 2 for entries, 3 for agents and 4 for
         # workers, and 9, 7 and 8 for the proxies in front of control replicas,
@@ -225,7 +170,7 @@
             history=self.history,
             seed=self._seed + number,
             failure_probability=soak_worker.FAILURE_PROBABILITY
-            if self._basic or number % 4
+            if "cancellations" not in self._groups or number % 4
             else soak_worker.HIGH_FAILURE_PROBABILITY,
         )
         worker.announced = self.proxies[name].address
@@ -269,7 +214,7 @@
             "".join(f"{k} = {json.dumps(v)}\n" for k, v in values.items())
         )
         folder = values.get("data_dir")
-        self.processes[name] = Process(
+        self.processes[name] = soak_process.Process(
             name=name,
             role=role,
             settings=settings,
@@ -294,6 +239,12 @@
     async def inject(self, fault: soak_schedule.Fault) -> None:
         """Injects a fault and waits until it is over."""
         self.history.counts[f"fault {fault.kind}"] += 1
+        if fault.kind in soak_schedule.CAPACITY_SHARES:
+            await self._change_capacity(fault)
+            return
+        if fault.kind == "leave":
+            await self.workers[fault.target].leave(fault.for_s)
+            return
         self.history.record_fault_start(fault.target)
         try:
             await self._inject(fault)
@@ -319,6 +270,16 @@
         else:
             await self._restart(self.processes[fault.target], fault)
 
+    async def _change_capacity(self, fault: soak_schedule.Fault) -> None:
+        worker = self.workers[fault.target]
+        share = soak_schedule.CAPACITY_SHARES[fault.kind]
+        if math.isinf(fault.for_s):
+            worker.resize(share)
+            return
+        worker.add_share(share)
+        await asyncio.sleep(fault.for_s)
+        worker.remove_share(share)
+
     async def _restart_then_cut(self, fault: soak_schedule.Fault) -> None:
         """Restarts an agent and cuts its worker off after the first answers."""
         number = fault.target.partition("-")[2]
@@ -359,7 +320,7 @@
         fault_proxy.heal()
 
     async def _restart(
-        self, process: Process, fault: soak_schedule.Fault
+        self, process: soak_process.Process, fault: soak_schedule.Fault
     ) -> None:
         if fault.kind == "freeze":
             process.send_signal(signal.SIGSTOP)
@@ -409,12 +370,15 @@
         faults: list[soak_schedule.Fault],
         seconds: float,
         seed: int,
-        cancels: bool,
+        groups: frozenset[str],
     ) -> None:
         self.site = site
         self.faults = faults
         self.seconds = seconds
         self._rng = random.Random(seed)
+        self._odd_rng = (
+            random.Random(f"odd {seed}") if "odd" in groups else None
+        )
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         )
@@ -424,7 +388,9 @@
             requester=self,
             entries=ENTRIES,
             seed=seed,
-            cancels=cancels,
+            cancels="cancellations" in groups,
+            crashes="crashing" in groups,
+            large="capacity" in groups,
         )
 
     async def run(self) -> soak_checks.History:
@@ -438,6 +404,10 @@
                 asyncio.create_task(self._configure_forever()),
                 asyncio.create_task(self.callers.check_forever()),
             ]
+            if self._odd_rng is not None:
+                background.append(
+                    asyncio.create_task(self._send_odd(self._odd_rng))
+                )
             await asyncio.gather(
                 self.callers.submit_for(self.seconds),
                 *(self._inject_at(started_s, fault) for fault in self.faults),
@@ -458,6 +428,13 @@
         await asyncio.sleep(max(0.0, started_s + fault.at_s - time.monotonic()))
         await self.site.inject(fault)
 
+    async def _send_odd(self, rng: random.Random) -> None:
+        await soak_odd.send_forever(
+            list(self.site.workers.values()),
+            rng=rng,
+            record=self.site.history.record_odd_announcement,
+        )
+
     async def call(
         self,
         method: str,
@@ -536,7 +513,7 @@
                 "targetLatencyMs": 30_000,
                 "priority": 0,
                 "service": "desk",
-                "maxAttempts": 20,
+                "maxAttempts": soak_attempts.MAX_ATTEMPTS,
                 "slackFactor": 20.0,
             }
         ],
@@ -550,7 +527,7 @@
     seconds: float,
     workers: int,
     path: pathlib.Path,
-    basic: bool = False,
+    groups: frozenset[str] = frozenset(GROUPS),
 ) -> soak_checks.History:
     """Runs one soak in a folder.
 
@@ -559,7 +536,7 @@
         seconds: Duration in s during which jobs are submitted.
         workers: Number of workers, each with an agent.
         path: Folder for settings, data and logs.
-        basic: Whether to omit cancellations, late orders and series of faults.
+        groups: Groups of faults, of `GROUPS`.
 
     Returns:
         What was observed, and the violated invariants.
@@ -570,16 +547,18 @@
         controls=CONTROLS,
         entries=ENTRIES,
         workers=workers,
-        series=not basic,
+        series="cancellations" in groups,
+        capacity="capacity" in groups,
+        leave="leaving" in groups,
     )
     (path / "schedule.txt").write_text("".join(f"{f}\n" for f in faults))
-    site = SoakSite(path=path, seed=seed, workers=workers, basic=basic)
+    site = SoakSite(path=path, seed=seed, workers=workers, groups=groups)
     soak = Soak(
         site=site,
         faults=faults,
         seconds=seconds,
         seed=seed,
-        cancels=not basic,
+        groups=groups,
     )
     try:
         history = await soak.run()
@@ -614,7 +593,14 @@
     parser.add_argument(
         "--basic",
         action="store_true",
-        help="no cancellations, late orders and series of faults",
+        help="no group of faults",
+    )
+    parser.add_argument(
+        "--without",
+        action="append",
+        choices=GROUPS,
+        default=[],
+        help="group of faults to leave out",
     )
     parser.add_argument(
         "--folder",
@@ -623,6 +609,7 @@
         help="where to keep the folders of soaks that violate an invariant",
     )
     arguments = parser.parse_args()
+    groups = frozenset(GROUPS) - frozenset(arguments.without)
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         path = pathlib.Path(
@@ -634,7 +621,7 @@
                 seconds=arguments.seconds,
                 workers=arguments.workers,
                 path=path,
-                basic=arguments.basic,
+                groups=frozenset() if arguments.basic else groups,
             )
         )
         print(f"seed {seed}: {dict(sorted(history.counts.items()))}")
--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from devtools import soak_checks
+from devtools import soak_jobs
 
 JOBS_PER_SECOND: Final = 4.0
 MAX_SUBMISSIONS: Final = 5
@@ -52,6 +53,8 @@
     Attributes:
         history: Records what callers send and receive.
         cancels: Whether jobs are cancelled and some last until then.
+        crashes: Whether some jobs have a task with a trouble.
+        large: Whether some jobs need a worker that has grown.
     """
 
     def __init__(
@@ -62,12 +65,18 @@
         entries: int,
         seed: int,
         cancels: bool,
+        crashes: bool = False,
+        large: bool = False,
     ) -> None:
         self.history = history
         self.cancels = cancels
+        self.crashes = crashes
+        self.large = large
         self._requester = requester
         self._entries = entries
         self._rng = random.Random(seed)
+        # The other choices don't depend on the troubles.
+        self._trouble_rng = random.Random(f"trouble {seed}")
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def submit_for(self, seconds: float) -> None:
@@ -133,7 +142,7 @@
     async def _submit(self, job: str) -> None:
         """Submits a job with retries, like the platform's callers."""
         lasting = self.cancels and self._rng.random() < LASTING_PROBABILITY
-        body = self._lasting_job() if lasting else self._random_job()
+        body = self._body(lasting=lasting)
         history = self.history
         history.record_submission(job, body)
         cancels = self.cancels and self._rng.random() < CANCEL_PROBABILITY
@@ -156,31 +165,20 @@
                 return
             await asyncio.sleep(0.1)
 
-    def _random_job(self) -> dict[str, Any]:
-        millicores = self._rng.randint(300, 2500)
-        run_ms = self._rng.randint(30, 900)
-        steps: list[dict[str, Any]] = [
-            {
-                "count": self._rng.randint(1, 5),
-                "cpu": millicores,
-                "memMb": 100,
-                "estimateMs": run_ms,
-            }
-            for _ in range(self._rng.randint(1, 3))
-        ]
-        for number in range(1, len(steps)):
-            steps[number]["after"] = [number - 1]
-        return {"spec": f"{millicores} 100 {run_ms}", "phases": steps}
-
-    def _lasting_job(self) -> dict[str, Any]:
-        step = {
-            "count": self._rng.randint(1, 3),
-            "cpu": 300,
-            "memMb": 100,
-            "estimateMs": 500,
-            "longRunning": True,
-        }
-        return {"spec": "300 100 0", "phases": [step]}
+    def _body(self, *, lasting: bool) -> dict[str, Any]:
+        if lasting:
+            return soak_jobs.lasting_job(self._rng)
+        body = soak_jobs.random_job(self._rng)
+        rng = self._trouble_rng
+        if self.large and rng.random() < soak_jobs.LARGE_PROBABILITY:
+            body = soak_jobs.large_job(rng)
+        if self.crashes:
+            for kind, probability in soak_jobs.TROUBLE_PROBABILITY.items():
+                if rng.random() < probability:
+                    soak_jobs.add_trouble(rng, body, kind)
+                    self.history.counts[f"jobs with a {kind}"] += 1
+                    break
+        return body
 
     # --- Cancellations -------------------------------------------------------
 
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -12,6 +12,8 @@
 from typing import Any
 from typing import Final
 
+from devtools import soak_attempts
+
 # Statuses that guarantee that the job never runs.
 REFUSALS: Final = (429, 503)
 OK: Final = 200
@@ -24,6 +26,7 @@
 # replica, of the worker or of its agent; a fault counts for `CONTACT_S` more.
 CANCEL_S: Final = 3.0
 STOP_S: Final = 0.9
+DRAIN_S: Final = 2.0
 CONTACT_S: Final = 3.0
 # A fault of one control replica counts for the whole group.
 _CORE: Final = "control"
@@ -98,7 +101,9 @@
         self._jobs: dict[str, _Job] = {}
         # Runs by task, and by worker incarnation and attempt.
         self._running: dict[str, dict[tuple[str, int], _Run]] = {}
-        self._starts: collections.Counter[str] = collections.Counter()
+        self._attempts: collections.defaultdict[
+            str, soak_attempts.TaskAttempts
+        ] = collections.defaultdict(soak_attempts.TaskAttempts)
         # Number of starts of a task when an attempt ended with "done", by task
         # and attempt.
         self._starts_until_done: dict[tuple[str, int], int] = {}
@@ -106,6 +111,8 @@
         self._started_jobs: set[str] = set()
         self._done_tasks: set[str] = set()
         self._version = 0
+        # Time of the first acknowledgement, by draining worker incarnation.
+        self._draining_s: dict[str, float] = {}
         # Number of current faults and end of the last one, by place.
         self._faults: collections.Counter[str] = collections.Counter()
         self._last_fault_end_s: dict[str, float] = {}
@@ -129,13 +136,14 @@
         self.record_fault_start(_CORE)
         self.record_fault_end(_CORE)
 
-    def calm_since_s(self, worker: str) -> float:
+    def calm_since_s(self, worker: str, *, core: bool = True) -> float:
         """Returns since when no fault affects a worker; infinity if one does.
 
         Args:
             worker: Name of the worker or of one of its incarnations.
+            core: Whether faults of control replicas affect it.
         """
-        places = (_CORE, worker.partition("@")[0])
+        places = [_CORE] * core + [worker.partition("@")[0]]
         if any(self._faults[place] for place in places):
             return math.inf
         return max(
@@ -228,15 +236,19 @@
             self._add_violation(f"{job} is reported as {state} after {known}")
         if state == "done":
             self._check_done(job)
-        # The configured number of attempts is so high that the random failures
-        # of runs don't make a job fail.
-        if state == "failed" or (
+        if (state == "failed" and not self._may_fail(job)) or (
             state == "cancelled" and not self._jobs[job].cancel_sent
         ):
             self._add_violation(f"{job} is reported as {state} without a cause")
         if state in FINAL_STATES:
+            if state != self._jobs[job].state:
+                self.counts[f"jobs {state}"] += 1
             self._jobs[job].state = state
 
+    def _may_fail(self, job: str) -> bool:
+        tasks = set().union(*self._jobs[job].steps(job))
+        return any(self._attempts[task].may_fail() for task in tasks)
+
     def _check_done(self, job: str) -> None:
         if any(
             runs
@@ -323,15 +335,18 @@
         self._log(f"{task} attempt {attempt} starts on {worker}, late: {late}")
         self.counts["starts"] += 1
         self.counts["starts late"] += late
-        self._starts[task] += 1
         name = task.partition(".")[0]
         self._started_jobs.add(name)
         job = self._jobs.get(name)
+        self._attempts[task].lasting = job is not None and job.lasting()
+        self._check_attempts(task, self._attempts[task].record_start())
         if job is None:
             self._add_violation(f"{task} was started but never submitted")
         else:
             self._check_start(task, job, spec)
             self._check_cancelled_start(task, job, worker, late)
+        if not late:
+            self._check_draining(task, worker)
         if free < 0:
             self._add_violation(f"{task} exceeds the capacity of {worker}")
         runs = self._running.setdefault(task, {})
@@ -373,6 +388,51 @@
                 " was cancelled"
             )
 
+    def _check_attempts(self, task: str, problem: str) -> None:
+        if problem:
+            self._add_violation(f"{task} {problem}")
+
+    def record_draining(self, worker: str) -> None:
+        """Records that an announcement of draining was acknowledged."""
+        self._log(f"{worker} drains")
+        self._draining_s.setdefault(worker, self._clock())
+
+    def _check_draining(self, task: str, worker: str) -> None:
+        now = self._clock()
+        after_s = now - self._draining_s.get(worker, math.inf)
+        if after_s > DRAIN_S and now >= self.calm_since_s(worker, core=False):
+            self._add_violation(
+                f"{task} was started on {worker} {after_s:.2f} s after its"
+                " draining was acknowledged"
+            )
+
+    def record_odd_announcement(self, worker: str, kind: str) -> None:
+        """Records that an odd announcement of a worker is about to be sent."""
+        self._log(f"{worker} is announced with an odd {kind}")
+        self.counts["odd announcements"] += 1
+
+    def record_crash(self, worker: str, *, by: str = "") -> None:
+        """Records a crash of a worker, before the ends of its runs.
+
+        Args:
+            worker: Name of the worker incarnation.
+            by: Task that causes the crash; empty for another reason.
+        """
+        self._log(f"{worker} crashes: {by}")
+        beneath = [
+            task
+            for task, runs in self._running.items()
+            if any(w == worker for w, _ in runs)
+        ]
+        for task in beneath:
+            self._attempts[task].crashes_beneath += 1
+        if by:
+            self.counts["crashes by tasks"] += 1
+            self.counts["other runs lost in crashes by tasks"] += (
+                len(beneath) - 1
+            )
+            self._attempts[by].crashes += 1
+
     def record_end(
         self, task: str, worker: str, attempt: int, how: str
     ) -> None:
@@ -380,8 +440,10 @@
         self._log(f"{task} attempt {attempt} ends on {worker}: {how}")
         self.counts[f"ended {how}"] += 1
         self._running.get(task, {}).pop((worker, attempt), None)
+        if how == "failed":
+            self._attempts[task].record_failure(attempt)
         if how == "done":
-            self._starts_until_done[task, attempt] = self._starts[task]
+            self._starts_until_done[task, attempt] = self._attempts[task].starts
             self._done_tasks.add(task)
 
     def record_acknowledgement(
@@ -406,10 +468,14 @@
             f"{task} attempt {attempt}: end {how} acknowledged, lease expired:"
             f" {lease_expired}"
         )
+        if how == "failed" and not lease_expired:
+            attempts = self._attempts[task]
+            problem = attempts.record_acknowledged_failure(attempt)
+            self._check_attempts(task, problem)
         if how != "done":
             return
         started_again = (
-            self._starts[task] > self._starts_until_done[task, attempt]
+            self._attempts[task].starts > self._starts_until_done[task, attempt]
         )
         if lease_expired:
             self.counts["repeated after an expired lease"] += started_again
--- a/devtools/soak_schedule.py
+++ b/devtools/soak_schedule.py
@@ -7,9 +7,12 @@
 A schedule may also contain series: faults that follow each other on one machine
 within seconds, for example a kill of its agent and the loss of the new agent's
 connections to the worker.
+
+Besides, workers may shrink, grow or leave while other faults affect them.
 """
 
 import dataclasses
+import math
 import random
 from typing import Final
 
@@ -42,6 +45,14 @@
 LINK_KINDS: Final = ("reset", "cut", "cut_in", "cut_out", "delay")
 # Probability that a fault of a control replica overlaps a series.
 CONTROL_PROBABILITY: Final = 0.4
+# Mean time between two changes of the capacity or the presence of a worker.
+CHANGE_INTERVAL_S: Final = 2.5
+# Shares of the full capacity, by kind of fault.
+CAPACITY_SHARES: Final = {
+    "shrink_far": 0.1,
+    "shrink": 0.3,
+    "grow": 2.0,
+}
 # A stopped process is started again after a quarter of this time.
 RESTART_S: Final = 0.1
 
@@ -80,6 +91,8 @@
     entries: int,
     workers: int,
     series: bool = False,
+    capacity: bool = False,
+    leave: bool = False,
 ) -> list[Fault]:
     """Returns the faults of a soak, in order of time.
 
@@ -90,6 +103,8 @@
         entries: Number of entries.
         workers: Number of workers, each with an agent.
         series: Whether to add series of faults.
+        capacity: Whether workers shrink and grow.
+        leave: Whether workers drain and leave.
     """
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -118,10 +133,78 @@
         # The other faults don't depend on whether there are series.
         series_rng = random.Random(f"series {seed}")
         _add_series(series_rng, faults, seconds, controls, workers)
-        faults.sort(key=lambda fault: fault.at_s)
+    if capacity:
+        _add_changes(
+            random.Random(f"capacity {seed}"), faults, seconds, workers
+        )
+    if leave:
+        leave_rng = random.Random(f"leave {seed}")
+        now = QUIET_START_S
+        while (
+            now := now + leave_rng.expovariate(1 / CHANGE_INTERVAL_S)
+        ) < seconds:
+            faults.append(
+                Fault(
+                    at_s=now,
+                    target=f"worker-{leave_rng.randint(1, workers)}",
+                    kind="leave",
+                    for_s=leave_rng.uniform(2.5, 6.0),
+                )
+            )
+    faults.sort(key=lambda fault: fault.at_s)
     return faults
 
 
+def _add_changes(
+    rng: random.Random, faults: list[Fault], seconds: float, workers: int
+) -> None:
+    """Adds changes of the capacity, half of them beside a fault of the agent.
+
+    Some workers shrink and grow several times in a row. The first worker that
+    grows stays so, since large jobs need one.
+    """
+    faults.append(
+        Fault(
+            at_s=QUIET_START_S,
+            target=f"worker-{rng.randint(1, workers)}",
+            kind="grow",
+            for_s=math.inf,
+        )
+    )
+    now = QUIET_START_S
+    while (now := now + rng.expovariate(1 / CHANGE_INTERVAL_S)) < seconds:
+        number = rng.randint(1, workers)
+        start_s = now
+        for _ in range(rng.randint(1, 3)):
+            for_s = rng.uniform(0.5, 6.0)
+            faults.append(
+                Fault(
+                    at_s=start_s,
+                    target=f"worker-{number}",
+                    kind=rng.choice(list(CAPACITY_SHARES)),
+                    for_s=for_s,
+                )
+            )
+            start_s += for_s + rng.uniform(0.0, 2.0)
+        if rng.random() < 0.5:
+            faults.append(
+                _restart(
+                    rng.choice(("agent", "worker")),
+                    number,
+                    at_s=now + rng.uniform(-0.5, 1.0),
+                )
+            )
+
+
+def _restart(role: str, number: int, *, at_s: float) -> Fault:
+    return Fault(
+        at_s=at_s,
+        target=f"{role}-{number}",
+        kind="kill" if role == "agent" else "crash",
+        for_s=RESTART_S,
+    )
+
+
 def _add_series(
     rng: random.Random,
     faults: list[Fault],
--- a/devtools/soak_worker.py
+++ b/devtools/soak_worker.py
@@ -4,8 +4,9 @@
 lease expires on its own clock, repeats the end of a run until it is
 acknowledged, and can crash and restart as a new incarnation with the same ID.
 It may leave calls unanswered and carry them out seconds later, and its answers
-may overtake each other. It records all starts and ends in the history of the
-soak.
+may overtake each other. Its capacity may change while it runs, a task may crash
+it, and it may drain and leave. It records all starts and ends in the history of
+the soak.
 """
 
 import asyncio
@@ -21,7 +22,9 @@
 import aiohttp
 from aiohttp import web
 
+from devtools import soak_capacity
 from devtools import soak_checks
+from devtools import soak_jobs
 
 CAPACITY_MILLICORES: Final = 8000
 CAPACITY_MB: Final = 8000
@@ -44,6 +47,8 @@
 MAX_ANSWER_DELAY_S: Final = 0.5
 # The agent stops waiting for the answer of a call before this time.
 UNANSWERED_S: Final = 3.0
+# Time until a worker that a task has crashed, or that has left, is back.
+DOWN_S: Final = (0.5, 4.0)
 # Rate of the worker's clock; it may be slow by up to 2 %.
 CLOCK_RATE: Final = 0.985
 
@@ -59,6 +64,8 @@
     end_s: float
     how: str
     stopping: bool = False
+    # Crashes the worker instead of ending.
+    crashes: bool = False
 
 
 class SoakWorker:
@@ -66,7 +73,9 @@
 
     Attributes:
         name: Name of its machine.
+        agent: Address of its agent.
         announced: Address that it announces; may be that of a proxy.
+        millicores: Its CPU capacity.
         rng: Random generator for failures and delays.
         late_orders: Number of unanswered calls that will be carried out.
         late_enabled: Number of faults that make calls late.
@@ -83,23 +92,30 @@
         failure_probability: float = FAILURE_PROBABILITY,
     ) -> None:
         self.name = name
+        self.agent = agent
         self.announced = ""
+        self.millicores = soak_capacity.Capacity(full=CAPACITY_MILLICORES)
         self.rng = random.Random(seed)
         self.late_orders = 0
         self.late_enabled = 0
         self.session_opened = asyncio.Event()
         self._failure_probability = failure_probability
         self._late_tasks: set[asyncio.Task[None]] = set()
-        self._agent = agent
         self._history = history
         self._runner: web.AppRunner | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        # Shares of the full capacity by the current faults.
+        self._shares: list[float] = []
+        # End of the time without a process; None while it runs.
+        self._down_until_s: float | None = None
         self._start_incarnation()
 
     def _start_incarnation(self) -> None:
         self._started_wall_ms = int(time.time() * 1000)
         self._started_s = time.monotonic()
         self._sequence = 0
+        self._draining = False
+        self.millicores.forget()
         self._end_count = 0
         self._token = 0
         self._lease_end_ms = 0
@@ -148,11 +164,68 @@
             await self._runner.cleanup()
 
     def crash(self) -> None:
-        """Loses all state and restarts as a new incarnation."""
+        """Loses all state and restarts at once as a new incarnation."""
+        if self._down_until_s is None:
+            self._history.record_crash(self.incarnation)
+            self._lose_runs()
+
+    async def leave(self, after_s: float) -> None:
+        """Drains and leaves; a new incarnation starts later.
+
+        Args:
+            after_s: Time in s from the start of draining to the end.
+        """
+        incarnation = self.incarnation
+        self._draining = True
+        await asyncio.sleep(after_s)
+        if incarnation != self.incarnation or self._down_until_s is not None:
+            # The worker crashed in the meantime.
+            return
+        await self._deregister()
+        if incarnation == self.incarnation and self._down_until_s is None:
+            self._lose_runs()
+            self._go_down()
+
+    def _lose_runs(self) -> None:
         for task, attempt in self._runs:
             self._history.record_end(task, self.incarnation, attempt, "lost")
         self._start_incarnation()
 
+    def _crash_by(self, task: str) -> None:
+        self._history.record_crash(self.incarnation, by=task)
+        self._lose_runs()
+        self._go_down()
+
+    def _go_down(self) -> None:
+        self._history.record_fault_start(self.name)
+        self._down_until_s = time.monotonic() + self.rng.uniform(*DOWN_S)
+
+    def _come_back(self) -> None:
+        self._down_until_s = None
+        self._start_incarnation()
+        self._history.record_fault_end(self.name)
+
+    # --- Capacity ------------------------------------------------------------
+
+    def resize(self, share: float) -> None:
+        """Changes the capacity for good, to a share of the full one."""
+        self.millicores.full = int(self.millicores.full * share)
+        self._apply_shares()
+
+    def add_share(self, share: float) -> None:
+        """Changes the capacity to a share of the full one."""
+        self._shares.append(share)
+        self._apply_shares()
+
+    def remove_share(self, share: float) -> None:
+        """Ends such a change; the latest one that lasts holds."""
+        self._shares.remove(share)
+        self._apply_shares()
+
+    def _apply_shares(self) -> None:
+        share = self._shares[-1] if self._shares else 1.0
+        self.millicores.change(int(self.millicores.full * share))
+
     # --- Time ----------------------------------------------------------------
 
     def _clock_ms(self) -> int:
@@ -161,39 +234,65 @@
     async def _tick_forever(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self._expire_lease()
-            now = time.monotonic()
-            for key, run in list(self._runs.items()):
-                if now >= run.end_s:
-                    self._end(key, run.how)
+            self._tick(time.monotonic())
+
+    def _tick(self, now: float) -> None:
+        if self._down_until_s is not None:
+            if now >= self._down_until_s:
+                self._come_back()
+            return
+        self._expire_lease()
+        for key, run in list(self._runs.items()):
+            if now < run.end_s:
+                continue
+            if run.crashes:
+                self._crash_by(key[0])
+                return
+            self._end(key, run.how)
 
     async def _announce_forever(self) -> None:
         timeout = aiohttp.ClientTimeout(total=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
-                self._sequence += 1
-                try:
-                    async with session.put(
-                        f"http://{self._agent}/-/instances/i-{self.name}",
-                        json=self._announcement(),
-                    ):
-                        pass
-                except (aiohttp.ClientError, TimeoutError):
-                    # The agent is unreachable; the loop announces again.
-                    pass
+                if self._down_until_s is None:
+                    self._sequence += 1
+                    await self._announce(session)
                 await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
-    def _announcement(self) -> dict[str, Any]:
-        return {
+    async def _announce(self, session: aiohttp.ClientSession) -> None:
+        incarnation, draining = self.incarnation, self._draining
+        try:
+            async with session.put(
+                f"http://{self.agent}/-/instances/i-{self.name}",
+                json=self.announcement(),
+            ) as response:
+                if draining and response.status == 200:
+                    self._history.record_draining(incarnation)
+        except (aiohttp.ClientError, TimeoutError):
+            # The agent is unreachable; the loop announces again.
+            pass
+
+    async def _deregister(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                await session.delete(
+                    f"http://{self.agent}/-/instances/i-{self.name}",
+                    json={"born": self._started_wall_ms},
+                )
+
+    def announcement(self) -> dict[str, Any]:
+        """Returns the present announcement."""
+        body: dict[str, Any] = {
             "service": "desk",
             "addr": self.announced,
             "zone": "z1",
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            "state": "draining" if self._draining else "ready",
             "coldLeftMs": 0,
             "capacity": {
-                "cpu": CAPACITY_MILLICORES,
+                "cpu": self.millicores.current,
                 "memMb": CAPACITY_MB,
                 "gpu": 0,
             },
@@ -202,6 +301,9 @@
             "seq": self._sequence,
             "born": self._started_wall_ms,
         }
+        if self._draining:
+            body["remainingMs"] = 0
+        return body
 
     # --- Orders --------------------------------------------------------------
 
@@ -224,6 +326,8 @@
     ) -> web.StreamResponse:
         """Carries out a call now, or late and without an answer."""
         body = await request.json()
+        if self._down_until_s is not None:
+            return _break_off(request)
         if request.headers.get("Expect-Instance") != f"i-{self.name}":
             return self._answer(421)
         late = self.late_enabled and self.rng.random() < LATE_PROBABILITY
@@ -282,26 +386,28 @@
             return self._answer(409, reason="old")
         if body["untilMs"] <= self._clock_ms():
             return self._answer(409, reason="late")
-        millicores, memory_mb, run_ms = map(int, body["spec"].split())
-        # A run without a duration lasts until it fails or is stopped.
-        run_s = run_ms / 1000 or math.inf
+        spec = soak_jobs.parse_spec(body["spec"], task)
+        run_s = spec.run_s
         fails = self.rng.random() < self._failure_probability
-        if fails and not run_ms:
+        if fails and math.isinf(run_s):
             run_s = self.rng.uniform(0.3, 6.0)
+        fails = fails or spec.trouble == soak_jobs.FAIL
         self._runs[task, attempt] = _Run(
-            millicores=millicores,
-            memory_mb=memory_mb,
+            millicores=spec.millicores,
+            memory_mb=spec.memory_mb,
             end_s=time.monotonic() + run_s,
             how="failed" if fails else "done",
+            crashes=spec.trouble == soak_jobs.CRASH,
         )
         runs = self._runs.values()
+        limit = self.millicores.limit(LATE_S[1] if late else 0.0)
         self._history.record_start(
             task,
             self.incarnation,
             attempt=attempt,
             spec=body["spec"],
             free=min(
-                CAPACITY_MILLICORES - sum(run.millicores for run in runs),
+                limit - sum(run.millicores for run in runs),
                 CAPACITY_MB - sum(run.memory_mb for run in runs),
             ),
             late=late,
@@ -322,6 +428,7 @@
             # A run may still end by itself.
             if stopped_s < run.end_s:
                 run.how, run.end_s = "stopped", stopped_s
+                run.crashes = False
         return self._answer()
 
     def _carry_out_hold(self, body: dict[str, Any], late: bool) -> web.Response:
--- /dev/null
+++ b/tests/soak_case.py
@@ -0,0 +1,69 @@
+"""Runs a simulated worker of the soak test for test cases."""
+
+import socket
+from typing import Any
+import unittest
+
+import aiohttp
+
+from devtools import soak_checks
+from devtools import soak_worker
+
+TASK = "5c0e.0.0.0"
+LASTING = {
+    "spec": "500 100 0",
+    "phases": [{"count": 1, "cpu": 500, "longRunning": True}],
+}
+
+
+class WorkerCase(unittest.IsolatedAsyncioTestCase):
+    """A simulated worker on a loopback address."""
+
+    async def asyncSetUp(self) -> None:
+        self.history = soak_checks.History()
+        self.history.record_submission("5c0e", LASTING)
+        self.worker = soak_worker.SoakWorker(
+            name="worker-1",
+            agent="127.0.0.1:9",
+            history=self.history,
+            seed=1,
+            failure_probability=0.0,
+        )
+        server = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        server.close()
+        await self.worker.start(address)
+        self.client = aiohttp.ClientSession(base_url=f"http://{address}")
+
+    async def asyncTearDown(self) -> None:
+        await self.client.close()
+        await self.worker.close()
+
+    async def call(
+        self, path: str, *, instance: str = "i-worker-1", **body: Any
+    ) -> tuple[int, dict[str, Any]]:
+        headers = {"Expect-Instance": instance}
+        async with self.client.post(
+            f"/-/{path}", json={"fencingToken": 1, **body}, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def start(
+        self, attempt: int = 1, *, spec: str = "500 100 0", **fields: Any
+    ) -> tuple[int, str]:
+        _, answer = await self.call("pace")
+        body = {"untilMs": answer["clockMs"] + 5000, **fields}
+        status, answer = await self.call(
+            "run-start", task=TASK, attempt=attempt, spec=spec, **body
+        )
+        return status, answer.get("reason", "")
+
+    async def stop(self, attempt: int = 1, **fields: Any) -> int:
+        status, _ = await self.call(
+            "run-stop", task=TASK, attempt=attempt, **fields
+        )
+        return status
+
+    async def lists(self, **fields: Any) -> tuple[list[Any], list[Any]]:
+        _, answer = await self.call("hold", **{"ackCursor": 0, **fields})
+        return answer["running"], answer["finished"]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import pathlib
-import socket
 import tempfile
 from typing import Any
 import unittest
@@ -17,13 +16,11 @@
 from devtools import soak_checks
 from devtools import soak_schedule
 from devtools import soak_worker
+from tests import soak_case
 
-TASK = "5c0e.0.0.0"
+TASK = soak_case.TASK
+LASTING = soak_case.LASTING
 BODY = {"spec": "500 100 300", "phases": [{"count": 1, "cpu": 500}]}
-LASTING = {
-    "spec": "500 100 0",
-    "phases": [{"count": 1, "cpu": 500, "longRunning": True}],
-}
 TWO_STEPS = {
     "spec": "500 100 300",
     "phases": [{"count": 2}, {"count": 1, "after": [0]}],
@@ -368,58 +365,9 @@
         self.assertEqual(self.history.violations, [])
 
 
-class WorkerTest(unittest.IsolatedAsyncioTestCase):
+class WorkerTest(soak_case.WorkerCase):
     """The simulated worker follows the platform's specification."""
 
-    async def asyncSetUp(self) -> None:
-        self.history = soak_checks.History()
-        self.history.record_submission("5c0e", LASTING)
-        self.worker = soak_worker.SoakWorker(
-            name="worker-1",
-            agent="127.0.0.1:9",
-            history=self.history,
-            seed=1,
-            failure_probability=0.0,
-        )
-        server = socket.create_server(("127.0.0.1", 0))
-        address = f"127.0.0.1:{server.getsockname()[1]}"
-        server.close()
-        await self.worker.start(address)
-        self.client = aiohttp.ClientSession(base_url=f"http://{address}")
-
-    async def asyncTearDown(self) -> None:
-        await self.client.close()
-        await self.worker.close()
-
-    async def call(
-        self, path: str, *, instance: str = "i-worker-1", **body: Any
-    ) -> tuple[int, dict[str, Any]]:
-        headers = {"Expect-Instance": instance}
-        async with self.client.post(
-            f"/-/{path}", json={"fencingToken": 1, **body}, headers=headers
-        ) as response:
-            return response.status, await response.json()
-
-    async def start(
-        self, attempt: int = 1, *, spec: str = "500 100 0", **fields: Any
-    ) -> tuple[int, str]:
-        _, answer = await self.call("pace")
-        body = {"untilMs": answer["clockMs"] + 5000, **fields}
-        status, answer = await self.call(
-            "run-start", task=TASK, attempt=attempt, spec=spec, **body
-        )
-        return status, answer.get("reason", "")
-
-    async def stop(self, attempt: int = 1, **fields: Any) -> int:
-        status, _ = await self.call(
-            "run-stop", task=TASK, attempt=attempt, **fields
-        )
-        return status
-
-    async def lists(self, **fields: Any) -> tuple[list[Any], list[Any]]:
-        _, answer = await self.call("hold", **{"ackCursor": 0, **fields})
-        return answer["running"], answer["finished"]
-
     async def test_stale_token_and_other_instance_have_no_effect(self) -> None:
         self.assertEqual(await self.start(fencingToken=3), (200, ""))
         self.assertEqual(await self.start(2), (409, "fence"))
@@ -557,7 +505,7 @@
         seconds: float = 8.0,
         workers: int = 4,
         *,
-        basic: bool = True,
+        groups: frozenset[str] = frozenset(),
     ) -> soak_checks.History:
         with tempfile.TemporaryDirectory() as folder:
             history = asyncio.run(
@@ -566,7 +514,7 @@
                     seconds=seconds,
                     workers=workers,
                     path=pathlib.Path(folder),
-                    basic=basic,
+                    groups=groups,
                 )
             )
         self.assertEqual(history.violations, [])
@@ -599,7 +547,7 @@
 
     def test_cancelled_jobs_and_late_orders(self) -> None:
         """Guards against a run that goes on after its job was cancelled."""
-        history = self.run_soak(4213, basic=False)
+        history = self.run_soak(4213, groups=frozenset({"cancellations"}))
         self.assertGreater(history.counts["cancellation answered 200"], 5)
         self.assertGreater(history.counts["fault late"], 0)
         self.assertGreater(history.counts["fault restart_then_cut"], 0)
