--- a/devtools/soak_attempts.py
+++ b/devtools/soak_attempts.py
@@ -50,11 +50,11 @@
         self.starts += 1
         if self.crashes >= MAX_CRASHES:
             self._starts_after_crashes += 1
-        if self._starts_after_crashes >= MAX_STARTS_AFTER_CRASHES:
-            return (
-                f"was started {self._starts_after_crashes} times after"
-                f" {MAX_CRASHES} workers had crashed because of it"
-            )
+            if self._starts_after_crashes == MAX_STARTS_AFTER_CRASHES:
+                return (
+                    f"was started {MAX_STARTS_AFTER_CRASHES} times after"
+                    f" {MAX_CRASHES} workers had crashed because of it"
+                )
         return self._check_failures()
 
     def record_failure(self, attempt: int) -> None:
--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -21,6 +21,8 @@
 WAVE_INTERVAL_S: Final = (2.0, 6.0)
 # Probability that a wave cancels an unfinished job.
 WAVE_PROBABILITY: Final = 0.4
+# Probability that nobody cancels a job with a task that crashes or fails.
+SPARED_PROBABILITY: Final = 0.7
 # Limit for accepted jobs to end after the last fault: leases, elections and
 # restarts take 10 s, the jobs themselves less.
 SETTLE_TIMEOUT_S: Final = 40.0
@@ -77,6 +79,8 @@
         self._rng = random.Random(seed)
         # The other choices don't depend on the troubles.
         self._trouble_rng = random.Random(f"trouble {seed}")
+        # Jobs that no caller cancels.
+        self._spared: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def submit_for(self, seconds: float) -> None:
@@ -142,10 +146,11 @@
     async def _submit(self, job: str) -> None:
         """Submits a job with retries, like the platform's callers."""
         lasting = self.cancels and self._rng.random() < LASTING_PROBABILITY
-        body = self._body(lasting=lasting)
+        body = self._body(job, lasting=lasting)
         history = self.history
         history.record_submission(job, body)
         cancels = self.cancels and self._rng.random() < CANCEL_PROBABILITY
+        cancels = cancels and job not in self._spared
         at_once = self._rng.random() < 0.4
         if cancels and not at_once:
             self._spawn(self._cancel_later(job, max_s=8.0 if lasting else 2.0))
@@ -165,7 +170,7 @@
                 return
             await asyncio.sleep(0.1)
 
-    def _body(self, *, lasting: bool) -> dict[str, Any]:
+    def _body(self, job: str, *, lasting: bool) -> dict[str, Any]:
         if lasting:
             return soak_jobs.lasting_job(self._rng)
         body = soak_jobs.random_job(self._rng)
@@ -177,6 +182,8 @@
                 if rng.random() < probability:
                     soak_jobs.add_trouble(rng, body, kind)
                     self.history.counts[f"jobs with a {kind}"] += 1
+                    if rng.random() < SPARED_PROBABILITY:
+                        self._spared.add(job)
                     break
         return body
 
@@ -190,7 +197,8 @@
         while time.monotonic() < end:
             await asyncio.sleep(self._rng.uniform(*WAVE_INTERVAL_S))
             for job in self.history.unfinished_jobs():
-                if self._rng.random() < WAVE_PROBABILITY:
+                chosen = self._rng.random() < WAVE_PROBABILITY
+                if chosen and job not in self._spared:
                     self._spawn(self._cancel(job))
 
     async def _cancel(self, job: str) -> None:
--- a/devtools/soak_jobs.py
+++ b/devtools/soak_jobs.py
@@ -16,7 +16,7 @@
 CRASH: Final = "crash"
 FAIL: Final = "fail"
 # Probability that a job has a task with one of these troubles.
-TROUBLE_PROBABILITY: Final = {CRASH: 0.03, FAIL: 0.05}
+TROUBLE_PROBABILITY: Final = {CRASH: 0.05, FAIL: 0.05}
 MAX_TROUBLE_MS: Final = 300
 # Probability that a job has tasks that only a grown worker can run.
 LARGE_PROBABILITY: Final = 0.05
--- a/devtools/soak_odd.py
+++ b/devtools/soak_odd.py
@@ -14,7 +14,11 @@
 
 import aiohttp
 
-INTERVAL_S: Final = (0.2, 2.0)
+INTERVAL_S: Final = (0.1, 1.0)
+# Some writers repeat an announcement, so that it may be the first one that a
+# restarted agent gets.
+REPETITIONS: Final = (1, 1, 40)
+REPETITION_INTERVAL_S: Final = 0.05
 TIMEOUT_S: Final = 1.0
 DEPTH: Final = 100_000
 HUGE: Final = 10**30
@@ -114,6 +118,13 @@
     return json.dumps(CHANGES[kind](body, rng)).encode()
 
 
+# Announcements that would make an agent ignore the later true ones.
+HIDING_KINDS: Final = (
+    "sequence",
+    "sequence beyond a float",
+    "start",
+    "start beyond a float",
+)
 KINDS: Final = ("nesting", "bytes", *CHANGES)
 
 
@@ -138,13 +149,29 @@
             worker, kind = rng.choice(workers), rng.choice(KINDS)
             body = odd_body(kind, worker.announcement(), rng)
             record(worker.name, kind)
-            try:
-                async with session.put(
-                    f"http://{worker.agent}/-/instances/i-{worker.name}",
-                    data=body,
-                    headers={"Content-Type": "application/json"},
-                ):
-                    pass
-            except (aiohttp.ClientError, TimeoutError):
-                # The agent is unreachable or closes the connection.
-                pass
+            for _ in range(rng.choice(REPETITIONS)):
+                await _send(session, worker, body)
+                await asyncio.sleep(REPETITION_INTERVAL_S)
+
+
+async def send_hiding(worker: Worker, rng: random.Random) -> None:
+    """Sends an announcement that must not hide the later true ones."""
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    body = odd_body(rng.choice(HIDING_KINDS), worker.announcement(), rng)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        await _send(session, worker, body)
+
+
+async def _send(
+    session: aiohttp.ClientSession, worker: Worker, body: bytes
+) -> None:
+    try:
+        async with session.put(
+            f"http://{worker.agent}/-/instances/i-{worker.name}",
+            data=body,
+            headers={"Content-Type": "application/json"},
+        ):
+            pass
+    except (aiohttp.ClientError, TimeoutError):
+        # The agent is unreachable or closes the connection.
+        pass
--- a/devtools/soak_site.py
+++ b/devtools/soak_site.py
@@ -15,6 +15,7 @@
 
 from devtools import proxy
 from devtools import soak_checks
+from devtools import soak_odd
 from devtools import soak_process
 from devtools import soak_schedule
 from devtools import soak_worker
@@ -199,7 +200,10 @@
             await self._change_capacity(fault)
             return
         if fault.kind == "leave":
-            await self.workers[fault.target].leave(fault.for_s)
+            worker = self.workers[fault.target]
+            if "odd" in self._groups:
+                await soak_odd.send_hiding(worker, worker.rng)
+            await worker.leave(fault.for_s)
             return
         self.history.record_fault_start(fault.target)
         try:
--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -1,11 +1,15 @@
 """Runs a simulated worker of the soak test for test cases."""
 
+import asyncio
+import pathlib
 import socket
+import tempfile
 from typing import Any
 import unittest
 
 import aiohttp
 
+from devtools import soak
 from devtools import soak_checks
 from devtools import soak_worker
 
@@ -67,3 +71,29 @@
     async def lists(self, **fields: Any) -> tuple[list[Any], list[Any]]:
         _, answer = await self.call("hold", **{"ackCursor": 0, **fields})
         return answer["running"], answer["finished"]
+
+
+class SeededRunCase(unittest.TestCase):
+    """Runs a short soak with a fixed seed."""
+
+    def run_soak(
+        self,
+        seed: int,
+        seconds: float = 8.0,
+        workers: int = 4,
+        *,
+        groups: frozenset[str] = frozenset(),
+    ) -> soak_checks.History:
+        with tempfile.TemporaryDirectory() as folder:
+            history = asyncio.run(
+                soak.run_soak(
+                    seed=seed,
+                    seconds=seconds,
+                    workers=workers,
+                    path=pathlib.Path(folder),
+                    groups=groups,
+                )
+            )
+        self.assertEqual(history.violations, [])
+        self.assertGreater(history.counts["ended done"], 20)
+        return history
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,15 +4,12 @@
 """
 
 import asyncio
-import pathlib
-import tempfile
 from typing import Any
 import unittest
 from unittest import mock
 
 import aiohttp
 
-from devtools import soak
 from devtools import soak_checks
 from devtools import soak_schedule
 from devtools import soak_worker
@@ -496,31 +493,9 @@
         self.assertIn("late", {fault.kind for fault in with_series})
 
 
-class SeededRunTest(unittest.TestCase):
+class SeededRunTest(soak_case.SeededRunCase):
     """Real processes violate no guarantee under injected faults."""
 
-    def run_soak(
-        self,
-        seed: int,
-        seconds: float = 8.0,
-        workers: int = 4,
-        *,
-        groups: frozenset[str] = frozenset(),
-    ) -> soak_checks.History:
-        with tempfile.TemporaryDirectory() as folder:
-            history = asyncio.run(
-                soak.run_soak(
-                    seed=seed,
-                    seconds=seconds,
-                    workers=workers,
-                    path=pathlib.Path(folder),
-                    groups=groups,
-                )
-            )
-        self.assertEqual(history.violations, [])
-        self.assertGreater(history.counts["ended done"], 20)
-        return history
-
     def test_seed_1(self) -> None:
         """Guards against a task that runs twice.
 
