--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -21,12 +21,14 @@
 from bamboorouter import events
 from bamboorouter import metrics
 from bamboorouter import supervision
+from bamboorouter.coordination.jobs import incarnation_ends
 from bamboorouter.coordination.jobs import job_proposals
 from bamboorouter.coordination.jobs import observation_recorder
 from bamboorouter.coordination.jobs import ready_tasks
 from bamboorouter.coordination.jobs import run_ends
 from bamboorouter.coordination.jobs import run_measurements
 from bamboorouter.coordination.jobs import run_monitor
+from bamboorouter.coordination.jobs import shrunk_workers
 from bamboorouter.coordination.jobs import start_advice
 from bamboorouter.coordination.jobs import stop_orders
 from bamboorouter.coordination.jobs import worker_capacities
@@ -71,6 +73,7 @@
         advice: Asks the advice service where advised steps may run.
         stops: Stops that were ordered.
         superseded: Superseded runs that may run although they aren't reported.
+        shrunk: Workers whose runs reserve more than their capacity.
         placement: Chooses workers for ready tasks.
     """
 
@@ -102,6 +105,7 @@
         )
         self.stops = stop_orders.StopTracker(time=time)
         self.superseded = worker_capacities.SupersededRuns()
+        self.shrunk = shrunk_workers.ShrunkWorkers(time=time)
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
         self._pushes: set[asyncio.Task[None]] = set()
@@ -200,6 +204,12 @@
             UnknownResultError: The session may be opened later.
         """
         await self._commit_ends(message.ends, message.worker, message.life)
+        end = incarnation_ends.incarnation_end(
+            message,
+            self.log.machine.stepped,
+            self.table,
+            wall_ms=self.clock.wall(),
+        )
         result = await job_proposals.propose(
             self.log,
             job_commands.OpenSession(
@@ -207,6 +217,7 @@
                 life=message.life,
                 room=message.room,
                 fenced=self._is_fenced(message),
+                ended=end,
             ),
         )
         events.log(
@@ -218,6 +229,7 @@
             opened=result.data["opened"],
             term=self.log.term(),
         )
+        incarnation_ends.log_end(message, end, result, term=self.log.term())
         return job_messages.WorkerSession(
             number=result.data["session"], opened=result.data["opened"]
         )
@@ -256,9 +268,9 @@
 
         The agent gets start orders for assigned runs that it doesn't hold, once
         they fit beside the runs that are still to stop, and stop orders for
-        runs that aren't assigned to it. If the job of an assigned run has
-        ended, a stop order replaces the start order, so that a delayed start
-        order isn't executed.
+        runs that aren't assigned to it or no longer fit its worker. If the job
+        of an assigned run has ended, a stop order replaces the start order, so
+        that a delayed start order isn't executed.
         """
         state = self.log.machine.stepped
         assigned = state.on_worker.get(report.worker, {})
@@ -268,28 +280,31 @@
             for ref, task in assigned.items()
             if (ref, task.attempt) not in held and task.life == report.life
         ]
+        decided = worker_capacities.decide_missing(
+            state,
+            report,
+            self.superseded.tasks(report.worker),
+            [ref for ref, _ in missing if state.jobs[ref.job].active()],
+        )
         stops = [
             *(
-                stop_orders.Stop(
-                    task=ref, attempt=task.attempt, reason="job_ended"
-                )
-                for ref, task in missing
+                stop_orders.missing_stop(state, ref, "job_ended")
+                for ref, _ in missing
                 if not state.jobs[ref.job].active()
             ),
+            *(
+                stop_orders.missing_stop(state, ref, "no_room")
+                for ref in decided.withdrawn
+            ),
             *stop_orders.unassigned_stops(state, report),
         ]
         term = self.log.term()
         self.stops.record(report.worker, stops, term=term)
         self.stops.check_report(report, term=term)
-        may_start = self._has_room_to_start(report)
         return job_messages.RunOrders(
             term=term,
             life=report.life,
-            starts=tuple(
-                self._start_order(ref)
-                for ref, _ in missing
-                if may_start and state.jobs[ref.job].active()
-            ),
+            starts=tuple(self._start_order(ref) for ref in decided.starts),
             stops=tuple(stop.order() for stop in stops),
         )
 
@@ -303,6 +318,7 @@
             self.run_monitor.reset()
             self.stops.reset()
             self.superseded.reset()
+            self.shrunk.reset()
             self.measurements.reset()
             self.advice.reset()
             self._ended_ms.clear()
@@ -350,6 +366,7 @@
 
     async def _run_pass(self) -> None:
         self.observations.restore()
+        await self.observations.record_rooms()
         await self.observations.record()
         self._require_lease("expire leases")
         await self._expire_leases()
@@ -389,7 +406,8 @@
                 term=self.log.term(),
             )
             await job_proposals.propose(
-                self.log, job_commands.EndRuns(ends=tuple(ends))
+                self.log,
+                job_commands.EndRuns(ends=tuple(ends), tracked=True),
             )
 
     async def _start_ready(self) -> None:
@@ -429,7 +447,8 @@
         if not runs:
             return
         result = await job_proposals.propose(
-            self.log, job_commands.StartRuns(runs=runs)
+            self.log,
+            job_commands.StartRuns(runs=runs, at_ms=self.clock.wall()),
         )
         refused = set(result.data["refused"])
         started = [
@@ -585,6 +604,11 @@
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
         now = self.clock.now()
+        leaving = self.shrunk.runs_to_move(
+            state,
+            (worker.report for worker in self.table.workers.values()),
+            self._usable_capacities,
+        )
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
             if worker is None or not tasks:
@@ -592,6 +616,7 @@
             to_move: set[jobs.RunKey] = set()
             if not worker.silent(now):
                 to_move = self.run_monitor.runs_to_move(worker.report, state)
+                to_move |= leaving.get(name, set())
             stops = stop_orders.assigned_stops(
                 state, name, draining=worker.report.draining, to_move=to_move
             )
@@ -658,7 +683,8 @@
             await job_proposals.propose(
                 self.log,
                 job_commands.EndRuns(
-                    ends=tuple(end.committed for end in effective)
+                    ends=tuple(end.committed for end in effective),
+                    tracked=True,
                 ),
             )
             for end in effective:
--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -1,15 +1,24 @@
 """Replicates what a leader observes, so that later leaders can use it.
 
-Task checkpoints and the interference between images are known only from the
-reports of agents and would be lost with the leader. Changes are committed
-periodically, and a new leader restores what was committed before its term.
+Task checkpoints, the interference between images, and the runs that clear their
+tasks of crashes are known only from the reports of agents and would be lost
+with the leader. Changes are committed periodically, and a new leader restores
+what was committed before its term.
+
+Changed capacities of workers are committed without delay, because assignments
+are checked against the replicated ones.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import itertools
 from typing import Final
 
 from bamboorouter import clock
+from bamboorouter import events
+from bamboorouter.coordination.jobs import crash_survival
 from bamboorouter.coordination.jobs import job_proposals
+from bamboorouter.coordination.jobs import worker_rooms
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
@@ -21,16 +30,21 @@
 RECORD_PERIOD_MS: Final = 1000
 # Keeps a command well below the maximum size of a log entry.
 MAX_PAIRS_PER_COMMAND: Final = 256
+MAX_BATCH_BYTES: Final = 1024 * 1024
+# Size of a checkpoint in a command without its value, if the ID of its job has
+# the usual length.
+CHECKPOINT_OVERHEAD_BYTES: Final = 64
 
 
 class ObservationRecorder:
-    """Commits checkpoints and interference weights, and restores the latter.
+    """Commits observations, and restores interference weights.
 
     Attributes:
         log: The replicated log.
         clock: Source of time.
         table: Workers that reported to this leader.
         interference: How much best-effort images slow down serving images.
+        crash_survival: Ages of the runs of tasks under which workers crashed.
     """
 
     def __init__(
@@ -45,6 +59,7 @@
         self.clock = time
         self.table = table
         self.interference = interference
+        self.crash_survival = crash_survival.CrashSurvival()
         self._recorded_ms = 0
         self._restored_term = 0
 
@@ -53,8 +68,38 @@
         term = self.log.term()
         if term != self._restored_term:
             self._restored_term = term
+            self.crash_survival.reset()
             self.interference.restore(self.log.machine.stepped.disturbances)
 
+    async def record_rooms(self) -> None:
+        """Commits the changed capacities of workers.
+
+        Raises:
+            RouterError: The changes may not be committed.
+        """
+        state = self.log.machine.stepped
+        rooms = worker_rooms.changed_rooms(
+            state, (worker.report for worker in self.table.workers.values())
+        )
+        if not rooms:
+            return
+        before = {
+            changed.worker: state.incarnations[changed.worker].room
+            for changed in rooms
+        }
+        await job_proposals.propose(
+            self.log, job_commands.NoteCheckpoints(checkpoints=(), rooms=rooms)
+        )
+        for changed in rooms:
+            events.log(
+                events.WORKER_ROOM_RECORDED,
+                worker=changed.worker,
+                life=changed.life,
+                before=before[changed.worker],
+                now=changed.room,
+                term=self.log.term(),
+            )
+
     async def record(self) -> None:
         """Commits changes, at most once per `RECORD_PERIOD_MS`.
 
@@ -65,11 +110,19 @@
         if now - self._recorded_ms < RECORD_PERIOD_MS:
             return
         self._recorded_ms = now
-        checkpoints = self._newer_checkpoints()
-        if checkpoints:
+        cleared = self.crash_survival.survivors(
+            self.table.workers.values(), self.log.machine.stepped
+        )
+        for checkpoints in batches(self._newer_checkpoints()):
             await job_proposals.propose(
                 self.log, job_commands.NoteCheckpoints(checkpoints=checkpoints)
             )
+        if cleared:
+            await job_proposals.propose(
+                self.log,
+                job_commands.NoteCheckpoints(checkpoints=(), cleared=cleared),
+            )
+            crash_survival.log_cleared(cleared, term=self.log.term())
         disturbances = self._changed_disturbances()
         if disturbances:
             await job_proposals.propose(
@@ -104,3 +157,24 @@
                 changed.items(), MAX_PAIRS_PER_COMMAND
             )
         )
+
+
+def batches(
+    checkpoints: Iterable[jobs.Checkpoint],
+) -> Iterator[tuple[jobs.Checkpoint, ...]]:
+    """Splits checkpoints so that each batch fits into a command.
+
+    Otherwise a few long ones would keep those of all workers from being
+    recorded.
+    """
+    batch: list[jobs.Checkpoint] = []
+    size = 0
+    for checkpoint in checkpoints:
+        added = len(checkpoint.value.encode()) + CHECKPOINT_OVERHEAD_BYTES
+        if batch and size + added > MAX_BATCH_BYTES:
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(checkpoint)
+        size += added
+    if batch:
+        yield tuple(batch)
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -28,11 +28,13 @@
 from bamboorouter import supervision
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
+from bamboorouter.coordination.workers import announcement_order
 from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import session_opening
+from bamboorouter.coordination.workers import start_room
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.coordination.workers import worker_session
 from bamboorouter.protocol import job_messages
@@ -55,6 +57,8 @@
 SESSION_RETRY_PAUSE_MS: Final = 100
 MAX_START_ATTEMPTS: Final = 4
 ORDER_RETRY_PAUSE_MS: Final = 50
+# Announced incarnations that are checked before the first one is accepted.
+MAX_UNCHECKED: Final = 8
 # The current incarnation is replaced by one with an earlier start time only
 # after the current one has been silent for this long.
 SILENT_INCARNATION_MS: Final = 5000
@@ -90,6 +94,7 @@
         self.held = held_runs.HeldRuns(worker=worker, time=time)
         self.session: worker_session.Session | None = None
         self._announcement: worker_port.Announcement | None = None
+        self._order = announcement_order.AnnouncementOrder()
         self._session_due = asyncio.Event()
         self._report_due = asyncio.Event()
         self._end_confirmed = asyncio.Event()
@@ -98,6 +103,11 @@
         self._background: set[asyncio.Task[None]] = set()
         # Incarnation that has announced its end; empty if none has.
         self._leaving = ""
+        # Newest announcements by incarnation that wait for a check.
+        self._unchecked: dict[str, worker_port.Announcement] = {}
+        # Incarnation in whose place another one answered when its session was
+        # to be opened; empty if there is none.
+        self._refuted = ""
         self._takeover_check: asyncio.Task[None] | None = None
         self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
@@ -125,16 +135,26 @@
         """Handles an announcement of the worker."""
         current = self._announcement
         if current is None:
-            self._accept_incarnation(announcement)
-            return
-        if not self._supersedes(announcement, current):
+            self._check_first(announcement)
             return
         if current.incarnation != announcement.incarnation:
-            if self._takeover_check is None:
+            if (
+                self._may_succeed(announcement, current)
+                and self._takeover_check is None
+            ):
                 self._takeover_check = self._spawn(
                     self._check_takeover(announcement)
                 )
             return
+        contradiction = self._order.find_contradiction(
+            announcement,
+            current,
+            worker_ms=self._worker_ms(current),
+            now=self.clock.now(),
+        )
+        if contradiction:
+            self._log_refusal(announcement, contradiction)
+            return
         if self._leaving:
             if announcement.sequence == current.sequence:
                 return
@@ -142,6 +162,27 @@
                 self._leaving = ""
         self._update_announcement(announcement)
 
+    def _worker_ms(self, current: worker_port.Announcement) -> int | None:
+        """Returns the latest time on the clock of the current incarnation."""
+        session = self.session
+        if (
+            session is None
+            or session.announcement.incarnation != current.incarnation
+        ):
+            return None
+        return session.latest_worker_ms(self.clock.now())
+
+    def _log_refusal(
+        self, announcement: worker_port.Announcement, reason: str
+    ) -> None:
+        events.log(
+            events.ANNOUNCEMENT_REFUSED,
+            worker=self.worker,
+            life=announcement.incarnation,
+            sequence=announcement.sequence,
+            error=reason,
+        )
+
     def _update_announcement(
         self, announcement: worker_port.Announcement
     ) -> None:
@@ -164,6 +205,44 @@
                 draining=announcement.draining,
             )
             self._report_due.set()
+        if current is not None and current.capacity != announcement.capacity:
+            events.log(
+                events.WORKER_CAPACITY_CHANGED,
+                worker=self.worker,
+                life=announcement.incarnation,
+                before=current.capacity,
+                now=announcement.capacity,
+            )
+            self._report_due.set()
+
+    def _check_first(self, announcement: worker_port.Announcement) -> None:
+        """Checks the first announcement, and keeps the newest meanwhile."""
+        waiting = self._unchecked.get(announcement.incarnation)
+        if waiting is None or announcement.sequence > waiting.sequence:
+            self._unchecked[announcement.incarnation] = announcement
+        if len(self._unchecked) > MAX_UNCHECKED:
+            del self._unchecked[next(iter(self._unchecked))]
+        if self._takeover_check is None:
+            self._takeover_check = self._spawn(self._accept_first())
+
+    async def _accept_first(self) -> None:
+        """Accepts the first announcement that the worker doesn't refute."""
+        try:
+            while self._unchecked:
+                incarnation, announcement = next(iter(self._unchecked.items()))
+                replaced = await incarnation_check.is_replaced(
+                    self.ports, announcement, self._token()
+                )
+                newest = self._unchecked.pop(incarnation, None)
+                if newest is None:
+                    continue
+                if not replaced:
+                    self._accept_incarnation(newest)
+                    return
+                self._log_refusal(newest, "another incarnation answers")
+        finally:
+            self._unchecked.clear()
+            self._takeover_check = None
 
     async def _check_takeover(
         self, announcement: worker_port.Announcement
@@ -171,24 +250,23 @@
         """Accepts another incarnation if the current one is over."""
         current, contradiction = self._announcement, ""
         try:
-            if self.session is not None and current is not None:
+            if current is not None and current.incarnation != self._refuted:
                 contradiction = await incarnation_check.find_contradiction(
                     self.ports,
                     current=current,
                     announced=announcement,
                     token=self._token(),
                 )
+            elif await incarnation_check.is_replaced(
+                self.ports, announcement, self._token()
+            ):
+                contradiction = "another incarnation answers"
         finally:
             self._takeover_check = None
         if not contradiction:
             self._accept_incarnation(announcement)
             return
-        events.log(
-            events.ANNOUNCEMENT_REFUSED,
-            worker=self.worker,
-            life=announcement.incarnation,
-            error=contradiction,
-        )
+        self._log_refusal(announcement, contradiction)
 
     def _accept_incarnation(
         self, announcement: worker_port.Announcement
@@ -200,7 +278,7 @@
             before=self._announcement.incarnation if self._announcement else "",
         )
         self._announcement = announcement
-        self._leaving = ""
+        self._leaving = self._refuted = ""
         self._session_due.set()
 
     def leave(self, worker_id: str, *, started_ms: int | None = None) -> None:
@@ -215,6 +293,12 @@
                 worker's clock; None if unknown.
         """
         current = self._announcement
+        self._unchecked = {
+            incarnation: waiting
+            for incarnation, waiting in self._unchecked.items()
+            if waiting.id != worker_id
+            or started_ms not in (None, waiting.started_ms)
+        }
         if (
             current is None
             or current.id != worker_id
@@ -258,13 +342,12 @@
             self._execute_orders(message)
         return None
 
-    def _supersedes(
+    def _may_succeed(
         self,
         announcement: worker_port.Announcement,
         current: worker_port.Announcement,
     ) -> bool:
-        if announcement.incarnation == current.incarnation:
-            return announcement.sequence >= current.sequence
+        """Returns whether another incarnation may have replaced this one."""
         if announcement.started_ms > current.started_ms:
             return True
         # The worker's clock may have been set back before the restart.
@@ -322,11 +405,16 @@
                 announcement=announcement,
                 client=self.client,
                 port=port,
+                previous=lambda: session_opening.previous_incarnation(
+                    previous, announcement, self.clock.now()
+                ),
             )
         except errors.RouterError as err:
             events.log(
                 events.SESSION_FAILED, worker=self.worker, error=str(err)
             )
+            if isinstance(err, worker_port.IncarnationMismatchError):
+                self._refuted = announcement.incarnation
             await port.close()
             return None
         if (
@@ -391,6 +479,9 @@
             if not answered:
                 self._end_runs_if_lease_expired(session, sent_ms)
                 await asyncio.sleep(clock.seconds(POLL_RETRY_PAUSE_MS))
+            elif session.lease.in_doubt:
+                wait_ms = 0
+                await asyncio.sleep(clock.seconds(POLL_RETRY_PAUSE_MS))
             elif self.held.ends:
                 # The worker answers a poll immediately while it has ends that
                 # aren't acknowledged, so wait for the leader's confirmation.
@@ -399,6 +490,9 @@
                         clock.seconds(CONFIRMATION_WAIT_MS)
                     ):
                         await self._end_confirmed.wait()
+            elif self.held.unsettled:
+                # The worker lists ends that can't be acknowledged yet.
+                await asyncio.sleep(clock.seconds(POLL_RETRY_PAUSE_MS))
 
     async def _poll(
         self, session: worker_session.Session, wait_ms: int
@@ -424,19 +518,26 @@
         except worker_port.IncarnationMismatchError:
             # Later calls would reach the other incarnation as well.
             session.mark_unreachable()
+            session.record_failed_poll(self.clock.now())
             return False
         except errors.RouterError:
             session.token = max(session.token, token + 1)
+            session.record_failed_poll(self.clock.now())
             return False
         if self.session is not session:
             # The view may be of an earlier incarnation.
             return False
         now = self.clock.now()
+        session.view_clock_ms, session.view_requested_ms = (
+            view.clock_ms,
+            sent_ms,
+        )
         session.lease.record_clock(worker_ms=view.clock_ms, received_ms=now)
         if not session.reachable(now):
             self._report_due.set()
         session.answered_ms = now
         session.last_poll_answered = True
+        session.silent_since_ms = None
         session.acknowledged = max(session.acknowledged, acknowledged)
         if self.held.reconcile(view, token=token, sent_ms=sent_ms):
             self._end_confirmed.clear()
@@ -555,6 +656,7 @@
         If the outcome remains uncertain, a poll determines it.
         """
         key = (run.task, run.attempt)
+        shortage = ""
         for _ in range(MAX_START_ATTEMPTS):
             if self.held.runs.get(key) is not run:
                 return
@@ -565,6 +667,11 @@
                 or run.stop_ordered
             ):
                 break
+            shortage = start_room.find_shortage(
+                run, self.held.runs.values(), session.announcement.capacity
+            )
+            if shortage:
+                break
             token = session.token
             run.phase, run.token = "starting", token
             run.since_ms = self.clock.now()
@@ -604,7 +711,7 @@
         evidence: ended_runs.Evidence = (
             "never_sent" if run.token < 0 else "order_rejected"
         )
-        self.held.end(run, "rejected", evidence)
+        self.held.end(run, "rejected", evidence, shortage=shortage)
         self._report_due.set()
 
     async def _set_initial_speed(
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -12,9 +12,11 @@
 and with a higher fencing token. The worker rejects the older order from then
 on, so a run that isn't listed in the view will never start.
 
-Views may arrive out of order. The worker's clock orders the views of an
-incarnation: an older view only contributes ends, which are numbered. So does a
-view with an incomplete list of ends, apart from the runs that it lists.
+Views may arrive out of order. A view that was requested after the newest one had
+arrived is newer; the worker's clock orders all others of an incarnation. A wrong
+clock thus hides no view that is requested later. An older view only contributes
+ends, which are numbered. So does a view with an incomplete list of ends, apart
+from the runs that it lists.
 
 A run that the worker lists is held, also if the agent had inferred its end. The
 inferred end is withdrawn unless the leader has confirmed it already; then the
@@ -31,10 +33,13 @@
 from typing import Literal
 
 from bamboorouter import clock
+from bamboorouter.coordination.workers import end_numbers
 from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.state import resource_math
 
 Phase = Literal["queued", "starting", "uncertain", "running"]
 # One view without a running run is no proof: if it and the view that lists the
@@ -65,6 +70,8 @@
         row: Last row of the run in a view of the worker; None if there is none.
         missed: Successive views that didn't list the run while it was running.
         pace: Last ordered speed, in percent of full speed.
+        stop_reserves: What the run reserves on the worker according to its
+            stop order; None if unknown.
     """
 
     task: jobs.TaskRef
@@ -80,6 +87,13 @@
     row: worker_port.RunningRow | None = None
     missed: int = 0
     pace: int = 100
+    stop_reserves: common.Resources | None = None
+
+    def reserves(self) -> common.Resources | None:
+        """Returns what the run reserves on the worker; None if unknown."""
+        if self.order is None:
+            return self.stop_reserves
+        return resource_math.reserved(self.order.need, fills=self.order.fills)
 
     def stop_due(self) -> bool:
         """Returns whether a stop order must be sent to the worker."""
@@ -136,9 +150,13 @@
         ends: Ends that the leader hasn't confirmed, in order.
         last_confirmed_end: Highest number of an end that the leader has
             confirmed.
-        last_listed_end: Highest number of an end that the worker has listed.
+        end_numbers: Numbers of the ends that the worker has listed.
+        unsettled: Whether the newest view lists ends, or isn't complete. The
+            worker then answers the next poll without delay.
         newest_view_ms: Time of the newest view of the incarnation, in ms on the
             worker's clock.
+        newest_view_received_ms: Time at which that view arrived, in ms on the
+            agent's clock.
         ended: Runs that have ended. A copy of a start order may arrive after
             its run was declared lost and the task was restarted on another
             worker; it must not be executed then.
@@ -149,8 +167,10 @@
         self.runs: dict[jobs.RunKey, HeldRun] = {}
         self.ends: list[PendingEnd] = []
         self.last_confirmed_end = 0
-        self.last_listed_end = 0
+        self.end_numbers = end_numbers.EndNumbers()
         self.newest_view_ms = 0
+        self.newest_view_received_ms = 0
+        self.unsettled = False
         self.ended = ended_runs.EndedRuns(worker=worker)
         self.clock = time
 
@@ -190,6 +210,7 @@
             self.end(run, "rejected", "never_sent")
         elif run is not None:
             run.stop_ordered = True
+            run.stop_reserves = order.reserves or run.stop_reserves
         elif key in self.ended.listed:
             self.ended.log_stop_not_sent(key, "ended")
         elif key in self.ended.inferred:
@@ -203,6 +224,7 @@
                 phase="uncertain",
                 since_ms=now,
                 stop_ordered=True,
+                stop_reserves=order.reserves,
             )
 
     def take_due_stops(self) -> list[HeldRun]:
@@ -282,8 +304,9 @@
             dataclasses.replace(pending, number=0) for pending in self.ends
         ]
         self.last_confirmed_end = 0
-        self.last_listed_end = 0
+        self.end_numbers = end_numbers.EndNumbers()
         self.newest_view_ms = 0
+        self.newest_view_received_ms = 0
 
     def confirm(self, confirmed: Iterable[PendingEnd]) -> None:
         """Removes ends that the leader has confirmed."""
@@ -309,9 +332,15 @@
                 clock.
         """
         last_end = self.ends[-1:]
-        self._add_ends(view.ended)
-        if view.clock_ms >= self.newest_view_ms:
+        if not self._add_ends(view.ended):
+            view = dataclasses.replace(view, complete=False)
+        self.unsettled = bool(view.ended) or not view.complete
+        if (
+            view.clock_ms >= self.newest_view_ms
+            or sent_ms > self.newest_view_received_ms
+        ):
             self.newest_view_ms = view.clock_ms
+            self.newest_view_received_ms = self.clock.now()
             self._update_runs(view, token=token, sent_ms=sent_ms)
         return bool(self.ends) and self.ends[-1:] != last_end
 
@@ -327,16 +356,16 @@
             if key not in listed and run.since_ms <= sent_ms:
                 self._update_missing(run, token, sent_ms)
 
-    def _add_ends(self, rows: Iterable[worker_port.EndedRow]) -> None:
-        for row in sorted(rows, key=lambda row: row.number):
-            if row.number <= self.last_listed_end:
-                continue
-            self.last_listed_end = row.number
+    def _add_ends(self, rows: Iterable[worker_port.EndedRow]) -> bool:
+        """Adds new ends; returns whether all ends of the list are known."""
+        new, all_known = self.end_numbers.take_new(rows)
+        for row in new:
             key = (row.end.task, row.end.attempt)
             self.runs.pop(key, None)
             self.ended.add_listed(key)
             self._drop_inferred_end(key)
             self.ends.append(PendingEnd(number=row.number, end=row.end))
+        return all_known
 
     def _update_running(
         self,
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import math
 from typing import Final
 
 from bamboorouter.coordination.policies import image_interference
@@ -14,6 +15,8 @@
 # Lease of the runs on a worker, which stops them when it expires. It tolerates
 # a pause of the agent process or of the network of a few seconds.
 WORKER_LEASE_MS: Final = 6000
+# A worker's clock may be fast relative to the agent's.
+MAX_CLOCK_RATE: Final = 1.025
 # A worker that answered no poll for this long gets no new runs.
 MAX_POLL_AGE_MS: Final = 1200
 
@@ -33,10 +36,16 @@
             agent's clock.
         answered_ms: Time of the last answered poll, in ms on the agent's clock;
             0 before the first one and after the worker was marked unreachable.
+        view_clock_ms: Time of the newest view, in ms on the worker's clock;
+            None before the first one.
+        view_requested_ms: Time at which that view was requested, in ms on the
+            agent's clock.
         acknowledged: Ends up to this number were acknowledged by an answered
             poll.
         last_poll_answered: Whether the last poll was answered, so that the next
             call is unlikely to reach another incarnation.
+        silent_since_ms: Time of the first failed poll after the last answered
+            one, in ms on the agent's clock; None if the last poll was answered.
         weights: Learned interference weight by pair of a serving and a
             best-effort image, from the leader.
     """
@@ -49,8 +58,11 @@
     pacer: pacing.Pacer
     grant_end_ms: int = 0
     answered_ms: int = 0
+    view_clock_ms: int | None = None
+    view_requested_ms: int = 0
     acknowledged: int = 0
     last_poll_answered: bool = False
+    silent_since_ms: int | None = None
     weights: dict[jobs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
@@ -59,6 +71,16 @@
         """Returns whether the worker answered a poll recently."""
         return now - self.answered_ms <= MAX_POLL_AGE_MS
 
+    def record_failed_poll(self, now: int) -> None:
+        """Records that a poll has failed now, in ms on the agent's clock."""
+        self.last_poll_answered = False
+        if self.silent_since_ms is None:
+            self.silent_since_ms = now
+
+    def silent_ms(self, now: int) -> int:
+        """Returns for how long no poll was answered, in ms; 0 if unknown."""
+        return 0 if self.silent_since_ms is None else now - self.silent_since_ms
+
     def next_acknowledged(self, confirmed: int) -> int:
         """Returns the number up to which the next poll acknowledges ends.
 
@@ -79,6 +101,20 @@
         """Marks the worker as unreachable until it answers a poll."""
         self.answered_ms = 0
 
+    def latest_worker_ms(self, now: int) -> int | None:
+        """Returns the latest possible time on the worker's clock.
+
+        Args:
+            now: Current time in ms on the agent's clock.
+
+        Returns:
+            The time in ms; None before the first view.
+        """
+        if self.view_clock_ms is None:
+            return None
+        elapsed_ms = (now - self.view_requested_ms) * MAX_CLOCK_RATE
+        return self.view_clock_ms + math.ceil(elapsed_ms)
+
     def lease_until(self, now: int) -> int | None:
         """Returns the lease end to grant, on the worker's clock.
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -597,6 +597,45 @@
     "The leader was paused or held no leader lease; that time doesn't count"
     " towards the leases of the workers.",
 )
+INCARNATION_ENDED: Final = _define_event(
+    630,
+    "incarnation_ended",
+    logging.INFO,
+    "A session with another incarnation of a worker began; `how` tells whether"
+    " the earlier one crashed, left, or ended in an unknown way.",
+)
+CRASH_SUSPECTED: Final = _define_event(
+    631,
+    "crash_suspected",
+    logging.WARNING,
+    "Two or more workers have crashed under a task; it is started on workers"
+    " with few other runs.",
+)
+CRASHING_TASK_GIVEN_UP: Final = _define_event(
+    632,
+    "crashing_task_given_up",
+    logging.WARNING,
+    "A job has failed, because one of its tasks crashes its workers.",
+)
+CRASH_SUSPECT_CLEARED: Final = _define_event(
+    633,
+    "crash_suspect_cleared",
+    logging.INFO,
+    "A run has gone on for longer than those under which workers crashed; the"
+    " crashes under its task no longer count.",
+)
+WORKER_ROOM_RECORDED: Final = _define_event(
+    640,
+    "worker_room_recorded",
+    logging.INFO,
+    "A changed capacity of a worker was committed.",
+)
+WORKER_OVERCOMMITTED: Final = _define_event(
+    641,
+    "worker_overcommitted",
+    logging.WARNING,
+    "The capacity of a worker shrank below what its runs reserve.",
+)
 
 # 700-799: runs of jobs with steps, on an agent.
 WORKER_LIFE_CHANGED: Final = _define_event(
@@ -701,3 +740,9 @@
     "A run goes on for longer than a stop takes after the worker acknowledged a"
     " stop order; the order is sent again.",
 )
+WORKER_CAPACITY_CHANGED: Final = _define_event(
+    720,
+    "worker_capacity_changed",
+    logging.INFO,
+    "The worker announced a capacity that differs from its last one.",
+)
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -119,6 +119,18 @@
 RunKey = tuple[TaskRef, int]
 
 
+class RunId(base.Wire, frozen=True, kw_only=True):
+    """Identifies a run.
+
+    Attributes:
+        task: The task.
+        attempt: Number of the attempt.
+    """
+
+    task: TaskRef
+    attempt: int
+
+
 class RunStart(base.Wire, frozen=True, kw_only=True):
     """An assignment of a task to one incarnation of a worker.
 
@@ -170,6 +182,20 @@
     value: str
 
 
+class WorkerRoom(base.Wire, frozen=True, kw_only=True):
+    """The capacity of one incarnation of a worker.
+
+    Attributes:
+        worker: Name of the worker.
+        life: ID of the worker's incarnation.
+        room: Its capacity.
+    """
+
+    worker: str
+    life: str
+    room: common.Resources
+
+
 class Disturbance(base.Wire, frozen=True, kw_only=True):
     """Learned interference between tasks of two images on one worker.
 
--- /dev/null
+++ b/bamboorouter/state/given_up_runs.py
@@ -0,0 +1,203 @@
+"""Records the runs of tasks that were given up, and the crashes under them.
+
+A run is given up if it ends without the word of its worker: as lost, or as
+rejected. Its worker may still list how it ended. Such an end counts once and
+removes the record: a failure counts towards the attempts of the task, and any
+end shows that the run didn't end by a crash.
+
+If the incarnation of a worker crashes, each task that had a lost run there gets
+one crash, however many runs it lost there. A crash is early if the run was
+assigned shortly before: a task that crashes its workers does so when it starts,
+and few others start at the same time. Each task keeps its newest records only.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+from typing import Final
+
+from bamboorouter.protocol import jobs
+from bamboorouter.state import job_records
+
+MAX_RUNS_PER_TASK: Final = 4
+# Includes the delays until the start is ordered and the crash is noticed.
+EARLY_CRASH_MS: Final = 250
+# Age of a run at a crash if its start isn't known: too long for any conclusion.
+UNKNOWN_AGE_MS: Final = 60_000
+
+TaskRecord = tuple[jobs.TaskRef, job_records.Task]
+
+
+class GivenUpRuns:
+    """Finds the tasks with runs that were given up on an incarnation."""
+
+    def __init__(self) -> None:
+        # Tasks by reference, by worker and incarnation.
+        self._tasks: dict[
+            tuple[str, str], dict[jobs.TaskRef, job_records.Task]
+        ] = {}
+
+    def restore(self, records: Iterable[TaskRecord]) -> None:
+        """Replaces the index with one of the tasks in a snapshot."""
+        self._tasks = {}
+        for ref, task in records:
+            for run in task.given_up:
+                self._tasks.setdefault((run.worker, run.life), {})[ref] = task
+
+    def forget(self, records: Iterable[TaskRecord]) -> None:
+        """Removes the tasks of a job."""
+        for ref, task in records:
+            for run in task.given_up:
+                self._unlink(ref, run)
+
+    def add(
+        self, ref: jobs.TaskRef, task: job_records.Task, *, lost: bool
+    ) -> None:
+        """Records that the newest attempt of a task is given up.
+
+        Args:
+            ref: Reference of the task.
+            task: The task.
+            lost: Whether the run may have been on its worker.
+        """
+        run = job_records.GivenUpRun(
+            attempt=task.attempt,
+            worker=task.worker,
+            life=task.life,
+            assigned_ms=task.assigned_ms,
+            lost=lost,
+        )
+        self._replace(ref, task, (*task.given_up, run)[-MAX_RUNS_PER_TASK:])
+
+    def resolve(
+        self, ref: jobs.TaskRef, task: job_records.Task, attempt: int
+    ) -> bool:
+        """Removes the record of a run whose worker has listed its end.
+
+        Returns:
+            Whether there was a record.
+        """
+        found = find_run(task, attempt)
+        if found is None:
+            return False
+        _uncount(task, found)
+        self._replace(
+            ref, task, tuple(run for run in task.given_up if run is not found)
+        )
+        return True
+
+    def clear_crashes(self, ref: jobs.TaskRef, task: job_records.Task) -> None:
+        """Clears the crashes of a task, and the records that they rest on."""
+        task.crashes = task.early_crashes = task.crash_age_ms = 0
+        self._replace(
+            ref, task, tuple(run for run in task.given_up if not run.crash)
+        )
+
+    def count_crash(
+        self, worker: str, life: str, *, over_ms: int
+    ) -> list[TaskRecord]:
+        """Counts the crash of an incarnation for the tasks with lost runs.
+
+        Args:
+            worker: Name of the worker.
+            life: ID of the incarnation.
+            over_ms: Wall time in ms by which it was over.
+
+        Returns:
+            The tasks, in the order of their references.
+        """
+        counted = []
+        for ref, task in sorted(self._tasks.get((worker, life), {}).items()):
+            new = [
+                run
+                for run in task.given_up
+                if _is_on(run, worker, life) and run.lost and not run.crash
+            ]
+            if not new:
+                continue
+            task.crashes += 1
+            task.crash_age_ms = max(_age_ms(run, over_ms) for run in new)
+            early = crashed_early(task)
+            task.early_crashes += early
+            # One record stands for the crash, so that it is revoked only once.
+            self._replace(
+                ref,
+                task,
+                tuple(
+                    dataclasses.replace(run, crash="early" if early else "late")
+                    if run is new[-1]
+                    else run
+                    for run in task.given_up
+                    if run is new[-1] or run not in new
+                ),
+            )
+            counted.append((ref, task))
+        return counted
+
+    def revoke_crash(self, worker: str, life: str) -> None:
+        """Takes the crash of an incarnation back that turns out to go on."""
+        for ref, task in sorted(self._tasks.get((worker, life), {}).items()):
+            for run in task.given_up:
+                if _is_on(run, worker, life):
+                    _uncount(task, run)
+            self._replace(
+                ref,
+                task,
+                tuple(
+                    dataclasses.replace(run, crash="")
+                    if _is_on(run, worker, life)
+                    else run
+                    for run in task.given_up
+                ),
+            )
+
+    def _replace(
+        self,
+        ref: jobs.TaskRef,
+        task: job_records.Task,
+        runs: tuple[job_records.GivenUpRun, ...],
+    ) -> None:
+        for run in task.given_up:
+            self._unlink(ref, run)
+        task.given_up = runs
+        for run in runs:
+            self._tasks.setdefault((run.worker, run.life), {})[ref] = task
+
+    def _unlink(self, ref: jobs.TaskRef, run: job_records.GivenUpRun) -> None:
+        tasks = self._tasks.get((run.worker, run.life), {})
+        tasks.pop(ref, None)
+        if not tasks:
+            self._tasks.pop((run.worker, run.life), None)
+
+
+def crashed_early(task: job_records.Task) -> bool:
+    """Returns whether the last crash under a task came soon after its start."""
+    return task.crash_age_ms <= EARLY_CRASH_MS
+
+
+def find_run(
+    task: job_records.Task, attempt: int
+) -> job_records.GivenUpRun | None:
+    """Returns the record of a run of a task that was given up, if any."""
+    found: Iterator[job_records.GivenUpRun] = (
+        run for run in task.given_up if run.attempt == attempt
+    )
+    return next(found, None)
+
+
+def _uncount(task: job_records.Task, run: job_records.GivenUpRun) -> None:
+    """Takes back the crash that a run stands for, if any."""
+    if run.crash:
+        task.crashes = max(0, task.crashes - 1)
+    if run.crash == "early":
+        task.early_crashes = max(0, task.early_crashes - 1)
+
+
+def _is_on(run: job_records.GivenUpRun, worker: str, life: str) -> bool:
+    return (run.worker, run.life) == (worker, life)
+
+
+def _age_ms(run: job_records.GivenUpRun, over_ms: int) -> int:
+    if not run.assigned_ms:
+        return UNKNOWN_AGE_MS
+    return max(0, over_ms - run.assigned_ms)
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator
 import contextlib
+import math
 import pathlib
 import resource
 import tempfile
@@ -13,6 +14,7 @@
 from bamboorouter import errors
 from bamboorouter import metrics
 from bamboorouter import options
+from bamboorouter.coordination.log import engine
 from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
@@ -270,15 +272,29 @@
         self.roles = [self.make_role(address) for address in self.addresses]
         await self.start()
         role = self.roles[0]
+        failed = self.opened(role)
         path = self.data_dir(self.addresses[0])
         self.disks.full_for = "snapshot-"
         self.disks.full.add(path)
         async with asyncio.timeout(20):
             while path not in self.disks.refused:
                 await self.change()
-        await replica_site.wait_until(lambda: role.replica is None)
+        # The role may have opened the next replica already.
+        await replica_site.wait_until(lambda: role.replica is not failed)
+        self.assertTrue(failed.status().halted)
+        with self.assertRaisesRegex(errors.StorageError, "closed"):
+            failed.log.folder.append("log-1", b"late")
         self.disks.full.clear()
         await self.assert_recovered()
+        # The reopened replica draws another interval, which may be longer.
+        longest = math.ceil(
+            self.snapshot_entries
+            * (1 + engine.SNAPSHOT_JITTER)
+            * engine.LEADER_INTERVAL_FACTOR
+        )
+        while self.opened(role).status().applied < longest:
+            await self.change()
+            await replica_site.wait_until(lambda: self.follows(role))
         await replica_site.wait_until(
             lambda: any(path.glob("snapshot-*[0-9]")), timeout_s=RECOVERY_S
         )
