--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -348,7 +348,9 @@
         if not late:
             self._check_draining(task, worker)
         if free < 0:
-            self._add_violation(f"{task} exceeds the capacity of {worker}")
+            self._add_violation(
+                f"{task} exceeds the capacity of {worker} by {-free}"
+            )
         runs = self._running.setdefault(task, {})
         if runs:
             self._add_violation(f"{task} runs on {worker} and on {list(runs)}")
@@ -392,6 +394,10 @@
         if problem:
             self._add_violation(f"{task} {problem}")
 
+    def record_capacity(self, worker: str, millicores: int) -> None:
+        """Records that the capacity of a worker changes."""
+        self._log(f"{worker} has a capacity of {millicores}")
+
     def record_draining(self, worker: str) -> None:
         """Records that an announcement of draining was acknowledged."""
         self._log(f"{worker} drains")
--- a/devtools/soak_worker.py
+++ b/devtools/soak_worker.py
@@ -225,6 +225,7 @@
     def _apply_shares(self) -> None:
         share = self._shares[-1] if self._shares else 1.0
         self.millicores.change(int(self.millicores.full * share))
+        self._history.record_capacity(self.incarnation, self.millicores.current)
 
     # --- Time ----------------------------------------------------------------
 
