--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -15,381 +15,46 @@
 
 The seed determines the schedule of faults. A run that violates an invariant
 keeps its folder with the schedule, the history and the logs of all processes.
-With --basic no job is cancelled, workers carry out no calls late, and the
-schedule contains no series of faults.
+
+Groups of faults can be left out with --without, and all of them with --basic:
+
+- "cancellations": jobs are cancelled, workers carry out calls late, and the
+  schedule contains series of faults.
+- "crashing": some jobs have a task that crashes its workers or always fails.
+- "capacity": workers shrink and grow.
+- "leaving": workers drain and leave.
+- "odd": agents get announcements of other writers.
 """
 
 import argparse
 import asyncio
-import contextlib
-import dataclasses
 import json
-import os
 import pathlib
 import random
 import shutil
-import signal
-import socket
 import sys
 import tempfile
 import time
 from typing import Any
 from typing import Final
-from typing import Literal
 
 import aiohttp
 
-from devtools import proxy
+from devtools import soak_attempts
 from devtools import soak_callers
 from devtools import soak_checks
+from devtools import soak_odd
 from devtools import soak_schedule
-from devtools import soak_worker
+from devtools import soak_site
 
-ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
-NETWORKS: Final = 128
-RESERVATION_PORT: Final = 19_999
 HOST: Final = "desk.example"
-CONTROLS: Final = 3
-ENTRIES: Final = 2
 # After this timeout a caller submits the job again at a random entry.
 CALL_TIMEOUT_S: Final = 3.0
 CONFIGURE_INTERVAL_S: Final = 1.0
 CONFIGURE_RETRY_INTERVAL_S: Final = 0.2
 CONFIGURE_TIMEOUT_S: Final = 40.0
-GRACE_S: Final = 6.0
-DELAY_MS: Final = 120
-# Limit for a new agent process to reach its worker.
-SESSION_TIMEOUT_S: Final = 6.0
-# Delay between the first call of an agent and a cut, as a fraction of the cut.
-CUT_DELAY_FRACTION: Final = 0.03
-
-Direction = Literal["to_target", "from_target"]
-CUT_DIRECTIONS: Final[dict[str, tuple[Direction, ...]]] = {
-    "cut": ("to_target", "from_target"),
-    "cut_in": ("to_target",),
-    "cut_out": ("from_target",),
-}
-
-
-@dataclasses.dataclass(kw_only=True)
-class Process:
-    """A process of the system, which may be stopped and started again.
-
-    Attributes:
-        name: Unique name, for example "control-1".
-        role: Role that it runs.
-        settings: Path of its settings file.
-        log: Path of the file for its output.
-        folder: Path of its data folder; None for a role without one.
-        running: The operating system process; None while it is stopped.
-        lock: Serializes starts and stops.
-    """
-
-    name: str
-    role: str
-    settings: pathlib.Path
-    log: pathlib.Path
-    folder: pathlib.Path | None = None
-    running: asyncio.subprocess.Process | None = None
-    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
-
-    async def start(self) -> None:
-        """Starts the process unless it is running."""
-        async with self.lock:
-            if self.running is None:
-                await self._start()
-
-    async def _start(self) -> None:
-        with self.log.open("ab") as log:
-            self.running = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(ROOT / "platform" / "main.py"),
-                self.role,
-                env={
-                    **os.environ,
-                    # Takes precedence over an installed version.
-                    "PYTHONPATH": str(ROOT),
-                    "BAMBOOROUTER_NODE_FILE": str(self.settings),
-                },
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-    def send_signal(self, signum: signal.Signals) -> None:
-        """Sends a signal if the process is running."""
-        if self.running is not None and self.running.returncode is None:
-            self.running.send_signal(signum)
-
-    async def stop(self, signum: signal.Signals) -> None:
-        """Sends a signal and waits; kills the process after `GRACE_S`."""
-        async with self.lock:
-            if self.running is not None:
-                await self._stop(self.running, signum)
-                self.running = None
-
-    async def _stop(
-        self, running: asyncio.subprocess.Process, signum: signal.Signals
-    ) -> None:
-        self.send_signal(signal.SIGCONT)
-        self.send_signal(signum)
-        try:
-            async with asyncio.timeout(GRACE_S):
-                await running.wait()
-        except TimeoutError:
-            self.send_signal(signal.SIGKILL)
-            await running.wait()
-
-
-class SoakSite:
-    """All processes, workers and proxies of one soak.
-
-    Attributes:
-        path: Folder for settings, data and logs.
-        processes: Processes by name.
-        workers: Workers by name.
-        proxies: Proxies by the name of the process or worker behind them.
-        history: Observations and violated invariants.
-    """
-
-    def __init__(
-        self, *, path: pathlib.Path, seed: int, workers: int, basic: bool
-    ) -> None:
-        self.path = path
-        self.history = soak_checks.History()
-        self.processes: dict[str, Process] = {}
-        self.workers: dict[str, soak_worker.SoakWorker] = {}
-        self.proxies: dict[str, proxy.FaultProxy] = {}
-        self._seed = seed
-        self._worker_count = workers
-        self._basic = basic
-        # Soaks that run at the same time must not share addresses. The socket
-        # reserves a network, 127.x.0.0, until it is closed. The third octet is 1 for control replicas, 2 for entries, 3 for agents and 4 for
-        # workers, and 9, 7 and 8 for the proxies in front of control replicas,
-        # entries and workers.
-        self._reservation = _reserve_network()
-        self._network = (
-            "127." + self._reservation.getsockname()[0].split(".")[1]
-        )
-        self._port = 20_000 + os.getpid() % 10_000
-        self._link_port = self._port + 10
-
-    # --- Start and stop -----------------------------------------------------
-
-    async def start(self) -> None:
-        """Starts everything; doesn't wait until the replicas form a group."""
-        for number in range(1, CONTROLS + 1):
-            name = f"control-{number}"
-            link = f"{self._network}.9.{number}:{self._link_port}"
-            await self._add_proxy(
-                name, link, f"{self._network}.1.{number}:{self._link_port}"
-            )
-            self._add_process(
-                name,
-                ip=f"{self._network}.1.{number}",
-                bootstrap=True,
-                data_dir=str(self.path / name),
-                disk_mb=64,
-                control=f"{self._network}.1.{number}:{self._port}",
-                advertise=link,
-            )
-        for number in range(1, ENTRIES + 1):
-            name = f"entry-{number}"
-            callers = f"{self._network}.2.{number}:{self._port}"
-            await self._add_proxy(
-                name, f"{self._network}.7.{number}:{self._port}", callers
-            )
-            self._add_process(
-                name,
-                ip=f"{self._network}.2.{number}",
-                callers=callers,
-                ready=f"{self._network}.2.{number}:{self._port + 1}",
-            )
-        for number in range(1, self._worker_count + 1):
-            await self._add_worker(number)
-        await asyncio.gather(*(p.start() for p in self.processes.values()))
-
-    async def _add_worker(self, number: int) -> None:
-        control = f"{self._network}.3.{number}:{self._port}"
-        orders = f"{self._network}.4.{number}:{self._port}"
-        name = f"worker-{number}"
-        await self._add_proxy(
-            name, f"{self._network}.8.{number}:{self._port}", orders
-        )
-        self._add_process(
-            f"agent-{number}", ip=f"{self._network}.3.{number}", control=control
-        )
-        worker = soak_worker.SoakWorker(
-            name=name,
-            agent=control,
-            history=self.history,
-            seed=self._seed + number,
-            failure_probability=soak_worker.FAILURE_PROBABILITY
-            if self._basic or number % 4
-            else soak_worker.HIGH_FAILURE_PROBABILITY,
-        )
-        worker.announced = self.proxies[name].address
-        self.workers[name] = worker
-        await worker.start(orders)
-
-    async def close(self) -> None:
-        """Stops everything that this soak started."""
-        await asyncio.gather(
-            *(p.stop(signal.SIGKILL) for p in self.processes.values())
-        )
-        await asyncio.gather(*(w.close() for w in self.workers.values()))
-        await asyncio.gather(*(p.close() for p in self.proxies.values()))
-        self._reservation.close()
-
-    async def _add_proxy(self, name: str, address: str, target: str) -> None:
-        fault_proxy = proxy.FaultProxy()
-        fault_proxy.target = target
-        host, _, port = address.rpartition(":")
-        await fault_proxy.start(host, int(port))
-        self.proxies[name] = fault_proxy
-
-    def _add_process(self, name: str, **fields: Any) -> None:
-        role = name.partition("-")[0]
-        # The processes derive the link addresses from the hosts of the seeds,
-        # which are those of the proxies, and from `ports`.
-        seeds = [
-            f"{self._network}.9.{n}:{self._port}"
-            for n in range(1, CONTROLS + 1)
-        ]
-        values = {
-            "name": name,
-            "zone": "z1",
-            "seeds": seeds,
-            "ports": [self._link_port, self._link_port + 10],
-            **fields,
-        }
-        settings = self.path / f"{name}.toml"
-        # JSON strings, numbers, booleans and lists are also valid TOML.
-        settings.write_text(
-            "".join(f"{k} = {json.dumps(v)}\n" for k, v in values.items())
-        )
-        folder = values.get("data_dir")
-        self.processes[name] = Process(
-            name=name,
-            role=role,
-            settings=settings,
-            log=self.path / f"{name}.log",
-            folder=pathlib.Path(folder) if folder else None,
-        )
-
-    def entry_address(self, number: int) -> str:
-        """Returns the address of an entry for callers."""
-        return self.proxies[f"entry-{number}"].address
-
-    def late_orders(self) -> int:
-        """Returns the number of orders that will be carried out late."""
-        return sum(worker.late_orders for worker in self.workers.values())
-
-    def operator_address(self, number: int) -> str:
-        """Returns the address of a replica for the operator."""
-        return f"{self._network}.1.{number}:{self._port}"
-
-    # --- Faults --------------------------------------------------------------
-
-    async def inject(self, fault: soak_schedule.Fault) -> None:
-        """Injects a fault and waits until it is over."""
-        self.history.counts[f"fault {fault.kind}"] += 1
-        self.history.record_fault_start(fault.target)
-        try:
-            await self._inject(fault)
-        finally:
-            self.history.record_fault_end(fault.target)
-
-    async def _inject(self, fault: soak_schedule.Fault) -> None:
-        if fault.kind == "crash":
-            self.workers[fault.target].crash()
-        elif fault.kind == "restart_then_cut":
-            await self._restart_then_cut(fault)
-        elif fault.kind == "late":
-            self.workers[fault.target].late_enabled += 1
-            await asyncio.sleep(fault.for_s)
-            self.workers[fault.target].late_enabled -= 1
-        elif fault.kind in ("reset", "delay", *CUT_DIRECTIONS):
-            await self._inject_network_fault(fault, self.proxies[fault.target])
-        elif fault.kind == "kill_all":
-            names = [n for n in self.processes if n.startswith("control")]
-            await asyncio.gather(
-                *(self._restart(self.processes[n], fault) for n in names)
-            )
-        else:
-            await self._restart(self.processes[fault.target], fault)
-
-    async def _restart_then_cut(self, fault: soak_schedule.Fault) -> None:
-        """Restarts an agent and cuts its worker off after the first answers."""
-        number = fault.target.partition("-")[2]
-        worker = self.workers[f"worker-{number}"]
-        process = self.processes[fault.target]
-        await process.stop(signal.SIGKILL)
-        worker.session_opened.clear()
-        await process.start()
-        try:
-            async with asyncio.timeout(SESSION_TIMEOUT_S):
-                await worker.session_opened.wait()
-        except TimeoutError:
-            return
-        await asyncio.sleep(fault.for_s * CUT_DELAY_FRACTION)
-        fault_proxy = self.proxies[worker.name]
-        fault_proxy.cut("to_target", "from_target")
-        await asyncio.sleep(fault.for_s)
-        fault_proxy.heal()
-
-    async def _inject_network_fault(
-        self, fault: soak_schedule.Fault, fault_proxy: proxy.FaultProxy
-    ) -> None:
-        if fault.kind == "reset":
-            fault_proxy.reset()
-            return
-        gates = [
-            fault_proxy.gate("", direction)
-            for direction in ("to_target", "from_target")
-        ]
-        if fault.kind == "delay":
-            for gate in gates:
-                gate.delay_ms = DELAY_MS
-        else:
-            fault_proxy.cut(*CUT_DIRECTIONS[fault.kind])
-        await asyncio.sleep(fault.for_s)
-        for gate in gates:
-            gate.delay_ms = 0
-        fault_proxy.heal()
-
-    async def _restart(
-        self, process: Process, fault: soak_schedule.Fault
-    ) -> None:
-        if fault.kind == "freeze":
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(fault.for_s)
-            process.send_signal(signal.SIGCONT)
-            return
-        graceful = fault.kind == "terminate"
-        await process.stop(signal.SIGTERM if graceful else signal.SIGKILL)
-        if fault.kind == "lose_folder" and process.folder is not None:
-            shutil.rmtree(process.folder)
-            # Without its data the replica must join the existing group.
-            text = process.settings.read_text()
-            process.settings.write_text(
-                text.replace("bootstrap = true", "bootstrap = false")
-            )
-        await asyncio.sleep(fault.for_s / 4)
-        await process.start()
-
 
-def _reserve_network() -> socket.socket:
-    """Returns a socket whose address reserves its network for one soak.
-
-    Raises:
-        OSError: All networks are reserved.
-    """
-    for offset in range(NETWORKS):
-        host = f"127.{64 + (os.getpid() + offset) % NETWORKS}.0.1"
-        with contextlib.suppress(OSError):
-            return socket.create_server((host, RESERVATION_PORT))
-    raise OSError("all networks for soaks are reserved")
+GROUPS: Final = ("cancellations", "crashing", "capacity", "leaving", "odd")
 
 
 class Soak:
@@ -405,16 +70,19 @@
     def __init__(
         self,
         *,
-        site: SoakSite,
+        site: soak_site.SoakSite,
         faults: list[soak_schedule.Fault],
         seconds: float,
         seed: int,
-        cancels: bool,
+        groups: frozenset[str],
     ) -> None:
         self.site = site
         self.faults = faults
         self.seconds = seconds
         self._rng = random.Random(seed)
+        self._odd_rng = (
+            random.Random(f"odd {seed}") if "odd" in groups else None
+        )
         self._session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         )
@@ -422,9 +90,11 @@
         self.callers = soak_callers.Callers(
             history=site.history,
             requester=self,
-            entries=ENTRIES,
+            entries=soak_site.ENTRIES,
             seed=seed,
-            cancels=cancels,
+            cancels="cancellations" in groups,
+            crashes="crashing" in groups,
+            large="capacity" in groups,
         )
 
     async def run(self) -> soak_checks.History:
@@ -438,6 +108,10 @@
                 asyncio.create_task(self._configure_forever()),
                 asyncio.create_task(self.callers.check_forever()),
             ]
+            if self._odd_rng is not None:
+                background.append(
+                    asyncio.create_task(self._send_odd(self._odd_rng))
+                )
             await asyncio.gather(
                 self.callers.submit_for(self.seconds),
                 *(self._inject_at(started_s, fault) for fault in self.faults),
@@ -458,6 +132,13 @@
         await asyncio.sleep(max(0.0, started_s + fault.at_s - time.monotonic()))
         await self.site.inject(fault)
 
+    async def _send_odd(self, rng: random.Random) -> None:
+        await soak_odd.send_forever(
+            list(self.site.workers.values()),
+            rng=rng,
+            record=self.site.history.record_odd_announcement,
+        )
+
     async def call(
         self,
         method: str,
@@ -467,7 +148,7 @@
         entry: int | None = None,
     ) -> tuple[int, Any]:
         """Sends a request of a caller; see `soak_callers.Requester`."""
-        number = entry or self._rng.randint(1, ENTRIES)
+        number = entry or self._rng.randint(1, soak_site.ENTRIES)
         address = self.site.entry_address(number)
         return await self._request(
             method, f"http://{address}/forms/{job}", body
@@ -507,7 +188,7 @@
         return status == soak_checks.OK
 
     def _operator_url(self) -> str:
-        number = self._rng.randint(1, CONTROLS)
+        number = self._rng.randint(1, soak_site.CONTROLS)
         return f"http://{self.site.operator_address(number)}/-/config"
 
     async def _request(
@@ -536,7 +217,7 @@
                 "targetLatencyMs": 30_000,
                 "priority": 0,
                 "service": "desk",
-                "maxAttempts": 20,
+                "maxAttempts": soak_attempts.MAX_ATTEMPTS,
                 "slackFactor": 20.0,
             }
         ],
@@ -550,7 +231,7 @@
     seconds: float,
     workers: int,
     path: pathlib.Path,
-    basic: bool = False,
+    groups: frozenset[str] = frozenset(GROUPS),
 ) -> soak_checks.History:
     """Runs one soak in a folder.
 
@@ -559,7 +240,7 @@
         seconds: Duration in s during which jobs are submitted.
         workers: Number of workers, each with an agent.
         path: Folder for settings, data and logs.
-        basic: Whether to omit cancellations, late orders and series of faults.
+        groups: Groups of faults, of `GROUPS`.
 
     Returns:
         What was observed, and the violated invariants.
@@ -567,19 +248,23 @@
     faults = soak_schedule.schedule(
         seed,
         seconds=seconds,
-        controls=CONTROLS,
-        entries=ENTRIES,
+        controls=soak_site.CONTROLS,
+        entries=soak_site.ENTRIES,
         workers=workers,
-        series=not basic,
+        series="cancellations" in groups,
+        capacity="capacity" in groups,
+        leave="leaving" in groups,
     )
     (path / "schedule.txt").write_text("".join(f"{f}\n" for f in faults))
-    site = SoakSite(path=path, seed=seed, workers=workers, basic=basic)
+    site = soak_site.SoakSite(
+        path=path, seed=seed, workers=workers, groups=groups
+    )
     soak = Soak(
         site=site,
         faults=faults,
         seconds=seconds,
         seed=seed,
-        cancels=not basic,
+        groups=groups,
     )
     try:
         history = await soak.run()
@@ -614,7 +299,14 @@
     parser.add_argument(
         "--basic",
         action="store_true",
-        help="no cancellations, late orders and series of faults",
+        help="no group of faults",
+    )
+    parser.add_argument(
+        "--without",
+        action="append",
+        choices=GROUPS,
+        default=[],
+        help="group of faults to leave out",
     )
     parser.add_argument(
         "--folder",
@@ -623,6 +315,7 @@
         help="where to keep the folders of soaks that violate an invariant",
     )
     arguments = parser.parse_args()
+    groups = frozenset(GROUPS) - frozenset(arguments.without)
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         path = pathlib.Path(
@@ -634,7 +327,7 @@
                 seconds=arguments.seconds,
                 workers=arguments.workers,
                 path=path,
-                basic=arguments.basic,
+                groups=frozenset() if arguments.basic else groups,
             )
         )
         print(f"seed {seed}: {dict(sorted(history.counts.items()))}")
