Spare jobs under which workers crash at any age

A task that crashes its workers does so at its start, or at about the same age. Three crashes now convict only with two early ones among them, four also at the same age; five still convict in any case, which keeps the limit on the starts. Records of given-up runs hold the age at the crash.

--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -1,17 +1,19 @@
 """Decides which tasks are given up because they crash their workers.
 
 All tasks that ran on a worker when it crashed are suspects, since the crash
-doesn't tell which of them caused it. A task is given up
-
-* after its second early crash, if no run of another job started as recently: a
-  worker rarely crashes by itself just after the start of a suspect;
-* after its third crash, if no task of another job there was as suspicious;
-* after its fourth crash, unless a task of another job there was more suspicious;
-* after its fifth crash in any case.
-
-A task that crashes each worker when it starts is as suspicious as any, so that
-it is started at most four times, or five times if one of the crashes isn't
-known.
+doesn't tell which of them caused it. Workers also crash by themselves, but
+rarely just after the start of the same task, or at the same age of its runs. A
+task is given up
+
+* after two early crashes, if no run of another job started as recently there;
+* after three crashes with two early ones, if no task of another job there was
+  as suspicious;
+* after four crashes that include two early ones or came at the same age, unless
+  a task of another job there was more suspicious;
+* after five crashes in any case.
+
+So a task that crashes each worker when it starts is started at most four times,
+or five times if one of the crashes isn't known.
 """
 
 from collections.abc import Iterable
@@ -25,6 +27,9 @@
 MIN_CRASHES: Final = 3
 MIN_CRASHES_IF_TIED: Final = 4
 MAX_CRASHES: Final = 5
+# Ages at crashes that differ by less count as the same. The bounds of the ages
+# include the time until a crash is noticed.
+SAME_AGE_MS: Final = 1000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,12 +41,14 @@
         crashes: Number of crashes under it, with this one.
         early: Number of these that came soon after the assignment.
         early_now: Whether this one did.
+        age_spread_ms: Difference between the ages of its runs at the crashes.
     """
 
     ref: jobs.TaskRef
     crashes: int
     early: int
     early_now: bool
+    age_spread_ms: int = 0
 
     def rank(self) -> tuple[int, int]:
         """Returns how suspicious the task is; higher is more so."""
@@ -72,10 +79,10 @@
     highest = max((other.rank() for other in others), default=(0, 0))
     if task.crashes >= MAX_CRASHES:
         return True
+    often_early = task.early >= MIN_EARLY_CRASHES
     if task.crashes >= MIN_CRASHES_IF_TIED:
-        return task.rank() >= highest
+        same_age = task.age_spread_ms < SAME_AGE_MS
+        return (often_early or same_age) and task.rank() >= highest
     if task.crashes >= MIN_CRASHES:
-        return task.rank() > highest
-    return task.early >= MIN_EARLY_CRASHES and not any(
-        other.early_now for other in others
-    )
+        return often_early and task.rank() > highest
+    return often_early and not any(other.early_now for other in others)
--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -90,7 +90,7 @@
         """Clears the crashes of a task, and the records that they rest on."""
         task.crashes = task.early_crashes = task.crash_age_ms = 0
         self._replace(
-            ref, task, tuple(run for run in task.given_up if not run.crash)
+            ref, task, tuple(run for run in task.given_up if not counts(run))
         )
 
     def count_crash(
@@ -111,20 +111,19 @@
             new = [
                 run
                 for run in task.given_up
-                if _is_on(run, worker, life) and run.lost and not run.crash
+                if _is_on(run, worker, life) and run.lost and not counts(run)
             ]
             if not new:
                 continue
             task.crashes += 1
             task.crash_age_ms = max(_age_ms(run, over_ms) for run in new)
-            early = crashed_early(task)
-            task.early_crashes += early
+            task.early_crashes += crashed_early(task)
             # One record stands for the crash, so that it is revoked only once.
             self._replace(
                 ref,
                 task,
                 tuple(
-                    dataclasses.replace(run, crash="early" if early else "late")
+                    dataclasses.replace(run, crash_age_ms=task.crash_age_ms)
                     if run is new[-1]
                     else run
                     for run in task.given_up
@@ -144,7 +143,7 @@
                 ref,
                 task,
                 tuple(
-                    dataclasses.replace(run, crash="")
+                    dataclasses.replace(run, crash_age_ms=job_records.NO_CRASH)
                     if _is_on(run, worker, life)
                     else run
                     for run in task.given_up
@@ -170,6 +169,17 @@
             self._tasks.pop((run.worker, run.life), None)
 
 
+def counts(run: job_records.GivenUpRun) -> bool:
+    """Returns whether a run stands for a crash that counts for its task."""
+    return run.crash_age_ms != job_records.NO_CRASH
+
+
+def crash_age_spread_ms(task: job_records.Task) -> int:
+    """Returns how far the ages at the last crashes under a task differ."""
+    ages = [run.crash_age_ms for run in task.given_up if counts(run)]
+    return max(ages, default=0) - min(ages, default=0)
+
+
 def crashed_early(task: job_records.Task) -> bool:
     """Returns whether the last crash under a task came soon after its start."""
     return task.crash_age_ms <= EARLY_CRASH_MS
@@ -187,9 +197,10 @@
 
 def _uncount(task: job_records.Task, run: job_records.GivenUpRun) -> None:
     """Takes back the crash that a run stands for, if any."""
-    if run.crash:
-        task.crashes = max(0, task.crashes - 1)
-    if run.crash == "early":
+    if not counts(run):
+        return
+    task.crashes = max(0, task.crashes - 1)
+    if run.crash_age_ms <= EARLY_CRASH_MS:
         task.early_crashes = max(0, task.early_crashes - 1)
 
 
--- a/bamboorouter/state/job_records.py
+++ b/bamboorouter/state/job_records.py
@@ -12,6 +12,8 @@
 
 _FIELDS_WITHOUT_GIVEN_UP_RUNS: Final = 6
 
+NO_CRASH: Final = -1
+
 TaskStatus = Literal["waiting", "assigned", "done", "failed"]
 
 
@@ -27,8 +29,9 @@
             epoch; 0 if unknown.
         lost: Whether the run may have been on the worker; otherwise it was
             rejected.
-        crash: Whether the incarnation has crashed, and the crash is counted for
-            the task: as an early one if it came soon after the assignment.
+        crash_age_ms: If the incarnation has crashed and the crash is counted
+            for the task, upper bound for the age of the run at the crash, in
+            ms; otherwise `NO_CRASH`.
     """
 
     attempt: int
@@ -36,7 +39,7 @@
     life: str
     assigned_ms: int
     lost: bool
-    crash: Literal["", "early", "late"] = ""
+    crash_age_ms: int = NO_CRASH
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -314,6 +314,7 @@
                 crashes=task.crashes,
                 early=task.early_crashes,
                 early_now=given_up_runs.crashed_early(task),
+                age_spread_ms=given_up_runs.crash_age_spread_ms(task),
             )
             for ref, task in self.given_up.count_crash(
                 command.worker, ended.life, over_ms=ended.over_ms
