Take the age of a run for unknown if clocks contradict it

The age at a crash is the difference of two leaders' wall times. If a clock was set back between the assignment and the crash, the age was negative and counted as early, which is half of the evidence to give up a job. It now counts as unknown, apart from the small difference that the clocks of two leaders have.

--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -209,6 +209,9 @@
 
 
 def _age_ms(run: job_records.GivenUpRun, over_ms: int) -> int:
-    if not run.assigned_ms:
+    """Returns the age of a run at a crash, by the clocks of the leaders."""
+    age_ms = over_ms - run.assigned_ms
+    if not run.assigned_ms or age_ms < -EARLY_CRASH_MS:
+        # A clock was set back, or that of another leader is behind.
         return UNKNOWN_AGE_MS
-    return max(0, over_ms - run.assigned_ms)
+    return max(0, age_ms)
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -219,6 +219,16 @@
         self.open("w1")
         self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
 
+    def test_crash_before_the_start_by_another_clock_is_not_early(
+        self,
+    ) -> None:
+        self.crash(age_ms=-60_000)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
+
+    def test_small_difference_of_clocks_makes_no_difference(self) -> None:
+        self.crash(age_ms=-20)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 1))
+
     def test_crash_of_an_old_run_is_not_early(self) -> None:
         self.crash(age_ms=EARLY_MS + 1)
         self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
