Keep the records of lost runs when starts are rejected often

A task keeps four records of given-up runs. Each rejected start took one, so that four rejections in a row displaced a lost run, whose failure or crash wasn't counted then. Records of rejected runs are now displaced first.

--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -8,7 +8,8 @@
 If the incarnation of a worker crashes, each task that had a lost run there gets
 one crash, however many runs it lost there. A crash is early if the run was
 assigned shortly before: a task that crashes its workers does so when it starts,
-and few others start at the same time. Each task keeps its newest records only.
+and few others start at the same time. Each task keeps its newest records only,
+those of lost runs before those of rejected ones.
 """
 
 from collections.abc import Iterable
@@ -67,7 +68,11 @@
             assigned_ms=task.assigned_ms,
             lost=lost,
         )
-        self._replace(ref, task, (*task.given_up, run)[-MAX_RUNS_PER_TASK:])
+        kept = list(task.given_up)
+        if len(kept) >= MAX_RUNS_PER_TASK:
+            # Rejections may repeat often and hardly ever turn out to be wrong.
+            kept.remove(next((old for old in kept if not old.lost), kept[0]))
+        self._replace(ref, task, (*kept, run))
 
     def resolve(
         self, ref: jobs.TaskRef, task: job_records.Task, attempt: int
--- a/tests/test_given_up_runs.py
+++ b/tests/test_given_up_runs.py
@@ -145,6 +145,15 @@
         kept = [run.attempt for run in self.task.given_up]
         self.assertEqual(kept, list(range(3, limit + 3)))
 
+    def test_rejections_displace_no_lost_runs(self) -> None:
+        self.give_up()
+        for attempt in range(2, 3 * given_up_runs.MAX_RUNS_PER_TASK):
+            self.give_up(attempt, "rejected")
+        self.assertEqual(
+            len(self.task.given_up), given_up_runs.MAX_RUNS_PER_TASK
+        )
+        self.assertEqual(self.end("failed", 1), 1)
+
     def test_lasting_task_has_no_limit(self) -> None:
         self.jobs.accept("b", make.step(lasting=True))
         for attempt in (1, 2):
