--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -5,11 +5,13 @@
 was none.
 """
 
+import random
 from typing import Literal
 import unittest
 
 import cbor2
 
+from bamboorouter.protocol import commands
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import jobs
 from bamboorouter.state import crash_conviction
@@ -445,6 +447,125 @@
         self.assertEqual(self.state.snapshot(), other.snapshot())
 
 
+class RandomCommandsTest(unittest.TestCase):
+    """Replicas that restart at any time hold the same state."""
+
+    WORKERS = ("w1", "w2", "w3")
+    ENDS: tuple[jobs.RunOutcome, ...] = (
+        *("lost", "lost", "rejected"),
+        *("failed", "stopped", "lapsed", "done"),
+    )
+
+    def setUp(self) -> None:
+        self.random = random.Random(0)
+        self.lives = dict.fromkeys(self.WORKERS, 1)
+
+    def command(
+        self, state: stepped_jobs.SteppedJobs, now_ms: int
+    ) -> commands.Command:
+        """Returns a command that is often valid in a state."""
+        ref = make.ref(
+            self.random.choice("abc"), index=self.random.randrange(3)
+        )
+        task, worker = state.task(ref), self.random.choice(self.WORKERS)
+        attempt = 0 if task is None else task.attempt
+        kind = self.random.randrange(8)
+        if kind < 3:
+            return job_commands.StartRuns(
+                runs=(
+                    jobs.RunStart(
+                        task=ref,
+                        worker=worker,
+                        life=f"{worker}@{self.lives[worker]}",
+                        attempt=attempt + 1,
+                    ),
+                ),
+                at_ms=now_ms,
+            )
+        if kind < 6:
+            end = jobs.RunEnd(
+                task=ref,
+                attempt=max(1, attempt - self.random.randrange(4)),
+                how=self.random.choice(self.ENDS),
+            )
+            return job_commands.EndRuns(ends=(end,), tracked=kind > 3)
+        if kind < 7:
+            return job_commands.NoteCheckpoints(
+                checkpoints=(),
+                cleared=(jobs.RunId(task=ref, attempt=attempt),),
+            )
+        before = state.incarnations[worker].life
+        self.lives[worker] += self.random.choice((1, 1, 1, -1))
+        return job_commands.OpenSession(
+            worker=worker,
+            life=f"{worker}@{self.lives[worker]}",
+            room=make.CAPACITY,
+            ended=job_commands.IncarnationEnd(
+                life=self.random.choice((before, before, "")),
+                how=self.random.choice(("crashed", "crashed", "left")),
+                over_ms=now_ms + self.random.randrange(500),
+            ),
+        )
+
+    def test_state_from_a_snapshot_is_the_same(self) -> None:
+        given_up = 0
+        for _ in range(40):
+            replicas = [make.Jobs().state for _ in range(2)]
+            setup: list[commands.Command] = [
+                job_commands.AcceptSteps(
+                    job=job,
+                    queue="forms",
+                    spec=jobs.JobSpec(
+                        spec="work", steps=(make.step(3, lasting=job == "c"),)
+                    ),
+                )
+                for job in "abc"
+            ]
+            setup += [
+                job_commands.OpenSession(
+                    worker=worker,
+                    life=f"{worker}@{self.lives[worker]}",
+                    room=make.CAPACITY,
+                )
+                for worker in self.WORKERS
+            ]
+            for number in range(120):
+                now_ms = START_MS + 100 * number
+                command = (
+                    setup[number]
+                    if number < len(setup)
+                    else self.command(replicas[0], now_ms)
+                )
+                for replica in replicas:
+                    apply(replica, command)
+                if number % 5 == 0:
+                    plain = cbor2.loads(cbor2.dumps(replicas[1].snapshot()))
+                    replicas[1] = stepped_jobs.SteppedJobs()
+                    replicas[1].restore(plain)
+                self.assertEqual(replicas[0].snapshot(), replicas[1].snapshot())
+            given_up += sum(job.failed for job in replicas[0].jobs.values())
+            for job in replicas[0].jobs.values():
+                for _, task in job_records.tasks_of(job):
+                    self.assertLessEqual(task.early_crashes, task.crashes)
+        self.assertGreater(given_up, 0)
+
+
+def apply(
+    state: stepped_jobs.SteppedJobs, command: commands.Command
+) -> commands.Result:
+    """Applies a command to the jobs."""
+    if isinstance(command, job_commands.AcceptSteps):
+        return state.accept(command, START_MS)
+    if isinstance(command, job_commands.StartRuns):
+        return state.start(command)
+    if isinstance(command, job_commands.EndRuns):
+        return state.end(command)
+    if isinstance(command, job_commands.NoteCheckpoints):
+        return state.note_checkpoints(command)
+    assert isinstance(command, job_commands.OpenSession)
+    return state.open_session(command)
+
+
 class ConvictionTest(unittest.TestCase):
     """Limits on the starts of a task that crashes each worker."""
 
