--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -8,7 +8,8 @@
 If the incarnation of a worker crashes, each task that had a lost run there gets
 one crash, however many runs it lost there. A crash is early if the run was
 assigned shortly before: a task that crashes its workers does so when it starts,
-and few others start at the same time. Each task keeps its newest records only.
+and few others start at the same time. Each task keeps its newest records only,
+those of lost runs before those of rejected ones.
 """
 
 from collections.abc import Iterable
@@ -67,7 +68,11 @@
             assigned_ms=task.assigned_ms,
             lost=lost,
         )
-        self._replace(ref, task, (*task.given_up, run)[-MAX_RUNS_PER_TASK:])
+        kept = list(task.given_up)
+        if len(kept) >= MAX_RUNS_PER_TASK:
+            # Rejections may repeat often and hardly ever turn out to be wrong.
+            kept.remove(next((old for old in kept if not old.lost), kept[0]))
+        self._replace(ref, task, (*kept, run))
 
     def resolve(
         self, ref: jobs.TaskRef, task: job_records.Task, attempt: int
@@ -90,7 +95,7 @@
         """Clears the crashes of a task, and the records that they rest on."""
         task.crashes = task.early_crashes = task.crash_age_ms = 0
         self._replace(
-            ref, task, tuple(run for run in task.given_up if not run.crash)
+            ref, task, tuple(run for run in task.given_up if not counts(run))
         )
 
     def count_crash(
@@ -111,20 +116,19 @@
             new = [
                 run
                 for run in task.given_up
-                if _is_on(run, worker, life) and run.lost and not run.crash
+                if _is_on(run, worker, life) and run.lost and not counts(run)
             ]
             if not new:
                 continue
             task.crashes += 1
             task.crash_age_ms = max(_age_ms(run, over_ms) for run in new)
-            early = crashed_early(task)
-            task.early_crashes += early
+            task.early_crashes += crashed_early(task)
             # One record stands for the crash, so that it is revoked only once.
             self._replace(
                 ref,
                 task,
                 tuple(
-                    dataclasses.replace(run, crash="early" if early else "late")
+                    dataclasses.replace(run, crash_age_ms=task.crash_age_ms)
                     if run is new[-1]
                     else run
                     for run in task.given_up
@@ -144,7 +148,7 @@
                 ref,
                 task,
                 tuple(
-                    dataclasses.replace(run, crash="")
+                    dataclasses.replace(run, crash_age_ms=job_records.NO_CRASH)
                     if _is_on(run, worker, life)
                     else run
                     for run in task.given_up
@@ -170,6 +174,17 @@
             self._tasks.pop((run.worker, run.life), None)
 
 
+def counts(run: job_records.GivenUpRun) -> bool:
+    """Returns whether a run stands for a crash that counts for its task."""
+    return run.crash_age_ms != job_records.NO_CRASH
+
+
+def crash_age_spread_ms(task: job_records.Task) -> int:
+    """Returns how far the ages at the last crashes under a task differ."""
+    ages = [run.crash_age_ms for run in task.given_up if counts(run)]
+    return max(ages, default=0) - min(ages, default=0)
+
+
 def crashed_early(task: job_records.Task) -> bool:
     """Returns whether the last crash under a task came soon after its start."""
     return task.crash_age_ms <= EARLY_CRASH_MS
@@ -187,9 +202,10 @@
 
 def _uncount(task: job_records.Task, run: job_records.GivenUpRun) -> None:
     """Takes back the crash that a run stands for, if any."""
-    if run.crash:
-        task.crashes = max(0, task.crashes - 1)
-    if run.crash == "early":
+    if not counts(run):
+        return
+    task.crashes = max(0, task.crashes - 1)
+    if run.crash_age_ms <= EARLY_CRASH_MS:
         task.early_crashes = max(0, task.early_crashes - 1)
 
 
@@ -198,6 +214,9 @@
 
 
 def _age_ms(run: job_records.GivenUpRun, over_ms: int) -> int:
-    if not run.assigned_ms:
+    """Returns the age of a run at a crash, by the clocks of the leaders."""
+    age_ms = over_ms - run.assigned_ms
+    if not run.assigned_ms or age_ms < -EARLY_CRASH_MS:
+        # A clock was set back, or that of another leader is behind.
         return UNKNOWN_AGE_MS
-    return max(0, over_ms - run.assigned_ms)
+    return max(0, age_ms)
