Don't report a job as never run after its proposal got no result

Callers were answered 503 for a job, and its tasks ran four seconds later (REFUSED).

The client counted the call as unsent, so that it raised NotSentError, and would have believed a later refusal.

A redirect now tells whether the call was proposed. After such a redirect the call counts as sent: it ends with an unknown result, and a refusal is no answer. With the new field ignored by the client, both new tests of the client fail (NotSentError, and the refusal is returned).

--- a/bamboorouter/coordination/jobs/job_leader.py
+++ b/bamboorouter/coordination/jobs/job_leader.py
@@ -95,20 +95,24 @@
             return self.redirect()
         except errors.UnknownResultError:
             # The redirected caller resends the call; all calls are idempotent.
-            return self.redirect()
+            return self.redirect(result_unknown=True)
         except errors.RefusedError as err:
             return messages.Refusal(code=err.code, text=err.text)
 
-    def redirect(self) -> messages.Redirect:
+    def redirect(self, *, result_unknown: bool = False) -> messages.Redirect:
         """Returns a redirect to the leader.
 
         The leader is left empty if it isn't known or if this replica believes
         itself to be the leader.
+
+        Args:
+            result_unknown: Whether the call was proposed.
         """
         leader = self.replica.leader_address()
         return messages.Redirect(
             leader="" if leader == self.replica.address else leader,
             replicas=self._addresses(),
+            result_unknown=result_unknown,
         )
 
     def _addresses(self) -> tuple[str, ...]:
--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -79,16 +79,19 @@
             The leader's answer; never a Redirect.
 
         Raises:
-            NotSentError: The call wasn't sent within `first_send_timeout_ms`.
+            NotSentError: No replica that may execute the call got it within
+                `first_send_timeout_ms`.
             RequestTimeoutError: No leader answered in time; the call may have
                 been executed.
             UnknownResultError: The call was refused, but an earlier attempt
-                wasn't answered and may still be executed.
+                may still be executed: it wasn't answered, or its result is
+                unknown.
         """
         deadline = self.clock.now() + timeout_ms
         first_send_deadline = deadline
         if first_send_timeout_ms is not None:
             first_send_deadline = self.clock.now() + first_send_timeout_ms
+        # Whether an earlier attempt may still be executed.
         unanswered = False
         last_error: errors.RouterError | None = None
         while (remaining := deadline - self.clock.now()) > 0:
@@ -126,11 +129,12 @@
                 self.last_contact_ms = sent
                 if unanswered and is_refusal(reply):
                     raise errors.UnknownResultError(
-                        text="refused after an unanswered attempt",
+                        text="refused after an attempt with an unknown result",
                         step=type(message).__name__,
                         peer=current.peer,
                     )
                 return reply
+            unanswered = unanswered or reply.result_unknown
             self.learn_replicas(reply.replicas)
             await self._switch_target(current, reply.leader)
             if not reply.leader or reply.leader == current.peer:
--- a/bamboorouter/coordination/scheduling/leader_handler.py
+++ b/bamboorouter/coordination/scheduling/leader_handler.py
@@ -116,19 +116,23 @@
             return messages.Redirect(leader=err.leader)
         except errors.UnknownResultError:
             # The caller resends the message; every message is idempotent.
-            return self.redirect()
+            return self.redirect(result_unknown=True)
         except errors.RefusedError as err:
             return messages.Refusal(code=err.code, text=err.text)
 
-    def redirect(self) -> messages.Redirect:
+    def redirect(self, *, result_unknown: bool = False) -> messages.Redirect:
         """Returns a redirect to the leader.
 
         Its address is empty if the leader is unknown or believed to be this
         replica.
+
+        Args:
+            result_unknown: Whether the message was proposed.
         """
         leader = self.log.leader_address()
         return messages.Redirect(
-            leader="" if leader == self.address else leader
+            leader="" if leader == self.address else leader,
+            result_unknown=result_unknown,
         )
 
     async def _dispatch(
--- a/bamboorouter/protocol/messages.py
+++ b/bamboorouter/protocol/messages.py
@@ -671,10 +671,13 @@
     Attributes:
         leader: Address of the leader; empty if unknown.
         replicas: Known addresses of the replicas of the group.
+        result_unknown: Whether the replica has proposed the call, so that it may
+            still take effect. Otherwise the replica did nothing.
     """
 
     leader: str
     replicas: tuple[str, ...] = ()
+    result_unknown: bool = False
 
 
 class Refusal(base.Wire, frozen=True, kw_only=True, tag=99):
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -143,6 +143,37 @@
         )
         self.assertTrue(is_refused(answer))
 
+    async def test_refusal_after_a_proposal_with_an_unknown_result_is_no_answer(
+        self,
+    ) -> None:
+        """The leader redirects what it has proposed but can't confirm."""
+        attempts = 0
+
+        async def redirect_first(
+            message: messages.Message, peer: link.Link
+        ) -> messages.Message | None:
+            nonlocal attempts
+            del message, peer
+            attempts += 1
+            if attempts == 1:
+                return messages.Redirect(leader="", result_unknown=True)
+            return messages.ReservationReply(state="refused")
+
+        server = await link.serve_links(
+            host="127.0.0.1", port=0, handler=redirect_first
+        )
+        self.addAsyncCleanup(server.close)
+        client = control_client.ControlClient(
+            addresses=(f"127.0.0.1:{server.port}",), time=clock.SystemClock()
+        )
+        self.addAsyncCleanup(client.close)
+        with self.assertRaises(errors.UnknownResultError):
+            await client.call(
+                _reserve(0),
+                timeout_ms=CALL_TIMEOUT_MS,
+                is_refusal=lambda answer: True,
+            )
+
 
 class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
     """Timeouts of calls while no leader answers."""
@@ -198,6 +229,26 @@
         )
         self.assertLess(max(took_s), 1.0)
 
+    async def test_call_that_was_proposed_is_not_called_unsent(self) -> None:
+        """Callers were told that a job never runs, and it ran."""
+
+        async def lose_result(
+            message: messages.Message, peer: link.Link
+        ) -> messages.Message | None:
+            del message, peer
+            return messages.Redirect(leader="", result_unknown=True)
+
+        server = await link.serve_links(
+            host="127.0.0.1", port=0, handler=lose_result
+        )
+        self.addAsyncCleanup(server.close)
+        with self.assertRaises(errors.RequestTimeoutError):
+            await self._make_client(server.port).call(
+                _reserve(0),
+                timeout_ms=900,
+                first_send_timeout_ms=self.FIRST_SEND_TIMEOUT_MS,
+            )
+
     async def test_call_that_was_sent_is_not_called_unsent(self) -> None:
         async def never_reply(
             message: messages.Message, peer: link.Link
