Open a session anew when its worker has grown

What callers would see: during an upgrade, a task that fits only a grown worker may run twice. The leader commits changed capacities in a field that replicas of earlier builds ignore; they refuse the assignment that the others accept, and one that leads next starts the task elsewhere.

The agent now requests another session with the same incarnation and the newest capacity if any announced amount exceeds that of the session, at most once a second. Every build applies `OpenSession` alike.

Why no run suffers: the running session goes on until the leader has answered, and then takes over the new number, capacity and tokens. Polls renew the lease of the runs meanwhile, and orders are carried out; one that is overtaken by a poll with a newer token is rejected by the worker and sent again. A report that is refused while the request is under way doesn't end the session. Nothing is fenced off, so that nothing is stopped if the leader knows of runs on another incarnation.

`tests.test_room_random` also plays growths beyond the sessions, and checks in all plays that no run counts as lost.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -2,13 +2,15 @@
 
 A session binds the agent to one incarnation of its worker. The leader assigns
 the session number, which is the prefix of the session's fencing tokens, so that
-orders of an earlier agent process are rejected. Three loops run:
+orders of an earlier agent process are rejected. Four loops run:
 
 * The poll loop keeps a long poll to the worker open, which reports ends of runs
   without delay and renews the lease of the runs.
 * The report loop reports to the leader, whose replies extend the lease that the
   agent may grant to the worker.
 * The session loop opens a new session when the worker's incarnation changes.
+* The growth loop opens the session anew when the worker's capacity exceeds that
+  of the session; see `session_growth`.
 
 An order that wasn't answered may still be executed seconds later. The agent
 then increments its fencing token and polls again: the worker rejects orders
@@ -34,6 +36,7 @@
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
+from bamboorouter.coordination.workers import session_growth
 from bamboorouter.coordination.workers import session_opening
 from bamboorouter.coordination.workers import start_room
 from bamboorouter.coordination.workers import worker_port
@@ -105,6 +108,12 @@
         self._first = first_announcements.FirstAnnouncements(
             ports=ports, on_refusal=self._log_refusal
         )
+        self._growth = session_growth.SessionGrowth(
+            worker=worker,
+            client=client,
+            time=time,
+            on_opened=self._continue_opened_anew,
+        )
         # Incarnation in whose place another one answered when its session was
         # to be opened; empty if there is none.
         self._refuted = ""
@@ -219,6 +228,7 @@
                 now=announcement.capacity,
             )
             self._report_due.set()
+            self._growth.check()
 
     async def _accept_first(self) -> None:
         """Accepts the first incarnation, once it was checked."""
@@ -414,6 +424,7 @@
         return worker_session.Session(
             announcement=newest,
             number=number,
+            room=announcement.capacity,
             port=port,
             token=session_opening.first_token(number),
             lease=lease,
@@ -423,14 +434,12 @@
     async def _run_session(self, session: worker_session.Session) -> None:
         """Runs the loops of a session until the session ends."""
         self.session = session
-        self.held.ended.log_fields = {
-            "life": session.announcement.incarnation,
-            "session": session.number,
-        }
+        self._set_log_fields(session)
         self.held.begin_session(self.clock.now())
         loops = [
             asyncio.create_task(self._poll_loop(session)),
             asyncio.create_task(self._report_loop(session)),
+            asyncio.create_task(self._growth.run(session)),
         ]
         waiting = asyncio.create_task(self._session_due.wait())
         try:
@@ -452,6 +461,17 @@
                     )
         self._session_due.set()
 
+    def _continue_opened_anew(self, session: worker_session.Session) -> None:
+        """Reports the new number of a session that goes on."""
+        self._set_log_fields(session)
+        self._report_due.set()
+
+    def _set_log_fields(self, session: worker_session.Session) -> None:
+        self.held.ended.log_fields = {
+            "life": session.announcement.incarnation,
+            "session": session.number,
+        }
+
     # --- Polls of the worker -------------------------------------------------
 
     async def _poll_loop(self, session: worker_session.Session) -> None:
@@ -799,6 +819,7 @@
             RouterError: No leader answered.
         """
         sent_ms = self.clock.now()
+        number = session.number
         ends = list(self.held.ends)
         reply = await self.client.call(
             self._build_report(session, sent_ms, ends),
@@ -811,6 +832,10 @@
                 peer=self.worker,
             )
         if not reply.known:
+            # The leader may just have opened the session anew.
+            await self._growth.wait_until_idle()
+            if session.number != number:
+                return True
             events.log(
                 events.SESSION_ENDED, worker=self.worker, session=session.number
             )
--- a/bamboorouter/coordination/workers/session_opening.py
+++ b/bamboorouter/coordination/workers/session_opening.py
@@ -135,6 +135,37 @@
     return begun.number
 
 
+async def open_anew(
+    *,
+    worker: str,
+    announcement: worker_port.Announcement,
+    client: control_client.ControlClient,
+) -> int:
+    """Returns the number of a new session with the current incarnation.
+
+    Its runs aren't affected. Nothing is fenced off: the session isn't opened
+    if the leader knows of runs on another incarnation.
+
+    Args:
+        worker: Name of the worker, the same for all its incarnations.
+        announcement: Newest announcement of the current incarnation.
+        client: Client for calls to the leader.
+
+    Raises:
+        RouterError: The leader didn't answer or didn't open the session.
+    """
+    opened = await _request_session(
+        client, worker, announcement, PreviousIncarnation(), fenced=False
+    )
+    if not opened.opened:
+        raise errors.ProtocolError(
+            text="another incarnation has runs",
+            step="open session anew",
+            peer=worker,
+        )
+    return opened.number
+
+
 async def _request_session(
     client: control_client.ControlClient,
     worker: str,
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -10,6 +10,7 @@
 from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
 
 # Lease of the runs on a worker, which stops them when it expires. It tolerates
@@ -28,6 +29,7 @@
     Attributes:
         announcement: Last announcement of the worker.
         number: Session number.
+        room: Capacity with which the leader has opened the session.
         port: Port to the worker.
         token: Fencing token of the next order.
         lease: Lease of the worker's runs.
@@ -52,6 +54,7 @@
 
     announcement: worker_port.Announcement
     number: int
+    room: common.Resources
     port: worker_port.WorkerPort
     token: int
     lease: run_lease.RunLease
@@ -67,6 +70,18 @@
         default_factory=dict
     )
 
+    def renew(self, *, number: int, token: int, room: common.Resources) -> None:
+        """Continues the session as one that the leader has opened anew.
+
+        Args:
+            number: Number of the new session.
+            token: Lowest fencing token of the new session.
+            room: Capacity with which it was opened.
+        """
+        self.number = number
+        self.token = max(self.token, token)
+        self.room = room
+
     def reachable(self, now: int) -> bool:
         """Returns whether the worker answered a poll recently."""
         return now - self.answered_ms <= MAX_POLL_AGE_MS
--- a/tests/test_room_random.py
+++ b/tests/test_room_random.py
@@ -19,6 +19,7 @@
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import agent_session
+from bamboorouter.coordination.workers import session_growth
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
@@ -43,6 +44,11 @@
 # Sizes of tasks and capacities, in sixteenths of `FULL`.
 TASK_SIZES = (1, 2, 4, 8, 16)
 CAPACITIES = (0, 1, 4, 8, 12, 16, 16, 16)
+GROWING_CAPACITIES = (0, 4, 8, 16, 20, 24, 28, 32)
+# Several growths pass in the real time.
+REQUEST_INTERVAL_MS = 50
+# Sessions opened beyond the first capacity in each play of growths.
+MIN_GROWTHS = 3
 OUTCOMES: tuple[jobs.RunOutcome, ...] = ("done", "done", "done", "failed")
 # All tasks have ended by then although the workers were full.
 MAX_DRAIN_S = 60.0
@@ -62,6 +68,7 @@
     Attributes:
         name: Name of the worker.
         capacity: Capacity that was announced last.
+        choices: Capacities to choose from, in sixteenths of `FULL`.
         violations: Starts that exceeded all these capacities, and starts of
             tasks that run on another worker.
         changes: Capacities announced so far.
@@ -74,11 +81,13 @@
         log: control_fakes.FakeLog,
         choose: random.Random,
         others: dict[str, "ModelWorker"],
+        choices: tuple[int, ...],
     ) -> None:
         super().__init__()
         self.name = name
         self.incarnation = f"{name}@1"
         self.capacity = FULL
+        self.choices = choices
         self.changes = [FULL]
         self.violations: list[str] = []
         self._log = log
@@ -91,7 +100,7 @@
         )
 
     def change_capacity(self) -> None:
-        self.capacity = share(self._choose.choice(CAPACITIES))
+        self.capacity = share(self._choose.choice(self.choices))
         self.changes.append(self.capacity)
 
     async def start(self, order: worker_port.StartRun) -> None:
@@ -159,7 +168,15 @@
 
 
 class RandomRoomTest(unittest.IsolatedAsyncioTestCase):
-    """Capacities, jobs, ends, elections and restarted agents at random."""
+    """Capacities, jobs, ends, elections and restarted agents at random.
+
+    Attributes:
+        capacities: Capacities to choose from, in sixteenths of `FULL`.
+        task_sizes: Sizes of tasks to choose from, in sixteenths of `FULL`.
+    """
+
+    capacities: tuple[int, ...] = CAPACITIES
+    task_sizes: tuple[int, ...] = TASK_SIZES
 
     def setUp(self) -> None:
         patcher = mock.patch.object(
@@ -198,7 +215,7 @@
 
     def accept_job(self) -> None:
         self.jobs += 1
-        size = self.choose.choice(TASK_SIZES)
+        size = self.choose.choice(self.task_sizes)
         gang = size <= 4 and not self.choose.randrange(5)
         step = make.step(
             2 if gang else self.choose.randint(1, 3),
@@ -254,11 +271,15 @@
             if job.active() or job.assigned()
         ]
 
+    def full_capacity(self) -> common.Resources:
+        """Returns a capacity that is enough for each task."""
+        return FULL
+
     async def finish_all(self) -> None:
         """Lets all workers grow back, and ends all runs."""
         for worker in self.workers.values():
-            worker.capacity = FULL
-            worker.changes.append(FULL)
+            worker.capacity = self.full_capacity()
+            worker.changes.append(worker.capacity)
             self.sessions[worker.name].announce(worker.announcement())
 
         def finished() -> bool:
@@ -283,6 +304,7 @@
                 log=self.log,
                 choose=self.choose,
                 others=self.workers,
+                choices=self.capacities,
             )
             await self.start_agent(self.workers[name])
         for _ in range(EVENTS):
@@ -295,10 +317,46 @@
             for violation in worker.violations
         ]
         self.assertEqual(violations, [], f"seed {seed}")
+        lost = [
+            end
+            for command, _ in self.log.history
+            if isinstance(command, job_commands.EndRuns)
+            for end in command.ends
+            if end.how == "lost"
+        ]
+        self.assertEqual(lost, [], f"seed {seed}")
         starts = sum(len(worker.starts) for worker in self.workers.values())
         self.assertGreater(starts, EVENTS // 10, f"seed {seed}")
 
 
+class GrowingRoomTest(RandomRoomTest):
+    """Capacities that exceed those at the opening of the sessions."""
+
+    capacities = GROWING_CAPACITIES
+    task_sizes = (*TASK_SIZES, 20, 24)
+
+    def setUp(self) -> None:
+        super().setUp()
+        patcher = mock.patch.object(
+            session_growth, "MIN_REQUEST_INTERVAL_MS", REQUEST_INTERVAL_MS
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    async def finish_all(self) -> None:
+        grown = [
+            command
+            for command, _ in self.log.history
+            if isinstance(command, job_commands.OpenSession)
+            and not resource_math.fits(command.room, FULL)
+        ]
+        self.assertGreaterEqual(len(grown), MIN_GROWTHS)
+        await super().finish_all()
+
+    def full_capacity(self) -> common.Resources:
+        return share(max(GROWING_CAPACITIES))
+
+
 def _add_plays() -> None:
     """Adds a test for each seed; ROOM_SEEDS replaces the seeds."""
     given = os.environ.get("ROOM_SEEDS", "")
