Replicate a worker's capacity with its session only

The field, `record_rooms`, `changed_rooms`, `jobs.WorkerRoom` and event 640 are removed. The replicated capacity is that of the session. The leader takes the lower of it and the report, as before, so a shrink needs no commit.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -379,7 +379,6 @@
 
     async def _run_pass(self) -> None:
         self.observations.restore()
-        await self.observations.record_rooms()
         await self.observations.record()
         self._require_lease("expire leases")
         await self._expire_leases()
--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -4,9 +4,6 @@
 tasks of crashes are known only from the reports of agents and would be lost
 with the leader. Changes are committed periodically, and a new leader restores
 what was committed before its term.
-
-Changed capacities of workers are committed without delay, because assignments
-are checked against the replicated ones.
 """
 
 from collections.abc import Iterable
@@ -15,10 +12,8 @@
 from typing import Final
 
 from bamboorouter import clock
-from bamboorouter import events
 from bamboorouter.coordination.jobs import crash_survival
 from bamboorouter.coordination.jobs import job_proposals
-from bamboorouter.coordination.jobs import worker_rooms
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
@@ -71,35 +66,6 @@
             self.crash_survival.reset()
             self.interference.restore(self.log.machine.stepped.disturbances)
 
-    async def record_rooms(self) -> None:
-        """Commits the changed capacities of workers.
-
-        Raises:
-            RouterError: The changes may not be committed.
-        """
-        state = self.log.machine.stepped
-        rooms = worker_rooms.changed_rooms(
-            state, (worker.report for worker in self.table.workers.values())
-        )
-        if not rooms:
-            return
-        before = {
-            changed.worker: state.incarnations[changed.worker].room
-            for changed in rooms
-        }
-        await job_proposals.propose(
-            self.log, job_commands.NoteCheckpoints(checkpoints=(), rooms=rooms)
-        )
-        for changed in rooms:
-            events.log(
-                events.WORKER_ROOM_RECORDED,
-                worker=changed.worker,
-                life=changed.life,
-                before=before[changed.worker],
-                now=changed.room,
-                term=self.log.term(),
-            )
-
     async def record(self) -> None:
         """Commits changes, at most once per `RECORD_PERIOD_MS`.
 
--- a/bamboorouter/coordination/jobs/worker_rooms.py
+++ b/bamboorouter/coordination/jobs/worker_rooms.py
@@ -4,20 +4,17 @@
 
 * The newest report has the one that the worker announced last. A leader that
   was just elected doesn't have it yet, and other replicas never have it.
-* The replicated state has the one that was committed last, against which each
-  replica checks assignments.
+* The replicated state has the one with which the agent's session was opened,
+  against which each replica checks assignments.
 
-The leader commits each capacity that differs from the replicated one. Until
-then, the lower amount of each resource counts: a shrunk worker gets no runs
-that exceed its room although the change isn't committed, and no assignment is
-proposed that the state machine refuses because the growth isn't committed.
+The lower amount of each resource counts. A shrunk worker thus gets no runs that
+exceed its room although nothing is committed, and no assignment is proposed
+that the state machine refuses. If a capacity exceeds that of the session, the
+agent opens a new session with it.
 """
 
-from collections.abc import Iterable
-
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
-from bamboorouter.protocol import jobs
 from bamboorouter.state import resource_math
 from bamboorouter.state import stepped_jobs
 
@@ -41,28 +38,3 @@
         # Almost always, and in each pass.
         return report.room
     return resource_math.lowest(incarnation.room, report.room)
-
-
-def changed_rooms(
-    state: stepped_jobs.SteppedJobs,
-    reports: Iterable[job_messages.WorkerReport],
-) -> tuple[jobs.WorkerRoom, ...]:
-    """Returns the reported capacities that differ from the replicated ones.
-
-    Reports of earlier sessions are left out: the current session may have been
-    opened with a newer capacity.
-
-    Args:
-        state: The replicated jobs.
-        reports: Newest report of each worker.
-    """
-    return tuple(
-        jobs.WorkerRoom(
-            worker=report.worker, life=report.life, room=report.room
-        )
-        for report in reports
-        if (incarnation := state.incarnations.get(report.worker)) is not None
-        and (incarnation.life, incarnation.session)
-        == (report.life, report.session)
-        and incarnation.room != report.room
-    )
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -624,12 +624,6 @@
     "A run has gone on for longer than those under which workers crashed; the"
     " crashes under its task no longer count.",
 )
-WORKER_ROOM_RECORDED: Final = _define_event(
-    640,
-    "worker_room_recorded",
-    logging.INFO,
-    "A changed capacity of a worker was committed.",
-)
 WORKER_OVERCOMMITTED: Final = _define_event(
     641,
     "worker_overcommitted",
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -67,12 +67,10 @@
         checkpoints: Checkpoints of runs that are still in progress.
         cleared: Runs that have gone on for longer than those of the task under
             which workers crashed; these crashes don't count any more.
-        rooms: Changed capacities of current incarnations of workers.
     """
 
     checkpoints: tuple[jobs.Checkpoint, ...]
     cleared: tuple[jobs.RunId, ...] = ()
-    rooms: tuple[jobs.WorkerRoom, ...] = ()
 
 
 class NoteDisturbances(base.Wire, frozen=True, kw_only=True, tag=28):
@@ -105,7 +103,8 @@
     Attributes:
         worker: Name of the worker.
         life: ID of the worker's incarnation.
-        room: Capacity of the worker in this incarnation.
+        room: Capacity of the worker, up to which it gets runs until its agent
+            opens another session.
         fenced: Whether orders for earlier incarnations are fenced off and
             can't be carried out any more. If not, the session isn't opened
             while runs are assigned to an earlier incarnation.
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -114,7 +114,7 @@
     Attributes:
         worker: Name of the worker.
         life: ID of the worker's incarnation.
-        room: Capacity of the worker in this incarnation.
+        room: Newest announced capacity of the worker.
         fenced: Whether the worker no longer carries out orders for earlier
             incarnations.
         ends: Ends of runs that were ordered for an earlier incarnation: those
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -182,20 +182,6 @@
     value: str
 
 
-class WorkerRoom(base.Wire, frozen=True, kw_only=True):
-    """The capacity of one incarnation of a worker.
-
-    Attributes:
-        worker: Name of the worker.
-        life: ID of the worker's incarnation.
-        room: Its capacity.
-    """
-
-    worker: str
-    life: str
-    room: common.Resources
-
-
 class Disturbance(base.Wire, frozen=True, kw_only=True):
     """Learned interference between tasks of two images on one worker.
 
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -50,7 +50,7 @@
     Attributes:
         life: ID of the incarnation.
         session: Number of the newest session of its agent.
-        room: Capacity of the worker, as committed last.
+        room: Capacity of the worker when that session was opened.
     """
 
     life: str
@@ -326,11 +326,7 @@
     def note_checkpoints(
         self, command: job_commands.NoteCheckpoints
     ) -> commands.Result:
-        """Records checkpoints and capacities, and clears suspects."""
-        for noted in command.rooms:
-            incarnation = self.incarnations.get(noted.worker)
-            if incarnation is not None and incarnation.life == noted.life:
-                incarnation.room = noted.room
+        """Records checkpoints, and clears suspects."""
         for checkpoint in command.checkpoints:
             task = self.task(checkpoint.task)
             if (
