Refuse an upstream that no request can reach

The agent took the announcement of an upstream whose URL has no host or an impossible port. Requests were routed to it, and each failed until the upstream was silent for 30 s. Such an announcement is now answered with 400.

tests.test_odd_entries.UpstreamTest failed before for six URLs.

--- a/bamboorouter/roles/agent_local.py
+++ b/bamboorouter/roles/agent_local.py
@@ -15,6 +15,7 @@
 
 from aiohttp import web
 import msgspec
+import yarl
 
 from bamboorouter import clock
 from bamboorouter import events
@@ -124,6 +125,8 @@
             body = json_body.decode(await request.read(), Announcement)
         except (msgspec.DecodeError, msgspec.ValidationError) as err:
             return web.json_response({"text": str(err)}, status=400)
+        if problem := _find_url_problem(body.url):
+            return web.json_response({"text": problem}, status=400)
         known = self.announced.get(body.id)
         if known is None and len(self.announced) >= MAX_UPSTREAMS:
             text = (
@@ -153,3 +156,12 @@
             self._on_change()
         in_progress = self._in_progress().get(name, 0)
         return web.json_response({"in_progress": in_progress})
+
+
+def _find_url_problem(url: str) -> str:
+    """Returns why no request can be sent to a URL; empty if one can."""
+    try:
+        port = yarl.URL(url).port
+    except ValueError as err:
+        return f"url: {err}"
+    return "" if url.isascii() and port else "url: invalid host or port"
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -38,6 +38,7 @@
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import sheet
 from bamboorouter.protocol import value_limits
+from bamboorouter.roles import agent_local
 from bamboorouter.roles import operator_api
 from bamboorouter.roles import worker_client
 from bamboorouter.transport import link
@@ -388,6 +389,51 @@
                 self.assertEqual(await self.status(arguments), 200)
 
 
+class UpstreamTest(unittest.IsolatedAsyncioTestCase):
+    """Announcements of upstreams on the VM of an agent of the product."""
+
+    async def asyncSetUp(self) -> None:
+        self.local = agent_local.AgentLocal(
+            host="127.0.0.1",
+            port=0,
+            time=clock.SystemClock(),
+            in_progress=dict,
+            on_change=lambda: None,
+        )
+        await self.local.start()
+        self.addAsyncCleanup(self.local.close)
+
+    async def status(self, body: bytes) -> int:
+        url = f"http://127.0.0.1:{self.local.port}/upstreams"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, data=body) as response,
+        ):
+            return response.status
+
+    async def test_upstream_that_no_request_can_reach(self) -> None:
+        """Guards against requests that are given to it and fail."""
+        valid = {"id": "a", "service": "s", "url": "http://127.0.0.1:80/x"}
+        self.assertEqual(await self.status(encode(valid)), 200)
+        odd_fields: tuple[dict[str, Any], ...] = (
+            {"url": "http://127.0.0.1:99999/"},
+            {"url": "http://127.0.0.1:0/"},
+            {"url": "http://127.0.0.1:x/"},
+            {"url": "http://127.0.0.1:\u0668\u0660/"},
+            {"url": "http://[/"},
+            {"url": "http://:80/"},
+            {"id": "b" * 200},
+            {"service": 7},
+            {"more": [[[]]]},
+        )
+        for fields in odd_fields:
+            with self.subTest(fields):
+                odd = {**valid, "id": "b", **fields}
+                self.assertEqual(await self.status(encode(odd)), 400)
+        self.assertEqual(list(self.local.announced), ["a"])
+        self.assertEqual(await self.status(b'{"id":' + b"[" * 15_000), 400)
+
+
 class WorkerAnswerTest(unittest.TestCase):
     """Answers of a worker of the product."""
 
