--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -124,6 +124,8 @@
         )
         if len(fields) > _FIELDS_WITHOUT_STEPS:
             self.stepped.restore(fields[_FIELDS_WITHOUT_STEPS])
+        else:
+            self.stepped.restore(stepped_jobs.SteppedJobs().snapshot())
         self.applied_index = index
         self.now_ms = now_ms
         self.plan.restore(plan_state)
--- a/tests/test_stepped_jobs.py
+++ b/tests/test_stepped_jobs.py
@@ -5,6 +5,7 @@
 import cbor2
 
 from bamboorouter.protocol import codec
+from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import jobs
 from bamboorouter.state import machine
@@ -327,6 +328,21 @@
         restored.restore(cbor2.dumps(fields))
         self.assertEqual(restored.stepped.jobs, {})
 
+    def test_snapshot_from_before_jobs_with_steps_replaces_all_jobs(
+        self,
+    ) -> None:
+        """A replica that is behind may get the snapshot of an older leader."""
+        accepted_jobs = make.Jobs()
+        accepted_jobs.open_session()
+        accepted_jobs.accept("a", make.step())
+        accepted_jobs.start(make.ref(index=0))
+        empty = machine.Machine().snapshot()
+        restored = machine.Machine()
+        restored.stepped.restore(accepted_jobs.state.snapshot())
+        restored.restore(cbor2.dumps(codec.loads(empty)[:8]))
+        self.assertEqual(codec.loads(restored.snapshot()), codec.loads(empty))
+        self.assertEqual(restored.stepped.used_on("w1"), common.Resources())
+
 
 if __name__ == "__main__":
     unittest.main()
