Record an internal error of a keyed request as an unknown outcome

The outcome unknown is now recorded with the reservation, and the caller is answered as before. The new test fails before: the reservation has no outcome.

--- a/bamboorouter/coordination/requests/request_dispatch.py
+++ b/bamboorouter/coordination/requests/request_dispatch.py
@@ -140,7 +140,18 @@
         earlier_reply = await self.reservations.reserve(request)
         if earlier_reply is not None:
             return earlier_reply
-        reply = await self._run_attempts(request)
+        try:
+            reply = await self._run_attempts(request)
+        except Exception as err:  # pylint: disable=broad-except
+            # Without an outcome, the key would be reserved until it expires.
+            events.log(
+                events.REQUEST_FAULT,
+                request=request.request_id,
+                error=repr(err),
+            )
+            reply = caller_requests.error_reply(
+                "unknown", error_texts.NO_ANSWER, detail="internal error"
+            )
         return await self.reservations.record(request, reply)
 
     async def _run_attempts(
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -5,10 +5,13 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 from aiohttp import web
 
+from bamboorouter import error_texts
 from bamboorouter.coordination.requests import agent_links
+from bamboorouter.coordination.requests import request_dispatch
 from tests import request_site
 
 
@@ -217,6 +220,29 @@
         self.assertLess(time.monotonic() - started, 4.0)
         self.assertEqual(self.runs["50"], 0)
 
+    async def test_internal_error_ends_the_reservation_as_unknown(
+        self,
+    ) -> None:
+        """Guards against a key that stays reserved for its whole retention."""
+        headers = {"Idempotency-Key": request_site.key(60)}
+        url = f"{self.site.url}/entries/60"
+        with mock.patch.object(
+            request_dispatch.RequestDispatcher,
+            "_attempt",
+            side_effect=RuntimeError("unexpected"),
+        ):
+            first = await self.site.client.post(url, headers=headers)
+        self.assertEqual(first.headers["Bamboorouter-Outcome"], "unknown")
+        (reservation,) = self.site.leader.reservations.values()
+        assert reservation.outcome is not None
+        self.assertEqual(reservation.outcome.outcome, "unknown")
+        again = await self.site.client.post(url, headers=headers)
+        self.assertEqual(again.headers["Bamboorouter-Outcome"], "unknown")
+        self.assertNotEqual(
+            again.headers["Bamboorouter-Code"], error_texts.OTHER_ATTEMPT
+        )
+        self.assertEqual(self.runs["60"], 0)
+
     async def test_lost_vm_costs_no_idempotent_request(self) -> None:
         """Guards against failed requests while routes still name a lost VM."""
         lost = self.vms[0]
