Give jobs up only for crashes under runs that had started

A run that may have been on its worker counted like one that was.

Records of given-up runs now tell whether the worker had confirmed the start, by its answer or a list. The agent tells this with the end of a lost run, and for the runs that it holds with the request for a session; the leader adds what its newest report of the incarnation listed. Two to four crashes convict only if they are confirmed, and only upon a confirmed one. The limit of five counts all crashes, so that a task whose starts are never answered isn't started a sixth time. Crashes that aren't confirmed still make a task a suspect for placement.

A task whose starts are answered is still given up after four crashes at most, with elections between.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -405,8 +405,16 @@
             lease_end_ms = self.table.lease_end_ms(worker)
             if not tasks or now < lease_end_ms:
                 continue
+            listed = self.table.listed_runs(
+                worker, state.incarnations[worker].life
+            )
             ends = [
-                jobs.RunEnd(task=ref, attempt=task.attempt, how="lost")
+                jobs.RunEnd(
+                    task=ref,
+                    attempt=task.attempt,
+                    how="lost",
+                    started=(ref, task.attempt) in listed,
+                )
                 for ref, task in tasks.items()
             ]
             events.log(
--- a/bamboorouter/coordination/jobs/incarnation_ends.py
+++ b/bamboorouter/coordination/jobs/incarnation_ends.py
@@ -5,6 +5,10 @@
 the worker has seen which of both happened, unless its process was restarted
 meanwhile. Then the newest report that the leader has of the incarnation decides.
 
+Only a run whose start the worker has confirmed can have crashed it for certain.
+The agent tells which of the runs that it holds are; the newest report adds those
+that it lists as running.
+
 Neither a partition, nor an expired lease, nor a lost machine ends an
 incarnation: only a session with another incarnation proves that it is over.
 """
@@ -18,6 +22,7 @@
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
 from bamboorouter.state import stepped_jobs
 
 NOT_ENDED: Final = job_commands.IncarnationEnd()
@@ -43,14 +48,22 @@
         return NOT_ENDED
     how: Literal["crashed", "left", "unknown"] = "unknown"
     silent_ms = 0
+    started = table.listed_runs(message.worker, current.life)
     known = table.workers.get(message.worker)
     if message.previous == current.life:
         how = "left" if message.previous_left else "crashed"
         silent_ms = max(0, message.silent_ms)
+        started |= {(run.task, run.attempt) for run in message.started}
     elif known is not None and known.report.life == current.life:
         how = "left" if known.report.draining else "crashed"
     return job_commands.IncarnationEnd(
-        life=current.life, how=how, over_ms=wall_ms - silent_ms
+        life=current.life,
+        how=how,
+        over_ms=wall_ms - silent_ms,
+        started=tuple(
+            jobs.RunId(task=task, attempt=attempt)
+            for task, attempt in sorted(started)
+        ),
     )
 
 
@@ -86,12 +99,13 @@
         ("suspects", events.CRASH_SUSPECTED),
         ("given_up", events.CRASHING_TASK_GIVEN_UP),
     ):
-        for task, crashes in result.data[decision]:
+        for task, crashes, confirmed in result.data[decision]:
             metrics.CRASH_SUSPECTS.labels(decision).inc()
             events.log(
                 event,
                 task=task,
                 crashes=crashes,
+                confirmed=confirmed,
                 worker=message.worker,
                 life=end.life,
                 term=term,
--- a/bamboorouter/coordination/jobs/worker_table.py
+++ b/bamboorouter/coordination/jobs/worker_table.py
@@ -18,6 +18,7 @@
 
 from bamboorouter.protocol import common
 from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
 from bamboorouter.state import resource_math
 from bamboorouter.transport import link
 
@@ -137,6 +138,23 @@
         )
         return True
 
+    def listed_runs(self, worker: str, life: str) -> set[jobs.RunKey]:
+        """Returns the runs that an incarnation listed as running.
+
+        Args:
+            worker: Name of the worker.
+            life: ID of the incarnation.
+
+        Returns:
+            Those in the newest report; none if that is of another incarnation.
+        """
+        known = self.workers.get(worker)
+        if known is None or known.report.life != life:
+            return set()
+        return {
+            (run.task, run.attempt) for run in known.report.runs if run.running
+        }
+
     def is_complete(self, now: int) -> bool:
         """Whether every live worker has had time to report."""
         return now - self.elected_ms >= SILENT_MS
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -390,6 +390,7 @@
                     previous,
                     announcement,
                     (pending.end for pending in self.held.ends),
+                    self.held.started(),
                     self.clock.now(),
                 ),
             )
@@ -696,6 +697,7 @@
                 self._log_failed_order(run, err)
                 self._resolve_by_poll(session, run)
                 return
+            run.started = True
             if run.phase == "starting":
                 run.phase = "running"
                 run.since_ms = self.clock.now()
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -73,6 +73,8 @@
         pace: Last ordered speed, in percent of full speed.
         stop_reserves: What the run reserves on the worker according to its
             stop order; None if unknown.
+        started: Whether the worker has answered the start order or listed the
+            run. Unlike the phase, it outlasts the session.
     """
 
     task: jobs.TaskRef
@@ -89,6 +91,7 @@
     missed: int = 0
     pace: int = 100
     stop_reserves: common.Resources | None = None
+    started: bool = False
 
     def reserves(self) -> common.Resources | None:
         """Returns what the run reserves on the worker; None if unknown."""
@@ -282,6 +285,7 @@
                     attempt=run.attempt,
                     how=how,
                     checkpoint=checkpoint,
+                    started=run.started,
                 ),
             )
         )
@@ -309,6 +313,14 @@
         self.newest_view_ms = 0
         self.newest_view_received_ms = 0
 
+    def started(self) -> tuple[jobs.RunId, ...]:
+        """Returns the runs whose start the worker has confirmed."""
+        return tuple(
+            jobs.RunId(task=run.task, attempt=run.attempt)
+            for run in self.runs.values()
+            if run.started
+        )
+
     def confirm(self, confirmed: Iterable[PendingEnd]) -> None:
         """Removes ends that the leader has confirmed."""
         done = {id(pending) for pending in confirmed}
@@ -398,6 +410,7 @@
                 since_ms=sent_ms,
                 stop_ordered=inferred is not None and inferred.stop_ordered,
             )
+        run.started = True
         if run.phase != "running":
             run.phase = "running"
             run.since_ms = sent_ms
--- a/bamboorouter/coordination/workers/session_opening.py
+++ b/bamboorouter/coordination/workers/session_opening.py
@@ -50,18 +50,21 @@
         silent_ms: Time since its first unanswered call, in ms; 0 if unknown.
         ends: Ends of its runs that the leader hasn't confirmed. A run that has
             ended must not be restarted when the session begins.
+        started: Its runs that haven't ended and whose start it has confirmed.
     """
 
     name: str = ""
     left: bool = False
     silent_ms: int = 0
     ends: tuple[jobs.RunEnd, ...] = ()
+    started: tuple[jobs.RunId, ...] = ()
 
 
 def previous_incarnation(
     session: worker_session.Session | None,
     announcement: worker_port.Announcement,
     ends: Iterable[jobs.RunEnd],
+    started: tuple[jobs.RunId, ...],
     now: int,
 ) -> PreviousIncarnation:
     """Returns the incarnation that an announced one replaces.
@@ -70,6 +73,7 @@
         session: The agent's last session; None if there is none.
         announcement: The announcement.
         ends: Ends of runs that the leader hasn't confirmed.
+        started: Runs that haven't ended and whose start is confirmed.
         now: Current time in ms on the agent's clock.
     """
     if session is None:
@@ -82,6 +86,7 @@
         left=last.draining,
         silent_ms=session.silent_ms(now),
         ends=tuple(ends),
+        started=started,
     )
 
 
@@ -156,6 +161,7 @@
             previous=previous.name,
             previous_left=previous.left,
             silent_ms=previous.silent_ms,
+            started=previous.started,
         ),
         timeout_ms=OPEN_TIMEOUT_MS,
     )
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -608,8 +608,8 @@
     631,
     "crash_suspected",
     logging.WARNING,
-    "Two or more workers have crashed under a task; it is started on workers"
-    " with few other runs.",
+    "Two or more workers have crashed under a task, `confirmed` of them after"
+    " its start was confirmed; it is started on workers with few other runs.",
 )
 CRASHING_TASK_GIVEN_UP: Final = _define_event(
     632,
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -90,11 +90,14 @@
             did, "unknown" if nobody knows.
         over_ms: Wall time of the leader by which it was over, in ms since the
             epoch.
+        started: Runs on it whose start the worker has confirmed, as far as
+            their ends don't tell.
     """
 
     life: str = ""
     how: Literal["crashed", "left", "unknown"] = "unknown"
     over_ms: int = 0
+    started: tuple[jobs.RunId, ...] = ()
 
 
 class OpenSession(base.Wire, frozen=True, kw_only=True, tag=25):
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -126,6 +126,8 @@
             over; empty if the agent knows of none.
         previous_left: Whether that incarnation drained or announced its end.
         silent_ms: Time in ms since its first unanswered call; 0 if unknown.
+        started: Runs of that incarnation that the agent holds and whose start
+            the worker has confirmed.
     """
 
     worker: str
@@ -137,6 +139,7 @@
     previous: str = ""
     previous_left: bool = False
     silent_ms: int = 0
+    started: tuple[jobs.RunId, ...] = ()
 
 
 class WorkerSession(base.Wire, frozen=True, kw_only=True, tag=141):
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -160,12 +160,15 @@
         attempt: Number of the attempt.
         how: Outcome of the run.
         checkpoint: Checkpoint to resume from; empty if none is known.
+        started: If the run is lost, whether its worker had confirmed the start
+            by an answer or a list of its runs.
     """
 
     task: TaskRef
     attempt: int
     how: RunOutcome
     checkpoint: str = ""
+    started: bool = False
 
 
 class Checkpoint(base.Wire, frozen=True, kw_only=True):
--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -3,17 +3,19 @@
 All tasks that ran on a worker when it crashed are suspects, since the crash
 doesn't tell which of them caused it. Workers also crash by themselves, but
 rarely just after the start of the same task, or at the same age of its runs. A
-task is given up
+crash is confirmed if the worker had confirmed the start of the run; otherwise
+the start order may not have been carried out. All numbers but the last are
+numbers of confirmed crashes. A task is given up
 
 * after two early crashes, if no run of another job started as recently there;
 * after three crashes with two early ones, if no task of another job there was
   as suspicious;
 * after four crashes that include two early ones or came at the same age, unless
   a task of another job there was more suspicious;
-* after five crashes in any case.
+* after five crashes in any case, confirmed or not.
 
 So a task that crashes each worker when it starts is started at most four times,
-or five times if one of the crashes isn't known.
+or five times if one of the crashes isn't known or starts weren't answered.
 """
 
 from collections.abc import Iterable
@@ -38,10 +40,13 @@
 
     Attributes:
         ref: The task.
-        crashes: Number of crashes under it, with this one.
+        crashes: Number of confirmed crashes under it, with this one.
         early: Number of these that came soon after the assignment.
-        early_now: Whether this one did.
-        age_spread_ms: Difference between the ages of its runs at the crashes.
+        early_now: Whether this one did, confirmed or not.
+        age_spread_ms: Difference between the ages of its runs at the confirmed
+            crashes.
+        unconfirmed: Number of its other crashes.
+        confirmed_now: Whether this crash is confirmed.
     """
 
     ref: jobs.TaskRef
@@ -49,6 +54,13 @@
     early: int
     early_now: bool
     age_spread_ms: int = 0
+    unconfirmed: int = 0
+    confirmed_now: bool = True
+
+    @property
+    def total(self) -> int:
+        """Number of all crashes, confirmed or not."""
+        return self.crashes + self.unconfirmed
 
     def rank(self) -> tuple[int, int]:
         """Returns how suspicious the task is; higher is more so."""
@@ -59,6 +71,7 @@
     """Returns the number of crashes that a task may have caused.
 
     One crash that wasn't early doesn't count: workers crash by themselves.
+    Crashes that aren't confirmed count, since placement gives no task up.
     """
     return max(task.early_crashes, task.crashes - 1, 0)
 
@@ -77,8 +90,10 @@
     # Tasks of one job fail together.
     others = [other for other in suspects if other.ref.job != task.ref.job]
     highest = max((other.rank() for other in others), default=(0, 0))
-    if task.crashes >= MAX_CRASHES:
+    if task.total >= MAX_CRASHES:
         return True
+    if not task.confirmed_now:
+        return False
     often_early = task.early >= MIN_EARLY_CRASHES
     if task.crashes >= MIN_CRASHES_IF_TIED:
         same_age = task.age_spread_ms < SAME_AGE_MS
--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -8,8 +8,11 @@
 If the incarnation of a worker crashes, each task that had a lost run there gets
 one crash, however many runs it lost there. A crash is early if the run was
 assigned shortly before: a task that crashes its workers does so when it starts,
-and few others start at the same time. Each task keeps its newest records only,
-those of lost runs before those of rejected ones.
+and few others start at the same time. A crash is confirmed if the worker had
+confirmed the start of a run there: an order that wasn't answered may have been
+carried out, but a worker that had crashed before leaves it unanswered as well.
+Each task keeps its newest records only, those of lost runs before those of
+rejected ones.
 """
 
 from collections.abc import Iterable
@@ -52,7 +55,12 @@
                 self._unlink(ref, run)
 
     def add(
-        self, ref: jobs.TaskRef, task: job_records.Task, *, lost: bool
+        self,
+        ref: jobs.TaskRef,
+        task: job_records.Task,
+        *,
+        lost: bool,
+        started: bool,
     ) -> None:
         """Records that the newest attempt of a task is given up.
 
@@ -60,6 +68,7 @@
             ref: Reference of the task.
             task: The task.
             lost: Whether the run may have been on its worker.
+            started: Whether the worker had confirmed its start.
         """
         run = job_records.GivenUpRun(
             attempt=task.attempt,
@@ -67,6 +76,7 @@
             life=task.life,
             assigned_ms=task.assigned_ms,
             lost=lost,
+            started=started,
         )
         kept = list(task.given_up)
         if len(kept) >= MAX_RUNS_PER_TASK:
@@ -94,12 +104,18 @@
     def clear_crashes(self, ref: jobs.TaskRef, task: job_records.Task) -> None:
         """Clears the crashes of a task, and the records that they rest on."""
         task.crashes = task.early_crashes = task.crash_age_ms = 0
+        task.confirmed_crashes = task.confirmed_early_crashes = 0
         self._replace(
             ref, task, tuple(run for run in task.given_up if not counts(run))
         )
 
     def count_crash(
-        self, worker: str, life: str, *, over_ms: int
+        self,
+        worker: str,
+        life: str,
+        *,
+        over_ms: int,
+        started: Iterable[jobs.RunId] = (),
     ) -> list[TaskRecord]:
         """Counts the crash of an incarnation for the tasks with lost runs.
 
@@ -107,11 +123,14 @@
             worker: Name of the worker.
             life: ID of the incarnation.
             over_ms: Wall time in ms by which it was over.
+            started: Runs there whose start is confirmed, beside those whose
+                records say so.
 
         Returns:
             The tasks, in the order of their references.
         """
         counted = []
+        confirmed = {(run.task, run.attempt) for run in started}
         for ref, task in sorted(self._tasks.get((worker, life), {}).items()):
             new = [
                 run
@@ -120,19 +139,25 @@
             ]
             if not new:
                 continue
-            task.crashes += 1
             task.crash_age_ms = max(_age_ms(run, over_ms) for run in new)
-            task.early_crashes += crashed_early(task)
             # One record stands for the crash, so that it is revoked only once.
+            known = [
+                run
+                for run in new
+                if run.started or (ref, run.attempt) in confirmed
+            ]
+            kept = (known or new)[-1]
+            crash = dataclasses.replace(
+                kept, crash_age_ms=task.crash_age_ms, started=bool(known)
+            )
+            _count(task, crash, 1)
             self._replace(
                 ref,
                 task,
                 tuple(
-                    dataclasses.replace(run, crash_age_ms=task.crash_age_ms)
-                    if run is new[-1]
-                    else run
+                    crash if run is kept else run
                     for run in task.given_up
-                    if run is new[-1] or run not in new
+                    if run is kept or run not in new
                 ),
             )
             counted.append((ref, task))
@@ -180,8 +205,10 @@
 
 
 def crash_age_spread_ms(task: job_records.Task) -> int:
-    """Returns how far the ages at the last crashes under a task differ."""
-    ages = [run.crash_age_ms for run in task.given_up if counts(run)]
+    """Returns how far the ages at the confirmed crashes under a task differ."""
+    ages = [
+        run.crash_age_ms for run in task.given_up if counts(run) and run.started
+    ]
     return max(ages, default=0) - min(ages, default=0)
 
 
@@ -190,6 +217,15 @@
     return task.crash_age_ms <= EARLY_CRASH_MS
 
 
+def crash_confirmed(task: job_records.Task, worker: str, life: str) -> bool:
+    """Returns whether the counted crash of an incarnation is confirmed."""
+    return any(
+        run.started
+        for run in task.given_up
+        if _is_on(run, worker, life) and counts(run)
+    )
+
+
 def find_run(
     task: job_records.Task, attempt: int
 ) -> job_records.GivenUpRun | None:
@@ -202,11 +238,22 @@
 
 def _uncount(task: job_records.Task, run: job_records.GivenUpRun) -> None:
     """Takes back the crash that a run stands for, if any."""
-    if not counts(run):
-        return
-    task.crashes = max(0, task.crashes - 1)
-    if run.crash_age_ms <= EARLY_CRASH_MS:
-        task.early_crashes = max(0, task.early_crashes - 1)
+    if counts(run):
+        _count(task, run, -1)
+
+
+def _count(
+    task: job_records.Task, run: job_records.GivenUpRun, by: int
+) -> None:
+    """Adds the crash that a run stands for to those of its task, `by` times."""
+    early = by * (run.crash_age_ms <= EARLY_CRASH_MS)
+    task.crashes = max(0, task.crashes + by)
+    task.early_crashes = max(0, task.early_crashes + early)
+    if run.started:
+        task.confirmed_crashes = max(0, task.confirmed_crashes + by)
+        task.confirmed_early_crashes = max(
+            0, task.confirmed_early_crashes + early
+        )
 
 
 def _is_on(run: job_records.GivenUpRun, worker: str, life: str) -> bool:
--- a/bamboorouter/state/job_records.py
+++ b/bamboorouter/state/job_records.py
@@ -32,6 +32,7 @@
         crash_age_ms: If the incarnation has crashed and the crash is counted
             for the task, upper bound for the age of the run at the crash, in
             ms; otherwise `NO_CRASH`.
+        started: Whether the worker had confirmed the start of the run.
     """
 
     attempt: int
@@ -40,6 +41,7 @@
     assigned_ms: int
     lost: bool
     crash_age_ms: int = NO_CRASH
+    started: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -58,10 +60,13 @@
             since the epoch; 0 if unknown.
         given_up: Newest runs that were given up (see `given_up_runs`).
         crashes: Number of incarnations of workers that crashed while a run of
-            the task was on them, since it was last cleared.
+            the task was or may have been on them, since it was last cleared.
         early_crashes: Number of those that came soon after the assignment.
         crash_age_ms: Upper bound for the age of the run at the last of these
             crashes, in ms.
+        confirmed_crashes: Number of these crashes under runs whose start the
+            worker had confirmed.
+        confirmed_early_crashes: Number of the early ones among them.
     """
 
     status: TaskStatus = "waiting"
@@ -75,6 +80,8 @@
     crashes: int = 0
     early_crashes: int = 0
     crash_age_ms: int = 0
+    confirmed_crashes: int = 0
+    confirmed_early_crashes: int = 0
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -304,13 +304,20 @@
         tasks = [
             crash_conviction.CrashedTask(
                 ref=ref,
-                crashes=task.crashes,
-                early=task.early_crashes,
+                crashes=task.confirmed_crashes,
+                early=task.confirmed_early_crashes,
+                unconfirmed=task.crashes - task.confirmed_crashes,
+                confirmed_now=given_up_runs.crash_confirmed(
+                    task, command.worker, ended.life
+                ),
                 early_now=given_up_runs.crashed_early(task),
                 age_spread_ms=given_up_runs.crash_age_spread_ms(task),
             )
             for ref, task in self.given_up.count_crash(
-                command.worker, ended.life, over_ms=ended.over_ms
+                command.worker,
+                ended.life,
+                over_ms=ended.over_ms,
+                started=ended.started,
             )
             if task.status in ("waiting", "assigned")
             and self.jobs[ref.job].active()
@@ -321,7 +328,7 @@
             assert task is not None
             self._fail(self.jobs[crashed.ref.job], task)
         return [
-            task for task in tasks if task.crashes > 1 and task not in convicted
+            task for task in tasks if task.total > 1 and task not in convicted
         ], convicted
 
     def note_checkpoints(
@@ -494,7 +501,9 @@
         group = self.group_of(end.task)
         self._release(end.task, task)
         if tracked and end.how in ("lost", "rejected"):
-            self.given_up.add(end.task, task, lost=end.how == "lost")
+            self.given_up.add(
+                end.task, task, lost=end.how == "lost", started=end.started
+            )
         if end.checkpoint:
             for _, member in group:
                 member.checkpoint = end.checkpoint
@@ -609,9 +618,9 @@
 
 def _crashes(
     tasks: Iterable[crash_conviction.CrashedTask],
-) -> list[tuple[str, int]]:
-    """Returns the names of tasks and their crashes, for a result."""
-    return [(str(task.ref), task.crashes) for task in tasks]
+) -> list[tuple[str, int, int]]:
+    """Returns tasks with their crashes and confirmed ones, for a result."""
+    return [(str(task.ref), task.total, task.crashes) for task in tasks]
 
 
 def _refused(code: str, **values: object) -> commands.Result:
