Place no filling task on a worker that is over its capacity

A job that fills didn't start for as long as a worker whose capacity had shrunk below what its serving tasks reserve ranked best, though another worker had room.

The placement counts a quarter of the processor time of serving tasks as unused, also beyond the capacity. The state machine and the agent refuse any start on such a worker, so the same assignment was proposed and refused in each pass.

The placement now applies the check of the state machine. Shown by a test of the dispatcher that timed out before.

--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -128,7 +128,11 @@
         ):
             return False
         if fills:
-            return need.millicores <= self.headroom()
+            # No task starts on a worker that is over its capacity.
+            return (
+                self.used_millicores <= self.millicores
+                and need.millicores <= self.headroom()
+            )
         return self.used_millicores + need.millicores <= self.millicores
 
     def add(
--- a/tests/test_worker_room.py
+++ b/tests/test_worker_room.py
@@ -180,6 +180,26 @@
                 [stop.reserves for stop in reply.orders.stops], [reserves]
             )
 
+    async def test_filling_task_skips_a_worker_that_is_over_its_room(
+        self,
+    ) -> None:
+        """Serving tasks usually leave processor time there, but no room."""
+        serving = make.step(
+            image="desk",
+            target_ms=100,
+            lasting=True,
+            need=make.need(60_000, 1000),
+        )
+        shrunk = await self.start_on("w1", "a", serving)
+        await self.report_room(shrunk, make.need(58_000, 250_000), make.ref())
+        other = await self.connect_agent("w2")
+        await self.report_room(other, make.need(9000, 250_000))
+        await self.submit(
+            "b", make.step(fills=True, image="x", need=make.need(8000, 1000))
+        )
+        await self.until(other.started)
+        self.assertEqual(shrunk.started(), [make.ref()])
+
     async def test_worker_without_any_room_gets_nothing(self) -> None:
         agent = await self.connect_agent()
         await self.report_room(agent, common.Resources())
