Count the runs of ended jobs as suspects of a crash

A job was given up after two crashes although a run of another job that started as recently was on each of the workers, if that job had been cancelled or had failed meanwhile.

Tasks of ended jobs were left out before the suspects were compared, but their runs go on until they are stopped, and may crash their workers. So the only suspect left was an innocent one.

Now all tasks that had a run there are compared, and only active jobs are given up. Shown by a test of both ends of a job, which failed before.

--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -311,17 +311,25 @@
             for ref, task in self.given_up.count_crash(
                 command.worker, ended.life, over_ms=ended.over_ms
             )
-            if task.status in ("waiting", "assigned")
-            and self.jobs[ref.job].active()
+            if task.status != "done"
+        ]
+        # The runs of an ended job go on until they are stopped, so that they
+        # are suspects as well.
+        convicted = [
+            task
+            for task in crash_conviction.convicted(tasks)
+            if self.jobs[task.ref.job].active()
         ]
-        convicted = crash_conviction.convicted(tasks)
         for crashed in convicted:
             task = self.task(crashed.ref)
             assert task is not None
             self._fail(self.jobs[crashed.ref.job], task)
-        return [
-            task for task in tasks if task.crashes > 1 and task not in convicted
-        ], convicted
+        suspects = [
+            task
+            for task in tasks
+            if task.crashes > 1 and self.jobs[task.ref.job].active()
+        ]
+        return suspects, convicted
 
     def note_checkpoints(
         self, command: job_commands.NoteCheckpoints
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -296,6 +296,28 @@
         self.assertEqual(self.job_state(), "failed")
         self.assertEqual(self.job_state("b"), "running")
 
+    def test_task_of_an_ended_job_leaves_open_who_is_to_blame(self) -> None:
+        """The runs of an ended job go on until they are stopped."""
+        for end in ("cancelled", "failed"):
+            with self.subTest(end=end):
+                self.setUp()
+                self.jobs.accept("b", make.step(2))
+                killer = make.ref("b")
+                self.crash(make.ref(), killer)
+                self.start(killer, "w2")
+                self.start(make.ref(), "w2")
+                if end == "cancelled":
+                    self.state.cancel(job_commands.CancelSteps(job="b"))
+                else:
+                    other = make.ref("b", index=1)
+                    self.crash(other, worker="w3")
+                    self.crash(other, worker="w4")
+                self.assertEqual(self.job_state("b"), end)
+                self.open("w2")
+                self.assertEqual(self.task().early_crashes, 2)
+                self.assertEqual(self.job_state(), "running")
+                self.assertEqual(self.job_state("b"), end)
+
     def test_tasks_of_one_job_are_no_excuse_for_each_other(self) -> None:
         self.jobs.accept("b", make.step(2))
         both = (make.ref("b"), make.ref("b", index=1))
