Keep suspects off workers on which they failed

A task under which a worker had crashed was started again on the worker on which it had failed before, and could use up its attempts there.

The exposure to a crash came before the score, which holds the penalty for an earlier failure; and a worker that fails its runs at once has the fewest. Other tasks returned to such a worker if the rest had suspects.

Earlier failures of the task now come first in the ranking, in place of the penalty. Shown by a test of both kinds of tasks, which failed before.

--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -18,7 +18,8 @@
 * A suspect, a task that may have crashed a worker, goes to the suitable worker
   with the least suspicious other runs and, among these, with the fewest runs:
   its next crash then tells more and costs less. Other tasks avoid workers with
-  a task that several workers have crashed under.
+  a task that several workers have crashed under. Both first avoid workers on
+  which they failed: a worker that fails its runs has few of them.
 """
 
 from collections.abc import Iterable
@@ -35,9 +36,6 @@
 from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
 
-# Score penalty for a worker on which the task failed before. It exceeds all
-# other terms, so that such a worker is used only if no other one fits.
-FAILURE_PENALTY_MILLICORES: Final = 1_000_000
 # Score penalty for a rack other than that of the task's data or of its step,
 # where the task takes 1.5 times as long. A worker in such a rack is preferred
 # only if its headroom is larger by at least this much.
@@ -303,6 +301,7 @@
 
     Attributes:
         ejected: Whether the worker is used only if no other one fits.
+        failed: Whether the task failed on the worker before.
         exposure: Cost of a crash (see `WorkerCapacity.exposure`).
         cost: Negated score; lower is better.
         index: Index of the worker in the list; breaks ties.
@@ -310,6 +309,7 @@
     """
 
     ejected: bool
+    failed: bool
     exposure: tuple[int, int]
     cost: float
     index: int
@@ -466,6 +466,7 @@
             return None
         return _RankedWorker(
             ejected=worker.ejected,
+            failed=worker.name in task.failed_on,
             exposure=worker.exposure(task.suspicion),
             cost=-_score(task, worker, fraction, racks),
             index=index,
@@ -576,8 +577,6 @@
     packed = bool(task.step.target_ms)
     score = worker.used_millicores if packed else worker.headroom()
     score -= int((1 - fraction) * INTERFERENCE_PENALTY_MILLICORES)
-    if worker.name in task.failed_on:
-        score -= FAILURE_PENALTY_MILLICORES
     far_from_data = task.step.data_rack not in ("", worker.rack)
     if far_from_data or (racks and worker.rack not in racks):
         score -= REMOTE_RACK_PENALTY_MILLICORES
--- a/tests/test_run_placement.py
+++ b/tests/test_run_placement.py
@@ -294,10 +294,12 @@
         self,
         suspicion: int,
         *workers: run_placement.WorkerCapacity,
+        failed_on: frozenset[str] = frozenset(),
     ) -> str:
         """Returns the worker that a task is placed on."""
         (placement,) = self.policy.place(
-            [make.ready(suspicion=suspicion)], list(workers)
+            [make.ready(suspicion=suspicion, failed_on=failed_on)],
+            list(workers),
         )
         return placement.worker.name
 
@@ -329,6 +331,19 @@
         workers[0].ejected = True
         self.assertEqual(self.chosen(1, *workers), "w2")
 
+    def test_worker_on_which_the_task_failed_is_worse_than_a_suspect(
+        self,
+    ) -> None:
+        """A worker that fails its runs has few of them."""
+        for suspicion in (0, 1):
+            chosen = self.chosen(
+                suspicion,
+                self.worker("w1"),
+                self.worker("w2", 2, runs=9),
+                failed_on=frozenset({"w1"}),
+            )
+            self.assertEqual(chosen, "w2")
+
     def test_suspects_of_one_pass_are_spread(self) -> None:
         step = make.step(4)
         counts: dict[str, int] = {}
