Drop the records of rejected runs before those of lost ones

A crash didn't count for a task whose later starts were rejected four times before the new incarnation of the worker appeared. Starts are rejected that often within 2 s.

A task keeps the records of its newest four runs that were given up, and those of rejected runs, which can't end by a crash, displaced the lost one. Shown by tests of the count and of the records, which failed before.

--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -8,7 +8,10 @@
 If the incarnation of a worker crashes, each task that had a lost run there gets
 one crash, however many runs it lost there. A crash is early if the run was
 assigned shortly before: a task that crashes its workers does so when it starts,
-and few others start at the same time. Each task keeps its newest records only.
+and few others start at the same time.
+
+Each task keeps few records, and drops those of rejected runs first: starts may
+be rejected often, and a crash counts only once a new incarnation appears.
 """
 
 from collections.abc import Iterable
@@ -67,7 +70,7 @@
             assigned_ms=task.assigned_ms,
             lost=lost,
         )
-        self._replace(ref, task, (*task.given_up, run)[-MAX_RUNS_PER_TASK:])
+        self._replace(ref, task, _bounded((*task.given_up, run)))
 
     def resolve(
         self, ref: jobs.TaskRef, task: job_records.Task, attempt: int
@@ -185,6 +188,21 @@
     return next(found, None)
 
 
+def _bounded(
+    runs: tuple[job_records.GivenUpRun, ...],
+) -> tuple[job_records.GivenUpRun, ...]:
+    """Returns the records without the least useful one if there are too many.
+
+    Args:
+        runs: At most one record too many, oldest first.
+    """
+    if len(runs) <= MAX_RUNS_PER_TASK:
+        return runs
+    # The newest run may still be listed as ended, whatever became of it.
+    dropped = next((run for run in runs[:-1] if not run.lost), runs[0])
+    return tuple(run for run in runs if run is not dropped)
+
+
 def _uncount(task: job_records.Task, run: job_records.GivenUpRun) -> None:
     """Takes back the crash that a run stands for, if any."""
     if run.crash:
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -195,6 +195,15 @@
         self.open("w1")
         self.assertEqual(self.crashes(), 0)
 
+    def test_run_that_was_lost_before_rejected_ones_counts(self) -> None:
+        self.start()
+        self.end("lost", 1)
+        for attempt in range(2, 2 + given_up_runs.MAX_RUNS_PER_TASK):
+            self.start(worker="w2")
+            self.end("rejected", attempt)
+        self.open("w1")
+        self.assertEqual(self.crashes(), 1)
+
     def test_run_whose_end_is_listed_did_not_crash_its_worker(self) -> None:
         self.start()
         self.end("lost", 1)
--- a/tests/test_given_up_runs.py
+++ b/tests/test_given_up_runs.py
@@ -145,6 +145,19 @@
         kept = [run.attempt for run in self.task.given_up]
         self.assertEqual(kept, list(range(3, limit + 3)))
 
+    def test_rejected_runs_displace_no_lost_run(self) -> None:
+        """Starts may be rejected often while a crashed worker restarts."""
+        self.give_up()
+        limit = given_up_runs.MAX_RUNS_PER_TASK
+        for attempt in range(2, limit + 4):
+            self.give_up(attempt, how="rejected")
+        kept = [run.attempt for run in self.task.given_up]
+        self.assertEqual(kept, [1, *range(5, limit + 4)])
+        for attempt in range(limit + 4, limit + 8):
+            self.give_up(attempt)
+        kept = [run.attempt for run in self.task.given_up]
+        self.assertEqual(kept, list(range(limit + 4, limit + 8)))
+
     def test_lasting_task_has_no_limit(self) -> None:
         self.jobs.accept("b", make.step(lasting=True))
         for attempt in (1, 2):
