Count no crash before the start of a run as an early one

A job could be given up after two crashes that its task can't have caused, if the wall clock was set back, or if the run was assigned to a worker that was already over.

A negative age of the run counted as 0, as if the crash had followed the start at once. It is now unknown, unless it is within the difference of two leaders' clocks. Shown by a test of the count, which failed before.

--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -216,6 +216,9 @@
 
 
 def _age_ms(run: job_records.GivenUpRun, over_ms: int) -> int:
-    if not run.assigned_ms:
+    age_ms = over_ms - run.assigned_ms
+    # The wall clocks of two leaders may differ a little. Otherwise a clock was
+    # set back, or the worker was already over at the assignment.
+    if not run.assigned_ms or age_ms < -EARLY_CRASH_MS:
         return UNKNOWN_AGE_MS
-    return max(0, over_ms - run.assigned_ms)
+    return max(0, age_ms)
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -228,6 +228,15 @@
         self.open("w1")
         self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
 
+    def test_crash_before_the_start_is_not_early(self) -> None:
+        """The wall clock was set back, or the run was assigned too late."""
+        self.crash(age_ms=-EARLY_MS - 1)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
+
+    def test_clocks_of_two_leaders_may_differ_a_little(self) -> None:
+        self.crash(age_ms=-EARLY_MS)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 1))
+
     def test_crash_of_an_old_run_is_not_early(self) -> None:
         self.crash(age_ms=EARLY_MS + 1)
         self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
