--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -320,6 +320,25 @@
         self.assertNotIsInstance(error, worker_port.NotDeliveredError)
 
 
+    async def test_order_is_not_sent_to_another_address(self) -> None:
+        """A refused connection there doesn't tell what the worker did."""
+        elsewhere = f"http://127.0.0.1:{replica_site.free_port()}/"
+
+        async def redirect(_: web.Request) -> web.Response:
+            return web.Response(status=307, headers={"Location": elsewhere})
+
+        address = f"127.0.0.1:{replica_site.free_port()}"
+        server = http_server.HttpServer(
+            address=address, routes=[("POST", wire.STOP_PATH, redirect)]
+        )
+        await server.start()
+        try:
+            error = await self.error(address)
+        finally:
+            await server.stop()
+        self.assertNotIsInstance(error, worker_port.NotDeliveredError)
+
+
 class StartTest(unittest.TestCase):
     """Which modules a process imports at start."""
 
