Report the age of the view of an unreachable worker

An agent marks its worker as unreachable by forgetting when it answered last. Its reports then gave the runs of the last view with an age of 0, so that they seemed to go on. Since an order that can't be delivered marks the worker as well, this happens after most crashes.

The age now counts from the arrival of the newest view, which is kept until the next incarnation. Shown by a test of the agent, which reported 0 before.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -849,7 +849,7 @@
             reachable=session.reachable(now),
             runs=tuple(run.report() for run in self.held.runs.values()),
             ends=tuple(pending.end for pending in ends),
-            view_age_ms=now - session.answered_ms if session.answered_ms else 0,
+            view_age_ms=self.held.view_age_ms(now),
         )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -308,6 +308,15 @@
         self.newest_view_ms = 0
         self.newest_view_received_ms = 0
 
+    def view_age_ms(self, now: int) -> int:
+        """Returns the age in ms of the newest view; 0 before the first one.
+
+        Args:
+            now: Current time in ms on the agent's clock.
+        """
+        received_ms = self.newest_view_received_ms
+        return now - received_ms if received_ms else 0
+
     def confirm(self, confirmed: Iterable[PendingEnd]) -> None:
         """Removes ends that the leader has confirmed."""
         done = {id(pending) for pending in confirmed}
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -116,6 +116,23 @@
         await self.order(fake_worker.start_orders(make.ref(index=1)))
         await self.until(lambda: self.worker.running)
 
+    async def test_report_tells_the_age_of_a_view_of_an_unreachable_worker(
+        self,
+    ) -> None:
+        """Guards against runs of a crashed worker that seem to go on."""
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(
+            lambda: any(run.running for run in self.leader.reports[-1].runs)
+        )
+        self.worker.unanswered_polls = 1_000_000
+        await asyncio.sleep(0.1)
+        self.worker.refused = 1
+        await self.order(fake_worker.start_orders(make.ref(index=1)))
+        await self.until(lambda: not self.reachable())
+        (run,) = self.leader.reports[-1].runs
+        self.assertTrue(run.running)
+        self.assertGreater(self.leader.reports[-1].view_age_ms, 90)
+
     async def test_order_without_an_answer_is_not_given_back_before_a_poll(
         self,
     ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -319,7 +319,6 @@
             error = await self.error(f"127.0.0.1:{port}")
         self.assertNotIsInstance(error, worker_port.NotDeliveredError)
 
-
     async def test_order_is_not_sent_to_another_address(self) -> None:
         """A refused connection there doesn't tell what the worker did."""
         elsewhere = f"http://127.0.0.1:{replica_site.free_port()}/"
