Skip ends that no worker lists

A run that a worker's list named as ended with lost or rejected was given up and started again, while the worker might still run it, and counted as one of the runs under which the worker crashed.

The decoder took every outcome of a run, also the two that only the agent and the leader declare. Such a row is now skipped like any other odd one, and the list counts as incomplete. Shown by two more values in the test of odd rows, which failed before.

--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -14,14 +14,14 @@
 from bamboorouter.protocol import base
 from bamboorouter.protocol import common
 
-# How a run ended. "done", "failed", "stopped", "lapsed", "broken" and "alone"
-# are reported by the worker; "lapsed" means that the lease of the run expired.
-# "lost" means that the worker's incarnation ended during the run, and "rejected"
-# that the worker never started it. Only "failed" counts towards
-# `QueueSettings.max_attempts`.
-RunOutcome = Literal[
-    "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "rejected"
+# How a run ended according to its worker. "lapsed" means that the lease of the
+# run expired. Only "failed" counts towards `QueueSettings.max_attempts`.
+ListedOutcome = Literal[
+    "done", "failed", "stopped", "lapsed", "broken", "alone"
 ]
+# How a run ended. "lost" means that the worker's incarnation ended during the
+# run, and "rejected" that the worker never started it.
+RunOutcome = Literal[ListedOutcome, "lost", "rejected"]
 
 # Limit on the pairs of images whose interference is recorded; each takes about
 # 100 bytes in a snapshot. The least recently updated pairs are dropped first.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -188,7 +188,8 @@
             (0, ("2", 1.5, True, 0, -1, None, *HUGE_NUMBERS)),
             (1, (None, 7, "a.0.1", "a.0.1.1_0")),
             (2, ("1", 1.5, -1, None, *HUGE_NUMBERS)),
-            (3, ("gone", None, 7, ["done"], {})),
+            # Only the leader and the agent declare runs lost or rejected.
+            (3, ("gone", "lost", "rejected", None, 7, ["done"], {})),
             (4, (None, 5, text)),
         )
         for position, values in odd_values:
