Rank the workers at most twice for a step with suspects

A pass of the leader took 0.6 s of processor time for a step of 256 tasks on 550 workers if suspects and other tasks alternate in it (trial); the leader handles no reports meanwhile.

The workers were ranked anew whenever a suspect followed another task or the reverse.

--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -353,7 +353,8 @@
         self._utilization_cache.clear()
         placements: list[Placement] = []
         for _, group in itertools.groupby(tasks, key=ReadyTask.step_key):
-            step_tasks = list(group)
+            # Suspects together, so that workers are ranked at most twice.
+            step_tasks = sorted(group, key=lambda task: not task.suspicion)
             if step_tasks[0].step.gang:
                 placements += self._place_gang(step_tasks, workers)
             else:
