Test the bounds and the taking back of crash counts

Mutants of the counting survived: a second count of one incarnation, the age of the oldest of several runs, what is taken back with a crash, done tasks as suspects, and records of forgotten jobs.

--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -32,20 +32,23 @@
 
 
 class GivenUpRuns:
-    """Finds the tasks with runs that were given up on an incarnation."""
+    """Finds the tasks with runs that were given up on an incarnation.
+
+    Attributes:
+        tasks: Tasks by reference, by worker and incarnation.
+    """
 
     def __init__(self) -> None:
-        # Tasks by reference, by worker and incarnation.
-        self._tasks: dict[
+        self.tasks: dict[
             tuple[str, str], dict[jobs.TaskRef, job_records.Task]
         ] = {}
 
     def restore(self, records: Iterable[TaskRecord]) -> None:
         """Replaces the index with one of the tasks in a snapshot."""
-        self._tasks = {}
+        self.tasks = {}
         for ref, task in records:
             for run in task.given_up:
-                self._tasks.setdefault((run.worker, run.life), {})[ref] = task
+                self.tasks.setdefault((run.worker, run.life), {})[ref] = task
 
     def forget(self, records: Iterable[TaskRecord]) -> None:
         """Removes the tasks of a job."""
@@ -110,7 +113,7 @@
             The tasks, in the order of their references.
         """
         counted = []
-        for ref, task in sorted(self._tasks.get((worker, life), {}).items()):
+        for ref, task in sorted(self.tasks.get((worker, life), {}).items()):
             new = [
                 run
                 for run in task.given_up
@@ -139,7 +142,7 @@
 
     def revoke_crash(self, worker: str, life: str) -> None:
         """Takes the crash of an incarnation back that turns out to go on."""
-        for ref, task in sorted(self._tasks.get((worker, life), {}).items()):
+        for ref, task in sorted(self.tasks.get((worker, life), {}).items()):
             for run in task.given_up:
                 if _is_on(run, worker, life):
                     _uncount(task, run)
@@ -164,13 +167,13 @@
             self._unlink(ref, run)
         task.given_up = runs
         for run in runs:
-            self._tasks.setdefault((run.worker, run.life), {})[ref] = task
+            self.tasks.setdefault((run.worker, run.life), {})[ref] = task
 
     def _unlink(self, ref: jobs.TaskRef, run: job_records.GivenUpRun) -> None:
-        tasks = self._tasks.get((run.worker, run.life), {})
+        tasks = self.tasks.get((run.worker, run.life), {})
         tasks.pop(ref, None)
         if not tasks:
-            self._tasks.pop((run.worker, run.life), None)
+            self.tasks.pop((run.worker, run.life), None)
 
 
 def crashed_early(task: job_records.Task) -> bool:
@@ -198,8 +201,7 @@
     """
     if len(runs) <= MAX_RUNS_PER_TASK:
         return runs
-    # The newest run may still be listed as ended, whatever became of it.
-    dropped = next((run for run in runs[:-1] if not run.lost), runs[0])
+    dropped = next((run for run in runs if not run.lost), runs[0])
     return tuple(run for run in runs if run is not dropped)
 
 
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -189,6 +189,42 @@
         self.open("w1")
         self.assertEqual(self.crashes(), 1)
 
+    def test_several_runs_on_one_incarnation_are_taken_back_at_once(
+        self,
+    ) -> None:
+        first = self.life("w1")
+        self.start()
+        self.end("lost", 1)
+        self.crash()
+        self.assertEqual(len(self.task().given_up), 1)
+        self.open("w1", "unknown", life=first)
+        self.assertEqual(self.crashes(), 0)
+
+    def test_oldest_of_several_runs_tells_the_age_at_a_crash(self) -> None:
+        """Its order may have been carried out last."""
+        self.start()
+        self.end("lost", 1)
+        self.now_ms += EARLY_MS
+        self.crash()
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
+
+    def test_crash_of_an_incarnation_that_went_on_counts_once(self) -> None:
+        for how in ("unknown", None):
+            with self.subTest(how=how):
+                self.setUp()
+                first = self.life("w1")
+                self.crash()
+                self.open("w1", how, life=first)
+                self.open("w1")
+                self.assertEqual(self.crashes(), 1)
+
+    def test_late_crash_that_is_taken_back_leaves_the_early_one(self) -> None:
+        self.crash()
+        second = self.life("w2")
+        self.crash(worker="w2", age_ms=EARLY_MS + 1)
+        self.open("w2", "unknown", life=second)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 1))
+
     def test_run_that_was_rejected_does_not_count(self) -> None:
         self.start()
         self.end("rejected", 1)
@@ -249,6 +285,14 @@
         self.open("w2")
         self.assertEqual(self.job_state(), "done")
 
+    def test_forgotten_task_is_not_a_suspect(self) -> None:
+        self.start()
+        self.end("lost", 1)
+        self.state.cancel(job_commands.CancelSteps(job="a"))
+        self.state.forget(job_commands.ForgetSteps(jobs=("a",)))
+        self.open("w1")
+        self.assertEqual(self.state.jobs, {})
+
     def test_session_of_an_earlier_leader_counts_nothing(self) -> None:
         self.start()
         self.open("w1", None)
@@ -274,6 +318,14 @@
         self.open("w2")
         self.assertEqual(self.crashes(), 1)
 
+    def test_crash_that_is_not_known_yet_counts_after_clearing(self) -> None:
+        self.crash()
+        self.start(worker="w2")
+        self.end("lost", 2)
+        self.clear(self.start(worker="w3"))
+        self.open("w2")
+        self.assertEqual(self.crashes(), 1)
+
     def test_other_attempt_clears_nothing(self) -> None:
         self.crash()
         self.clear(1)
@@ -336,6 +388,18 @@
                 self.assertEqual(self.job_state(), "running")
                 self.assertEqual(self.job_state("b"), end)
 
+    def test_task_that_is_done_is_no_excuse(self) -> None:
+        self.jobs.accept("b")
+        other = make.ref("b")
+        self.crash()
+        for ref in (make.ref(), other):
+            self.start(ref, "w2")
+        self.end("lost", 1, other)
+        self.end("done", self.start(other, "w3"), other)
+        self.open("w2")
+        self.assertEqual(self.job_state(), "failed")
+        self.assertEqual(self.job_state("b"), "done")
+
     def test_tasks_of_one_job_are_no_excuse_for_each_other(self) -> None:
         self.jobs.accept("b", make.step(2))
         both = (make.ref("b"), make.ref("b", index=1))
@@ -421,6 +485,7 @@
         self.state.cancel(job_commands.CancelSteps(job="a"))
         self.open("w2")
         self.assertEqual(self.job_state(), "cancelled")
+        self.assertFalse(self.state.jobs["a"].failed)
 
 
 class SnapshotTest(CrashCase):
@@ -473,6 +538,31 @@
             )
         self.assertEqual(outcomes, [False] * 4 + [True])
 
+    def test_only_runs_that_started_as_recently_are_an_excuse(self) -> None:
+        killer = crash_conviction.CrashedTask(
+            ref=make.ref(), crashes=2, early=2, early_now=True
+        )
+        for early_now in (False, True):
+            other = crash_conviction.CrashedTask(
+                ref=make.ref("b"), crashes=2, early=1, early_now=early_now
+            )
+            self.assertEqual(
+                crash_conviction.convicted([killer, other]),
+                [] if early_now else [killer],
+            )
+
+    def test_first_late_crash_is_no_suspicion(self) -> None:
+        for crashes, early, suspicion in (
+            (0, 0, 0),
+            (1, 0, 0),
+            (1, 1, 1),
+            (2, 0, 1),
+            (2, 1, 1),
+            (2, 2, 2),
+        ):
+            task = job_records.Task(crashes=crashes, early_crashes=early)
+            self.assertEqual(crash_conviction.suspicion(task), suspicion)
+
     def test_lesser_suspect_is_spared_after_its_fourth_crash(self) -> None:
         killer, bystander = (
             crash_conviction.CrashedTask(
--- a/tests/test_given_up_runs.py
+++ b/tests/test_given_up_runs.py
@@ -155,6 +155,7 @@
         self.assertEqual(kept, [1, *range(5, limit + 4)])
         for attempt in range(limit + 4, limit + 8):
             self.give_up(attempt)
+        self.give_up(limit + 8, how="rejected")
         kept = [run.attempt for run in self.task.given_up]
         self.assertEqual(kept, list(range(limit + 4, limit + 8)))
 
@@ -209,6 +210,12 @@
         self.jobs.state.cancel(job_commands.CancelSteps(job="a"))
         self.jobs.state.forget(job_commands.ForgetSteps(jobs=("a",)))
         self.assertEqual(self.end("failed"), 0)
+        self.assertEqual(self.jobs.state.given_up.tasks, {})
+
+    def test_resolved_run_leaves_no_record(self) -> None:
+        self.give_up()
+        self.end("lapsed")
+        self.assertEqual(self.jobs.state.given_up.tasks, {})
 
 
 class CompatibilityTest(GivenUpCase):
