Give up a task with the most crashes after its fourth crash

A task that crashes its workers was started five times if its starts were delayed, and six times if one crash wasn't known. The users allow five.

A crash is early if it comes within 250 ms of the assignment. After slow starts none is, and any bystander with a single early crash counted as more suspicious, up to the fifth crash.

At the fourth crash, a bystander now needs as many crashes to put the decision off.

--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -6,12 +6,14 @@
 * after its second early crash, if no run of another job started as recently: a
   worker rarely crashes by itself just after the start of a suspect;
 * after its third crash, if no task of another job there was as suspicious;
-* after its fourth crash, unless a task of another job there was more suspicious;
+* after its fourth crash, unless a task of another job there was more suspicious
+  and had as many crashes;
 * after its fifth crash in any case.
 
-A task that crashes each worker when it starts is as suspicious as any, so that
-it is started at most four times, or five times if one of the crashes isn't
-known.
+A task that crashes each worker when it starts is as suspicious as any, or has
+more crashes than any if its starts are delayed, so that their crashes aren't
+early. So it is started at most four times, or five times if one of the crashes
+isn't known. One start more is possible if two such tasks meet again and again.
 """
 
 from collections.abc import Iterable
@@ -73,7 +75,8 @@
     if task.crashes >= MAX_CRASHES:
         return True
     if task.crashes >= MIN_CRASHES_IF_TIED:
-        return task.rank() >= highest
+        most_crashes = max((other.crashes for other in others), default=0)
+        return task.rank() >= highest or task.crashes > most_crashes
     if task.crashes >= MIN_CRASHES:
         return task.rank() > highest
     return task.early >= MIN_EARLY_CRASHES and not any(
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -563,6 +563,21 @@
             task = job_records.Task(crashes=crashes, early_crashes=early)
             self.assertEqual(crash_conviction.suspicion(task), suspicion)
 
+    def test_slow_starts_delay_no_decision_beyond_the_fourth_crash(
+        self,
+    ) -> None:
+        """A fifth start is left for a crash that isn't known."""
+        killer = crash_conviction.CrashedTask(
+            ref=make.ref(), crashes=4, early=0, early_now=False
+        )
+        for early in (1, 2, 3):
+            bystander = crash_conviction.CrashedTask(
+                ref=make.ref("b"), crashes=early, early=early, early_now=True
+            )
+            self.assertIn(
+                killer, crash_conviction.convicted([killer, bystander])
+            )
+
     def test_lesser_suspect_is_spared_after_its_fourth_crash(self) -> None:
         killer, bystander = (
             crash_conviction.CrashedTask(
