Test what the age at a crash and the evidence of it rest on

Mutants survived that ignored the time of the restart, took the report of another incarnation as evidence, or let a repeated rejection resolve the record of a run.

--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -29,6 +29,7 @@
     Attributes:
         jobs: The replicated state.
         now_ms: Wall time of the leader.
+        opened: Result of the newest session.
     """
 
     def setUp(self) -> None:
@@ -81,7 +82,7 @@
             room=make.CAPACITY,
             ended=ended,
         )
-        self.state.open_session(command)
+        self.opened = self.state.open_session(command)
         return command
 
     def start(
@@ -407,6 +408,25 @@
         self.crash(*both, worker="w2")
         self.assertEqual(self.job_state("b"), "failed")
 
+    def test_result_names_active_suspects_and_who_is_given_up(self) -> None:
+        self.jobs.accept("b")
+        self.jobs.accept("c")
+        both = (make.ref(), make.ref("b"))
+        self.crash(*both)
+        self.assertEqual(self.opened.data["suspects"], [])
+        self.crash(*both, make.ref("c"), worker="w2")
+        self.assertEqual(
+            self.opened.data["suspects"], [("a/0/0/0", 2), ("b/0/0/0", 2)]
+        )
+        self.assertEqual(self.opened.data["given_up"], [])
+        self.start(make.ref("b"), "w3")
+        self.state.cancel(job_commands.CancelSteps(job="b"))
+        self.crash(worker="w4")
+        self.assertEqual(self.opened.data["given_up"], [("a/0/0/0", 3)])
+        self.open("w3")
+        self.assertEqual(self.opened.data["suspects"], [])
+        self.assertEqual(self.opened.data["given_up"], [])
+
     def test_equal_suspects_are_given_up_after_the_fourth_crash(self) -> None:
         self.jobs.accept("b")
         for worker in ("w1", "w2", "w3"):
--- a/tests/test_given_up_runs.py
+++ b/tests/test_given_up_runs.py
@@ -135,6 +135,7 @@
         self.give_up()
         self.start_next()
         self.assertEqual(self.end("lost"), 0)
+        self.assertEqual(self.end("rejected"), 0)
         self.end("failed")
         self.assertEqual(self.task.failures, 1)
 
--- a/tests/test_incarnation_ends.py
+++ b/tests/test_incarnation_ends.py
@@ -9,6 +9,7 @@
 
 from bamboorouter import events
 from bamboorouter.protocol import job_messages
+from bamboorouter.state import job_records
 from tests import fake_worker
 from tests import job_builders as make
 from tests import test_agent_session
@@ -133,6 +134,42 @@
         await self.reopen(previous="w1@0", previous_left=True)
         self.assertEqual(self.logged(), [("w1@1", "unknown")])
 
+    async def test_report_of_an_earlier_incarnation_does_not_decide(
+        self,
+    ) -> None:
+        await self.reopen("w1@2", previous="w1@1")
+        await self.reopen("w1@3")
+        self.assertEqual(
+            self.logged(), [("w1@1", "crashed"), ("w1@2", "unknown")]
+        )
+
+    async def crash_after_start(self, silent_ms: int) -> job_records.Task:
+        """Returns a task whose worker is back 3 s after the start."""
+        await self.submit("a")
+        await self.until(self.agent.started)
+        self.time.advance(3000)
+        await self.reopen(previous="w1@1", silent_ms=silent_ms)
+        task = self.log.machine.stepped.task(make.ref())
+        assert task is not None
+        return task
+
+    async def test_age_at_a_crash_excludes_the_time_of_the_restart(
+        self,
+    ) -> None:
+        task = await self.crash_after_start(silent_ms=2900)
+        self.assertEqual((task.crashes, task.early_crashes), (1, 1))
+        self.assertEqual(task.crash_age_ms, 100)
+
+    async def test_age_at_a_crash_is_that_at_its_discovery_if_unknown(
+        self,
+    ) -> None:
+        for silent_ms in (0, -1):
+            with self.subTest(silent_ms=silent_ms):
+                await self.asyncSetUp()
+                task = await self.crash_after_start(silent_ms)
+                self.assertEqual((task.crashes, task.early_crashes), (1, 0))
+                self.assertEqual(task.crash_age_ms, 3000)
+
     async def test_session_with_the_same_incarnation_ends_nothing(self) -> None:
         await self.reopen("w1@1")
         self.assertEqual(self.logged(), [])
