--- a/tests/test_held_runs.py
+++ b/tests/test_held_runs.py
@@ -69,6 +69,15 @@
         self.assertEqual(self.stop(), [])
         self.assertEqual(self.outcomes(), ["done"])
 
+    def test_age_of_the_view_counts_until_the_next_incarnation(self) -> None:
+        self.assertEqual(self.held.view_age_ms(self.clock.now()), 0)
+        self.see(view(10, REF))
+        self.clock.advance(700)
+        self.held.begin_session(self.clock.now())
+        self.assertEqual(self.held.view_age_ms(self.clock.now()), 700)
+        self.held.begin_incarnation()
+        self.assertEqual(self.held.view_age_ms(self.clock.now()), 0)
+
     def test_overtaken_view_changes_no_run(self) -> None:
         """Guards against giving up a run because of an older view."""
         self.see(view(20, REF))
