--- a/bamboorouter/coordination/policies/run_placement.py
+++ b/bamboorouter/coordination/policies/run_placement.py
@@ -18,7 +18,8 @@
 * A suspect, a task that may have crashed a worker, goes to the suitable worker
   with the least suspicious other runs and, among these, with the fewest runs:
   its next crash then tells more and costs less. Other tasks avoid workers with
-  a task that several workers have crashed under.
+  a task that several workers have crashed under. Both first avoid workers on
+  which they failed: a worker that fails its runs has few of them.
 """
 
 from collections.abc import Iterable
@@ -35,9 +36,6 @@
 from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
 
-# Score penalty for a worker on which the task failed before. It exceeds all
-# other terms, so that such a worker is used only if no other one fits.
-FAILURE_PENALTY_MILLICORES: Final = 1_000_000
 # Score penalty for a rack other than that of the task's data or of its step,
 # where the task takes 1.5 times as long. A worker in such a rack is preferred
 # only if its headroom is larger by at least this much.
@@ -128,7 +126,11 @@
         ):
             return False
         if fills:
-            return need.millicores <= self.headroom()
+            # No task starts on a worker that is over its capacity.
+            return (
+                self.used_millicores <= self.millicores
+                and need.millicores <= self.headroom()
+            )
         return self.used_millicores + need.millicores <= self.millicores
 
     def add(
@@ -299,6 +301,7 @@
 
     Attributes:
         ejected: Whether the worker is used only if no other one fits.
+        failed: Whether the task failed on the worker before.
         exposure: Cost of a crash (see `WorkerCapacity.exposure`).
         cost: Negated score; lower is better.
         index: Index of the worker in the list; breaks ties.
@@ -306,6 +309,7 @@
     """
 
     ejected: bool
+    failed: bool
     exposure: tuple[int, int]
     cost: float
     index: int
@@ -349,7 +353,8 @@
         self._utilization_cache.clear()
         placements: list[Placement] = []
         for _, group in itertools.groupby(tasks, key=ReadyTask.step_key):
-            step_tasks = list(group)
+            # Suspects together, so that workers are ranked at most twice.
+            step_tasks = sorted(group, key=lambda task: not task.suspicion)
             if step_tasks[0].step.gang:
                 placements += self._place_gang(step_tasks, workers)
             else:
@@ -462,6 +467,7 @@
             return None
         return _RankedWorker(
             ejected=worker.ejected,
+            failed=worker.name in task.failed_on,
             exposure=worker.exposure(task.suspicion),
             cost=-_score(task, worker, fraction, racks),
             index=index,
@@ -572,8 +578,6 @@
     packed = bool(task.step.target_ms)
     score = worker.used_millicores if packed else worker.headroom()
     score -= int((1 - fraction) * INTERFERENCE_PENALTY_MILLICORES)
-    if worker.name in task.failed_on:
-        score -= FAILURE_PENALTY_MILLICORES
     far_from_data = task.step.data_rack not in ("", worker.rack)
     if far_from_data or (racks and worker.rack not in racks):
         score -= REMOTE_RACK_PENALTY_MILLICORES
--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -11,8 +11,9 @@
 and few others start at the same time. A crash is confirmed if the worker had
 confirmed the start of a run there: an order that wasn't answered may have been
 carried out, but a worker that had crashed before leaves it unanswered as well.
-Each task keeps its newest records only, those of lost runs before those of
-rejected ones.
+
+Each task keeps few records, and drops those of rejected runs first: starts may
+be rejected often, and a crash counts only once a new incarnation appears.
 """
 
 from collections.abc import Iterable
@@ -33,20 +34,23 @@
 
 
 class GivenUpRuns:
-    """Finds the tasks with runs that were given up on an incarnation."""
+    """Finds the tasks with runs that were given up on an incarnation.
+
+    Attributes:
+        tasks: Tasks by reference, by worker and incarnation.
+    """
 
     def __init__(self) -> None:
-        # Tasks by reference, by worker and incarnation.
-        self._tasks: dict[
+        self.tasks: dict[
             tuple[str, str], dict[jobs.TaskRef, job_records.Task]
         ] = {}
 
     def restore(self, records: Iterable[TaskRecord]) -> None:
         """Replaces the index with one of the tasks in a snapshot."""
-        self._tasks = {}
+        self.tasks = {}
         for ref, task in records:
             for run in task.given_up:
-                self._tasks.setdefault((run.worker, run.life), {})[ref] = task
+                self.tasks.setdefault((run.worker, run.life), {})[ref] = task
 
     def forget(self, records: Iterable[TaskRecord]) -> None:
         """Removes the tasks of a job."""
@@ -78,11 +82,7 @@
             lost=lost,
             started=started,
         )
-        kept = list(task.given_up)
-        if len(kept) >= MAX_RUNS_PER_TASK:
-            # Rejections may repeat often and hardly ever turn out to be wrong.
-            kept.remove(next((old for old in kept if not old.lost), kept[0]))
-        self._replace(ref, task, (*kept, run))
+        self._replace(ref, task, _bounded((*task.given_up, run)))
 
     def resolve(
         self, ref: jobs.TaskRef, task: job_records.Task, attempt: int
@@ -131,7 +131,7 @@
         """
         counted = []
         confirmed = {(run.task, run.attempt) for run in started}
-        for ref, task in sorted(self._tasks.get((worker, life), {}).items()):
+        for ref, task in sorted(self.tasks.get((worker, life), {}).items()):
             new = [
                 run
                 for run in task.given_up
@@ -165,7 +165,7 @@
 
     def revoke_crash(self, worker: str, life: str) -> None:
         """Takes the crash of an incarnation back that turns out to go on."""
-        for ref, task in sorted(self._tasks.get((worker, life), {}).items()):
+        for ref, task in sorted(self.tasks.get((worker, life), {}).items()):
             for run in task.given_up:
                 if _is_on(run, worker, life):
                     _uncount(task, run)
@@ -190,13 +190,13 @@
             self._unlink(ref, run)
         task.given_up = runs
         for run in runs:
-            self._tasks.setdefault((run.worker, run.life), {})[ref] = task
+            self.tasks.setdefault((run.worker, run.life), {})[ref] = task
 
     def _unlink(self, ref: jobs.TaskRef, run: job_records.GivenUpRun) -> None:
-        tasks = self._tasks.get((run.worker, run.life), {})
+        tasks = self.tasks.get((run.worker, run.life), {})
         tasks.pop(ref, None)
         if not tasks:
-            self._tasks.pop((run.worker, run.life), None)
+            self.tasks.pop((run.worker, run.life), None)
 
 
 def counts(run: job_records.GivenUpRun) -> bool:
@@ -236,6 +236,20 @@
     return next(found, None)
 
 
+def _bounded(
+    runs: tuple[job_records.GivenUpRun, ...],
+) -> tuple[job_records.GivenUpRun, ...]:
+    """Returns the records without the least useful one if there are too many.
+
+    Args:
+        runs: At most one record too many, oldest first.
+    """
+    if len(runs) <= MAX_RUNS_PER_TASK:
+        return runs
+    dropped = next((run for run in runs if not run.lost), runs[0])
+    return tuple(run for run in runs if run is not dropped)
+
+
 def _uncount(task: job_records.Task, run: job_records.GivenUpRun) -> None:
     """Takes back the crash that a run stands for, if any."""
     if counts(run):
@@ -263,7 +277,8 @@
 def _age_ms(run: job_records.GivenUpRun, over_ms: int) -> int:
     """Returns the age of a run at a crash, by the clocks of the leaders."""
     age_ms = over_ms - run.assigned_ms
+    # The wall clocks of two leaders may differ a little. Otherwise a clock was
+    # set back, or the worker was already over at the assignment.
     if not run.assigned_ms or age_ms < -EARLY_CRASH_MS:
-        # A clock was set back, or that of another leader is behind.
         return UNKNOWN_AGE_MS
     return max(0, age_ms)
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -31,6 +31,7 @@
     Attributes:
         jobs: The replicated state.
         now_ms: Wall time of the leader.
+        opened: Result of the newest session.
     """
 
     def setUp(self) -> None:
@@ -88,7 +89,7 @@
             room=make.CAPACITY,
             ended=ended,
         )
-        self.state.open_session(command)
+        self.opened = self.state.open_session(command)
         return command
 
     def runs_on(self, worker: str) -> tuple[jobs.RunId, ...]:
@@ -212,12 +213,57 @@
         self.open("w1")
         self.assertEqual(self.crashes(), 1)
 
+    def test_several_runs_on_one_incarnation_are_taken_back_at_once(
+        self,
+    ) -> None:
+        first = self.life("w1")
+        self.start()
+        self.end("lost", 1)
+        self.crash()
+        self.assertEqual(len(self.task().given_up), 1)
+        self.open("w1", "unknown", life=first)
+        self.assertEqual(self.crashes(), 0)
+
+    def test_oldest_of_several_runs_tells_the_age_at_a_crash(self) -> None:
+        """Its order may have been carried out last."""
+        self.start()
+        self.end("lost", 1)
+        self.now_ms += EARLY_MS
+        self.crash()
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
+
+    def test_crash_of_an_incarnation_that_went_on_counts_once(self) -> None:
+        for how in ("unknown", None):
+            with self.subTest(how=how):
+                self.setUp()
+                first = self.life("w1")
+                self.crash()
+                self.open("w1", how, life=first)
+                self.open("w1")
+                self.assertEqual(self.crashes(), 1)
+
+    def test_late_crash_that_is_taken_back_leaves_the_early_one(self) -> None:
+        self.crash()
+        second = self.life("w2")
+        self.crash(worker="w2", age_ms=EARLY_MS + 1)
+        self.open("w2", "unknown", life=second)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 1))
+
     def test_run_that_was_rejected_does_not_count(self) -> None:
         self.start()
         self.end("rejected", 1)
         self.open("w1")
         self.assertEqual(self.crashes(), 0)
 
+    def test_run_that_was_lost_before_rejected_ones_counts(self) -> None:
+        self.start()
+        self.end("lost", 1)
+        for attempt in range(2, 2 + given_up_runs.MAX_RUNS_PER_TASK):
+            self.start(worker="w2")
+            self.end("rejected", attempt)
+        self.open("w1")
+        self.assertEqual(self.crashes(), 1)
+
     def test_run_whose_end_is_listed_did_not_crash_its_worker(self) -> None:
         self.start()
         self.end("lost", 1)
@@ -248,8 +294,13 @@
         self.crash(age_ms=-60_000)
         self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
 
-    def test_small_difference_of_clocks_makes_no_difference(self) -> None:
-        self.crash(age_ms=-20)
+    def test_crash_before_the_start_is_not_early(self) -> None:
+        """The wall clock was set back, or the run was assigned too late."""
+        self.crash(age_ms=-EARLY_MS - 1)
+        self.assertEqual((self.crashes(), self.task().early_crashes), (1, 0))
+
+    def test_clocks_of_two_leaders_may_differ_a_little(self) -> None:
+        self.crash(age_ms=-EARLY_MS)
         self.assertEqual((self.crashes(), self.task().early_crashes), (1, 1))
 
     def test_crash_of_an_old_run_is_not_early(self) -> None:
@@ -264,6 +315,14 @@
         self.open("w2")
         self.assertEqual(self.job_state(), "done")
 
+    def test_forgotten_task_is_not_a_suspect(self) -> None:
+        self.start()
+        self.end("lost", 1)
+        self.state.cancel(job_commands.CancelSteps(job="a"))
+        self.state.forget(job_commands.ForgetSteps(jobs=("a",)))
+        self.open("w1")
+        self.assertEqual(self.state.jobs, {})
+
     def test_session_of_an_earlier_leader_counts_nothing(self) -> None:
         self.start()
         self.open("w1", None)
@@ -289,6 +348,14 @@
         self.open("w2")
         self.assertEqual(self.crashes(), 1)
 
+    def test_crash_that_is_not_known_yet_counts_after_clearing(self) -> None:
+        self.crash()
+        self.start(worker="w2")
+        self.end("lost", 2)
+        self.clear(self.start(worker="w3"))
+        self.open("w2")
+        self.assertEqual(self.crashes(), 1)
+
     def test_other_attempt_clears_nothing(self) -> None:
         self.crash()
         self.clear(1)
@@ -349,6 +416,40 @@
         self.assertEqual(self.job_state(), "failed")
         self.assertEqual(self.job_state("b"), "running")
 
+    def test_task_of_an_ended_job_leaves_open_who_is_to_blame(self) -> None:
+        """The runs of an ended job go on until they are stopped."""
+        for end in ("cancelled", "failed"):
+            with self.subTest(end=end):
+                self.setUp()
+                self.jobs.accept("b", make.step(2))
+                killer = make.ref("b")
+                self.crash(make.ref(), killer)
+                self.start(killer, "w2")
+                self.start(make.ref(), "w2")
+                if end == "cancelled":
+                    self.state.cancel(job_commands.CancelSteps(job="b"))
+                else:
+                    other = make.ref("b", index=1)
+                    self.crash(other, worker="w3")
+                    self.crash(other, worker="w4")
+                self.assertEqual(self.job_state("b"), end)
+                self.open("w2")
+                self.assertEqual(self.task().early_crashes, 2)
+                self.assertEqual(self.job_state(), "running")
+                self.assertEqual(self.job_state("b"), end)
+
+    def test_task_that_is_done_is_no_excuse(self) -> None:
+        self.jobs.accept("b")
+        other = make.ref("b")
+        self.crash()
+        for ref in (make.ref(), other):
+            self.start(ref, "w2")
+        self.end("lost", 1, other)
+        self.end("done", self.start(other, "w3"), other)
+        self.open("w2")
+        self.assertEqual(self.job_state(), "failed")
+        self.assertEqual(self.job_state("b"), "done")
+
     def test_tasks_of_one_job_are_no_excuse_for_each_other(self) -> None:
         self.jobs.accept("b", make.step(2))
         both = (make.ref("b"), make.ref("b", index=1))
@@ -356,6 +457,26 @@
         self.crash(*both, worker="w2")
         self.assertEqual(self.job_state("b"), "failed")
 
+    def test_result_names_active_suspects_and_who_is_given_up(self) -> None:
+        self.jobs.accept("b")
+        self.jobs.accept("c")
+        both = (make.ref(), make.ref("b"))
+        self.crash(*both)
+        self.assertEqual(self.opened.data["suspects"], [])
+        self.crash(*both, make.ref("c"), worker="w2")
+        self.assertEqual(
+            self.opened.data["suspects"],
+            [("a/0/0/0", 2, 2), ("b/0/0/0", 2, 2)],
+        )
+        self.assertEqual(self.opened.data["given_up"], [])
+        self.start(make.ref("b"), "w3")
+        self.state.cancel(job_commands.CancelSteps(job="b"))
+        self.crash(worker="w4")
+        self.assertEqual(self.opened.data["given_up"], [("a/0/0/0", 3, 3)])
+        self.open("w3")
+        self.assertEqual(self.opened.data["suspects"], [])
+        self.assertEqual(self.opened.data["given_up"], [])
+
     def test_equal_suspects_are_given_up_after_the_fourth_crash(self) -> None:
         self.jobs.accept("b")
         for worker in ("w1", "w2", "w3"):
@@ -434,6 +555,7 @@
         self.state.cancel(job_commands.CancelSteps(job="a"))
         self.open("w2")
         self.assertEqual(self.job_state(), "cancelled")
+        self.assertFalse(self.state.jobs["a"].failed)
 
 
 class ConfirmationTest(CrashCase):
@@ -762,6 +884,46 @@
             )
         self.assertEqual(outcomes, [False] * 4 + [True])
 
+    def test_only_runs_that_started_as_recently_are_an_excuse(self) -> None:
+        killer = crash_conviction.CrashedTask(
+            ref=make.ref(), crashes=2, early=2, early_now=True
+        )
+        for early_now in (False, True):
+            other = crash_conviction.CrashedTask(
+                ref=make.ref("b"), crashes=2, early=1, early_now=early_now
+            )
+            self.assertEqual(
+                crash_conviction.convicted([killer, other]),
+                [] if early_now else [killer],
+            )
+
+    def test_first_late_crash_is_no_suspicion(self) -> None:
+        for crashes, early, suspicion in (
+            (0, 0, 0),
+            (1, 0, 0),
+            (1, 1, 1),
+            (2, 0, 1),
+            (2, 1, 1),
+            (2, 2, 2),
+        ):
+            task = job_records.Task(crashes=crashes, early_crashes=early)
+            self.assertEqual(crash_conviction.suspicion(task), suspicion)
+
+    def test_slow_starts_delay_no_decision_beyond_the_fourth_crash(
+        self,
+    ) -> None:
+        """A fifth start is left for a crash that isn't known."""
+        killer = crash_conviction.CrashedTask(
+            ref=make.ref(), crashes=4, early=0, early_now=False
+        )
+        for early in (1, 2, 3):
+            bystander = crash_conviction.CrashedTask(
+                ref=make.ref("b"), crashes=early, early=early, early_now=True
+            )
+            self.assertIn(
+                killer, crash_conviction.convicted([killer, bystander])
+            )
+
     def test_lesser_suspect_is_spared_after_its_fourth_crash(self) -> None:
         killer, bystander = (
             crash_conviction.CrashedTask(
--- a/tests/test_given_up_runs.py
+++ b/tests/test_given_up_runs.py
@@ -135,6 +135,7 @@
         self.give_up()
         self.start_next()
         self.assertEqual(self.end("lost"), 0)
+        self.assertEqual(self.end("rejected"), 0)
         self.end("failed")
         self.assertEqual(self.task.failures, 1)
 
@@ -154,6 +155,20 @@
         )
         self.assertEqual(self.end("failed", 1), 1)
 
+    def test_rejected_runs_displace_no_lost_run(self) -> None:
+        """Starts may be rejected often while a crashed worker restarts."""
+        self.give_up()
+        limit = given_up_runs.MAX_RUNS_PER_TASK
+        for attempt in range(2, limit + 4):
+            self.give_up(attempt, how="rejected")
+        kept = [run.attempt for run in self.task.given_up]
+        self.assertEqual(kept, [1, *range(5, limit + 4)])
+        for attempt in range(limit + 4, limit + 8):
+            self.give_up(attempt)
+        self.give_up(limit + 8, how="rejected")
+        kept = [run.attempt for run in self.task.given_up]
+        self.assertEqual(kept, list(range(limit + 4, limit + 8)))
+
     def test_lasting_task_has_no_limit(self) -> None:
         self.jobs.accept("b", make.step(lasting=True))
         for attempt in (1, 2):
@@ -205,6 +220,12 @@
         self.jobs.state.cancel(job_commands.CancelSteps(job="a"))
         self.jobs.state.forget(job_commands.ForgetSteps(jobs=("a",)))
         self.assertEqual(self.end("failed"), 0)
+        self.assertEqual(self.jobs.state.given_up.tasks, {})
+
+    def test_resolved_run_leaves_no_record(self) -> None:
+        self.give_up()
+        self.end("lapsed")
+        self.assertEqual(self.jobs.state.given_up.tasks, {})
 
 
 class CompatibilityTest(GivenUpCase):
