Forget services that a later sheet removed, in explanations of the order

The explanation of an order compared their urgency: a job was less urgent than a service that no longer existed. The new test fails before.

The name of the error is misleading, the effect isn't.

--- a/bamboorouter/state/account_records.py
+++ b/bamboorouter/state/account_records.py
@@ -63,6 +63,11 @@
                 if self.revision and command.revision != self.revision + 1:
                     return False
                 self.revision = command.revision
+                self.rows = {
+                    name: row
+                    for name, row in self.rows.items()
+                    if row.kind != "service"
+                }
                 self.rows.update((row.name, row) for row in command.rows)
             case commands.SubmitJob():
                 self.rows[command.row.name] = command.row
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -219,6 +219,21 @@
         self.assertIn("a/0 was decided first (index 3)", text)
         self.assertIn("passed over at that moment: no accelerators", text)
 
+    def test_service_missing_from_the_sheet_is_not_compared(
+        self,
+    ) -> None:
+        """Only jobs go on after a sheet without them."""
+        service = msgspec.structs.replace(
+            row("web", "ring", 0, 1), kind="service"
+        )
+        job = row("b", "ring", 3, 1)
+        batches = ([sheet(2, job)], [assign("b/0", "vm-1")])
+        text = self.order("b/0", "web", [sheet(1, service, job)], *batches)
+        self.assertIn("no declared values to compare", text)
+        earlier_job = row("c", "ring", 1, 1)
+        text = self.order("b/0", "c", [sheet(1, earlier_job, job)], *batches)
+        self.assertIn("b/0 is less urgent (3 against 1)", text)
+
     def test_declared_urgency_and_place_are_compared(self) -> None:
         accepted = sheet(
             1,
