Keep the records of runs whose workers are back late

A task that crashes its workers was never given up if they take a minute to come back: 16 starts in 2 min, and on (trial with simulated workers).

A task kept the records of its four newest runs that were given up. With a run given up 6 s after its worker fell silent, each record was displaced before the new incarnation appeared, so that no crash counted.

A task now keeps eight records: rejected runs are displaced first, then those whose crash is counted; of the others, the oldest and the newest stay.

--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -10,19 +10,22 @@
 assigned shortly before: a task that crashes its workers does so when it starts,
 and few others start at the same time.
 
-Each task keeps few records, and drops those of rejected runs first: starts may
-be rejected often, and a crash counts only once a new incarnation appears.
+Each task keeps few records. A crash counts only once a new incarnation appears,
+and until then many other runs may be given up. So the records of rejected runs
+are dropped first, then those whose crash is counted. Of the others, the oldest
+and the newest are kept: a worker may be back after a long time, or never.
 """
 
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
+import itertools
 from typing import Final
 
 from bamboorouter.protocol import jobs
 from bamboorouter.state import job_records
 
-MAX_RUNS_PER_TASK: Final = 4
+MAX_RUNS_PER_TASK: Final = 8
 # Includes the delays until the start is ordered and the crash is noticed.
 EARLY_CRASH_MS: Final = 250
 # Age of a run at a crash if its start isn't known: too long for any conclusion.
@@ -201,7 +204,13 @@
     """
     if len(runs) <= MAX_RUNS_PER_TASK:
         return runs
-    dropped = next((run for run in runs if not run.lost), runs[0])
+    dropped = next(
+        itertools.chain(
+            (run for run in runs if not run.lost),
+            (run for run in runs if run.crash),
+        ),
+        runs[len(runs) // 2],
+    )
     return tuple(run for run in runs if run is not dropped)
 
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -72,6 +72,17 @@
         self.assertLessEqual(self.starts[make.ref("killer")], MAX_STARTS)
         self.assertEqual(self.job_state("killer"), "failed")
 
+    async def test_crashes_count_after_reboots_of_a_minute(self) -> None:
+        """Many runs are given up before the first worker is back.
+
+        The limit of starts can't hold, because nothing tells a crash from a
+        partition meanwhile.
+        """
+        self.restart_ms = 60_000
+        await self.submit_killer("killer")
+        await self.pass_steps(75_000)
+        self.assertEqual(self.job_state("killer"), "failed")
+
     async def test_gang_with_a_task_that_crashes_its_workers_is_given_up(
         self,
     ) -> None:
