--- a/tests/test_crash_survival.py
+++ b/tests/test_crash_survival.py
@@ -106,5 +106,19 @@
         self.assertFalse(self.cleared(AGE_MS + 1))
 
 
+class ElectionTest(test_job_dispatcher.DispatcherCase):
+    """A new leader doesn't know when the runs were listed before."""
+
+    async def test_ages_are_forgotten_once_per_term(self) -> None:
+        recorder = self.dispatcher.observations
+        recorder.restore()
+        with mock.patch.object(recorder.crash_survival, "reset") as reset:
+            recorder.restore()
+            reset.assert_not_called()
+            self.log.elect_again()
+            recorder.restore()
+            reset.assert_called_once_with()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_incarnation_ends.py
+++ b/tests/test_incarnation_ends.py
@@ -38,6 +38,16 @@
         self.assertFalse(request.previous_left)
         self.assertGreater(request.silent_ms, 0)
 
+    async def test_silence_counts_from_the_first_unanswered_poll(self) -> None:
+        session = self.session.session
+        assert session is not None
+        await self.session.stop()
+        session.silent_since_ms = None
+        self.assertEqual(session.silent_ms(5000), 0)
+        session.record_failed_poll(5000)
+        session.record_failed_poll(5100)
+        self.assertEqual(session.silent_ms(5300), 300)
+
     async def test_incarnation_that_drained_has_left(self) -> None:
         self.session.announce(
             fake_worker.announcement(sequence=2, draining=True)
