Acknowledge no end above a gap that was listed once

A single odd row with a number up to 1000 above the true ones was acknowledged. The worker then discards the true ends up to that number when they occur, so that completed runs are taken for lost and started again.

Numbers within that distance counted like any other, since a new agent can't know which were acknowledged before. They still count at once, but a number whose predecessor isn't acknowledgeable is acknowledged only after a second list contains it; true ends are listed until then. This delays the acknowledgement of the first ends of a new agent by one poll. Shown by tests of the agent's runs, of which the first failed before.

--- a/bamboorouter/coordination/workers/end_numbers.py
+++ b/bamboorouter/coordination/workers/end_numbers.py
@@ -6,6 +6,10 @@
 nor be acknowledged: a number far above the others counts only if successive
 lists contain it. This also holds for the first numbers that a new agent sees,
 because it doesn't know how many ends were acknowledged before.
+
+A number that leaves a smaller gap counts at once, but is acknowledged only if a
+later list contains it as well: a true end is listed until it is acknowledged,
+and the worker would otherwise discard the ends in the gap when they occur.
 """
 
 from collections.abc import Iterable
@@ -30,8 +34,9 @@
 
     def __init__(self) -> None:
         self.highest = 0
-        # Numbers that count, oldest first; bounded.
-        self._known: dict[int, None] = {}
+        # Numbers that count, and whether they may be acknowledged, oldest
+        # first; bounded.
+        self._known: dict[int, bool] = {}
         # Number of successive lists that contain a number in doubt.
         self._doubtful: dict[int, int] = {}
 
@@ -52,6 +57,7 @@
         for row in sorted(rows, key=lambda row: row.number):
             number = row.number
             if number in self._known:
+                self._known[number] = True
                 continue
             if number > self.highest + MAX_GAP:
                 lists = self._doubtful.get(number, 0) + 1
@@ -63,8 +69,12 @@
         self._doubtful = doubtful
         return new, not doubtful
 
+    def may_acknowledge(self, number: int) -> bool:
+        """Returns whether a number that counts may be acknowledged."""
+        return self._known.get(number, False)
+
     def _add(self, number: int) -> None:
         self.highest = max(self.highest, number)
-        self._known[number] = None
+        self._known[number] = number == 1 or self.may_acknowledge(number - 1)
         if len(self._known) > MAX_REMEMBERED:
             del self._known[next(iter(self._known))]
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -149,7 +149,7 @@
         runs: Runs by task and attempt.
         ends: Ends that the leader hasn't confirmed, in order.
         last_confirmed_end: Highest number of an end that the leader has
-            confirmed.
+            confirmed and that may be acknowledged.
         end_numbers: Numbers of the ends that the worker has listed.
         unsettled: Whether the newest view lists ends, or isn't complete. The
             worker then answers the next poll without delay.
@@ -168,6 +168,8 @@
         self.ends: list[PendingEnd] = []
         self.last_confirmed_end = 0
         self.end_numbers = end_numbers.EndNumbers()
+        # Confirmed ends that may not be acknowledged yet.
+        self._confirmed: set[int] = set()
         self.newest_view_ms = 0
         self.newest_view_received_ms = 0
         self.unsettled = False
@@ -305,6 +307,7 @@
         ]
         self.last_confirmed_end = 0
         self.end_numbers = end_numbers.EndNumbers()
+        self._confirmed.clear()
         self.newest_view_ms = 0
         self.newest_view_received_ms = 0
 
@@ -320,14 +323,14 @@
     def confirm(self, confirmed: Iterable[PendingEnd]) -> None:
         """Removes ends that the leader has confirmed."""
         done = {id(pending) for pending in confirmed}
-        self.last_confirmed_end = max(
-            self.last_confirmed_end,
-            max(
-                (p.number for p in self.ends if id(p) in done),
-                default=0,
-            ),
-        )
+        self._confirmed |= {p.number for p in self.ends if id(p) in done}
         self.ends = [p for p in self.ends if id(p) not in done]
+        self._update_last_confirmed()
+
+    def _update_last_confirmed(self) -> None:
+        usable = set(filter(self.end_numbers.may_acknowledge, self._confirmed))
+        self.last_confirmed_end = max(self.last_confirmed_end, *usable, 0)
+        self._confirmed -= usable
 
     def reconcile(
         self, view: worker_port.WorkerView, *, token: int, sent_ms: int
@@ -368,6 +371,7 @@
     def _add_ends(self, rows: Iterable[worker_port.EndedRow]) -> bool:
         """Adds new ends; returns whether all ends of the list are known."""
         new, all_known = self.end_numbers.take_new(rows)
+        self._update_last_confirmed()
         for row in new:
             key = (row.end.task, row.end.attempt)
             self.runs.pop(key, None)
--- a/tests/test_held_runs.py
+++ b/tests/test_held_runs.py
@@ -140,6 +140,36 @@
         self.held.confirm(self.held.ends)
         self.assertEqual(self.held.last_confirmed_end, 1)
 
+    def test_number_above_a_gap_is_not_acknowledged_if_listed_once(
+        self,
+    ) -> None:
+        """Guards against ends that the worker forgets before they occur."""
+        self.see(view(10, REF, ended=(end_row(500, attempt=2),)))
+        self.held.confirm(self.held.ends)
+        self.see(view(20, REF))
+        self.assertEqual(self.held.last_confirmed_end, 0)
+        self.see(view(30, ended=(end_row(1),)))
+        self.assertEqual(self.outcomes(), ["done"])
+        self.held.confirm(self.held.ends)
+        self.assertEqual(self.held.last_confirmed_end, 1)
+
+    def test_number_above_a_gap_is_acknowledged_if_listed_again(self) -> None:
+        rows = tuple(end_row(500 + n, attempt=n) for n in range(1, 4))
+        self.see(view(10, ended=rows))
+        self.held.confirm(self.held.ends[:2])
+        self.see(view(20, ended=rows))
+        self.assertEqual(self.held.last_confirmed_end, 502)
+        self.held.confirm(self.held.ends)
+        self.assertEqual(self.held.last_confirmed_end, 503)
+
+    def test_confirmation_after_the_second_list_acknowledges(self) -> None:
+        rows = (end_row(501),)
+        self.see(view(10, ended=rows))
+        self.see(view(20, ended=rows))
+        self.assertEqual(self.held.last_confirmed_end, 0)
+        self.held.confirm(self.held.ends)
+        self.assertEqual(self.held.last_confirmed_end, 501)
+
     def test_run_whose_end_is_in_doubt_is_not_lost(self) -> None:
         self.see(view(10, REF))
         doubtful = view(20, ended=(end_row(10**11),))
