--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -212,6 +212,9 @@
     ages = [
         run.crash_age_ms for run in task.given_up if counts(run) and run.started
     ]
+    if len(ages) < task.confirmed_crashes:
+        # Records were dropped.
+        return UNKNOWN_AGE_MS
     return max(ages, default=0) - min(ages, default=0)
 
 
@@ -252,7 +255,7 @@
     dropped = next(
         itertools.chain(
             (run for run in runs if not run.lost),
-            (run for run in runs if run.crash),
+            (run for run in runs if counts(run)),
         ),
         runs[len(runs) // 2],
     )
