--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -11,11 +11,12 @@
 * after three crashes with two early ones, if no task of another job there was
   as suspicious;
 * after four crashes that include two early ones or came at the same age, unless
-  a task of another job there was more suspicious;
+  a task of another job there was more suspicious and had as many crashes;
 * after five crashes in any case, confirmed or not.
 
 So a task that crashes each worker when it starts is started at most four times,
-or five times if one of the crashes isn't known or starts weren't answered.
+or five times if one of the crashes isn't known or starts weren't answered. If starts are
+delayed, no crash is early, and a bystander with an early one is more suspicious.
 """
 
 from collections.abc import Iterable
@@ -97,7 +98,9 @@
     often_early = task.early >= MIN_EARLY_CRASHES
     if task.crashes >= MIN_CRASHES_IF_TIED:
         same_age = task.age_spread_ms < SAME_AGE_MS
-        return (often_early or same_age) and task.rank() >= highest
+        most_crashes = max((other.crashes for other in others), default=0)
+        stands_out = task.rank() >= highest or task.crashes > most_crashes
+        return (often_early or same_age) and stands_out
     if task.crashes >= MIN_CRASHES:
         return often_early and task.rank() > highest
     return often_early and not any(other.early_now for other in others)
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -50,7 +50,7 @@
     Attributes:
         life: ID of the incarnation.
         session: Number of the newest session of its agent.
-        room: Capacity of the worker, as committed last.
+        room: Capacity of the worker when that session was opened.
     """
 
     life: str
@@ -319,26 +319,30 @@
                 over_ms=ended.over_ms,
                 started=ended.started,
             )
-            if task.status in ("waiting", "assigned")
-            and self.jobs[ref.job].active()
+            if task.status != "done"
+        ]
+        # The runs of an ended job go on until they are stopped, so that they
+        # are suspects as well.
+        convicted = [
+            task
+            for task in crash_conviction.convicted(tasks)
+            if self.jobs[task.ref.job].active()
         ]
-        convicted = crash_conviction.convicted(tasks)
         for crashed in convicted:
             task = self.task(crashed.ref)
             assert task is not None
             self._fail(self.jobs[crashed.ref.job], task)
-        return [
-            task for task in tasks if task.total > 1 and task not in convicted
-        ], convicted
+        suspects = [
+            task
+            for task in tasks
+            if task.total > 1 and self.jobs[task.ref.job].active()
+        ]
+        return suspects, convicted
 
     def note_checkpoints(
         self, command: job_commands.NoteCheckpoints
     ) -> commands.Result:
-        """Records checkpoints and capacities, and clears suspects."""
-        for noted in command.rooms:
-            incarnation = self.incarnations.get(noted.worker)
-            if incarnation is not None and incarnation.life == noted.life:
-                incarnation.room = noted.room
+        """Records checkpoints, and clears suspects."""
         for checkpoint in command.checkpoints:
             task = self.task(checkpoint.task)
             if (
