--- a/tests/simulated_workers.py
+++ b/tests/simulated_workers.py
@@ -142,7 +142,14 @@
     def _end(self, key: jobs.RunKey, how: jobs.RunOutcome) -> None:
         if self.runs.pop(key, None) is not None:
             task, attempt = key
-            self.ends.append(jobs.RunEnd(task=task, attempt=attempt, how=how))
+            self.ends.append(
+                jobs.RunEnd(
+                    task=task,
+                    attempt=attempt,
+                    how=how,
+                    started=task.job not in self.site.unanswered,
+                )
+            )
 
     async def _report(self) -> None:
         ends = tuple(self.ends)
