Give no lease that ended before an answer in doubt

The lease was converted by the last answer that wasn't in doubt, and compared with the time of that answer only; since an answer in doubt doesn't replace it. If the poll that was under way during the pause was answered first, the worker counted as reachable and the ended lease was given. The time of an answer in doubt now counts too.

--- a/bamboorouter/coordination/workers/run_lease.py
+++ b/bamboorouter/coordination/workers/run_lease.py
@@ -89,7 +89,11 @@
             The end in ms; None if the worker's clock is unknown or the end has
             passed.
         """
-        if self._received_ms is None or end_ms <= self._received_ms:
+        if self._received_ms is None:
+            return None
+        # Time has passed until an answer in doubt as well.
+        _, newest_ms = self._doubtful or (self._worker_ms, self._received_ms)
+        if end_ms <= newest_ms:
             return None
         worker_left_ms = (end_ms - self._received_ms) * MIN_CLOCK_RATE
         until_ms = self._worker_ms + int(worker_left_ms)
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -691,6 +691,16 @@
             lease.record_clock(worker_ms=2500, received_ms=51_500)
         self.assertTrue(lease.expired(51_500 + 11_000))
 
+    def test_lease_that_ended_before_an_answer_in_doubt_is_not_given(
+        self,
+    ) -> None:
+        """Guards against a start on a grant that ended during a pause."""
+        lease = run_lease.RunLease(longest_ms=10_000)
+        lease.record_clock(worker_ms=1000, received_ms=50_000)
+        lease.record_clock(worker_ms=1010, received_ms=56_001)
+        self.assertTrue(lease.in_doubt)
+        self.assertIsNone(lease.end_on_worker(56_000))
+
     def test_wrong_first_clock_is_corrected(self) -> None:
         lease = run_lease.RunLease(longest_ms=10_000)
         lease.record_clock(worker_ms=3_600_000, received_ms=50_000)
