Grant no lease after the end of the leader's

An agent that was paused for longer than its lease could start a run, which the leader may have started elsewhere.

The end of the lease was compared with the time of the newest answer whose clock counts. While the worker's clock is in doubt, that is an earlier one, so that a lease in the past seemed to go on.

The end is now compared with the current time.

--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -127,7 +127,9 @@
         Returns:
             The end of the lease in ms; None to grant no lease.
         """
-        if not self.reachable(now):
+        # While the worker's clock is in doubt, its earlier one is used, by which
+        # a lease that has ended may seem to go on.
+        if not self.reachable(now) or self.grant_end_ms <= now:
             return None
         return self.lease.end_on_worker(
             min(self.grant_end_ms, now + WORKER_LEASE_MS)
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -609,6 +609,22 @@
         await self.until(lambda: self.outcomes() == ["rejected"])
         self.assertEqual(self.worker.starts, [])
 
+    async def test_no_lease_is_granted_after_the_end_of_the_leaders(
+        self,
+    ) -> None:
+        """Guards against a start while the worker's clock is in doubt."""
+        session = self.session.session
+        assert session is not None
+        await self.session.stop()
+        session.grant_end_ms = 106_000
+        for now, granted in ((105_999, True), (106_000, False)):
+            session.answered_ms = now
+            session.lease = run_lease.RunLease(longest_ms=LONGEST_LEASE_MS)
+            session.lease.record_clock(worker_ms=1000, received_ms=100_000)
+            session.lease.record_clock(worker_ms=1010, received_ms=now)
+            self.assertTrue(session.lease.in_doubt)
+            self.assertEqual(session.lease_until(now) is not None, granted)
+
     async def test_end_that_can_not_be_taken_causes_no_burst_of_polls(
         self,
     ) -> None:
