Acknowledge no end above one that couldn't be read

An acknowledgement covers all lower numbers. If one row of a list of ends couldn't be read, the worker forgot it as soon as a later one was acknowledged; its run then counted as lost and was started again, although it may have been done. The agent now acknowledges nothing while rows can't be read, for four lists in succession; the fifth is acknowledged, so that one row doesn't hold up all ends of the worker.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -468,7 +468,9 @@
         """Polls the worker for its runs; returns whether it answered."""
         sent_ms = self.clock.now()
         token = session.token
-        acknowledged = session.next_acknowledged(self.held.last_confirmed_end)
+        acknowledged = session.next_acknowledged(
+            self.held.acknowledgeable_end()
+        )
         session.last_poll_answered = False
         try:
             view = await session.port.poll(
--- a/bamboorouter/coordination/workers/held_runs.py
+++ b/bamboorouter/coordination/workers/held_runs.py
@@ -44,6 +44,7 @@
 # One view without a running run is no proof: if it and the view that lists the
 # run have the same time in ms, their order is unknown.
 LOST_AFTER_MISSED_VIEWS: Final = 2
+MAX_UNREAD_VIEWS: Final = 5
 # A worker stops a run within 0.9 s.
 STOP_DURATION_MS: Final = 1000
 
@@ -161,6 +162,8 @@
         self.newest_view_ms = 0
         self.newest_view_received_ms = 0
         self.unsettled = False
+        # Number of successive views with ends that couldn't be read.
+        self._unread_views = 0
         self.ended = ended_runs.EndedRuns(worker=worker)
         self.clock = time
 
@@ -308,6 +311,17 @@
         )
         self.ends = [p for p in self.ends if id(p) not in done]
 
+    def acknowledgeable_end(self) -> int:
+        """Returns the number up to which ends may be acknowledged.
+
+        An acknowledgement covers all lower numbers, also those of ends that
+        couldn't be read. They are asked for again first, but not for ever,
+        because the worker lists a limited number of ends.
+        """
+        if 0 < self._unread_views < MAX_UNREAD_VIEWS:
+            return 0
+        return self.last_confirmed_end
+
     def reconcile(
         self, view: worker_port.WorkerView, *, token: int, sent_ms: int
     ) -> bool:
@@ -330,6 +344,7 @@
             )
             view = dataclasses.replace(view, complete=False)
         self.unsettled = bool(view.ended) or not view.complete
+        self._unread_views = self._unread_views + 1 if view.unread_ends else 0
         if (
             view.clock_ms >= self.newest_view_ms
             or sent_ms > self.newest_view_received_ms
--- a/bamboorouter/coordination/workers/worker_port.py
+++ b/bamboorouter/coordination/workers/worker_port.py
@@ -127,12 +127,15 @@
             numbers first.
         complete: Whether both lists contain all of them. If not, a run that
             isn't listed may be running or may have ended.
+        unread_ends: Whether ended runs were left out because they couldn't be
+            read.
     """
 
     clock_ms: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     complete: bool = True
+    unread_ends: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -11,10 +11,12 @@
 from bamboorouter import clock
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import agent_session
+from bamboorouter.coordination.workers import held_runs
 from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import job_messages
+from bamboorouter.protocol import jobs
 from tests import fake_worker
 from tests import job_builders as make
 from tests import replica_site
@@ -562,6 +564,58 @@
         await self.until(lambda: self.outcomes() == ["rejected"])
         self.assertEqual(self.worker.starts, [])
 
+    async def test_end_that_could_not_be_read_is_not_acknowledged(
+        self,
+    ) -> None:
+        """Guards against a run that is done and is started again."""
+        for job in ("a", "b"):
+            await self.order(fake_worker.start_orders(make.ref(job)))
+        await self.until(lambda: len(self.worker.running) == 2)
+        poll = self.worker.poll
+        unread = 2
+
+        async def misread(**fields: Any) -> worker_port.WorkerView:
+            nonlocal unread
+            view = await poll(**fields)
+            if not view.ended or not unread:
+                return view
+            unread -= 1
+            return dataclasses.replace(
+                view, ended=view.ended[1:], complete=False, unread_ends=True
+            )
+
+        with mock.patch.object(self.worker, "poll", misread):
+            # The pending poll is still answered by the other method.
+            await asyncio.sleep(2 * fake_worker.ANSWER_DELAY_S)
+            for job in ("a", "b"):
+                self.worker.finish(make.ref(job), "done")
+            await self.until(lambda: self.worker.acknowledged == 2)
+        self.assertEqual(self.outcomes(), ["done", "done"])
+
+    async def test_end_that_is_never_read_holds_up_no_others(self) -> None:
+        """Guards against a list that is full of ends."""
+        for _ in range(held_runs.MAX_UNREAD_VIEWS):
+            self.session.held.reconcile(
+                worker_port.WorkerView(
+                    clock_ms=1,
+                    running=(),
+                    ended=(
+                        worker_port.EndedRow(
+                            number=2,
+                            end=jobs.RunEnd(
+                                task=make.ref(), attempt=1, how="done"
+                            ),
+                        ),
+                    ),
+                    complete=False,
+                    unread_ends=True,
+                ),
+                token=1,
+                sent_ms=0,
+            )
+            self.session.held.confirm(self.session.held.ends)
+        self.assertEqual(self.session.held.acknowledgeable_end(), 2)
+
     async def test_end_that_can_not_be_taken_causes_no_burst_of_polls(
         self,
     ) -> None:
