Grant no lease while the worker's clock is in doubt

If a worker was suspended, runs could outlive the lease that the leader grants, by the time of the suspension.

A clock in doubt doesn't count before the next answer; until then leases ended by the earlier clock, which is ahead. No lease is granted now until the next answer decides, 0.1 s later.

--- a/bamboorouter/coordination/workers/run_lease.py
+++ b/bamboorouter/coordination/workers/run_lease.py
@@ -12,8 +12,9 @@
 
 Both clocks advance alike. An answer whose clock doesn't fit the earlier ones is
 wrong, was processed late, or tells that the worker or this machine was
-suspended. It counts only if the next answer agrees with it; until then the
-earlier clock is used, which may end a lease too early, but not too late.
+suspended. It counts only if the next answer agrees with it. Until then the
+earlier clock is used and no lease is granted: if the worker was suspended, its
+clock is behind, and a lease would end too late.
 """
 
 import math
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -127,9 +127,13 @@
         Returns:
             The end of the lease in ms; None to grant no lease.
         """
-        # While the worker's clock is in doubt, its earlier one is used, by which
-        # a lease that has ended may seem to go on.
-        if not self.reachable(now) or self.grant_end_ms <= now:
+        # If the worker was suspended, its clock is behind the one that counts
+        # until the next answer, by which a lease would end too late.
+        if (
+            not self.reachable(now)
+            or self.grant_end_ms <= now
+            or self.lease.in_doubt
+        ):
             return None
         return self.lease.end_on_worker(
             min(self.grant_end_ms, now + WORKER_LEASE_MS)
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -612,7 +612,7 @@
     async def test_no_lease_is_granted_after_the_end_of_the_leaders(
         self,
     ) -> None:
-        """Guards against a start while the worker's clock is in doubt."""
+        """Guards against a start while the leader may start the run again."""
         session = self.session.session
         assert session is not None
         await self.session.stop()
@@ -621,10 +621,31 @@
             session.answered_ms = now
             session.lease = run_lease.RunLease(longest_ms=LONGEST_LEASE_MS)
             session.lease.record_clock(worker_ms=1000, received_ms=100_000)
-            session.lease.record_clock(worker_ms=1010, received_ms=now)
-            self.assertTrue(session.lease.in_doubt)
             self.assertEqual(session.lease_until(now) is not None, granted)
 
+    async def test_no_lease_is_granted_while_the_clock_is_in_doubt(
+        self,
+    ) -> None:
+        """Guards against runs that outlive the leader's lease.
+
+        The worker was suspended, so that its clock is behind.
+        """
+        session = self.session.session
+        assert session is not None
+        await self.session.stop()
+        session.grant_end_ms = 110_000
+        session.lease = run_lease.RunLease(longest_ms=LONGEST_LEASE_MS)
+        session.lease.record_clock(worker_ms=1000, received_ms=100_000)
+        for now, granted in ((105_000, False), (105_100, True)):
+            session.answered_ms = now
+            session.lease.record_clock(
+                worker_ms=1010 + now - 105_000, received_ms=now
+            )
+            until_ms = session.lease_until(now)
+            self.assertEqual(until_ms is not None, granted)
+        assert until_ms is not None
+        self.assertLessEqual(until_ms, 1110 + 110_000 - 105_100)
+
     async def test_end_that_can_not_be_taken_causes_no_burst_of_polls(
         self,
     ) -> None:
