Count unknown ends of workers, and compare only ages that are known

An unknown end now counts as an unconfirmed crash, so that only the limit of five rests on it. Ages that are only bounded no longer tell a difference.

--- a/bamboorouter/coordination/jobs/incarnation_ends.py
+++ b/bamboorouter/coordination/jobs/incarnation_ends.py
@@ -60,6 +60,7 @@
         life=current.life,
         how=how,
         over_ms=wall_ms - silent_ms,
+        dated=silent_ms > 0,
         started=tuple(
             jobs.RunId(task=task, attempt=attempt)
             for task, attempt in sorted(started)
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -90,12 +90,15 @@
             epoch.
         started: Runs on it whose start the worker has confirmed, as far as
             their ends don't tell.
+        dated: Whether `over_ms` is close to the end. If not, the incarnation may
+            have ended long before.
     """
 
     life: str = ""
     how: Literal["crashed", "left", "unknown"] = "unknown"
     over_ms: int = 0
     started: tuple[jobs.RunId, ...] = ()
+    dated: bool = True
 
 
 class OpenSession(base.Wire, frozen=True, kw_only=True, tag=25):
--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -3,8 +3,9 @@
 All tasks that ran on a worker when it crashed are suspects, since the crash
 doesn't tell which of them caused it. Workers also crash by themselves, but
 rarely just after the start of the same task, or at the same age of its runs. A
-crash is confirmed if the worker had confirmed the start of the run; otherwise
-the start order may not have been carried out. All numbers but the last are
+crash is confirmed if the worker neither drained nor left, and had confirmed the
+start of the run; otherwise the start order may not have been carried out, or
+the end of the worker may not have been a crash. All numbers but the last are
 numbers of confirmed crashes. A task is given up
 
 * after two early crashes, if no run of another job started as recently there;
--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -119,6 +119,8 @@
         *,
         over_ms: int,
         started: Iterable[jobs.RunId] = (),
+        proven: bool = True,
+        dated: bool = True,
     ) -> list[TaskRecord]:
         """Counts the crash of an incarnation for the tasks with lost runs.
 
@@ -128,6 +130,9 @@
             over_ms: Wall time in ms by which it was over.
             started: Runs there whose start is confirmed, beside those whose
                 records say so.
+            proven: Whether the incarnation has crashed for certain. If not, no
+                crash is confirmed.
+            dated: Whether `over_ms` is close to its end.
 
         Returns:
             The tasks, in the order of their references.
@@ -147,11 +152,14 @@
             known = [
                 run
                 for run in new
-                if run.started or (ref, run.attempt) in confirmed
+                if proven and (run.started or (ref, run.attempt) in confirmed)
             ]
             kept = (known or new)[-1]
             crash = dataclasses.replace(
-                kept, crash_age_ms=task.crash_age_ms, started=bool(known)
+                kept,
+                crash_age_ms=task.crash_age_ms,
+                started=bool(known),
+                dated=dated,
             )
             _count(task, crash, 1)
             self._replace(
@@ -208,13 +216,15 @@
 
 
 def crash_age_spread_ms(task: job_records.Task) -> int:
-    """Returns how far the ages at the confirmed crashes under a task differ."""
-    ages = [
-        run.crash_age_ms for run in task.given_up if counts(run) and run.started
-    ]
-    if len(ages) < task.confirmed_crashes:
+    """Returns how far the ages at the confirmed crashes under a task differ.
+
+    Ages that are only bounded don't tell a difference.
+    """
+    runs = [run for run in task.given_up if counts(run) and run.started]
+    if len(runs) < task.confirmed_crashes:
         # Records were dropped.
         return UNKNOWN_AGE_MS
+    ages = [run.crash_age_ms for run in runs if run.dated]
     return max(ages, default=0) - min(ages, default=0)
 
 
--- a/bamboorouter/state/job_records.py
+++ b/bamboorouter/state/job_records.py
@@ -33,6 +33,7 @@
             for the task, upper bound for the age of the run at the crash, in
             ms; otherwise `NO_CRASH`.
         started: Whether the worker had confirmed the start of the run.
+        dated: Whether `crash_age_ms` is close to the age.
     """
 
     attempt: int
@@ -42,6 +43,7 @@
     lost: bool
     crash_age_ms: int = NO_CRASH
     started: bool = False
+    dated: bool = True
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -299,7 +299,7 @@
         """
         self.given_up.revoke_crash(command.worker, command.life)
         ended = command.ended
-        if ended.how != "crashed":
+        if ended.how == "left":
             return [], []
         tasks = [
             crash_conviction.CrashedTask(
@@ -318,6 +318,8 @@
                 ended.life,
                 over_ms=ended.over_ms,
                 started=ended.started,
+                proven=ended.how == "crashed",
+                dated=ended.dated,
             )
             if task.status != "done"
         ]
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -59,6 +59,7 @@
         life: str = "",
         age_ms: int = 50,
         started: bool = True,
+        dated: bool = True,
     ) -> job_commands.OpenSession:
         """Opens a session with a new incarnation, or with `life`.
 
@@ -68,6 +69,7 @@
             life: The incarnation.
             age_ms: Time from the last start to the end of the earlier one.
             started: Whether the starts of its runs are confirmed.
+            dated: Whether the time of its end is known.
 
         Returns:
             The command.
@@ -82,6 +84,7 @@
                 how=how,
                 over_ms=self.now_ms + age_ms,
                 started=self.runs_on(worker) if started else (),
+                dated=dated,
             )
         command = job_commands.OpenSession(
             worker=worker,
@@ -149,11 +152,12 @@
         worker: str = "w1",
         age_ms: int = 50,
         started: bool = True,
+        dated: bool = True,
     ) -> None:
         """Starts tasks on a worker, which then crashes."""
         for task in tasks or (make.ref(),):
             self.start(task, worker)
-        self.open(worker, age_ms=age_ms, started=started)
+        self.open(worker, age_ms=age_ms, started=started, dated=dated)
 
     def task(self, ref: jobs.TaskRef | None = None) -> job_records.Task:
         return self.jobs.task(ref or make.ref())
@@ -178,10 +182,26 @@
         self.open("w1", "left")
         self.assertEqual(self.crashes(), 0)
 
-    def test_end_that_nobody_knows_does_not_count(self) -> None:
+    def test_end_that_nobody_knows_confirms_no_crash(self) -> None:
+        """A new agent reports it to a new leader."""
         self.start()
         self.open("w1", "unknown")
-        self.assertEqual(self.crashes(), 0)
+        self.assertEqual(
+            (self.crashes(), self.task().confirmed_crashes), (1, 0)
+        )
+
+    def test_ends_that_nobody_knows_leave_no_start_beyond_the_fifth(
+        self,
+    ) -> None:
+        """Guards against starts for ever beside killed agents and leaders."""
+        for worker in ("w1", "w2"):
+            self.start(worker=worker)
+            self.open(worker, "unknown")
+        for worker in ("w3", "w4"):
+            self.crash(worker=worker, started=False)
+            self.assertEqual(self.job_state(), "running")
+        self.crash(worker="w5", started=False)
+        self.assertEqual(self.job_state(), "failed")
 
     def test_session_with_the_same_incarnation_counts_nothing(self) -> None:
         self.start()
@@ -409,6 +429,14 @@
         self.crash_at_ages(100, 2000, 900, 500)
         self.assertEqual(self.job_state(), "running")
 
+    def test_ages_that_are_not_known_tell_no_difference(self) -> None:
+        """Restarted agents don't know when their workers crashed."""
+        self.crash_at_ages(600, 1100)
+        self.crash(worker="w3", age_ms=3000, dated=False)
+        self.assertEqual(self.job_state(), "running")
+        self.crash(worker="w4", age_ms=9000, dated=False)
+        self.assertEqual(self.job_state(), "failed")
+
     def test_five_crashes_are_enough(self) -> None:
         self.crash_at_ages(100, 2000, 900, 500, 3000)
         self.assertEqual(self.job_state(), "failed")
--- a/tests/test_incarnation_ends.py
+++ b/tests/test_incarnation_ends.py
@@ -220,6 +220,7 @@
         task = await self.crash_after_start(silent_ms=2900)
         self.assertEqual((task.crashes, task.early_crashes), (1, 1))
         self.assertEqual(task.crash_age_ms, 100)
+        self.assertTrue(task.given_up[0].dated)
 
     async def test_age_at_a_crash_is_that_at_its_discovery_if_unknown(
         self,
@@ -230,6 +231,7 @@
                 task = await self.crash_after_start(silent_ms)
                 self.assertEqual((task.crashes, task.early_crashes), (1, 0))
                 self.assertEqual(task.crash_age_ms, 3000)
+                self.assertFalse(task.given_up[0].dated)
 
     async def test_session_with_the_same_incarnation_ends_nothing(self) -> None:
         await self.reopen("w1@1")
