Expect no run of a lasting job that is reported as failed, in the soak

The soak never asked for the state of a lasting job. It now asks for those whose tasks don't run, and expects runs of all that aren't reported as failed. A job that is reported as failed with fewer crashes or failures is still a violation, as is one that doesn't run and isn't reported as failed; tests show both.

The page of operations names two metrics that have no sample before a worker has crashed.

--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -135,7 +135,8 @@
     async def _ask_for_open_jobs(self) -> None:
         for job in self.history.unanswered_cancellations():
             await self._cancel(job)
-        for job in self.history.open_jobs():
+        missing = (task.split(".")[0] for task in self.history.missing_tasks())
+        for job in dict.fromkeys((*self.history.open_jobs(), *missing)):
             await self._poll_state(job)
 
     def _spawn(self, coroutine: Any) -> None:
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -276,11 +276,17 @@
         ]
 
     def lasting_jobs(self) -> list[str]:
-        """Returns accepted jobs that last and that nobody has cancelled."""
+        """Returns accepted jobs that must run now and last.
+
+        Nobody has cancelled them, and they weren't reported as failed.
+        """
         return [
             name
             for name, job in self._jobs.items()
-            if job.accepted() and job.lasting() and not job.cancel_sent
+            if job.accepted()
+            and job.lasting()
+            and not job.cancel_sent
+            and job.state != "failed"
         ]
 
     def unfinished_jobs(self) -> list[str]:
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -30,8 +30,11 @@
 SAMPLE_LINE = re.compile(
     r"^(bamboorouter_\w+?)(?:\{.*\})? ([\d.e+-]+)$", re.MULTILINE
 )
-# Metrics without a sample before the first request, job call or run.
+# Metrics without a sample before the first request, job call, run or crash of a
+# worker.
 METRICS_WITHOUT_SAMPLES = {
+    "bamboorouter_crash_suspects_total",
+    "bamboorouter_incarnations_ended_total",
     "bamboorouter_job_call_seconds_bucket",
     "bamboorouter_runs_ended_total",
     "bamboorouter_runs_given_up_total",
--- a/tests/test_soak_attempts.py
+++ b/tests/test_soak_attempts.py
@@ -127,6 +127,34 @@
         self.read("failed")
         self.assertEqual(len(self.history.violations), 1)
 
+    def crash_lasting_task(self, crashes: int) -> None:
+        phases = [{"count": 1, "cpu": 500, "longRunning": True}]
+        self.history = soak_checks.History(clock=lambda: 0.0)
+        self.submit({**BODY, "phases": phases})
+        self.repeat(crashes, self.crash)
+
+    def test_lasting_job_that_is_reported_as_failed_need_not_run(self) -> None:
+        """Two workers crashed under its task."""
+        self.crash_lasting_task(soak_attempts.SUSPICIOUS_CRASHES)
+        self.read("failed")
+        self.history.check_lasting_jobs()
+        self.assertEqual(self.history.violations, [])
+
+    def test_lasting_job_that_fails_without_being_reported_must_run(
+        self,
+    ) -> None:
+        self.crash_lasting_task(soak_attempts.SUSPICIOUS_CRASHES)
+        self.history.check_lasting_jobs()
+        self.assertEqual(len(self.history.violations), 1)
+
+    def test_lasting_job_that_fails_after_one_crash_is_a_violation(
+        self,
+    ) -> None:
+        self.crash_lasting_task(soak_attempts.SUSPICIOUS_CRASHES - 1)
+        self.read("failed")
+        self.history.check_lasting_jobs()
+        self.assertEqual(len(self.history.violations), 1)
+
     def test_failed_job(self) -> None:
         self.repeat(soak_attempts.MAX_ATTEMPTS, self.fail_run)
         self.read("failed")
