--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -291,7 +291,9 @@
     ) -> tuple[
         list[crash_conviction.CrashedTask], list[crash_conviction.CrashedTask]
     ]:
-        """Counts the crash of a worker, if it was one.
+        """Counts the crash of a worker, if it may have been one.
+
+        An unknown end counts as an unconfirmed crash.
 
         Returns:
             The tasks that other workers have crashed under before, and those
