Allow an announcement that is under way while a simulated worker deregisters

Cause, in the test: the simulated worker announces itself while its deregistration is being answered, as a real one may, and the test demanded that the latter comes last.

--- a/tests/test_soak_capacity.py
+++ b/tests/test_soak_capacity.py
@@ -166,7 +166,9 @@
         ):
             await self.worker.leave(0.8)
             self.assertIn(("PUT", "draining"), self.calls)
-            self.assertEqual(self.calls[-1], ("DELETE", ""))
+            # An announcement may be under way while the worker deregisters.
+            after = self.calls[self.calls.index(("DELETE", "")) + 1 :]
+            self.assertLessEqual(set(after), {("PUT", "draining")})
             self.assertEqual(self.history.counts["ended lost"], 1)
             with self.assertRaises(aiohttp.ClientError):
                 await self.call("pace")
