Measure the interval between session requests on the session's clock in its test

SessionGrowth reads its clock, in whole ms, and then sends the request; the test read the clock once more when the request arrived. If a ms passes between the two readings of the first request, the interval seems 1 ms shorter.

The bound is unchanged.

--- a/tests/test_session_growth.py
+++ b/tests/test_session_growth.py
@@ -40,21 +40,42 @@
 SOON_S = 0.9
 
 
+class RecordingClock(clock.SystemClock):
+    """Remembers the newest time that the code under test has read.
+
+    A second reading would differ from it, and by a whole millisecond if the
+    clock advances in between.
+
+    Attributes:
+        read_ms: The time in ms; 0 before the first reading.
+    """
+
+    def __init__(self) -> None:
+        self.read_ms = clock.Millis(0)
+
+    def now(self) -> clock.Millis:
+        self.read_ms = super().now()
+        return self.read_ms
+
+
 class StrictLeader(fake_worker.FakeLeaderClient):
     """A leader that knows the newest session only.
 
     Attributes:
+        time: Clock of the session under test.
         number: Number of the newest session.
         answers: Set while requests for sessions are answered; they are carried
             out in any case.
         lost_answers: Number of upcoming requests for sessions that are carried
             out without an answer.
-        requested_ms: Times in ms of the requests for sessions.
+        requested_ms: Times in ms of the requests for sessions, on the
+            session's clock.
         refused_reports: Number of reports of earlier sessions.
     """
 
     def __init__(self) -> None:
         super().__init__()
+        self.time = RecordingClock()
         self.number = 0
         self.answers = asyncio.Event()
         self.answers.set()
@@ -66,7 +87,7 @@
         self, message: messages.Message, *, timeout_ms: int
     ) -> messages.Message:
         if isinstance(message, job_messages.OpenWorkerSession):
-            self.requested_ms.append(clock.SystemClock().now())
+            self.requested_ms.append(self.time.read_ms)
             reply = await super().call(message, timeout_ms=timeout_ms)
             assert isinstance(reply, job_messages.WorkerSession)
             if reply.opened:
@@ -108,6 +129,11 @@
         await super().asyncSetUp()
         self.addCleanup(self.strict_leader.answers.set)
 
+    def new_session(
+        self, time: clock.Clock | None = None
+    ) -> agent_session.AgentSession:
+        return super().new_session(time or self.strict_leader.time)
+
     async def start_run(self, task: jobs.TaskRef = A) -> None:
         await self.order_starts(task, need=make.need(8000, 1000))
         await self.until_running(task)
