--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -24,6 +24,8 @@
 - "capacity": workers shrink and grow.
 - "leaving": workers drain and leave.
 - "odd": agents get announcements of other writers.
+
+With --freezes, freezes of agents and entries are the most frequent fault.
 """
 
 import argparse
@@ -232,6 +234,7 @@
     workers: int,
     path: pathlib.Path,
     groups: frozenset[str] = frozenset(GROUPS),
+    freezes: bool = False,
 ) -> soak_checks.History:
     """Runs one soak in a folder.
 
@@ -241,6 +244,7 @@
         workers: Number of workers, each with an agent.
         path: Folder for settings, data and logs.
         groups: Groups of faults, of `GROUPS`.
+        freezes: Whether freezes are the most frequent fault.
 
     Returns:
         What was observed, and the violated invariants.
@@ -254,6 +258,7 @@
         series="cancellations" in groups,
         capacity="capacity" in groups,
         leave="leaving" in groups,
+        freezes=freezes,
     )
     (path / "schedule.txt").write_text("".join(f"{f}\n" for f in faults))
     site = soak_site.SoakSite(
@@ -301,6 +306,11 @@
         action="store_true",
         help="no group of faults",
     )
+    parser.add_argument(
+        "--freezes",
+        action="store_true",
+        help="freezes as the most frequent fault",
+    )
     parser.add_argument(
         "--without",
         action="append",
@@ -328,6 +338,7 @@
                 workers=arguments.workers,
                 path=path,
                 groups=frozenset() if arguments.basic else groups,
+                freezes=arguments.freezes,
             )
         )
         print(f"seed {seed}: {dict(sorted(history.counts.items()))}")
--- a/devtools/soak_schedule.py
+++ b/devtools/soak_schedule.py
@@ -45,6 +45,8 @@
 LINK_KINDS: Final = ("reset", "cut", "cut_in", "cut_out", "delay")
 # Probability that a fault of a control replica overlaps a series.
 CONTROL_PROBABILITY: Final = 0.4
+# Mean time between two freezes, in a schedule with freezes.
+FREEZE_INTERVAL_S: Final = 0.7
 # Mean time between two changes of the capacity or the presence of a worker.
 CHANGE_INTERVAL_S: Final = 2.5
 # Shares of the full capacity, by kind of fault.
@@ -93,6 +95,7 @@
     series: bool = False,
     capacity: bool = False,
     leave: bool = False,
+    freezes: bool = False,
 ) -> list[Fault]:
     """Returns the faults of a soak, in order of time.
 
@@ -105,6 +108,8 @@
         series: Whether to add series of faults.
         capacity: Whether workers shrink and grow.
         leave: Whether workers drain and leave.
+        freezes: Whether agents and entries freeze more often than anything else
+            happens.
     """
     rng = random.Random(seed)
     faults: list[Fault] = []
@@ -151,10 +156,38 @@
                     for_s=leave_rng.uniform(2.5, 6.0),
                 )
             )
+    if freezes:
+        _add_freezes(
+            random.Random(f"freezes {seed}"), faults, seconds, entries, workers
+        )
     faults.sort(key=lambda fault: fault.at_s)
     return faults
 
 
+def _add_freezes(
+    rng: random.Random,
+    faults: list[Fault],
+    seconds: float,
+    entries: int,
+    workers: int,
+) -> None:
+    """Adds freezes, mostly of agents; some outlast the leases of the runs."""
+    targets = [
+        *(f"entry-{number}" for number in range(1, entries + 1)),
+        *(f"agent-{number}" for number in range(1, workers + 1)),
+    ]
+    now = QUIET_START_S
+    while (now := now + rng.expovariate(1 / FREEZE_INTERVAL_S)) < seconds:
+        faults.append(
+            Fault(
+                at_s=now,
+                target=rng.choice(targets),
+                kind="freeze",
+                for_s=rng.uniform(0.3, 11.0),
+            )
+        )
+
+
 def _add_changes(
     rng: random.Random, faults: list[Fault], seconds: float, workers: int
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 from typing import Any
 import unittest
 from unittest import mock
@@ -492,6 +493,24 @@
         )
         self.assertIn("late", {fault.kind for fault in with_series})
 
+    def test_freezes_leave_the_other_faults_as_they_are(self) -> None:
+        plain, with_freezes = (
+            soak_schedule.schedule(
+                9104,
+                seconds=30,
+                controls=3,
+                entries=2,
+                workers=6,
+                freezes=freezes,
+            )
+            for freezes in (False, True)
+        )
+        self.assertEqual(
+            [fault for fault in with_freezes if fault in plain], plain
+        )
+        kinds = collections.Counter(fault.kind for fault in with_freezes)
+        self.assertEqual(kinds.most_common(1)[0][0], "freeze")
+
 
 class SeededRunTest(soak_case.SeededRunCase):
     """Real processes violate no guarantee under injected faults."""
