Move orders to agents and capacities of workers out of the dispatcher

The dispatcher had 762 lines and three jobs: when a pass runs and what it decides, which capacity a worker has, and how orders reach the agents. The latter two are now run_orders and live_capacities. Behaviour is unchanged: the code is moved, and the check of the leader lease before start orders are pushed stays in the dispatcher.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -2,16 +2,12 @@
 
 A dispatch pass runs after each change and at least every
 `MAX_PASS_INTERVAL_MS`. It marks runs as lost whose worker's lease has expired,
-assigns ready tasks, commits the assignments in one command and only then
-pushes the orders to the agents. A lost order is detected by comparing the
-agent's next report with the replicated state, and is sent again; orders are
-idempotent.
+assigns ready tasks, commits the assignments in one command and only then has
+`run_orders` push the orders to the agents.
 """
 
 import asyncio
-from collections.abc import Iterable
 import contextlib
-import itertools
 from typing import Final
 
 import reactivex.abc
@@ -23,11 +19,13 @@
 from bamboorouter import supervision
 from bamboorouter.coordination.jobs import incarnation_ends
 from bamboorouter.coordination.jobs import job_proposals
+from bamboorouter.coordination.jobs import live_capacities
 from bamboorouter.coordination.jobs import observation_recorder
 from bamboorouter.coordination.jobs import ready_tasks
 from bamboorouter.coordination.jobs import run_ends
 from bamboorouter.coordination.jobs import run_measurements
 from bamboorouter.coordination.jobs import run_monitor
+from bamboorouter.coordination.jobs import run_orders
 from bamboorouter.coordination.jobs import shrunk_workers
 from bamboorouter.coordination.jobs import start_advice
 from bamboorouter.coordination.jobs import stop_orders
@@ -35,9 +33,7 @@
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
-from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.policies import run_placement
-from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
@@ -50,7 +46,6 @@
 PASS_BATCHING_MS: Final = 3
 # Well below `worker_table.MAX_OBSERVATION_GAP_MS`.
 OBSERVATION_PERIOD_MS: Final = 100
-PUSH_TIMEOUT_MS: Final = 500
 # Ended jobs can be read for at least this long.
 ENDED_JOB_RETENTION_MS: Final = 600_000
 # Keeps a command well below the maximum size of a log entry, and a pass short.
@@ -73,6 +68,8 @@
         advice: Asks the advice service where advised steps may run.
         stops: Stops that were ordered.
         superseded: Superseded runs that may run although they aren't reported.
+        capacities: Capacities of the workers, for admission and placement.
+        orders: Sends orders to the agents.
         shrunk: Workers whose runs reserve more than their capacity.
         placement: Chooses workers for ready tasks.
     """
@@ -105,10 +102,26 @@
         )
         self.stops = stop_orders.StopTracker(time=time)
         self.superseded = worker_capacities.SupersededRuns()
+        self.capacities = live_capacities.LiveCapacities(
+            log=log,
+            time=time,
+            table=table,
+            superseded=self.superseded,
+            monitor=self.run_monitor,
+            measurements=self.measurements,
+        )
+        self.orders = run_orders.RunOrderSender(
+            log=log,
+            table=table,
+            capacities=self.capacities,
+            superseded=self.superseded,
+            interference=self.interference,
+            advice=self.advice,
+            stops=self.stops,
+        )
         self.shrunk = shrunk_workers.ShrunkWorkers(time=time)
         self._ended_ms: dict[str, int] = {}
         self._subscriptions: list[reactivex.abc.DisposableBase] = []
-        self._pushes: set[asyncio.Task[None]] = set()
         self._loops: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -135,32 +148,6 @@
         """Requests a dispatch pass."""
         self._wake.set()
 
-    def worker_capacities(self, service: str) -> Iterable[common.Resources]:
-        """Returns the capacity of each live worker of a service.
-
-        The result is empty until every live worker has had time to report.
-        """
-        if not self.table.is_complete(self.clock.now()):
-            return ()
-        return (worker.report.room for worker in self._workers_of(service))
-
-    def largest_capacities(self, service: str) -> Iterable[common.Resources]:
-        """Returns the largest capacity that each live worker has reported.
-
-        Unlike `worker_capacities`, they include what workers lack now and may
-        have again.
-        """
-        if not self.table.is_complete(self.clock.now()):
-            return ()
-        return (worker.largest_room for worker in self._workers_of(service))
-
-    def _workers_of(self, service: str) -> list[worker_table.LiveWorker]:
-        return [
-            worker
-            for worker in self.table.workers.values()
-            if worker.report.service == service
-        ]
-
     # --- Reports -------------------------------------------------------------
 
     async def report(
@@ -266,7 +253,7 @@
     ) -> job_messages.WorkerReply:
         orders = job_messages.RunOrders(term=self.log.term(), life=report.life)
         if known:
-            orders = self._missing_orders(report)
+            orders = self.orders.missing_orders(report)
         return job_messages.WorkerReply(
             known=known,
             lease_ms=worker_table.LEASE_MS,
@@ -274,53 +261,6 @@
             disturbances=self.measurements.weights(report.worker),
         )
 
-    def _missing_orders(
-        self, report: job_messages.WorkerReport
-    ) -> job_messages.RunOrders:
-        """Returns the orders by which the agent reaches the replicated state.
-
-        The agent gets start orders for assigned runs that it doesn't hold, once
-        they fit beside the runs that are still to stop, and stop orders for
-        runs that aren't assigned to it or no longer fit its worker. If the job
-        of an assigned run has ended, a stop order replaces the start order, so
-        that a delayed start order isn't executed.
-        """
-        state = self.log.machine.stepped
-        assigned = state.on_worker.get(report.worker, {})
-        held = {(run.task, run.attempt) for run in report.runs if run.ordered}
-        missing = [
-            (ref, task)
-            for ref, task in assigned.items()
-            if (ref, task.attempt) not in held and task.life == report.life
-        ]
-        decided = worker_capacities.decide_missing(
-            state,
-            report,
-            self.superseded.tasks(report.worker),
-            [ref for ref, _ in missing if state.jobs[ref.job].active()],
-        )
-        stops = [
-            *(
-                stop_orders.missing_stop(state, ref, "job_ended")
-                for ref, _ in missing
-                if not state.jobs[ref.job].active()
-            ),
-            *(
-                stop_orders.missing_stop(state, ref, "no_room")
-                for ref in decided.withdrawn
-            ),
-            *stop_orders.unassigned_stops(state, report),
-        ]
-        term = self.log.term()
-        self.stops.record(report.worker, stops, term=term)
-        self.stops.check_report(report, term=term)
-        return job_messages.RunOrders(
-            term=term,
-            life=report.life,
-            starts=tuple(self._start_order(ref) for ref in decided.starts),
-            stops=tuple(stop.order() for stop in stops),
-        )
-
     # --- Loop ----------------------------------------------------------------
 
     def _on_leadership_change(
@@ -448,7 +388,7 @@
         positions = {
             task.ref: position for position, task in enumerate(ready, 1)
         }
-        capacities = self._usable_capacities()
+        capacities = self.capacities.usable()
         ready = self._with_allowed_workers(ready, capacities)
         placements = self.placement.place(
             ready, capacities, stop_after=MAX_RUNS_PER_PASS
@@ -486,7 +426,8 @@
                 place=run.place,
                 term=self.log.term(),
             )
-        self._push_starts(started)
+        self._require_lease("push starts")
+        self.orders.push_starts(started)
 
     def _tasks_still_running(self) -> set[jobs.TaskRef]:
         """Returns the tasks of which a worker may still run an earlier attempt.
@@ -525,101 +466,6 @@
             for task in ready
         ]
 
-    def _push_starts(self, runs: Iterable[jobs.RunStart]) -> None:
-        self._require_lease("push starts")
-        state = self.log.machine.stepped
-        by_worker = sorted(
-            # The state may have changed while the assignments were committed.
-            (run for run in runs if state.must_run(run)),
-            key=lambda run: run.worker,
-        )
-        for name, group in itertools.groupby(
-            by_worker, key=lambda run: run.worker
-        ):
-            worker = self.table.workers.get(name)
-            if worker is not None and self._has_room_to_start(worker.report):
-                self._push(
-                    worker.source,
-                    job_messages.RunOrders(
-                        term=self.log.term(),
-                        life=worker.report.life,
-                        starts=tuple(
-                            self._start_order(run.task) for run in group
-                        ),
-                    ),
-                )
-
-    def _start_order(self, ref: jobs.TaskRef) -> job_messages.StartOrder:
-        state = self.log.machine.stepped
-        job = state.jobs[ref.job]
-        task = job.tasks[ref.occurrence, ref.step][ref.index]
-        step = job.spec.steps[ref.step]
-        return job_messages.StartOrder(
-            task=ref,
-            attempt=task.attempt,
-            spec=job.spec.spec,
-            checkpoint=task.checkpoint,
-            fills=step.fills,
-            target_ms=step.target_ms,
-            need=step.need,
-            image=step.image,
-            percent=self._initial_pace_percent(task.worker, step),
-            ticket=(
-                self.advice.ticket(ref, task.life) if job.queue.advised else ""
-            ),
-        )
-
-    def _initial_pace_percent(self, worker: str, step: jobs.Step) -> int:
-        """Returns the initial pace of an assigned task in percent.
-
-        Only best-effort tasks start below full speed.
-        """
-        capacity = self._worker_capacity(worker) if step.fills else None
-        if capacity is None:
-            return pacing.FULL_PERCENT
-        return pacing.initial_percent(
-            pacing.speed_fraction(
-                own_utilization,
-                self.interference.added_utilization(image, capacity.loads),
-            )
-            for image, own_utilization in capacity.serving
-        )
-
-    def _usable_capacities(self) -> list[run_placement.WorkerCapacity]:
-        """Returns the capacities of the workers that may get new runs."""
-        now = self.clock.now()
-        capacities = (
-            self._worker_capacity(name)
-            for name, worker in self.table.workers.items()
-            if worker.usable(now)
-        )
-        return [capacity for capacity in capacities if capacity is not None]
-
-    def _worker_capacity(
-        self, name: str
-    ) -> run_placement.WorkerCapacity | None:
-        """Returns the free capacity and load of a worker for placement.
-
-        Returns None if the capacity is unknown.
-        """
-        worker = self.table.workers.get(name)
-        if worker is None:
-            return None
-        return worker_capacities.placement_capacity(
-            self.log.machine.stepped,
-            worker.report,
-            superseded=self.superseded.tasks(name),
-            ejected=self.run_monitor.is_avoided(name),
-            own_utilization=self.measurements.own_utilization,
-        )
-
-    def _has_room_to_start(self, report: job_messages.WorkerReport) -> bool:
-        return worker_capacities.has_room_to_start(
-            self.log.machine.stepped,
-            report,
-            self.superseded.tasks(report.worker),
-        )
-
     def _order_stops(self) -> None:
         """Orders stops of runs that must end or move to another worker."""
         state = self.log.machine.stepped
@@ -627,7 +473,7 @@
         leaving = self.shrunk.runs_to_move(
             state,
             (worker.report for worker in self.table.workers.values()),
-            self._usable_capacities,
+            self.capacities.usable,
         )
         for name, tasks in state.on_worker.items():
             worker = self.table.workers.get(name)
@@ -640,26 +486,7 @@
             stops = stop_orders.assigned_stops(
                 state, name, draining=worker.report.draining, to_move=to_move
             )
-            self._push_stops(worker, stops)
-
-    def _push_stops(
-        self,
-        worker: worker_table.LiveWorker,
-        stops: list[stop_orders.Stop],
-    ) -> None:
-        """Pushes the stop orders that were not pushed recently."""
-        name, term = worker.report.worker, self.log.term()
-        self.stops.record(name, stops, term=term)
-        due = self.stops.due(name, stops)
-        if due:
-            self._push(
-                worker.source,
-                job_messages.RunOrders(
-                    term=term,
-                    life=worker.report.life,
-                    stops=tuple(stop.order() for stop in due),
-                ),
-            )
+            self.orders.push_stops(worker, stops)
 
     async def _forget_ended(self) -> None:
         state = self.log.machine.stepped
@@ -739,24 +566,4 @@
                 (stop.task, stop.attempt),
                 self.clock.now(),
             )
-            self._push_stops(superseded, [stop])
-
-    def _push(self, source: link.Link, orders: job_messages.RunOrders) -> None:
-        task = asyncio.create_task(_push(source, orders))
-        self._pushes.add(task)
-        task.add_done_callback(self._pushes.discard)
-
-
-async def _push(source: link.Link, orders: job_messages.RunOrders) -> None:
-    try:
-        async with asyncio.timeout(clock.seconds(PUSH_TIMEOUT_MS)):
-            await source.push(orders)
-    except (errors.LinkClosedError, TimeoutError) as err:
-        # The comparison with the agent's next report finds the missing orders.
-        events.log(
-            events.ORDERS_NOT_SENT,
-            peer=source.peer,
-            starts=len(orders.starts),
-            stops=len(orders.stops),
-            error=repr(err),
-        )
+            self.orders.push_stops(superseded, [stop])
--- a/bamboorouter/coordination/jobs/job_leader.py
+++ b/bamboorouter/coordination/jobs/job_leader.py
@@ -56,8 +56,8 @@
             log=local_replica,
             time=time,
             admission_policy=admission.Admission(
-                worker_capacities=self.dispatcher.worker_capacities,
-                largest_capacities=self.dispatcher.largest_capacities,
+                worker_capacities=self.dispatcher.capacities.reported,
+                largest_capacities=self.dispatcher.capacities.largest_reported,
                 has_advice_source=advice is not None,
             ),
         )
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -98,8 +98,8 @@
             log=self.log,
             time=self.time,
             admission_policy=admission.Admission(
-                worker_capacities=self.dispatcher.worker_capacities,
-                largest_capacities=self.dispatcher.largest_capacities,
+                worker_capacities=self.dispatcher.capacities.reported,
+                largest_capacities=self.dispatcher.capacities.largest_reported,
             ),
         )
         self.log.apply(
--- a/tests/test_start_advice.py
+++ b/tests/test_start_advice.py
@@ -165,7 +165,7 @@
             log=self.log,
             time=self.time,
             admission_policy=admission.Admission(
-                worker_capacities=self.dispatcher.worker_capacities,
+                worker_capacities=self.dispatcher.capacities.reported,
                 has_advice_source=True,
             ),
         )
