Wait for a leader before a test asks whether its job has run

The test asked once, and an entry answers a query with 503 while no leader is elected, which is right. It repeats the query while the answer is 503 and requires 410 as before; that the submission is refused within 2 s is unchanged.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -477,8 +477,15 @@
         await asyncio.gather(
             *(self.site.start_control(ip, bootstrap=False) for ip in ips)
         )
-        answer = await self.site.call_as_caller("GET", "/forms/00dd")
-        self.assertEqual(answer[0], 410)
+        statuses: list[int] = []
+
+        async def answered() -> bool:
+            status, _ = await self.site.call_as_caller("GET", "/forms/00dd")
+            statuses.append(status)
+            return status != 503
+
+        await self.site.wait_until(answered)
+        self.assertEqual(statuses[-1], 410)
 
     async def test_replica_takes_part_again_after_its_disk_failed(self) -> None:
         """Guards against a replica that never rejoins after a disk fault."""
