Start nothing on a capacity that an agent has read late

Its agent had been frozen for 8 s, read announcements that had waited in its sockets, and took the capacity of the oldest for the present one until it came to the next.

Nothing told the age of an announcement, although it carries the worker's clock, which polls tell as well. While the newest announcement is older than two intervals between announcements, the agent now starts nothing and reports the worker as unreachable, so that it gets no runs; the next announcement is reported at once. The interval comes from the platform's settings.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -75,6 +75,8 @@
         ports: Creates ports to incarnations of the worker.
         clock: Source of time.
         max_lease_ms: Longest lease that the worker accepts, in ms.
+        announce_interval_ms: Time between two announcements of the worker, in
+            ms.
         held: Runs of the worker and their state.
         session: Current session; None if there is none.
     """
@@ -87,12 +89,14 @@
         ports: worker_port.WorkerPorts,
         time: clock.Clock,
         max_lease_ms: int = run_lease.MAX_WORKER_LEASE_MS,
+        announce_interval_ms: int = worker_session.ANNOUNCE_INTERVAL_MS,
     ) -> None:
         self.worker = worker
         self.client = client
         self.ports = ports
         self.clock = time
         self.max_lease_ms = max_lease_ms
+        self.announce_interval_ms = announce_interval_ms
         self.held = held_runs.HeldRuns(worker=worker, time=time)
         self.session: worker_session.Session | None = None
         self._announcement: worker_port.Announcement | None = None
@@ -210,7 +214,11 @@
             session is not None
             and session.announcement.incarnation == announcement.incarnation
         ):
+            now = self.clock.now()
+            usable = session.usable(now)
             session.announcement = announcement
+            if session.usable(now) != usable:
+                self._report_due.set()
         if current is not None and current.draining != announcement.draining:
             events.log(
                 events.WORKER_DRAINING,
@@ -430,6 +438,7 @@
             token=session_opening.first_token(number),
             lease=lease,
             pacer=pacing.Pacer(),
+            announce_interval_ms=self.announce_interval_ms,
         )
 
     async def _run_session(self, session: worker_session.Session) -> None:
@@ -549,7 +558,7 @@
                 clock_ms=view.clock_ms,
                 took_ms=now - sent_ms,
             )
-        if not session.reachable(now):
+        if not session.usable(now):
             self._report_due.set()
         session.answered_ms = now
         session.last_poll_answered = True
@@ -684,9 +693,7 @@
                 or run.stop_ordered
             ):
                 break
-            shortage = start_room.find_shortage(
-                run, self.held.runs.values(), session.announcement.capacity
-            )
+            shortage = self._find_shortage(session, run)
             if shortage:
                 break
             token = session.token
@@ -737,6 +744,16 @@
         self.held.end(run, "rejected", evidence, shortage=shortage)
         self._report_due.set()
 
+    def _find_shortage(
+        self, session: worker_session.Session, run: held_runs.HeldRun
+    ) -> str:
+        """Returns why a run may not fit the worker; empty if it fits."""
+        if session.announcement_expired(self.clock.now()):
+            return start_room.UNKNOWN_CAPACITY
+        return start_room.find_shortage(
+            run, self.held.runs.values(), session.announcement.capacity
+        )
+
     async def _set_initial_speed(
         self, session: worker_session.Session, run: held_runs.HeldRun
     ) -> None:
@@ -884,7 +901,7 @@
             rack=announced.rack,
             room=announced.capacity,
             draining=announced.draining,
-            reachable=session.reachable(now),
+            reachable=session.usable(now),
             runs=tuple(run.report() for run in self.held.runs.values()),
             ends=tuple(pending.end for pending in ends),
             view_age_ms=self.held.view_age_ms(now),
--- a/bamboorouter/coordination/workers/start_room.py
+++ b/bamboorouter/coordination/workers/start_room.py
@@ -22,6 +22,7 @@
 from bamboorouter.state import resource_math
 
 UNKNOWN_SIZE: Final = "run of unknown size"
+UNKNOWN_CAPACITY: Final = "announcement is too old"
 
 
 def find_shortage(
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -20,6 +20,11 @@
 MAX_CLOCK_RATE: Final = 1.025
 # A worker that answered no poll for this long gets no new runs.
 MAX_POLL_AGE_MS: Final = 1200
+# Interval between announcements, unless the settings give another one.
+ANNOUNCE_INTERVAL_MS: Final = 1500
+# A worker gets no new runs while its announcement is older than this many
+# intervals; one announcement may be lost.
+MAX_ANNOUNCE_INTERVALS: Final = 2
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -34,6 +39,8 @@
         token: Fencing token of the next order.
         lease: Lease of the worker's runs.
         pacer: Controls the speed of the worker's best-effort runs.
+        announce_interval_ms: Time between two announcements of the worker, in
+            ms.
         grant_end_ms: End of the lease that the leader grants, in ms on the
             agent's clock.
         answered_ms: Time of the last answered poll, in ms on the agent's clock;
@@ -59,6 +66,7 @@
     token: int
     lease: run_lease.RunLease
     pacer: pacing.Pacer
+    announce_interval_ms: int = ANNOUNCE_INTERVAL_MS
     grant_end_ms: int = 0
     answered_ms: int = 0
     view_clock_ms: int | None = None
@@ -86,6 +94,29 @@
         """Returns whether the worker answered a poll recently."""
         return now - self.answered_ms <= MAX_POLL_AGE_MS
 
+    def announcement_expired(self, now: int) -> bool:
+        """Returns whether the worker may have changed since its announcement.
+
+        An announcement may have waited while this process was paused. The
+        capacity that it tells may then have shrunk for seconds.
+
+        Args:
+            now: Current time in ms on the agent's clock.
+
+        Returns:
+            Whether it is too old to start runs; False if its age is unknown.
+        """
+        announced_ms = self.announcement.clock_ms
+        worker_ms = self.latest_worker_ms(now)
+        if announced_ms is None or worker_ms is None:
+            return False
+        max_age_ms = MAX_ANNOUNCE_INTERVALS * self.announce_interval_ms
+        return worker_ms - announced_ms > max_age_ms
+
+    def usable(self, now: int) -> bool:
+        """Returns whether the worker may get new runs."""
+        return self.reachable(now) and not self.announcement_expired(now)
+
     def record_failed_poll(self, now: int) -> None:
         """Records that a poll has failed now, in ms on the agent's clock."""
         self.last_poll_answered = False
--- a/devtools/soak_site.py
+++ b/devtools/soak_site.py
@@ -25,6 +25,7 @@
 CONTROLS: Final = 3
 ENTRIES: Final = 2
 DELAY_MS: Final = 120
+ANNOUNCE_INTERVAL_MS: Final = int(soak_worker.ANNOUNCE_INTERVAL_S * 1000)
 # Limit for a new agent process to reach its worker.
 SESSION_TIMEOUT_S: Final = 6.0
 # Delay between the first call of an agent and a cut, as a fraction of the cut.
@@ -119,7 +120,10 @@
             name, f"{self._network}.8.{number}:{self._port}", orders
         )
         self._add_process(
-            f"agent-{number}", ip=f"{self._network}.3.{number}", control=control
+            f"agent-{number}",
+            ip=f"{self._network}.3.{number}",
+            control=control,
+            announce_interval_ms=ANNOUNCE_INTERVAL_MS,
         )
         worker = soak_worker.SoakWorker(
             name=name,
--- a/tests/test_agent_room.py
+++ b/tests/test_agent_room.py
@@ -1,13 +1,16 @@
 """Guards against runs that an agent starts beyond its worker's capacity."""
 
 import itertools
+from typing import Any
 from unittest import mock
 
 import msgspec
 
+from bamboorouter import clock
 from bamboorouter import events
 from bamboorouter.coordination.workers import agent_session
 from bamboorouter.coordination.workers import worker_port
+from bamboorouter.coordination.workers import worker_session
 from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
 from tests import fake_worker
@@ -221,6 +224,66 @@
         self.assertEqual(self.worker.starts, [])
 
 
+class LateAnnouncementTest(AgentRoomCase):
+    """Guards against starts on a capacity that an agent has read late.
+
+    Announcements wait while an agent is paused, and the worker may shrink
+    meanwhile.
+    """
+
+    def announce_earlier(self, age_ms: int, **fields: Any) -> None:
+        """Handles an announcement that the worker sent some time ago."""
+        self.sequence += 1
+        self.session.announce(
+            fake_worker.announcement(
+                sequence=self.sequence,
+                clock_ms=self.worker.time.now() - age_ms,
+                **fields,
+            )
+        )
+
+    async def until_reachable(self, reachable: bool) -> None:
+        await self.until(lambda: self.leader.reports[-1].reachable == reachable)
+
+    async def test_nothing_starts_on_a_capacity_that_was_read_late(
+        self,
+    ) -> None:
+        self.announce_earlier(4000, capacity=LARGE)
+        await self.until_reachable(False)
+        await self.order_starts(A, need=make.need(1000, 1000))
+        await self.until_ended("rejected")
+        self.assertEqual(self.worker.starts, [])
+
+    async def test_next_announcement_is_reported_at_once(self) -> None:
+        self.announce_earlier(4000)
+        await self.until_reachable(False)
+        self.announce_earlier(0)
+        await self.until_reachable(True)
+        await self.order_starts(A, need=make.need(1000, 1000))
+        await self.until_running(A)
+
+    async def test_capacity_expires_without_another_announcement(self) -> None:
+        self.announce_earlier(0)
+        await self.until_reachable(True)
+        with mock.patch.object(
+            worker_session.Session,
+            "latest_worker_ms",
+            lambda *_: clock.SystemClock().now() + 4000,
+        ):
+            await self.order_starts(A, need=make.need(1000, 1000))
+            await self.until_ended("rejected")
+
+    async def test_one_lost_announcement_changes_nothing(self) -> None:
+        self.announce_earlier(2 * worker_session.ANNOUNCE_INTERVAL_MS - 500)
+        await self.order_starts(A, need=make.need(1000, 1000))
+        await self.until_running(A)
+
+    async def test_announcement_of_unknown_age_counts(self) -> None:
+        self.announce(SMALL)
+        await self.order_starts(A, need=make.need(1000, 500))
+        await self.until_running(A)
+
+
 class FoundRunTest(AgentRoomCase):
     """A restarted agent counts the runs that it finds on the worker."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -212,6 +212,7 @@
         settings = self.render(self.template_values())
         self.assertEqual(settings.data_dir, "")
         self.assertEqual(settings.max_worker_lease_ms, 10_000)
+        self.assertEqual(settings.announce_interval_ms, 1500)
         self.assertFalse(settings.bootstrap)
         self.assertEqual(settings.replicas(), ("10.0.0.2:7000",))
 
@@ -223,12 +224,14 @@
                     "limits.diskMb": 128,
                     "bootstrap": True,
                     "bounds.holdMaxMs": 12_000,
+                    "heartbeatMs": 2500,
                     "listen.control": "10.0.0.1:8166",
                 }
             )
         )
         self.assertTrue(settings.bootstrap)
         self.assertEqual(settings.max_worker_lease_ms, 12_000)
+        self.assertEqual(settings.announce_interval_ms, 2500)
         self.assertEqual(
             (settings.data_dir, settings.disk_mb), ("/data/x", 128)
         )
