Let start orders end 1.5 s after they are sent

Cause: a start order carried the end of the worker's lease, up to 6 s ahead, and the worker rejects an order as `late` only from that end on. The fencing token of the next poll doesn't help if the link holds up the polls as well.

Start orders now carry an end of their own, START_ORDER_MS. That is more than the 0.7 s after which an unanswered order counts as unresolved, and less than any bound on starts. Polls grant the long lease as before. Two things rested on the long end:

* The lease of the first runs of a session, which may be started before a poll has granted a lease.
The agent now polls before a start that would extend the lease of the worker.
* The retry after `late`.
The known clock of a worker may be behind by up to 2 s, and the next answer of a long poll may be 0.5 s away, longer than the retries.
The agent now polls after `late`.

A worker ends leases no earlier than the last poll said, so that runs lapse at most one poll interval (0.5 s) earlier than before if all later polls fail.

Evidence: the fake worker now rejects late orders and takes the lease of those that it carries out. Of the five new tests, two fail on the earlier code: the delayed order starts, and starts carry the lease of polls. Without the poll before a start, test_first_start_of_a_session_finds_a_long_lease fails; without the poll after `late`, test_late_order_is_sent_again_during_a_long_poll does.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -120,6 +120,8 @@
         self._takeover_check: asyncio.Task[None] | None = None
         self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
+        # Held while the lease is renewed for start orders that wait for it.
+        self._renewal = asyncio.Lock()
 
     # --- Interface -----------------------------------------------------------
 
@@ -508,12 +510,13 @@
         acknowledged = session.next_acknowledged(
             self.held.acknowledgeable_end()
         )
+        until_ms = session.lease_until(sent_ms)
         session.last_poll_answered = False
         try:
             view = await session.port.poll(
                 token=token,
                 acknowledged=acknowledged,
-                until_ms=session.lease_until(sent_ms),
+                until_ms=until_ms,
                 wait_ms=wait_ms,
             )
         except worker_port.RejectedError as err:
@@ -552,6 +555,7 @@
         if not session.reachable(now):
             self._report_due.set()
         session.answered_ms = now
+        session.renewed_until_ms = until_ms or session.renewed_until_ms
         session.last_poll_answered = True
         session.silent_since_ms = None
         session.acknowledged = max(session.acknowledged, acknowledged)
@@ -675,9 +679,10 @@
         shortage = ""
         evidence: ended_runs.Evidence = "never_sent"
         for _ in range(MAX_START_ATTEMPTS):
+            await self._renew_before_start(session)
             if self.held.runs.get(key) is not run:
                 return
-            until_ms = session.lease_until(self.clock.now())
+            until_ms = session.start_until(self.clock.now())
             if (
                 session.announcement.draining
                 or until_ms is None
@@ -701,9 +706,12 @@
                     # This attempt or a later one has ended on the worker.
                     self._resolve_by_poll(session, run)
                     return
-                # The next attempt has a higher token or a later lease end.
+                # The next attempt has a higher token or a later end.
                 if err.reason not in ("fence", "late"):
                     break
+                if err.reason == "late":
+                    # The known clock of the worker may be behind.
+                    await self._poll_once(session)
                 await asyncio.sleep(clock.seconds(ORDER_RETRY_PAUSE_MS))
                 if err.reason == "fence" and session.token == token:
                     session.token += 1
@@ -737,6 +745,19 @@
         self.held.end(run, "rejected", evidence, shortage=shortage)
         self._report_due.set()
 
+    async def _renew_before_start(
+        self, session: worker_session.Session
+    ) -> None:
+        """Grants the worker a lease that outlasts a start order sent now.
+
+        A start order ends too soon to be the lease of its run. Polls grant a
+        longer one, except before the first grant of the leader.
+        """
+        async with self._renewal:
+            until_ms = session.start_until(self.clock.now())
+            if until_ms is not None and session.needs_renewal(until_ms):
+                await self._poll_once(session)
+
     async def _set_initial_speed(
         self, session: worker_session.Session, run: held_runs.HeldRun
     ) -> None:
--- a/bamboorouter/coordination/workers/worker_session.py
+++ b/bamboorouter/coordination/workers/worker_session.py
@@ -16,6 +16,10 @@
 # Lease of the runs on a worker, which stops them when it expires. It tolerates
 # a pause of the agent process or of the network of a few seconds.
 WORKER_LEASE_MS: Final = 6000
+# A start order that arrives later is rejected by the worker. It is longer than
+# the time after which an unanswered order counts as unresolved, and shorter than
+# the bounds on starts after a cancellation, a drain or a shrunk capacity.
+START_ORDER_MS: Final = 1500
 # A worker's clock may be fast relative to the agent's.
 MAX_CLOCK_RATE: Final = 1.025
 # A worker that answered no poll for this long gets no new runs.
@@ -44,6 +48,8 @@
             agent's clock.
         acknowledged: Ends up to this number were acknowledged by an answered
             poll.
+        renewed_until_ms: End of the lease that the last answered poll with a
+            lease has granted, in ms on the worker's clock; 0 if there is none.
         last_poll_answered: Whether the last poll was answered, so that the next
             call is unlikely to reach another incarnation.
         silent_since_ms: Time of the first failed poll after the last answered
@@ -64,6 +70,7 @@
     view_clock_ms: int | None = None
     view_requested_ms: int = 0
     acknowledged: int = 0
+    renewed_until_ms: int = 0
     last_poll_answered: bool = False
     silent_since_ms: int | None = None
     weights: dict[jobs.ImagePair, float] = dataclasses.field(
@@ -131,7 +138,7 @@
         return self.view_clock_ms + math.ceil(elapsed_ms)
 
     def lease_until(self, now: int) -> int | None:
-        """Returns the lease end to grant, on the worker's clock.
+        """Returns the lease end that a poll grants, on the worker's clock.
 
         A silent worker may accept a lease without answering. If it were offered
         further leases, the agent could never know that they have expired.
@@ -142,6 +149,32 @@
         Returns:
             The end of the lease in ms; None to grant no lease.
         """
+        return self._until(now, now + WORKER_LEASE_MS)
+
+    def start_until(self, now: int) -> int | None:
+        """Returns the end of a start order sent now, on the worker's clock.
+
+        The worker rejects the order from then on.
+
+        Args:
+            now: Current time in ms on the agent's clock.
+
+        Returns:
+            The end in ms; None to send no start order.
+        """
+        return self._until(now, now + START_ORDER_MS)
+
+    def needs_renewal(self, until_ms: int) -> bool:
+        """Returns whether a start order would extend the worker's lease.
+
+        If so, its run would depend on the short end of the order.
+
+        Args:
+            until_ms: End of the start order, in ms on the worker's clock.
+        """
+        return self.renewed_until_ms < until_ms
+
+    def _until(self, now: int, end_ms: int) -> int | None:
         # If the worker was suspended, its clock is behind the one that counts
         # until the next answer, by which a lease would end too late.
         if (
@@ -150,9 +183,7 @@
             or self.lease.in_doubt
         ):
             return None
-        return self.lease.end_on_worker(
-            min(self.grant_end_ms, now + WORKER_LEASE_MS)
-        )
+        return self.lease.end_on_worker(min(self.grant_end_ms, end_ms))
 
     def speed_changes(
         self, runs: Iterable[held_runs.HeldRun], now: int
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -90,6 +90,8 @@
             ignore_token: Whether orders that were fenced off are executed too.
         """
         for order in self.delayed:
+            if self._is_late(order):
+                continue
             if ignore_token or order.token >= self.token:
                 self._start_run(order)
         self.delayed.clear()
@@ -109,6 +111,10 @@
                 self.delayed.append(order)
             raise self._no_answer_error()
         self._check_token(order.token)
+        if self._is_late(order):
+            raise worker_port.RejectedError(
+                reason="late", step="test", peer="worker"
+            )
         self._start_run(order)
 
     async def stop(
@@ -158,7 +164,11 @@
             ended=tuple(self.ends),
         )
 
+    def _is_late(self, order: worker_port.StartRun) -> bool:
+        return order.until_ms <= self.time.now()
+
     def _start_run(self, order: worker_port.StartRun) -> None:
+        self.lease_end_ms = max(self.lease_end_ms, order.until_ms)
         self.running[order.task] = order.attempt
         self.starts.append(order)
 
--- a/tests/test_agent_session.py
+++ b/tests/test_agent_session.py
@@ -735,6 +735,125 @@
         self.assertEqual(self.outcomes(), [])
 
 
+class StartOrderEndTest(AgentSessionCase):
+    """A start order that arrives late starts nothing; leases are longer."""
+
+    async def restart_agent(self) -> None:
+        """Replaces the agent process; the worker holds no lease."""
+        await self.session.stop()
+        self.leader.reports.clear()
+        self.worker.lease_end_ms = 0
+        self.session = self.new_session()
+        self.session.announce(fake_worker.announcement())
+        await self.until(self.reachable)
+
+    async def test_order_that_arrives_late_is_rejected(self) -> None:
+        """Guards against starts over a capacity that has shrunk meanwhile.
+
+        No poll with a higher token reaches the worker before the order.
+        """
+        time = clock.ManualClock(monotonic_ms=100_000)
+        self.worker.time = time
+        await self.restart_agent()
+        self.worker.unanswered = 1
+        self.worker.executes_unanswered = False
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.delayed)
+        (order,) = self.worker.delayed
+        # An order that is answered in time isn't late.
+        self.assertGreater(order.until_ms - time.now(), 1000)
+        time.advance(1500)
+        self.worker.execute_delayed(ignore_token=True)
+        self.assertEqual(self.worker.starts, [])
+
+    async def test_first_start_of_a_session_finds_a_long_lease(self) -> None:
+        """Guards against runs that expire after the first failed polls."""
+        leases: list[int] = []
+        start = self.worker.start
+
+        async def record(order: worker_port.StartRun) -> None:
+            await start(order)
+            leases.append(self.worker.lease_end_ms - self.worker.time.now())
+
+        # The long poll that was sent before the first grant is under way.
+        poll = self.worker.poll
+
+        async def poll_slowly(**fields: Any) -> worker_port.WorkerView:
+            view = await poll(**fields)
+            await asyncio.sleep(fields["wait_ms"] / 1000)
+            return view
+
+        with (
+            mock.patch.object(self.worker, "poll", side_effect=poll_slowly),
+            mock.patch.object(self.worker, "start", side_effect=record),
+        ):
+            await self.restart_agent()
+            await self.order(
+                fake_worker.start_orders(*(make.ref(job) for job in "abc"))
+            )
+            await self.until(lambda: len(self.worker.running) == 3)
+        self.assertEqual(len(leases), 3)
+        self.assertGreater(min(leases), 5000)
+
+    async def test_polls_grant_a_longer_lease_than_starts(self) -> None:
+        await self.order(fake_worker.start_orders(make.ref()))
+        await self.until(lambda: self.worker.running)
+        polls = len(self.worker.cursors)
+        await self.until(lambda: len(self.worker.cursors) > polls + 2)
+        (order,) = self.worker.starts
+        now = self.worker.time.now()
+        self.assertGreater(self.worker.lease_end_ms - now, 5000)
+        self.assertLess(order.until_ms, now + 2000)
+
+    async def test_late_order_is_sent_again_with_a_newer_end(self) -> None:
+        """The agent may have been paused between two polls and the order."""
+        ends: list[int] = []
+        polls: list[int] = []
+        start = self.worker.start
+
+        async def reject_first(order: worker_port.StartRun) -> None:
+            ends.append(order.until_ms)
+            polls.append(len(self.worker.cursors))
+            if len(ends) == 1:
+                raise worker_port.RejectedError(
+                    reason="late", step="test", peer="worker"
+                )
+            await start(order)
+
+        with mock.patch.object(self.worker, "start", side_effect=reject_first):
+            await self.order(fake_worker.start_orders(make.ref()))
+            await self.until(lambda: self.worker.running)
+        self.assertEqual(len(ends), 2)
+        self.assertGreater(ends[1], ends[0])
+        self.assertGreater(polls[1], polls[0])
+        self.assertEqual(self.outcomes(), [])
+
+    async def test_late_order_is_sent_again_during_a_long_poll(self) -> None:
+        """Guards against giving back a run because the known clock is behind.
+
+        The last answer was processed late, and the next poll waits for an end.
+        """
+        behind = [1900]
+        poll, now = self.worker.poll, self.worker.time.now
+        waiting, go_on = asyncio.Event(), asyncio.Event()
+
+        async def poll_slowly(**fields: Any) -> worker_port.WorkerView:
+            if fields["wait_ms"] and len(self.worker.cursors) > polls + 2:
+                waiting.set()
+                await go_on.wait()
+            return await poll(**fields)
+
+        polls = len(self.worker.cursors)
+        self.worker.time = mock.Mock(now=lambda: now() - behind[0])
+        with mock.patch.object(self.worker, "poll", side_effect=poll_slowly):
+            await asyncio.wait_for(waiting.wait(), fake_worker.WAIT_S)
+            behind[0] = 0
+            await self.order(fake_worker.start_orders(make.ref()))
+            await self.until(lambda: self.worker.running or self.outcomes())
+            go_on.set()
+        self.assertEqual(self.outcomes(), [])
+
+
 class RunLeaseTest(unittest.TestCase):
     """Tests that a lease expires on the worker before it does on the agent."""
 
