Keep announcements that arrive while another incarnation is checked

A worker that shrinks just after it was restarted could be given starts over its capacity later than 4.5 s after the shrink.

Cause: before an agent accepts another incarnation of its worker, it polls the current one and the announced one, for up to 4.6 s in all if polls aren't answered. Announcements of the other incarnation that arrived meanwhile were dropped, and the one that had begun the check was accepted: with the capacity, and the state, that it had then. The next announcement follows up to 1.5 s later.

The agent now keeps the announcements that arrive during the check, at most eight, and handles them in their order once the incarnation is accepted, before its session is opened. They pass the same checks as any announcement, so that a late copy or one of another writer doesn't count.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -64,6 +64,8 @@
 # The current incarnation is replaced by one with an earlier start time only
 # after the current one has been silent for this long.
 SILENT_INCARNATION_MS: Final = 5000
+# More than a worker sends while its incarnation is checked.
+MAX_UNCHECKED: Final = 8
 
 
 class AgentSession:
@@ -118,6 +120,8 @@
         # to be opened; empty if there is none.
         self._refuted = ""
         self._takeover_check: asyncio.Task[None] | None = None
+        # Announcements of other incarnations that arrive during the check.
+        self._unchecked: list[worker_port.Announcement] = []
         self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
         # Held while the lease is renewed for start orders that wait for it.
@@ -151,10 +155,10 @@
                 self._takeover_check = self._spawn(self._accept_first())
             return
         if current.incarnation != announcement.incarnation:
-            if (
-                self._may_succeed(announcement, current)
-                and self._takeover_check is None
-            ):
+            if self._takeover_check is not None:
+                self._unchecked.append(announcement)
+                del self._unchecked[:-MAX_UNCHECKED]
+            elif self._may_succeed(announcement, current):
                 self._takeover_check = self._spawn(
                     self._check_takeover(announcement)
                 )
@@ -245,7 +249,11 @@
     async def _check_takeover(
         self, announcement: worker_port.Announcement
     ) -> None:
-        """Accepts another incarnation if the current one is over."""
+        """Accepts another incarnation if the current one is over.
+
+        The incarnation may announce another capacity meanwhile, or that it
+        drains; that counts from the acceptance on.
+        """
         current, contradiction = self._announcement, ""
         try:
             if current is not None and current.incarnation != self._refuted:
@@ -261,10 +269,13 @@
                 contradiction = "another incarnation answers"
         finally:
             self._takeover_check = None
-        if not contradiction:
-            self._accept_incarnation(announcement)
+            later, self._unchecked = self._unchecked, []
+        if contradiction:
+            self._log_refusal(announcement, contradiction)
             return
-        self._log_refusal(announcement, contradiction)
+        self._accept_incarnation(announcement)
+        for newer in later:
+            self.announce(newer)
 
     def _accept_incarnation(
         self, announcement: worker_port.Announcement
--- a/tests/test_agent_room.py
+++ b/tests/test_agent_room.py
@@ -1,12 +1,14 @@
 """Guards against runs that an agent starts beyond its worker's capacity."""
 
 import itertools
+from typing import Any
 from unittest import mock
 
 import msgspec
 
 from bamboorouter import events
 from bamboorouter.coordination.workers import agent_session
+from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.protocol import common
 from bamboorouter.protocol import jobs
@@ -252,6 +254,52 @@
         await self.until_ended("rejected")
 
 
+class TakeoverTest(AgentRoomCase):
+    """A successor that shrinks while the agent checks it has shrunk."""
+
+    async def test_announcement_during_the_check_counts(self) -> None:
+        """Guards against starts over a capacity that shrank seconds before.
+
+        The check lasts until the worker answers, and the next announcement
+        arrives up to 1.5 s after it.
+        """
+        polls: list[int] = []
+        poll = self.worker.poll
+
+        async def poll_once_shrunk(**fields: Any) -> worker_port.WorkerView:
+            if fields["expected"] == "w1@2":
+                polls.append(1)
+                if len(polls) == 1:
+                    self.announce_successor(SMALL, 2)
+                    # A late copy of the first announcement.
+                    self.announce_successor(make.CAPACITY, 1)
+            return await poll(**fields)
+
+        self.worker.incarnation, self.worker.token = "w1@2", 0
+        self.worker.silent = True
+        with (
+            mock.patch.object(
+                self.worker, "poll", side_effect=poll_once_shrunk
+            ),
+            mock.patch.object(incarnation_check, "POLL_PAUSE_MS", 1),
+        ):
+            self.announce_successor(make.CAPACITY, 1)
+            await self.until(lambda: polls)
+            self.worker.silent = False
+            await self.until(lambda: self.leader.reports[-1].life == "w1@2")
+        self.assertEqual(self.leader.opened_sessions[-1].room, SMALL)
+        self.assertEqual(self.reported_rooms()[-1], SMALL)
+
+    def announce_successor(
+        self, capacity: common.Resources, sequence: int
+    ) -> None:
+        self.session.announce(
+            fake_worker.announcement(
+                started_ms=2, sequence=sequence, capacity=capacity
+            )
+        )
+
+
 class SessionOpeningTest(AgentRoomCase):
     """A capacity that changes while a session is opened counts at once."""
 
