Let a new leader accept jobs that fit the room of a worker's session

After an election, a job was refused (503, with a time to retry of at least 30 s) that fits its worker whenever the worker isn't shrunk. The previous leader accepts such a job, which waits until the worker has grown again.

Cause: admission counts the largest capacity that the incarnation of a worker has reported to this leader. If the leader changes while a worker is shrunk, the new one has got the lower capacity only. It does have the capacity with which the session was opened, in the replicated state.

The larger of both counts now. An agent that was restarted while its worker is shrunk opens its session with the lower capacity; then the earlier one is still unknown.

Evidence: found by reading. test_job_that_fitted_before_an_election_waits fails on the earlier code ('refused' instead of 'ok'). A job beyond the room of the session is still refused.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -32,6 +32,7 @@
 from bamboorouter.coordination.jobs import start_advice
 from bamboorouter.coordination.jobs import stop_orders
 from bamboorouter.coordination.jobs import worker_capacities
+from bamboorouter.coordination.jobs import worker_rooms
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import image_interference
@@ -145,14 +146,18 @@
         return (worker.report.room for worker in self._workers_of(service))
 
     def largest_capacities(self, service: str) -> Iterable[common.Resources]:
-        """Returns the largest capacity that each live worker has reported.
+        """Returns the largest capacity that each live worker has had.
 
         Unlike `worker_capacities`, they include what workers lack now and may
         have again.
         """
         if not self.table.is_complete(self.clock.now()):
             return ()
-        return (worker.largest_room for worker in self._workers_of(service))
+        state = self.log.machine.stepped
+        return (
+            worker_rooms.largest_room(state, worker.report, worker.largest_room)
+            for worker in self._workers_of(service)
+        )
 
     def _workers_of(self, service: str) -> list[worker_table.LiveWorker]:
         return [
--- a/bamboorouter/coordination/jobs/worker_rooms.py
+++ b/bamboorouter/coordination/jobs/worker_rooms.py
@@ -38,3 +38,24 @@
         # Almost always, and in each pass.
         return report.room
     return resource_math.lowest(incarnation.room, report.room)
+
+
+def largest_room(
+    state: stepped_jobs.SteppedJobs,
+    report: job_messages.WorkerReport,
+    reported: common.Resources,
+) -> common.Resources:
+    """Returns the largest known amount of each resource of an incarnation.
+
+    A leader that was elected after a worker has shrunk knows the earlier
+    capacity from the session only.
+
+    Args:
+        state: The replicated jobs.
+        report: Newest report of the worker.
+        reported: The largest amounts that this leader has got in reports.
+    """
+    incarnation = state.incarnations.get(report.worker)
+    if incarnation is None or incarnation.life != report.life:
+        return reported
+    return resource_math.highest(incarnation.room, reported)
--- a/tests/test_worker_room.py
+++ b/tests/test_worker_room.py
@@ -262,6 +262,24 @@
         await self.report_room(agent, make.CAPACITY)
         await self.until(agent.started)
 
+    async def test_job_that_fitted_before_an_election_waits(self) -> None:
+        """Guards against refused jobs after a worker and a leader fail.
+
+        The new leader knows no capacity of before but that of the session.
+        """
+        agent = await self.connect_agent()
+        await self.report_room(agent, SMALL)
+        self.log.elect_again()
+        await self.report_room(agent, SMALL)
+        self.time.advance(worker_table.SILENT_MS)
+        await self.report_room(agent, SMALL)
+        self.assertEqual(await self.submit("a", TASK_8000), "ok")
+        self.assertEqual(await self.submit("b", TASK_65000), "refused")
+        await self.settle()
+        self.assertEqual(agent.started(), [])
+        await self.report_room(agent, make.CAPACITY)
+        await self.until(agent.started)
+
     async def test_new_incarnation_has_not_had_the_capacity_of_an_earlier_one(
         self,
     ) -> None:
