--- a/bamboorouter/coordination/jobs/job_leader.py
+++ b/bamboorouter/coordination/jobs/job_leader.py
@@ -57,7 +57,7 @@
             time=time,
             admission_policy=admission.Admission(
                 worker_capacities=self.dispatcher.capacities.reported,
-                largest_capacities=self.dispatcher.capacities.largest_reported,
+                largest_capacities=self.dispatcher.capacities.largest,
                 has_advice_source=advice is not None,
             ),
         )
--- a/bamboorouter/coordination/jobs/live_capacities.py
+++ b/bamboorouter/coordination/jobs/live_capacities.py
@@ -6,6 +6,7 @@
 from bamboorouter.coordination.jobs import run_measurements
 from bamboorouter.coordination.jobs import run_monitor
 from bamboorouter.coordination.jobs import worker_capacities
+from bamboorouter.coordination.jobs import worker_rooms
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.coordination.log import replicated_log
 from bamboorouter.coordination.policies import run_placement
@@ -49,14 +50,18 @@
         """
         return (worker.report.room for worker in self._workers_of(service))
 
-    def largest_reported(self, service: str) -> Iterable[common.Resources]:
-        """Returns the largest capacity that each live worker has reported.
+    def largest(self, service: str) -> Iterable[common.Resources]:
+        """Returns the largest capacity that each live worker has had.
 
         Unlike `reported`, they include what workers lack now and may have
         again. The result is empty until every live worker has had time to
         report.
         """
-        return (worker.largest_room for worker in self._workers_of(service))
+        state = self.log.machine.stepped
+        return (
+            worker_rooms.largest_room(state, worker.report, worker.largest_room)
+            for worker in self._workers_of(service)
+        )
 
     def _workers_of(self, service: str) -> list[worker_table.LiveWorker]:
         if not self.table.is_complete(self.clock.now()):
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -99,7 +99,7 @@
             time=self.time,
             admission_policy=admission.Admission(
                 worker_capacities=self.dispatcher.capacities.reported,
-                largest_capacities=self.dispatcher.capacities.largest_reported,
+                largest_capacities=self.dispatcher.capacities.largest,
             ),
         )
         self.log.apply(
