Clear a task of crashes only after the ages at all of them

Cause: a run that outlived the age at the last crash only, and 3 s, cleared the count. The record of the last crash hid those of the earlier ones.

Why this works: the run has to outlive all counted ages, and 10 s.

--- a/bamboorouter/coordination/jobs/crash_survival.py
+++ b/bamboorouter/coordination/jobs/crash_survival.py
@@ -1,8 +1,10 @@
 """Finds runs that go on for longer than those under which workers crashed.
 
-A task that crashes its workers does so at about the same age of each run. A run
-that has outlived the age at the last crash shows that the task isn't to blame.
-Otherwise a task that runs for long would collect crashes that it didn't cause.
+A task that runs for long would otherwise collect crashes that it didn't cause. A
+task that crashes its workers may do so at different ages of its runs, so a run
+shows that its task isn't to blame only once it has outlived the ages at all
+crashes that count, and `MIN_AGE_MS`. The age at an earlier crash than the last
+one counts up to `MAX_EARLIER_AGE_MS`: a task may have run for days before.
 
 The age counts from the first report to this leader that lists the run, up to
 the agent's newest view of the worker.
@@ -15,10 +17,13 @@
 from bamboorouter import metrics
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.protocol import jobs
+from bamboorouter.state import given_up_runs
 from bamboorouter.state import job_records
 from bamboorouter.state import stepped_jobs
 
-MIN_AGE_MS: Final = 3000
+# Longer than most tasks that end take.
+MIN_AGE_MS: Final = 10_000
+MAX_EARLIER_AGE_MS: Final = 30_000
 
 
 class CrashSurvival:
@@ -44,7 +49,7 @@
             state: The replicated jobs.
         """
         observed = [
-            (run, task.crash_age_ms, worker.observed_ms())
+            (run, _age_to_outlive_ms(task), worker.observed_ms())
             for worker in workers
             for run in worker.report.runs
             if run.running
@@ -59,9 +64,9 @@
         }
         return tuple(
             jobs.RunId(task=run.task, attempt=run.attempt)
-            for run, crash_age_ms, observed_ms in observed
+            for run, age_to_outlive_ms, observed_ms in observed
             if observed_ms - self._since_ms[run.task, run.attempt]
-            > max(crash_age_ms, MIN_AGE_MS)
+            > age_to_outlive_ms
         )
 
 
@@ -86,3 +91,10 @@
     return bool(
         task.crashes and task.status == "assigned" and task.attempt == attempt
     )
+
+
+def _age_to_outlive_ms(task: job_records.Task) -> int:
+    earlier_ms = given_up_runs.longest_crash_age_ms(task)
+    return max(
+        task.crash_age_ms, min(earlier_ms, MAX_EARLIER_AGE_MS), MIN_AGE_MS
+    )
--- a/bamboorouter/state/given_up_runs.py
+++ b/bamboorouter/state/given_up_runs.py
@@ -228,6 +228,16 @@
     return max(ages, default=0) - min(ages, default=0)
 
 
+def longest_crash_age_ms(task: job_records.Task) -> int:
+    """Returns the highest age of a run at a crash that counts for its task.
+
+    Crashes whose records were dropped are left out.
+    """
+    return max(
+        (run.crash_age_ms for run in task.given_up if counts(run)), default=0
+    )
+
+
 def crashed_early(task: job_records.Task) -> bool:
     """Returns whether the last crash under a task came soon after its start."""
     return task.crash_age_ms <= EARLY_CRASH_MS
--- a/tests/simulated_workers.py
+++ b/tests/simulated_workers.py
@@ -128,7 +128,7 @@
         for key, started_ms in list(self.runs.items()):
             age_ms = self.site.now - started_ms
             if key[0].job in self.site.killers:
-                if age_ms >= self.site.crash_after_ms:
+                if age_ms >= self.site.age_at_crash_ms(key[1]):
                     self.crash()
                     return
             elif age_ms >= self.site.run_time_ms(key[0]) and not self._lasts(
@@ -197,6 +197,7 @@
         never_executed: IDs of the jobs at whose start orders workers crash by
             themselves before they carry them out.
         crash_after_ms: Age at which such a run crashes its worker.
+        crash_ages_ms: If not empty, these ages instead, in turn by attempt.
         restart_ms: Time after a crash in which the worker is down.
         starts: Number of starts of each task.
         lost: Number of runs of other jobs that ended with a crash.
@@ -213,6 +214,7 @@
         self.unanswered: set[str] = set()
         self.never_executed: set[str] = set()
         self.crash_after_ms = 0
+        self.crash_ages_ms: tuple[int, ...] = ()
         self.restart_ms = RESTART_MS
         self.starts: collections.Counter[jobs.TaskRef] = collections.Counter()
         self.lost = 0
@@ -236,6 +238,12 @@
             self._run_times_ms[task] = self.random.randint(500, 3000)
         return self._run_times_ms[task]
 
+    def age_at_crash_ms(self, attempt: int) -> int:
+        """Returns the age at which an attempt crashes its worker."""
+        if not self.crash_ages_ms:
+            return self.crash_after_ms
+        return self.crash_ages_ms[(attempt - 1) % len(self.crash_ages_ms)]
+
     def record_crash(self, worker: SimulatedWorker) -> None:
         """Counts the runs that end with a worker."""
         self.crashes += 1
--- a/tests/test_crash_survival.py
+++ b/tests/test_crash_survival.py
@@ -12,6 +12,7 @@
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
+from bamboorouter.state import job_records
 from tests import job_builders as make
 from tests import test_job_dispatcher
 
@@ -71,6 +72,35 @@
         self.assertFalse(self.cleared(AGE_MS + 500))
         self.assertTrue(self.cleared(1))
 
+    def crash_at_ages(self, *ages_ms: int) -> None:
+        """Records crashes under earlier runs of the task."""
+        self.task.crash_age_ms = ages_ms[-1]
+        self.task.given_up = tuple(
+            job_records.GivenUpRun(
+                attempt=-number,
+                worker=f"v{number}",
+                life=f"v{number}@1",
+                assigned_ms=1,
+                lost=True,
+                crash_age_ms=age_ms,
+            )
+            for number, age_ms in enumerate(ages_ms)
+        )
+
+    def test_ages_at_all_crashes_must_be_exceeded(self) -> None:
+        """Guards against a task that crashes workers at different ages."""
+        self.crash_at_ages(AGE_MS + 500, 2000)
+        self.assertFalse(self.cleared())
+        self.assertFalse(self.cleared(AGE_MS + 500))
+        self.assertTrue(self.cleared(1))
+
+    def test_age_at_an_earlier_crash_counts_up_to_a_limit(self) -> None:
+        """Otherwise a task that ran for days couldn't be cleared for days."""
+        self.crash_at_ages(24 * 3_600_000, 2000)
+        self.assertFalse(self.cleared())
+        self.assertFalse(self.cleared(crash_survival.MAX_EARLIER_AGE_MS))
+        self.assertTrue(self.cleared(1))
+
     def test_run_that_is_not_known_to_have_started_clears_nothing(self) -> None:
         self.assertFalse(self.cleared(running=False))
         self.assertFalse(self.cleared(AGE_MS + 1, running=False))
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -144,6 +144,16 @@
         self.assertEqual(self.job_state("killer"), "failed")
         self.assertNotIn("failed", self.states_of_small_jobs())
 
+    async def test_task_that_crashes_its_workers_at_any_age_is_given_up(
+        self,
+    ) -> None:
+        """Guards against runs that clear the task before they crash a worker."""
+        self.crash_ages_ms = (2000, 6000, 4000)
+        await self.submit_killer("killer")
+        await self.pass_steps(60_000)
+        self.assertLessEqual(self.starts[make.ref("killer")], MAX_STARTS)
+        self.assertEqual(self.job_state("killer"), "failed")
+
     async def test_worker_that_leaves_counts_against_no_task(self) -> None:
         await self.submit("a", make.step(lasting=True))
         await self.pass_steps(500)
