Give a task up that is lost after four crashes

Cause: such a task is given up after five counted crashes, and a crash counts only when the next incarnation appears. The run is given up 6 s after its worker fell silent, so the task is started a sixth time while the fifth worker is still down.

Evidence: test_killer_of_workers_that_are_back_after_its_next_start (6 starts) and test_run_that_is_lost_after_four_crashes_is_not_started_again fail on the code before.

Why this works: when the fifth run is lost, four crashes are counted, and the job fails before the task can be assigned again. The decision is part of applying EndRuns, so it survives elections. Other ends, and the departure of a worker, give nothing up.

--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -425,10 +425,13 @@
                 unobserved_ms=self.table.unobserved_ms,
                 term=self.log.term(),
             )
-            await job_proposals.propose(
+            result = await job_proposals.propose(
                 self.log,
                 job_commands.EndRuns(ends=tuple(ends), tracked=True),
             )
+            incarnation_ends.log_given_up(
+                result, worker=worker, term=self.log.term()
+            )
 
     async def _start_ready(self) -> None:
         state = self.log.machine.stepped
@@ -700,13 +703,16 @@
             ]
             if not effective:
                 return
-            await job_proposals.propose(
+            result = await job_proposals.propose(
                 self.log,
                 job_commands.EndRuns(
                     ends=tuple(end.committed for end in effective),
                     tracked=True,
                 ),
             )
+            incarnation_ends.log_given_up(
+                result, worker=worker, term=self.log.term()
+            )
             for end in effective:
                 self._record_end(end, worker, incarnation)
         raise errors.UnknownResultError(
--- a/bamboorouter/coordination/jobs/incarnation_ends.py
+++ b/bamboorouter/coordination/jobs/incarnation_ends.py
@@ -96,18 +96,37 @@
         silent_ms=message.silent_ms,
         term=term,
     )
-    for decision, event in (
-        ("suspects", events.CRASH_SUSPECTED),
-        ("given_up", events.CRASHING_TASK_GIVEN_UP),
-    ):
-        for task, crashes, confirmed in result.data[decision]:
-            metrics.CRASH_SUSPECTS.labels(decision).inc()
-            events.log(
-                event,
-                task=task,
-                crashes=crashes,
-                confirmed=confirmed,
-                worker=message.worker,
-                life=end.life,
-                term=term,
-            )
+    worker: dict[str, object] = {"worker": message.worker, "life": end.life}
+    for task, crashes, confirmed in result.data["suspects"]:
+        metrics.CRASH_SUSPECTS.labels("suspects").inc()
+        events.log(
+            events.CRASH_SUSPECTED,
+            task=task,
+            crashes=crashes,
+            confirmed=confirmed,
+            term=term,
+            **worker,
+        )
+    log_given_up(result, term=term, **worker)
+
+
+def log_given_up(
+    result: commands.Result, *, term: int, **fields: object
+) -> None:
+    """Logs and counts the tasks that a command has given up.
+
+    Args:
+        result: Result of the command.
+        term: Term of this leader.
+        **fields: What else is known, for the log.
+    """
+    for task, crashes, confirmed in result.data["given_up"]:
+        metrics.CRASH_SUSPECTS.labels("given_up").inc()
+        events.log(
+            events.CRASHING_TASK_GIVEN_UP,
+            task=task,
+            crashes=crashes,
+            confirmed=confirmed,
+            term=term,
+            **fields,
+        )
--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -13,7 +13,10 @@
   as suspicious;
 * after four crashes that include two early ones or came at the same age, unless
   a task of another job there was more suspicious and had as many crashes;
-* after five crashes in any case, confirmed or not.
+* after five crashes in any case, confirmed or not;
+* if a run of it is lost after four crashes. Whether the worker of that run has
+  crashed as well is known only when it is back, and until then the task would
+  be started again.
 
 So a task that crashes each worker when it starts is started at most four times,
 or five times if one of the crashes isn't known or starts weren't answered. If starts are
@@ -78,6 +81,11 @@
     return max(task.early_crashes, task.crashes - 1, 0)
 
 
+def may_start_again(task: job_records.Task) -> bool:
+    """Returns whether a task may be started after a run of it was lost."""
+    return task.crashes + 1 < MAX_CRASHES
+
+
 def convicted(tasks: Iterable[CrashedTask]) -> list[CrashedTask]:
     """Returns the tasks to give up after a crash.
 
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -238,11 +238,46 @@
         return commands.Result(ok=True, data={"refused": sorted(refused)})
 
     def end(self, command: job_commands.EndRuns) -> commands.Result:
-        """Ends runs; the result holds how many of them changed a task."""
-        changed = sum(
-            self._end_run(end, tracked=command.tracked) for end in command.ends
+        """Ends runs.
+
+        Returns:
+            A result whose data holds how many ends changed a task, and the
+            tasks that are given up because workers crashed under them.
+        """
+        changed = [
+            end
+            for end in command.ends
+            if self._end_run(end, tracked=command.tracked)
+        ]
+        given_up = [
+            end.task
+            for end in changed
+            if command.tracked
+            and end.how == "lost"
+            and self._give_up_suspect(end.task)
+        ]
+        return commands.Result(
+            ok=True,
+            data={
+                "changed": len(changed),
+                "given_up": [self._crashes_of(ref) for ref in given_up],
+            },
         )
-        return commands.Result(ok=True, data={"changed": changed})
+
+    def _give_up_suspect(self, ref: jobs.TaskRef) -> bool:
+        """Gives a task up that was lost; returns whether it was suspicious."""
+        job, task = self.jobs[ref.job], self.task(ref)
+        assert task is not None
+        if not job.active() or crash_conviction.may_start_again(task):
+            return False
+        self._fail(job, task)
+        return True
+
+    def _crashes_of(self, ref: jobs.TaskRef) -> tuple[str, int, int]:
+        """Returns a task with its crashes and confirmed ones, for a result."""
+        task = self.task(ref)
+        assert task is not None
+        return (str(ref), task.crashes, task.confirmed_crashes)
 
     def open_session(
         self, command: job_commands.OpenSession
--- a/tests/test_crash_counts.py
+++ b/tests/test_crash_counts.py
@@ -23,6 +23,7 @@
 How = Literal["crashed", "left", "unknown"]
 EARLY_MS = given_up_runs.EARLY_CRASH_MS
 START_MS = 1_700_000_000_000
+_OTHER_ENDS: tuple[jobs.RunOutcome, ...] = ("rejected", "stopped", "lapsed")
 
 
 class CrashCase(unittest.TestCase):
@@ -203,6 +204,46 @@
         self.crash(worker="w5", started=False)
         self.assertEqual(self.job_state(), "failed")
 
+    def crash_four_times(self) -> None:
+        """Lets four workers crash at different ages, without confirmations."""
+        for number, worker in enumerate(("w1", "w2", "w3", "w4")):
+            self.crash(worker=worker, age_ms=2000 * number, started=False)
+        self.assertEqual(self.job_state(), "running")
+
+    def test_run_that_is_lost_after_four_crashes_is_not_started_again(
+        self,
+    ) -> None:
+        """Guards against a sixth start before the fifth worker is back."""
+        self.crash_four_times()
+        self.end("lost", self.start(worker="w5"))
+        self.assertEqual(self.job_state(), "failed")
+
+    def test_run_that_is_lost_after_three_crashes_is_started_again(
+        self,
+    ) -> None:
+        for number, worker in enumerate(("w1", "w2", "w3")):
+            self.crash(worker=worker, age_ms=2000 * number, started=False)
+        self.end("lost", self.start(worker="w4"))
+        self.assertEqual(self.job_state(), "running")
+
+    def test_end_that_is_not_lost_after_four_crashes_gives_nothing_up(
+        self,
+    ) -> None:
+        for how in _OTHER_ENDS:
+            with self.subTest(how):
+                self.setUp()
+                self.crash_four_times()
+                self.end(how, self.start(worker="w5"))
+                self.assertEqual(self.job_state(), "running")
+
+    def test_worker_that_left_after_four_crashes_gives_nothing_up(
+        self,
+    ) -> None:
+        self.crash_four_times()
+        self.start(worker="w5")
+        self.open("w5", "left")
+        self.assertEqual(self.job_state(), "running")
+
     def test_session_with_the_same_incarnation_counts_nothing(self) -> None:
         self.start()
         self.open("w1", life=self.life("w1"))
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -84,6 +84,20 @@
         self.assertLessEqual(self.starts[make.ref("killer")], MAX_STARTS)
         self.assertEqual(self.job_state("killer"), "failed")
 
+    async def test_killer_of_workers_that_are_back_after_its_next_start(
+        self,
+    ) -> None:
+        """A worker is back after its runs were given up; starts aren't answered.
+
+        Guards against a sixth start while the fifth worker is down.
+        """
+        self.restart_ms = 8000
+        self.unanswered.add("killer")
+        await self.submit_killer("killer")
+        await self.pass_steps(60_000)
+        self.assertLessEqual(self.starts[make.ref("killer")], MAX_STARTS)
+        self.assertEqual(self.job_state("killer"), "failed")
+
     async def test_crashes_before_the_start_give_up_no_job(self) -> None:
         """One worker crashes under the task, two before they start it."""
         await self.submit("a", make.step(lasting=True))
