Ask a worker at a refused address while no poll is answered

What callers saw: if the first announcement that an agent gets has a wrong address, and a sequence number and a clock above those of all true ones, the worker gets no work until the worker or the agent is restarted.

Cause: the order of announcements detects one from the future by the worker's clock, which is known only once a poll is answered. No poll is, because the address is wrong, so each true announcement counts as an earlier one for good.

Evidence: found by random announcements; the new test in tests/test_odd_announcements.py times out on the code before.

Why this works: while no poll of the session is answered, the agent polls the address of a refused announcement of the same incarnation. If that incarnation answers there, the announcement counts. Delayed announcements still never count by themselves.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -118,6 +118,7 @@
         # to be opened; empty if there is none.
         self._refuted = ""
         self._takeover_check: asyncio.Task[None] | None = None
+        self._address_check: asyncio.Task[None] | None = None
         self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
 
@@ -165,6 +166,7 @@
         )
         if contradiction:
             self._log_refusal(announcement, contradiction)
+            self._check_address_if_unknown(announcement, current)
             return
         if self._leaving:
             if announcement.sequence == current.sequence:
@@ -183,6 +185,41 @@
             return None
         return session.latest_worker_ms(self.clock.now())
 
+    def _check_address_if_unknown(
+        self,
+        announcement: worker_port.Announcement,
+        current: worker_port.Announcement,
+    ) -> None:
+        """Checks a refused address if no poll at the current one is answered.
+
+        The current announcement may be wrong, and later than all true ones.
+        """
+        if (
+            announcement.address != current.address
+            and self._worker_ms(current) is None
+            and self._address_check is None
+        ):
+            self._address_check = self._spawn(self._check_address(announcement))
+
+    async def _check_address(
+        self, announcement: worker_port.Announcement
+    ) -> None:
+        """Replaces the current announcement if the incarnation answers here."""
+        try:
+            answer = await incarnation_check.poll_incarnation(
+                self.ports, announcement, self._token()
+            )
+        finally:
+            self._address_check = None
+        current = self._announcement
+        if (
+            answer == "view"
+            and current is not None
+            and current.incarnation == announcement.incarnation
+            and self._worker_ms(current) is None
+        ):
+            self._update_announcement(announcement)
+
     def _log_refusal(
         self, announcement: worker_port.Announcement, reason: str
     ) -> None:
--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -194,3 +194,24 @@
             )
             await asyncio.sleep(0.4)
         await self.until(self.reachable)
+
+    async def test_wrong_address_from_the_future_is_replaced_by_the_true_one(
+        self,
+    ) -> None:
+        """All true announcements are earlier by number and by clock."""
+        self.worker = LocatedWorker()
+        self.session = self.new_session()
+        self.session.announce(
+            fake_worker.announcement(
+                sequence=10**6, clock_ms=FAR_MS, address="10.0.0.9:1"
+            )
+        )
+        await self.until(lambda: self.session.session is not None)
+        for sequence in range(2, 8):
+            self.session.announce(
+                fake_worker.announcement(
+                    sequence=sequence, clock_ms=self.worker.time.now()
+                )
+            )
+            await asyncio.sleep(0.4)
+        await self.until(self.reachable)
