Cancel a job whose submission is still being committed

Cause: a cancellation looks the job up in the applied state. A job whose proposal may still be committed isn't there, so it is answered as unknown, and the job begins when its entry commits.

Evidence: found by reading. test_job_is_cancelled_while_its_proposal_is_under_way fails on the code before (no error from the cancellation, and the job runs).

Why this works: the leader knows the pending proposals of its term and proposes the cancellation after them, so that it is applied after the submission. If the submission was lost, the answer stays 410.

--- a/bamboorouter/coordination/jobs/job_handler.py
+++ b/bamboorouter/coordination/jobs/job_handler.py
@@ -120,7 +120,10 @@
         if isinstance(found, job_messages.JobAnswer):
             return found
         _, job_id = found
-        if job_id not in self.log.machine.stepped.jobs:
+        self._recent.enter_term(self.log.term())
+        known = job_id in self.log.machine.stepped.jobs
+        # A job whose proposal may still commit must not run after the answer.
+        if not known and not self._recent.is_pending(job_id):
             return job_messages.JobAnswer(outcome="no_job")
         result = await job_proposals.propose(
             self.log, job_commands.CancelSteps(job=job_id)
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -521,6 +521,31 @@
         self.log.apply_postponed()
         self.assertEqual(await self.submit("a", heavy_step), "ok")
 
+    async def test_job_is_cancelled_while_its_proposal_is_under_way(
+        self,
+    ) -> None:
+        """Guards against a job that runs after its cancellation was answered."""
+        self.log.postpones = True
+        with self.assertRaises(errors.UnknownResultError):
+            await self.submit("a")
+        with self.assertRaises(errors.UnknownResultError):
+            await self.cancel("a")
+        self.log.apply_postponed()
+        job = self.log.machine.stepped.jobs["a"]
+        self.assertEqual(job.state(), "cancelled")
+
+    async def test_cancelled_job_whose_proposal_was_lost_is_unknown(
+        self,
+    ) -> None:
+        self.log.postpones = True
+        with self.assertRaises(errors.UnknownResultError):
+            await self.submit("a")
+        self.log.postpones = False
+        answer = await self.job_handler.cancel(
+            job_messages.CancelJobSteps(host="desk.example", path="/forms/a")
+        )
+        self.assertEqual(answer.outcome, "no_job")
+
     async def test_refusal_holds_while_copies_may_arrive(self) -> None:
         """A copy of a refused job may arrive after the load has dropped."""
         await self.connect_agent()
