--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -12,6 +12,7 @@
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
+from tests import virtual_time
 
 CALLS = 32
 CALL_TIMEOUT_MS = 3000
@@ -175,7 +176,7 @@
             )
 
 
-class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
+class NoLeaderTest(virtual_time.VirtualTimeCase):
     """Timeouts of calls while no leader answers."""
 
     FIRST_SEND_TIMEOUT_MS = 300
@@ -183,7 +184,7 @@
     def _make_client(self, port: int) -> control_client.ControlClient:
         client = control_client.ControlClient(
             addresses=(f"127.0.0.1:{port}",),
-            time=clock.SystemClock(),
+            time=virtual_time.VirtualTimeClock(),
             attempt_timeout_ms=200,
         )
         self.addAsyncCleanup(client.close)
@@ -192,7 +193,7 @@
     async def _time_call(self, client: control_client.ControlClient) -> float:
         """Makes a call that fails unsent; returns its duration in s."""
         # Whole ms, as on the client's clock, which deadlines refer to.
-        time = clock.SystemClock()
+        time = virtual_time.VirtualTimeClock()
         start_ms = time.now()
         with self.assertRaises(errors.NotSentError):
             await client.call(
