Count requests for advice on virtual time in their tests

Two tests ask for two or three requests within 0.3 s of real time. A stall of the process counts as such time: with one of 0.28 s at its start, both earlier tests fail with 1 request where at least 2 are asked, though the retry isn't late on the loop that makes it.

On virtual time the window is 0.3 s of the dispatcher's own waits; the counts are unchanged, and the tests pass with the same stall. They fail if the backoff doesn't grow (6 requests) and if it begins at 400 ms (1 request).

--- a/tests/test_start_advice.py
+++ b/tests/test_start_advice.py
@@ -20,6 +20,7 @@
 from tests import job_builders as make
 from tests import platform_site
 from tests import test_job_dispatcher
+from tests import virtual_time
 
 import advice_http  # isort: skip
 
@@ -148,7 +149,9 @@
         )
 
 
-class AdvisedJobTest(test_job_dispatcher.DispatcherCase):
+class AdvisedJobTest(
+    virtual_time.VirtualTimeCase, test_job_dispatcher.DispatcherCase
+):
     """Jobs of an advised queue start on allowed workers, with a ticket."""
 
     async def asyncSetUp(self) -> None:
