Bound the start after a growth by virtual time in its test

test_task_that_fits_the_grown_worker_starts_soon asks for a start within 0.9 s, because one that waits for the interval between two requests takes 1 s. It measured real time: with the process stalled once for 1.0 s, the earlier test fails with a TimeoutError.

Leader, session and worker of WholePathTest run on one loop without sockets, so virtual time measures their waits. The bound is unchanged; the test passes with the same stall, and fails if the first growth waits for the interval.

--- a/tests/test_session_growth.py
+++ b/tests/test_session_growth.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from typing import cast
-import unittest
 from unittest import mock
 
 from bamboorouter import clock
@@ -29,6 +28,7 @@
 from tests import replica_site
 from tests import test_agent_room
 from tests import test_room_random
+from tests import virtual_time
 
 A, B = (make.ref(job) for job in "ab")
 SMALL = make.need(1000, 1000)
@@ -477,11 +477,11 @@
         await self.until_opened(LARGE)
 
 
-class WholePathTest(unittest.IsolatedAsyncioTestCase):
+class WholePathTest(virtual_time.VirtualTimeCase):
     """A leader, and an agent whose worker has grown."""
 
     async def asyncSetUp(self) -> None:
-        self.time = clock.SystemClock()
+        self.time = virtual_time.VirtualTimeClock()
         self.log = control_fakes.FakeLog(time=self.time)
         self.log.apply(
             job_commands.PutConfiguration(configuration=make.configuration())
@@ -492,6 +492,7 @@
         self.leader.start()
         self.addAsyncCleanup(self.leader.stop)
         self.worker = fake_worker.FakeWorker()
+        self.worker.time = self.time
         client = test_room_random.LeaderClient(self.leader)
         self.session = agent_session.AgentSession(
             worker="w1",
