Run the tests of the soak's simulated worker on virtual time

Four of these tests act within 0.2 to 0.4 s of real time: while a worker is down, before an earlier capacity stops to count, and before a late order is carried out. With one stall of 0.3 to 0.6 s in each, the four earlier tests fail: the worker is back, the start exceeds the capacity, and the token arrives after the order.

WorkerCase now gives the worker, its capacity and the history the time of a virtual loop; the tests themselves are unchanged. They fail if a crashed worker is back at once, if it doesn't go down when it leaves, if an earlier capacity never counts or counts for one second more, and if late orders are carried out at once.

--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -6,12 +6,15 @@
 import tempfile
 from typing import Any
 import unittest
+from unittest import mock
 
 import aiohttp
 
 from devtools import soak
+from devtools import soak_capacity
 from devtools import soak_checks
 from devtools import soak_worker
+from tests import virtual_time
 
 TASK = "5c0e.0.0.0"
 LASTING = {
@@ -20,11 +23,19 @@
 }
 
 
-class WorkerCase(unittest.IsolatedAsyncioTestCase):
+class WorkerCase(virtual_time.VirtualTimeCase):
     """A simulated worker on a loopback address."""
 
     async def asyncSetUp(self) -> None:
-        self.history = soak_checks.History()
+        loop = asyncio.get_running_loop()
+        patcher = mock.patch.object(
+            soak_worker,
+            "time",
+            mock.Mock(monotonic=loop.time, time=loop.time),
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.history = soak_checks.History(clock=loop.time)
         self.history.record_submission("5c0e", LASTING)
         self.worker = soak_worker.SoakWorker(
             name="worker-1",
@@ -33,6 +44,9 @@
             seed=1,
             failure_probability=0.0,
         )
+        self.worker.millicores = soak_capacity.Capacity(
+            full=soak_worker.CAPACITY_MILLICORES, clock=loop.time
+        )
         server = socket.create_server(("127.0.0.1", 0))
         address = f"127.0.0.1:{server.getsockname()[1]}"
         server.close()
