Test the end of a task before its lease on virtual time

test_agent_ends_a_task_a_second_before_its_lease has 250 ms for the stop to take effect, and the simulated worker shares its loop with the agent. If the process stalls over this time, the worker's tick comes before the agent's stop: with one stall of 0.5 s the earlier test fails by 182 ms, though the agent stops the task at its next turn.

The test runs on virtual time in its own class, unchanged otherwise. It passes with the same stall, and fails, as before, if the agent begins to stop the task 60 ms after the deadline. It also fails if the deadline is 400 ms later.

--- a/tests/test_agent_tasks.py
+++ b/tests/test_agent_tasks.py
@@ -27,6 +27,7 @@
 from devtools import worker
 from tests import fake_leader
 from tests import replica_site
+from tests import virtual_time
 
 HEARTBEAT_MS = 100
 # Age in ms at which the worker reports its usage samples.
@@ -125,6 +126,35 @@
         return journal.runs(journal.read(self.journal))
 
 
+class AgentLeaseTest(virtual_time.VirtualTimeCase, AgentTestCase):
+    """Tests when the agent ends a task whose lease isn't renewed."""
+
+    async def asyncSetUp(self) -> None:
+        self.patch_system_clock()
+        now = virtual_time.VirtualTimeClock().now
+        journal_time = mock.Mock(
+            monotonic_ns=lambda: now() * clock.NS_PER_MS, time_ns=time.time_ns
+        )
+        for target, name, replacement in (
+            (worker, "now_ms", now),
+            (journal, "time", journal_time),
+        ):
+            patcher = mock.patch.object(target, name, replacement)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        await super().asyncSetUp()
+
+    async def test_agent_ends_a_task_a_second_before_its_lease(self) -> None:
+        self.worker.enforces_leases = False
+        self.leader.term_ms = 2500
+        self.leader.renews = False
+        self.leader.assign("match/0", 1)
+        stopped = await self.leader.wait_for_state("match/0", "stopped")
+        self.assertEqual(stopped.detail, "lease_ended")
+        latest = self.runs()[0].start_ms + 2500 - task_leases.STOP_MARGIN_MS
+        self.assertLessEqual(self.runs()[0].end_ms, latest)
+
+
 class TasksTest(AgentTestCase):
     """Tests how tasks are started, ended, evicted and reported."""
 
@@ -169,16 +199,6 @@
         self.assertEqual(self.runs()[1].resume_from, evicted.checkpoint)
         self.assertEqual(journal.resume_violations(self.runs()), [])
 
-    async def test_agent_ends_a_task_a_second_before_its_lease(self) -> None:
-        self.worker.enforces_leases = False
-        self.leader.term_ms = 2500
-        self.leader.renews = False
-        self.leader.assign("match/0", 1)
-        stopped = await self.leader.wait_for_state("match/0", "stopped")
-        self.assertEqual(stopped.detail, "lease_ended")
-        latest = self.runs()[0].start_ms + 2500 - task_leases.STOP_MARGIN_MS
-        self.assertLessEqual(self.runs()[0].end_ms, latest)
-
     async def test_worker_enforces_the_lease_without_its_agent(self) -> None:
         self.leader.term_ms = 2500
         self.leader.assign("match/0", 1)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -9,6 +9,7 @@
 import time
 from typing import Final
 import unittest
+from unittest import mock
 
 from bamboorouter import clock
 
@@ -89,3 +90,9 @@
         super().setUpClass()
         asyncio.set_event_loop_policy(VirtualTimePolicy())
         cls.addClassCleanup(asyncio.set_event_loop_policy, None)
+
+    def patch_system_clock(self) -> None:
+        """Gives the loop's time to code that creates its own clock."""
+        patcher = mock.patch.object(clock, "SystemClock", VirtualTimeClock)
+        patcher.start()
+        self.addCleanup(patcher.stop)
