--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -25,6 +25,7 @@
 from tests import list_machine
 from tests import replica_site
 from tests import site_case
+from tests import virtual_time
 
 TIMEOUT_MS = 8000
 # A disk that has room again must serve within this time.
@@ -36,7 +37,7 @@
 """
 
 
-class FullDisksTest(unittest.IsolatedAsyncioTestCase):
+class FullDisksCase(unittest.IsolatedAsyncioTestCase):
     """Three control roles of which at most one disk is full at any time."""
 
     async def asyncSetUp(self) -> None:
@@ -151,6 +152,38 @@
             timeout_s=RECOVERY_S,
         )
 
+
+class HaltedLeaderTest(virtual_time.VirtualTimeCase, FullDisksCase):
+    """Calls at a leader whose disk is full."""
+
+    async def asyncSetUp(self) -> None:
+        self.patch_system_clock()
+        await super().asyncSetUp()
+
+    async def test_calls_at_a_leader_with_a_full_disk_end_at_once(self) -> None:
+        """Guards against callers that wait for a halted leader."""
+        await self.start()
+        role = self.roles[0]
+        await self.elect(role)
+        leader = self.opened(role)
+        self.disks.full.add(self.data_dir(self.addresses[0]))
+        with self.assertRaises(errors.UnknownResultError):
+            async with asyncio.timeout(0.5):
+                await leader.propose(
+                    list_machine.cancel("a"), timeout_ms=TIMEOUT_MS
+                )
+        self.assertFalse(leader.lease_valid())
+        with self.assertRaises(errors.NotLeaderError):
+            await leader.propose(
+                list_machine.cancel("b"), timeout_ms=TIMEOUT_MS
+            )
+        self.disks.full.clear()
+        await self.assert_recovered()
+
+
+class FullDisksTest(FullDisksCase):
+    """Replicas that take part again after their disk was full."""
+
     async def test_changes_are_accepted_after_each_disk_was_full(self) -> None:
         await self.start()
         for role in self.roles:
@@ -247,26 +280,6 @@
             never.set()
         await failed.stop()
 
-    async def test_calls_at_a_leader_with_a_full_disk_end_at_once(self) -> None:
-        """Guards against callers that wait for a halted leader."""
-        await self.start()
-        role = self.roles[0]
-        await self.elect(role)
-        leader = self.opened(role)
-        self.disks.full.add(self.data_dir(self.addresses[0]))
-        with self.assertRaises(errors.UnknownResultError):
-            async with asyncio.timeout(0.5):
-                await leader.propose(
-                    list_machine.cancel("a"), timeout_ms=TIMEOUT_MS
-                )
-        self.assertFalse(leader.lease_valid())
-        with self.assertRaises(errors.NotLeaderError):
-            await leader.propose(
-                list_machine.cancel("b"), timeout_ms=TIMEOUT_MS
-            )
-        self.disks.full.clear()
-        await self.assert_recovered()
-
     async def test_snapshot_that_finds_no_room_is_taken_later(self) -> None:
         self.snapshot_entries = 20
         self.roles = [self.make_role(address) for address in self.addresses]
