Test redirects and refusals of calls on virtual time

RefusalTest gives an attempt 100 ms of real time.

They fail if an unanswered call closes the link of the others, if a refusal after an unanswered sending is final, and if a result that the leader calls unknown counts as known.

--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import socket
-import unittest
 
 from bamboorouter import clock
 from bamboorouter import errors
@@ -24,7 +23,7 @@
     )
 
 
-class ControlClientTest(unittest.IsolatedAsyncioTestCase):
+class ControlClientTest(virtual_time.VirtualTimeCase):
     """Many concurrent calls of one client."""
 
     async def asyncSetUp(self) -> None:
@@ -63,7 +62,7 @@
     def _make_client(self, *ports: int) -> control_client.ControlClient:
         return control_client.ControlClient(
             addresses=tuple(f"127.0.0.1:{port}" for port in ports),
-            time=clock.SystemClock(),
+            time=virtual_time.VirtualTimeClock(),
         )
 
     async def _call_concurrently(
@@ -99,7 +98,7 @@
         await client.close()
 
 
-class RefusalTest(unittest.IsolatedAsyncioTestCase):
+class RefusalTest(virtual_time.VirtualTimeCase):
     """A refusal is final only if no earlier attempt may still take effect."""
 
     async def test_refusal_after_an_unanswered_sending_is_no_answer(
@@ -124,7 +123,7 @@
         self.addAsyncCleanup(server.close)
         client = control_client.ControlClient(
             addresses=(f"127.0.0.1:{server.port}",),
-            time=clock.SystemClock(),
+            time=virtual_time.VirtualTimeClock(),
             attempt_timeout_ms=100,
         )
         self.addAsyncCleanup(client.close)
@@ -165,7 +164,8 @@
         )
         self.addAsyncCleanup(server.close)
         client = control_client.ControlClient(
-            addresses=(f"127.0.0.1:{server.port}",), time=clock.SystemClock()
+            addresses=(f"127.0.0.1:{server.port}",),
+            time=virtual_time.VirtualTimeClock(),
         )
         self.addAsyncCleanup(client.close)
         with self.assertRaises(errors.UnknownResultError):
