--- a/bamboorouter/cli/sheet.py
+++ b/bamboorouter/cli/sheet.py
@@ -46,6 +46,10 @@
 
     async def run_call(self, operation_id: str) -> int:
         """Submits the sheet, waits with --wait, and prints the result."""
+        # A wrong value is wrong usage only while nothing has been sent.
+        wait_s = base_command.number_option(
+            "wait-timeout", self.option("wait-timeout")
+        )
         text = read_text(self.argument("file"))
         operator_client = self.make_client()
         reply = await operator_client.call(
@@ -53,19 +57,21 @@
         )
         if not reply.ok:
             return self._report_refusal(reply)
-        return await self._report(operator_client, reply)
+        return await self._report(operator_client, reply, wait_s=wait_s)
 
     async def _report(
         self,
         operator_client: client.OperatorClient,
         reply: operator_http.ReplyBody,
+        *,
+        wait_s: float,
     ) -> int:
         """Prints the revision in force after the sheet was accepted."""
         submitted = int(reply.data.get("sheet_revision", 0))
         config_revision = int(reply.data.get("config_revision", 0))
         wait = bool(self.option("wait"))
         state = await self._poll_status(
-            operator_client, config_revision, wait=wait
+            operator_client, config_revision, wait_s=wait_s if wait else 0.0
         )
         superseded = state.sheet_revision > submitted
         everywhere = state.in_force(
@@ -102,21 +108,21 @@
         operator_client: client.OperatorClient,
         config_revision: int,
         *,
-        wait: bool,
+        wait_s: float,
     ) -> operator_http.StatusData:
         """Polls the status until the revision is in force on all processes.
 
         Args:
             operator_client: Client for the calls.
             config_revision: Revision to wait for.
-            wait: Whether to wait; if False, the status is requested once.
+            wait_s: Time limit in s; if 0, the status is requested once.
 
         Returns:
             The newest status; empty if no request succeeded.
         """
-        text = self.option("wait-timeout")
-        limit_s = base_command.number_option("wait-timeout", text)
-        deadline = operator_client.clock.now() + int(limit_s * 1000)
+        deadline = operator_client.clock.now() + int(
+            wait_s * clock.MS_PER_SECOND
+        )
         state = operator_http.StatusData()
         while True:
             # The sheet is already accepted, so a failed status request must
@@ -126,8 +132,10 @@
             ):
                 reply = await operator_client.call("status", {})
                 state = operator_http.read_status(reply.data)
-            done = state.in_force(config_revision) or not wait
-            if done or operator_client.clock.now() >= deadline:
+            if (
+                state.in_force(config_revision)
+                or operator_client.clock.now() >= deadline
+            ):
                 return state
             await asyncio.sleep(clock.seconds(WAIT_POLL_MS))
 
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -206,6 +206,20 @@
         self.assertEqual(code, exit_codes.NOT_IN_FORCE)
         self.assertIn("agent-1", text)
 
+    async def test_wrong_time_limit_is_found_before_the_sheet_is_sent(
+        self,
+    ) -> None:
+        """Guards against wrong usage reported for an accepted sheet."""
+        self.leader.prepare("submit_sheet", data={"sheet_revision": 2})
+        for limit in ("0", "-1", "nan", "inf", "soon"):
+            with self.subTest(limit):
+                code, _, error = await self.run_tool(
+                    f"sheet submit {self.sheet} --wait --wait-timeout={limit}"
+                )
+                self.assertEqual(code, exit_codes.USAGE)
+                self.assertIn("--wait-timeout", error)
+                self.assertEqual(self.leader.received, [])
+
     async def test_status_shows_what_waits_and_why(self) -> None:
         self.leader.prepare(
             "status",
