--- a/bamboorouter/cli/account.py
+++ b/bamboorouter/cli/account.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import pathlib
+import re
 from typing import ClassVar
 from typing import Final
 
@@ -15,6 +16,10 @@
 
 SEGMENT_PATTERN: Final = "log-*"
 
+_KNOWN_RECORD: Final = re.compile(
+    r"(?P<index>[0-9]{1,20}):(?P<chain>[0-9a-fA-F]{64})"
+)
+
 
 class AccountVerifyCommand(base_command.PrintingCommand):
     """Verifies the log of one control replica without changing it."""
@@ -109,10 +114,12 @@
 
 
 def _parse_known_record(text: str) -> account_check.KnownRecord:
-    index, _, chain = text.partition(":")
-    if not index.isdecimal() or len(chain) != 64:
+    match = _KNOWN_RECORD.fullmatch(text)
+    if match is None or int(match["index"]) == 0:
         raise base_command.UsageError(
             text=f"--expect {text!r} is not INDEX:HASH with 64 hex digits",
             step="command line",
         )
-    return account_check.KnownRecord(index=int(index), chain=chain.lower())
+    return account_check.KnownRecord(
+        index=int(match["index"]), chain=match["chain"].lower()
+    )
--- a/tests/test_account_check.py
+++ b/tests/test_account_check.py
@@ -250,6 +250,28 @@
         after = {p.name: p.read_bytes() for p in self.folder.iterdir()}
         self.assertEqual(before, after)
 
+    def test_expected_record_that_is_no_hash_is_wrong_usage(self) -> None:
+        """Guards against an undamaged account that is called damaged."""
+        chain = self.stored[-1].chain.hex()
+        for record in (
+            f"12:{'g' * 64}",
+            f"12:{chain[:-1]} ",
+            f"12:0x{chain[2:]}",
+            f"12:{chain[:-1]}\u0661",
+            f"\u0661\u0662:{chain}",
+            f"12:{chain}0",
+            f"0:{chain}",
+        ):
+            with self.subTest(record):
+                code, output, error = self.run_tool(
+                    f"{self.folder} --expect '{record}'"
+                )
+                self.assertEqual(code, exit_codes.USAGE)
+                self.assertFalse(output["ok"])
+                self.assertIn("--expect", error)
+        code, _, _ = self.run_tool(f"{self.folder} --expect 12:{chain.upper()}")
+        self.assertEqual(code, exit_codes.DONE)
+
     def test_folder_without_a_log_is_not_called_whole(self) -> None:
         for line in ("/nonexistent", f"{self.folder} --expect 12:abc"):
             with self.subTest(line):
