Break the connections of a simulated worker when an incarnation ends

The simulated worker kept its open connections over a crash, which no process can do.

Whenever an incarnation begins (crash, crash by a task, leaving, coming back), the worker now resets all connections, and a call that had arrived over one of them but wasn't read yet is dropped. New connections are accepted at once, as before. The checks of the soak are unchanged.

test_crash_ends_open_connections fails without the reset and without the drop. The client of the worker's tests opens a connection for each call, because a crash breaks those that are open.

This alone doesn't keep calls from the next incarnation: the agent's HTTP client opens a new connection for them.

--- a/devtools/soak_worker.py
+++ b/devtools/soak_worker.py
@@ -2,11 +2,11 @@
 
 The worker rejects stale fencing tokens and attempts, ends all runs when its
 lease expires on its own clock, repeats the end of a run until it is
-acknowledged, and can crash and restart as a new incarnation with the same ID.
-It may leave calls unanswered and carry them out seconds later, and its answers
-may overtake each other. Its capacity may change while it runs, a task may crash
-it, and it may drain and leave. It records all starts and ends in the history of
-the soak.
+acknowledged, and can crash and restart as a new incarnation with the same ID,
+which ends its open connections. It may leave calls unanswered and carry them
+out seconds later, and its answers may overtake each other. Its capacity may
+change while it runs, a task may crash it, and it may drain and leave. It
+records all starts and ends in the history of the soak.
 """
 
 import asyncio
@@ -103,6 +103,8 @@
         self._late_tasks: set[asyncio.Task[None]] = set()
         self._history = history
         self._runner: web.AppRunner | None = None
+        # Connections that ended with the incarnation that accepted them.
+        self._ended_connections: set[asyncio.BaseProtocol] = set()
         self._tasks: list[asyncio.Task[None]] = []
         # Shares of the full capacity by the current faults.
         self._shares: list[float] = []
@@ -111,6 +113,7 @@
         self._start_incarnation()
 
     def _start_incarnation(self) -> None:
+        self._break_connections()
         self._started_wall_ms = int(time.time() * 1000)
         self._started_s = time.monotonic()
         self._sequence = 0
@@ -205,6 +208,15 @@
         self._start_incarnation()
         self._history.record_fault_end(self.name)
 
+    def _break_connections(self) -> None:
+        """Resets all connections, as the end of a process does."""
+        server = self._runner.server if self._runner is not None else None
+        for connection in server.connections if server is not None else ():
+            # A call that has arrived may not have been read yet.
+            self._ended_connections.add(connection)
+            if connection.transport is not None:
+                connection.transport.abort()
+
     # --- Capacity ------------------------------------------------------------
 
     def resize(self, share: float) -> None:
@@ -327,7 +339,10 @@
     ) -> web.StreamResponse:
         """Carries out a call now, or late and without an answer."""
         body = await request.json()
-        if self._down_until_s is not None:
+        if (
+            self._down_until_s is not None
+            or request.protocol in self._ended_connections
+        ):
             return _break_off(request)
         if request.headers.get("Expect-Instance") != f"i-{self.name}":
             return self._answer(421)
--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -34,10 +34,15 @@
             failure_probability=0.0,
         )
         server = socket.create_server(("127.0.0.1", 0))
-        address = f"127.0.0.1:{server.getsockname()[1]}"
+        self.port = server.getsockname()[1]
+        address = f"127.0.0.1:{self.port}"
         server.close()
         await self.worker.start(address)
-        self.client = aiohttp.ClientSession(base_url=f"http://{address}")
+        # A crash of the worker breaks the connections that are open.
+        self.client = aiohttp.ClientSession(
+            base_url=f"http://{address}",
+            connector=aiohttp.TCPConnector(force_close=True),
+        )
 
     async def asyncTearDown(self) -> None:
         await self.client.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import contextlib
+import json
 from typing import Any
 import unittest
 from unittest import mock
@@ -24,6 +26,16 @@
 }
 
 
+def _request(path: str, **body: Any) -> bytes:
+    """Returns the bytes of a call to a worker."""
+    content = json.dumps({"fencingToken": 1, **body})
+    return (
+        f"POST /-/{path} HTTP/1.1\r\nHost: worker\r\n"
+        "Expect-Instance: i-worker-1\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(content)}\r\n\r\n{content}"
+    ).encode()
+
+
 class ChecksTest(unittest.TestCase):
     """Each violation of a guarantee is detected."""
 
@@ -429,6 +441,36 @@
         self.assertEqual(await self.start(), (200, ""))
         self.assertEqual(self.history.violations, [])
 
+    async def test_crash_ends_open_connections(self) -> None:
+        """A call that has arrived is carried out before the crash or never."""
+        _, answer = await self.call("pace")
+        until_ms = answer["clockMs"] + 5000
+        for turns in range(20):
+            with self.subTest(turns=turns):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", self.port
+                )
+                writer.write(_request("pace"))
+                self.assertIn(b" 200 ", await reader.readline())
+                writer.write(
+                    _request(
+                        "run-start",
+                        task=TASK,
+                        attempt=1,
+                        spec="500 100 0",
+                        untilMs=until_ms,
+                    )
+                )
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                self.worker.crash()
+                async with asyncio.timeout(1.0):
+                    with contextlib.suppress(ConnectionError):
+                        await reader.read()
+                writer.close()
+                self.assertEqual(await self.lists(), ([], []))
+        self.assertEqual(self.history.violations, [])
+
     async def test_late_call_with_a_stale_token_has_no_effect(self) -> None:
         for token, starts in ((1, 1), (2, 0)):
             with (
