Send calls that change a worker only over connections to its incarnation

Cause: a call names the worker by its ID only. The next incarnation has the same ID and address and numbers its ends from 1 again. The HTTP client opens a new connection for a call without telling, and a cut link delivers the bytes of a connection that was opened before the restart after it.

A connection ends with the process that accepted it. HttpWorkerPort now sends starts, stops, changes of pace and polls that acknowledge ends or grant a lease only over a connection over which the incarnation has answered a poll with its own start time. The connector refuses to open a connection for any other call. On a new connection, a poll without acknowledgement, lease and wait comes first; another incarnation gives IncarnationMismatchError. That poll has the token of the call, so it raises the worker's token no further than the call does, and a stale one is rejected as the call would be. Polls that open a session, check an incarnation or choose the first announcement have no effect to guard and are sent as before. If the check isn't answered, the call fails with NoAnswerError, as before.

--- a/bamboorouter/coordination/workers/worker_port.py
+++ b/bamboorouter/coordination/workers/worker_port.py
@@ -169,6 +169,10 @@
 class WorkerPort(Protocol):
     """Sends orders to one incarnation of a worker.
 
+    No other incarnation carries out an order, acknowledges ends or extends its
+    lease by a call, even if it has the same ID and address. A poll without
+    acknowledgement and lease may reach another one and raise its fencing token.
+
     Each call raises RejectedError, NoAnswerError or IncarnationMismatchError.
     """
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -234,6 +234,11 @@
         )
 
 
+async def answer_poll(_: web.Request) -> web.Response:
+    """Answers a poll as the first incarnation, so that orders are sent."""
+    return web.json_response({"clockMs": 1, "born": 1})
+
+
 class WorkerStatusTest(unittest.IsolatedAsyncioTestCase):
     """Statuses of a worker's answers to orders."""
 
@@ -245,7 +250,11 @@
 
         address = f"127.0.0.1:{replica_site.free_port()}"
         server = http_server.HttpServer(
-            address=address, routes=[("POST", wire.STOP_PATH, answer)]
+            address=address,
+            routes=[
+                ("POST", wire.HOLD_PATH, answer_poll),
+                ("POST", wire.STOP_PATH, answer),
+            ],
         )
         await server.start()
         port = worker_http.HttpWorkerPortFactory().open(
@@ -307,17 +316,33 @@
     async def test_order_on_a_connection_that_breaks_may_be_executed(
         self,
     ) -> None:
-        async def break_connection(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.read(1)
-            writer.close()
-
-        server = await asyncio.start_server(break_connection, "127.0.0.1", 0)
-        async with server:
-            port = server.sockets[0].getsockname()[1]
-            error = await self.error(f"127.0.0.1:{port}")
-        self.assertNotIsInstance(error, worker_port.NotDeliveredError)
+        """Whether it breaks at the poll that precedes the order or then."""
+        broken: list[str] = []
+
+        async def break_connection(request: web.Request) -> web.Response:
+            broken.append(request.path)
+            if request.transport is not None:
+                request.transport.close()
+            return web.Response()
+
+        for path in (wire.HOLD_PATH, wire.STOP_PATH):
+            handlers = {
+                wire.HOLD_PATH: answer_poll,
+                path: break_connection,
+            }
+            with self.subTest(path):
+                address = f"127.0.0.1:{replica_site.free_port()}"
+                server = http_server.HttpServer(
+                    address=address,
+                    routes=[("POST", *route) for route in handlers.items()],
+                )
+                await server.start()
+                try:
+                    error = await self.error(address)
+                finally:
+                    await server.stop()
+                self.assertEqual(broken.pop(), path)
+                self.assertNotIsInstance(error, worker_port.NotDeliveredError)
 
     async def test_order_is_not_sent_to_another_address(self) -> None:
         """A refused connection there doesn't tell what the worker did."""
@@ -328,13 +353,18 @@
 
         address = f"127.0.0.1:{replica_site.free_port()}"
         server = http_server.HttpServer(
-            address=address, routes=[("POST", wire.STOP_PATH, redirect)]
+            address=address,
+            routes=[
+                ("POST", wire.HOLD_PATH, answer_poll),
+                ("POST", wire.STOP_PATH, redirect),
+            ],
         )
         await server.start()
         try:
             error = await self.error(address)
         finally:
             await server.stop()
+        self.assertIn("307", str(error))
         self.assertNotIsInstance(error, worker_port.NotDeliveredError)
 
 
