--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -64,6 +64,8 @@
 # The current incarnation is replaced by one with an earlier start time only
 # after the current one has been silent for this long.
 SILENT_INCARNATION_MS: Final = 5000
+# More than a worker sends while its incarnation is checked.
+MAX_UNCHECKED: Final = 8
 
 
 class AgentSession:
@@ -75,6 +77,8 @@
         ports: Creates ports to incarnations of the worker.
         clock: Source of time.
         max_lease_ms: Longest lease that the worker accepts, in ms.
+        announce_interval_ms: Time between two announcements of the worker, in
+            ms.
         held: Runs of the worker and their state.
         session: Current session; None if there is none.
     """
@@ -87,12 +91,14 @@
         ports: worker_port.WorkerPorts,
         time: clock.Clock,
         max_lease_ms: int = run_lease.MAX_WORKER_LEASE_MS,
+        announce_interval_ms: int = worker_session.ANNOUNCE_INTERVAL_MS,
     ) -> None:
         self.worker = worker
         self.client = client
         self.ports = ports
         self.clock = time
         self.max_lease_ms = max_lease_ms
+        self.announce_interval_ms = announce_interval_ms
         self.held = held_runs.HeldRuns(worker=worker, time=time)
         self.session: worker_session.Session | None = None
         self._announcement: worker_port.Announcement | None = None
@@ -118,9 +124,13 @@
         # to be opened; empty if there is none.
         self._refuted = ""
         self._takeover_check: asyncio.Task[None] | None = None
+        # Announcements of other incarnations that arrive during the check.
+        self._unchecked: list[worker_port.Announcement] = []
         self._address_check: asyncio.Task[None] | None = None
         self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
+        # Held while the lease is renewed for start orders that wait for it.
+        self._renewal = asyncio.Lock()
 
     # --- Interface -----------------------------------------------------------
 
@@ -150,10 +160,10 @@
                 self._takeover_check = self._spawn(self._accept_first())
             return
         if current.incarnation != announcement.incarnation:
-            if (
-                self._may_succeed(announcement, current)
-                and self._takeover_check is None
-            ):
+            if self._takeover_check is not None:
+                self._unchecked.append(announcement)
+                del self._unchecked[:-MAX_UNCHECKED]
+            elif self._may_succeed(announcement, current):
                 self._takeover_check = self._spawn(
                     self._check_takeover(announcement)
                 )
@@ -247,7 +257,11 @@
             session is not None
             and session.announcement.incarnation == announcement.incarnation
         ):
+            now = self.clock.now()
+            usable = session.usable(now)
             session.announcement = announcement
+            if session.usable(now) != usable:
+                self._report_due.set()
         if current is not None and current.draining != announcement.draining:
             events.log(
                 events.WORKER_DRAINING,
@@ -280,7 +294,11 @@
     async def _check_takeover(
         self, announcement: worker_port.Announcement
     ) -> None:
-        """Accepts another incarnation if the current one is over."""
+        """Accepts another incarnation if the current one is over.
+
+        The incarnation may announce another capacity meanwhile, or that it
+        drains; that counts from the acceptance on.
+        """
         current, contradiction = self._announcement, ""
         try:
             if current is not None and current.incarnation != self._refuted:
@@ -296,10 +314,13 @@
                 contradiction = "another incarnation answers"
         finally:
             self._takeover_check = None
-        if not contradiction:
-            self._accept_incarnation(announcement)
+            later, self._unchecked = self._unchecked, []
+        if contradiction:
+            self._log_refusal(announcement, contradiction)
             return
-        self._log_refusal(announcement, contradiction)
+        self._accept_incarnation(announcement)
+        for newer in later:
+            self.announce(newer)
 
     def _accept_incarnation(
         self, announcement: worker_port.Announcement
@@ -467,6 +488,7 @@
             token=session_opening.first_token(number),
             lease=lease,
             pacer=pacing.Pacer(),
+            announce_interval_ms=self.announce_interval_ms,
         )
 
     async def _run_session(self, session: worker_session.Session) -> None:
@@ -545,12 +567,13 @@
         acknowledged = session.next_acknowledged(
             self.held.acknowledgeable_end()
         )
+        until_ms = session.lease_until(sent_ms)
         session.last_poll_answered = False
         try:
             view = await session.port.poll(
                 token=token,
                 acknowledged=acknowledged,
-                until_ms=session.lease_until(sent_ms),
+                until_ms=until_ms,
                 wait_ms=wait_ms,
             )
         except worker_port.RejectedError as err:
@@ -589,6 +612,7 @@
         if not session.reachable(now):
             self._report_due.set()
         session.answered_ms = now
+        session.renewed_until_ms = until_ms or session.renewed_until_ms
         session.last_poll_answered = True
         session.silent_since_ms = None
         session.acknowledged = max(session.acknowledged, acknowledged)
@@ -712,18 +736,17 @@
         shortage = ""
         evidence: ended_runs.Evidence = "never_sent"
         for _ in range(MAX_START_ATTEMPTS):
+            await self._renew_before_start(session)
             if self.held.runs.get(key) is not run:
                 return
-            until_ms = session.lease_until(self.clock.now())
+            until_ms = session.start_until(self.clock.now())
             if (
                 session.announcement.draining
                 or until_ms is None
                 or run.stop_ordered
             ):
                 break
-            shortage = start_room.find_shortage(
-                run, self.held.runs.values(), session.announcement.capacity
-            )
+            shortage = self._find_shortage(session, run)
             if shortage:
                 break
             token = session.token
@@ -738,9 +761,12 @@
                     # This attempt or a later one has ended on the worker.
                     self._resolve_by_poll(session, run)
                     return
-                # The next attempt has a higher token or a later lease end.
+                # The next attempt has a higher token or a later end.
                 if err.reason not in ("fence", "late"):
                     break
+                if err.reason == "late":
+                    # The known clock of the worker may be behind.
+                    await self._poll_once(session)
                 await asyncio.sleep(clock.seconds(ORDER_RETRY_PAUSE_MS))
                 if err.reason == "fence" and session.token == token:
                     session.token += 1
@@ -774,6 +800,29 @@
         self.held.end(run, "rejected", evidence, shortage=shortage)
         self._report_due.set()
 
+    def _find_shortage(
+        self, session: worker_session.Session, run: held_runs.HeldRun
+    ) -> str:
+        """Returns why a run may not fit the worker; empty if it fits."""
+        if session.announcement_expired(self.clock.now()):
+            return start_room.UNKNOWN_CAPACITY
+        return start_room.find_shortage(
+            run, self.held.runs.values(), session.announcement.capacity
+        )
+
+    async def _renew_before_start(
+        self, session: worker_session.Session
+    ) -> None:
+        """Grants the worker a lease that outlasts a start order sent now.
+
+        A start order ends too soon to be the lease of its run. Polls grant a
+        longer one, except before the first grant of the leader.
+        """
+        async with self._renewal:
+            until_ms = session.start_until(self.clock.now())
+            if until_ms is not None and session.needs_renewal(until_ms):
+                await self._poll_once(session)
+
     async def _set_initial_speed(
         self, session: worker_session.Session, run: held_runs.HeldRun
     ) -> None:
@@ -921,7 +970,7 @@
             rack=announced.rack,
             room=announced.capacity,
             draining=announced.draining,
-            reachable=session.reachable(now),
+            reachable=session.usable(now),
             runs=tuple(run.report() for run in self.held.runs.values()),
             ends=tuple(pending.end for pending in ends),
             view_age_ms=self.held.view_age_ms(now),
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -5,13 +5,13 @@
 
 import asyncio
 import socket
-import unittest
 
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
+from tests import virtual_time
 
 CALLS = 32
 CALL_TIMEOUT_MS = 3000
@@ -23,7 +23,7 @@
     )
 
 
-class ControlClientTest(unittest.IsolatedAsyncioTestCase):
+class ControlClientTest(virtual_time.VirtualTimeCase):
     """Many concurrent calls of one client."""
 
     async def asyncSetUp(self) -> None:
@@ -62,7 +62,7 @@
     def _make_client(self, *ports: int) -> control_client.ControlClient:
         return control_client.ControlClient(
             addresses=tuple(f"127.0.0.1:{port}" for port in ports),
-            time=clock.SystemClock(),
+            time=virtual_time.VirtualTimeClock(),
         )
 
     async def _call_concurrently(
@@ -98,7 +98,7 @@
         await client.close()
 
 
-class RefusalTest(unittest.IsolatedAsyncioTestCase):
+class RefusalTest(virtual_time.VirtualTimeCase):
     """A refusal is final only if no earlier attempt may still take effect."""
 
     async def test_refusal_after_an_unanswered_sending_is_no_answer(
@@ -123,7 +123,7 @@
         self.addAsyncCleanup(server.close)
         client = control_client.ControlClient(
             addresses=(f"127.0.0.1:{server.port}",),
-            time=clock.SystemClock(),
+            time=virtual_time.VirtualTimeClock(),
             attempt_timeout_ms=100,
         )
         self.addAsyncCleanup(client.close)
@@ -164,7 +164,8 @@
         )
         self.addAsyncCleanup(server.close)
         client = control_client.ControlClient(
-            addresses=(f"127.0.0.1:{server.port}",), time=clock.SystemClock()
+            addresses=(f"127.0.0.1:{server.port}",),
+            time=virtual_time.VirtualTimeClock(),
         )
         self.addAsyncCleanup(client.close)
         with self.assertRaises(errors.UnknownResultError):
@@ -175,7 +176,7 @@
             )
 
 
-class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
+class NoLeaderTest(virtual_time.VirtualTimeCase):
     """Timeouts of calls while no leader answers."""
 
     FIRST_SEND_TIMEOUT_MS = 300
@@ -183,7 +184,7 @@
     def _make_client(self, port: int) -> control_client.ControlClient:
         client = control_client.ControlClient(
             addresses=(f"127.0.0.1:{port}",),
-            time=clock.SystemClock(),
+            time=virtual_time.VirtualTimeClock(),
             attempt_timeout_ms=200,
         )
         self.addAsyncCleanup(client.close)
@@ -192,7 +193,7 @@
     async def _time_call(self, client: control_client.ControlClient) -> float:
         """Makes a call that fails unsent; returns its duration in s."""
         # Whole ms, as on the client's clock, which deadlines refer to.
-        time = clock.SystemClock()
+        time = virtual_time.VirtualTimeClock()
         start_ms = time.now()
         with self.assertRaises(errors.NotSentError):
             await client.call(
