Discard the measurements of workers and services that are gone

A leader that stays kept an entry for each worker that ever sent a heartbeat (Measurements._batch_runs) and two for each service that ever answered (RequestRates: baselines, and times of overload). Nothing removed them: a worker's runs were discarded at its next heartbeat only, and baselines never.

The eviction planner already discards stale measurements in its passes. It now includes the runs of all workers, at most once in 20 s, and services without a response rate for 30 min, the time constant of the baseline.

Its other tables of this kind (the planners' pauses, the times of EvictionPlanner, Measurements after an election) are unchanged.

--- a/bamboorouter/coordination/scheduling/eviction_planner.py
+++ b/bamboorouter/coordination/scheduling/eviction_planner.py
@@ -116,7 +116,7 @@
         Returns:
             Evictions of tasks that slow down a service despite throttling.
         """
-        self.measurements.discard_stale(now)
+        self.measurements.discard_stale(now, wall_ms)
         throttled = {
             self.leases.by_epoch[epoch].worker
             for epoch in self.throttles.throttled_since_ms
--- a/bamboorouter/coordination/scheduling/measurements.py
+++ b/bamboorouter/coordination/scheduling/measurements.py
@@ -94,6 +94,7 @@
         self._slowdowns: dict[str, dict[str, _Slowdown]] = {}
         # By worker and epoch.
         self._batch_runs: dict[str, dict[int, _BatchRun]] = {}
+        self._runs_discarded_ms = 0
 
     def reset(self) -> None:
         """Discards recent measurements; learned sizes and interference stay."""
@@ -154,9 +155,18 @@
             if self.slowdown(worker, now) >= eviction.SLOWDOWN_THRESHOLD
         ]
 
-    def discard_stale(self, now: int) -> None:
-        """Discards measurements older than `MAX_MEASUREMENT_AGE_MS`."""
+    def discard_stale(self, now: int, wall_ms: int) -> None:
+        """Discards old measurements, also of workers that are gone.
+
+        Args:
+            now: Monotonic time in ms.
+            wall_ms: Wall time in ms.
+        """
         self.request_rates.discard_stale(now)
+        # Not in each pass, since this goes through the runs of all workers.
+        if now - self._runs_discarded_ms >= RUN_RETENTION_MS:
+            self._runs_discarded_ms = now
+            self._discard_runs(wall_ms)
         for worker, items in list(self._slowdowns.items()):
             for task in [
                 t
@@ -273,9 +283,14 @@
                 )
             else:
                 run.seen_ms = wall_ms
-        for epoch, run in list(runs.items()):
-            if wall_ms - run.seen_ms > RUN_RETENTION_MS:
-                del runs[epoch]
+        _discard_old_runs(runs, wall_ms)
+
+    def _discard_runs(self, wall_ms: int) -> None:
+        """Discards the old runs of all workers, and workers without runs."""
+        for worker, runs in list(self._batch_runs.items()):
+            _discard_old_runs(runs, wall_ms)
+            if not runs:
+                del self._batch_runs[worker]
 
     def _row(
         self, worker: str, usage: common.Usage, state: machine.Machine
@@ -299,3 +314,10 @@
             <= at_wall_ms
             <= run.seen_ms + RECORDING_PERIOD_MS
         }
+
+
+def _discard_old_runs(runs: dict[int, _BatchRun], wall_ms: int) -> None:
+    """Discards the batch runs that ended too long ago to be measured."""
+    for epoch, run in list(runs.items()):
+        if wall_ms - run.seen_ms > RUN_RETENTION_MS:
+            del runs[epoch]
--- a/bamboorouter/coordination/scheduling/request_rates.py
+++ b/bamboorouter/coordination/scheduling/request_rates.py
@@ -48,12 +48,25 @@
     rate: float | None = None
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Baseline:
+    """Baseline of one service.
+
+    Attributes:
+        rate: Responses per second.
+        updated_ms: Monotonic time in ms of the last update.
+    """
+
+    rate: float
+    updated_ms: int
+
+
 class RequestRates:
     """Response rates of all services."""
 
     def __init__(self) -> None:
         self._upstreams: dict[str, _UpstreamRate] = {}
-        self._baseline: dict[str, float] = {}
+        self._baselines: dict[str, _Baseline] = {}
         self._overloaded_at_ms: dict[str, int] = {}
 
     def observe(self, heartbeat: messages.Heartbeat, now: clock.Millis) -> None:
@@ -79,10 +92,20 @@
         )
 
     def discard_stale(self, now: int) -> None:
-        """Discards upstreams that were not reported for `OVERLOAD_HOLD_MS`."""
+        """Discards what was not reported for long.
+
+        These are upstreams after `OVERLOAD_HOLD_MS`, and the baselines of
+        services after `BASELINE_TIME_MS`.
+        """
         for name, tracked in list(self._upstreams.items()):
             if now - tracked.window_start_ms > OVERLOAD_HOLD_MS:
                 del self._upstreams[name]
+        for service, baseline in list(self._baselines.items()):
+            if now - baseline.updated_ms > BASELINE_TIME_MS:
+                del self._baselines[service]
+        for service, at_ms in list(self._overloaded_at_ms.items()):
+            if now - at_ms >= OVERLOAD_HOLD_MS:
+                del self._overloaded_at_ms[service]
 
     def _close_window(
         self, tracked: _UpstreamRate, answered: int, now: int
@@ -106,12 +129,18 @@
         if any(tracked.rate is None for tracked in upstreams):
             return
         service_rate = sum(tracked.rate or 0.0 for tracked in upstreams)
-        baseline = self._baseline.setdefault(service, service_rate)
+        baseline = self._baselines.setdefault(
+            service, _Baseline(rate=service_rate, updated_ms=now)
+        )
+        earlier_rate = baseline.rate
         # This runs once per window of each of the n upstreams, so each run has
         # one nth of the weight.
         weight = _weight(elapsed_ms, BASELINE_TIME_MS) / len(upstreams)
-        self._baseline[service] = baseline + weight * (service_rate - baseline)
-        if service_rate > max(OVERLOAD_FACTOR * baseline, MIN_OVERLOAD_RATE):
+        baseline.rate += weight * (service_rate - earlier_rate)
+        baseline.updated_ms = now
+        if service_rate > max(
+            OVERLOAD_FACTOR * earlier_rate, MIN_OVERLOAD_RATE
+        ):
             self._overloaded_at_ms[service] = now
 
 
