Refuse a drain beyond the limit instead of ending the oldest

With 4,096 drains, another one silently ended the oldest: the VM that an operator had drained first got new tasks again, and the operator's call reported success.

The state machine now refuses the new drain with `too_many_drains`, and changes nothing. Before the change, the new test got no refusal.

--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -350,6 +350,10 @@
         return self._changed(job=command.job)
 
     def _set_drain(self, command: commands.SetDrain) -> commands.Result:
+        if command.draining and (
+            refusal := self.workers.drain_refusal(command.target)
+        ):
+            return refusal
         if self.workers.set_drain(command.target, command.draining):
             return self._changed(target=command.target)
         return self._unchanged(target=command.target)
--- a/bamboorouter/state/workers.py
+++ b/bamboorouter/state/workers.py
@@ -65,16 +65,20 @@
             worker.capacity = command.capacity
         return commands.Result(ok=True)
 
+    def drain_refusal(self, target: str) -> commands.Result | None:
+        """Returns a refusal if no further drain may start, else None."""
+        if target in self.drains or len(self.drains) < MAX_DRAINS:
+            return None
+        return refused(error_texts.TOO_MANY_DRAINS, count=len(self.drains))
+
     def set_drain(self, target: str, draining: bool) -> bool:
         """Starts or ends a drain; returns whether anything changed."""
         if draining == (target in self.drains):
             return False
-        if not draining:
+        if draining:
+            self.drains[target] = None
+        else:
             del self.drains[target]
-            return True
-        self.drains[target] = None
-        while len(self.drains) > MAX_DRAINS:
-            del self.drains[next(iter(self.drains))]
         return True
 
     def quarantine(
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -12,6 +12,7 @@
 from bamboorouter.protocol import commands
 from bamboorouter.state import machine
 from bamboorouter.state import resource_math
+from bamboorouter.state import workers
 from tests import machine_commands as make
 from tests import test_request_keys
 
@@ -186,6 +187,32 @@
         self.assertEqual(self.machine.plan.jobs["job"].finished, 0)
         self.assertEqual(self.machine.plan.jobs["job"].cancelled, 6)
 
+    def test_drain_beyond_the_limit_ends_no_other(self) -> None:
+        """Guards against new tasks on a VM that an operator has drained."""
+
+        def drain(number: int, *, draining: bool = True) -> commands.Result:
+            return self.apply(
+                commands.SetDrain(
+                    operation_id=f"{number} {draining}",
+                    operator="o",
+                    target=f"w{number}",
+                    draining=draining,
+                )
+            )
+
+        for number in range(1, workers.MAX_DRAINS + 1):
+            self.assertTrue(drain(number).ok)
+        revision = self.machine.config_revision
+        refused = drain(0)
+        self.assertEqual(refused.code, error_texts.TOO_MANY_DRAINS)
+        self.assertIn(str(workers.MAX_DRAINS), refused.text)
+        self.assertEqual(self.machine.config_revision, revision)
+        self.assertIn("w1", self.machine.workers.drains)
+        self.assertNotIn("w0", self.machine.workers.drains)
+        self.assertTrue(drain(2, draining=False).ok)
+        self.assertTrue(drain(-1).ok)
+        self.assertIn("w1", self.machine.workers.drains)
+
     def test_drained_or_quarantined_worker_gets_nothing(self) -> None:
         for name in ("w3", "w4"):
             self.apply(make.register(name))
