Move the choice of the worker's incarnation out of agent_session

Which incarnation of the worker is the current one, and which of its announcements counts, is now decided in announced_incarnation, which tells the session of changes. Behaviour is unchanged.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -20,7 +20,6 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
-import dataclasses
 from typing import Any
 from typing import Final
 
@@ -30,11 +29,9 @@
 from bamboorouter import supervision
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
-from bamboorouter.coordination.workers import announcement_order
+from bamboorouter.coordination.workers import announced_incarnation
 from bamboorouter.coordination.workers import ended_runs
-from bamboorouter.coordination.workers import first_announcements
 from bamboorouter.coordination.workers import held_runs
-from bamboorouter.coordination.workers import incarnation_check
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import session_growth
 from bamboorouter.coordination.workers import session_opening
@@ -61,11 +58,6 @@
 SESSION_RETRY_PAUSE_MS: Final = 100
 MAX_START_ATTEMPTS: Final = 4
 ORDER_RETRY_PAUSE_MS: Final = 50
-# The current incarnation is replaced by one with an earlier start time only
-# after the current one has been silent for this long.
-SILENT_INCARNATION_MS: Final = 5000
-# More than a worker sends while its incarnation is checked.
-MAX_UNCHECKED: Final = 8
 
 
 class AgentSession:
@@ -80,6 +72,7 @@
         announce_interval_ms: Time between two announcements of the worker, in
             ms.
         held: Runs of the worker and their state.
+        incarnation: Current incarnation of the worker.
         session: Current session; None if there is none.
     """
 
@@ -101,33 +94,27 @@
         self.announce_interval_ms = announce_interval_ms
         self.held = held_runs.HeldRuns(worker=worker, time=time)
         self.session: worker_session.Session | None = None
-        self._announcement: worker_port.Announcement | None = None
-        self._order = announcement_order.AnnouncementOrder()
+        self.incarnation = announced_incarnation.AnnouncedIncarnation(
+            worker=worker,
+            ports=ports,
+            time=time,
+            session=lambda: self.session,
+            on_incarnation=self._request_session,
+            on_announcement=self._on_announcement,
+            spawn=self._spawn,
+        )
         self._session_due = asyncio.Event()
         self._report_due = asyncio.Event()
         self._end_confirmed = asyncio.Event()
         self._report_sequence = 0
         self._highest_term = 0
         self._background: set[asyncio.Task[None]] = set()
-        # Incarnation that has announced its end; empty if none has.
-        self._leaving = ""
-        self._first = first_announcements.FirstAnnouncements(
-            ports=ports, on_refusal=self._log_refusal
-        )
         self._growth = session_growth.SessionGrowth(
             worker=worker,
             client=client,
             time=time,
             on_opened=self._continue_opened_anew,
         )
-        # Incarnation in whose place another one answered when its session was
-        # to be opened; empty if there is none.
-        self._refuted = ""
-        self._takeover_check: asyncio.Task[None] | None = None
-        # Announcements of other incarnations that arrive during the check.
-        self._unchecked: list[worker_port.Announcement] = []
-        self._address_check: asyncio.Task[None] | None = None
-        self._departure_check: asyncio.Task[None] | None = None
         self._runner: asyncio.Task[None] | None = None
         # Held while the lease is renewed for start orders that wait for it.
         self._renewal = asyncio.Lock()
@@ -153,101 +140,35 @@
 
     def announce(self, announcement: worker_port.Announcement) -> None:
         """Handles an announcement of the worker."""
-        current = self._announcement
-        if current is None:
-            self._first.add(announcement)
-            if self._takeover_check is None:
-                self._takeover_check = self._spawn(self._accept_first())
-            return
-        if current.incarnation != announcement.incarnation:
-            if self._takeover_check is not None:
-                self._unchecked.append(announcement)
-                del self._unchecked[:-MAX_UNCHECKED]
-            elif self._may_succeed(announcement, current):
-                self._takeover_check = self._spawn(
-                    self._check_takeover(announcement)
-                )
-            return
-        contradiction = self._order.find_contradiction(
-            announcement,
-            current,
-            worker_ms=self._worker_ms(current),
-            now=self.clock.now(),
-        )
-        if contradiction:
-            self._log_refusal(announcement, contradiction)
-            self._check_address_if_unknown(announcement, current)
-            return
-        if self._leaving:
-            if announcement.sequence == current.sequence:
-                return
-            if not announcement.draining:
-                self._leaving = ""
-        self._update_announcement(announcement)
-
-    def _worker_ms(self, current: worker_port.Announcement) -> int | None:
-        """Returns the latest time on the clock of the current incarnation."""
-        session = self.session
-        if (
-            session is None
-            or session.announcement.incarnation != current.incarnation
-        ):
-            return None
-        return session.latest_worker_ms(self.clock.now())
+        self.incarnation.announce(announcement)
 
-    def _check_address_if_unknown(
-        self,
-        announcement: worker_port.Announcement,
-        current: worker_port.Announcement,
-    ) -> None:
-        """Checks a refused address if no poll at the current one is answered.
+    def leave(self, worker_id: str, *, started_ms: int | None = None) -> None:
+        """Handles a message that an incarnation of the worker ends.
 
-        The current announcement may be wrong, and later than all true ones.
+        Args:
+            worker_id: ID of the worker.
+            started_ms: Start of the incarnation, in ms since the epoch on the
+                worker's clock; None if unknown.
         """
-        if (
-            announcement.address != current.address
-            and self._worker_ms(current) is None
-            and self._address_check is None
-        ):
-            self._address_check = self._spawn(self._check_address(announcement))
+        self.incarnation.leave(worker_id, started_ms=started_ms)
 
-    async def _check_address(
-        self, announcement: worker_port.Announcement
-    ) -> None:
-        """Replaces the current announcement if the incarnation answers here."""
-        try:
-            answer = await incarnation_check.poll_incarnation(
-                self.ports, announcement, self._token()
-            )
-        finally:
-            self._address_check = None
-        current = self._announcement
-        if (
-            answer == "view"
-            and current is not None
-            and current.incarnation == announcement.incarnation
-            and self._worker_ms(current) is None
-        ):
-            self._update_announcement(announcement)
-
-    def _log_refusal(
-        self, announcement: worker_port.Announcement, reason: str
-    ) -> None:
-        events.log(
-            events.ANNOUNCEMENT_REFUSED,
-            worker=self.worker,
-            life=announcement.incarnation,
-            sequence=announcement.sequence,
-            error=reason,
-        )
+    async def handle_message(
+        self, message: messages.Message, source: link.Link
+    ) -> messages.Message | None:
+        """Handles messages that the leader pushes on the client's link."""
+        if not isinstance(message, job_messages.RunOrders):
+            return await link.reject_message(message, source)
+        if not source.closed.is_set():
+            self._execute_orders(message)
+        return None
 
-    def _update_announcement(
-        self, announcement: worker_port.Announcement
+    def _on_announcement(
+        self,
+        current: worker_port.Announcement,
+        announcement: worker_port.Announcement,
     ) -> None:
-        """Replaces the announcement of the current incarnation."""
-        current = self._announcement
-        self._announcement = announcement
-        if current is not None and current.address != announcement.address:
+        """Handles a newer announcement of the current incarnation."""
+        if current.address != announcement.address:
             # The session has a port to the earlier address.
             self._session_due.set()
         session = self.session
@@ -262,7 +183,7 @@
             session.announcement = announcement
             if session.usable(now) != usable:
                 self._report_due.set()
-        if current is not None and current.draining != announcement.draining:
+        if current.draining != announcement.draining:
             events.log(
                 events.WORKER_DRAINING,
                 worker=self.worker,
@@ -270,7 +191,7 @@
                 draining=announcement.draining,
             )
             self._report_due.set()
-        if current is not None and current.capacity != announcement.capacity:
+        if current.capacity != announcement.capacity:
             events.log(
                 events.WORKER_CAPACITY_CHANGED,
                 worker=self.worker,
@@ -281,140 +202,18 @@
             self._report_due.set()
             self._growth.check()
 
-    async def _accept_first(self) -> None:
-        """Accepts the first incarnation, once it was checked."""
-        try:
-            chosen = await self._first.choose(self._token())
-        finally:
-            self._first.clear()
-            self._takeover_check = None
-        if chosen is not None:
-            self._accept_incarnation(chosen)
-
-    async def _check_takeover(
-        self, announcement: worker_port.Announcement
-    ) -> None:
-        """Accepts another incarnation if the current one is over.
-
-        The incarnation may announce another capacity meanwhile, or that it
-        drains; that counts from the acceptance on.
-        """
-        current, contradiction = self._announcement, ""
-        try:
-            if current is not None and current.incarnation != self._refuted:
-                contradiction = await incarnation_check.find_contradiction(
-                    self.ports,
-                    current=current,
-                    announced=announcement,
-                    token=self._token(),
-                )
-            elif await incarnation_check.is_replaced(
-                self.ports, announcement, self._token()
-            ):
-                contradiction = "another incarnation answers"
-        finally:
-            self._takeover_check = None
-            later, self._unchecked = self._unchecked, []
-        if contradiction:
-            self._log_refusal(announcement, contradiction)
-            return
-        self._accept_incarnation(announcement)
-        for newer in later:
-            self.announce(newer)
+    # --- Sessions ------------------------------------------------------------
 
-    def _accept_incarnation(
-        self, announcement: worker_port.Announcement
-    ) -> None:
-        events.log(
-            events.WORKER_LIFE_CHANGED,
-            worker=self.worker,
-            life=announcement.incarnation,
-            before=self._announcement.incarnation if self._announcement else "",
-        )
-        self._announcement = announcement
-        self._leaving = self._refuted = ""
+    def _request_session(self) -> None:
         self._session_due.set()
 
-    def leave(self, worker_id: str, *, started_ms: int | None = None) -> None:
-        """Handles a message that an incarnation of the worker ends.
-
-        Until the worker no longer answers, it is treated as draining. A newer
-        announcement that it doesn't drain supersedes the message.
-
-        Args:
-            worker_id: ID of the worker.
-            started_ms: Start of the incarnation, in ms since the epoch on the
-                worker's clock; None if unknown.
-        """
-        current = self._announcement
-        self._first.remove(worker_id, started_ms)
-        if (
-            current is None
-            or current.id != worker_id
-            or started_ms not in (None, current.started_ms)
-        ):
-            return
-        events.log(
-            events.WORKER_LEFT, worker=self.worker, life=current.incarnation
-        )
-        self._leaving = current.incarnation
-        self._update_announcement(dataclasses.replace(current, draining=True))
-        if self._departure_check is None:
-            self._departure_check = self._spawn(self._check_departure(current))
-
-    async def _check_departure(self, current: worker_port.Announcement) -> None:
-        """Ends the current incarnation once it no longer answers."""
-        try:
-            if await incarnation_check.wait_for_departure(
-                self.ports,
-                current,
-                token=self._token,
-                leaving=lambda: self._leaving == current.incarnation,
-            ):
-                self._leaving = ""
-                self._announcement = None
-                self._session_due.set()
-        finally:
-            self._departure_check = None
-
-    def _token(self) -> int:
-        """Returns the current fencing token."""
-        return self.session.token if self.session is not None else 0
-
-    async def handle_message(
-        self, message: messages.Message, source: link.Link
-    ) -> messages.Message | None:
-        """Handles messages that the leader pushes on the client's link."""
-        if not isinstance(message, job_messages.RunOrders):
-            return await link.reject_message(message, source)
-        if not source.closed.is_set():
-            self._execute_orders(message)
-        return None
-
-    def _may_succeed(
-        self,
-        announcement: worker_port.Announcement,
-        current: worker_port.Announcement,
-    ) -> bool:
-        """Returns whether another incarnation may have replaced this one."""
-        if announcement.started_ms > current.started_ms:
-            return True
-        # The worker's clock may have been set back before the restart.
-        session = self.session
-        return (
-            session is None
-            or self.clock.now() - session.answered_ms > SILENT_INCARNATION_MS
-        )
-
-    # --- Sessions ------------------------------------------------------------
-
     async def _session_loop(self) -> None:
         # After an error the announced incarnation may have no session yet.
         self._session_due.set()
         while True:
             await self._session_due.wait()
             self._session_due.clear()
-            announcement = self._announcement
+            announcement = self.incarnation.announcement
             if announcement is None:
                 await self._report_lost_runs()
                 continue
@@ -467,7 +266,7 @@
                 events.SESSION_FAILED, worker=self.worker, error=str(err)
             )
             if isinstance(err, worker_port.IncarnationMismatchError):
-                self._refuted = announcement.incarnation
+                self.incarnation.refute(announcement)
             await port.close()
             return None
         if (
@@ -477,11 +276,8 @@
             self.held.end_all("lost", "incarnation_replaced")
             self.held.begin_incarnation()
         self.session = None
-        newest = self._announcement
-        if newest is None or newest.incarnation != announcement.incarnation:
-            newest = announcement
         return worker_session.Session(
-            announcement=newest,
+            announcement=self.incarnation.newest(announcement),
             number=number,
             room=announcement.capacity,
             port=port,
--- a/tests/test_incarnation_change.py
+++ b/tests/test_incarnation_change.py
@@ -59,8 +59,8 @@
         self.worker.time = clock.ManualClock(monotonic_ms=1)
         self.session.announce(fake_worker.announcement(started_ms=2))
         await self.until(
-            lambda: self.session._announcement is not None
-            and self.session._announcement.incarnation == "w1@2"
+            lambda: self.session.incarnation.announcement is not None
+            and self.session.incarnation.announcement.incarnation == "w1@2"
         )
         leader.answers.set()
         await self.until(lambda: leader.reports[-1].life == "w1@2")
--- a/tests/test_odd_announcements.py
+++ b/tests/test_odd_announcements.py
@@ -102,7 +102,7 @@
     async def test_wrong_start_opens_no_session(self) -> None:
         """Guards against a replicated incarnation that doesn't exist."""
         self.session.announce(fake_worker.announcement(started_ms=FAR_MS))
-        await self.until(lambda: self.session._takeover_check is None)
+        await self.until(lambda: not self.session.incarnation.checking)
         self.session.announce(fake_worker.announcement(sequence=2))
         await self.until(self.reachable)
         self.assertEqual(self.lives(), {"w1@1"})
@@ -162,7 +162,7 @@
     ) -> None:
         self.session.announce(fake_worker.announcement())
         self.session.leave("w1", started_ms=1)
-        await self.until(lambda: self.session._takeover_check is None)
+        await self.until(lambda: not self.session.incarnation.checking)
         await asyncio.sleep(0.05)
         self.assertEqual(self.lives(), set())
         self.session.announce(fake_worker.announcement(sequence=2))
