Move the execution of orders out of agent_session

The module holds sessions, polls and reports now; order_execution sends the leader's orders to the worker. Behaviour is unchanged.

--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -12,9 +12,8 @@
 * The growth loop opens the session anew when the worker's capacity exceeds that
   of the session; see `session_growth`.
 
-An order that wasn't answered may still be executed seconds later. The agent
-then increments its fencing token and polls again: the worker rejects orders
-with older tokens from then on, so the runs it lists are authoritative.
+`announced_incarnation` decides which incarnation that is, and
+`order_execution` carries out the leader's orders.
 """
 
 import asyncio
@@ -30,16 +29,14 @@
 from bamboorouter.coordination.policies import pacing
 from bamboorouter.coordination.requests import control_client
 from bamboorouter.coordination.workers import announced_incarnation
-from bamboorouter.coordination.workers import ended_runs
 from bamboorouter.coordination.workers import held_runs
+from bamboorouter.coordination.workers import order_execution
 from bamboorouter.coordination.workers import run_lease
 from bamboorouter.coordination.workers import session_growth
 from bamboorouter.coordination.workers import session_opening
-from bamboorouter.coordination.workers import start_room
 from bamboorouter.coordination.workers import worker_port
 from bamboorouter.coordination.workers import worker_session
 from bamboorouter.protocol import job_messages
-from bamboorouter.protocol import jobs
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
@@ -56,8 +53,6 @@
 # The leader's confirmation of an end takes two network hops and a commit.
 CONFIRMATION_WAIT_MS: Final = 150
 SESSION_RETRY_PAUSE_MS: Final = 100
-MAX_START_ATTEMPTS: Final = 4
-ORDER_RETRY_PAUSE_MS: Final = 50
 
 
 class AgentSession:
@@ -74,6 +69,7 @@
         held: Runs of the worker and their state.
         incarnation: Current incarnation of the worker.
         session: Current session; None if there is none.
+        orders: Carries out the leader's orders.
     """
 
     def __init__(
@@ -116,8 +112,15 @@
             on_opened=self._continue_opened_anew,
         )
         self._runner: asyncio.Task[None] | None = None
-        # Held while the lease is renewed for start orders that wait for it.
-        self._renewal = asyncio.Lock()
+        self.orders = order_execution.OrderExecution(
+            worker=worker,
+            time=time,
+            held=self.held,
+            session=lambda: self.session,
+            poll=self._poll_once,
+            request_report=self._request_report,
+            spawn=self._spawn,
+        )
 
     # --- Interface -----------------------------------------------------------
 
@@ -415,10 +418,13 @@
         if self.held.reconcile(view, token=token, sent_ms=sent_ms):
             self._end_confirmed.clear()
             self._report_due.set()
-        self._send_due_stops(session)
-        self._adjust_speeds(session)
+        self.orders.send_due_stops(session)
+        self.orders.adjust_speeds(session)
         return True
 
+    async def _poll_once(self, session: worker_session.Session) -> None:
+        await self._poll(session, 0)
+
     def _end_runs_if_lease_expired(
         self, session: worker_session.Session, polled_ms: int
     ) -> None:
@@ -453,49 +459,6 @@
             )
             self._report_due.set()
 
-    def _adjust_speeds(self, session: worker_session.Session) -> None:
-        serving, changes = session.speed_changes(
-            self.held.runs.values(), self.clock.now()
-        )
-        if not changes:
-            return
-        events.log(
-            events.PACE_CHANGED,
-            worker=self.worker,
-            latencies=[
-                (run.image, run.latency_ms, run.target_ms) for run in serving
-            ],
-            runs=[
-                (str(run.task), run.image, round(run.used, 2), run.percent)
-                for run in changes
-            ],
-        )
-        for change in changes:
-            self._spawn(
-                self._set_speed(
-                    session, change.task, change.attempt, change.percent
-                )
-            )
-
-    async def _set_speed(
-        self,
-        session: worker_session.Session,
-        task: jobs.TaskRef,
-        attempt: int,
-        percent: int,
-    ) -> None:
-        try:
-            await session.port.pace(
-                task, attempt, percent=percent, token=session.token
-            )
-        except errors.RouterError as err:
-            # `run.pace` stays the same, so the pacer decides anew after a poll.
-            events.log(events.ORDER_FAILED, task=str(task), error=str(err))
-            return
-        run = self.held.runs.get((task, attempt))
-        if run is not None:
-            run.pace = percent
-
     # --- Orders --------------------------------------------------------------
 
     def _execute_orders(self, orders: job_messages.RunOrders) -> None:
@@ -514,184 +477,18 @@
         for order in orders.starts:
             run = self.held.add_order(order, now)
             if run is not None:
-                self._spawn(self._start_on_worker(session, run))
+                self._spawn(self.orders.start(session, run))
         for stop in orders.stops:
             self.held.add_stop(stop, now)
-        self._send_due_stops(session)
+        self.orders.send_due_stops(session)
         if self.held.ends:
             self._report_due.set()
 
-    async def _start_on_worker(
-        self, session: worker_session.Session, run: held_runs.HeldRun
-    ) -> None:
-        """Sends a start order until its outcome is known.
+    # --- Reports -------------------------------------------------------------
 
-        If the outcome remains uncertain, a poll determines it.
-        """
-        key = (run.task, run.attempt)
-        shortage = ""
-        evidence: ended_runs.Evidence = "never_sent"
-        for _ in range(MAX_START_ATTEMPTS):
-            await self._renew_before_start(session)
-            if self.held.runs.get(key) is not run:
-                return
-            until_ms = session.start_until(self.clock.now())
-            if (
-                session.announcement.draining
-                or until_ms is None
-                or run.stop_ordered
-            ):
-                break
-            shortage = self._find_shortage(session, run)
-            if shortage:
-                break
-            token = session.token
-            run.phase, run.token = "starting", token
-            run.since_ms = self.clock.now()
-            try:
-                await session.port.start(_start_message(run, until_ms, token))
-            except worker_port.RejectedError as err:
-                self._log_failed_order(run, err)
-                evidence = "order_rejected"
-                if err.reason == "old":
-                    # This attempt or a later one has ended on the worker.
-                    self._resolve_by_poll(session, run)
-                    return
-                # The next attempt has a higher token or a later end.
-                if err.reason not in ("fence", "late"):
-                    break
-                if err.reason == "late":
-                    # The known clock of the worker may be behind.
-                    await self._poll_once(session)
-                await asyncio.sleep(clock.seconds(ORDER_RETRY_PAUSE_MS))
-                if err.reason == "fence" and session.token == token:
-                    session.token += 1
-                continue
-            except worker_port.NotDeliveredError as err:
-                # Every earlier order was rejected, so none may be executed.
-                self._log_failed_order(run, err)
-                evidence = "not_delivered"
-                # Further orders wait until the worker answers a poll.
-                session.mark_unreachable()
-                break
-            except errors.RouterError as err:
-                self._log_failed_order(run, err)
-                self._resolve_by_poll(session, run)
-                return
-            run.started = True
-            if run.phase == "starting":
-                run.phase = "running"
-                run.since_ms = self.clock.now()
-            events.log(
-                events.RUN_STARTED,
-                task=str(run.task),
-                attempt=run.attempt,
-                worker=self.worker,
-                token=token,
-                until_ms=until_ms,
-                percent=run.order.percent if run.order else None,
-            )
-            await self._set_initial_speed(session, run)
-            return
-        self.held.end(run, "rejected", evidence, shortage=shortage)
+    def _request_report(self) -> None:
         self._report_due.set()
 
-    def _find_shortage(
-        self, session: worker_session.Session, run: held_runs.HeldRun
-    ) -> str:
-        """Returns why a run may not fit the worker; empty if it fits."""
-        if session.announcement_expired(self.clock.now()):
-            return start_room.UNKNOWN_CAPACITY
-        return start_room.find_shortage(
-            run, self.held.runs.values(), session.announcement.capacity
-        )
-
-    async def _renew_before_start(
-        self, session: worker_session.Session
-    ) -> None:
-        """Grants the worker a lease that outlasts a start order sent now.
-
-        A start order ends too soon to be the lease of its run. Polls grant a
-        longer one, except before the first grant of the leader.
-        """
-        async with self._renewal:
-            until_ms = session.start_until(self.clock.now())
-            if until_ms is not None and session.needs_renewal(until_ms):
-                await self._poll_once(session)
-
-    async def _set_initial_speed(
-        self, session: worker_session.Session, run: held_runs.HeldRun
-    ) -> None:
-        """Sets the ordered initial speed of a run that has just started."""
-        if run.order is None or run.order.percent == run.pace:
-            return
-        await self._set_speed(
-            session,
-            run.task,
-            run.attempt,
-            run.order.percent,
-        )
-
-    def _resolve_by_poll(
-        self, session: worker_session.Session, run: held_runs.HeldRun
-    ) -> None:
-        """Marks a run as uncertain and polls the worker to resolve it."""
-        if run.phase == "starting":
-            run.phase = "uncertain"
-            run.since_ms = self.clock.now()
-        session.token = max(session.token, run.token + 1)
-        self._spawn(self._poll_once(session))
-
-    async def _poll_once(self, session: worker_session.Session) -> None:
-        await self._poll(session, 0)
-
-    def _send_due_stops(self, session: worker_session.Session) -> None:
-        for run in self.held.take_due_stops():
-            if run.stop_acknowledged_ms is not None:
-                events.log(
-                    events.STOP_REPEATED,
-                    task=str(run.task),
-                    attempt=run.attempt,
-                    worker=self.worker,
-                    acknowledged_ms=run.stop_acknowledged_ms,
-                )
-            self._spawn(self._stop_on_worker(session, run))
-
-    async def _stop_on_worker(
-        self, session: worker_session.Session, run: held_runs.HeldRun
-    ) -> None:
-        """Sends a stop order until the worker acknowledges it."""
-        key = (run.task, run.attempt)
-        try:
-            while self.held.runs.get(key) is run and self.session is session:
-                try:
-                    await session.port.stop(
-                        run.task, run.attempt, token=session.token
-                    )
-                except errors.RouterError as err:
-                    self._log_failed_order(run, err)
-                    await asyncio.sleep(clock.seconds(ORDER_RETRY_PAUSE_MS))
-                    continue
-                run.since_ms = run.stop_acknowledged_ms = self.clock.now()
-                break
-        finally:
-            run.stopping = False
-        await self._poll_once(session)
-
-    def _log_failed_order(
-        self, run: held_runs.HeldRun, err: errors.RouterError
-    ) -> None:
-        events.log(
-            events.ORDER_FAILED,
-            task=str(run.task),
-            attempt=run.attempt,
-            worker=self.worker,
-            token=run.token,
-            error=str(err),
-        )
-
-    # --- Reports -------------------------------------------------------------
-
     async def _report_loop(self, session: worker_session.Session) -> None:
         while True:
             await asyncio.sleep(clock.seconds(REPORT_BATCH_MS))
@@ -786,19 +583,3 @@
                 worker=self.worker,
                 error=repr(task.exception()),
             )
-
-
-def _start_message(
-    run: held_runs.HeldRun, until_ms: int, token: int
-) -> worker_port.StartRun:
-    if run.order is None:
-        raise ValueError("a run without a start order can't be started")
-    return worker_port.StartRun(
-        task=run.task,
-        attempt=run.attempt,
-        spec=run.order.spec,
-        checkpoint=run.order.checkpoint,
-        until_ms=until_ms,
-        token=token,
-        ticket=run.order.ticket,
-    )
