Bound the formation of a group by virtual time

Tests with real processes bound the time to the first leader only by the 8 s of an operator's call, and their links pass through the loop of the test: with that loop delayed by 0.6 s in each turn, the first call fails.

The new test bounds the time from the start of three replicas to the first commit by the same 8 s on virtual time. The tests with processes are unchanged.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -19,6 +19,8 @@
 
 # Longest leader failover that the design allows.
 FAILOVER_S = 3.0
+# Longest time from the start of a new group to its first commit.
+FORMATION_S = 8.0
 # How long a leader may act after the last answer of a majority.
 LEASE_S = 0.8
 CLOCK_RESOLUTION_S = 0.001
@@ -110,13 +112,20 @@
         self.assertEqual(len(chains), 1)
 
 
-class HandoverTest(virtual_time.VirtualTimeCase, ReplicaCase):
-    """A leader that stops makes another replica the leader."""
+class ElectionTimeTest(virtual_time.VirtualTimeCase, ReplicaCase):
+    """The first leader, and the successor of a leader that stops."""
 
     async def asyncSetUp(self) -> None:
         self.patch_system_clock()
         await super().asyncSetUp()
 
+    async def test_new_group_accepts_commands_in_time(self) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        leader = await self.start(3)
+        await self.commit(leader, "a")
+        self.assertLess(loop.time() - started_s, FORMATION_S)
+
     async def test_stopping_leader_hands_over(self) -> None:
         leader = await self.start(3)
         await self.commit(leader, "a")
