Give up tasks of the sheet that crash each worker they run on

Seen: a batch task of the sheet that takes its VM down each time was started again for ever, and the tasks beside it were lost each time. With simulated agents (four VMs that are back after 5 s, six other tasks, 600 s) a task that does so at its start was started 81 times, with 240 runs of others lost; one that does so after 8 s 39 times, with 117.

Cause: such a run ends as lost, and the replicated task counted failures only. Nothing told the next leader, the planner or the attribution of faults about it.

Fix: EndTask may carry the crash of the worker and the age of the run. The task keeps their number and the last eight ages, and its last expired runs, whose crash may be known only later. A crash is another incarnation of the agent without the run, or a run that the worker has dropped. Leaving agents, drains, expired leases, agents restarted while tasks go on, and incarnations unknown to the leader count for nothing. A batch task with five crashes at the same age that stands out among its neighbours, and among the crashes that the leader has seen, is given up, or one with eight at the same age in any case. Before that, suspects wait up to 600 s (services 60 s) and are placed apart. Services are never given up. A long run clears the count.

VMs that crash at random give no task up.

Why it works: the count is part of the replicated task and the decision part of the committed end, so that both survive elections and are the same on each replica.

--- a/bamboorouter/coordination/policies/placement.py
+++ b/bamboorouter/coordination/policies/placement.py
@@ -3,7 +3,7 @@
 `SpreadPlacement` spreads the instances of a service over availability zones,
 then over racks. It keeps workers with accelerators for tasks that need them,
 avoids workers with high learned interference, and packs batch tasks by best
-fit. `FewestTasksPlacement` is the baseline policy: it takes the worker with the
+fit. A task that may crash its worker is placed beside the fewest others. `FewestTasksPlacement` is the baseline policy: it takes the worker with the
 most free slots.
 """
 
@@ -39,6 +39,7 @@
         service_slots: Slots that services hold.
         probe_only: Whether the worker gets only one task, as a health probe.
         failures: Failures since a task last finished on the worker.
+        suspects: Tasks on the worker that may crash it.
     """
 
     worker: str
@@ -50,6 +51,12 @@
     service_slots: int = 0
     probe_only: bool = False
     failures: int = 0
+    suspects: int = 0
+
+    @property
+    def tasks(self) -> int:
+        """Number of tasks on the worker, which a crash would end."""
+        return self.batch_slots + self.service_slots
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -65,6 +72,7 @@
         avoid: Workers on which the task failed or from which it is moved.
         interference: Learned excess latency by worker, in thousandths of the
             baseline latency; 0 if missing.
+        suspect: Whether the task may crash its worker.
     """
 
     kind: common.TaskKind
@@ -74,6 +82,7 @@
     on_worker: Mapping[str, int]
     avoid: frozenset[str] = frozenset()
     interference: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    suspect: bool = False
 
 
 class Placement(Protocol):
@@ -121,7 +130,7 @@
                 fallback.append(candidate)
                 continue
             found.append(candidate)
-            if len(found) == MAX_BATCH_CANDIDATES:
+            if len(found) == MAX_BATCH_CANDIDATES and not request.suspect:
                 self.offset = (self.offset + step) % count
                 break
         return found or fallback
@@ -144,6 +153,7 @@
     return (
         candidate.worker in request.avoid
         or candidate.failures >= SUSPECT_AFTER_FAILURES
+        or candidate.suspects > 0
         or _wastes_accelerators(request, candidate)
         or request.interference.get(candidate.worker, 0) > 0
     )
@@ -168,9 +178,11 @@
     criteria: tuple[Callable[[Candidate], int], ...] = (
         lambda c: c.worker in request.avoid,
         lambda c: c.failures >= SUSPECT_AFTER_FAILURES,
+        lambda c: c.suspects,
         lambda c: request.in_zone.get(c.zone, 0),
         lambda c: request.in_rack.get((c.zone, c.rack), 0),
         lambda c: request.on_worker.get(c.worker, 0),
+        lambda c: c.tasks if request.suspect else 0,
         lambda c: _wastes_accelerators(request, c),
         lambda c: request.interference.get(c.worker, 0),
         lambda c: -c.free.millicores,
@@ -200,6 +212,8 @@
     return (
         candidate.worker in request.avoid,
         candidate.failures >= SUSPECT_AFTER_FAILURES,
+        candidate.suspects,
+        candidate.tasks if request.suspect else 0,
         _wastes_accelerators(request, candidate),
         request.interference.get(candidate.worker, 0),
         remaining,
--- a/bamboorouter/coordination/scheduling/assignment_planner.py
+++ b/bamboorouter/coordination/scheduling/assignment_planner.py
@@ -28,6 +28,7 @@
 from bamboorouter.state import assignments
 from bamboorouter.state import machine
 from bamboorouter.state import resource_math
+from bamboorouter.state import sheet_crashes
 
 # More assignments would block the leader's event loop for too long at 550
 # workers. A pass that reaches the limit is followed by another one immediately.
@@ -176,6 +177,10 @@
                     service_slots=services,
                     probe_only=not is_trusted,
                     failures=self.failures[worker.name],
+                    suspects=sum(
+                        sheet_crashes.is_suspect(task, wall_ms)
+                        for task in tasks
+                    ),
                 )
             )
         return available
@@ -233,6 +238,7 @@
             on_worker=on_worker,
             avoid=frozenset(task.failed_on),
             interference=self.measurements.interference_costs(row, state),
+            suspect=bool(sheet_crashes.retry_delay_ms(task)),
         )
 
     def _free(
@@ -427,6 +433,7 @@
                 self._count_isolated_task(row, chosen.worker)
         if chosen.probe_only:
             self.candidates.remove(chosen)
+        chosen.suspects += sheet_crashes.is_suspect(task, self.wall_ms)
 
     def _skip(
         self,
@@ -525,14 +532,15 @@
 def retry_at_ms(task: assignments.Task) -> int:
     """Returns the wall time in ms at which the backoff of a task ends.
 
-    0 if the task hasn't failed.
+    0 if the task hasn't failed and isn't suspected to crash its workers.
     """
-    if not task.failures:
-        return 0
-    doublings = min(task.failures - 1, 16)
-    return task.ended_ms + min(
-        RETRY_BACKOFF_MS << doublings, MAX_RETRY_BACKOFF_MS
-    )
+    delay_ms = sheet_crashes.retry_delay_ms(task)
+    if task.failures:
+        doublings = min(task.failures - 1, 16)
+        delay_ms = max(
+            delay_ms, min(RETRY_BACKOFF_MS << doublings, MAX_RETRY_BACKOFF_MS)
+        )
+    return task.ended_ms + delay_ms if delay_ms else 0
 
 
 def _waiting_row(
--- a/bamboorouter/coordination/scheduling/fault_detector.py
+++ b/bamboorouter/coordination/scheduling/fault_detector.py
@@ -107,8 +107,11 @@
         finished = command.outcome == "finished"
         if finished:
             del self.planner.failures[worker]
-        else:
+        elif command.crash is None:
             self._record_failure(job, worker, state)
+        else:
+            # The worker isn't to blame for a task that crashes it.
+            self._suspected_jobs.add(job)
         if job in state.plan.jobs:
             self.policy.observe(
                 fault_attribution.Outcome(
--- a/bamboorouter/coordination/scheduling/heartbeats.py
+++ b/bamboorouter/coordination/scheduling/heartbeats.py
@@ -21,6 +21,8 @@
 from typing import Literal
 
 from bamboorouter import clock
+from bamboorouter.coordination.policies import crash_attribution
+from bamboorouter.coordination.scheduling import crash_evidence
 from bamboorouter.coordination.scheduling import leases
 from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import commands
@@ -87,6 +89,8 @@
         registry: Last heartbeat of each agent.
         leases: Leases of live assignments.
         throttles: Tasks that are throttled.
+        crash_attribution: Decides which tasks are given up because they crash
+            their workers.
         no_retry_reason: Returns why a task that failed on its current worker
             must not be retried; empty if it may be retried.
     """
@@ -103,12 +107,14 @@
         self.leases = lease_table
         self.throttles = throttles
         self.no_retry_reason = no_retry_reason
+        self.crash_attribution = crash_attribution.CrashAttribution()
 
     def process(
         self,
         heartbeat: messages.Heartbeat,
         state: machine.Machine,
         now: clock.Millis,
+        wall_ms: int,
         source: object,
     ) -> list[commands.Command] | None:
         """Records a heartbeat and returns the commands that follow from it.
@@ -117,12 +123,15 @@
             heartbeat: The heartbeat.
             state: The replicated state.
             now: Monotonic time in ms.
+            wall_ms: Wall time in ms since the epoch.
             source: Link on which the heartbeat arrived.
 
         Returns:
             Commands to commit before the reply is built; None if the heartbeat
             is outdated and is to be answered by an empty reply.
         """
+        known = self.registry.reports.get(heartbeat.worker)
+        former = known.former if known is not None else None
         freshness = self.registry.accept(heartbeat, now, source)
         if freshness == "stale":
             return None
@@ -138,13 +147,23 @@
                 elif _finished_while_pending(state, task_state):
                     changes.append(_reported_finish(task_state))
                 continue
-            self._update_lease(task, task_state, now)
+            self._update_lease(task, task_state, heartbeat.incarnation, now)
             if task_state.state != "running":
                 changes.append(self._end_command(task, task_state))
-        self.registry.reports[heartbeat.worker].orphans = tuple(orphans)
+        report = self.registry.reports[heartbeat.worker]
+        report.orphans = tuple(orphans)
         if freshness == "new" and heartbeat.worker_ready:
             changes.extend(self._end_unheld(heartbeat, state))
-        return changes
+        return crash_evidence.Evidence(
+            heartbeat=heartbeat,
+            former=report.former,
+            replaced_now=report.former is not former,
+            state=state,
+            leases=self.leases.by_epoch,
+            attribution=self.crash_attribution,
+            now=now,
+            wall_ms=wall_ms,
+        ).added_to(changes)
 
     def reply(
         self,
@@ -199,6 +218,7 @@
         self,
         task: assignments.Task,
         task_state: common.TaskState,
+        incarnation: int,
         now: clock.Millis,
     ) -> None:
         lease = self._lease_of(task, now)
@@ -210,6 +230,7 @@
             # know whether it did and therefore resumes the task.
             self.throttles.resume(task.epoch)
         lease.reported = True
+        lease.reported_by = incarnation
         if task_state.checkpoint and task_state.checkpoint != lease.checkpoint:
             lease.checkpoint = task_state.checkpoint
             lease.checkpoint_at_ms = now
--- a/bamboorouter/coordination/scheduling/leases.py
+++ b/bamboorouter/coordination/scheduling/leases.py
@@ -38,6 +38,8 @@
             last carried a start order; None if this leader sent none.
         inherited: Whether a former leader made the assignment.
         reported: Whether the agent has reported the task to this leader.
+        reported_by: Incarnation of the agent that last reported it; 0 if none
+            has.
         checkpoint: Newest checkpoint that the agent reported.
         checkpoint_at_ms: Monotonic time in ms at which that checkpoint was
             first reported; time of the assignment if there is none.
@@ -51,6 +53,7 @@
     start_heartbeat: tuple[int, int] | None = None
     inherited: bool = False
     reported: bool = False
+    reported_by: int = 0
     checkpoint: str = ""
     checkpoint_at_ms: int = 0
 
--- a/bamboorouter/coordination/scheduling/scheduler.py
+++ b/bamboorouter/coordination/scheduling/scheduler.py
@@ -33,6 +33,8 @@
 from bamboorouter.coordination.scheduling import worker_registry
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import messages
+from bamboorouter.state import machine
+from bamboorouter.state import sheet_crashes
 
 PROPOSE_TIMEOUT_MS: Final = 2000
 # Pause between passes, so that changes in quick succession are handled by one
@@ -174,7 +176,7 @@
             self._settled_ms = self.clock.now() + self.settle_ms
         former_availability = self._availability(message.worker)
         changes = self.heartbeats.process(
-            message, state, self.clock.now(), source
+            message, state, self.clock.now(), self.clock.wall(), source
         )
         if changes is None:
             return messages.HeartbeatReply(
@@ -277,6 +279,10 @@
                 self.fault_detector.registered_ms = self.clock.now()
             case commands.EndTask() | commands.ConfirmEviction():
                 if isinstance(command, commands.EndTask):
+                    _log_crash(command, self.log.machine)
+                    if result.data.get("state") == sheet_crashes.CRASH_COUNTED:
+                        # The end itself was recorded earlier.
+                        return
                     self.fault_detector.observe(
                         command, self.log.machine, self.clock.now()
                     )
@@ -355,6 +361,7 @@
         self.eviction_planner.reset()
         self.planner.paused_until_ms.clear()
         self.planner.failures.clear()
+        self.heartbeats.crash_attribution.reset()
         self.fault_detector.take_over(self.log.machine, now)
         self._track_all(granted=True)
         events.log(
@@ -548,6 +555,24 @@
                 outcome="lease_expired",
                 checkpoint=lease.checkpoint,
                 detail=f"worker {lease.worker} is silent",
+                started=lease.granted_ms is not None,
             )
             for lease in expired
         ]
+
+
+def _log_crash(command: commands.EndTask, state: machine.Machine) -> None:
+    """Logs the crash of a worker under a task, if the command counts one."""
+    task = state.assignments.tasks.get(command.task)
+    if command.crash is None or task is None:
+        return
+    events.log(
+        events.TASK_CRASH_COUNTED,
+        task=command.task,
+        epoch=command.epoch,
+        outcome=command.outcome,
+        crashes=task.crashes,
+        early=task.early_crashes,
+        age_ms=command.crash.age_ms,
+        confirmed=command.crash.confirmed,
+    )
--- a/bamboorouter/coordination/scheduling/worker_registry.py
+++ b/bamboorouter/coordination/scheduling/worker_registry.py
@@ -32,6 +32,19 @@
 Freshness = Literal["new", "repeated", "stale"]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FormerIncarnation:
+    """The incarnation of an agent that the current one replaced.
+
+    Attributes:
+        heartbeat: Its last heartbeat.
+        received_ms: Monotonic time in ms at which that heartbeat arrived.
+    """
+
+    heartbeat: messages.Heartbeat
+    received_ms: clock.Millis
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class WorkerReport:
     """Last heartbeat of the agent of one worker.
@@ -44,6 +57,7 @@
         orphans: Running tasks without a current assignment on the worker.
         former_incarnations: Last incarnations that were replaced by a newer
             one.
+        former: The last of these; None if there is none.
         source: Link on which the heartbeat arrived.
         proven_recent: Whether a heartbeat of this incarnation is proven to be
             recent.
@@ -60,6 +74,7 @@
             maxlen=MAX_FORMER_INCARNATIONS
         )
     )
+    former: FormerIncarnation | None = None
     source: object = None
     proven_recent: bool = False
     other_incarnation: tuple[messages.Heartbeat, object] | None = None
@@ -194,6 +209,9 @@
     ):
         return False
     report.former_incarnations.append(report.heartbeat.incarnation)
+    report.former = FormerIncarnation(
+        heartbeat=report.heartbeat, received_ms=report.received_ms
+    )
     report.other_incarnation = None
     report.proven_recent = True
     return True
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -269,6 +269,13 @@
     logging.INFO,
     "This replica answered an operator's call as the leader.",
 )
+TASK_CRASH_COUNTED: Final = _define_event(
+    208,
+    "task_crash_counted",
+    logging.WARNING,
+    "A worker crashed under a task of the sheet; `crashes` counts those since"
+    " its last long run. With the outcome `given_up` it isn't started again.",
+)
 
 # 300-349: tasks of the agent.
 TASK_ADMITTED: Final = _define_event(
--- a/bamboorouter/protocol/commands.py
+++ b/bamboorouter/protocol/commands.py
@@ -110,6 +110,19 @@
     reason: AssignReason
 
 
+class TaskCrash(base.Wire, frozen=True, kw_only=True):
+    """Evidence that a worker crashed under a run of a task of the sheet.
+
+    Attributes:
+        age_ms: Time in ms from the assignment until the worker was last heard
+            of.
+        confirmed: Whether the worker had reported the run as running.
+    """
+
+    age_ms: int
+    confirmed: bool
+
+
 class EndTask(base.Wire, frozen=True, kw_only=True, tag=7):
     """Ends an assignment.
 
@@ -118,10 +131,15 @@
         epoch: Fencing epoch of the assignment.
         outcome: "finished", "failed", "given_up" (failed and not retried),
             "stopped" (cancelled or drained), "lost" (the agent no longer holds
-            the task) or "lease_expired" (the worker stayed silent for the
-            duration of the lease and a safety margin).
+            the task), "lease_expired" (the worker stayed silent for the
+            duration of the lease and a safety margin) or "crashed" (the worker
+            of an assignment that had expired turned out to have crashed; the
+            command only counts the crash).
         checkpoint: Checkpoint to resume from; empty if there is none.
         detail: Reason for the end, for people.
+        crash: The crash of the worker by which the run ended; None if it isn't
+            known to have ended that way.
+        started: Whether a run whose lease expired may have been started.
     """
 
     task: str
@@ -129,6 +147,8 @@
     outcome: str
     checkpoint: str = ""
     detail: str = ""
+    crash: TaskCrash | None = None
+    started: bool = False
 
 
 class EvictTask(base.Wire, frozen=True, kw_only=True, tag=8):
--- a/bamboorouter/protocol/common.py
+++ b/bamboorouter/protocol/common.py
@@ -1,5 +1,6 @@
 """Structs shared by several messages and commands."""
 
+from typing import Final
 from typing import Literal
 
 from bamboorouter.protocol import base
@@ -10,6 +11,9 @@
 # request certainly was not run. "unknown": it may or may not have been run.
 Outcome = Literal["completed", "failed", "not_run", "unknown"]
 TaskKind = Literal["service", "batch"]
+# Detail of a task that is reported as stopped because its worker no longer lists
+# it.
+LOST_BY_WORKER: Final = "lost_by_worker"
 
 
 class Resources(base.Wire, frozen=True, kw_only=True):
--- a/bamboorouter/roles/agent_tasks.py
+++ b/bamboorouter/roles/agent_tasks.py
@@ -420,7 +420,7 @@
                 held.end(
                     "stopped",
                     checkpoint="",
-                    detail="lost_by_worker",
+                    detail=common.LOST_BY_WORKER,
                     inferred=True,
                 )
                 changed = True
--- a/bamboorouter/state/account_records.py
+++ b/bamboorouter/state/account_records.py
@@ -75,6 +75,9 @@
                 if result is None and command.task in self.assigned:
                     return False
                 self.assigned.add(command.task)
+            case commands.EndTask(outcome="crashed"):
+                # The assignment ended earlier; the task may run elsewhere.
+                pass
             case commands.EndTask() | commands.ConfirmEviction():
                 self.assigned.discard(command.task)
             case commands.RecordRequests():
@@ -263,7 +266,10 @@
             ]
         case commands.EndTask():
             detail = f": {command.detail}" if command.detail else ""
-            return [("ended", f"{subject}: {command.outcome}{detail}", fields)]
+            if command.crash is not None:
+                fields["crash"] = msgspec.structs.asdict(command.crash)
+            what = "crashed" if command.outcome == "crashed" else "ended"
+            return [(what, f"{subject}: {command.outcome}{detail}", fields)]
     return []
 
 
--- a/bamboorouter/state/assignments.py
+++ b/bamboorouter/state/assignments.py
@@ -34,6 +34,20 @@
 LONG_RUN_MS: Final = 60_000
 
 
+class ExpiredRun(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """A run whose lease expired, so that nobody has told how it ended.
+
+    Attributes:
+        epoch: Epoch of the assignment.
+        worker: Worker of the assignment.
+        assigned_ms: Wall time of the assignment in ms since the epoch.
+    """
+
+    epoch: int
+    worker: str
+    assigned_ms: int
+
+
 class Task(msgspec.Struct, array_like=True, kw_only=True):
     """One instance of a service or one task of a job.
 
@@ -61,6 +75,11 @@
         ended_ms: Wall time of the end of the last assignment in ms since the
             epoch.
         spec: Digest of the row's fixed settings at the last assignment.
+        crashes: Number of workers that crashed under it since its last long
+            run (see `sheet_crashes`).
+        early_crashes: Number of these that came soon after the assignment.
+        crash_ages_ms: Ages in ms of the runs at the last of these.
+        expired: Last runs whose leases expired and whose ends aren't known.
     """
 
     task: str
@@ -82,6 +101,10 @@
     detail: str = ""
     ended_ms: int = 0
     spec: int = 0
+    crashes: int = 0
+    early_crashes: int = 0
+    crash_ages_ms: tuple[int, ...] = ()
+    expired: tuple[ExpiredRun, ...] = ()
 
     @property
     def live(self) -> bool:
--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -23,9 +23,9 @@
 from collections.abc import Iterable
 import dataclasses
 from typing import Final
+from typing import Protocol
 
 from bamboorouter.protocol import jobs
-from bamboorouter.state import job_records
 
 MIN_EARLY_CRASHES: Final = 2
 MIN_CRASHES: Final = 3
@@ -69,7 +69,19 @@
         return (self.early, self.crashes)
 
 
-def suspicion(task: job_records.Task) -> int:
+class CrashCounts(Protocol):
+    """Counts of the crashes under a task.
+
+    Attributes:
+        crashes: Number of crashes, confirmed or not.
+        early_crashes: Number of these that came soon after the assignment.
+    """
+
+    crashes: int
+    early_crashes: int
+
+
+def suspicion(task: CrashCounts) -> int:
     """Returns the number of crashes that a task may have caused.
 
     One crash that wasn't early doesn't count: workers crash by themselves.
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -23,6 +23,7 @@
 from bamboorouter.state import plan
 from bamboorouter.state import request_keys
 from bamboorouter.state import resource_math
+from bamboorouter.state import sheet_crashes
 from bamboorouter.state import stepped_jobs
 from bamboorouter.state import workers
 
@@ -392,7 +393,12 @@
     def _end_task(self, command: commands.EndTask) -> commands.Result:
         task = self.assignments.live_task(command.task, command.epoch)
         if isinstance(task, commands.Result):
-            return self._accept_late_finish(command) or task
+            return (
+                self._accept_late_finish(command)
+                or sheet_crashes.count_late(self.assignments, command)
+                or task
+            )
+        sheet_crashes.record_end(task, command, self.now_ms)
         worker = task.worker
         if command.outcome in ("failed", "given_up"):
             self.assignments.record_failure(
@@ -464,6 +470,7 @@
         if isinstance(task, commands.Result):
             return task
         task.evictions += 1
+        sheet_crashes.clear_after(task, self.now_ms - task.assigned_ms)
         self._release(task, command.checkpoint)
         return _state_result(
             task, removed=task.task not in self.assignments.tasks
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -142,6 +142,7 @@
         state: Reported state.
         checkpoint: Reported checkpoint.
         resume_from: Checkpoint from which the task was started.
+        detail: Reported detail.
     """
 
     epoch: int
@@ -149,6 +150,7 @@
     state: Any = "running"
     checkpoint: str = ""
     resume_from: str = ""
+    detail: str = ""
 
 
 class FakeAgent:
@@ -201,6 +203,7 @@
                     epoch=held.epoch,
                     state=held.state,
                     checkpoint=held.checkpoint,
+                    detail=held.detail,
                 )
                 for name, held in self.tasks.items()
             ),
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -362,8 +362,19 @@
         commands.EndTask(
             task=name,
             epoch=epoch,
-            outcome=rng.choice(("finished", "failed", "lost", "given_up")),
+            outcome=rng.choice(
+                ("finished", "failed", "lost", "given_up", "lease_expired")
+            ),
             checkpoint=checkpoint,
+            crash=rng.choice(
+                (
+                    None,
+                    commands.TaskCrash(
+                        age_ms=rng.randrange(100_000), confirmed=True
+                    ),
+                )
+            ),
+            started=rng.random() < 0.5,
         ),
         commands.ConfirmEviction(task=name, epoch=epoch, checkpoint=checkpoint),
     ]
