--- a/bamboorouter/state/crash_conviction.py
+++ b/bamboorouter/state/crash_conviction.py
@@ -26,9 +26,9 @@
 from collections.abc import Iterable
 import dataclasses
 from typing import Final
+from typing import Protocol
 
 from bamboorouter.protocol import jobs
-from bamboorouter.state import job_records
 
 MIN_EARLY_CRASHES: Final = 2
 MIN_CRASHES: Final = 3
@@ -72,7 +72,19 @@
         return (self.early, self.crashes)
 
 
-def suspicion(task: job_records.Task) -> int:
+class CrashCounts(Protocol):
+    """Counts of the crashes under a task.
+
+    Attributes:
+        crashes: Number of crashes, confirmed or not.
+        early_crashes: Number of these that came soon after the assignment.
+    """
+
+    crashes: int
+    early_crashes: int
+
+
+def suspicion(task: CrashCounts) -> int:
     """Returns the number of crashes that a task may have caused.
 
     One crash that wasn't early doesn't count: workers crash by themselves.
@@ -81,7 +93,7 @@
     return max(task.early_crashes, task.crashes - 1, 0)
 
 
-def may_start_again(task: job_records.Task) -> bool:
+def may_start_again(task: CrashCounts) -> bool:
     """Returns whether a task may be started after a run of it was lost."""
     return task.crashes + 1 < MAX_CRASHES
 
