--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -48,6 +48,7 @@
         ended: Set to answer the polls that wait for an end.
         silent_connections: Number of upcoming connections over which no call is
             carried out or answered.
+        closes: Whether each connection is closed after the first answer.
     """
 
     def __init__(self, *, born_ms: int) -> None:
@@ -57,6 +58,7 @@
         self.token = 0
         self.ended = asyncio.Event()
         self.silent_connections = 0
+        self.closes = False
         self._connections: set[Any] = set()
         self._silent: set[Any] = set()
         application = web.Application()
@@ -123,7 +125,10 @@
             if request.path == wire.HOLD_PATH
             else {}
         )
-        return web.json_response({"clockMs": 1, **lists})
+        answer = web.json_response({"clockMs": 1, **lists})
+        if self.closes:
+            answer.force_close()
+        return answer
 
 
 async def start_run(port: worker_port.WorkerPort, token: int = 7) -> None:
@@ -360,6 +365,22 @@
             [wire.HOLD_PATH, wire.START_PATH, wire.HOLD_PATH, wire.STOP_PATH],
         )
 
+    async def test_worker_that_closes_each_connection(self) -> None:
+        """Guards against a worker that gets no orders at all."""
+        self.worker.closes = True
+        port = self.open()
+        await start_run(port)
+        await acknowledge(port)
+        self.assertEqual(
+            [path for path, _ in self.worker.effects()],
+            [wire.START_PATH, wire.HOLD_PATH],
+        )
+        successor = await self.replace()
+        successor.closes = True
+        with self.assertRaises(worker_port.IncarnationMismatchError):
+            await start_run(port)
+        self.assertEqual(successor.effects(), [])
+
     async def test_closed_port_sends_nothing(self) -> None:
         for used in (False, True):
             with self.subTest(used=used):
