--- a/bamboorouter/coordination/workers/announced_incarnation.py
+++ b/bamboorouter/coordination/workers/announced_incarnation.py
@@ -101,7 +101,7 @@
         return current
 
     def refute(self, announcement: worker_port.Announcement) -> None:
-        """Records that another incarnation answers in place of an announced one."""
+        """Records that another incarnation answered for an announced one."""
         self._refuted = announcement.incarnation
 
     def announce(self, announcement: worker_port.Announcement) -> None:
