--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections.abc import Sequence
+import itertools
 import json
 import os
 import pathlib
@@ -19,6 +21,7 @@
 
 import aiohttp
 
+from review.standins import proxy
 from review.standins import record
 from review.standins import worker
 
@@ -43,16 +46,25 @@
         workers: The workers.
     """
 
-    def __init__(self, *, log: record.Record, services: list[str]) -> None:
+    def __init__(
+        self,
+        *,
+        log: record.Record,
+        services: list[str],
+        proxied: bool = False,
+    ) -> None:
         """Creates a site.
 
         Args:
             log: Record of the case.
             services: Service of each worker.
+            proxied: Whether links to replicas go through proxies.
         """
         self.log = log
         self.workers: list[worker.Worker] = []
         self._services = services
+        self._proxied = proxied
+        self._proxies: dict[int, proxy.LinkProxy] = {}
         self._folder = tempfile.TemporaryDirectory()
         self._path = pathlib.Path(self._folder.name)
         self._port = 0
@@ -83,6 +95,8 @@
             await process.wait()
         for stand_in in self.workers:
             await stand_in.close()
+        for link_proxy in self._proxies.values():
+            await link_proxy.close()
         await self._session.close()
         self._folder.cleanup()
 
@@ -106,6 +120,10 @@
         """Returns the `control` address of a machine."""
         return f"{self._network}.1.{number}:{self._port + 2}"
 
+    def _seed(self, number: int) -> str:
+        host = f"{self._network}.{3 if self._proxied else 1}.{number}"
+        return f"{host}:{self._port + 2}"
+
     async def _start_frontend(self, number: int) -> None:
         ip = f"{self._network}.1.{number}"
         common = {
@@ -124,6 +142,8 @@
             folder = self._path / f"disk-{number}"
             folder.mkdir()
             disk = {"data_dir": str(folder), "disk_mb": 128}
+            if self._proxied:
+                disk["advertise"] = await self._start_proxy(number, ip)
         await self._start_process(
             f"control-{number}",
             **common,
@@ -131,6 +151,42 @@
             control=self.control(number),
         )
 
+    async def _start_proxy(self, number: int, ip: str) -> str:
+        """Starts the proxy for the links to a replica; returns its address."""
+        link_proxy = proxy.LinkProxy(target=f"{ip}:{self._port + 10}")
+        link_proxy.processes = lambda: [p.pid for p in self._processes.values()]
+        address = f"{self._network}.3.{number}:{self._port + 10}"
+        await link_proxy.start(address)
+        self._proxies[number] = link_proxy
+        return address
+
+    def cut_one_way(self, number: int) -> None:
+        """Cuts what the other machines with a disk send to one of them."""
+        ids = {
+            machine: {
+                self._processes[f"{role}-{machine}"].pid
+                for role in ("entry", "control")
+            }
+            for machine in range(1, DISKS + 1)
+        }
+        others = set().union(*ids.values()) - ids[number]
+        for machine, link_proxy in self._proxies.items():
+            if machine == number:
+                link_proxy.cut(
+                    towards=lambda pid: pid in others, back=lambda _: False
+                )
+            else:
+                link_proxy.cut(
+                    towards=lambda _: False, back=lambda pid: pid in ids[number]
+                )
+        self.log.write(f"network: the core no longer reaches frontend {number}")
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        for link_proxy in self._proxies.values():
+            link_proxy.heal()
+        self.log.write("network: the cut is over")
+
     async def _start_worker(self, number: int, service: str) -> None:
         ip = f"{self._network}.2.{number}"
         agent = f"{ip}:{self._port + 2}"
@@ -155,7 +211,8 @@
         values = {
             "region": "ostlandet",
             "zone": "jevnaker",
-            "seeds": [self.control(number) for number in range(1, DISKS + 1)],
+            # The programs derive the link addresses from the seeds' hosts.
+            "seeds": [self._seed(number) for number in range(1, DISKS + 1)],
             "ports": [self._port + 10, self._port + 25],
             "tolerated_losses": 1,
             "max_worker_lease_ms": 10_000,
@@ -202,6 +259,14 @@
     ) -> tuple[int, Any]:
         """Sends a request over a new connection.
 
+        Args:
+            method: HTTP method.
+            address: Address of the machine.
+            path: Path of the request.
+            host: Host of the route.
+            body: Body, encoded as JSON.
+            deadline_ms: How long the requester waits, in ms.
+
         Returns:
             The status and the decoded body; status 0 if there was no response
             within the deadline.
@@ -224,21 +289,38 @@
         self.log.write(f"answered: {what}: {status or 'nothing'} {answer}")
         return status, answer
 
-    async def configure(self, document: dict[str, Any]) -> None:
+    def leader(self) -> int:
+        """Returns the number of the machine whose replica has led last."""
+        newest = (0, 0)
+        for number in range(1, DISKS + 1):
+            text = (self._path / f"control-{number}.log").read_text()
+            for line in text.splitlines():
+                if '"name":"leader_elected"' in line:
+                    event = json.loads(line)
+                    newest = max(newest, (event["wall_ms"], number))
+        return newest[1]
+
+    async def configure(
+        self, document: dict[str, Any], *, numbers: Sequence[int] = (1, 2, 3)
+    ) -> None:
         """Sends a configuration until it is acknowledged.
 
+        Args:
+            document: The configuration.
+            numbers: Machines to send it to, in turn.
+
         Raises:
             CannotRunError: It wasn't acknowledged in time.
         """
         end = time.monotonic() + START_LIMIT_S
-        number = 0
-        while time.monotonic() < end:
-            number = number % DISKS + 1
+        for number in itertools.cycle(numbers):
             status, _ = await self.call(
                 "PUT", self.control(number), "/-/config", body=document
             )
             if status == 200:
                 return
+            if time.monotonic() > end:
+                break
             await asyncio.sleep(0.3)
         raise CannotRunError("no configuration was acknowledged")
 
