--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -29,6 +29,7 @@
 DISKS = 3
 FRONTENDS = 4
 START_LIMIT_S = 40.0
+RESERVED_PORT = 19_998
 # `contactMs` of the installation, in s.
 CONTACT_S = 3.0
 HOST = "nony24.example"
@@ -69,6 +70,8 @@
         self._path = pathlib.Path(self._folder.name)
         self._port = 0
         self._network = ""
+        # Sites that run at the same time must not share addresses.
+        self._reservation = socket.socket()
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(force_close=True)
@@ -98,18 +101,25 @@
         for link_proxy in self._proxies.values():
             await link_proxy.close()
         await self._session.close()
+        self._reservation.close()
         self._folder.cleanup()
 
     def _find_addresses(self) -> None:
+        """Reserves a network of loopback addresses for this site.
+
+        Raises:
+            CannotRunError: No free network was found.
+        """
         for _ in range(50):
             self._network = f"127.{random.randint(20, 220)}"
             self._port = random.randint(20_000, 30_000)
-            with socket.socket() as probe:
-                try:
-                    probe.bind((f"{self._network}.1.1", self._port))
-                except OSError:
-                    continue
-                return
+            try:
+                self._reservation.bind(
+                    (f"{self._network}.250.1", RESERVED_PORT)
+                )
+            except OSError:
+                continue
+            return
         raise CannotRunError("no free addresses")
 
     def frontend(self, number: int) -> str:
@@ -322,7 +332,14 @@
             if time.monotonic() > end:
                 break
             await asyncio.sleep(0.3)
-        raise CannotRunError("no configuration was acknowledged")
+        ended = {
+            name: process.returncode
+            for name, process in self._processes.items()
+            if process.returncode is not None
+        }
+        raise CannotRunError(
+            f"no configuration was acknowledged; ended processes: {ended}"
+        )
 
     async def probe(self, path: str) -> None:
         """Waits until a submission through the last machine is done.
