--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,4 +1,4 @@
-"""A lasting submission is given up although none of its tasks has failed.
+"""A submission runs although its cancelling was acknowledged.
 
 See `claim.txt`. Exits with 1 if the rule was broken, 0 if it held and 2 if the
 case couldn't run.
@@ -6,82 +6,84 @@
 
 import asyncio
 import pathlib
+import signal
 import sys
+import time
 
 from review.standins import case
 from review.standins import record
 from review.standins import site
 
-# One worker at a time is a share of 0.125. The largest dose of `srv_crash` in
-# the site file is a share of 0.14 for 4.5 s.
-WORKERS = 8
-DOWN_S = 1.0
-PAUSE_S = 1.0
-CRASHES = 40
-TASKS = 12
+FREEZE_S = 3.5
+DEADLINE_MS = 3000
+RUN_MS = 60_000
+# `cancel_ms` and `stopMs` of the installation, in s.
+CANCEL_S = 3.0
+STOP_S = 0.9
+WATCH_S = 12.0
 PREFIX = "/lohu930/"
 JOB = "5c0e7a21d94b36f8"
 PROBE = "00000000000000aa"
-RUN_MS = 600_000
 
 
 async def play(log: record.Record, trouble: bool) -> bool:
     """Plays the case; returns whether the rule was broken."""
-    deployment = site.Site(log=log, services=["huvo11a"] * WORKERS)
+    deployment = site.Site(log=log, services=["huvo11a"] * 3)
     try:
         await deployment.start()
         await deployment.configure(
             site.configuration(site.route("r-wrr6x73", "huvo11a", PREFIX))
         )
         await deployment.probe(PREFIX + PROBE)
-        return await _submit_and_crash(deployment, log, trouble)
+        return await _submit_and_cancel(deployment, log, trouble)
     finally:
         await deployment.close()
 
 
-async def _submit_and_crash(
+async def _submit_and_cancel(
     deployment: site.Site, log: record.Record, trouble: bool
 ) -> bool:
-    """Lets the workers crash in turn, one at a time."""
-    body = site.submission(RUN_MS)
-    body["phases"][0] |= {"count": TASKS, "longRunning": True}
+    frozen = site.FRONTENDS
+    frozen_s = time.monotonic()
+    if trouble:
+        deployment.send_signal(frozen, signal.SIGSTOP)
     status, _ = await deployment.call(
-        "POST", deployment.frontend(1), PREFIX + JOB, body=body
+        "POST",
+        deployment.frontend(frozen),
+        PREFIX + JOB,
+        body=site.submission(RUN_MS),
+        deadline_ms=DEADLINE_MS,
     )
-    if status != 200:
+    if bool(status) == trouble:
         raise site.CannotRunError(f"the submission was answered {status}")
-    await asyncio.sleep(site.CONTACT_S)
-    for number in range(CRASHES):
-        if trouble:
-            await deployment.workers[number % WORKERS].crash(DOWN_S)
-        else:
-            await asyncio.sleep(DOWN_S)
-        await asyncio.sleep(PAUSE_S)
-        status, answer = await deployment.call(
-            "GET", deployment.frontend(1), PREFIX + JOB
-        )
-        if status == 200 and answer["state"] == "failed":
-            break
-    # Tasks that last are to run again within 6 s.
-    await asyncio.sleep(8.0)
-    status, answer = await deployment.call(
-        "GET", deployment.frontend(1), PREFIX + JOB
-    )
-    if status != 200:
-        raise site.CannotRunError(f"the state was answered {status}")
-    ends = [
-        run.how
-        for stand_in in deployment.workers
-        for (task, _), run in stand_in.runs.items()
-        if task.startswith(JOB)
-    ]
-    log.write(
-        f"the state is {answer['state']};"
-        f" {ends.count('failed')} of {len(ends)} runs have ended failed,"
-        f" {ends.count('')} are at work"
+    # The requester withdraws what it got no answer for, at another machine.
+    status, _ = await deployment.call(
+        "DELETE", deployment.frontend(1), PREFIX + JOB
     )
-    broken = answer["state"] == "failed" and "failed" not in ends
-    log.write(f"LOST is {'broken' if broken else 'kept'}")
+    acknowledged_s = time.monotonic()
+    if status not in (200, 410):
+        raise site.CannotRunError(f"the cancelling was answered {status}")
+    log.write(f"the cancelling is acknowledged with {status}")
+    if trouble:
+        await asyncio.sleep(max(0.0, frozen_s + FREEZE_S - time.monotonic()))
+        deployment.send_signal(frozen, signal.SIGCONT)
+    calm_s = time.monotonic() + site.CONTACT_S
+    await asyncio.sleep(WATCH_S)
+    await deployment.call("GET", deployment.frontend(1), PREFIX + JOB)
+    limit_s = max(acknowledged_s + CANCEL_S + STOP_S, calm_s)
+    broken = False
+    for stand_in in deployment.workers:
+        for (task, attempt), run in stand_in.runs.items():
+            until_s = run.ended_s or time.monotonic()
+            if task.startswith(JOB) and until_s > limit_s:
+                broken = True
+                log.write(
+                    f"{task} run {attempt} works on"
+                    f" {until_s - acknowledged_s:.1f} s after the"
+                    f" acknowledgement, on {stand_in.name}; it started"
+                    f" {run.started_s - acknowledged_s:+.1f} s after it"
+                )
+    log.write(f"UNASKED is {'broken' if broken else 'kept'}")
     return broken
 
 
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,4 +1,4 @@
-"""A submission runs although its cancelling was acknowledged.
+"""A submission runs although its only answer was that there is no such queue.
 
 See `claim.txt`. Exits with 1 if the rule was broken, 0 if it held and 2 if the
 case couldn't run.
@@ -6,84 +6,72 @@
 
 import asyncio
 import pathlib
-import signal
 import sys
-import time
 
 from review.standins import case
 from review.standins import record
 from review.standins import site
 
-FREEZE_S = 3.5
-DEADLINE_MS = 3000
-RUN_MS = 60_000
-# `cancel_ms` and `stopMs` of the installation, in s.
-CANCEL_S = 3.0
-STOP_S = 0.9
-WATCH_S = 12.0
-PREFIX = "/lohu930/"
-JOB = "5c0e7a21d94b36f8"
+KEPT = "/pule252/"
+REMOVED = "/lohu930/"
 PROBE = "00000000000000aa"
+JOB = "5c0e7a21d94b36f8"
+RUN_MS = 2000
+SETTLE_S = 0.2
+CUT_S = 1.8
+WATCH_S = 8.0
 
 
 async def play(log: record.Record, trouble: bool) -> bool:
     """Plays the case; returns whether the rule was broken."""
-    deployment = site.Site(log=log, services=["huvo11a"] * 3)
+    deployment = site.Site(log=log, services=["huvo11a"] * 3, proxied=True)
     try:
         await deployment.start()
-        await deployment.configure(
-            site.configuration(site.route("r-wrr6x73", "huvo11a", PREFIX))
-        )
-        await deployment.probe(PREFIX + PROBE)
-        return await _submit_and_cancel(deployment, log, trouble)
+        kept = site.route("r-73hh2b9", "huvo11a", KEPT)
+        removed = site.route("r-wrr6x73", "huvo11a", REMOVED)
+        await deployment.configure(site.configuration(kept, removed))
+        await deployment.probe(REMOVED + PROBE)
+        later = {**site.configuration(kept), "version": 8}
+        return await _submit_and_remove(deployment, log, later, trouble)
     finally:
         await deployment.close()
 
 
-async def _submit_and_cancel(
-    deployment: site.Site, log: record.Record, trouble: bool
+async def _submit_and_remove(
+    deployment: site.Site,
+    log: record.Record,
+    later: dict[str, object],
+    trouble: bool,
 ) -> bool:
-    frozen = site.FRONTENDS
-    frozen_s = time.monotonic()
+    """Removes the route while the confirmation is on its way."""
+    leader = deployment.leader()
+    followers = [n for n in range(1, site.DISKS + 1) if n != leader]
+    cut = followers[0]
     if trouble:
-        deployment.send_signal(frozen, signal.SIGSTOP)
-    status, _ = await deployment.call(
-        "POST",
-        deployment.frontend(frozen),
-        PREFIX + JOB,
-        body=site.submission(RUN_MS),
-        deadline_ms=DEADLINE_MS,
-    )
-    if bool(status) == trouble:
-        raise site.CannotRunError(f"the submission was answered {status}")
-    # The requester withdraws what it got no answer for, at another machine.
-    status, _ = await deployment.call(
-        "DELETE", deployment.frontend(1), PREFIX + JOB
+        deployment.cut_one_way(cut)
+    submission = asyncio.create_task(
+        deployment.call(
+            "POST",
+            deployment.frontend(cut),
+            REMOVED + JOB,
+            body=site.submission(RUN_MS),
+        )
     )
-    acknowledged_s = time.monotonic()
-    if status not in (200, 410):
-        raise site.CannotRunError(f"the cancelling was answered {status}")
-    log.write(f"the cancelling is acknowledged with {status}")
+    await asyncio.sleep(SETTLE_S)
+    await deployment.configure(later, numbers=[leader])
     if trouble:
-        await asyncio.sleep(max(0.0, frozen_s + FREEZE_S - time.monotonic()))
-        deployment.send_signal(frozen, signal.SIGCONT)
-    calm_s = time.monotonic() + site.CONTACT_S
+        await asyncio.sleep(CUT_S - SETTLE_S)
+        deployment.heal()
+    status, _ = await submission
     await asyncio.sleep(WATCH_S)
-    await deployment.call("GET", deployment.frontend(1), PREFIX + JOB)
-    limit_s = max(acknowledged_s + CANCEL_S + STOP_S, calm_s)
-    broken = False
-    for stand_in in deployment.workers:
-        for (task, attempt), run in stand_in.runs.items():
-            until_s = run.ended_s or time.monotonic()
-            if task.startswith(JOB) and until_s > limit_s:
-                broken = True
-                log.write(
-                    f"{task} run {attempt} works on"
-                    f" {until_s - acknowledged_s:.1f} s after the"
-                    f" acknowledgement, on {stand_in.name}; it started"
-                    f" {run.started_s - acknowledged_s:+.1f} s after it"
-                )
-    log.write(f"UNASKED is {'broken' if broken else 'kept'}")
+    started = any(
+        task.startswith(JOB)
+        for stand_in in deployment.workers
+        for task, _ in stand_in.runs
+    )
+    log.write(f"the only attempt was answered {status}; started: {started}")
+    broken = status in (404, 429, 503) and started
+    log.write(f"REFUSED is {'broken' if broken else 'kept'}")
     return broken
 
 
