--- a/review/5/run.py
+++ b/review/5/run.py
@@ -12,15 +12,17 @@
 from review.standins import case
 from review.standins import record
 from review.standins import site
+from review.standins import worker
 
 # One worker of 8 is a share of 0.125; the largest dose of `srv_crash` in the
 # site file is a share of 0.14.
 WORKERS = 8
-# Each worker has 16 cores, so that 8 tasks of this size fit.
-TASK_MILLICORES = 2000
-# Two more than fit on all workers.
-SUBMISSIONS = 66
-RUN_MS = 60_000
+# Each worker has 16 cores, so that 6 tasks of this size fit.
+WORKER_MILLICORES = 16_000
+TASK_MILLICORES = 2600
+SUBMISSIONS = 6
+RUN_MS = 100_000
+START_LIMIT_S = 10.0
 # `visible_ms` of the installation and 2 s, in s.
 VISIBLE_S = 5.0
 READINGS = 5
@@ -42,15 +44,16 @@
         await deployment.close()
 
 
-async def _submit_and_count(
-    deployment: site.Site, log: record.Record, trouble: bool
-) -> bool:
-    if trouble:
-        await deployment.workers[-1].close()
-        log.write(f"worker {deployment.workers[-1].name} is lost for good")
+async def _submit(
+    deployment: site.Site, names: list[str], millicores: int
+) -> None:
+    """Hands submissions in at once.
+
+    Raises:
+        CannotRunError: Not all were accepted.
+    """
     body = site.submission(RUN_MS)
-    body["phases"][0]["cpu"] = TASK_MILLICORES
-    ids = [f"{number:016x}" for number in range(1000, 1000 + SUBMISSIONS)]
+    body["phases"][0]["cpu"] = millicores
     answers = await asyncio.gather(
         *(
             deployment.call(
@@ -59,19 +62,52 @@
                 PREFIX + name,
                 body=body,
             )
-            for number, name in enumerate(ids)
+            for number, name in enumerate(names)
         )
     )
-    accepted = [
-        name
-        for name, (status, _) in zip(ids, answers, strict=True)
-        if status == 200
-    ]
-    if len(accepted) < SUBMISSIONS:
-        raise site.CannotRunError(f"{len(accepted)} were accepted")
+    refused = [status for status, _ in answers if status != 200]
+    if refused:
+        raise site.CannotRunError(f"submissions were answered {refused}")
+
+
+async def _fill_all_but_one(
+    deployment: site.Site, log: record.Record
+) -> worker.Worker:
+    """Fills all workers and empties one of them; returns that one.
+
+    Raises:
+        CannotRunError: The workers weren't filled in time.
+    """
+    fillers = [f"{number:016x}" for number in range(500, 500 + WORKERS)]
+    await _submit(deployment, fillers, WORKER_MILLICORES)
+    end_s = time.monotonic() + START_LIMIT_S
+    while not all(w.at_work() for w in deployment.workers):
+        if time.monotonic() > end_s:
+            raise site.CannotRunError("the workers weren't filled")
+        await asyncio.sleep(0.1)
+    emptied = deployment.workers[-1]
+    (task,) = emptied.at_work()
+    await deployment.call(
+        "DELETE", deployment.frontend(1), PREFIX + task.partition(".")[0]
+    )
+    await asyncio.sleep(site.CONTACT_S)
+    if emptied.at_work():
+        raise site.CannotRunError("the worker wasn't emptied")
+    log.write(f"all workers but {emptied.name} are full, which is empty")
+    return emptied
+
+
+async def _submit_and_count(
+    deployment: site.Site, log: record.Record, trouble: bool
+) -> bool:
+    emptied = await _fill_all_but_one(deployment, log)
+    if trouble:
+        await emptied.close()
+        log.write(f"worker {emptied.name} is lost for good")
+    accepted = [f"{number:016x}" for number in range(1000, 1000 + SUBMISSIONS)]
+    await _submit(deployment, accepted, TASK_MILLICORES)
     accepted_s = time.monotonic()
     broken = False
-    # The readings are to see the last disturbance at `contactMs` before.
     await asyncio.sleep(VISIBLE_S)
     for number in range(READINGS):
         await asyncio.sleep(1.0)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -122,6 +122,10 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def at_work(self) -> list[str]:
+        """Returns the tasks that the worker runs."""
+        return [t for (t, _), run in self.runs.items() if run.ended_s is None]
+
     def _clock_ms(self) -> int:
         return int((time.monotonic() - self._born_s) * 1000)
 
