Refuse a submission whose cancellation was answered before it arrived

A caller that got no answer from a suspended entry cancelled its job at another entry and was told that there is no such job (410).

The leader kept nothing of a cancellation of a job that it didn't know, so the late submission was a new job. Such a cancellation now commits the ID as withdrawn before it is answered.

--- a/bamboorouter/coordination/jobs/job_handler.py
+++ b/bamboorouter/coordination/jobs/job_handler.py
@@ -20,6 +20,10 @@
 from bamboorouter.protocol import jobs
 from bamboorouter.protocol import value_limits
 
+_WITHDRAWN: Final = admission.Refusal(
+    reason="it was cancelled before it arrived", retry_after_ms=0
+)
+
 # Configuration version before the first configuration; versions start at 0.
 UNCONFIGURED: Final = -1
 
@@ -52,32 +56,26 @@
 
         Raises:
             NotLeaderError: Nothing was committed.
+            RefusedError: Nothing was committed.
             UnknownResultError: The job may be committed later.
         """
         found = self._find_queue(message.host, message.path)
         if isinstance(found, job_messages.JobAnswer):
             return found
         queue, job_id = found
-        if not 0 < len(job_id) <= value_limits.MAX_JOB_ID_CHARACTERS:
+        if not _is_valid_id(job_id):
             return job_messages.JobAnswer(outcome="no_queue")
         state = self.log.machine.stepped
         self._recent.enter_term(self.log.term())
+        if self._recent.is_being_withdrawn(job_id):
+            # A further proposal shows what became of the pending ones.
+            await self._commit_cancellation(job_id)
+        if job_id not in state.jobs and job_id in state.withdrawn:
+            return self._refuse(job_id, queue, _WITHDRAWN)
         if job_id not in state.jobs and not self._recent.is_pending(job_id):
             refusal = self._check_admission(job_id, queue, message.spec)
             if refusal is not None:
-                events.log(
-                    events.JOB_REFUSED,
-                    job=job_id,
-                    queue=queue.name,
-                    version=state.version(),
-                    reason=refusal.reason,
-                    wait_ms=refusal.wait_ms,
-                    retry_after_ms=refusal.retry_after_ms,
-                    term=self.log.term(),
-                )
-                return job_messages.JobAnswer(
-                    outcome="refused", retry_after_ms=refusal.retry_after_ms
-                )
+                return self._refuse(job_id, queue, refusal)
         result = await self._accept(
             job_commands.AcceptSteps(
                 job=job_id, queue=queue.name, spec=message.spec
@@ -110,30 +108,21 @@
     async def cancel(
         self, message: job_messages.CancelJobSteps
     ) -> job_messages.JobAnswer:
-        """Cancels a job.
+        """Cancels a job; an unknown job is refused if it is submitted later.
 
         Raises:
             NotLeaderError: Nothing was committed.
+            RefusedError: Nothing was committed.
             UnknownResultError: The job may be cancelled later.
         """
         found = self._find_queue(message.host, message.path)
         if isinstance(found, job_messages.JobAnswer):
             return found
         _, job_id = found
-        self._recent.enter_term(self.log.term())
-        known = job_id in self.log.machine.stepped.jobs
-        # A job whose proposal may still commit must not run after the answer.
-        if not known and not self._recent.is_pending(job_id):
+        if not _is_valid_id(job_id):
             return job_messages.JobAnswer(outcome="no_job")
-        result = await job_proposals.propose(
-            self.log, job_commands.CancelSteps(job=job_id)
-        )
-        events.log(
-            events.JOB_CANCELLED,
-            job=job_id,
-            state=result.data.get("state", ""),
-            term=self.log.term(),
-        )
+        self._recent.enter_term(self.log.term())
+        await self._commit_cancellation(job_id)
         return self._job_answer(job_id)
 
     async def configure(
@@ -181,6 +170,56 @@
             version=state.version(), document=document
         )
 
+    async def _commit_cancellation(self, job_id: str) -> None:
+        """Commits that a job is cancelled or, if it isn't known, withdrawn.
+
+        If the result is unknown, the withdrawal remains pending in this term.
+
+        Raises:
+            NotLeaderError: Nothing was committed.
+            RefusedError: Nothing was committed.
+            UnknownResultError: The job may be cancelled later.
+        """
+        term = self._recent.begin_withdrawal(job_id)
+        try:
+            result = await job_proposals.propose(
+                self.log, job_commands.CancelSteps(job=job_id, withdraw=True)
+            )
+        except (errors.NotLeaderError, errors.RefusedError):
+            self._recent.end_withdrawal(job_id, term)
+            raise
+        self._recent.end_withdrawal(job_id, term)
+        if not result.ok:
+            raise errors.RefusedError(
+                code=result.code, text=result.text, step="cancel"
+            )
+        events.log(
+            events.JOB_CANCELLED,
+            job=job_id,
+            state=result.data["state"],
+            term=self.log.term(),
+        )
+
+    def _refuse(
+        self,
+        job_id: str,
+        queue: jobs.QueueSettings,
+        refusal: admission.Refusal,
+    ) -> job_messages.JobAnswer:
+        events.log(
+            events.JOB_REFUSED,
+            job=job_id,
+            queue=queue.name,
+            version=self.log.machine.stepped.version(),
+            reason=refusal.reason,
+            wait_ms=refusal.wait_ms,
+            retry_after_ms=refusal.retry_after_ms,
+            term=self.log.term(),
+        )
+        return job_messages.JobAnswer(
+            outcome="refused", retry_after_ms=refusal.retry_after_ms
+        )
+
     def _check_admission(
         self, job_id: str, queue: jobs.QueueSettings, spec: jobs.JobSpec
     ) -> admission.Refusal | None:
@@ -241,3 +280,7 @@
         if job is None:
             return job_messages.JobAnswer(outcome="no_job")
         return job_messages.JobAnswer(outcome="ok", state=job.state())
+
+
+def _is_valid_id(job_id: str) -> bool:
+    return 0 < len(job_id) <= value_limits.MAX_JOB_ID_CHARACTERS
--- a/bamboorouter/coordination/jobs/recent_submissions.py
+++ b/bamboorouter/coordination/jobs/recent_submissions.py
@@ -1,16 +1,18 @@
-"""Tracks recent submissions that must not be checked for admission again.
+"""Tracks recent submissions and cancellations whose result isn't applied yet.
 
 - A job whose proposal may still be committed isn't refused, because a refusal
   promises that the job never runs.
 - A refused job isn't accepted for some seconds, unless its caller was told to
   retry earlier, because a duplicate of the refused submission may arrive late
   over another connection.
+- A job isn't accepted while the withdrawal of its ID may still be committed.
 
-Both are tracked for one term. Once the first entry of a new leader's term is
+All are tracked for one term. Once the first entry of a new leader's term is
 committed, the log shows which proposals of earlier terms were committed; the
 others never will be.
 """
 
+import collections
 import dataclasses
 from typing import Final
 
@@ -45,6 +47,7 @@
 
     def __init__(self) -> None:
         self._term = 0
+        self._withdrawals: collections.Counter[str] = collections.Counter()
         self._pending: set[str] = set()
         self._refused: dict[str, _RecentRefusal] = {}
 
@@ -52,6 +55,7 @@
         """Discards submissions of earlier terms."""
         if term != self._term:
             self._term = term
+            self._withdrawals.clear()
             self._pending.clear()
             self._refused.clear()
 
@@ -67,6 +71,27 @@
         """Whether a proposal of a job may still be committed."""
         return job in self._pending
 
+    def begin_withdrawal(self, job: str) -> int:
+        """Records that the withdrawal of a job is being proposed.
+
+        Returns:
+            The term of the proposal.
+        """
+        self._withdrawals[job] += 1
+        return self._term
+
+    def end_withdrawal(self, job: str, term: int) -> None:
+        """Records that the result of a withdrawal proposed in a term is known."""
+        if term != self._term:
+            return
+        self._withdrawals[job] -= 1
+        if not self._withdrawals[job]:
+            del self._withdrawals[job]
+
+    def is_being_withdrawn(self, job: str) -> bool:
+        """Whether a withdrawal of a job may still be committed."""
+        return job in self._withdrawals
+
     def add_refusal(
         self, job: str, refusal: admission.Refusal, now: int
     ) -> None:
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -42,6 +42,7 @@
 WORKER_QUARANTINED: Final = "worker_quarantined"
 TOO_MANY_QUARANTINES: Final = "too_many_quarantines"
 TOO_MANY_DRAINS: Final = "too_many_drains"
+TOO_MANY_WITHDRAWN: Final = "too_many_withdrawn"
 UNKNOWN_OPERATION: Final = "unknown_operation"
 BAD_ARGUMENT: Final = "bad_argument"
 LOG_BUSY: Final = "log_busy"
@@ -107,6 +108,7 @@
     WORKER_QUARANTINED: "worker {worker!r} is quarantined",
     TOO_MANY_QUARANTINES: "{count} workers are quarantined already",
     TOO_MANY_DRAINS: "{count} workers and upstreams are drained already",
+    TOO_MANY_WITHDRAWN: "too many jobs were cancelled before their submission",
     UNKNOWN_OPERATION: "operation {operation!r} does not exist",
     BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
     CALL_MALFORMED: "the call is malformed",
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -476,7 +476,8 @@
     602,
     "job_cancelled",
     logging.INFO,
-    "A job was cancelled, or had already ended.",
+    "A job was cancelled, or had already ended. Without a state, the job isn't"
+    " known and is refused if it is submitted later.",
 )
 CONFIGURATION_OFFERED: Final = _define_event(
     603,
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -28,9 +28,17 @@
 
 
 class CancelSteps(base.Wire, frozen=True, kw_only=True, tag=22):
-    """Cancels a job, so that none of its tasks starts any more."""
+    """Cancels a job, so that none of its tasks starts any more.
+
+    Attributes:
+        job: ID of the job.
+        withdraw: Whether the ID of an unknown job is recorded, so that the job
+            is refused if it is submitted later; False from leaders of earlier
+            versions.
+    """
 
     job: str
+    withdraw: bool = False
 
 
 class StartRuns(base.Wire, frozen=True, kw_only=True, tag=23):
@@ -126,7 +134,7 @@
 
 
 class ForgetSteps(base.Wire, frozen=True, kw_only=True, tag=26):
-    """Removes ended jobs whose state is no longer needed.
+    """Removes ended and withdrawn jobs whose state is no longer needed.
 
     Attributes:
         jobs: IDs of the jobs.
--- a/bamboorouter/state/account_jobs.py
+++ b/bamboorouter/state/account_jobs.py
@@ -34,7 +34,7 @@
         case job_commands.AcceptSteps() if command.job == name:
             return [_accepted(command, result)]
         case job_commands.CancelSteps() if command.job == name:
-            return [("job_cancelled", "cancelled", {"job": command.job})]
+            return [_cancelled(command, result)]
         case job_commands.StartRuns():
             refused = set(result.data.get("refused", ())) if result else set()
             return [
@@ -86,6 +86,14 @@
     )
 
 
+def _cancelled(
+    command: job_commands.CancelSteps, result: commands.Result | None
+) -> Description:
+    unknown = result is not None and not result.data.get("state")
+    text = "cancelled before it was submitted" if unknown else "cancelled"
+    return ("job_cancelled", text, {"job": command.job})
+
+
 def _started(run: jobs.RunStart) -> Description:
     text = (
         f"{run.task} attempt {run.attempt} assigned to {run.worker}, number"
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -39,6 +39,7 @@
 from bamboorouter.state import given_up_runs
 from bamboorouter.state import job_records
 from bamboorouter.state import resource_math
+from bamboorouter.state import withdrawn_jobs
 
 _NO_RESOURCES: Final = common.Resources()
 
@@ -88,6 +89,9 @@
     Attributes:
         configuration: Configuration in force; None before the first one.
         jobs: Jobs by ID, in order of acceptance.
+        withdrawn: IDs of jobs that were cancelled before they were submitted.
+            The leader refuses these jobs; applying `AcceptSteps` doesn't, since
+            replicas of earlier versions don't record the IDs.
         incarnations: Newest incarnation of each worker by name.
         on_worker: Assigned tasks by worker.
         used: Resources reserved by the assigned tasks, by worker.
@@ -101,6 +105,7 @@
     def __init__(self) -> None:
         self.configuration: jobs.Configuration | None = None
         self.jobs: dict[str, job_records.Job] = {}
+        self.withdrawn = withdrawn_jobs.WithdrawnJobs()
         self.incarnations: dict[str, WorkerIncarnation] = {}
         self.on_worker: dict[str, dict[jobs.TaskRef, job_records.Task]] = {}
         self.used: dict[str, common.Resources] = {}
@@ -199,6 +204,7 @@
             for number, step in enumerate(steps)
         }
         self.accepted_count += 1
+        self.withdrawn.discard(command.job)
         self.jobs[command.job] = job_records.Job(
             id=command.job,
             sequence=self.accepted_count,
@@ -211,14 +217,26 @@
         return commands.Result(ok=True, data={"new": True})
 
     def cancel(self, command: job_commands.CancelSteps) -> commands.Result:
-        """Cancels a job; an ended job is left unchanged."""
+        """Cancels a job; an ended job is left unchanged.
+
+        Returns:
+            A result whose data holds the job's state, which is empty if the
+            job isn't known and its ID was recorded as withdrawn.
+        """
         job = self.jobs.get(command.job)
         if job is None:
-            return _refused(error_texts.NO_SUCH_JOB, job=command.job)
+            return self._withdraw(command)
         if job.open_tasks and not job.failed:
             job.cancelled = True
         return commands.Result(ok=True, data={"state": job.state()})
 
+    def _withdraw(self, command: job_commands.CancelSteps) -> commands.Result:
+        if not command.withdraw:
+            return _refused(error_texts.NO_SUCH_JOB, job=command.job)
+        if not self.withdrawn.add(command.job):
+            return _refused(error_texts.TOO_MANY_WITHDRAWN, job=command.job)
+        return commands.Result(ok=True, data={"state": ""})
+
     def start(self, command: job_commands.StartRuns) -> commands.Result:
         """Assigns the runs that are valid; the runs of a gang all or none.
 
@@ -414,8 +432,9 @@
         return commands.Result(ok=True)
 
     def forget(self, command: job_commands.ForgetSteps) -> commands.Result:
-        """Removes ended jobs that have no assigned task."""
+        """Removes withdrawn jobs, and ended ones that have no assigned task."""
         for job_id in command.jobs:
+            self.withdrawn.discard(job_id)
             job = self.jobs.get(job_id)
             if job is not None and not job.active() and not job.assigned():
                 self.given_up.forget(job_records.tasks_of(job))
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -141,12 +141,13 @@
             spec=jobs.JobSpec(spec="work", steps=steps or (make.step(),)),
         )
 
-    async def cancel(self, job: str) -> None:
-        await self.job_handler.cancel(
+    async def cancel(self, job: str) -> str:
+        answer = await self.job_handler.cancel(
             job_messages.CancelJobSteps(
                 host="desk.example", path=f"/forms/{job}"
             )
         )
+        return answer.outcome
 
     async def until(self, condition: Callable[[], Any]) -> None:
         await replica_site.wait_until(condition, timeout_s=WAIT_S)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -488,6 +488,29 @@
             (200, {"state": "cancelled"}),
         )
 
+    async def test_job_that_was_cancelled_before_it_arrived_never_runs(
+        self,
+    ) -> None:
+        """Guards against a submission that a suspended entry hands in late."""
+        self.assertEqual(await self.site.announce(), 200)
+        statuses = [
+            (
+                await self.site.call_as_caller(
+                    method, "/forms/00cc", body, entry=n
+                )
+            )[0]
+            for method, body, n in (
+                ("DELETE", None, 1),
+                ("POST", JOB, 2),
+                ("GET", None, 1),
+            )
+        ]
+        self.assertEqual(statuses, [410, 429, 410])
+        await self.site.call_as_caller("POST", "/forms/00ff", JOB)
+        await self.site.wait_until(self.job_done)
+        jobs = {name.split(".")[0] for name, _ in self.site.worker.started}
+        self.assertEqual(jobs, {"00ff"})
+
     async def test_unknown_paths_and_jobs(self) -> None:
         statuses = [
             (await self.site.call_as_caller(method, path, body))[0]
