--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -72,8 +72,8 @@
             timeout_ms: Time limit in ms for the whole call.
             first_send_timeout_ms: Time limit in ms for sending the call for the
                 first time; None for `timeout_ms`.
-            is_refusal: Returns whether an answer promises that the call is
-                never executed.
+            is_refusal: Returns whether an answer says that the call isn't
+                executed. It is true of the attempt that was answered only.
 
         Returns:
             The leader's answer; never a Redirect.
