Don't tell operators that a change was refused if it may take effect

An entry sends an operator's call again if the leader doesn't answer. If the leader refused the second attempt because its queue was full or because the first one was still changing the members, the operator was told 409, refused, and the change took effect.

A refusal of a change after an unanswered attempt is now answered 504, unknown. log_busy and members_busy at the first attempt are 503 instead of 409, so that the command-line tool tries again and keeps in mind that an attempt of its own may have been carried out.

tests.test_operator_resends fails without the change (409 where 504 or 503 is asked for; the tool raises no UnknownResultError).

--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -2,10 +2,14 @@
 
 Each call is forwarded to the leader as an `OperatorCall`. The HTTP status
 tells the operator's program whether the operation was performed (200), refused
-(409), certainly not performed (400, 503) or possibly performed (504).
+(409), certainly not performed (400, 503) or possibly performed (504). The last
+also holds if an attempt had no answer and a later one was refused: a change has
+one result for its operation ID, but a refusal before it is proposed is true of
+one attempt only.
 """
 
 import asyncio
+import functools
 from typing import Final
 from typing import get_args
 
@@ -30,6 +34,11 @@
 PENDING_POLL_PERIOD_MS: Final = 100
 
 _OPERATIONS: Final = frozenset(get_args(operator_http.Operation))
+_READING_OPERATIONS: Final = frozenset({"status", "explain"})
+# Refusals after which the same call may succeed.
+_TRANSIENT_CODES: Final = frozenset(
+    {error_texts.NOT_READY, error_texts.LOG_BUSY, error_texts.MEMBERS_BUSY}
+)
 
 
 class OperatorApi:
@@ -100,11 +109,17 @@
 
         Raises:
             RequestTimeoutError: No leader replied in time.
+            UnknownResultError: The call was refused, but an earlier attempt may
+                have been executed.
         """
         deadline = self.client.clock.now() + timeout_ms
         while True:
             remaining = deadline - self.client.clock.now()
-            reply = await self.client.call(call, timeout_ms=max(remaining, 0))
+            reply = await self.client.call(
+                call,
+                timeout_ms=max(remaining, 0),
+                is_refusal=functools.partial(_is_refusal, call),
+            )
             if not (
                 isinstance(reply, messages.OperatorReply)
                 and reply.data.get(explanations.PENDING)
@@ -162,12 +177,19 @@
     return application
 
 
+def _is_refusal(call: messages.OperatorCall, reply: messages.Message) -> bool:
+    """Whether a reply says that a change wasn't proposed."""
+    return call.operation not in _READING_OPERATIONS and isinstance(
+        reply, messages.Refusal
+    )
+
+
 def _refusal_status(code: str) -> int:
     """Returns the HTTP status of a refusal.
 
     Only `STATUS_NOT_DONE` says that the same call may succeed later.
     """
-    if code == error_texts.NOT_READY:
+    if code in _TRANSIENT_CODES:
         return operator_http.STATUS_NOT_DONE
     return operator_http.STATUS_REFUSED
 
