Free a key whose reservation was refused after a lost answer

A request that must run once was answered not_run because the leader refused its reservation (log_busy). An earlier attempt of the reservation had been committed without an answer, so the key stayed reserved for a request that never runs: each resend of the caller ended as unknown.

The entry treats a refusal after an unanswered attempt like a missing answer: it records not_run for the key in the background.

tests.test_reservations.RefusedReservationTest fails without the change (no outcome is recorded within 5 s).

--- a/bamboorouter/coordination/requests/request_records.py
+++ b/bamboorouter/coordination/requests/request_records.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import contextlib
 import itertools
 from typing import Final
@@ -37,9 +38,20 @@
     """Interface for calls to the leader; `ControlClient` implements it."""
 
     async def call(
-        self, message: messages.Message, *, timeout_ms: int
+        self,
+        message: messages.Message,
+        *,
+        timeout_ms: int,
+        is_refusal: Callable[[messages.Message], bool] = ...,
     ) -> messages.Message:
-        """Sends a message to the leader until it is answered."""
+        """Sends a message to the leader until it is answered.
+
+        Raises:
+            RequestTimeoutError: No leader answered in time; the call may have
+                been executed.
+            UnknownResultError: The answer is one for which `is_refusal` is
+                true, but an earlier attempt may still be executed.
+        """
         ...
 
 
--- a/bamboorouter/coordination/requests/reservations.py
+++ b/bamboorouter/coordination/requests/reservations.py
@@ -80,8 +80,10 @@
         )
         timeout_ms = request.deadline - self.clock.now()
         try:
-            reply = await self.leader.call(call, timeout_ms=timeout_ms)
-        except errors.RequestTimeoutError:
+            reply = await self.leader.call(
+                call, timeout_ms=timeout_ms, is_refusal=_is_refusal
+            )
+        except (errors.RequestTimeoutError, errors.UnknownResultError):
             # The reservation may be committed. Recording that the request
             # wasn't dispatched releases the key for another attempt.
             refusal = caller_requests.error_reply(
@@ -173,6 +175,11 @@
             )
 
 
+def _is_refusal(reply: messages.Message) -> bool:
+    """Whether a reply says that a reservation wasn't proposed."""
+    return not isinstance(reply, messages.ReservationReply)
+
+
 def _outcome_message(
     request: caller_requests.CallerRequest, reply: caller_requests.Reply
 ) -> messages.RecordOutcome:
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -7,7 +7,9 @@
 import aiohttp
 from aiohttp import web
 
+from bamboorouter import error_texts
 from bamboorouter.protocol import messages
+from bamboorouter.transport import link
 from tests import request_site
 
 
@@ -219,3 +221,64 @@
                 pass
         self.assertEqual((await self._send_request(key))[2], "slot 1")
         self.assertEqual(self._requests_seen(), 1)
+
+
+class _BusyLeader(request_site.FakeLeader):
+    """Leaves the first reservation unanswered and refuses the next attempts.
+
+    Attributes:
+        busy: Whether attempts to reserve are refused.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.busy = False
+        self._reserved = False
+
+    async def handle(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        if not self.busy or not isinstance(message, messages.Reserve):
+            return await super().handle(message, peer)
+        if self._reserved:
+            return messages.Refusal(code=error_texts.LOG_BUSY, text="busy")
+        self._reserved = True
+        await super().handle(message, peer)
+        return None
+
+
+class RefusedReservationTest(unittest.IsolatedAsyncioTestCase):
+    """A reservation that is refused after an attempt without an answer."""
+
+    async def test_key_is_free_again(self) -> None:
+        """Guards against a key that is held by a request that never runs."""
+
+        async def serve(_: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(text="slot")
+
+        site = request_site.Site(
+            services=[request_site.service("entries", idempotent=False)],
+            vms=[request_site.Vm(name="w1", service="entries", handler=serve)],
+        )
+        leader = _BusyLeader()
+        leader.services = site.leader.services
+        site.leader = leader
+        await site.start()
+        self.addAsyncCleanup(site.stop)
+        key = request_site.key(30)
+
+        async def send() -> tuple[int, str]:
+            async with site.client.post(
+                f"{site.url}/entries/enter",
+                data=b"a",
+                headers={"Idempotency-Key": key},
+            ) as answer:
+                return answer.status, answer.headers["Bamboorouter-Outcome"]
+
+        leader.busy = True
+        self.assertEqual(await send(), (503, "not_run"))
+        leader.busy = False
+        await request_site.eventually(
+            lambda: leader.reservations[key].outcome is not None
+        )
+        self.assertEqual(await send(), (200, "completed"))
