Count a job as begun only once a worker has begun one of its tasks

The assignment of a task marked its job as started, and nothing took that back. A job now counts as begun when an agent reports a run that its worker lists, an end that only a worker can list, or the loss of a run whose start was confirmed. The mark decides nothing, so mixed versions agree on everything else.

--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -1,8 +1,8 @@
 """Replicates what a leader observes, so that later leaders can use it.
 
-Task checkpoints, the interference between images, and the runs that clear their
-tasks of crashes are known only from the reports of agents and would be lost
-with the leader. Changes are committed periodically, and a new leader restores
+Task checkpoints, which jobs have begun, the interference between images, and the
+runs that clear their tasks of crashes are known only from the reports of agents
+and would be lost with the leader. Changes are committed periodically, and a new leader restores
 what was committed before its term.
 """
 
@@ -79,14 +79,17 @@
         cleared = self.crash_survival.survivors(
             self.table.workers.values(), self.log.machine.stepped
         )
+        begun = self._begun_jobs()
         for checkpoints in batches(self._newer_checkpoints()):
             await job_proposals.propose(
                 self.log, job_commands.NoteCheckpoints(checkpoints=checkpoints)
             )
-        if cleared:
+        if cleared or begun:
             await job_proposals.propose(
                 self.log,
-                job_commands.NoteCheckpoints(checkpoints=(), cleared=cleared),
+                job_commands.NoteCheckpoints(
+                    checkpoints=(), cleared=cleared, begun=begun
+                ),
             )
             crash_survival.log_cleared(cleared, term=self.log.term())
         disturbances = self._changed_disturbances()
@@ -111,6 +114,20 @@
             and task.checkpoint != run.checkpoint
         )
 
+    def _begun_jobs(self) -> tuple[str, ...]:
+        """Returns the jobs of which a worker lists a run for the first time."""
+        state = self.log.machine.stepped
+        return tuple(
+            {
+                run.task.job: None
+                for worker in self.table.workers.values()
+                for run in worker.report.runs
+                if run.running
+                and state.task(run.task) is not None
+                and not state.jobs[run.task.job].begun
+            }
+        )
+
     def _changed_disturbances(self) -> tuple[jobs.Disturbance, ...]:
         changed = self.interference.changed_since(
             self.log.machine.stepped.disturbances
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -1,5 +1,6 @@
 """Commands of the replicated state machine for jobs with steps."""
 
+from typing import Any
 from typing import Literal
 
 from bamboorouter.protocol import base
@@ -75,10 +76,15 @@
         checkpoints: Checkpoints of runs that are still in progress.
         cleared: Runs that have gone on for longer than those of the task under
             which workers crashed; these crashes don't count any more.
+        unused: Ignored; an unreleased version recorded other data here.
+        begun: IDs of jobs of which a worker has begun a task; empty from leaders
+            of earlier versions.
     """
 
     checkpoints: tuple[jobs.Checkpoint, ...]
     cleared: tuple[jobs.RunId, ...] = ()
+    unused: tuple[Any, ...] = ()
+    begun: tuple[str, ...] = ()
 
 
 class NoteDisturbances(base.Wire, frozen=True, kw_only=True, tag=28):
--- a/bamboorouter/state/job_records.py
+++ b/bamboorouter/state/job_records.py
@@ -1,5 +1,6 @@
 """Records of jobs with steps and their tasks in the replicated state."""
 
+from collections.abc import Iterator
 import dataclasses
 import itertools
 from typing import Any
@@ -100,7 +101,8 @@
         cancelled: Whether the job was cancelled.
         failed: Whether a task has used up its attempts or was given up because
             its workers crashed.
-        started: Whether any task was ever assigned.
+        begun: Whether a worker has begun any task, as far as its agent has
+            reported. An assigned run may be rejected or lost before that.
         tasks: Tasks of each step, by number of the occurrence and of the
             step.
         open_tasks: Number of tasks that are not done.
@@ -113,7 +115,7 @@
     accepted_ms: int
     cancelled: bool = False
     failed: bool = False
-    started: bool = False
+    begun: bool = False
     tasks: dict[tuple[int, int], list[Task]]
     open_tasks: int
 
@@ -125,7 +127,7 @@
             return "failed"
         if not self.open_tasks:
             return "done"
-        return "running" if self.started else "queued"
+        return "running" if self.begun else "queued"
 
     def active(self) -> bool:
         """Whether tasks of the job may still be started."""
@@ -133,11 +135,11 @@
 
     def assigned(self) -> bool:
         """Whether any task of the job is assigned."""
-        return any(
-            task.status == "assigned"
-            for step_tasks in self.tasks.values()
-            for task in step_tasks
-        )
+        return any(task.status == "assigned" for task in self.all_tasks())
+
+    def all_tasks(self) -> Iterator[Task]:
+        """Returns the tasks of all steps."""
+        return itertools.chain.from_iterable(self.tasks.values())
 
     def step_done(self, occurrence: int, step: int) -> bool:
         """Whether all tasks of a step are done."""
@@ -179,7 +181,8 @@
         job.accepted_ms,
         job.cancelled,
         job.failed,
-        job.started,
+        # Earlier versions read here whether any task was ever assigned.
+        any(task.attempt for task in job.all_tasks()),
         job.open_tasks,
         [
             [*key, [list(dataclasses.astuple(task)) for task in step_tasks]]
@@ -189,10 +192,14 @@
 
 
 def job_from_lists(plain: list[Any]) -> Job:
-    """Returns the job whose plain lists `job_to_lists` returned."""
+    """Returns the job whose plain lists `job_to_lists` returned.
+
+    Whether it has begun is part of the snapshot, but not of these lists; it is
+    derived from what its tasks show.
+    """
     job_id, sequence, queue, spec, accepted_ms, cancelled = plain[:6]
-    failed, started, open_tasks, tasks = plain[6:]
-    return Job(
+    failed, _, open_tasks, tasks = plain[6:]
+    job = Job(
         id=job_id,
         sequence=sequence,
         queue=msgspec.convert(queue, jobs.QueueSettings),
@@ -200,7 +207,6 @@
         accepted_ms=accepted_ms,
         cancelled=cancelled,
         failed=failed,
-        started=started,
         open_tasks=open_tasks,
         tasks={
             (occurrence, step): [
@@ -209,6 +215,19 @@
             for occurrence, step, step_tasks in tasks
         },
     )
+    job.begun = any(_has_run(task) for task in job.all_tasks())
+    return job
+
+
+def _has_run(task: Task) -> bool:
+    """Whether the record of a task shows that a worker has begun it."""
+    return bool(
+        task.status == "done"
+        or task.failures
+        or task.checkpoint
+        or task.confirmed_crashes
+        or any(run.started for run in task.given_up)
+    )
 
 
 def _restored_task(fields: list[Any]) -> Task:
--- a/bamboorouter/state/machine.py
+++ b/bamboorouter/state/machine.py
@@ -7,7 +7,6 @@
 
 import collections
 from collections.abc import Callable
-import itertools
 from typing import Any
 from typing import Final
 
@@ -31,9 +30,9 @@
 SNAPSHOT_VERSION: Final = 1
 # Number of fields in snapshots written before jobs with steps existed.
 _FIELDS_WITHOUT_STEPS: Final = 8
-# Number of fields in snapshots written before withdrawn jobs were recorded.
-# Earlier versions ignore the fields beyond it.
-_FIELDS_WITHOUT_WITHDRAWN_JOBS: Final = 9
+# Number of fields in snapshots written before withdrawn and begun jobs were
+# recorded. Versions without them ignore the fields beyond it.
+_FIELDS_WITHOUT_JOB_MARKS: Final = 9
 # Entry processes whose last batch number is kept to deduplicate batches of
 # request records.
 MAX_RECORD_SOURCES: Final = 512
@@ -119,6 +118,7 @@
                 [[name, *pair] for name, pair in self.record_sources.items()],
                 self.stepped.snapshot(),
                 self.stepped.withdrawn.snapshot(),
+                self.stepped.snapshot_begun(),
             ]
         )
 
@@ -132,13 +132,9 @@
             self.stepped.restore(fields[_FIELDS_WITHOUT_STEPS])
         else:
             self.stepped.restore(stepped_jobs.SteppedJobs().snapshot())
-        self.stepped.withdrawn.restore(
-            list(
-                itertools.chain.from_iterable(
-                    fields[_FIELDS_WITHOUT_WITHDRAWN_JOBS:]
-                )
-            )
-        )
+        withdrawn, begun = fields[_FIELDS_WITHOUT_JOB_MARKS:] or ([], [])
+        self.stepped.withdrawn.restore(withdrawn)
+        self.stepped.restore_begun(begun)
         self.applied_index = index
         self.now_ms = now_ms
         self.plan.restore(plan_state)
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -161,9 +161,9 @@
         return any(task.status != "assigned" for _, task in self.group_of(ref))
 
     def waiting_jobs(self, queue: str) -> int:
-        """Returns how many active jobs of a queue have not started a task."""
+        """Returns of how many active jobs of a queue no task has begun."""
         return sum(
-            job.queue.name == queue and not job.started and job.active()
+            job.queue.name == queue and not job.begun and job.active()
             for job in self.jobs.values()
         )
 
@@ -326,6 +326,7 @@
             )
             for end in lost:
                 self._end_run(end, tracked=bool(command.ended.life))
+            self._mark_begun(run.task.job for run in command.ended.started)
             if before is not None and before.life == command.ended.life:
                 suspects, convicted = self._count_crash(command)
         return commands.Result(
@@ -399,7 +400,8 @@
     def note_checkpoints(
         self, command: job_commands.NoteCheckpoints
     ) -> commands.Result:
-        """Records checkpoints, and clears suspects."""
+        """Records checkpoints and begun jobs, and clears suspects."""
+        self._mark_begun(command.begun)
         for checkpoint in command.checkpoints:
             task = self.task(checkpoint.task)
             if (
@@ -419,6 +421,11 @@
                 self.given_up.clear_crashes(run.task, task)
         return commands.Result(ok=True)
 
+    def _mark_begun(self, job_ids: Iterable[str]) -> None:
+        for job_id in job_ids:
+            if job_id in self.jobs:
+                self.jobs[job_id].begun = True
+
     def note_disturbances(
         self, command: job_commands.NoteDisturbances
     ) -> commands.Result:
@@ -485,9 +492,8 @@
             return False
         need = reserved(self.step(first))
         for run in runs:
-            job, task = self.jobs[run.task.job], self.task(run.task)
+            task = self.task(run.task)
             assert task is not None
-            job.started = True
             task.status = "assigned"
             task.attempt = run.attempt
             task.worker = run.worker
@@ -554,6 +560,8 @@
         task = self.task(end.task)
         if job is None or task is None:
             return False
+        if end.how not in ("lost", "rejected") or end.started:
+            job.begun = True
         resolved = tracked and self._resolve_given_up_run(job, task, end)
         if task.attempt != end.attempt:
             return resolved
@@ -639,6 +647,14 @@
             [[*pair, weight] for pair, weight in self.disturbances.items()],
         ]
 
+    def snapshot_begun(self) -> list[str]:
+        """Returns the IDs of the jobs that have begun, for a snapshot."""
+        return [job.id for job in self.jobs.values() if job.begun]
+
+    def restore_begun(self, job_ids: Iterable[str]) -> None:
+        """Restores, after `restore`, which jobs have begun."""
+        self._mark_begun(job_ids)
+
     def restore(self, data: list[Any]) -> None:
         """Replaces the state with the one in a snapshot."""
         config, self.last_session, self.accepted_count, incarnations, plain = (
