Count the time for which a suspended entry leaves requests unread

Requests waited in the sockets of a suspended entry. Once it was resumed, it counted their deadlines from the moment at which it read them: it handed in jobs, ran requests and made operators' calls whose callers had given up and acted on it, for example after another entry had refused the same job.

A request that is read within 500 ms after a gap of more than 500 ms counts as arrived when the gap began. If its deadline has passed, it isn't sent and is answered as not run; an operator's call counts as timed out after 5 s.

--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -53,6 +53,7 @@
 CALL_MALFORMED: Final = "call_malformed"
 OPERATION_REUSED: Final = "operation_reused"
 NOT_REACHED: Final = "not_reached"
+READ_TOO_LATE: Final = "read_too_late"
 
 # Failures of requests that were or may have been started.
 NO_ANSWER: Final = "no_answer"
@@ -108,6 +109,7 @@
     WORKER_QUARANTINED: "worker {worker!r} is quarantined",
     TOO_MANY_QUARANTINES: "{count} workers are quarantined already",
     TOO_MANY_DRAINS: "{count} workers and upstreams are drained already",
+    READ_TOO_LATE: "the entry was suspended until the call had timed out",
     TOO_MANY_WITHDRAWN: "too many jobs were cancelled before their submission",
     UNKNOWN_OPERATION: "operation {operation!r} does not exist",
     BAD_ARGUMENT: "argument {argument!r} is missing or not allowed",
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -135,6 +135,14 @@
     "A background loop failed with an unexpected error and is restarted.",
 )
 
+LOOP_SUSPENDED: Final = _define_event(
+    20,
+    "loop_suspended",
+    logging.WARNING,
+    "The process was suspended or its loop was busy; requests that are read now"
+    " may have arrived at any time since then.",
+)
+
 # 100-199: consensus and storage.
 TORN_TAIL_CUT: Final = _define_event(
     100,
--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -29,6 +29,7 @@
 from bamboorouter.protocol import messages
 from bamboorouter.roles import entry_http
 from bamboorouter.roles import operator_api
+from bamboorouter.transport import arrivals
 from bamboorouter.transport import link
 
 POLL_PERIOD_MS: Final = 500
@@ -52,6 +53,7 @@
         admission: Queue of requests that wait for admission.
         reservations: Reservations of idempotency keys at the leader.
         recorder: Sends records of requests to the leader for the account.
+        arrivals: Arrival times of requests of callers and operators.
         server: HTTP server for callers.
     """
 
@@ -95,6 +97,7 @@
             leader=self.client,
             time=self.clock,
         )
+        self.arrivals = arrivals.ArrivalTimes(time=self.clock)
         self.server = entry_http.CallerServer(
             settings=settings,
             incarnation=self.incarnation,
@@ -102,12 +105,14 @@
             dispatcher=self._make_dispatcher(),
             recorder=self.recorder,
             time=self.clock,
+            arrival_times=self.arrivals,
         )
         self._poll_task: asyncio.Task[None] | None = None
         self._operator_runner: web.AppRunner | None = None
 
     async def start(self) -> None:
         """Binds all addresses and starts the background work."""
+        self.arrivals.start()
         host, port = options.split_address(self.settings.listen)
         bound = await self.server.start(host, port)
         self.addresses["entry.listen"] = f"{host}:{bound}"
@@ -131,6 +136,7 @@
             self._poll_task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._poll_task
+        self.arrivals.stop()
         await self.links.close()
         await self.client.close()
 
@@ -176,7 +182,9 @@
     async def _serve_operators(self) -> None:
         """Starts the HTTP server for operators."""
         self._operator_runner = web.AppRunner(
-            operator_api.make_application(client=self.client),
+            operator_api.make_application(
+                client=self.client, arrival_times=self.arrivals
+            ),
             access_log=None,
         )
         await self._operator_runner.setup()
--- a/bamboorouter/roles/entry_http.py
+++ b/bamboorouter/roles/entry_http.py
@@ -28,6 +28,7 @@
 from bamboorouter.coordination.requests import reservations
 from bamboorouter.coordination.requests import route_table
 from bamboorouter.protocol import common
+from bamboorouter.transport import arrivals
 
 DEADLINE_HEADER: Final = "Bamboorouter-Deadline-Ms"
 OUTCOME_HEADER: Final = "Bamboorouter-Outcome"
@@ -128,6 +129,7 @@
         dispatcher: Runs requests.
         recorder: Records outcomes for the account.
         clock: Source of time.
+        arrivals: Arrival times of requests.
         stopping: Whether the server accepts no new connections.
     """
 
@@ -140,6 +142,7 @@
         dispatcher: Dispatcher,
         recorder: Recorder,
         time: clock.Clock,
+        arrival_times: arrivals.ArrivalTimes,
     ) -> None:
         self.settings = settings
         self.incarnation = incarnation
@@ -147,6 +150,7 @@
         self.dispatcher = dispatcher
         self.recorder = recorder
         self.clock = time
+        self.arrivals = arrival_times
         self.stopping = False
         self._request_id_prefix = f"{incarnation:x}-"
         self._counter = itertools.count(1)
@@ -233,7 +237,7 @@
             headers=(),
             body=b"",
             # The time of arrival, to which `_parse_head` adds the allowed time.
-            deadline=self.clock.now(),
+            deadline=self.arrivals.arrival_ms(),
         )
 
     async def _run(
--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -25,6 +25,7 @@
 from bamboorouter.protocol import json_body
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import operator_http
+from bamboorouter.transport import arrivals
 
 # Failover takes up to 3 s, and a call that arrives meanwhile should succeed.
 CALL_TIMEOUT_MS: Final = 5_000
@@ -46,13 +47,23 @@
 
     Attributes:
         client: The entry's connection to the leader.
+        arrivals: Arrival times of requests.
     """
 
-    def __init__(self, *, client: control_client.ControlClient) -> None:
+    def __init__(
+        self,
+        *,
+        client: control_client.ControlClient,
+        arrival_times: arrivals.ArrivalTimes | None = None,
+    ) -> None:
         self.client = client
+        self.arrivals = arrival_times or arrivals.ArrivalTimes(
+            time=client.clock
+        )
 
     async def call(self, request: web.Request) -> web.Response:
         """Forwards a call to the leader and returns the leader's reply."""
+        arrival_ms = self.arrivals.arrival_ms()
         operation = request.match_info["operation"]
         if operation not in _OPERATIONS:
             return _error_response(
@@ -66,10 +77,13 @@
             return _error_response(operator_http.STATUS_MALFORMED, str(err))
         if problem := json_body.find_unsendable(body.arguments):
             return _error_response(operator_http.STATUS_MALFORMED, problem)
-        return await self._forward(operation, body)
+        return await self._forward(operation, body, arrival_ms)
 
     async def _forward(
-        self, operation: str, body: operator_http.CallBody
+        self,
+        operation: str,
+        body: operator_http.CallBody,
+        arrival_ms: clock.Millis,
     ) -> web.Response:
         call = messages.OperatorCall(
             operation=operation,
@@ -80,8 +94,17 @@
         timeout_ms = (
             EXPLAIN_TIMEOUT_MS if operation == "explain" else CALL_TIMEOUT_MS
         )
+        deadline = clock.Millis(arrival_ms + timeout_ms)
+        if deadline <= self.client.clock.now():
+            # The operator's program no longer waits, and later calls of it may
+            # have been carried out.
+            return _error_response(
+                operator_http.STATUS_NOT_DONE,
+                error_texts.text_for(error_texts.READ_TOO_LATE),
+                code=error_texts.READ_TOO_LATE,
+            )
         try:
-            reply = await self._call_leader(call, timeout_ms)
+            reply = await self._call_leader(call, deadline)
         except errors.RouterError as err:
             events.log(
                 events.OPERATOR_CALL_UNANSWERED,
@@ -101,7 +124,7 @@
         return self._to_response(call, reply)
 
     async def _call_leader(
-        self, call: messages.OperatorCall, timeout_ms: int
+        self, call: messages.OperatorCall, deadline: clock.Millis
     ) -> messages.Message:
         """Repeats a call until the reply is no longer pending.
 
@@ -112,7 +135,6 @@
             UnknownResultError: The call was refused, but an earlier attempt may
                 have been executed.
         """
-        deadline = self.client.clock.now() + timeout_ms
         while True:
             remaining = deadline - self.client.clock.now()
             reply = await self.client.call(
@@ -160,17 +182,19 @@
 
 def make_application(
     client: control_client.ControlClient,
+    arrival_times: arrivals.ArrivalTimes | None = None,
 ) -> web.Application:
     """Builds the application that an entry serves on its operator address.
 
     Args:
         client: The entry's connection to the leader.
+        arrival_times: Arrival times of requests.
 
     Returns:
         The application, which the calling code has to run and stop.
     """
     application = web.Application(client_max_size=operator_http.MAX_BODY_BYTES)
-    api = OperatorApi(client=client)
+    api = OperatorApi(client=client, arrival_times=arrival_times)
     application.router.add_post(
         operator_http.PATH_PREFIX + "{operation}", api.call
     )
@@ -202,10 +226,9 @@
     )
 
 
-def _error_response(status: int, text: str) -> web.Response:
+def _error_response(
+    status: int, text: str, *, code: str = error_texts.CALL_MALFORMED
+) -> web.Response:
     return _json_response(
-        status,
-        operator_http.ReplyBody(
-            ok=False, code=error_texts.CALL_MALFORMED, text=text
-        ),
+        status, operator_http.ReplyBody(ok=False, code=code, text=text)
     )
