Don't grant a reservation that arrives after its request was not run

An entry that gets no answer to the reservation of a key tells the caller that the request was not run, and records that for the key. If a link had held the reservation back, the record found no key and was dropped; the reservation was granted afterwards, and each later attempt of the caller with this key ended as unknown until the key expired.

The outcome not_run is kept for unknown keys as well, and an attempt with this outcome is never granted. Another attempt is granted as before. In a group of mixed versions, replicas may differ in who holds such a key.

--- a/bamboorouter/state/request_keys.py
+++ b/bamboorouter/state/request_keys.py
@@ -4,6 +4,10 @@
 request with an expired key is answered `unknown` and not dispatched. The
 current time is the highest wall time of all applied batches, so that a leader
 whose clock is behind cannot reserve an expired key again.
+
+A reservation may arrive after the outcome of its attempt if a link holds it
+back. An attempt that was recorded as not run is therefore never granted, and
+the outcome is also recorded if the key isn't reserved yet.
 """
 
 import heapq
@@ -29,6 +33,8 @@
 # answers above `MAX_BODY_BYTES`.
 MAX_STORED_BYTES: Final = 8 * 1024 * 1024
 _TIMESTAMP_SHIFT: Final = 80
+# Fingerprint of a record whose request isn't known.
+_UNKNOWN_FINGERPRINT: Final = 0
 
 
 class KeyRecord(msgspec.Struct, array_like=True, kw_only=True):
@@ -37,7 +43,8 @@
     Attributes:
         key: The key in canonical text form.
         created_ms: Timestamp in the key, in ms since the epoch.
-        fingerprint: Digest of the request's service, method, target and body.
+        fingerprint: Digest of the request's service, method, target and body;
+            0 if only the outcome of an attempt that didn't run is known.
         attempt: Attempt that holds the reservation.
         outcome: Recorded outcome; empty while in progress.
         status: HTTP status of the answer.
@@ -99,24 +106,13 @@
             recorded answer.
         """
         self._drop_expired(now_ms)
-        created_ms = key_time_ms(command.key)
-        if created_ms is None or created_ms > now_ms + MAX_CLOCK_SKEW_MS:
-            return _refused(error_texts.KEY_MALFORMED)
         record = self.records.get(command.key)
         if record is not None:
             return self._reserve_again(record, command)
-        if now_ms - created_ms >= RETENTION_MS:
-            return _expired_result()
-        if len(self.records) >= MAX_KEYS:
-            return _refused(error_texts.KEY_TABLE_FULL)
-        record = KeyRecord(
-            key=command.key,
-            created_ms=created_ms,
-            fingerprint=command.fingerprint,
-            attempt=command.attempt,
-        )
-        self.records[command.key] = record
-        heapq.heappush(self._expiry_heap, (created_ms, command.key))
+        refusal = _key_refusal(command.key, len(self.records), now_ms)
+        if refusal is not None:
+            return refusal
+        record = self._add(command.key, command.attempt, command.fingerprint)
         return _state_result("granted", record)
 
     def record(
@@ -126,7 +122,13 @@
         self._drop_expired(now_ms)
         record = self.records.get(command.key)
         if record is None:
-            return _expired_result()
+            if command.outcome != "not_run" or _key_refusal(
+                command.key, len(self.records), now_ms
+            ):
+                return _expired_result()
+            record = self._add(
+                command.key, command.attempt, _UNKNOWN_FINGERPRINT
+            )
         if record.attempt != command.attempt:
             return commands.Result(
                 ok=False,
@@ -158,14 +160,32 @@
         self._keys_with_body = dict.fromkeys(with_body)
         self.stored_bytes = sum(len(r.body) for r in converted)
 
+    def _add(self, key: str, attempt: str, fingerprint: int) -> KeyRecord:
+        """Adds and returns the record of a valid key."""
+        created_ms = key_time_ms(key)
+        assert created_ms is not None
+        record = KeyRecord(
+            key=key,
+            created_ms=created_ms,
+            fingerprint=fingerprint,
+            attempt=attempt,
+        )
+        self.records[key] = record
+        heapq.heappush(self._expiry_heap, (created_ms, key))
+        return record
+
     def _reserve_again(
         self, record: KeyRecord, command: commands.ReserveRequest
     ) -> commands.Result:
-        if record.fingerprint != command.fingerprint:
+        if record.fingerprint not in (
+            _UNKNOWN_FINGERPRINT,
+            command.fingerprint,
+        ):
             return _refused(error_texts.KEY_REUSED)
-        if record.outcome == "not_run":
+        if record.outcome == "not_run" and record.attempt != command.attempt:
             # The request was not run, so a new attempt may run it.
             self._discard_body(record)
+            record.fingerprint = command.fingerprint
             record.attempt = command.attempt
             record.outcome = ""
             return _state_result("granted", record)
@@ -223,6 +243,26 @@
     return data
 
 
+def _key_refusal(
+    key: str, known_keys: int, now_ms: int
+) -> commands.Result | None:
+    """Returns why a key can't be added; None if it can.
+
+    Args:
+        key: The key.
+        known_keys: Number of recorded keys.
+        now_ms: Highest wall time of all applied batches, in ms.
+    """
+    created_ms = key_time_ms(key)
+    if created_ms is None or created_ms > now_ms + MAX_CLOCK_SKEW_MS:
+        return _refused(error_texts.KEY_MALFORMED)
+    if now_ms - created_ms >= RETENTION_MS:
+        return _expired_result()
+    if known_keys >= MAX_KEYS:
+        return _refused(error_texts.KEY_TABLE_FULL)
+    return None
+
+
 def _state_result(state: str, record: KeyRecord) -> commands.Result:
     return commands.Result(ok=True, data=_record_data(state, record))
 
--- a/tests/test_request_keys.py
+++ b/tests/test_request_keys.py
@@ -79,6 +79,43 @@
         late = self.record("a", "completed")
         self.assertEqual(late.code, error_texts.STALE_ATTEMPT)
 
+    def test_reservation_that_arrives_after_its_outcome_is_not_granted(
+        self,
+    ) -> None:
+        """Guards against a key that is held by a request that never runs.
+
+        A link holds the reservation back; the entry gives up meanwhile.
+        """
+        self.assertEqual(self.record("a", "not_run").data["state"], "done")
+        late = self.reserve("a").data
+        self.assertEqual((late["state"], late["outcome"]), ("done", "not_run"))
+        self.assertEqual(self.reserve("b").data["state"], "granted")
+        # A copy of the same reservation.
+        self.assertEqual(self.reserve("a").data["state"], "in_progress")
+
+    def test_copy_of_a_released_reservation_is_not_granted(self) -> None:
+        self.reserve("a")
+        self.record("a", "not_run")
+        self.assertEqual(self.reserve("a").data["state"], "done")
+        self.assertEqual(self.reserve("b").data["state"], "granted")
+
+    def test_outcome_of_an_unknown_key_is_kept_only_if_it_was_not_run(
+        self,
+    ) -> None:
+        self.assertEqual(self.record("a", "completed").data["state"], "done")
+        self.assertEqual(self.reserve("a").data["state"], "granted")
+
+    def test_key_whose_request_did_not_run_gets_the_next_fingerprint(
+        self,
+    ) -> None:
+        self.record("a", "not_run")
+        self.assertEqual(
+            self.reserve("b", fingerprint=7).data["state"], "granted"
+        )
+        self.assertEqual(
+            self.reserve("c", fingerprint=8).code, error_texts.KEY_REUSED
+        )
+
     def test_expired_key_is_unknown_even_if_the_clock_goes_back(self) -> None:
         self.reserve("a")
         self.apply.wall_ms += request_keys.RETENTION_MS
