Don't take a service that never begins for a successful probe

A worker that was quarantined for failures gets one probe task. A service counted as a successful probe 30 s after it was assigned, also if the worker never began it; the worker then got tasks like any other.

Agents report whether the worker has confirmed the start of a task, and the 30 s count from the first such report. Agents of earlier versions don't tell; their tasks count as begun, as before.

test_service_that_never_begins_is_no_successful_probe fails without the change in the fault detector (the quarantine is cleared).

--- a/bamboorouter/coordination/requests/task_leases.py
+++ b/bamboorouter/coordination/requests/task_leases.py
@@ -295,6 +295,7 @@
                 state=held.state,
                 checkpoint=held.checkpoint,
                 detail=held.detail if held.ended else "",
+                started=held.started,
             )
             for held in self.tasks.values()
         )
--- a/bamboorouter/coordination/scheduling/fault_detector.py
+++ b/bamboorouter/coordination/scheduling/fault_detector.py
@@ -140,7 +140,7 @@
         if new_outcomes:
             decisions.extend(self._failed_jobs(state))
         decisions.extend(self._quarantines(state, new_outcomes, wall_ms))
-        decisions.extend(self._successful_probes(state, wall_ms))
+        decisions.extend(self._successful_probes(state, now, wall_ms))
         if now - self.registered_ms >= REGISTRATION_SETTLE_MS:
             decisions.extend(_oversized_jobs(state, plan))
         return decisions
@@ -205,9 +205,12 @@
         return quarantines
 
     def _successful_probes(
-        self, state: machine.Machine, wall_ms: int
+        self, state: machine.Machine, now: clock.Millis, wall_ms: int
     ) -> list[commands.Command]:
-        """Returns commands that clear quarantines after a service probe."""
+        """Returns commands that clear quarantines after a service probe.
+
+        An assigned service that its worker never begins proves nothing.
+        """
         return [
             commands.Quarantine(
                 worker=worker.name, until_ms=0, reason="the probe succeeded"
@@ -217,7 +220,9 @@
             if any(
                 task.kind == "service"
                 and task.assigned_ms >= worker.quarantined_until_ms
-                and wall_ms - task.assigned_ms >= SERVICE_PROBE_MS
+                and (lease := self.leases.by_epoch.get(task.epoch)) is not None
+                and lease.begun_ms is not None
+                and now - lease.begun_ms >= SERVICE_PROBE_MS
                 for task in state.assignments.worker_tasks(worker.name)
             )
         ]
--- a/bamboorouter/coordination/scheduling/heartbeats.py
+++ b/bamboorouter/coordination/scheduling/heartbeats.py
@@ -231,6 +231,8 @@
             self.throttles.resume(task.epoch)
         lease.reported = True
         lease.reported_by = incarnation
+        if task_state.started and lease.begun_ms is None:
+            lease.begun_ms = now
         if task_state.checkpoint and task_state.checkpoint != lease.checkpoint:
             lease.checkpoint = task_state.checkpoint
             lease.checkpoint_at_ms = now
--- a/bamboorouter/coordination/scheduling/leases.py
+++ b/bamboorouter/coordination/scheduling/leases.py
@@ -40,6 +40,8 @@
         reported: Whether the agent has reported the task to this leader.
         reported_by: Incarnation of the agent that last reported it; 0 if none
             has.
+        begun_ms: Monotonic time in ms of the first report to this leader that
+            the worker has begun the task; None before.
         checkpoint: Newest checkpoint that the agent reported.
         checkpoint_at_ms: Monotonic time in ms at which that checkpoint was
             first reported; time of the assignment if there is none.
@@ -54,6 +56,7 @@
     inherited: bool = False
     reported: bool = False
     reported_by: int = 0
+    begun_ms: clock.Millis | None = None
     checkpoint: str = ""
     checkpoint_at_ms: int = 0
 
--- a/bamboorouter/protocol/common.py
+++ b/bamboorouter/protocol/common.py
@@ -78,6 +78,8 @@
         state: "running", "finished", "failed", "evicted" or "stopped".
         checkpoint: Last checkpoint that the worker confirmed; empty if none.
         detail: Reason for the end of the task, for people.
+        started: Whether the worker has confirmed the start; a task is "running"
+            from its order on. True from agents of earlier versions.
     """
 
     task: str
@@ -85,6 +87,7 @@
     state: Literal["running", "finished", "failed", "evicted", "stopped"]
     checkpoint: str = ""
     detail: str = ""
+    started: bool = True
 
 
 class Usage(base.Wire, frozen=True, kw_only=True):
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -143,6 +143,7 @@
         checkpoint: Reported checkpoint.
         resume_from: Checkpoint from which the task was started.
         detail: Reported detail.
+        started: Whether the worker has confirmed the start.
     """
 
     epoch: int
@@ -151,6 +152,7 @@
     checkpoint: str = ""
     resume_from: str = ""
     detail: str = ""
+    started: bool = True
 
 
 class FakeAgent:
@@ -162,6 +164,7 @@
         orders: All received orders.
         fields: Additional fields of heartbeats.
         next_checkpoint: Checkpoint that evicted tasks report.
+        begins_tasks: Whether the worker confirms the start of new tasks.
         link: Identity of the open link; replaced when a reply is lost.
     """
 
@@ -178,6 +181,7 @@
         self.tasks: dict[str, HeldTask] = {}
         self.orders: list[messages.TaskOrder] = []
         self.next_checkpoint = "c1"
+        self.begins_tasks = True
         self.link = object()
         self.fields: dict[str, Any] = {
             "incarnation": 1,
@@ -204,6 +208,7 @@
                     state=held.state,
                     checkpoint=held.checkpoint,
                     detail=held.detail,
+                    started=held.started,
                 )
                 for name, held in self.tasks.items()
             ),
@@ -253,6 +258,7 @@
                     epoch=start.epoch,
                     lease_end_ms=sent + start.lease_ms,
                     resume_from=start.resume_from,
+                    started=self.begins_tasks,
                 )
 
     def expire(self) -> None:
--- a/tests/test_leader_actions.py
+++ b/tests/test_leader_actions.py
@@ -1,6 +1,7 @@
 """Guards against wrong replacements, evictions, failures and quarantines."""
 
 from bamboorouter import error_texts
+from bamboorouter.coordination.scheduling import fault_detector
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import common
 from tests import control_fakes as fakes
@@ -252,3 +253,27 @@
         await self.exchange_heartbeats(agent, *others)
         self.assertEqual(worker.quarantines, 0)
         self.assertEqual(len(agent.running()), 4)
+
+    async def test_service_that_never_begins_is_no_successful_probe(
+        self,
+    ) -> None:
+        """Guards against a faulty worker that gets tasks like any other."""
+        agent = self.agent("w1", processors=4)
+        await self.exchange_heartbeats(agent)
+        self.log.apply(
+            commands.Quarantine(
+                worker="w1", until_ms=self.clock.wall() + 1000, reason="r"
+            )
+        )
+        self.clock.advance(1000)
+        agent.begins_tasks = False
+        self.log.apply(make.sheet(1, make.service("web")))
+        await self.exchange_heartbeats(agent)
+        probe = agent.tasks["web/0"]
+        worker = self.log.machine.workers.by_name["w1"]
+        for started, quarantines in ((False, 1), (True, 0)):
+            probe.started = started
+            for _ in range(2 * fault_detector.SERVICE_PROBE_MS // 1000):
+                self.clock.advance(1000)
+                await self.exchange_heartbeats(agent, beats=1)
+            self.assertEqual(worker.quarantines, quarantines)
