--- a/tests/test_leader_actions.py
+++ b/tests/test_leader_actions.py
@@ -259,7 +259,8 @@
     ) -> None:
         """Guards against a faulty worker that gets tasks like any other."""
         agent = self.agent("w1", processors=4)
-        await self.exchange_heartbeats(agent)
+        others = [self.agent(f"w{n}", processors=1) for n in (2, 3, 4)]
+        await self.exchange_heartbeats(agent, *others)
         self.log.apply(
             commands.Quarantine(
                 worker="w1", until_ms=self.clock.wall() + 1000, reason="r"
@@ -267,13 +268,13 @@
         )
         self.clock.advance(1000)
         agent.begins_tasks = False
-        self.log.apply(make.sheet(1, make.service("web")))
-        await self.exchange_heartbeats(agent)
+        self.log.apply(make.sheet(1, make.service("web", millicores=2000)))
+        await self.exchange_heartbeats(agent, *others)
         probe = agent.tasks["web/0"]
         worker = self.log.machine.workers.by_name["w1"]
         for started, quarantines in ((False, 1), (True, 0)):
             probe.started = started
             for _ in range(2 * fault_detector.SERVICE_PROBE_MS // 1000):
                 self.clock.advance(1000)
-                await self.exchange_heartbeats(agent, beats=1)
+                await self.exchange_heartbeats(agent, *others, beats=1)
             self.assertEqual(worker.quarantines, quarantines)
