Test that a withdrawn job is refused by the next leader

Over HTTP with real replicas: a job is cancelled before it arrives (410), the leader stops, and the late submission is refused by the next one.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -511,6 +511,36 @@
         jobs = {name.split(".")[0] for name, _ in self.site.worker.started}
         self.assertEqual(jobs, {"00ff"})
 
+    async def test_cancellation_outlives_the_leader_that_answered_it(
+        self,
+    ) -> None:
+        """Guards against a late submission that reaches the next leader."""
+        status, _ = await self.site.call_as_caller("DELETE", "/forms/00dd")
+        self.assertEqual(status, 410)
+        leaders = [
+            ip
+            for ip, role in self.site.control.items()
+            if isinstance(role, control_node.ControlNode)
+            and role.replica is not None
+            and role.replica.replica is not None
+            and role.replica.replica.lease_valid()
+        ]
+        self.assertEqual(len(leaders), 1)
+        await self.site.control.pop(leaders[0]).stop()
+        statuses: list[int] = []
+
+        async def answered() -> bool:
+            status, _ = await self.site.call_as_caller(
+                "POST", "/forms/00dd", JOB, entry=2
+            )
+            statuses.append(status)
+            return status not in (0, 503, 504)
+
+        await self.site.wait_until(answered)
+        self.assertEqual(statuses[-1], 429)
+        status, _ = await self.site.call_as_caller("POST", "/forms/00ee", JOB)
+        self.assertEqual(status, 200)
+
     async def test_unknown_paths_and_jobs(self) -> None:
         statuses = [
             (await self.site.call_as_caller(method, path, body))[0]
