--- a/devtools/soak_callers.py
+++ b/devtools/soak_callers.py
@@ -214,7 +214,10 @@
             statuses = await asyncio.gather(
                 *(self._cancel_at(job, entry) for entry in entries)
             )
-            if soak_checks.OK in statuses or 410 in statuses:
+            if (
+                soak_checks.OK in statuses
+                or soak_checks.NO_SUCH_JOB in statuses
+            ):
                 if not repeats:
                     break
                 repeats -= 1
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -17,7 +17,8 @@
 # Statuses that guarantee that the job never runs.
 REFUSALS: Final = (429, 503)
 OK: Final = 200
-NOT_FOUND: Final = (404, 410)
+NO_SUCH_JOB: Final = 410
+NOT_FOUND: Final = (404, NO_SUCH_JOB)
 FINAL_STATES: Final = ("done", "failed", "cancelled")
 # Known state of a job whose cancelling was acknowledged.
 CANCELLING: Final = "cancelling"
@@ -182,7 +183,8 @@
         """
         self._log(f"{job}: cancellation answered {status}")
         self.counts[f"cancellation answered {status}"] += 1
-        if status == OK and self._jobs[job].cancelled_s is None:
+        acknowledged = status in (OK, NO_SUCH_JOB)
+        if acknowledged and self._jobs[job].cancelled_s is None:
             self._jobs[job].cancelled_s = self._clock()
         if status in NOT_FOUND and accepted:
             self._add_violation(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -302,6 +302,15 @@
         self.start()
         self.assertEqual(self.violation_count(), 1)
 
+    def test_start_of_a_job_that_was_unknown_when_it_was_cancelled(
+        self,
+    ) -> None:
+        """A submission that arrives later must not be accepted."""
+        self.cancel(410, accepted=False)
+        self.now_s = 3.1
+        self.start()
+        self.assertEqual(self.violation_count(), 1)
+
     def test_start_soon_after_the_job_was_cancelled(self) -> None:
         self.cancel()
         self.now_s = 2.9
