Withdraw a job during its submission only if it isn't known yet

A resent submission of an accepted job whose cancellation was under way committed a second cancellation. It decided nothing new and cost a commit. Also reflows a docstring.

--- a/bamboorouter/coordination/jobs/job_handler.py
+++ b/bamboorouter/coordination/jobs/job_handler.py
@@ -67,7 +67,7 @@
             return job_messages.JobAnswer(outcome="no_queue")
         state = self.log.machine.stepped
         self._recent.enter_term(self.log.term())
-        if self._recent.is_being_withdrawn(job_id):
+        if job_id not in state.jobs and self._recent.is_being_withdrawn(job_id):
             # A further proposal shows what became of the pending ones.
             await self._commit_cancellation(job_id)
         if job_id not in state.jobs and job_id in state.withdrawn:
--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -1,9 +1,9 @@
 """Replicates what a leader observes, so that later leaders can use it.
 
-Task checkpoints, which jobs have begun, the interference between images, and the
-runs that clear their tasks of crashes are known only from the reports of agents
-and would be lost with the leader. Changes are committed periodically, and a new leader restores
-what was committed before its term.
+Task checkpoints, which jobs have begun, the interference between images, and
+the runs that clear their tasks of crashes are known only from the reports of
+agents and would be lost with the leader. Changes are committed periodically,
+and a new leader restores what was committed before its term.
 """
 
 from collections.abc import Iterable
