--- a/bamboorouter/coordination/jobs/dispatcher.py
+++ b/bamboorouter/coordination/jobs/dispatcher.py
@@ -46,7 +46,7 @@
 PASS_BATCHING_MS: Final = 3
 # Well below `worker_table.MAX_OBSERVATION_GAP_MS`.
 OBSERVATION_PERIOD_MS: Final = 100
-# Ended jobs can be read, and withdrawn ones are refused, for at least this long.
+# Ended jobs can be read for at least this long, and withdrawn ones are refused.
 ENDED_JOB_RETENTION_MS: Final = 600_000
 # Keeps a command well below the maximum size of a log entry, and a pass short.
 MAX_RUNS_PER_PASS: Final = 256
--- a/bamboorouter/coordination/jobs/recent_submissions.py
+++ b/bamboorouter/coordination/jobs/recent_submissions.py
@@ -81,7 +81,12 @@
         return self._term
 
     def end_withdrawal(self, job: str, term: int) -> None:
-        """Records that the result of a withdrawal proposed in a term is known."""
+        """Records that the result of a withdrawal is known.
+
+        Args:
+            job: ID of the job.
+            term: Term in which the withdrawal was proposed.
+        """
         if term != self._term:
             return
         self._withdrawals[job] -= 1
