Measure the timeouts of three new tests on virtual time

On a machine that is busy enough, an attempt that the fake leader answers at once could time out, and the tests would see a second one. Bounds are unchanged, and the tests still fail on.

--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -23,6 +23,7 @@
 from tests import platform_site
 from tests import replica_site
 from tests import request_site
+from tests import virtual_time
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
 import caller_api  # isort: skip
@@ -87,7 +88,7 @@
         self.assertEqual(self.age_ms(), 0)
 
 
-class SuspendedEntryTest(unittest.IsolatedAsyncioTestCase):
+class SuspendedEntryTest(virtual_time.VirtualTimeCase):
     """Calls to an entry whose loop stands still while they arrive.
 
     Attributes:
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -18,6 +18,7 @@
 from bamboorouter.transport import link
 from tests import platform_site
 from tests import replica_site
+from tests import virtual_time
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
 import caller_api  # isort: skip
@@ -27,7 +28,7 @@
 ATTEMPT_TIMEOUT_MS = 100
 
 
-class UnansweredAttemptTest(unittest.IsolatedAsyncioTestCase):
+class UnansweredAttemptTest(virtual_time.VirtualTimeCase):
     """A leader that leaves the first attempts of a call unanswered.
 
     Attributes:
@@ -42,7 +43,7 @@
             host="127.0.0.1", port=0, handler=self._answer
         )
         self.addAsyncCleanup(leader.close)
-        time = clock.SystemClock()
+        time = virtual_time.VirtualTimeClock()
         client = control_client.ControlClient(
             addresses=(f"127.0.0.1:{leader.port}",),
             time=time,
--- a/tests/test_operator_resends.py
+++ b/tests/test_operator_resends.py
@@ -18,9 +18,10 @@
 from bamboorouter.protocol import messages
 from bamboorouter.protocol import operator_http
 from tests import operator_fakes
+from tests import virtual_time
 
 
-class ResentCallTest(unittest.IsolatedAsyncioTestCase):
+class ResentCallTest(virtual_time.VirtualTimeCase):
     """A leader that leaves the first attempts of a call unanswered.
 
     Attributes:
@@ -29,6 +30,7 @@
     """
 
     async def asyncSetUp(self) -> None:
+        self.patch_system_clock()
         self.code = error_texts.LOG_BUSY
         self.unanswered = 0
         leader = operator_fakes.FakeLeader()
