Record begun jobs in the command that records checkpoints

The starts of a pass wait for each commit of the observations. Begun jobs took a commit of their own in each second in which a job began, beside that of the checkpoints.

--- a/bamboorouter/coordination/jobs/observation_recorder.py
+++ b/bamboorouter/coordination/jobs/observation_recorder.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Iterator
 import itertools
 from typing import Final
 
@@ -80,18 +79,20 @@
             self.table.workers.values(), self.log.machine.stepped
         )
         begun = self._begun_jobs()
-        for checkpoints in batches(self._newer_checkpoints()):
-            await job_proposals.propose(
-                self.log, job_commands.NoteCheckpoints(checkpoints=checkpoints)
-            )
-        if cleared or begun:
+        first, *others = batches(self._newer_checkpoints()) or [()]
+        if first or cleared or begun:
+            # In one command, because the runs of this pass wait for each commit.
             await job_proposals.propose(
                 self.log,
                 job_commands.NoteCheckpoints(
-                    checkpoints=(), cleared=cleared, begun=begun
+                    checkpoints=first, cleared=cleared, begun=begun
                 ),
             )
             crash_survival.log_cleared(cleared, term=self.log.term())
+        for checkpoints in others:
+            await job_proposals.propose(
+                self.log, job_commands.NoteCheckpoints(checkpoints=checkpoints)
+            )
         disturbances = self._changed_disturbances()
         if disturbances:
             await job_proposals.propose(
@@ -144,20 +145,20 @@
 
 def batches(
     checkpoints: Iterable[jobs.Checkpoint],
-) -> Iterator[tuple[jobs.Checkpoint, ...]]:
+) -> list[tuple[jobs.Checkpoint, ...]]:
     """Splits checkpoints so that each batch fits into a command.
 
     Otherwise a few long ones would keep those of all workers from being
     recorded.
     """
+    full: list[tuple[jobs.Checkpoint, ...]] = []
     batch: list[jobs.Checkpoint] = []
     size = 0
     for checkpoint in checkpoints:
         added = len(checkpoint.value.encode()) + CHECKPOINT_OVERHEAD_BYTES
         if batch and size + added > MAX_BATCH_BYTES:
-            yield tuple(batch)
+            full.append(tuple(batch))
             batch, size = [], 0
         batch.append(checkpoint)
         size += added
-    if batch:
-        yield tuple(batch)
+    return [*full, tuple(batch)] if batch else full
--- a/tests/test_begun_jobs.py
+++ b/tests/test_begun_jobs.py
@@ -13,6 +13,7 @@
 from bamboorouter.coordination.jobs import worker_table
 from bamboorouter.protocol import codec
 from bamboorouter.protocol import job_commands
+from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
 from bamboorouter.state import job_records
 from bamboorouter.state import machine
@@ -99,6 +100,23 @@
         ]
         self.assertEqual(recorded, [("a",)])
 
+    async def test_checkpoints_and_begun_jobs_share_a_command(self) -> None:
+        """Guards against a second commit, for which the starts would wait."""
+        agent = await self.connect_agent()
+        await self.submit("a", make.step(checkpoints=True))
+        await self.until(agent.started)
+        run = job_messages.HeldRun(
+            task=make.ref(), attempt=1, running=True, checkpoint="half"
+        )
+        await self.report(agent, runs=(run,))
+        await self.pass_time(observation_recorder.RECORD_PERIOD_MS)
+        recorded = [
+            (command.begun, [c.value for c in command.checkpoints])
+            for command, _ in self.log.history
+            if isinstance(command, job_commands.NoteCheckpoints)
+        ]
+        self.assertEqual(recorded, [(("a",), ["half"])])
+
 
 class EvidenceTest(unittest.TestCase):
     """Which commands show that a worker has begun a job."""
