Let a learner that was removed while it was frozen join again

What operators saw: a learner that the leader had removed while its process was frozen or cut off never came back. It still found itself in its own member list and still knew the leader of that time, because a learner has no election timeout.

The time since a replica last heard a leader now decides, not whether it knows one. Found by reading, while learners were made removable; tests.test_self_repair.JoinTest.test_learner_that_was_removed_meanwhile_joins_again failed before (no join request within 10 s).

--- a/bamboorouter/coordination/log/consensus.py
+++ b/bamboorouter/coordination/log/consensus.py
@@ -237,6 +237,12 @@
             return progress.NEVER_MS
         return self.leader_state.lease_until(now)
 
+    def leader_contact_ms(self, now: int) -> int:
+        """Returns when this replica last heard a leader or led, in ms."""
+        if self.leader_state is not None:
+            return now
+        return self._last_leader_contact_ms
+
     # --- Elections -----------------------------------------------------------
 
     def _reset_election_timer(self, now: int) -> None:
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -277,6 +277,10 @@
         """Whether this replica leads and heard a quorum within 800 ms."""
         return self.engine.lease_valid(self._clock.now())
 
+    def leader_contact_ms(self) -> int:
+        """Returns when this replica last heard a leader or led, in ms."""
+        return self._core().leader_contact_ms(self._clock.now())
+
     def term(self) -> int:
         """Returns the current term."""
         return self._state().term
--- a/bamboorouter/coordination/log/self_repair.py
+++ b/bamboorouter/coordination/log/self_repair.py
@@ -23,7 +23,7 @@
 CHECK_PERIOD_MS: Final = 250
 # Replicas that start with the leader have joined by then.
 JOIN_PERIOD_MS: Final = 10_000
-# A member that knows no leader for this long, the duration of several elections,
+# A member that hears no leader for this long, the duration of several elections,
 # sends a join request.
 NO_LEADER_TIMEOUT_MS: Final = 5000
 
@@ -50,7 +50,7 @@
         self.client = client
         self.clock = time
         self.tolerated_losses = tolerated_losses
-        self._last_leader_known_ms = time.now()
+        self._created_ms = time.now()
         self._leading_since_ms = 0
         self._leading_term = 0
         self._reported_term = 0
@@ -91,19 +91,16 @@
     def _must_join(self) -> bool:
         """Whether this replica must send a join request.
 
-        It must if it isn't in its own member list, or if it has known no leader
+        It must if it isn't in its own member list, or if it has heard no leader
         for NO_LEADER_TIMEOUT_MS: a replica that was removed while it was down
-        still finds itself in that list, but receives nothing from a leader.
+        still finds itself in that list, but receives nothing from a leader. A
+        learner may still know the leader of that time.
         """
-        now = self.clock.now()
         local_id = self.replica.engine.id
-        if self.replica.leader_address():
-            self._last_leader_known_ms = now
-        member = any(m.id == local_id for m in self.replica.members())
-        return (
-            not member
-            or now - self._last_leader_known_ms > NO_LEADER_TIMEOUT_MS
-        )
+        if all(member.id != local_id for member in self.replica.members()):
+            return True
+        heard_ms = max(self._created_ms, self.replica.leader_contact_ms())
+        return self.clock.now() - heard_ms > NO_LEADER_TIMEOUT_MS
 
     async def _join(self) -> None:
         if self.replica.settings.bootstrap and not self.replica.formed():
