Reassign the vote of a silent replica before one more loss ends the group

Cause: a lost voter whose successor has another address kept its vote for 10 s, counted from the election of the present leader, although learners that had caught up stood by. The loss of a second voter in this time left one of three.

Change: the leader demotes a voter that was silent for 1.5 s if one more loss would leave no majority, for 3 s otherwise, and promotes a learner. Demoting comes before promoting: the majority of the smaller list needs no replica that the larger list didn't need. A demoted replica stays a learner, so one that was only frozen or cut off returns without a join request and can be promoted again. A learner that was silent for a minute is removed, which bounds the list. Silence counts from the joining of a member, too; a new learner would be removed otherwise.

test_short_silence_costs_no_vote held a silence of 5 s for short; it now asks that a silence up to the new limit costs no vote, and new tests ask for both limits.

--- a/bamboorouter/coordination/log/member_changes.py
+++ b/bamboorouter/coordination/log/member_changes.py
@@ -1,7 +1,7 @@
 """Validates membership changes on the leader and computes the new member list.
 
-A replica joins as a learner and is promoted to a voter once it has caught up; a
-lost replica is removed. Only one change may be uncommitted at a time. A change
+A replica joins as a learner and is promoted to a voter once it has caught up. A
+silent voter is demoted to a learner, and a lost replica is removed. Only one change may be uncommitted at a time. A change
 that could cost the group its majority is refused before anything is proposed.
 """
 
@@ -64,6 +64,27 @@
     return membership.with_voter(members, replica_id=replica_id)
 
 
+def demote(
+    leader: leader_state.LeaderState, *, replica_id: str, now: int
+) -> members_protocol.Members | None:
+    """Returns the member list with a voter demoted to a learner.
+
+    Returns:
+        The new member list; None if the replica is no voter.
+
+    Raises:
+        RefusedError: Fewer than a majority of the remaining voters answer, or
+            another change is not committed yet.
+    """
+    members = leader.state.members.current
+    if not members.is_voter(replica_id):
+        return None
+    _require_no_pending_change(leader)
+    changed = membership.without_vote(members, replica_id=replica_id)
+    _require_quorum(leader, changed, replica_id=replica_id, now=now)
+    return changed
+
+
 def remove(
     leader: leader_state.LeaderState, *, replica_id: str, now: int
 ) -> members_protocol.Members | None:
@@ -81,6 +102,18 @@
         return None
     _require_no_pending_change(leader)
     changed = membership.without_member(members, replica_id=replica_id)
+    _require_quorum(leader, changed, replica_id=replica_id, now=now)
+    return changed
+
+
+def _require_quorum(
+    leader: leader_state.LeaderState,
+    changed: members_protocol.Members,
+    *,
+    replica_id: str,
+    now: int,
+) -> None:
+    """Refuses a change after which no majority of the voters would answer."""
     voters = changed.voters()
     responsive = sum(_is_responsive(leader, voter, now) for voter in voters)
     if not voters or responsive < changed.quorum():
@@ -90,7 +123,6 @@
             alive=responsive,
             voters=len(voters),
         )
-    return changed
 
 
 def _is_responsive(
--- a/bamboorouter/coordination/log/membership.py
+++ b/bamboorouter/coordination/log/membership.py
@@ -102,16 +102,14 @@
     members: membership.Members, *, replica_id: str
 ) -> membership.Members:
     """Returns the member list with a learner promoted to a voter."""
-    return membership.Members(
-        members=tuple(
-            membership.Member(
-                id=member.id,
-                address=member.address,
-                voter=member.voter or member.id == replica_id,
-            )
-            for member in members.members
-        )
-    )
+    return _with_vote(members, replica_id=replica_id, voter=True)
+
+
+def without_vote(
+    members: membership.Members, *, replica_id: str
+) -> membership.Members:
+    """Returns the member list with a voter demoted to a learner."""
+    return _with_vote(members, replica_id=replica_id, voter=False)
 
 
 def without_member(
@@ -121,3 +119,18 @@
     return membership.Members(
         members=tuple(m for m in members.members if m.id != replica_id)
     )
+
+
+def _with_vote(
+    members: membership.Members, *, replica_id: str, voter: bool
+) -> membership.Members:
+    return membership.Members(
+        members=tuple(
+            membership.Member(
+                id=member.id,
+                address=member.address,
+                voter=voter if member.id == replica_id else member.voter,
+            )
+            for member in members.members
+        )
+    )
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -421,6 +421,22 @@
             member_changes.promote(leader, replica_id=replica_id)
         )
 
+    async def demote(self, replica_id: str) -> None:
+        """Demotes a voter to a learner.
+
+        Raises:
+            NotLeaderError: Nothing was changed.
+            RefusedError: Nothing was changed; fewer than a majority of the
+                remaining voters answer or another change is not committed yet.
+            UnknownResultError: The change may take effect later.
+        """
+        leader = self._require_lease("demote")
+        await self._change_members(
+            member_changes.demote(
+                leader, replica_id=replica_id, now=self._clock.now()
+            )
+        )
+
     async def remove(self, replica_id: str) -> None:
         """Removes a replica; a replica with the same ID must not join again.
 
--- a/bamboorouter/coordination/log/self_repair.py
+++ b/bamboorouter/coordination/log/self_repair.py
@@ -12,7 +12,7 @@
 from bamboorouter import errors
 from bamboorouter import events
 from bamboorouter import supervision
-from bamboorouter.coordination.log import member_changes
+from bamboorouter.coordination.log import member_views
 from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.policies import member_repair
 from bamboorouter.coordination.requests import control_client
@@ -51,8 +51,7 @@
         self.clock = time
         self.tolerated_losses = tolerated_losses
         self._created_ms = time.now()
-        self._leading_since_ms = 0
-        self._leading_term = 0
+        self._views = member_views.MemberViews()
         self._reported_term = 0
         self._task: asyncio.Task[None] | None = None
 
@@ -130,49 +129,42 @@
             member=change.member,
             term=self.replica.term(),
         )
-        if change.action == "promote":
-            await self.replica.promote(change.member)
-        else:
-            await self.replica.remove(change.member)
+        match change.action:
+            case "promote":
+                await self.replica.promote(change.member)
+            case "demote":
+                await self.replica.demote(change.member)
+            case "remove":
+                await self.replica.remove(change.member)
 
     def _report_missing_voters(
         self, views: list[member_repair.MemberView]
     ) -> None:
         """Logs once a term that too few replicas have joined the group."""
         missing = member_repair.missing_voters(views, self.tolerated_losses)
-        leading_ms = self.clock.now() - self._leading_since_ms
+        term = self._views.term
+        leading_ms = self.clock.now() - self._views.leading_since_ms
         if (
             not missing
             or leading_ms < JOIN_PERIOD_MS
-            or self._reported_term == self._leading_term
+            or self._reported_term == term
         ):
             return
-        self._reported_term = self._leading_term
+        self._reported_term = term
         events.log(
             events.VOTERS_MISSING,
             missing=missing,
             tolerated_losses=self.tolerated_losses,
             members=len(views),
-            term=self._leading_term,
+            term=term,
         )
 
     def _member_views(self) -> list[member_repair.MemberView]:
         status = self.replica.status()
-        now = self.clock.now()
-        if status.term != self._leading_term:
-            self._leading_term = status.term
-            self._leading_since_ms = now
-        # A member that hasn't answered this leader yet counts as silent since
-        # the leader's election at the earliest.
-        leading_ms = now - self._leading_since_ms
-        return [
-            member_repair.MemberView(
-                id=member.id,
-                address=member.address,
-                voter=member.voter,
-                silent_ms=min(status.silent_ms.get(member.id, 0), leading_ms),
-                caught_up=status.lag.get(member.id, 0)
-                <= member_changes.MAX_CAUGHT_UP_LAG,
-            )
-            for member in self.replica.members()
-        ]
+        return self._views.compute(
+            self.replica.members(),
+            term=status.term,
+            lag=status.lag,
+            silent_ms=status.silent_ms,
+            now=self.clock.now(),
+        )
--- a/bamboorouter/coordination/policies/member_repair.py
+++ b/bamboorouter/coordination/policies/member_repair.py
@@ -8,8 +8,11 @@
 1. Remove a member whose address a later member uses: its data is lost, and its
    vote would count as missing.
 2. Promote a learner that has caught up while there are too few voters.
-3. Remove a voter that has been silent for `LOST_AFTER_MS` if a learner that has
-   caught up can replace it.
+3. Demote a silent voter if a learner that has caught up can replace it: after
+   `AT_RISK_AFTER_MS` if one more loss would leave no majority, otherwise after
+   `LOST_AFTER_MS`. A demoted replica keeps receiving the log, so that it can be
+   promoted again as soon as it answers.
+4. Remove a learner that has been silent for `FORGET_AFTER_MS`.
 """
 
 from collections.abc import Iterable
@@ -18,9 +21,14 @@
 from typing import Final
 from typing import Literal
 
-# Longer than a restart or a partition of seconds, which must not cost a replica
-# its vote.
-LOST_AFTER_MS: Final = 10_000
+# A leader without a majority steps down after the same time.
+AT_RISK_AFTER_MS: Final = 1500
+# Longer than most restarts, but shorter than the time after which a replaced
+# replica no longer counts as lost.
+LOST_AFTER_MS: Final = 3000
+# Bounds the number of members that a leader tries to reach; a replica that
+# returns later joins again.
+FORGET_AFTER_MS: Final = 60_000
 # A learner that answered within this time can be promoted.
 ANSWERS_WITHIN_MS: Final = 1000
 
@@ -53,7 +61,7 @@
         member: ID of the replica.
     """
 
-    action: Literal["promote", "remove"]
+    action: Literal["promote", "demote", "remove"]
     member: str
 
 
@@ -86,22 +94,41 @@
         (
             member
             for member in members
-            if not member.voter
-            and member.caught_up
-            and member.silent_ms <= ANSWERS_WITHIN_MS
+            if not member.voter and member.caught_up and _answers(member)
         ),
         None,
     )
-    if ready is None:
-        return None
-    if len(voters) < wanted_voters(len(members), tolerated):
-        return Change(action="promote", member=ready.id)
-    lost = max(voters, key=lambda member: member.silent_ms)
-    if lost.silent_ms > LOST_AFTER_MS:
-        return Change(action="remove", member=lost.id)
+    if ready is not None:
+        if len(voters) < wanted_voters(len(members), tolerated):
+            return Change(action="promote", member=ready.id)
+        lost = max(voters, key=lambda member: member.silent_ms)
+        if lost.silent_ms > _vote_kept_ms(voters):
+            return Change(action="demote", member=lost.id)
+    forgotten = next(
+        (
+            member.id
+            for member in members
+            if not member.voter and member.silent_ms > FORGET_AFTER_MS
+        ),
+        None,
+    )
+    if forgotten is not None:
+        return Change(action="remove", member=forgotten)
     return None
 
 
+def _answers(member: MemberView) -> bool:
+    return member.silent_ms <= ANSWERS_WITHIN_MS
+
+
+def _vote_kept_ms(voters: Sequence[MemberView]) -> int:
+    """Returns how long a silent voter keeps its vote, in ms."""
+    quorum = len(voters) // 2 + 1
+    if sum(map(_answers, voters)) <= quorum:
+        return AT_RISK_AFTER_MS
+    return LOST_AFTER_MS
+
+
 def _replaced(members: Iterable[MemberView]) -> str | None:
     """Returns the first member whose address a later member uses."""
     newest = {member.address: member.id for member in members}
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -553,7 +553,7 @@
     613,
     "members_repaired",
     logging.WARNING,
-    "The leader removes a lost replica or promotes a learner.",
+    "The leader promotes a learner, or demotes or removes a lost replica.",
 )
 REPAIR_DELAYED: Final = _define_event(
     614,
--- a/tests/test_member_repair.py
+++ b/tests/test_member_repair.py
@@ -2,7 +2,9 @@
 
 import unittest
 
+from bamboorouter.coordination.log import member_views
 from bamboorouter.coordination.policies import member_repair
+from bamboorouter.protocol import membership
 
 
 def member(
@@ -29,6 +31,8 @@
 
 
 LOST_SILENT_MS = member_repair.LOST_AFTER_MS + 1
+AT_RISK_SILENT_MS = member_repair.AT_RISK_AFTER_MS + 1
+FORGOTTEN_SILENT_MS = member_repair.FORGET_AFTER_MS + 1
 
 
 class MemberRepairTest(unittest.TestCase):
@@ -55,7 +59,7 @@
         ready = member("c2", address="x", voter=False)
         self.assertEqual(change(*group[:2], ready), "promote c2")
 
-    def test_silent_voter_is_removed_only_for_a_ready_learner(self) -> None:
+    def test_silent_voter_is_demoted_only_for_a_ready_learner(self) -> None:
         silent = member("c", silent_ms=LOST_SILENT_MS)
         voters = [member("a"), member("b"), silent]
         self.assertEqual(change(*voters), "")
@@ -66,12 +70,66 @@
             change(*voters, member("d", voter=False, silent_ms=LOST_SILENT_MS)),
             "",
         )
-        self.assertEqual(change(*voters, member("d", voter=False)), "remove c")
+        self.assertEqual(change(*voters, member("d", voter=False)), "demote c")
+
+    def test_vote_is_reassigned_before_one_more_loss_ends_the_group(
+        self,
+    ) -> None:
+        """Guards against a lost voter that keeps its vote for 10 s."""
+        silent = member("c", silent_ms=AT_RISK_SILENT_MS)
+        ready = member("d", voter=False)
+        self.assertEqual(
+            change(member("a"), member("b"), silent, ready), "demote c"
+        )
+
+    def test_voter_that_isnt_needed_keeps_its_vote_for_longer(self) -> None:
+        voters = [member(name) for name in "abcd"]
+        ready = member("f", voter=False)
+        for silent_ms, expected in (
+            (AT_RISK_SILENT_MS, ""),
+            (LOST_SILENT_MS, "demote e"),
+        ):
+            silent = member("e", silent_ms=silent_ms)
+            self.assertEqual(
+                change(*voters, silent, ready, tolerated=2), expected
+            )
+        second = member("d", silent_ms=AT_RISK_SILENT_MS)
+        first = member("e", silent_ms=AT_RISK_SILENT_MS + 1)
+        self.assertEqual(
+            change(*voters[:3], second, first, ready, tolerated=2), "demote e"
+        )
 
     def test_short_silence_costs_no_vote(self) -> None:
-        voters = [member("a"), member("b"), member("c", silent_ms=5000)]
+        voters = [
+            member("a"),
+            member("b"),
+            member("c", silent_ms=member_repair.AT_RISK_AFTER_MS),
+        ]
         self.assertEqual(change(*voters, member("d", voter=False)), "")
 
+    def test_demoted_replica_is_promoted_again_when_a_vote_is_missing(
+        self,
+    ) -> None:
+        demoted = member("c", voter=False, silent_ms=LOST_SILENT_MS)
+        voters = [member("a"), member("b"), member("d")]
+        self.assertEqual(change(*voters, demoted), "")
+        returned = member("c", voter=False)
+        self.assertEqual(change(*voters, returned), "")
+        lost = member("d", silent_ms=LOST_SILENT_MS)
+        self.assertEqual(change(*voters[:2], lost, returned), "demote d")
+        lost = member("d", voter=False, silent_ms=LOST_SILENT_MS)
+        self.assertEqual(change(*voters[:2], lost, returned), "promote c")
+
+    def test_lost_learner_is_removed_in_the_end(self) -> None:
+        """Guards against a list of members that grows with each loss."""
+        voters = [member(name) for name in "abc"]
+        for silent_ms, expected in (
+            (FORGOTTEN_SILENT_MS - 1, ""),
+            (FORGOTTEN_SILENT_MS, "remove d"),
+        ):
+            learner = member("d", voter=False, silent_ms=silent_ms)
+            self.assertEqual(change(*voters, learner), expected)
+
     def test_larger_group_gets_more_voters(self) -> None:
         learners = [member(name, voter=False) for name in "de"]
         voters = [member(name) for name in "abc"]
@@ -79,5 +137,34 @@
         self.assertEqual(change(*voters, *learners, tolerated=1), "")
 
 
+class MemberViewsTest(unittest.TestCase):
+    """Silence counts from the election and from the joining of a member."""
+
+    def test_new_learner_isnt_taken_for_a_lost_one(self) -> None:
+        """Guards against removing a learner before its first answer."""
+        views = member_views.MemberViews()
+        voter = membership.Member(id="a", address="a", voter=True)
+        learner = membership.Member(id="b", address="b", voter=False)
+        never_ms = 1 << 60
+        views.compute([voter], term=1, lag={}, silent_ms={}, now=0)
+        for now, silent_ms in ((90_000, 0), (90_250, 250)):
+            computed = views.compute(
+                [voter, learner],
+                term=1,
+                lag={"b": 5},
+                silent_ms={"b": never_ms + now},
+                now=now,
+            )
+            self.assertEqual(computed[1].silent_ms, silent_ms)
+        elected = views.compute(
+            [voter, learner],
+            term=2,
+            lag={"b": 0},
+            silent_ms={"b": never_ms},
+            now=95_000,
+        )
+        self.assertEqual(elected[1].silent_ms, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
