--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -230,8 +230,12 @@
         self._staged = []
         self._last_written = ""
         self._unsynced = False
+        # A segment whose entries were only staged has no file.
+        written = set(self.folder.names())
         while self._segments:
-            self.folder.remove(self._segments.pop().name)
+            name = self._segments.pop().name
+            if name in written:
+                self.folder.remove(name)
         self._recent = []
         self._recent_bytes = 0
         self.base = base
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -166,6 +166,18 @@
         with self.assertRaisesRegex(errors.StorageError, f"offset {position}"):
             self.open()
 
+    def test_reset_discards_a_segment_that_was_only_staged(self) -> None:
+        """Guards against a replica that halts when it gets a snapshot."""
+        self.append_synced(1)
+        for index in range(2, 12):
+            self.store.append(entry(index, size=SEGMENT_BYTES // 4))
+        base = records.LogPosition(index=99, term=3, chain=bytes(32))
+        self.store.reset(base)
+        self.assertEqual(self.folder.names(), [])
+        self.store.append(entry(100, term=3))
+        self.store.sync()
+        self.assertEqual(self.open().base, base)
+
     def test_retention_keeps_what_no_snapshot_covers(self) -> None:
         self.append_synced(100)
         self.assertTrue(
