--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -36,6 +36,13 @@
 # time. A leader takes snapshots less often, because callers wait for it.
 SNAPSHOT_JITTER: Final = 0.25
 LEADER_INTERVAL_FACTOR: Final = 4
+LEADER_BYTES_FACTOR: Final = 2
+# The log keeps the entries after the older of two snapshots. Two intervals of a
+# leader, a segment and an entry are smaller than the retention size.
+_INTERVALS_PER_RETENTION: Final = 8
+_SEGMENTS_PER_RETENTION: Final = 8
+# A restart applies the entries after the newest snapshot again.
+MAX_SNAPSHOT_LOG_BYTES: Final = 64 * 1024 * 1024
 # Term of the first entry, which precedes all elections.
 _FORMATION_TERM: Final = 0
 
@@ -65,16 +72,44 @@
 class Limits:
     """Limits for snapshots and log retention.
 
+    A snapshot is taken after a number of applied entries or after a number of
+    bytes, whichever comes first: entries can be of any size up to the limit of a
+    command.
+
     Attributes:
         snapshot_entries: Applied entries between two snapshots, on average.
-        segment_bytes: Size of one segment file of the log.
-        retention_bytes: Size of the log above which old segments are removed.
+        snapshot_log_bytes: Size of the applied entries between two snapshots,
+            on average.
+        segment_bytes: Size of one segment file of the log; a larger entry has a
+            segment of its own.
+        retention_bytes: Size of the log; old segments are removed before it is
+            reached.
     """
 
     snapshot_entries: int = 4096
+    snapshot_log_bytes: int = MAX_SNAPSHOT_LOG_BYTES
     segment_bytes: int = log_store.SEGMENT_BYTES
     retention_bytes: int = 16 * 1024**3
 
+    @classmethod
+    def within(cls, retention_bytes: int, *, snapshot_entries: int) -> "Limits":
+        """Returns limits with which the log never exceeds its retention size.
+
+        No entry may be larger than a segment.
+        """
+        return cls(
+            snapshot_entries=snapshot_entries,
+            snapshot_log_bytes=min(
+                retention_bytes // _INTERVALS_PER_RETENTION,
+                MAX_SNAPSHOT_LOG_BYTES,
+            ),
+            segment_bytes=min(
+                retention_bytes // _SEGMENTS_PER_RETENTION,
+                log_store.SEGMENT_BYTES,
+            ),
+            retention_bytes=retention_bytes,
+        )
+
 
 class Engine:
     """The synchronous part of one replica.
@@ -119,9 +154,11 @@
         )
         self.snapshots = snapshot_store.SnapshotStore(folder=folder)
         self.applied_index = 0
-        self._retention_due = False
+        self._retention_due = True
+        # Size of the entries applied after the newest snapshot.
+        self._unsnapshotted_bytes = 0
         self._rng = rng
-        self._snapshot_interval = self._draw_snapshot_interval()
+        self._interval_factor = self._draw_interval_factor()
         members = self._open_snapshot()
         self.core = consensus.Core(
             replica_id=self.id,
@@ -163,7 +200,10 @@
             self.core.log_synced(now)
 
         self.step(sync)
-        if self._retention_due:
+        # A leader whose disk is slow applies entries before it has synced them.
+        if not self.core.halted and self._snapshot_due():
+            self.step(self._take_snapshot)
+        if self._retention_due or self.log.total_bytes > self._kept_log_bytes():
             self.step(self._drop_oldest_segment)
 
     def form(self, members: members_protocol.Members, now: int) -> None:
@@ -307,6 +347,9 @@
                 self.halt(err)
                 return
         self.applied_index = entry.index
+        self._unsnapshotted_bytes += (
+            len(entry.payload) + records.ENTRY_OVERHEAD_BYTES
+        )
         self.host.applied_entry(entry.index, results)
         if self._snapshot_due():
             self.step(self._take_snapshot)
@@ -317,19 +360,22 @@
         Entries that aren't synced are left out: the log would lose them in a
         crash and begin after the snapshot.
         """
+        if self.applied_index > self.log.synced_index:
+            return False
         newest = self.snapshots.position
         taken = newest.index if newest is not None else 0
-        interval = self._snapshot_interval
+        entries = self.limits.snapshot_entries * self._interval_factor
+        size = self.limits.snapshot_log_bytes * self._interval_factor
         if self.core.leader_state is not None:
-            interval *= LEADER_INTERVAL_FACTOR
+            entries *= LEADER_INTERVAL_FACTOR
+            size *= LEADER_BYTES_FACTOR
         return (
-            self.applied_index - taken >= interval
-            and self.applied_index <= self.log.synced_index
+            self.applied_index - taken >= max(1, int(entries))
+            or self._unsnapshotted_bytes >= size
         )
 
-    def _draw_snapshot_interval(self) -> int:
-        factor = self._rng.uniform(1 - SNAPSHOT_JITTER, 1 + SNAPSHOT_JITTER)
-        return max(1, int(self.limits.snapshot_entries * factor))
+    def _draw_interval_factor(self) -> float:
+        return self._rng.uniform(1 - SNAPSHOT_JITTER, 1 + SNAPSHOT_JITTER)
 
     def _take_snapshot(self) -> None:
         index = self.applied_index
@@ -342,17 +388,18 @@
             )
         )
         members.forget_before(index)
-        self._snapshot_interval = self._draw_snapshot_interval()
+        self._unsnapshotted_bytes = 0
+        self._interval_factor = self._draw_interval_factor()
         events.log(events.SNAPSHOT_WRITTEN, replica=self.id, index=index)
         self._retention_due = True
 
     def _drop_oldest_segment(self) -> None:
-        """Removes the oldest segment if the log exceeds the retention size.
+        """Removes the oldest segment if the log is too large.
 
         Removes one segment after each sync until the log is small enough.
         """
         self._retention_due = self.log.remove_oldest_segment(
-            max_bytes=self.limits.retention_bytes,
+            max_bytes=self._kept_log_bytes(),
             covered_index=self.snapshots.oldest_index(),
         )
         if self._retention_due:
@@ -363,6 +410,13 @@
                 chain=self.log.base.chain.hex(),
             )
 
+    def _kept_log_bytes(self) -> int:
+        """Returns the size up to which the log is kept.
+
+        The log stays below the retention size while it grows by one segment.
+        """
+        return self.limits.retention_bytes - self.limits.segment_bytes
+
     def _install(self, snapshot: snapshot_store.Snapshot) -> None:
         """Replaces state machine and log with a snapshot from the leader."""
         index = snapshot.position.index
@@ -370,6 +424,7 @@
         self.log.reset(snapshot.position)
         self.machine.restore(snapshot.data)
         self.applied_index = index
+        self._unsnapshotted_bytes = 0
         self.core.snapshot_installed(snapshot)
         events.log(events.SNAPSHOT_INSTALLED, replica=self.id, index=index)
         self.host.applied_entry(index, [])
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -122,9 +122,13 @@
     ) -> None:
         self.process = process
         self.settings = settings
-        self.limits = limits or replica_engine.Limits(
+        self.limits = limits or replica_engine.Limits.within(
+            settings.retention_mb * _BYTES_PER_MB,
             snapshot_entries=settings.snapshot_entries,
-            retention_bytes=settings.retention_mb * _BYTES_PER_MB,
+        )
+        # An entry that fits into a segment doesn't exceed the size of the log.
+        self._max_command_bytes = min(
+            MAX_COMMAND_BYTES, self.limits.segment_bytes
         )
         self.machine = machine
         self._folder = folder
@@ -313,8 +317,10 @@
         """
         self._require_lease("propose")
         size = len(commands.BATCH_CODEC.encode(self._make_batch((command,))))
-        if size > MAX_COMMAND_BYTES:
-            raise _refused(error_texts.BODY_TOO_LARGE, limit=MAX_COMMAND_BYTES)
+        if size > self._max_command_bytes:
+            raise _refused(
+                error_texts.BODY_TOO_LARGE, limit=self._max_command_bytes
+            )
         if len(self._proposals.queue) >= proposals.QUEUE_LIMIT:
             raise _refused(error_texts.LOG_BUSY)
         started = self._clock.now()
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -13,6 +13,7 @@
 QUEUE_FULL: Final = "queue_full"
 DEADLINE: Final = "deadline"
 BODY_TOO_LARGE: Final = "body_too_large"
+COMMAND_TOO_LARGE: Final = "command_too_large"
 DRAINING: Final = "draining"
 UNCONFIRMED_ROUTE: Final = "unconfirmed_route"
 KEY_REQUIRED: Final = "key_required"
@@ -72,6 +73,9 @@
     QUEUE_FULL: "the queue of urgency class {urgency} is full",
     DEADLINE: "the request cannot start before its deadline",
     BODY_TOO_LARGE: "the body exceeds {limit} bytes",
+    COMMAND_TOO_LARGE: (
+        "{size} bytes were to be stored, but the limit is {limit} bytes"
+    ),
     DRAINING: "the upstream is draining",
     UNCONFIRMED_ROUTE: (
         "neither the entry nor the agent could confirm the route with a leader"
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -130,11 +130,13 @@
             existing group as a learner.
         service_lease_ms: Duration of leases of latency-critical tasks, in ms.
         batch_lease_ms: Duration of leases of batch tasks, in ms.
-        snapshot_entries: Number of applied entries between two snapshots.
+        snapshot_entries: Number of applied entries between two snapshots; a
+            snapshot is also taken after an eighth of `retention_mb`.
         policies: Policies of the scheduler; "plain" is the baseline for
             measurements.
-        retention_mb: Size in MB above which the oldest segments of the log are
-            removed, and with them the oldest part of the account.
+        retention_mb: Largest size of the log in MB. Its oldest segments are
+            removed, and with them the oldest part of the account; no command
+            may be larger than an eighth of it.
         self_repair: Whether replicas join and lost ones are replaced without an
             operator. `process.control` has the addresses of the other replicas.
         tolerated_losses: Number of replicas that may be lost at the same time;
--- a/tests/memory_folder.py
+++ b/tests/memory_folder.py
@@ -35,6 +35,8 @@
     Attributes:
         files: Files by name.
         free_bytes: Free disk space in bytes; None without a limit.
+        capacity_bytes: Size of the disk in bytes; None without a limit.
+        largest_bytes: Largest size in bytes that all files had together.
         failing_sync: Whether every sync and replacement of a file fails.
         failing_folder_sync: Whether a replacement fails after the file was
             renamed, so that a loss of power undoes it.
@@ -45,6 +47,8 @@
     def __init__(self) -> None:
         self.files: dict[str, _File] = {}
         self.free_bytes: int | None = None
+        self.capacity_bytes: int | None = None
+        self.largest_bytes = 0
         self.failing_sync = False
         self.failing_folder_sync = False
         self.lying_sync = False
@@ -103,8 +107,19 @@
     def read_at(self, name: str, offset: int, size: int) -> bytes:
         return bytes(self._file(name).data[offset : offset + size])
 
+    def used_bytes(self) -> int:
+        """Returns the size of all files in bytes."""
+        return sum(len(file.data) for file in self.files.values())
+
+    def _require_capacity(self, step: str, name: str, added: int) -> None:
+        used = self.used_bytes() + added
+        if self.capacity_bytes is not None and used > self.capacity_bytes:
+            raise _error("No space left on device", step, name)
+        self.largest_bytes = max(self.largest_bytes, used)
+
     def append(self, name: str, data: bytes) -> None:
         file = self.files.setdefault(name, _File(bytearray()))
+        self._require_capacity("append to file", name, len(data))
         if self.free_bytes is not None and len(data) > self.free_bytes:
             # A write to a full disk may be partial.
             file.data.extend(data[: self.free_bytes])
@@ -132,6 +147,8 @@
             raise _error("Input/output error", "replace file", name)
         if self.free_bytes is not None and len(data) > self.free_bytes:
             raise _error("No space left on device", "replace file", name)
+        # The old file exists until the new one is complete.
+        self._require_capacity("replace file", name, len(data))
         old = self.files.get(name)
         self.files[name] = _File(bytearray(data), synced=len(data))
         if self.failing_folder_sync:
