Forget a submission whose proposal was refused

What callers saw: a job whose first submission met a full queue of proposals (503) was accepted when it was sent again, although the admission would have refused it.

Cause: a submission counts as under way until its proposal has a result, and jobs under way aren't judged again. A proposal that the log refuses never had a result.

tests.test_job_dispatcher.DeskTest.test_refused_proposal_doesnt_remain_under_way failed before.

--- a/bamboorouter/coordination/jobs/job_handler.py
+++ b/bamboorouter/coordination/jobs/job_handler.py
@@ -247,13 +247,14 @@
 
         Raises:
             NotLeaderError: Nothing was committed.
+            RefusedError: Nothing was committed.
             UnknownResultError: The job may be committed later.
         """
         already_pending = self._recent.is_pending(command.job)
         self._recent.add_pending(command.job)
         try:
             result = await job_proposals.propose(self.log, command)
-        except errors.NotLeaderError:
+        except (errors.NotLeaderError, errors.RefusedError):
             if not already_pending:
                 self._recent.remove_pending(command.job)
             raise
--- a/tests/test_job_dispatcher.py
+++ b/tests/test_job_dispatcher.py
@@ -530,6 +530,20 @@
         self.log.apply_postponed()
         self.assertEqual(await self.submit("a", heavy_step), "ok")
 
+    async def test_refused_proposal_doesnt_remain_under_way(self) -> None:
+        """Guards against a job that evades the admission when it is resent."""
+        await self.connect_agent()
+        heavy_step = make.step(64, estimate_ms=60_000, fills=True)
+        refusal = errors.RefusedError(code="log_busy", text="", step="propose")
+        with (
+            mock.patch.object(self.log, "propose", side_effect=refusal),
+            self.assertRaises(errors.RefusedError),
+        ):
+            await self.submit("a", heavy_step)
+        outcomes = [await self.submit(f"f{n}", heavy_step) for n in range(10)]
+        self.assertIn("refused", outcomes)
+        self.assertEqual(await self.submit("a", heavy_step), "refused")
+
     async def test_job_is_cancelled_while_its_proposal_is_under_way(
         self,
     ) -> None:
