Tell callers and operators what is too large to be stored

What they saw: a job or a configuration that exceeds the limit of a command was answered with 503, for a job with Retry-After, and so it was sent again and again.

It is answered with 413, its size and the limit now; the configuration in force stays. Other refusals of a configuration carry their reason and Retry-After. A refusal that follows an attempt without an answer isn't reported as one.

--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -319,7 +319,9 @@
         size = len(commands.BATCH_CODEC.encode(self._make_batch((command,))))
         if size > self._max_command_bytes:
             raise _refused(
-                error_texts.BODY_TOO_LARGE, limit=self._max_command_bytes
+                error_texts.COMMAND_TOO_LARGE,
+                size=size,
+                limit=self._max_command_bytes,
             )
         if len(self._proposals.queue) >= proposals.QUEUE_LIMIT:
             raise _refused(error_texts.LOG_BUSY)
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -22,10 +22,13 @@
 
 # platform_site adds the adapter's folder to sys.path, so it is imported first.
 import caller_api  # isort: skip
+import configuration_api  # isort: skip
 import http_server  # isort: skip
+import wire  # isort: skip
 
 JOB = {"spec": "work", "phases": [{"count": 1, "cpu": 500}]}
 ATTEMPT_TIMEOUT_MS = 100
+_NOT_CONFIRMED = "no leader confirmed the configuration"
 
 
 class UnansweredAttemptTest(virtual_time.VirtualTimeCase):
@@ -51,6 +54,7 @@
         )
         self.addAsyncCleanup(client.close)
         handler = caller_api.CallerHandler(client=client, time=time)
+        configurations = configuration_api.ConfigurationHandler(client=client)
         self.address = f"127.0.0.1:{replica_site.free_port()}"
         server = http_server.HttpServer(
             address=self.address,
@@ -58,6 +62,7 @@
                 ("POST", "/{path:.*}", handler.submit),
                 ("GET", "/{path:.*}", handler.read),
                 ("DELETE", "/{path:.*}", handler.cancel),
+                ("PUT", wire.CONFIGURATION_PATH, configurations.put),
             ],
         )
         await server.start()
@@ -81,15 +86,23 @@
         found = []
         for unanswered in (0, 1):
             self.answer, self.unanswered = answer, unanswered
-            async with self.session.request(
-                method,
-                f"http://{self.address}/forms/00aa",
-                json=JOB if method == "POST" else None,
-                headers={"Host": platform_site.HOST},
-            ) as response:
-                found.append(response.status)
+            found.append(await self.send(method))
         return found[0], found[1]
 
+    async def send(self, method: str) -> int:
+        """Sends a job or, with PUT, a configuration; returns the status."""
+        bodies = {"POST": JOB, "PUT": platform_site.configuration()}
+        path = "/forms/00aa" if method != "PUT" else wire.CONFIGURATION_PATH
+        async with self.session.request(
+            method,
+            f"http://{self.address}{path}",
+            json=bodies.get(method),
+            headers={"Host": platform_site.HOST},
+        ) as response:
+            self.error = await response.json()
+            self.headers = response.headers
+            return response.status
+
     async def test_accepted_job_is_not_denied_by_a_later_attempt(self) -> None:
         """Guards against an accepted job that is reported as never run."""
         refusal = messages.Refusal(code="log_busy", text="busy")
@@ -120,6 +133,27 @@
                     await self.statuses("DELETE", answer), statuses
                 )
 
+    async def test_what_is_too_large_to_store_is_refused_with_its_size(
+        self,
+    ) -> None:
+        """Guards against retries of a call that can never be carried out."""
+        text = "5000000 bytes were to be stored, but the limit is 4194304 bytes"
+        refusal = messages.Refusal(code="command_too_large", text=text)
+        self.assertEqual(await self.statuses("POST", refusal), (413, 504))
+        self.assertEqual(await self.statuses("PUT", refusal), (413, 503))
+        self.assertEqual(self.error, {"error": _NOT_CONFIRMED})
+        self.unanswered = 0
+        await self.send("PUT")
+        self.assertEqual(self.error, {"error": text})
+
+    async def test_configuration_that_is_refused_for_now_may_be_sent_again(
+        self,
+    ) -> None:
+        self.answer = messages.Refusal(code="log_busy", text="busy")
+        self.assertEqual(await self.send("PUT"), 503)
+        self.assertEqual(self.error, {"error": "busy"})
+        self.assertTrue(self.headers["Retry-After"])
+
     async def test_read_is_answered_by_any_attempt(self) -> None:
         for outcome, status in (("no_queue", 404), ("unconfigured", 503)):
             with self.subTest(outcome=outcome):
