--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -21,6 +21,7 @@
 from bamboorouter.coordination.log import core_state
 from bamboorouter.coordination.log import leader_state
 from bamboorouter.coordination.log import membership
+from bamboorouter.coordination.log import state_bound
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership as members_protocol
 from bamboorouter.protocol import messages
@@ -41,6 +42,8 @@
 # leader, a segment and an entry are smaller than the retention size.
 _INTERVALS_PER_RETENTION: Final = 8
 _SEGMENTS_PER_RETENTION: Final = 8
+# Time between two snapshots that only measure the state.
+MEASURE_PERIOD_MS: Final = 2000
 # A restart applies the entries after the newest snapshot again.
 MAX_SNAPSHOT_LOG_BYTES: Final = 64 * 1024 * 1024
 # Term of the first entry, which precedes all elections.
@@ -84,30 +87,49 @@
             segment of its own.
         retention_bytes: Size of the log; old segments are removed before it is
             reached.
+        max_state_bytes: Largest size of a snapshot; 0 if it isn't limited.
     """
 
     snapshot_entries: int = 4096
     snapshot_log_bytes: int = MAX_SNAPSHOT_LOG_BYTES
     segment_bytes: int = log_store.SEGMENT_BYTES
     retention_bytes: int = 16 * 1024**3
+    max_state_bytes: int = 0
 
     @classmethod
-    def within(cls, retention_bytes: int, *, snapshot_entries: int) -> "Limits":
-        """Returns limits with which the log never exceeds its retention size.
+    def within(
+        cls,
+        retention_bytes: int,
+        *,
+        snapshot_entries: int,
+        disk_bytes: int = 0,
+    ) -> "Limits":
+        """Returns limits with which log and snapshots keep their sizes.
 
         No entry may be larger than a segment.
+
+        Args:
+            retention_bytes: Largest size of the log.
+            snapshot_entries: Applied entries between two snapshots.
+            disk_bytes: Size of the disk; 0 if it isn't known.
         """
+        segment_bytes = min(
+            retention_bytes // _SEGMENTS_PER_RETENTION,
+            log_store.SEGMENT_BYTES,
+        )
         return cls(
             snapshot_entries=snapshot_entries,
             snapshot_log_bytes=min(
                 retention_bytes // _INTERVALS_PER_RETENTION,
                 MAX_SNAPSHOT_LOG_BYTES,
             ),
-            segment_bytes=min(
-                retention_bytes // _SEGMENTS_PER_RETENTION,
-                log_store.SEGMENT_BYTES,
-            ),
+            segment_bytes=segment_bytes,
             retention_bytes=retention_bytes,
+            max_state_bytes=state_bound.max_state_bytes(
+                disk_bytes=disk_bytes,
+                retention_bytes=retention_bytes,
+                segment_bytes=segment_bytes,
+            ),
         )
 
 
@@ -157,6 +179,10 @@
         self._retention_due = True
         # Size of the entries applied after the newest snapshot.
         self._unsnapshotted_bytes = 0
+        # Size of the newest snapshot, and by how much the state has grown since.
+        self._snapshot_bytes = 0
+        self._growth_bytes = 0
+        self._measured_ms = now - MEASURE_PERIOD_MS
         self._rng = rng
         self._interval_factor = self._draw_interval_factor()
         members = self._open_snapshot()
@@ -254,6 +280,20 @@
         events.log(events.STORAGE_FAILED, replica=self.id, error=str(error))
         self.core.halt()
 
+    def measure_state(self, now: int) -> None:
+        """Takes a snapshot if only its size shows how large the state is.
+
+        The estimate counts what commands have added and nothing of what was
+        removed. Called when the estimate is too high to accept a command.
+        """
+        if now - self._measured_ms < MEASURE_PERIOD_MS:
+            return
+        newest = self.snapshots.position
+        taken = newest.index if newest is not None else 0
+        if taken < self.applied_index <= self.log.synced_index:
+            self._measured_ms = now
+            self.step(self._take_snapshot)
+
     # --- State ---------------------------------------------------------------
 
     def formed(self) -> bool:
@@ -279,6 +319,10 @@
         """
         return self.leads() and now < self.core.lease_until(now)
 
+    def state_bytes(self) -> int:
+        """Returns an estimate of the size of a snapshot, too high if anything."""
+        return self._snapshot_bytes + self._growth_bytes
+
     # --- Work ----------------------------------------------------------------
 
     def _open_snapshot(self) -> membership.MemberHistory:
@@ -300,6 +344,7 @@
             self.log.reset(position)
         self.machine.restore(snapshot.data)
         self.applied_index = position.index
+        self._snapshot_bytes = len(snapshot.data)
         return membership.MemberHistory(
             base=position,
             members=members_protocol.CODEC.decode(snapshot.members),
@@ -335,10 +380,12 @@
 
     def _apply_entry(self, entry: messages.LogEntry) -> None:
         results: list[commands.Result] = []
+        batch: tuple[commands.Command, ...] = ()
         if entry.kind == messages.KIND_COMMANDS:
             try:
-                batch = commands.BATCH_CODEC.decode(entry.payload)
-                results = self.machine.apply(entry.index, batch)
+                decoded = commands.BATCH_CODEC.decode(entry.payload)
+                batch = decoded.commands
+                results = self.machine.apply(entry.index, decoded)
             except Exception as err:  # pylint: disable=broad-except
                 # The state may differ between replicas after a partial apply.
                 events.log(
@@ -350,6 +397,9 @@
         self._unsnapshotted_bytes += (
             len(entry.payload) + records.ENTRY_OVERHEAD_BYTES
         )
+        self._growth_bytes += state_bound.added_by_batch(
+            batch, size=len(entry.payload)
+        )
         self.host.applied_entry(entry.index, results)
         if self._snapshot_due():
             self.step(self._take_snapshot)
@@ -380,19 +430,26 @@
     def _take_snapshot(self) -> None:
         index = self.applied_index
         members = self.core.state.members
+        data = self.machine.snapshot()
         self.snapshots.save(
             snapshot_store.Snapshot(
                 position=self.log.position_at(index),
                 members=members_protocol.CODEC.encode(members.at(index)),
-                data=self.machine.snapshot(),
+                data=data,
             )
         )
         members.forget_before(index)
-        self._unsnapshotted_bytes = 0
+        self._measured(len(data))
         self._interval_factor = self._draw_interval_factor()
         events.log(events.SNAPSHOT_WRITTEN, replica=self.id, index=index)
         self._retention_due = True
 
+    def _measured(self, snapshot_bytes: int) -> None:
+        """Records the size of a snapshot that contains all applied entries."""
+        self._snapshot_bytes = snapshot_bytes
+        self._growth_bytes = 0
+        self._unsnapshotted_bytes = 0
+
     def _drop_oldest_segment(self) -> None:
         """Removes the oldest segment if the log is too large.
 
@@ -424,7 +481,7 @@
         self.log.reset(snapshot.position)
         self.machine.restore(snapshot.data)
         self.applied_index = index
-        self._unsnapshotted_bytes = 0
+        self._measured(len(snapshot.data))
         self.core.snapshot_installed(snapshot)
         events.log(events.SNAPSHOT_INSTALLED, replica=self.id, index=index)
         self.host.applied_entry(index, [])
--- a/bamboorouter/coordination/log/proposals.py
+++ b/bamboorouter/coordination/log/proposals.py
@@ -13,9 +13,11 @@
 from typing import Final
 
 from bamboorouter import errors
+from bamboorouter.coordination.log import state_bound
 from bamboorouter.protocol import commands
 
 QUEUE_LIMIT: Final = 4096
+QUEUE_BYTES: Final = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -34,6 +36,12 @@
     result: "asyncio.Future[commands.Result]"
     index: int = 0
 
+    def growth_bytes(self) -> int:
+        """Returns how much the command may add to the state, in bytes."""
+        if self.command is None:
+            return 0
+        return state_bound.added_bytes(self.command, size=self.size)
+
 
 class Proposals:
     """Queued proposals and entries in flight on the leader.
@@ -41,14 +49,30 @@
     Attributes:
         queue: Proposals that belong to no entry yet.
         in_flight: Proposals of each entry that isn't applied yet, by index.
+        queued_bytes: Size of the proposals in the queue.
+        growth_bytes: How much all proposals may add to the state.
     """
 
     def __init__(self, *, batch_limit: int, batch_bytes: int) -> None:
         self.queue: collections.deque[PendingProposal] = collections.deque()
         self.in_flight: dict[int, list[PendingProposal]] = {}
+        self.queued_bytes = 0
+        self.growth_bytes = 0
         self._batch_limit = batch_limit
         self._batch_bytes = batch_bytes
 
+    def is_full(self, proposal: PendingProposal) -> bool:
+        """Whether the queue has no room for a proposal."""
+        return len(self.queue) >= QUEUE_LIMIT or bool(
+            self.queue and self.queued_bytes + proposal.size > QUEUE_BYTES
+        )
+
+    def add(self, proposal: PendingProposal) -> None:
+        """Adds a proposal to the queue."""
+        self.queue.append(proposal)
+        self.queued_bytes += proposal.size
+        self.growth_bytes += proposal.growth_bytes()
+
     def next_batch(self) -> list[PendingProposal]:
         """Removes the proposals of the next entry from the queue."""
         batch: list[PendingProposal] = []
@@ -58,6 +82,7 @@
             if batch and size > self._batch_bytes:
                 break
             batch.append(self.queue.popleft())
+        self.queued_bytes -= sum(proposal.size for proposal in batch)
         return batch
 
     def appended(self, index: int, batch: list[PendingProposal]) -> None:
@@ -69,6 +94,7 @@
     def applied(self, index: int, results: list[commands.Result]) -> None:
         """Resolves the proposals of an applied entry with their results."""
         batch = self.in_flight.pop(index, [])
+        self.growth_bytes -= sum(p.growth_bytes() for p in batch)
         if batch and not results:
             # The entry has no commands, for example a change of members.
             results = [commands.Result(ok=True)] * len(batch)
@@ -81,6 +107,8 @@
         if proposal.index:
             return False
         self.queue.remove(proposal)
+        self.queued_bytes -= proposal.size
+        self.growth_bytes -= proposal.growth_bytes()
         return True
 
     def fail_all(self, *, leader: str) -> None:
@@ -99,6 +127,8 @@
             )
         self.queue.clear()
         self.in_flight.clear()
+        self.queued_bytes = 0
+        self.growth_bytes = 0
 
 
 def _fail(proposal: PendingProposal, error: errors.RouterError) -> None:
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -33,6 +33,7 @@
 from bamboorouter.coordination.log import peers
 from bamboorouter.coordination.log import proposals
 from bamboorouter.coordination.log import replicated_log
+from bamboorouter.coordination.log import state_bound
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
@@ -125,6 +126,7 @@
         self.limits = limits or replica_engine.Limits.within(
             settings.retention_mb * _BYTES_PER_MB,
             snapshot_entries=settings.snapshot_entries,
+            disk_bytes=settings.disk_mb * _BYTES_PER_MB,
         )
         # An entry that fits into a segment doesn't exceed the size of the log.
         self._max_command_bytes = min(
@@ -323,13 +325,14 @@
                 size=size,
                 limit=self._max_command_bytes,
             )
-        if len(self._proposals.queue) >= proposals.QUEUE_LIMIT:
-            raise _refused(error_texts.LOG_BUSY)
-        started = self._clock.now()
         proposal = proposals.PendingProposal(
             command=command, size=size, result=_future()
         )
-        self._proposals.queue.append(proposal)
+        if self._proposals.is_full(proposal):
+            raise _refused(error_texts.LOG_BUSY)
+        self._require_room(command, size)
+        started = self._clock.now()
+        self._proposals.add(proposal)
         self._schedule("flush", self._flush)
         result = await self._wait_for_result(proposal, timeout_ms)
         metrics.COMMIT_SECONDS.observe(
@@ -486,6 +489,20 @@
             step=step,
         )
 
+    def _require_room(self, command: commands.Command, size: int) -> None:
+        """Refuses a command after which a snapshot may not fit on the disk."""
+        limit = self.limits.max_state_bytes
+        if not limit or not state_bound.grows_state(command):
+            return
+        grown = (
+            self.engine.state_bytes()
+            + self._proposals.growth_bytes
+            + state_bound.added_bytes(command, size=size)
+        )
+        if grown > limit:
+            self.engine.measure_state(self._clock.now())
+            raise _refused(error_texts.STATE_FULL, size=grown, limit=limit)
+
     def _make_batch(
         self, batch: tuple[commands.Command, ...]
     ) -> commands.CommandBatch:
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -14,6 +14,7 @@
 DEADLINE: Final = "deadline"
 BODY_TOO_LARGE: Final = "body_too_large"
 COMMAND_TOO_LARGE: Final = "command_too_large"
+STATE_FULL: Final = "state_full"
 DRAINING: Final = "draining"
 UNCONFIRMED_ROUTE: Final = "unconfirmed_route"
 KEY_REQUIRED: Final = "key_required"
@@ -73,6 +74,9 @@
     QUEUE_FULL: "the queue of urgency class {urgency} is full",
     DEADLINE: "the request cannot start before its deadline",
     BODY_TOO_LARGE: "the body exceeds {limit} bytes",
+    STATE_FULL: (
+        "the state has {size} bytes and may have {limit} bytes at most"
+    ),
     COMMAND_TOO_LARGE: (
         "{size} bytes were to be stored, but the limit is {limit} bytes"
     ),
--- a/bamboorouter/options.py
+++ b/bamboorouter/options.py
@@ -137,6 +137,8 @@
         retention_mb: Largest size of the log in MB. Its oldest segments are
             removed, and with them the oldest part of the account; no command
             may be larger than an eighth of it.
+        disk_mb: Size of the disk in MB; jobs and configurations are refused
+            before its snapshots fill it. 0 if the size isn't known.
         self_repair: Whether replicas join and lost ones are replaced without an
             operator. `process.control` has the addresses of the other replicas.
         tolerated_losses: Number of replicas that may be lost at the same time;
@@ -153,6 +155,7 @@
     snapshot_entries: PositiveInt = 4096
     policies: Literal["product", "plain"] = "product"
     retention_mb: PositiveInt = 16 * 1024
+    disk_mb: Annotated[int, msgspec.Meta(ge=0)] = 0
     self_repair: bool = False
     tolerated_losses: PositiveInt = 1
 
--- a/bamboorouter/roles/operator_api.py
+++ b/bamboorouter/roles/operator_api.py
@@ -38,7 +38,12 @@
 _READING_OPERATIONS: Final = frozenset({"status", "explain"})
 # Refusals after which the same call may succeed.
 _TRANSIENT_CODES: Final = frozenset(
-    {error_texts.NOT_READY, error_texts.LOG_BUSY, error_texts.MEMBERS_BUSY}
+    {
+        error_texts.NOT_READY,
+        error_texts.LOG_BUSY,
+        error_texts.MEMBERS_BUSY,
+        error_texts.STATE_FULL,
+    }
 )
 
 
--- a/tests/test_disk_bounds.py
+++ b/tests/test_disk_bounds.py
@@ -1,19 +1,28 @@
 """Guards against control replicas whose data fills their disk."""
 
+import asyncio
 import random
 import unittest
 
 from absl import logging
 
+from bamboorouter import clock
+from bamboorouter import error_texts
+from bamboorouter import errors
+from bamboorouter import options
 from bamboorouter.coordination.log import core_state
 from bamboorouter.coordination.log import engine
+from bamboorouter.coordination.log import proposals
+from bamboorouter.coordination.log import replica
 from bamboorouter.protocol import commands
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import jobs
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
 from bamboorouter.state import machine
+from tests import job_builders
 from tests import memory_folder
+from tests import replica_site
 
 MB = 1024 * 1024
 # The smallest disk of a core machine, and what the platform's adapter makes of it.
@@ -21,6 +30,8 @@
 RETENTION_BYTES = DISK_BYTES // 4
 DOCUMENT_BYTES = 370_000
 SNAPSHOT_ENTRIES = 4000
+SMALL_DISK_MB = 16
+RETRY_PAUSE_S = 0.3
 
 
 class _Host:
@@ -173,5 +184,146 @@
                     )
 
 
+class StateBoundTest(unittest.IsolatedAsyncioTestCase):
+    """What would make snapshots too large for the disk is refused in time."""
+
+    async def asyncSetUp(self) -> None:
+        verbosity = logging.get_verbosity()
+        logging.set_verbosity(logging.FATAL)
+        self.addCleanup(logging.set_verbosity, verbosity)
+        self.folder = memory_folder.MemoryFolder()
+        self.folder.capacity_bytes = SMALL_DISK_MB * MB
+        address = f"127.0.0.1:{replica_site.free_port()}"
+        self.replica = replica.Replica(
+            process=options.ProcessOptions(
+                name="control", zone="a", roles=("control",)
+            ),
+            settings=options.ControlOptions(
+                data_dir="unused",
+                bootstrap=(address,),
+                snapshot_entries=SNAPSHOT_ENTRIES,
+                retention_mb=SMALL_DISK_MB // 4,
+                disk_mb=SMALL_DISK_MB,
+            ),
+            folder=self.folder,
+            machine=machine.Machine(),
+            time=clock.SystemClock(),
+        )
+        await self.replica.start(address, last_leader_contact_ms=0)
+        self.addAsyncCleanup(self.replica.stop)
+        await replica_site.wait_until(self.replica.lease_valid)
+        self.number = 0
+        await self.propose(
+            job_commands.PutConfiguration(
+                configuration=jobs.Configuration(
+                    version=1,
+                    queues=(job_builders.queue(),),
+                    services=(jobs.ServiceSettings(name="desk"),),
+                )
+            )
+        )
+
+    async def propose(self, command: commands.Command) -> commands.Result:
+        return await self.replica.propose(command, timeout_ms=5000)
+
+    async def accept(self, *, tasks: int, spec: str) -> bool:
+        """Submits a job; returns whether it was accepted."""
+        self.number += 1
+        command = job_commands.AcceptSteps(
+            job=f"job-{self.number}",
+            queue=job_builders.queue().name,
+            spec=jobs.JobSpec(spec=spec, steps=(job_builders.step(tasks),)),
+        )
+        try:
+            result = await self.propose(command)
+        except errors.RefusedError as err:
+            self.assertEqual(err.code, error_texts.STATE_FULL)
+            return False
+        self.assertTrue(result.ok, result)
+        return True
+
+    async def fill(self, *, tasks: int, spec: str) -> int:
+        """Submits jobs until the state is full; returns the accepted ones."""
+        accepted = refused = 0
+        while refused * RETRY_PAUSE_S < 1.5 * engine.MEASURE_PERIOD_MS / 1000:
+            if await self.accept(tasks=tasks, spec=spec):
+                accepted += 1
+                refused = 0
+            else:
+                refused += 1
+                await asyncio.sleep(RETRY_PAUSE_S)
+            self.assertIsNone(self.replica.engine.failure)
+        return accepted
+
+    async def forget_all(self) -> None:
+        """Cancels and removes all jobs, which is possible at any time."""
+        known = tuple(self.replica.machine.stepped.jobs)
+        for job in known:
+            result = await self.propose(job_commands.CancelSteps(job=job))
+            self.assertTrue(result.ok)
+        await self.propose(job_commands.ForgetSteps(jobs=known))
+        self.assertFalse(self.replica.machine.stepped.jobs)
+
+    async def test_jobs_dont_fill_the_disk(self) -> None:
+        """Guards against snapshots that find no room and halt each replica.
+
+        Jobs with long texts, and jobs whose tasks take far more than the job.
+        """
+        for tasks, spec in ((1, "x" * 60_000), (5000, "short")):
+            with self.subTest(tasks=tasks):
+                accepted = await self.fill(tasks=tasks, spec=spec)
+                self.assertGreater(accepted, 2)
+                await self.forget_all()
+                self.assertGreater(
+                    await self.fill(tasks=tasks, spec=spec), accepted // 2
+                )
+                await self.forget_all()
+        self.assertLess(self.folder.largest_bytes, SMALL_DISK_MB * MB)
+
+    async def test_command_that_doesnt_fit_into_a_segment_is_refused(
+        self,
+    ) -> None:
+        large = job_commands.PutConfiguration(
+            configuration=jobs.Configuration(
+                version=2, document=b"x" * (SMALL_DISK_MB * MB // 32)
+            )
+        )
+        with self.assertRaises(errors.RefusedError) as refused:
+            await self.propose(large)
+        self.assertEqual(refused.exception.code, error_texts.COMMAND_TOO_LARGE)
+        self.assertIn("524288", refused.exception.text)
+        self.assertEqual(self.replica.machine.stepped.version(), 1)
+
+
+class ProposalQueueTest(unittest.IsolatedAsyncioTestCase):
+    """The queue of proposals is bounded in bytes."""
+
+    async def test_queue_takes_no_more_than_its_bytes(self) -> None:
+        queue = proposals.Proposals(batch_limit=256, batch_bytes=MB)
+        command = job_commands.CancelSteps(job="a")
+        size = 3 * MB
+
+        def proposal() -> proposals.PendingProposal:
+            return proposals.PendingProposal(
+                command=command,
+                size=size,
+                result=asyncio.get_running_loop().create_future(),
+            )
+
+        while not queue.is_full(proposal()):
+            queue.add(proposal())
+        self.assertLessEqual(queue.queued_bytes, proposals.QUEUE_BYTES)
+        queue.appended(1, queue.next_batch())
+        queue.applied(1, [commands.Result(ok=True)])
+        self.assertTrue(queue.withdraw(queue.queue[0]))
+        remaining = len(queue.queue)
+        self.assertEqual(queue.queued_bytes, remaining * size)
+        self.assertEqual(queue.growth_bytes, remaining * size)
+        failed = list(queue.queue)
+        queue.fail_all(leader="")
+        self.assertTrue(all(p.result.exception() for p in failed))
+        self.assertEqual((queue.queued_bytes, queue.growth_bytes), (0, 0))
+
+
 if __name__ == "__main__":
     unittest.main()
