Shorten the log before anything is written to a full disk

What operators saw: a replica of the earlier version whose log had filled the disk didn't start, not with a smaller retention size either.

A log within its size still fails at the first small write, so that an attempt on a full disk remains cheap.

tests.test_disk_bounds.DiskBoundsTest.test_full_disk_of_an_earlier_version_gets_free failed before: no space left on device, peer vote.

--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -165,12 +165,15 @@
     ) -> None:
         folder.remove_temporary()
         self.id = hard_state.open_identity(folder)
-        saved = hard_state.reopen(folder)
         self.folder = folder
         self.failure: Exception | None = None
         self.machine = machine
         self.host = host
         self.limits = limits or Limits()
+        # An attempt on a full disk fails here, before it reads the log, unless
+        # the log has segments that can be removed.
+        if log_store.stored_bytes(folder) <= self._kept_log_bytes():
+            hard_state.reopen(folder)
         self.log = log_store.LogStore(
             folder=folder, segment_bytes=self.limits.segment_bytes
         )
@@ -186,6 +189,10 @@
         self._rng = rng
         self._interval_factor = self._draw_interval_factor()
         members = self._open_snapshot()
+        # Makes room first, because a full disk can't store a copy of anything.
+        self._shorten_log()
+        saved = hard_state.reopen(folder)
+        self.log.make_durable()
         self.core = consensus.Core(
             replica_id=self.id,
             group=group,
@@ -450,6 +457,12 @@
         self._growth_bytes = 0
         self._unsnapshotted_bytes = 0
 
+    def _shorten_log(self) -> None:
+        """Removes the segments that the retention size no longer keeps."""
+        while self._retention_due:
+            self._drop_oldest_segment()
+        self._retention_due = True
+
     def _drop_oldest_segment(self) -> None:
         """Removes the oldest segment if the log is too large.
 
--- a/bamboorouter/state/log_store.py
+++ b/bamboorouter/state/log_store.py
@@ -10,7 +10,8 @@
 that is followed by an undamaged record, raises an error that names file and
 offset, because acknowledged entries may be missing.
 
-Opening then replaces the newest segment by a copy that is synced. The process
+Before the first write, `make_durable` replaces the newest segment by a copy that is
+synced. The process
 that wrote it may have ended before its sync, or the sync may have failed. After
 a failed sync the kernel may regard the data as written: a read returns it, and
 the next sync of the file succeeds, but a power failure loses it.
@@ -40,6 +41,13 @@
 _PREFIX: Final = "log-"
 
 
+def stored_bytes(folder: files.Folder) -> int:
+    """Returns the size of all segments in a folder, without opening them."""
+    return sum(
+        folder.size(name) for name in folder.names() if name.startswith(_PREFIX)
+    )
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Segment:
     """One file of the log.
@@ -121,6 +129,21 @@
         """Size of all segments in bytes."""
         return sum(segment.size for segment in self._segments)
 
+    def make_durable(self) -> None:
+        """Makes all entries durable that were found when the log was opened.
+
+        Must precede the first write.
+
+        Raises:
+            StorageError: The newest segment can't be replaced.
+        """
+        if self._segments:
+            newest = self._segments[-1]
+            data = self.folder.read(newest.name)
+            self.folder.replace(newest.name, data[: newest.size])
+            self._last_written = newest.name
+        self.synced_index = self.last_index
+
     def append(self, entry: messages.LogEntry) -> None:
         """Stages an entry.
 
@@ -482,10 +505,6 @@
             newest = position == len(names) - 1
             data = self.folder.read(name)
             self._open_segment(name, data, newest=newest)
-            if newest and self._segments and self._segments[-1].name == name:
-                self.folder.replace(name, data[: self._segments[-1].size])
-        self._last_written = self._segments[-1].name if self._segments else ""
-        self.synced_index = self.last_index
 
     def _open_segment(self, name: str, data: bytes, *, newest: bool) -> None:
         base = records.parse_segment_header(data)
--- a/tests/test_disk_bounds.py
+++ b/tests/test_disk_bounds.py
@@ -185,6 +185,38 @@
                         replica.engine.log.total_bytes, retention
                     )
 
+    def test_full_disk_of_an_earlier_version_gets_free(self) -> None:
+        """Guards against a replica that needs free space to make any.
+
+        Opening a folder copied the newest segment and the vote, and segments
+        were removed only after a new entry had been synced.
+        """
+        for snapshot_entries in (20, 45):
+            with self.subTest(snapshot_entries=snapshot_entries):
+                replica = Replica(
+                    limits=engine.Limits(
+                        snapshot_entries=snapshot_entries // 4, segment_bytes=MB
+                    ),
+                    disk_bytes=16 * MB,
+                )
+                while replica.put_configuration(100_000):
+                    pass
+                self.assertIn("No space left", str(replica.engine.failure))
+                version = replica.engine.machine.stepped.version()
+                replica.folder.capacity_bytes = replica.folder.used_bytes()
+                replica.limits = engine.Limits.within(
+                    4 * MB, snapshot_entries=SNAPSHOT_ENTRIES
+                )
+                replica.open()
+                replica.lead()
+                self.assertIsNone(replica.engine.failure)
+                self.assertGreaterEqual(
+                    replica.engine.machine.stepped.version(), version
+                )
+                for _ in range(100):
+                    self.assertTrue(replica.put_configuration(100_000))
+                self.assertLess(replica.engine.log.total_bytes, 4 * MB)
+
 
 class StateBoundTest(unittest.IsolatedAsyncioTestCase):
     """What would make snapshots too large for the disk is refused in time."""
--- a/tests/test_log_store.py
+++ b/tests/test_log_store.py
@@ -32,9 +32,11 @@
         self.store = self.open()
 
     def open(self) -> log_store.LogStore:
-        return log_store.LogStore(
+        opened = log_store.LogStore(
             folder=self.folder, segment_bytes=SEGMENT_BYTES
         )
+        opened.make_durable()
+        return opened
 
     def append_synced(self, count: int) -> None:
         for index in range(1, count + 1):
