--- a/bamboorouter/coordination/log/member_changes.py
+++ b/bamboorouter/coordination/log/member_changes.py
@@ -1,8 +1,9 @@
 """Validates membership changes on the leader and computes the new member list.
 
 A replica joins as a learner and is promoted to a voter once it has caught up. A
-silent voter is demoted to a learner, and a lost replica is removed. Only one change may be uncommitted at a time. A change
-that could cost the group its majority is refused before anything is proposed.
+silent voter is demoted to a learner, and a lost replica is removed. Only one change
+may be uncommitted at a time. A change that could cost the group its majority is
+refused before anything is proposed.
 """
 
 from typing import Final
