Log why a group elects no leader

An election that nobody wins, a lost leader and a refused vote left no line, and a restart didn't show which members a replica counts.

Change: the core adds notes about elections to its output, and the engine logs them after it has sent the messages: BR0118 leader_lost, BR0119 campaign_started, BR0120 campaign_ended and BR0121 vote_refused. BR0117 replica_opened names members, quorum, term, vote, last entry and commit at each start. VoteReply has the new field `refusal`, last and with a default. The logic of elections is unchanged.

Lines are bounded: the first four campaigns after a leader was found or lost are logged, later ones at intervals that grow from 1 to 10 s with the number left out. Refused votes are bounded in the same way for each reason.

--- a/bamboorouter/coordination/log/consensus.py
+++ b/bamboorouter/coordination/log/consensus.py
@@ -25,6 +25,7 @@
 
 from bamboorouter import errors
 from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import election_notes
 from bamboorouter.coordination.log import follower_state
 from bamboorouter.coordination.log import leader_state
 from bamboorouter.coordination.log import membership
@@ -42,6 +43,7 @@
 # term, and how often it doubles at most. Until then votes may have been split.
 UNDOUBLED_TERMS: Final = 2
 MAX_DOUBLINGS: Final = 4
+_REFUSALS: Final = frozenset(map(str, election_notes.Refusal))
 
 
 class Core:
@@ -110,6 +112,9 @@
         self._last_leader_contact_ms = last_leader_contact_ms
         self._election_due_ms = now
         self._votes: set[str] = set()
+        # Voters that refused in the current campaign, and why.
+        self._refusals: dict[str, str] = {}
+        self._campaign_term = 0
         self._election_attempts = 0
         # Terms in which this replica voted since it last heard a leader.
         self._terms_without_leader = 0
@@ -294,25 +299,32 @@
 
     def _start_pre_vote(self, now: int) -> None:
         self._campaign(core_state.Role.PRE_CANDIDATE, now)
+        self._note_campaign(self.state.term + 1, now)
         if self._has_quorum():
             self._start_election(now, transfer=False)
             return
         self._request_votes(term=self.state.term + 1, pre=True, transfer=False)
 
     def _start_election(self, now: int, *, transfer: bool) -> None:
+        if transfer:
+            self._end_campaign(election_notes.CampaignEnd.TRANSFER, now)
+            self._lose_leader(election_notes.LeaderLoss.TRANSFER, now)
         self.state.enter_term(self.state.term + 1, voted_for=self.state.id)
         self._terms_without_leader += 1
         self._follower_state.drop_pending_reply()
         self._campaign(core_state.Role.CANDIDATE, now)
+        self._note_campaign(self.state.term, now)
         if self._has_quorum():
             self._become_leader(now)
             return
         self._request_votes(term=self.state.term, pre=False, transfer=transfer)
 
     def _campaign(self, role: core_state.Role, now: int) -> None:
+        self._end_campaign(election_notes.CampaignEnd.TIMED_OUT, now)
+        self._lose_leader(election_notes.LeaderLoss.SILENT, now)
         self.role = role
-        self.state.leader = self.state.leader_address = ""
         self._votes = {self.state.id}
+        self._refusals = {}
         self._schedule_election_retry(now)
 
     def _has_quorum(self) -> bool:
@@ -335,7 +347,8 @@
             state.send(voter, request)
 
     def _on_vote_request(self, m: messages.VoteRequest, now: int) -> None:
-        granted = self._should_grant_vote(m, now)
+        refusal = self._refusal(m, now)
+        granted = refusal is None
         if granted and not m.pre:
             self.state.voted_for = m.candidate
             self.state.save()
@@ -347,14 +360,18 @@
             voter=self.state.id,
             granted=granted,
             pre=m.pre,
+            refusal=str(refusal or ""),
         )
         self.state.send(m.candidate, reply)
+        if refusal is not None:
+            self._note_refusal(m, refusal, now)
 
-    def _should_grant_vote(self, m: messages.VoteRequest, now: int) -> bool:
+    def _refusal(
+        self, m: messages.VoteRequest, now: int
+    ) -> election_notes.Refusal | None:
+        """Returns why a vote is refused; None if it is granted."""
         state = self.state
-        last_contact_ms = self._last_leader_contact_ms
-        if self.leader_state is not None:
-            last_contact_ms = self.leader_state.quorum_contact_ms(now)
+        last_contact_ms = self._contact_ms(now)
         # A leader that transfers leadership has given up its lease. A candidate
         # that led `led_term` in an earlier process lost that lease when the
         # process ended. If `led_term` is at least the current term, every
@@ -365,23 +382,26 @@
             not lease_ended
             and now < last_contact_ms + state.timing.election_min_ms
         ):
-            return False
+            return election_notes.Refusal.LEADER_RECENT
         if m.term < state.term:
-            return False
+            return election_notes.Refusal.STALE_TERM
         if m.term > state.term and not m.pre:
             self._become_follower(m.term, now)
         if m.term == state.term and state.leader:
             # Also rejects a transfer request that arrives after an election.
-            return False
+            return election_notes.Refusal.HAS_LEADER
         if (m.last_term, m.last_index) < (
             state.log.last_term,
             state.log.last_index,
         ):
-            return False
-        return m.term > state.term or state.voted_for in ("", m.candidate)
+            return election_notes.Refusal.LOG_BEHIND
+        if m.term > state.term or state.voted_for in ("", m.candidate):
+            return None
+        return election_notes.Refusal.VOTED_FOR_OTHER
 
     def _on_vote_reply(self, m: messages.VoteReply, now: int) -> None:
         if not m.granted:
+            self._record_refusal(m)
             if m.term > self.state.term:
                 self._become_follower(m.term, now)
             return
@@ -398,10 +418,117 @@
         else:
             self._become_leader(now)
 
+    def _record_refusal(self, m: messages.VoteReply) -> None:
+        """Records a refusal for the note about the current campaign.
+
+        A refusal names the voter's term, not that of the campaign, so a late
+        one may belong to the campaign before.
+        """
+        pre = self.role is core_state.Role.PRE_CANDIDATE
+        if m.pre == pre and m.voter in self.state.members.voters:
+            known = m.refusal in _REFUSALS
+            self._refusals[m.voter] = m.refusal if known else "unknown"
+
     def _on_timeout_now(self, m: messages.TimeoutNow, now: int) -> None:
         if m.term == self.state.term and self.state.is_voter():
             self._start_election(now, transfer=True)
 
+    # --- Notes for the log ---------------------------------------------------
+
+    def _contact_ms(self, now: int) -> int:
+        """Returns the last contact with a leader, or of a leader with a quorum."""
+        if self.leader_state is not None:
+            return self.leader_state.quorum_contact_ms(now)
+        return self._last_leader_contact_ms
+
+    def _note_campaign(self, term: int, now: int) -> None:
+        state = self.state
+        self._campaign_term = term
+        state.note(
+            election_notes.CampaignStarted(
+                now_ms=now,
+                term=term,
+                pre=self.role is core_state.Role.PRE_CANDIDATE,
+                voters=tuple(
+                    (member.id, member.address)
+                    for member in state.members.current.members
+                    if member.voter
+                ),
+                quorum=state.members.quorum,
+                contact_age_ms=now - self._last_leader_contact_ms,
+                last_index=state.log.last_index,
+                last_term=state.log.last_term,
+            )
+        )
+
+    def _end_campaign(self, end: election_notes.CampaignEnd, now: int) -> None:
+        """Ends a campaign without a majority, if there is one, and notes that."""
+        pre = self.role is core_state.Role.PRE_CANDIDATE
+        campaigning = pre or self.role is core_state.Role.CANDIDATE
+        if not campaigning or self._has_quorum():
+            return
+        voters = self.state.members.voters
+        self.state.note(
+            election_notes.CampaignEnded(
+                now_ms=now,
+                term=self._campaign_term,
+                pre=pre,
+                end=end,
+                votes=tuple(v for v in voters if v in self._votes),
+                refusals=tuple(
+                    (v, self._refusals[v])
+                    for v in voters
+                    if v in self._refusals and v not in self._votes
+                ),
+                unanswered=tuple(
+                    v
+                    for v in voters
+                    if v not in self._votes and v not in self._refusals
+                ),
+                quorum=self.state.members.quorum,
+            )
+        )
+        self.role = core_state.Role.FOLLOWER
+
+    def _lose_leader(self, loss: election_notes.LeaderLoss, now: int) -> None:
+        """Forgets the leader; notes that if this replica followed one."""
+        state = self.state
+        if state.leader and state.leader != state.id:
+            state.note(
+                election_notes.LeaderLost(
+                    now_ms=now,
+                    term=state.term,
+                    leader=state.leader_address,
+                    silent_ms=now - self._last_leader_contact_ms,
+                    loss=loss,
+                )
+            )
+        state.leader = state.leader_address = ""
+
+    def _note_refusal(
+        self,
+        m: messages.VoteRequest,
+        refusal: election_notes.Refusal,
+        now: int,
+    ) -> None:
+        state = self.state
+        member = state.members.current.find(m.candidate)
+        state.note(
+            election_notes.VoteRefused(
+                now_ms=now,
+                candidate=m.candidate,
+                address=member.address if member is not None else "",
+                term=m.term,
+                pre=m.pre,
+                refusal=refusal,
+                own_term=state.term,
+                leader=state.leader_address,
+                # A leader may not have heard a majority yet.
+                contact_age_ms=now
+                - max(self._contact_ms(now), self._last_leader_contact_ms),
+            )
+        )
+
     # --- Roles ---------------------------------------------------------------
 
     def _persist_leadership(self) -> None:
@@ -415,6 +542,7 @@
             self.state.save()
 
     def _become_leader(self, now: int) -> None:
+        self.state.note(election_notes.LeaderFound())
         self.role = core_state.Role.LEADER
         self.state.leader = self.state.id
         self.state.leader_address = self.state.address
@@ -436,6 +564,12 @@
             address: Address of that leader; empty if unknown.
         """
         state = self.state
+        if leader:
+            self._end_campaign(election_notes.CampaignEnd.LEADER_FOUND, now)
+            state.note(election_notes.LeaderFound())
+        else:
+            self._end_campaign(election_notes.CampaignEnd.LATER_TERM, now)
+            self._lose_leader(election_notes.LeaderLoss.LATER_TERM, now)
         if term > state.term:
             state.enter_term(term)
             self._follower_state.drop_pending_reply()
--- a/bamboorouter/coordination/log/core_state.py
+++ b/bamboorouter/coordination/log/core_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from bamboorouter.coordination.log import election_notes
 from bamboorouter.coordination.log import membership
 from bamboorouter.protocol import messages
 from bamboorouter.state import hard_state
@@ -67,11 +68,13 @@
         messages: Messages to send once the log is written.
         install: Snapshot that must replace log and state machine, or None. The
             caller reports the installation with `Core.snapshot_installed`.
+        notes: Facts about elections for the log, in order.
     """
 
     saved: hard_state.HardState | None = None
     messages: list[Envelope] = dataclasses.field(default_factory=list)
     install: snapshot_store.Snapshot | None = None
+    notes: tuple[election_notes.Note, ...] = ()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -130,6 +133,10 @@
         self.led = False
         self.save()
 
+    def note(self, note: election_notes.Note) -> None:
+        """Adds a fact about an election to the output."""
+        self.output.notes += (note,)
+
     def send(self, to: str, message: messages.Message) -> None:
         """Adds a message to another replica to the output.
 
--- a/bamboorouter/coordination/log/engine.py
+++ b/bamboorouter/coordination/log/engine.py
@@ -19,6 +19,7 @@
 from bamboorouter import events
 from bamboorouter.coordination.log import consensus
 from bamboorouter.coordination.log import core_state
+from bamboorouter.coordination.log import election_log
 from bamboorouter.coordination.log import leader_state
 from bamboorouter.coordination.log import membership
 from bamboorouter.coordination.log import state_bound
@@ -186,6 +187,7 @@
         self._snapshot_bytes = 0
         self._growth_bytes = 0
         self._measured_ms = now - MEASURE_PERIOD_MS
+        self._election_log = election_log.ElectionLog(replica=self.id)
         self._rng = rng
         self._interval_factor = self._draw_interval_factor()
         members = self._open_snapshot()
@@ -380,6 +382,8 @@
             hard_state.save(self.folder, output.saved)
         for envelope in output.messages:
             self.host.post(envelope)
+        for note in output.notes:
+            self._election_log.record(note)
         if output.install is not None:
             self._install(output.install)
         if self.log.synced_index < self.log.last_index:
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -193,10 +193,26 @@
             last_leader_contact_ms=last_leader_contact_ms,
             limits=self.limits,
         )
+        self._log_opened()
         if not self.engine.formed():
             self._start_formation(address)
         self._after_step()
 
+    def _log_opened(self) -> None:
+        state = self._state()
+        events.log(
+            events.REPLICA_OPENED,
+            replica=self.engine.id,
+            address=self.address,
+            members=_describe(state.members.current),
+            quorum=state.members.quorum,
+            term=state.term,
+            voted_for=state.voted_for,
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
+            commit=state.commit,
+        )
+
     async def stop(self) -> None:
         """Transfers leadership if this replica leads, then closes all links.
 
@@ -666,11 +682,17 @@
         events.log(
             events.MEMBERS_CHANGED,
             replica=self.engine.id,
-            members=[(m.id, m.address, m.voter) for m in self.members()],
+            members=_describe(self._members),
         )
         self._peers.close_removed(self._members)
 
 
+def _describe(
+    members: membership.Members,
+) -> list[tuple[str, str, bool]]:
+    return [(m.id, m.address, m.voter) for m in members.members]
+
+
 def _future() -> "asyncio.Future[commands.Result]":
     return asyncio.get_running_loop().create_future()
 
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -240,6 +240,42 @@
     "A failed replica could not be stopped completely; it can't write any"
     " longer, and the next one is opened anyway.",
 )
+REPLICA_OPENED: Final = _define_event(
+    117,
+    "replica_opened",
+    logging.INFO,
+    "The replica opened its data folder and counts with these members; each is"
+    " named with its ID, its address and whether it votes.",
+)
+LEADER_LOST: Final = _define_event(
+    118,
+    "leader_lost",
+    logging.INFO,
+    "This follower no longer follows its leader, which was `silent`, handed over"
+    " (`transfer`) or was followed by a `later_term`.",
+)
+CAMPAIGN_STARTED: Final = _define_event(
+    119,
+    "campaign_started",
+    logging.INFO,
+    "This replica asks the voters for pre-votes (`pre`) or votes. While there is"
+    " no leader, the first campaigns are logged, later ones at intervals of 1 to"
+    " 10 s; `left_out` counts those since the last line.",
+)
+CAMPAIGN_ENDED: Final = _define_event(
+    120,
+    "campaign_ended",
+    logging.INFO,
+    "A campaign with a `campaign_started` line ended without a majority: who"
+    " voted for this replica, who refused and why, and who didn't answer.",
+)
+VOTE_REFUSED: Final = _define_event(
+    121,
+    "vote_refused",
+    logging.INFO,
+    "This replica refused a vote or pre-vote. The lines of each reason are"
+    " bounded like those of campaigns.",
+)
 
 # 200-299: control role.
 SCHEDULER_LEADS: Final = _define_event(
--- a/bamboorouter/protocol/messages.py
+++ b/bamboorouter/protocol/messages.py
@@ -77,6 +77,8 @@
         voter: ID of the replica that replies.
         granted: Whether the vote is granted.
         pre: Whether this replies to a pre-vote.
+        refusal: Why the vote isn't granted, for the log of the candidate; empty
+            if it is granted or the voter doesn't say.
     """
 
     group: str
@@ -84,6 +86,7 @@
     voter: str
     granted: bool
     pre: bool
+    refusal: str = ""
 
 
 class AppendRequest(base.Wire, frozen=True, kw_only=True, tag=3):
