Name cause and addresses in repair_delayed and leader_silent

Change: ControlClient keeps the latest 16 addresses that failed or redirected since a leader last answered. repair_delayed has its cause (not_a_member, no_leader or change), and for a join the time without a leader and these addresses, for a change its action and member. leader_silent has the addresses and the age of the last contact. Retries and pauses are unchanged.

--- a/bamboorouter/coordination/log/self_repair.py
+++ b/bamboorouter/coordination/log/self_repair.py
@@ -78,17 +78,14 @@
 
     async def _run(self) -> None:
         while True:
-            try:
-                if self.replica.lease_valid():
-                    await self._repair()
-                elif self._must_join():
-                    await self._join()
-            except errors.RouterError as err:
-                events.log(events.REPAIR_DELAYED, error=str(err))
+            if self.replica.lease_valid():
+                await self._repair()
+            elif cause := self._join_cause():
+                await self._join(cause)
             await asyncio.sleep(clock.seconds(CHECK_PERIOD_MS))
 
-    def _must_join(self) -> bool:
-        """Whether this replica must send a join request.
+    def _join_cause(self) -> str:
+        """Returns why this replica must send a join request; empty if it needn't.
 
         It must if it isn't in its own member list, or if it has heard no leader
         for NO_LEADER_TIMEOUT_MS: a replica that was removed while it was down
@@ -97,22 +94,37 @@
         """
         local_id = self.replica.engine.id
         if all(member.id != local_id for member in self.replica.members()):
-            return True
+            return "not_a_member"
+        return "no_leader" if self._silent_ms() > NO_LEADER_TIMEOUT_MS else ""
+
+    def _silent_ms(self) -> int:
+        """Returns for how long this replica has heard no leader, in ms."""
         heard_ms = max(self._created_ms, self.replica.leader_contact_ms())
-        return self.clock.now() - heard_ms > NO_LEADER_TIMEOUT_MS
+        return self.clock.now() - heard_ms
 
-    async def _join(self) -> None:
+    async def _join(self, cause: str) -> None:
         if self.replica.settings.bootstrap and not self.replica.formed():
             # This replica is one of the first members, which form the group.
             return
-        await self.client.call(
-            job_messages.JoinGroup(
-                group=self.replica.settings.group,
+        try:
+            await self.client.call(
+                job_messages.JoinGroup(
+                    group=self.replica.settings.group,
+                    replica=self.replica.engine.id,
+                    address=self.replica.address,
+                ),
+                timeout_ms=JOIN_TIMEOUT_MS,
+            )
+        except errors.RouterError as err:
+            events.log(
+                events.REPAIR_DELAYED,
                 replica=self.replica.engine.id,
-                address=self.replica.address,
-            ),
-            timeout_ms=JOIN_TIMEOUT_MS,
-        )
+                cause=cause,
+                silent_ms=self._silent_ms(),
+                tried=self.client.tried_addresses(),
+                error=str(err),
+            )
+            return
         await asyncio.sleep(clock.seconds(JOIN_PAUSE_MS))
 
     async def _repair(self) -> None:
@@ -129,13 +141,23 @@
             member=change.member,
             term=self.replica.term(),
         )
-        match change.action:
-            case "promote":
-                await self.replica.promote(change.member)
-            case "demote":
-                await self.replica.demote(change.member)
-            case "remove":
-                await self.replica.remove(change.member)
+        try:
+            match change.action:
+                case "promote":
+                    await self.replica.promote(change.member)
+                case "demote":
+                    await self.replica.demote(change.member)
+                case "remove":
+                    await self.replica.remove(change.member)
+        except errors.RouterError as err:
+            events.log(
+                events.REPAIR_DELAYED,
+                replica=self.replica.engine.id,
+                cause="change",
+                action=change.action,
+                member=change.member,
+                error=str(err),
+            )
 
     def _report_missing_voters(
         self, views: list[member_repair.MemberView]
--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -21,6 +21,7 @@
 # before a new one is elected.
 ATTEMPT_TIMEOUT_MS: Final = 800
 RETRY_PAUSE_MS: Final = 50
+MAX_TRIED_ADDRESSES: Final = 16
 
 
 def _always_false(answer: messages.Message) -> bool:
@@ -50,6 +51,9 @@
         self.addresses = addresses
         self.clock = time
         self._learned_replicas: tuple[str, ...] = ()
+        # Addresses that failed or redirected since a leader last answered, in
+        # the order of their last attempts.
+        self._tried: dict[str, None] = {}
         self.last_contact_ms: clock.Millis | None = None
         self.handler = handler
         self._attempt_timeout_ms = attempt_timeout_ms
@@ -117,6 +121,7 @@
             except errors.RouterError as err:
                 last_error = err
                 unanswered = True
+                self._record_tried(current.peer)
                 # The link is kept if it still delivers replies to other calls.
                 if (
                     current.closed.is_set()
@@ -127,6 +132,7 @@
                 continue
             if not isinstance(reply, messages.Redirect):
                 self.last_contact_ms = sent
+                self._tried.clear()
                 if unanswered and is_refusal(reply):
                     raise errors.UnknownResultError(
                         text="refused after an attempt with an unknown result",
@@ -135,6 +141,7 @@
                     )
                 return reply
             unanswered = unanswered or reply.result_unknown
+            self._record_tried(current.peer)
             self.learn_replicas(reply.replicas)
             await self._switch_target(current, reply.leader)
             if not reply.leader or reply.leader == current.peer:
@@ -153,6 +160,13 @@
         if replicas:
             self._learned_replicas = replicas
 
+    def tried_addresses(self) -> tuple[str, ...]:
+        """Returns the addresses tried since a leader last answered.
+
+        Only the latest MAX_TRIED_ADDRESSES are kept.
+        """
+        return tuple(self._tried)
+
     def contact_age_ms(self) -> int | None:
         """Returns the time since the last contact with a leader, in ms."""
         if self.last_contact_ms is None:
@@ -174,6 +188,7 @@
             async with asyncio.timeout(clock.seconds(timeout_ms)):
                 return await self._open(timeout_ms)
         except TimeoutError as err:
+            self._record_tried(self._target)
             # This call may have waited for attempts of other calls to open the
             # link.
             raise errors.LinkClosedError(
@@ -195,6 +210,7 @@
                     timeout_ms=min(timeout_ms, self._attempt_timeout_ms),
                 )
             except errors.LinkClosedError:
+                self._record_tried(target)
                 self._target = self._next_address()
                 raise
             return self._link
@@ -215,6 +231,12 @@
         self._target = leader or self._next_address()
         await previous.close()
 
+    def _record_tried(self, address: str) -> None:
+        self._tried.pop(address, None)
+        self._tried[address] = None
+        if len(self._tried) > MAX_TRIED_ADDRESSES:
+            del self._tried[next(iter(self._tried))]
+
     async def _pause(self) -> None:
         pause_ms = RETRY_PAUSE_MS * (0.5 + random.random())
         await asyncio.sleep(clock.seconds(int(pause_ms)))
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -462,7 +462,9 @@
     406,
     "leader_silent",
     logging.WARNING,
-    "No leader answered a poll of the entry.",
+    "No leader answered a poll of the entry. `tried` names the addresses that"
+    " failed or redirected since a leader last answered, which was"
+    " `contact_age_ms` ago.",
 )
 OUTCOME_NOT_RECORDED: Final = _define_event(
     407,
@@ -595,7 +597,10 @@
     614,
     "repair_delayed",
     logging.INFO,
-    "An attempt to join the group or to change its members failed and is retried.",
+    "An attempt to join the group or to change its members failed and is"
+    " retried. A replica joins because it is `not_a_member` or hears `no_leader`;"
+    " `tried` names the addresses that failed or redirected since a leader last"
+    " answered.",
 )
 WORKER_SLOW: Final = _define_event(
     615,
--- a/bamboorouter/roles/entry.py
+++ b/bamboorouter/roles/entry.py
@@ -210,7 +210,12 @@
         try:
             reply = await self.client.call(poll, timeout_ms=POLL_TIMEOUT_MS)
         except errors.RequestTimeoutError as err:
-            events.log(events.LEADER_SILENT, error=str(err))
+            events.log(
+                events.LEADER_SILENT,
+                error=str(err),
+                tried=self.client.tried_addresses(),
+                contact_age_ms=self.client.contact_age_ms(),
+            )
             return
         if isinstance(reply, messages.EntryUpdate):
             self._apply_update(reply)
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -176,6 +176,70 @@
             )
 
 
+class TriedAddressesTest(virtual_time.VirtualTimeCase):
+    """Guards against silent groups whose clients don't say whom they asked."""
+
+    async def asyncSetUp(self) -> None:
+        self.leads = False
+        self.server = await link.serve_links(
+            host="127.0.0.1", port=0, handler=self._answer
+        )
+        self.addAsyncCleanup(self.server.close)
+        # Bound without listening, so that links to it are refused.
+        refusing = socket.socket()
+        self.addCleanup(refusing.close)
+        refusing.bind(("127.0.0.1", 0))
+        self.addresses = tuple(
+            f"127.0.0.1:{port}"
+            for port in (refusing.getsockname()[1], self.server.port)
+        )
+
+    async def _answer(
+        self, message: messages.Message, peer: link.Link
+    ) -> messages.Message | None:
+        del message, peer
+        if self.leads:
+            return messages.ReservationReply(state="granted")
+        return messages.Redirect(leader="")
+
+    def _make_client(self, *addresses: str) -> control_client.ControlClient:
+        client = control_client.ControlClient(
+            addresses=addresses,
+            time=virtual_time.VirtualTimeClock(),
+            attempt_timeout_ms=200,
+        )
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def _fail(self, client: control_client.ControlClient) -> None:
+        with self.assertRaises(errors.RequestTimeoutError):
+            await client.call(_reserve(0), timeout_ms=CALL_TIMEOUT_MS)
+
+    async def test_failures_and_redirects_count_until_an_answer(self) -> None:
+        client = self._make_client(*self.addresses)
+        self.assertEqual(client.tried_addresses(), ())
+        await self._fail(client)
+        self.assertEqual(set(client.tried_addresses()), set(self.addresses))
+        self.leads = True
+        await client.call(_reserve(0), timeout_ms=CALL_TIMEOUT_MS)
+        self.assertEqual(client.tried_addresses(), ())
+
+    async def test_address_without_an_answer_counts(self) -> None:
+        silent_server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(silent_server.close)
+        address = f"127.0.0.1:{silent_server.getsockname()[1]}"
+        client = self._make_client(address)
+        await self._fail(client)
+        self.assertEqual(client.tried_addresses(), (address,))
+
+    async def test_only_the_latest_addresses_are_kept(self) -> None:
+        client = self._make_client(self.addresses[1])
+        limit = control_client.MAX_TRIED_ADDRESSES
+        client.learn_replicas(tuple(f"127.0.0.1:{n}" for n in range(1, 30)))
+        await self._fail(client)
+        self.assertEqual(len(client.tried_addresses()), limit)
+
+
 class NoLeaderTest(virtual_time.VirtualTimeCase):
     """Timeouts of calls while no leader answers."""
 
--- a/tests/test_election_events.py
+++ b/tests/test_election_events.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 from bamboorouter import events
+from bamboorouter import options
 from bamboorouter.coordination.log import consensus
 from bamboorouter.coordination.log import core_state
 from bamboorouter.coordination.log import election_log
@@ -16,6 +17,7 @@
 from bamboorouter.protocol import base
 from bamboorouter.protocol import codec
 from bamboorouter.protocol import messages
+from bamboorouter.roles import entry
 from tests import replica_site
 from tests import test_consensus
 
@@ -552,5 +554,32 @@
         self.assertEqual(opened[-1]["quorum"], 2)
 
 
+class SilentEntryTest(unittest.IsolatedAsyncioTestCase):
+    """An entry that finds no leader logs whom it asked."""
+
+    async def test_line_names_the_addresses_and_the_last_contact(self) -> None:
+        # Bound without listening, so that links to it are refused.
+        reserved = replica_site.reserve_port()
+        self.addCleanup(reserved.close)
+        address = f"127.0.0.1:{reserved.getsockname()[1]}"
+        silent = entry.EntryRole(
+            process=options.ProcessOptions(
+                name="entry-1", zone="a", roles=("entry",), control=(address,)
+            ),
+            settings=options.EntryOptions(
+                listen="127.0.0.1:0", operator="127.0.0.1:0"
+            ),
+        )
+        with collect_lines() as lines:
+            await silent.start()
+            self.addAsyncCleanup(silent.stop)
+            await replica_site.wait_until(
+                lambda: bool(lines.of(events.LEADER_SILENT))
+            )
+        line = lines.of(events.LEADER_SILENT)[0]
+        self.assertEqual(line["tried"], (address,))
+        self.assertIsNone(line["contact_age_ms"])
+
+
 if __name__ == "__main__":
     unittest.main()
