--- a/tests/consensus_simulation.py
+++ b/tests/consensus_simulation.py
@@ -165,8 +165,8 @@
         if self.sync_pending:
             return
         self.sync_pending = True
-        delay = self._simulation.rng.choice((0.1, 0.1, 1.0, 8.0))
-        self._simulation.schedule(delay, self._sync, node=self)
+        delay_ms = self._simulation.sync_duration_ms()
+        self._simulation.schedule(delay_ms, self._sync, node=self)
 
     def applied_entry(self, index: int, results: list[commands.Result]) -> None:
         running = self.engine
@@ -341,6 +341,10 @@
                 ),
             )
 
+    def sync_duration_ms(self) -> float:
+        """Returns the duration of a sync in ms of simulated time."""
+        return self.rng.choice((0.1, 0.1, 1.0, 8.0))
+
     def acknowledge(self, index: int, job: str) -> None:
         """Records that the client has received the result of a command."""
         self.acknowledged[job] = index
@@ -523,7 +527,11 @@
         self._check_read(leader)
         if int(self.time_ms / CLIENT_PERIOD_MS) % 2:
             return
+        self._propose_job(leader)
+
+    def _propose_job(self, leader: Node) -> None:
         running = leader.engine
+        assert running is not None
         job = f"job-{next(self._job_numbers)}"
         batch = commands.CommandBatch(
             wall_ms=0, commands=(list_machine.cancel(job),)
--- a/tests/membership_simulation.py
+++ b/tests/membership_simulation.py
@@ -6,10 +6,13 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
+import math
 
 from bamboorouter import errors
 from bamboorouter.coordination.log import member_changes
 from bamboorouter.coordination.log import member_views
+from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.log import self_repair
 from bamboorouter.coordination.policies import member_repair
 from bamboorouter.protocol import membership
@@ -23,6 +26,11 @@
 # Several elections and the repair of all members.
 SETTLE_MS = 10_000
 JOIN_RETRY_MS = 500
+VOTES_CHECK_MS = 20
+# The product proposes further entries while fewer than this are uncommitted.
+MAX_IN_FLIGHT = 4
+SATURATED_PERIOD_MS = 1
+SATURATED_SYNC_MS = (15, 30)
 
 
 class RepairSimulation(simulation.Simulation):
@@ -33,14 +41,28 @@
         voters_lost: Number of replacements that hit a voter.
     """
 
-    def __init__(self, *, seed: int, size: int, tolerated: int) -> None:
+    def __init__(
+        self, *, seed: int, size: int, tolerated: int, saturated: bool = False
+    ) -> None:
+        """Forms the group.
+
+        Args:
+            seed: Seed of all random choices.
+            size: Number of replicas.
+            tolerated: Number of losses that the group has to tolerate.
+            saturated: Whether entries are always in flight on slow disks.
+        """
         self.tolerated = tolerated
         self.voters_lost = 0
+        self._saturated = saturated
         self._views = {slot: member_views.MemberViews() for slot in range(size)}
         self._started_ms = dict.fromkeys(range(size), 0.0)
         self._addresses = {slot: f"slot-{slot}" for slot in range(size)}
         super().__init__(seed=seed, size=size, fault_model=simulation.NO_FAULTS)
-        self._every(PROPOSE_PERIOD_MS, self._propose)
+        if saturated:
+            self._every(SATURATED_PERIOD_MS, self._propose_in_flight)
+        else:
+            self._every(PROPOSE_PERIOD_MS, self._propose)
         self._every(self_repair.CHECK_PERIOD_MS, self._repair)
         self._every(JOIN_RETRY_MS, self._join)
         self._run_until(FORMED_MS)
@@ -49,6 +71,11 @@
         """Runs the group for a simulated time in ms."""
         self._run_until(self.time_ms + duration_ms)
 
+    def sync_duration_ms(self) -> float:
+        if self._saturated:
+            return self.rng.uniform(*SATURATED_SYNC_MS)
+        return super().sync_duration_ms()
+
     def serves(self) -> bool:
         """Whether some replica holds a valid lease."""
         return self._leader() is not None
@@ -72,6 +99,38 @@
             return "leader"
         return "follower" if slot in self.voters() else "learner"
 
+    def leader(self) -> int | None:
+        """Returns the host of the leader with a valid lease, if there is one."""
+        leader = self._leader()
+        return None if leader is None else leader.slot
+
+    def votes_run(self) -> bool:
+        """Whether the wanted number of voters is complete and all of them run."""
+        leader = self._leader()
+        if leader is None or leader.engine is None:
+            return False
+        members = leader.engine.core.state.members.current
+        running = {
+            node.engine.id for node in self.nodes if node.engine is not None
+        }
+        return (
+            len(members.voters()) == 2 * self.tolerated + 1
+            and set(members.voters()) <= running
+        )
+
+    def repaired_after_ms(self, limit_ms: float) -> float:
+        """Runs until all votes are with running replicas; returns the time.
+
+        Args:
+            limit_ms: Time in ms after which the result is infinite.
+        """
+        started_ms = self.time_ms
+        while not self.votes_run():
+            if self.time_ms - started_ms > limit_ms:
+                return math.inf
+            self.run_for(VOTES_CHECK_MS)
+        return self.time_ms - started_ms
+
     def has_log(self, slot: int) -> bool:
         """Whether a replica has committed what the leader had 200 ms ago."""
         leader = self._leader()
@@ -116,6 +175,65 @@
 
         self.schedule(after_ms + START_MS, start)
 
+    def plan_replacement(self, slot: int, *, notice_ms: float) -> None:
+        """Starts the successor of a replica and stops the replica afterwards.
+
+        The replica transfers leadership before it stops, if it leads.
+
+        Args:
+            slot: Host of the replica.
+            notice_ms: Time in ms from the start of the successor's process to
+                the stop of the replica.
+        """
+        successor = simulation.Node(slot=len(self.nodes), simulation=self)
+        self.nodes.append(successor)
+        self._views[successor.slot] = member_views.MemberViews()
+        self._addresses[successor.slot] = f"slot-{successor.slot}"
+
+        def start() -> None:
+            self._started_ms[successor.slot] = self.time_ms
+            successor.stopped_ms = self.time_ms
+            self._start(successor)
+
+        self.schedule(START_MS, start)
+        self.run_for(notice_ms)
+        node = self.nodes[slot]
+        running = node.engine
+        assert running is not None
+        if running.core.leader_state is not None:
+            running.step(lambda: running.core.transfer(node.now()))
+            self._finish_step(node)
+            ends_ms = self.time_ms + replica.TRANSFER_TIMEOUT_MS
+            while (
+                running.core.leader_state is not None and self.time_ms < ends_ms
+            ):
+                self.run_for(1)
+        self._stop(node)
+        self._started_ms.pop(slot)
+
+    def lose_power_and_disks(
+        self, wiped: Collection[int], *, down_ms: float
+    ) -> None:
+        """Stops all running replicas at once; some restart with empty disks.
+
+        Also ends all freezes and cuts. Replicas that are down already aren't
+        affected, unless their disks are lost, too.
+
+        Args:
+            wiped: Hosts whose disks are lost.
+            down_ms: Time in ms until the replicas restart.
+        """
+        stopped = [node for node in self.nodes if node.engine is not None]
+        for node in stopped:
+            self._stop(node)
+        for slot in wiped:
+            self.nodes[slot].folder = memory_folder.MemoryFolder()
+        self._cuts = {}
+        self.run_for(down_ms)
+        for node in stopped:
+            node.stopped_ms = self.time_ms
+            self._start(node)
+
     def freeze(self, slot: int, duration_ms: float) -> None:
         """Pauses a replica."""
         self.nodes[slot].paused_until = self.time_ms + duration_ms
@@ -136,6 +254,22 @@
         """Returns the host of the replica that has run for the longest time."""
         return min(self._started_ms, key=lambda slot: self._started_ms[slot])
 
+    # --- Client --------------------------------------------------------------
+
+    def _propose_in_flight(self) -> None:
+        """Proposes entries until as many are in flight as the product allows."""
+        leader = self._leader()
+        if leader is None or leader.engine is None:
+            return
+        self._check_read(leader)
+        running = leader.engine
+        while (
+            running.core.leader_state is not None
+            and running.log.last_index - running.core.state.commit
+            < MAX_IN_FLIGHT
+        ):
+            self._propose_job(leader)
+
     # --- Repair --------------------------------------------------------------
 
     def _is_voter(self, node: simulation.Node) -> bool:
