Show that a disk lost between two membership changes ends the group

Seen: a silent voter is demoted before a learner is promoted. In between, two voters of four replicas form the quorum. If one of their disks is lost, no replica can win an election, though the silent voter was only frozen or cut off and one loss is tolerated.

The search loses disks at any moment now, within bounds of their own, and checks in each state that some replica can win an election. A vote that is taken too early is caught in any case, by a test that does so itself.

--- a/tests/membership_model.py
+++ b/tests/membership_model.py
@@ -13,11 +13,16 @@
   are.
 - A loss of a replica with its disk, and a successor that joins at the same or at
   another address.
+- A loss of a disk at any moment, also between two changes or while other
+  replicas are frozen or cut off, up to the number of losses that the group
+  tolerates.
 
 An entry counts as committed as soon as a majority has it, whether or not the
 leader knows. Checked in every state: no two leaders commit different entries, and
 a leader elected later has every committed entry. Checked at each change: majorities of
-the lists before and after overlap, and a majority of the later one answers.
+the lists before and after overlap, and a majority of the later one answers. If
+disks are lost at any moment, checked in every state as well: the replicas that
+still have their disks can elect a leader.
 """
 
 from collections.abc import Iterator
@@ -57,6 +62,10 @@
     """A safety property of membership changes was violated."""
 
 
+class EndedError(ViolationError):
+    """No replica that still has its disk can be elected."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Bounds:
     """Limits of the search.
@@ -66,7 +75,10 @@
         tolerated: Number of losses that the group tolerates.
         terms: Number of elections, the first one included.
         changes: Number of membership changes in any log.
-        losses: Number of lost replicas.
+        losses: Number of replicas lost one after the other, each once every
+            committed entry would outlive its loss.
+        wiped: Number of disks lost at any moment, without a successor; at most
+            `tolerated`, and 0 if `losses` isn't.
     """
 
     replicas: int
@@ -74,6 +86,11 @@
     terms: int
     changes: int
     losses: int
+    wiped: int = 0
+
+    def __post_init__(self) -> None:
+        if self.wiped > self.tolerated or (self.wiped and self.losses):
+            raise ValueError(f"more losses than the group tolerates: {self}")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,6 +135,8 @@
             for successor in _successors(pending.pop(), bounds):
                 state = _forget_unused(_commit(successor))
                 if state not in visited:
+                    if bounds.wiped:
+                        _check_not_ended(state)
                     visited.add(state)
                     pending.append(state)
     return len(visited)
@@ -196,21 +215,33 @@
 def _elections(state: State) -> Iterator[State]:
     term = len(state.leaders) + 1
     for number, candidate in enumerate(state.replicas):
-        members = _list_of(candidate.log)
-        if candidate.lost or not members.is_voter(str(number)):
+        if not _may_campaign(state, number):
             continue
-        granting = [
-            int(voter)
-            for voter in members.voters()
-            if int(voter) != number
-            and not state.replicas[int(voter)].lost
-            and _last_position(state.replicas[int(voter)].log)
-            <= _last_position(candidate.log)
-        ]
-        for votes in itertools.combinations(granting, members.quorum() - 1):
+        quorum = _list_of(candidate.log).quorum()
+        for votes in itertools.combinations(
+            _granting(state, number), quorum - 1
+        ):
             yield _elected(state, term, number, votes)
 
 
+def _may_campaign(state: State, number: int) -> bool:
+    replica = state.replicas[number]
+    return not replica.lost and _list_of(replica.log).is_voter(str(number))
+
+
+def _granting(state: State, number: int) -> list[int]:
+    """Returns the other voters in a replica's list that would vote for it."""
+    candidate = state.replicas[number]
+    return [
+        int(voter)
+        for voter in _list_of(candidate.log).voters()
+        if int(voter) != number
+        and not state.replicas[int(voter)].lost
+        and _last_position(state.replicas[int(voter)].log)
+        <= _last_position(candidate.log)
+    ]
+
+
 def _elected(
     state: State, term: int, number: int, votes: tuple[int, ...]
 ) -> State:
@@ -447,9 +478,55 @@
                 raise ViolationError(f"{one} and {other} don't overlap")
 
 
+def _check_not_ended(state: State) -> None:
+    """Checks that the group can go on once all replicas with disks are back.
+
+    A leader that wins an election can send its log to those that voted for it,
+    and so commit an entry of its term.
+    """
+    if not any(
+        len(_granting(state, number)) + 1 >= _list_of(replica.log).quorum()
+        for number, replica in enumerate(state.replicas)
+        if _may_campaign(state, number)
+    ):
+        raise EndedError(f"no replica can win an election:\n{_describe(state)}")
+
+
+def _describe(state: State) -> str:
+    """Returns the logs in a short form, with learners in parentheses."""
+
+    def shown(log: Log) -> str:
+        return " ".join(
+            f"{term}:"
+            + (
+                "entry"
+                if stored is None
+                else "".join(
+                    m.id if m.voter else f"({m.id})"
+                    for m in stored.members.members
+                )
+            )
+            for term, stored in log
+        )
+
+    return "\n".join(
+        (
+            *(
+                f"replica {n}: {'lost' if r.lost else shown(r.log)}"
+                for n, r in enumerate(state.replicas)
+            ),
+            *(
+                f"leader of term {term}: {leader.id}, {shown(leader.log)}"
+                for term, leader in enumerate(state.leaders, start=1)
+            ),
+            f"committed: {shown(state.committed)}",
+        )
+    )
+
+
 def _losses(state: State, bounds: Bounds) -> Iterator[State]:
     lost = sum(replica.lost for replica in state.replicas)
-    if lost >= bounds.losses or not _restored(state):
+    if lost >= bounds.wiped and (lost >= bounds.losses or not _restored(state)):
         return
     for number, replica in enumerate(state.replicas):
         if not replica.lost and replica.log:
--- a/tests/test_replaced_members.py
+++ b/tests/test_replaced_members.py
@@ -1,6 +1,7 @@
 """Guards against a group that ends for good when its members are replaced."""
 
 import functools
+import itertools
 import random
 import unittest
 
@@ -12,6 +13,14 @@
 SUCCESSOR_AFTER_MS = 1000
 # Time after which a machine that was replaced no longer counts as lost.
 CATCH_UP_MS = 4000
+# Voters that are frozen or cut off lose their votes in this time, in ms.
+SILENT_MS = range(1200, 2401, 50)
+# So does a single one of five, after 3 s.
+SINGLE_SILENT_MS = range(2900, 3901, 100)
+# A loss that starts then ends the count of the one before.
+IN_TURN_MS = range(5200, 6201, 100)
+FAULT_MS = 20_000
+DOWN_MS = 500
 
 
 class ReplacedMembersTest(unittest.TestCase):
@@ -113,6 +122,92 @@
                     )
                 self.assertTrue(group.settle())
 
+    def lose_voters(
+        self,
+        group: simulation.RepairSimulation,
+        *,
+        silent: set[int],
+        leader_too: bool,
+    ) -> None:
+        """Wipes as many answering voters as tolerated; stops all replicas."""
+        leader = group.leader()
+        self.assertIsNotNone(leader)
+        answering = sorted(
+            group.voters() - silent,
+            key=lambda slot: (slot == leader) != leader_too,
+        )
+        group.lose_power_and_disks(
+            answering[: group.tolerated], down_ms=DOWN_MS
+        )
+
+    def lose_voters_after_silence(
+        self, *, size: int, tolerated: int, silent: int, silent_ms: range
+    ) -> None:
+        """Freezes or cuts off voters, then loses other voters' disks."""
+        for (seed, after_ms), cut, leader_too in itertools.product(
+            enumerate(silent_ms), (False, True), (False, True)
+        ):
+            with self.subTest(
+                seed=seed, after_ms=after_ms, cut=cut, leader_too=leader_too
+            ):
+                group = simulation.RepairSimulation(
+                    seed=seed, size=size, tolerated=tolerated
+                )
+                followers = sorted(group.voters() - {group.leader()})
+                slots = set(followers[:silent])
+                for slot in slots:
+                    (group.cut if cut else group.freeze)(slot, FAULT_MS)
+                group.run_for(after_ms)
+                self.lose_voters(group, silent=slots, leader_too=leader_too)
+                self.assertTrue(group.settle())
+
+    def test_group_of_four_outlives_a_lost_disk_between_two_changes(
+        self,
+    ) -> None:
+        """Guards against a group that ends between two membership changes.
+
+        A voter that was only frozen or cut off had lost its vote, and no
+        learner had it yet, when a disk was lost and all others lost power.
+        """
+        self.lose_voters_after_silence(
+            size=4, tolerated=1, silent=1, silent_ms=SILENT_MS
+        )
+
+    def test_group_of_five_outlives_lost_disks_after_silence(self) -> None:
+        self.lose_voters_after_silence(
+            size=5, tolerated=2, silent=2, silent_ms=SILENT_MS[::2]
+        )
+
+    def test_group_of_six_outlives_lost_disks_between_two_changes(
+        self,
+    ) -> None:
+        """Guards against a group that ends between two membership changes."""
+        for silent, silent_ms in ((1, SINGLE_SILENT_MS), (2, SILENT_MS)):
+            self.lose_voters_after_silence(
+                size=6, tolerated=2, silent=silent, silent_ms=silent_ms
+            )
+
+    def test_group_outlives_lost_disks_after_a_replacement_in_turn(
+        self,
+    ) -> None:
+        """A disk is lost just after the replacement before stops counting."""
+        for size, tolerated in ((4, 1), (5, 2), (6, 2)):
+            for (seed, after_ms), leader_too in itertools.product(
+                enumerate(IN_TURN_MS), (False, True)
+            ):
+                with self.subTest(
+                    size=size,
+                    seed=seed,
+                    after_ms=after_ms,
+                    leader_too=leader_too,
+                ):
+                    group = simulation.RepairSimulation(
+                        seed=seed, size=size, tolerated=tolerated
+                    )
+                    self.replace_in_turn(group, count=2, gap_ms=after_ms)
+                    self.lose_voters(group, silent=set(), leader_too=leader_too)
+                    self.assertTrue(group.settle())
+
     def test_frozen_voter_is_a_member_again_when_it_answers(self) -> None:
         group = simulation.RepairSimulation(seed=1, size=4, tolerated=1)
         frozen = next(
