Show that a saturated log delays the reassignment of votes

Seen: a learner counts as caught up if it lacks at most one entry at the moment of a check, every 250 ms. With up to four entries always in flight this is rare.

--- a/tests/test_replaced_members.py
+++ b/tests/test_replaced_members.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import math
 import random
 import unittest
 
@@ -208,6 +209,37 @@
                     self.lose_voters(group, silent=set(), leader_too=leader_too)
                     self.assertTrue(group.settle())
 
+    def lost_slot(
+        self, group: simulation.RepairSimulation, *, role: str
+    ) -> int:
+        return next(
+            slot for slot in range(len(group.nodes)) if group.role(slot) == role
+        )
+
+    def test_votes_move_on_while_entries_are_always_in_flight(self) -> None:
+        """Guards against a learner that never counts as caught up.
+
+        Some entries are always in flight, so that it nearly always lacks some.
+        """
+        for (size, tolerated), role, seed in itertools.product(
+            ((3, 1), (4, 1), (6, 2)), ("follower", "leader"), SEEDS
+        ):
+            with self.subTest(size=size, role=role, seed=seed):
+                group = simulation.RepairSimulation(
+                    seed=seed, size=size, tolerated=tolerated, saturated=True
+                )
+                # The learners that stand by have joined.
+                self.assertLess(group.repaired_after_ms(CATCH_UP_MS), math.inf)
+                group.replace(
+                    self.lost_slot(group, role=role),
+                    moved=True,
+                    after_ms=SUCCESSOR_AFTER_MS,
+                )
+                limit_ms = SUCCESSOR_AFTER_MS + CATCH_UP_MS
+                self.assertLessEqual(
+                    group.repaired_after_ms(2 * limit_ms), limit_ms
+                )
+
     def test_frozen_voter_is_a_member_again_when_it_answers(self) -> None:
         group = simulation.RepairSimulation(seed=1, size=4, tolerated=1)
         frozen = next(
