Show that the votes of a lost leader are reassigned late

Seen: the silence of a lost leader counts from the election of the next one. Where two losses are tolerated, a single silent voter keeps its vote for 3 s as well, so that a planned replacement counts as a loss for longer than allowed.

--- a/tests/test_replaced_members.py
+++ b/tests/test_replaced_members.py
@@ -21,6 +21,8 @@
 # A loss that starts then ends the count of the one before.
 IN_TURN_MS = range(5200, 6201, 100)
 FAULT_MS = 20_000
+# A successor that starts first takes over within CATCH_UP_MS of its start.
+PLANNED_REPAIR_MS = CATCH_UP_MS - SUCCESSOR_AFTER_MS
 DOWN_MS = 500
 
 
@@ -240,6 +242,48 @@
                     group.repaired_after_ms(2 * limit_ms), limit_ms
                 )
 
+    def test_votes_of_a_lost_leader_move_on_at_once(self) -> None:
+        """Guards against silence that counts from the next election only.
+
+        The followers know how long the leader has been silent before that.
+        """
+        for (size, tolerated), seed in itertools.product(
+            ((4, 1), (6, 2)), range(12)
+        ):
+            with self.subTest(size=size, seed=seed):
+                group = simulation.RepairSimulation(
+                    seed=seed, size=size, tolerated=tolerated
+                )
+                group.replace(
+                    self.lost_slot(group, role="leader"),
+                    moved=True,
+                    after_ms=SUCCESSOR_AFTER_MS,
+                )
+                self.assertLessEqual(
+                    group.repaired_after_ms(2 * PLANNED_REPAIR_MS),
+                    PLANNED_REPAIR_MS,
+                )
+
+    def test_votes_move_on_in_time_to_a_successor_that_starts_first(
+        self,
+    ) -> None:
+        """Guards against a planned replacement that still counts as a loss."""
+        for (size, tolerated), role, seed in itertools.product(
+            ((3, 1), (4, 1), (5, 2)), ("follower", "leader"), range(6)
+        ):
+            with self.subTest(size=size, role=role, seed=seed):
+                group = simulation.RepairSimulation(
+                    seed=seed, size=size, tolerated=tolerated
+                )
+                group.plan_replacement(
+                    self.lost_slot(group, role=role),
+                    notice_ms=SUCCESSOR_AFTER_MS,
+                )
+                self.assertLessEqual(
+                    group.repaired_after_ms(2 * PLANNED_REPAIR_MS),
+                    PLANNED_REPAIR_MS,
+                )
+
     def test_frozen_voter_is_a_member_again_when_it_answers(self) -> None:
         group = simulation.RepairSimulation(seed=1, size=4, tolerated=1)
         frozen = next(
