Show that processes lose a group whose first replicas are all replaced

An agent and the configuration API of a control VM know the seeds of their settings and what a redirect told them. If the followers are replaced first and the leader last, every address that they know is gone. Callers see accepted jobs that never run, operators 503.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -213,7 +213,13 @@
         }
         return node_settings.NodeSettings(**values)
 
-    async def start_control(self, ip: str, *, bootstrap: bool) -> None:
+    def control_addresses(self) -> tuple[str, ...]:
+        """Returns the addresses of the running control replicas."""
+        return tuple(f"{ip}:{self._port}" for ip in self.control)
+
+    async def start_control(
+        self, ip: str, *, bootstrap: bool, **fields: Any
+    ) -> None:
         role = control_node.ControlNode(
             settings=self.settings(
                 ip,
@@ -221,6 +227,7 @@
                 data_dir=str(self.path / ip),
                 disk_mb=64,
                 control=f"{ip}:{self._port}",
+                **fields,
             ),
             time=self._time,
         )
