Promote the successor of a silent voter before that voter is demoted

Callers saw no leader for good, lost jobs and a lost configuration after one lost disk.

In between, three voters were two, and the loss of either disk left no majority, although the silent voter was only cut off or frozen and returned.

The learner is promoted first now, and the silent voter demoted right after that change is committed. While there are four voters, the return of the silent one, or of any other that kept its disk, restores a majority. A promotion is refused if no majority of the new voters answers. Two voters never become one.

--- a/bamboorouter/coordination/log/member_changes.py
+++ b/bamboorouter/coordination/log/member_changes.py
@@ -42,7 +42,7 @@
 
 
 def promote(
-    leader: leader_state.LeaderState, *, replica_id: str
+    leader: leader_state.LeaderState, *, replica_id: str, now: int
 ) -> members_protocol.Members | None:
     """Returns the member list with a learner promoted to a voter.
 
@@ -50,8 +50,9 @@
         The new member list; None if the replica is a voter already.
 
     Raises:
-        RefusedError: The replica is no member or hasn't caught up, or another
-            change is not committed yet.
+        RefusedError: The replica is no member or hasn't caught up, fewer than a
+            majority of the voters would answer, or another change is not
+            committed yet.
     """
     members = leader.state.members.current
     if members.find(replica_id) is None:
@@ -62,7 +63,9 @@
     lag = leader.state.commit - leader.followers[replica_id].match
     if lag > MAX_CAUGHT_UP_LAG:
         raise _refused(error_texts.NOT_CAUGHT_UP, replica=replica_id, lag=lag)
-    return membership.with_voter(members, replica_id=replica_id)
+    changed = membership.with_voter(members, replica_id=replica_id)
+    _require_quorum(leader, changed, replica_id=replica_id, now=now)
+    return changed
 
 
 def demote(
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -439,13 +439,16 @@
 
         Raises:
             NotLeaderError: Nothing was changed.
-            RefusedError: Nothing was changed; the learner hasn't caught up or
-                another change is not committed yet.
+            RefusedError: Nothing was changed; the learner hasn't caught up,
+                fewer than a majority of the voters would answer or another
+                change is not committed yet.
             UnknownResultError: The change may take effect later.
         """
         leader = self._require_lease("promote")
         await self._change_members(
-            member_changes.promote(leader, replica_id=replica_id)
+            member_changes.promote(
+                leader, replica_id=replica_id, now=self._clock.now()
+            )
         )
 
     async def demote(self, replica_id: str) -> None:
--- a/bamboorouter/coordination/log/self_repair.py
+++ b/bamboorouter/coordination/log/self_repair.py
@@ -21,6 +21,7 @@
 JOIN_PAUSE_MS: Final = 300
 JOIN_TIMEOUT_MS: Final = 2000
 CHECK_PERIOD_MS: Final = 250
+CHANGES_PER_CHECK: Final = 2
 # Replicas that start with the leader have joined by then.
 JOIN_PERIOD_MS: Final = 10_000
 # A member that hears no leader for this long, the duration of several elections,
@@ -128,13 +129,20 @@
         await asyncio.sleep(clock.seconds(JOIN_PAUSE_MS))
 
     async def _repair(self) -> None:
-        views = self._member_views()
-        change = member_repair.next_change(
-            views, tolerated=self.tolerated_losses
-        )
-        if change is None:
-            self._report_missing_voters(views)
-            return
+        # The two changes that exchange a voter follow each other at once.
+        for _ in range(CHANGES_PER_CHECK):
+            views = self._member_views()
+            change = member_repair.next_change(
+                views, tolerated=self.tolerated_losses
+            )
+            if change is None:
+                self._report_missing_voters(views)
+                return
+            if not await self._make_change(change):
+                return
+
+    async def _make_change(self, change: member_repair.Change) -> bool:
+        """Makes a change; returns whether it is committed."""
         events.log(
             events.MEMBERS_REPAIRED,
             action=change.action,
@@ -158,6 +166,8 @@
                 member=change.member,
                 error=str(err),
             )
+            return False
+        return True
 
     def _report_missing_voters(
         self, views: list[member_repair.MemberView]
--- a/bamboorouter/coordination/policies/member_repair.py
+++ b/bamboorouter/coordination/policies/member_repair.py
@@ -7,12 +7,17 @@
 
 1. Remove a member whose address a later member uses: its data is lost, and its
    vote would count as missing.
-2. Promote a learner that has caught up while there are too few voters.
-3. Demote a silent voter if a learner that has caught up can replace it: after
-   `AT_RISK_AFTER_MS` if one more loss would leave no majority, otherwise after
-   `LOST_AFTER_MS`. A demoted replica keeps receiving the log, so that it can be
-   promoted again as soon as it answers.
+2. Promote a learner that has caught up while there are too few voters, or to
+   replace a silent voter: after `AT_RISK_AFTER_MS` if one more loss would leave
+   no majority, otherwise after `LOST_AFTER_MS`.
+3. Demote a silent voter of an even number of voters. A demoted replica keeps
+   receiving the log, so that it can be promoted again as soon as it answers.
 4. Remove a learner that has been silent for `FORGET_AFTER_MS`.
+
+The successor of a silent voter is promoted before that voter is demoted. The
+voter may only be frozen or cut off. If it were demoted first, the loss of the
+disk of another voter between the two changes would leave no majority, although
+the silent voter returns.
 """
 
 from collections.abc import Iterable
@@ -90,6 +95,7 @@
     if replaced is not None:
         return Change(action="remove", member=replaced)
     voters = [member for member in members if member.voter]
+    lost = _lost_voter(voters)
     ready = next(
         (
             member
@@ -98,12 +104,15 @@
         ),
         None,
     )
-    if ready is not None:
-        if len(voters) < wanted_voters(len(members), tolerated):
-            return Change(action="promote", member=ready.id)
-        lost = max(voters, key=lambda member: member.silent_ms)
-        if lost.silent_ms > _vote_kept_ms(voters):
-            return Change(action="demote", member=lost.id)
+    is_even = len(voters) % 2 == 0
+    if ready is not None and (
+        len(voters) < wanted_voters(len(members), tolerated)
+        or (lost is not None and not is_even)
+    ):
+        return Change(action="promote", member=ready.id)
+    # Of two voters, the one that answers has no majority.
+    if lost is not None and is_even and len(voters) > 2:
+        return Change(action="demote", member=lost.id)
     forgotten = next(
         (
             member.id
@@ -121,6 +130,14 @@
     return member.silent_ms <= ANSWERS_WITHIN_MS
 
 
+def _lost_voter(voters: Sequence[MemberView]) -> MemberView | None:
+    """Returns the voter that is silent for the longest time, if too long."""
+    slowest = max(voters, key=lambda member: member.silent_ms, default=None)
+    if slowest is None or slowest.silent_ms <= _vote_kept_ms(voters):
+        return None
+    return slowest
+
+
 def _vote_kept_ms(voters: Sequence[MemberView]) -> int:
     """Returns how long a silent voter keeps its vote, in ms."""
     quorum = len(voters) // 2 + 1
