Let learners campaign when no voter can win an election

A group could end for good although a majority of its disks was left: the newest log was on a learner, which never campaigned, and each voter with a shorter log was refused its vote. The exhaustive search finds two such orders of events with one lost disk: only the demoted replica has received its demotion; or only a learner has an entry of a leader whose disk is lost, while a deposed leader keeps a promotion that needs its vote.

A learner campaigns now after three election timeouts without a leader. Elections are as safe as before: a candidate needs a majority of the voters in its list and the newest log among them, with or without a vote of its own. As a leader it steps down once it has committed an entry, so that a voter with its log is elected next.

--- a/bamboorouter/coordination/log/consensus.py
+++ b/bamboorouter/coordination/log/consensus.py
@@ -16,6 +16,12 @@
 in its vote requests which term it led: its lease ended with the earlier
 process, so voters needn't wait before they elect it again.
 
+A learner campaigns after a longer time without a leader than a voter. Its log may be
+the only one left with the entry that took its vote, or with one that a lost leader
+had sent to nobody else; voters with such logs would be refused votes for ever. An
+elected learner only passes its log on: it steps down as soon as a majority of the
+voters has it.
+
 This module contains elections and role changes. `leader_state` and
 `follower_state` contain log replication.
 """
@@ -43,6 +49,8 @@
 # term, and how often it doubles at most. Until then votes may have been split.
 UNDOUBLED_TERMS: Final = 2
 MAX_DOUBLINGS: Final = 4
+# Election timeouts after which a learner campaigns.
+LEARNER_TIMEOUTS: Final = 3
 _REFUSALS: Final = frozenset(map(str, election_notes.Refusal))
 
 
@@ -160,7 +168,7 @@
             self._persist_leadership()
             self.leader_state.tick(now)
             self._step_down_if_required(now)
-        elif self.state.is_voter() and now >= self._election_due_ms:
+        elif self.state.is_member() and now >= self._election_due_ms:
             self._start_pre_vote(now)
 
     def form(self, entry: messages.LogEntry, now: int) -> None:
@@ -231,7 +239,7 @@
             return None
         if self.leader_state is not None:
             return self.leader_state.deadline()
-        return self._election_due_ms if self.state.is_voter() else None
+        return self._election_due_ms if self.state.is_member() else None
 
     def lease_until(self, now: int) -> int:
         """Returns when this leader's lease ends, in ms.
@@ -255,6 +263,8 @@
         timing = self.state.timing
         alone = self.state.members.voters == (self.state.id,)
         wait = self._rng.randint(timing.election_min_ms, timing.election_max_ms)
+        if not self.state.is_voter():
+            wait *= LEARNER_TIMEOUTS
         self._election_due_ms = now if alone else now + wait
 
     def _set_first_election_timer(self, now: int) -> None:
@@ -292,7 +302,10 @@
         delay_ms = self._rng.randint(
             timing.retry_min_ms, timing.retry_max_ms
         ) * 2 ** max(0, min(doublings, MAX_DOUBLINGS))
-        if self._election_attempts > FAST_ELECTION_ATTEMPTS:
+        if (
+            self._election_attempts > FAST_ELECTION_ATTEMPTS
+            or not self.state.is_voter()
+        ):
             self._reset_election_timer(now)
             delay_ms = max(delay_ms, self._election_due_ms - now)
         self._election_due_ms = now + delay_ms
@@ -609,11 +622,14 @@
             return
         self._accept_leader(m, now)
         self._follower_state.append(m)
+        # The entries may have given this replica a vote.
+        self._reset_election_timer(now)
 
     def _on_snapshot(self, m: messages.SnapshotRequest, now: int) -> None:
         if m.term >= self.state.term:
             self._accept_leader(m, now)
             self._snapshot_receiver.on_request(m)
+            self._reset_election_timer(now)
 
     def _accept_leader(
         self,
@@ -637,4 +653,3 @@
         self._last_leader_contact_ms = now
         self._election_attempts = 0
         self._terms_without_leader = 0
-        self._reset_election_timer(now)
--- a/bamboorouter/coordination/log/core_state.py
+++ b/bamboorouter/coordination/log/core_state.py
@@ -111,6 +111,10 @@
     leader_address: str = ""
     output: Output = dataclasses.field(default_factory=Output)
 
+    def is_member(self) -> bool:
+        """Whether this replica is a member, with or without a vote."""
+        return self.members.current.find(self.id) is not None
+
     def is_voter(self) -> bool:
         """Whether this replica is a voting member."""
         return self.id in self.members.voters
--- a/tests/membership_model.py
+++ b/tests/membership_model.py
@@ -217,16 +217,22 @@
     for number, candidate in enumerate(state.replicas):
         if not _may_campaign(state, number):
             continue
-        quorum = _list_of(candidate.log).quorum()
         for votes in itertools.combinations(
-            _granting(state, number), quorum - 1
+            _granting(state, number), _needed_votes(candidate, number)
         ):
             yield _elected(state, term, number, votes)
 
 
 def _may_campaign(state: State, number: int) -> bool:
     replica = state.replicas[number]
-    return not replica.lost and _list_of(replica.log).is_voter(str(number))
+    listed = _list_of(replica.log).find(str(number)) is not None
+    return not replica.lost and listed
+
+
+def _needed_votes(candidate: Replica, number: int) -> int:
+    """Returns the number of votes of others; a learner has none of its own."""
+    members = _list_of(candidate.log)
+    return members.quorum() - members.is_voter(str(number))
 
 
 def _granting(state: State, number: int) -> list[int]:
@@ -358,6 +364,9 @@
         if sum(m is not None for _, m in leader.log) > bounds.changes:
             continue
         members = _list_of(leader.log)
+        if not members.is_voter(str(leader.id)):
+            # It steps down as soon as it could change members.
+            continue
         others = [m.id for m in members.members if int(m.id) != leader.id]
         changed = set(_joins(state, term, leader))
         for count in range(len(others) + 1):
@@ -483,7 +492,7 @@
     and so commit an entry of its term.
     """
     if not any(
-        len(_granting(state, number)) + 1 >= _list_of(replica.log).quorum()
+        len(_granting(state, number)) >= _needed_votes(replica, number)
         for number, replica in enumerate(state.replicas)
         if _may_campaign(state, number)
     ):
