Count a learner as caught up that keeps up with a busy leader

A lost voter kept its vote while the log was busy: a learner counted as caught up only if it lacked at most one entry at the moment of a check, but up to four entries are in flight.

A learner may now lack as many entries as messages may be in flight to it.

--- a/bamboorouter/coordination/log/member_changes.py
+++ b/bamboorouter/coordination/log/member_changes.py
@@ -12,11 +12,12 @@
 from bamboorouter import errors
 from bamboorouter.coordination.log import leader_state
 from bamboorouter.coordination.log import membership
+from bamboorouter.coordination.log import progress
 from bamboorouter.protocol import membership as members_protocol
 
-# An entry contains a whole batch of commands, so a learner that lacks more than
-# one entry is still catching up.
-MAX_CAUGHT_UP_LAG: Final = 1
+# A follower that keeps up with a busy leader lacks no more entries than messages
+# may be in flight to it.
+MAX_CAUGHT_UP_LAG: Final = progress.MAX_IN_FLIGHT
 RESPONSIVE_WITHIN_MS: Final = 1000
 _STEP: Final = "change members"
 
