--- a/bamboorouter/coordination/jobs/job_leader.py
+++ b/bamboorouter/coordination/jobs/job_leader.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+import msgspec
+
 from bamboorouter import clock
 from bamboorouter import errors
 from bamboorouter.coordination.jobs import admission
@@ -123,7 +125,8 @@
     ) -> messages.Message | None:
         match message:
             case job_messages.WorkerReport():
-                return await self.dispatcher.report(message, source)
+                reply = await self.dispatcher.report(message, source)
+                return self._with_new_members(reply, message.members_index)
             case job_messages.SubmitSteps():
                 return await self.job_handler.submit(message)
             case job_messages.ReadJob():
@@ -145,6 +148,17 @@
             peer=source.peer,
         )
 
+    def _with_new_members(
+        self, reply: job_messages.WorkerReply, known_index: int
+    ) -> job_messages.WorkerReply:
+        """Adds the replicas' addresses unless the agent knows this list."""
+        members_index = self.replica.members_index()
+        if members_index == known_index:
+            return reply
+        return msgspec.structs.replace(
+            reply, replicas=self._addresses(), members_index=members_index
+        )
+
     def _configuration(
         self, message: job_messages.ReadConfiguration
     ) -> job_messages.CurrentConfiguration:
--- a/bamboorouter/coordination/log/replica.py
+++ b/bamboorouter/coordination/log/replica.py
@@ -424,6 +424,10 @@
         """Returns the members in force."""
         return self._state().members.current.members
 
+    def members_index(self) -> int:
+        """Returns the log index of the member list in force."""
+        return self._state().members.changed_index
+
     async def add_learner(self, replica_id: str, address: str) -> None:
         """Adds a replica that receives the log but doesn't vote yet.
 
--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -38,6 +38,10 @@
         handler: Called for messages that the leader pushes.
         last_contact_ms: Monotonic time in ms at which the last answered call
             to a leader was sent; None before the first.
+        learned_replicas: Addresses of the replicas as last told by one of them;
+            empty before.
+        members_index: Log index of the member list with these addresses; 0 if
+            it isn't known.
     """
 
     def __init__(
@@ -50,7 +54,8 @@
     ) -> None:
         self.addresses = addresses
         self.clock = time
-        self._learned_replicas: tuple[str, ...] = ()
+        self.learned_replicas: tuple[str, ...] = ()
+        self.members_index = 0
         # Addresses that failed or redirected since a leader last answered, in
         # the order of their last attempts.
         self._tried: dict[str, None] = {}
@@ -152,13 +157,20 @@
             peer=self._target,
         ) from last_error
 
-    def learn_replicas(self, replicas: tuple[str, ...]) -> None:
+    def learn_replicas(
+        self, replicas: tuple[str, ...], *, members_index: int = 0
+    ) -> None:
         """Stores the current addresses of the replicas.
 
         The settings may name replicas that were replaced meanwhile.
+
+        Args:
+            replicas: The addresses; nothing is stored if there are none.
+            members_index: Log index of the member list; 0 if it isn't known.
         """
         if replicas:
-            self._learned_replicas = replicas
+            self.learned_replicas = replicas
+            self.members_index = members_index
 
     def tried_addresses(self) -> tuple[str, ...]:
         """Returns the addresses tried since a leader last answered.
@@ -242,7 +254,7 @@
         await asyncio.sleep(clock.seconds(int(pause_ms)))
 
     def _next_address(self) -> str:
-        known = tuple(dict.fromkeys((*self.addresses, *self._learned_replicas)))
+        known = tuple(dict.fromkeys((*self.addresses, *self.learned_replicas)))
         if not known:
             return self._target
         if self._target not in known:
--- a/bamboorouter/coordination/workers/agent_session.py
+++ b/bamboorouter/coordination/workers/agent_session.py
@@ -523,6 +523,9 @@
                 step="report",
                 peer=self.worker,
             )
+        self.client.learn_replicas(
+            reply.replicas, members_index=reply.members_index
+        )
         if not reply.known:
             # The leader may just have opened the session anew.
             await self._growth.wait_until_idle()
@@ -567,6 +570,7 @@
             runs=tuple(run.report() for run in self.held.runs.values()),
             ends=tuple(pending.end for pending in ends),
             view_age_ms=self.held.view_age_ms(now),
+            members_index=self.client.members_index,
         )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/bamboorouter/events.py
+++ b/bamboorouter/events.py
@@ -462,7 +462,8 @@
     406,
     "leader_silent",
     logging.WARNING,
-    "No leader answered a poll of the entry. `tried` names the addresses that"
+    "No leader answered a poll of an entry or of a control process without a"
+    " disk. `tried` names the addresses that"
     " failed or redirected since a leader last answered, which was"
     " `contact_age_ms` ago.",
 )
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -202,6 +202,8 @@
         runs: All runs that have not ended.
         ends: All ends of runs that the leader has not acknowledged.
         view_age_ms: Age in ms of the worker's state as described by `runs`.
+        members_index: Log index of the newest member list that the agent knows;
+            0 if none.
     """
 
     worker: str
@@ -218,6 +220,7 @@
     runs: tuple[HeldRun, ...]
     ends: tuple[jobs.RunEnd, ...]
     view_age_ms: int = 0
+    members_index: int = 0
 
 
 class StartOrder(base.Wire, frozen=True, kw_only=True):
@@ -292,12 +295,17 @@
             the report.
         orders: Orders that, according to the report, were not yet carried out.
         disturbances: Learned interference between images on this worker.
+        replicas: Addresses of the control replicas; empty if the agent knows
+            the leader's member list.
+        members_index: Log index of the member list with these addresses.
     """
 
     known: bool
     lease_ms: int
     orders: RunOrders
     disturbances: tuple[jobs.Disturbance, ...] = ()
+    replicas: tuple[str, ...] = ()
+    members_index: int = 0
 
 
 # --- Joining -----------------------------------------------------------------
--- a/bamboorouter/roles/seed.py
+++ b/bamboorouter/roles/seed.py
@@ -1,13 +1,25 @@
 """A control process without a disk: redirects its callers to the leader.
 
 It belongs to no group. The leader sends its address (see
-`coordination.log.seed_notices`).
+`coordination.log.seed_notices`) if this process is one of the leader's own seeds.
+Settings may differ, so this process also asks for the replicas at intervals.
 """
 
+import asyncio
+from typing import Final
+
+from bamboorouter import clock
+from bamboorouter import errors
+from bamboorouter import events
+from bamboorouter import supervision
 from bamboorouter.coordination.requests import control_client
+from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import messages
 from bamboorouter.transport import link
 
+POLL_PERIOD_MS: Final = 5000
+POLL_TIMEOUT_MS: Final = 2000
+
 
 class Seed:
     """Serves links and answers each request with a redirect.
@@ -21,6 +33,7 @@
         self.client = client
         self.known = messages.Redirect(leader="")
         self._server: link.LinkServer | None = None
+        self._poller: asyncio.Task[None] | None = None
 
     async def start(self, address: str) -> None:
         """Serves links at an address, "IP:port"."""
@@ -28,12 +41,39 @@
         self._server = await link.serve_links(
             host=host, port=int(port), handler=self._handle
         )
+        self._poller = supervision.start(self._poll_replicas)
 
     async def stop(self) -> None:
-        """Closes all links."""
+        """Stops polling and closes all links."""
+        if self._poller is not None:
+            self._poller.cancel()
+            await asyncio.gather(self._poller, return_exceptions=True)
         if self._server is not None:
             await self._server.close()
 
+    async def _poll_replicas(self) -> None:
+        while True:
+            await asyncio.sleep(clock.seconds(POLL_PERIOD_MS))
+            try:
+                answer = await self.client.call(
+                    job_messages.ReadConfiguration(with_document=False),
+                    timeout_ms=POLL_TIMEOUT_MS,
+                )
+            except errors.RouterError as err:
+                events.log(
+                    events.LEADER_SILENT,
+                    error=str(err),
+                    tried=self.client.tried_addresses(),
+                    contact_age_ms=self.client.contact_age_ms(),
+                )
+                continue
+            if isinstance(answer, job_messages.CurrentConfiguration):
+                self.client.learn_replicas(answer.replicas)
+                if not self.known.leader:
+                    self.known = messages.Redirect(
+                        leader="", replicas=answer.replicas
+                    )
+
     async def _handle(
         self, message: messages.Message, source: link.Link
     ) -> messages.Message | None:
--- a/tests/fake_worker.py
+++ b/tests/fake_worker.py
@@ -234,7 +234,22 @@
         pass
 
 
-class FakeLeaderClient:
+class LearnedReplicas:
+    """Stores the addresses of replicas as `ControlClient` does."""
+
+    def __init__(self) -> None:
+        self.learned_replicas: tuple[str, ...] = ()
+        self.members_index = 0
+
+    def learn_replicas(
+        self, replicas: tuple[str, ...], *, members_index: int = 0
+    ) -> None:
+        if replicas:
+            self.learned_replicas = replicas
+            self.members_index = members_index
+
+
+class FakeLeaderClient(LearnedReplicas):
     """Answers an agent's calls in place of the leader.
 
     Attributes:
@@ -254,6 +269,7 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.reports: list[job_messages.WorkerReport] = []
         self.ends: list[jobs.RunEnd] = []
         self.lease_ms = 6000
--- a/tests/test_job_leader.py
+++ b/tests/test_job_leader.py
@@ -7,6 +7,7 @@
 from bamboorouter.coordination.jobs import job_leader
 from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.log import self_repair
+from bamboorouter.protocol import common
 from bamboorouter.protocol import job_commands
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import jobs
@@ -21,7 +22,52 @@
     address = "me"
 
     def members(self) -> tuple[membership.Member, ...]:
-        return ()
+        return (membership.Member(id="me", address="me", voter=True),)
+
+    def members_index(self) -> int:
+        return 7
+
+
+def _report(*, members_index: int) -> job_messages.WorkerReport:
+    return job_messages.WorkerReport(
+        worker="w1",
+        life="a",
+        session=1,
+        sequence=1,
+        service="desk",
+        zone="z1",
+        labels=(),
+        rack="",
+        room=common.Resources(),
+        draining=False,
+        reachable=True,
+        runs=(),
+        ends=(),
+        members_index=members_index,
+    )
+
+
+class MembersTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against agents that know only replicas that were replaced."""
+
+    async def test_report_is_answered_with_members_that_the_agent_lacks(
+        self,
+    ) -> None:
+        leader = job_leader.JobLeader(
+            local_replica=cast(
+                replica.Replica, _FakeReplica(time=clock.ManualClock())
+            ),
+            time=clock.ManualClock(),
+            repair=cast(self_repair.SelfRepair, None),
+        )
+        for known, replicas in ((0, ("me",)), (7, ()), (8, ("me",))):
+            reply = await leader.handle(
+                _report(members_index=known), cast(link.Link, None)
+            )
+            assert isinstance(reply, job_messages.WorkerReply)
+            self.assertEqual(reply.replicas, replicas)
+            if replicas:
+                self.assertEqual(reply.members_index, 7)
 
 
 class UnknownResultTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_room_random.py
+++ b/tests/test_room_random.py
@@ -140,10 +140,11 @@
                 self.violations.append(f"{order.task} runs twice")
 
 
-class LeaderClient:
+class LeaderClient(fake_worker.LearnedReplicas):
     """Passes an agent's calls to the dispatcher, and its orders back."""
 
     def __init__(self, leader: dispatcher.JobDispatcher) -> None:
+        super().__init__()
         self.leader = leader
         self.session: agent_session.AgentSession | None = None
         self.link = mock.Mock(closed=asyncio.Event(), push=self._push)
--- a/tests/test_seed.py
+++ b/tests/test_seed.py
@@ -14,6 +14,7 @@
 from bamboorouter import errors
 from bamboorouter.coordination.log import seed_notices
 from bamboorouter.coordination.requests import control_client
+from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import messages
 from bamboorouter.roles import seed
 from bamboorouter.transport import link
@@ -88,6 +89,26 @@
         self.seed.known = messages.Redirect(leader="")
         await replica_site.wait_until(lambda: bool(self.seed.known.leader))
 
+    async def test_seed_of_callers_only_asks_for_the_replicas(self) -> None:
+        """Guards against a seed that the leader doesn't know."""
+        await self.notices.stop()
+        await self.seed.stop()
+        with mock.patch.object(seed, "POLL_PERIOD_MS", 50):
+            self.seed = await self.start_seed()
+            self.seed.client.addresses = (self.node.address,)
+            answer = job_messages.CurrentConfiguration(
+                version=0, replicas=("a:1", "b:1")
+            )
+            with mock.patch.object(
+                self.seed.client, "call", return_value=answer
+            ):
+                await replica_site.wait_until(
+                    lambda: bool(self.seed.known.replicas)
+                )
+        redirect = await self.redirect()
+        assert isinstance(redirect, messages.Redirect)
+        self.assertEqual(redirect.replicas, ("a:1", "b:1"))
+
     async def test_seed_that_knows_no_leader_says_so(self) -> None:
         await self.notices.stop()
         self.seed.known = messages.Redirect(leader="")
--- a/tests/test_self_repair.py
+++ b/tests/test_self_repair.py
@@ -15,6 +15,7 @@
 from bamboorouter.protocol import job_messages
 from bamboorouter.protocol import membership
 from bamboorouter.protocol import messages
+from tests import fake_worker
 from tests import replica_site
 
 NO_LEADER_MS = self_repair.NO_LEADER_TIMEOUT_MS
@@ -33,7 +34,7 @@
         return clock.Millis(self.now_ms)
 
 
-class _Client:
+class _Client(fake_worker.LearnedReplicas):
     """Records the join requests.
 
     Attributes:
@@ -42,6 +43,7 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.sent: list[messages.Message] = []
         self.fails = False
 
@@ -106,6 +108,13 @@
         await asyncio.sleep(2 * self_repair.CHECK_PERIOD_MS / 1000)
         self.assertEqual(self.client.sent, [])
 
+    async def test_member_without_a_leader_asks_the_other_members(self) -> None:
+        """Guards against a member whose seeds have all been replaced."""
+        self.clock.now_ms = NO_LEADER_MS + 1
+        self.repair.start()
+        await replica_site.wait_until(lambda: bool(self.client.sent))
+        self.assertEqual(self.client.learned_replicas, ("c:1",))
+
     async def delayed_line(self) -> dict[str, object]:
         """Returns the fields of the first `repair_delayed` line."""
         with mock.patch.object(events, "log") as log:
