Replace control replicas in the soak and end it with a final fault

Change: groups that are off by default. After each loss of a disk has stopped counting, and within 12 s after the final fault, the configuration must be readable at each replica and the newest accepted job at each entry.

Not shown: that the group holds on a busy machine.

--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -25,11 +25,25 @@
 - "leaving": workers drain and leave.
 - "odd": agents get announcements of other writers.
 
+Further groups are added by --with:
+
+- "members": control replicas are replaced at other addresses, wiped, frozen and
+  killed, instead of their other faults.
+- "successors": only replacements of control replicas, and no other fault.
+- "final": at the end one replica loses its folder while all processes are
+  killed.
+- "stale": settings files are not rewritten when a replica is replaced.
+- "routes": configurations of hundreds of routes, with small disks.
+
 With --freezes, freezes of agents and entries are the most frequent fault.
 """
 
 import argparse
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import functools
 import json
 import pathlib
 import random
@@ -45,6 +59,7 @@
 from devtools import soak_attempts
 from devtools import soak_callers
 from devtools import soak_checks
+from devtools import soak_members
 from devtools import soak_odd
 from devtools import soak_schedule
 from devtools import soak_site
@@ -59,6 +74,12 @@
 GROUPS: Final = ("cancellations", "crashing", "capacity", "leaving", "odd")
 
 
+# Off by default, so that recorded seeds keep their schedules.
+MORE_GROUPS: Final = ("members", "successors", "final", "stale", "routes")
+ROUTES: Final = 400
+PROBE_INTERVAL_S: Final = 0.2
+
+
 class Soak:
     """Applies load and faults to a site and checks the outcome.
 
@@ -81,6 +102,7 @@
         self.site = site
         self.faults = faults
         self.seconds = seconds
+        self._checks_losses = not groups.isdisjoint(MORE_GROUPS)
         self._rng = random.Random(seed)
         self._odd_rng = (
             random.Random(f"odd {seed}") if "odd" in groups else None
@@ -89,6 +111,8 @@
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         )
         self._version = 0
+        self._groups = groups
+        self._routes = ROUTES if "routes" in groups else 1
         self.callers = soak_callers.Callers(
             history=site.history,
             requester=self,
@@ -132,7 +156,56 @@
         self, started_s: float, fault: soak_schedule.Fault
     ) -> None:
         await asyncio.sleep(max(0.0, started_s + fault.at_s - time.monotonic()))
+        if fault.kind == soak_members.FINAL:
+            self._version += 1
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PROBE_INTERVAL_S):
+                    await self._put_configuration()
+        injected_s = time.monotonic()
         await self.site.inject(fault)
+        if fault.kind == soak_members.FINAL:
+            await self._check_readable(fault.kind, injected_s)
+        elif self._checks_losses and fault.kind in soak_members.DISK_LOSSES:
+            await self._check_readable(fault.kind, time.monotonic())
+
+    async def _check_readable(self, kind: str, from_s: float) -> None:
+        """Reads the configuration at each replica and a job at each entry."""
+        job = self.site.history.newest_accepted_job()
+        reads = {
+            f"the configuration at control-{n}": functools.partial(
+                self._read_configuration, n
+            )
+            for n in self.site.controls()
+        }
+        if job is not None:
+            reads |= {
+                f"{job} at entry-{n}": functools.partial(self._read_job, job, n)
+                for n in range(1, soak_site.ENTRIES + 1)
+            }
+        await asyncio.gather(
+            *(
+                self._probe(f"{what}, after {kind}", read, from_s)
+                for what, read in reads.items()
+            )
+        )
+
+    async def _probe(
+        self, what: str, read: Callable[[], Awaitable[bool]], from_s: float
+    ) -> None:
+        """Reads until it succeeds and records when it did."""
+        after_s = 0.0
+        while not await read() and after_s < soak_members.RECOVERY_S:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            after_s = time.monotonic() - from_s
+        self.site.history.record_recovery(
+            what,
+            time.monotonic() - from_s,
+            limit_s=soak_members.RECOVERY_S,
+        )
+
+    async def _read_job(self, job: str, entry: int) -> bool:
+        status, _ = await self.call("GET", job, entry=entry)
+        return status == soak_checks.OK
 
     async def _send_odd(self, rng: random.Random) -> None:
         await soak_odd.send_forever(
@@ -173,24 +246,38 @@
             if self._rng.random() < 0.5:
                 self._version += 1
             await self._put_configuration()
-            at_least = self.site.history.acknowledged_version()
-            status, answer = await self._request("GET", self._operator_url())
-            if status == soak_checks.OK:
-                self.site.history.record_configuration_read(
-                    answer["version"], at_least=at_least
+            await self._read_configuration(self._random_control())
+            if "routes" in self._groups:
+                used_mb = await asyncio.to_thread(self.site.disk_use_mb)
+                self.site.history.record_disk_use(
+                    used_mb, disk_mb=self.site.disk_mb()
                 )
 
+    async def _read_configuration(self, number: int) -> bool:
+        at_least = self.site.history.acknowledged_version()
+        status, answer = await self._request("GET", self._operator_url(number))
+        if status != soak_checks.OK:
+            return False
+        self.site.history.record_configuration_read(
+            answer["version"], at_least=at_least
+        )
+        return True
+
     async def _put_configuration(self) -> bool:
         version = self._version
         status, _ = await self._request(
-            "PUT", self._operator_url(), _configuration(version)
+            "PUT",
+            self._operator_url(self._random_control()),
+            _configuration(version, self._routes),
         )
         if status == soak_checks.OK:
             self.site.history.record_configuration(version)
         return status == soak_checks.OK
 
-    def _operator_url(self) -> str:
-        number = self._rng.randint(1, soak_site.CONTROLS)
+    def _random_control(self) -> int:
+        return self._rng.randint(1, len(self.site.controls()))
+
+    def _operator_url(self, number: int) -> str:
         return f"http://{self.site.operator_address(number)}/-/config"
 
     async def _request(
@@ -206,14 +293,14 @@
             return 0, None
 
 
-def _configuration(version: int) -> dict[str, Any]:
+def _configuration(version: int, routes: int) -> dict[str, Any]:
     return {
         "version": version,
         "routes": [
             {
-                "name": "r-forms",
+                "name": "r-forms" if not number else f"r-forms-{number}",
                 "host": HOST,
-                "pathPrefix": "/forms/",
+                "pathPrefix": "/forms/" if not number else f"/{number}/",
                 # Makes the content differ between versions.
                 "timeoutMs": 3000 + version,
                 "targetLatencyMs": 30_000,
@@ -222,6 +309,7 @@
                 "maxAttempts": soak_attempts.MAX_ATTEMPTS,
                 "slackFactor": 20.0,
             }
+            for number in range(routes)
         ],
         "services": [{"name": "desk", "enforcesCapacity": False}],
     }
@@ -235,6 +323,7 @@
     path: pathlib.Path,
     groups: frozenset[str] = frozenset(GROUPS),
     freezes: bool = False,
+    controls: int = soak_site.CONTROLS,
 ) -> soak_checks.History:
     """Runs one soak in a folder.
 
@@ -243,8 +332,9 @@
         seconds: Duration in s during which jobs are submitted.
         workers: Number of workers, each with an agent.
         path: Folder for settings, data and logs.
-        groups: Groups of faults, of `GROUPS`.
+        groups: Groups of faults, of `GROUPS` and `MORE_GROUPS`.
         freezes: Whether freezes are the most frequent fault.
+        controls: Number of control replicas.
 
     Returns:
         What was observed, and the violated invariants.
@@ -260,9 +350,24 @@
         leave="leaving" in groups,
         freezes=freezes,
     )
+    if not groups.isdisjoint(("members", "successors")):
+        losses = soak_members.schedule(
+            seed,
+            controls=controls,
+            seconds=seconds,
+            mixed="members" in groups,
+            final="final" in groups,
+        )
+        others = [] if "successors" in groups else faults
+        faults = soak_members.merge(losses, others)
+        seconds = max(seconds, losses[-1].at_s + soak_members.LOAD_AFTER_S)
     (path / "schedule.txt").write_text("".join(f"{f}\n" for f in faults))
     site = soak_site.SoakSite(
-        path=path, seed=seed, workers=workers, groups=groups
+        path=path,
+        seed=seed,
+        workers=workers,
+        groups=groups,
+        controls=controls,
     )
     soak = Soak(
         site=site,
@@ -318,6 +423,15 @@
         default=[],
         help="group of faults to leave out",
     )
+    parser.add_argument(
+        "--with",
+        dest="added",
+        action="append",
+        choices=MORE_GROUPS,
+        default=[],
+        help="further group of faults",
+    )
+    parser.add_argument("--controls", type=int, default=soak_site.CONTROLS)
     parser.add_argument(
         "--folder",
         type=pathlib.Path,
@@ -326,6 +440,8 @@
     )
     arguments = parser.parse_args()
     groups = frozenset(GROUPS) - frozenset(arguments.without)
+    if arguments.basic:
+        groups = frozenset()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.runs):
         path = pathlib.Path(
@@ -337,8 +453,9 @@
                 seconds=arguments.seconds,
                 workers=arguments.workers,
                 path=path,
-                groups=frozenset() if arguments.basic else groups,
+                groups=groups | frozenset(arguments.added),
                 freezes=arguments.freezes,
+                controls=arguments.controls,
             )
         )
         print(f"seed {seed}: {dict(sorted(history.counts.items()))}")
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -291,6 +291,11 @@
             and job.state != "failed"
         ]
 
+    def newest_accepted_job(self) -> str | None:
+        """Returns the job that was submitted last, of those accepted."""
+        accepted = (n for n, job in self._jobs.items() if job.accepted())
+        return next(reversed(list(accepted)), None)
+
     def unfinished_jobs(self) -> list[str]:
         """Returns submitted jobs whose end nobody has seen or ordered."""
         return [
@@ -550,6 +555,27 @@
                 f"version {version} was read after {at_least} was acknowledged"
             )
 
+    def record_recovery(
+        self, what: str, after_s: float, *, limit_s: float
+    ) -> None:
+        """Records the end of the attempts to read something after a loss.
+
+        Args:
+            what: What was read.
+            after_s: Time in s since the loss stopped counting or, for the final
+                fault, since it began.
+            limit_s: Limit in s; a later end isn't a success in time.
+        """
+        self._log(f"{what}: read until {after_s:.2f} s")
+        self.counts["reads after losses"] += 1
+        if after_s > limit_s:
+            self._add_violation(f"{what} wasn't readable within {limit_s} s")
+
+    def record_disk_use(self, used_mb: float, *, disk_mb: int) -> None:
+        """Records the size of the largest data folder."""
+        if used_mb > disk_mb:
+            self._add_violation(f"{used_mb:.1f} MB on a disk of {disk_mb} MB")
+
     # --- End -----------------------------------------------------------------
 
     def check_lasting_jobs(self) -> None:
--- a/tests/soak_case.py
+++ b/tests/soak_case.py
@@ -13,6 +13,7 @@
 from devtools import soak
 from devtools import soak_capacity
 from devtools import soak_checks
+from devtools import soak_site
 from devtools import soak_worker
 from tests import virtual_time
 
@@ -102,6 +103,7 @@
         workers: int = 4,
         *,
         groups: frozenset[str] = frozenset(),
+        controls: int = soak_site.CONTROLS,
     ) -> soak_checks.History:
         with tempfile.TemporaryDirectory() as folder:
             history = asyncio.run(
@@ -111,6 +113,7 @@
                     workers=workers,
                     path=pathlib.Path(folder),
                     groups=groups,
+                    controls=controls,
                 )
             )
         self.assertEqual(history.violations, [])
--- a/tests/test_soak_seeds.py
+++ b/tests/test_soak_seeds.py
@@ -50,6 +50,18 @@
         )
         self.assertGreater(history.counts["fault leave"], 0)
 
+    def test_control_replicas_that_are_lost_for_good(self) -> None:
+        """Guards against a group without a leader after lost replicas."""
+        history = self.run_soak(
+            80002,
+            seconds=10.0,
+            controls=4,
+            groups=frozenset({"members", "final"}),
+        )
+        self.assertGreater(history.counts["fault replace"], 0)
+        self.assertEqual(history.counts["fault final"], 1)
+        self.assertGreater(history.counts["reads after losses"], 12)
+
 
 if __name__ == "__main__":
     unittest.main()
