--- a/bamboorouter/coordination/log/consensus.py
+++ b/bamboorouter/coordination/log/consensus.py
@@ -285,9 +285,9 @@
         because the other replicas grant no vote until that leader's lease has
         ended. If the timeout has passed already, the election is delayed at
         random so that restarted replicas don't all request votes at once. A
-        replica that led until the restart starts an election immediately.
+        voter that led until the restart starts an election immediately.
         """
-        if self._previously_led_term:
+        if self._previously_led_term and self.state.is_voter():
             return
         self._reset_election_timer(self._last_leader_contact_ms)
         if self._election_due_ms < now and len(self.state.members.voters) > 1:
