--- a/bamboorouter/coordination/log/consensus.py
+++ b/bamboorouter/coordination/log/consensus.py
@@ -50,7 +50,7 @@
 UNDOUBLED_TERMS: Final = 2
 MAX_DOUBLINGS: Final = 4
 # Election timeouts after which a learner campaigns.
-LEARNER_TIMEOUTS: Final = 3
+LEARNER_TIMEOUTS: Final = 5
 _REFUSALS: Final = frozenset(map(str, election_notes.Refusal))
 
 
@@ -274,7 +274,7 @@
         timing = self.state.timing
         alone = self.state.members.voters == (self.state.id,)
         wait = self._rng.randint(timing.election_min_ms, timing.election_max_ms)
-        if not self.state.is_voter():
+        if self.state.is_learner():
             wait *= LEARNER_TIMEOUTS
         self._election_due_ms = now if alone else now + wait
 
@@ -285,9 +285,10 @@
         because the other replicas grant no vote until that leader's lease has
         ended. If the timeout has passed already, the election is delayed at
         random so that restarted replicas don't all request votes at once. A
-        voter that led until the restart starts an election immediately.
+        replica that led until the restart starts an election immediately, unless
+        it has become a learner.
         """
-        if self._previously_led_term and self.state.is_voter():
+        if self._previously_led_term and not self.state.is_learner():
             return
         self._reset_election_timer(self._last_leader_contact_ms)
         if self._election_due_ms < now and len(self.state.members.voters) > 1:
@@ -315,7 +316,7 @@
         ) * 2 ** max(0, min(doublings, MAX_DOUBLINGS))
         if (
             self._election_attempts > FAST_ELECTION_ATTEMPTS
-            or not self.state.is_voter()
+            or self.state.is_learner()
         ):
             self._reset_election_timer(now)
             delay_ms = max(delay_ms, self._election_due_ms - now)
--- a/bamboorouter/coordination/log/core_state.py
+++ b/bamboorouter/coordination/log/core_state.py
@@ -115,6 +115,10 @@
         """Whether this replica is a member, with or without a vote."""
         return self.members.current.find(self.id) is not None
 
+    def is_learner(self) -> bool:
+        """Whether this replica is a member without a vote."""
+        return self.is_member() and not self.is_voter()
+
     def is_voter(self) -> bool:
         """Whether this replica is a voting member."""
         return self.id in self.members.voters
--- a/tests/membership_simulation.py
+++ b/tests/membership_simulation.py
@@ -12,6 +12,7 @@
 from bamboorouter import errors
 from bamboorouter.coordination.log import member_changes
 from bamboorouter.coordination.log import member_views
+from bamboorouter.coordination.log import membership as membership_lists
 from bamboorouter.coordination.log import replica
 from bamboorouter.coordination.log import self_repair
 from bamboorouter.coordination.policies import member_repair
@@ -246,6 +247,11 @@
             for pair in ((slot, other.slot), (other.slot, slot)):
                 self._cuts[pair] = self.time_ms + duration_ms
 
+    def cut_link(self, slot: int, other: int, duration_ms: float) -> None:
+        """Cuts the link between two replicas."""
+        for pair in ((slot, other), (other, slot)):
+            self._cuts[pair] = self.time_ms + duration_ms
+
     def kill(self, slot: int, duration_ms: float) -> None:
         """Stops a replica that restarts with its disk."""
         node = self.nodes[slot]
@@ -272,6 +278,38 @@
         ):
             self._propose_job(leader)
 
+    # --- Changes of an operator ----------------------------------------------
+
+    def promote_all(self) -> None:
+        """Proposes a list in which all members vote."""
+        members = self._members()
+        for learner in (m for m in members.members if not m.voter):
+            members = membership_lists.with_voter(
+                members, replica_id=learner.id
+            )
+        self._propose_members(members)
+
+    def demote(self, slot: int) -> None:
+        """Proposes a list in which a replica doesn't vote."""
+        running = self.nodes[slot].engine
+        assert running is not None
+        self._propose_members(
+            membership_lists.without_vote(
+                self._members(), replica_id=running.id
+            )
+        )
+
+    def _members(self) -> membership.Members:
+        leader = self._leader()
+        assert leader is not None
+        assert leader.engine is not None
+        return leader.engine.core.state.members.current
+
+    def _propose_members(self, members: membership.Members) -> None:
+        leader = self._leader()
+        assert leader is not None
+        self._change_members(leader, lambda: members)
+
     # --- Repair --------------------------------------------------------------
 
     def _is_voter(self, node: simulation.Node) -> bool:
--- a/tests/test_replaced_members.py
+++ b/tests/test_replaced_members.py
@@ -24,6 +24,7 @@
 # A successor that starts first takes over within CATCH_UP_MS of its start.
 PLANNED_REPAIR_MS = CATCH_UP_MS - SUCCESSOR_AFTER_MS
 DOWN_MS = 500
+COMMIT_MS = 40
 
 
 class ReplacedMembersTest(unittest.TestCase):
@@ -211,6 +212,28 @@
                     self.lose_voters(group, silent=set(), leader_too=leader_too)
                     self.assertTrue(group.settle())
 
+    def test_group_outlives_a_demotion_that_only_the_demoted_keeps(
+        self,
+    ) -> None:
+        """Guards against a group whose newest log is on a learner only."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                group = simulation.RepairSimulation(
+                    seed=seed, size=4, tolerated=1
+                )
+                leader = group.leader()
+                assert leader is not None
+                demoted = min(group.voters() - {leader})
+                group.promote_all()
+                group.run_for(COMMIT_MS)
+                self.assertEqual(len(group.voters()), 4)
+                for other in set(range(4)) - {leader, demoted}:
+                    group.cut_link(leader, other, FAULT_MS)
+                group.demote(demoted)
+                group.run_for(COMMIT_MS)
+                group.lose_power_and_disks([leader], down_ms=DOWN_MS)
+                self.assertTrue(group.settle())
+
     def lost_slot(
         self, group: simulation.RepairSimulation, *, role: str
     ) -> int:
