Return to an odd number of voters once all of them answer

Of four voters no half is a majority, so that a split into halves leaves no leader, and each commit waits for three.

The slowest voter is demoted now if all have answered in the present term and one more is there than the tolerated losses need. A learner that has never answered counts as ready no longer: a log shorter than what may be in flight made it look caught up.

--- a/bamboorouter/coordination/log/member_views.py
+++ b/bamboorouter/coordination/log/member_views.py
@@ -82,6 +82,7 @@
                 silent_ms=self._silent_ms(member.id, now),
                 caught_up=lag.get(member.id, 0)
                 <= member_changes.MAX_CAUGHT_UP_LAG,
+                answered=now - silent_ms.get(member.id, 0) >= _UNHEARD_MS,
             )
             for member in members
         ]
--- a/bamboorouter/coordination/policies/member_repair.py
+++ b/bamboorouter/coordination/policies/member_repair.py
@@ -10,8 +10,10 @@
 2. Promote a learner that has caught up while there are too few voters, or to
    replace a silent voter: after `AT_RISK_AFTER_MS` if one more loss would leave
    no majority, otherwise after `LOST_AFTER_MS`.
-3. Demote a silent voter of an even number of voters. A demoted replica keeps
-   receiving the log, so that it can be promoted again as soon as it answers.
+3. Of an even number of voters, demote a silent one. If all answer, as after a
+   short silence, demote the slowest one if there are more than needed. A demoted
+   replica keeps receiving the log, so that it can be promoted again as soon as
+   it answers.
 4. Remove a learner that has been silent for `FORGET_AFTER_MS`.
 
 The successor of a silent voter is promoted before that voter is demoted. The
@@ -47,7 +49,10 @@
         address: Address of the replica.
         voter: Whether the replica votes.
         silent_ms: Time since its last answer, in ms; 0 for the leader.
-        caught_up: Whether the replica has all entries but the newest.
+        caught_up: Whether the replica lacks no more entries than may be in
+            flight to it.
+        answered: Whether the replica has answered this leader in its term; True
+            for the leader.
     """
 
     id: str
@@ -55,6 +60,7 @@
     voter: bool
     silent_ms: int
     caught_up: bool
+    answered: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -100,7 +106,10 @@
         (
             member
             for member in members
-            if not member.voter and member.caught_up and _answers(member)
+            if not member.voter
+            and member.caught_up
+            and member.answered
+            and _answers(member)
         ),
         None,
     )
@@ -110,9 +119,11 @@
         or (lost is not None and not is_even)
     ):
         return Change(action="promote", member=ready.id)
-    # Of two voters, the one that answers has no majority.
-    if lost is not None and is_even and len(voters) > 2:
-        return Change(action="demote", member=lost.id)
+    if is_even:
+        surplus = lost or _surplus_voter(voters, tolerated)
+        # Of two voters, the one that answers has no majority.
+        if surplus is not None and len(voters) > 2:
+            return Change(action="demote", member=surplus.id)
     forgotten = next(
         (
             member.id
@@ -138,6 +149,24 @@
     return slowest
 
 
+def _surplus_voter(
+    voters: Sequence[MemberView], tolerated: int
+) -> MemberView | None:
+    """Returns the slowest voter if all answer and one more is there than needed.
+
+    The leader is never silent, so it is never returned.
+    """
+    slowest = max(voters, key=lambda member: member.silent_ms, default=None)
+    if (
+        slowest is None
+        or slowest.silent_ms == 0
+        or len(voters) <= 2 * tolerated + 1
+        or not all(voter.answered and _answers(voter) for voter in voters)
+    ):
+        return None
+    return slowest
+
+
 def _vote_kept_ms(voters: Sequence[MemberView]) -> int:
     """Returns how long a silent voter keeps its vote, in ms."""
     quorum = len(voters) // 2 + 1
