Keep what a leader told about the replicas apart from redirects

Both lists are tried now. A seed that gets no more notices redirects to what it polled, and a replica without a leader always asks the members in its own list as well.

test_redirect_of_a_stale_replica_hides_no_member.

--- a/bamboorouter/coordination/log/self_repair.py
+++ b/bamboorouter/coordination/log/self_repair.py
@@ -107,11 +107,10 @@
         if self.replica.settings.bootstrap and not self.replica.formed():
             # This replica is one of the first members, which form the group.
             return
-        if not self.client.learned_replicas:
-            # The seeds in the settings may all have been replaced.
-            self.client.learn_replicas(
-                tuple(member.address for member in self.replica.members())
-            )
+        # The seeds in the settings may all have been replaced.
+        self.client.learn_replicas(
+            tuple(member.address for member in self.replica.members())
+        )
         try:
             await self.client.call(
                 job_messages.JoinGroup(
--- a/bamboorouter/coordination/requests/control_client.py
+++ b/bamboorouter/coordination/requests/control_client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import random
 from typing import Final
 
@@ -38,8 +39,8 @@
         handler: Called for messages that the leader pushes.
         last_contact_ms: Monotonic time in ms at which the last answered call
             to a leader was sent; None before the first.
-        learned_replicas: Addresses of the replicas as last told by one of them;
-            empty before.
+        learned_replicas: Addresses of the replicas as last learned from a
+            leader; empty before.
         members_index: Log index of the member list with these addresses; 0 if
             it isn't known.
     """
@@ -56,6 +57,8 @@
         self.clock = time
         self.learned_replicas: tuple[str, ...] = ()
         self.members_index = 0
+        # Kept apart, because a replica that redirects may know old members.
+        self._redirected_replicas: tuple[str, ...] = ()
         # Addresses that failed or redirected since a leader last answered, in
         # the order of their last attempts.
         self._tried: dict[str, None] = {}
@@ -147,7 +150,8 @@
                 return reply
             unanswered = unanswered or reply.result_unknown
             self._record_tried(current.peer)
-            self.learn_replicas(reply.replicas)
+            if reply.replicas:
+                self._redirected_replicas = reply.replicas
             await self._switch_target(current, reply.leader)
             if not reply.leader or reply.leader == current.peer:
                 await self._pause()
@@ -254,7 +258,15 @@
         await asyncio.sleep(clock.seconds(int(pause_ms)))
 
     def _next_address(self) -> str:
-        known = tuple(dict.fromkeys((*self.addresses, *self.learned_replicas)))
+        known = tuple(
+            dict.fromkeys(
+                itertools.chain(
+                    self.addresses,
+                    self.learned_replicas,
+                    self._redirected_replicas,
+                )
+            )
+        )
         if not known:
             return self._target
         if self._target not in known:
--- a/bamboorouter/roles/seed.py
+++ b/bamboorouter/roles/seed.py
@@ -26,12 +26,14 @@
 
     Attributes:
         client: Client of this process, which learns the replicas as well.
-        known: The newest notice of a leader.
+        known: The newest notice of a leader or, without one, what a leader
+            answered to a poll.
     """
 
     def __init__(self, *, client: control_client.ControlClient) -> None:
         self.client = client
         self.known = messages.Redirect(leader="")
+        self._noticed_ms: int | None = None
         self._server: link.LinkServer | None = None
         self._poller: asyncio.Task[None] | None = None
 
@@ -69,16 +71,25 @@
                 continue
             if isinstance(answer, job_messages.CurrentConfiguration):
                 self.client.learn_replicas(answer.replicas)
-                if not self.known.leader:
+                if not self._is_noticed():
                     self.known = messages.Redirect(
                         leader="", replicas=answer.replicas
                     )
 
+    def _is_noticed(self) -> bool:
+        """Whether a leader has sent its address within a poll period."""
+        now = self.client.clock.now()
+        return (
+            self._noticed_ms is not None
+            and now - self._noticed_ms <= POLL_PERIOD_MS
+        )
+
     async def _handle(
         self, message: messages.Message, source: link.Link
     ) -> messages.Message | None:
         del source
         if isinstance(message, messages.Redirect):
             self.known = message
+            self._noticed_ms = self.client.clock.now()
             self.client.learn_replicas(message.replicas)
         return self.known
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -181,6 +181,7 @@
 
     async def asyncSetUp(self) -> None:
         self.leads = False
+        self.redirect = messages.Redirect(leader="")
         self.server = await link.serve_links(
             host="127.0.0.1", port=0, handler=self._answer
         )
@@ -200,7 +201,7 @@
         del message, peer
         if self.leads:
             return messages.ReservationReply(state="granted")
-        return messages.Redirect(leader="")
+        return self.redirect
 
     def _make_client(self, *addresses: str) -> control_client.ControlClient:
         client = control_client.ControlClient(
@@ -224,6 +225,19 @@
         await client.call(_reserve(0), timeout_ms=CALL_TIMEOUT_MS)
         self.assertEqual(client.tried_addresses(), ())
 
+    async def test_redirect_of_a_stale_replica_hides_no_member(self) -> None:
+        """Guards against old members that replace those that a leader told."""
+        stale, current = self.addresses[0], self.addresses[1]
+        self.redirect = messages.Redirect(leader="", replicas=(stale,))
+        client = self._make_client(current)
+        client.learn_replicas((current, "127.0.0.1:1"), members_index=9)
+        await self._fail(client)
+        self.assertEqual(client.learned_replicas, (current, "127.0.0.1:1"))
+        self.assertEqual(client.members_index, 9)
+        self.assertEqual(
+            set(client.tried_addresses()), {stale, current, "127.0.0.1:1"}
+        )
+
     async def test_address_without_an_answer_counts(self) -> None:
         silent_server = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(silent_server.close)
