--- a/review/standins-2/loopback_site.py
+++ b/review/standins-2/loopback_site.py
@@ -341,8 +341,8 @@
     ) -> None:
         self.role = role
         self.name = name
-        self._settings = site.folder / f"{name}.toml"
-        self._settings.write_text(settings, encoding="utf-8")
+        self.settings = site.folder / f"{name}.toml"
+        self.settings.write_text(settings, encoding="utf-8")
         self._output = site.folder / f"{name}.log"
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -354,7 +354,7 @@
             if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        environment["BAMBOOROUTER_NODE_FILE"] = str(self._settings)
+        environment["BAMBOOROUTER_NODE_FILE"] = str(self.settings)
         with self._output.open("ab") as output:
             self.process = subprocess.Popen(
                 ["python3", "platform/main.py", self.role],
