--- a/review/standins-2/loopback_site.py
+++ b/review/standins-2/loopback_site.py
@@ -396,16 +396,17 @@
 
     def __init__(
         self,
-        case: str,
+        case: str = "",
         *,
         workers: int,
+        record: pathlib.Path | None = None,
         cpu: int = 16_000,
         controls: int = 3,
         entries: int = 2,
         settings: str = "",
     ) -> None:
-        case_folder = pathlib.Path(case).resolve().parent
-        self.record = Record(case_folder / "record.txt")
+        path = pathlib.Path(case).resolve().with_name("record.txt")
+        self.record = Record(record or path)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self._reservation, self.network = _reserve_network()
         self.submitted: dict[str, dict[str, Any]] = {}
