--- a/review/standins-2/loopback_site.py
+++ b/review/standins-2/loopback_site.py
@@ -47,13 +47,8 @@
 NOT_RUN = 2
 
 
-def trouble() -> bool:
-    """Whether the case runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
-    """What was sent, answered and run, written to `record.txt`."""
+    """What was sent, answered and run, written to a file."""
 
     def __init__(self, path: pathlib.Path) -> None:
         self._file = path.open("w", encoding="utf-8")
@@ -396,17 +391,15 @@
 
     def __init__(
         self,
-        case: str = "",
         *,
+        record: pathlib.Path,
         workers: int,
-        record: pathlib.Path | None = None,
         cpu: int = 16_000,
         controls: int = 3,
         entries: int = 2,
         settings: str = "",
     ) -> None:
-        path = pathlib.Path(case).resolve().with_name("record.txt")
-        self.record = Record(record or path)
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self._reservation, self.network = _reserve_network()
         self.submitted: dict[str, dict[str, Any]] = {}
--- a/review/standins-2/replace_in_turn.py
+++ b/review/standins-2/replace_in_turn.py
@@ -11,6 +11,7 @@
 import random
 import re
 import sys
+import tempfile
 import time
 
 import loopback_site
@@ -65,7 +66,7 @@
     """Plays the trial; the record goes into a temporary folder."""
     replicas, order = int(sys.argv[1]), sys.argv[2]
     site = loopback_site.Site(
-        str(pathlib.Path(loopback_site.tempfile.mkdtemp()) / "trial"),
+        record=pathlib.Path(tempfile.mkdtemp()) / "record.txt",
         workers=1,
         entries=1,
         controls=replicas,
