Identify the queue of a job by its host and prefix

Cause: the leader found the queue by host and path, but `AcceptSteps` carried the name only. The state machine took the first queue of that name in the configuration in force when the command was applied. Nothing makes names unique or lasting: the same fault followed a name that was exchanged or whose queue was removed between proposal and application, and the order of the list.

Evidence: the record of the case shows the right route, an accepted job and starts on the first queue's workers. Logs couldn't tell a wrong match from a queue lost on its way through the log, since they had the name only.

Change: `AcceptSteps` has a key, host and prefix. The state machine, the number of waiting jobs and the learned run times compare keys. Commands of earlier versions have no key and are applied as before, so that replicas agree. Leaders commit ambiguous names as unique ones, so that replicas of earlier versions find the same queue by name. Logs and the account show host and prefix.

--- a/bamboorouter/coordination/jobs/admission.py
+++ b/bamboorouter/coordination/jobs/admission.py
@@ -200,7 +200,7 @@
     queue_paths_ms = [
         ready_tasks.critical_path_ms(job.spec.steps, range(len(job.spec.steps)))
         for job in state.jobs.values()
-        if job.queue.name == queue.name and job.active()
+        if job.queue.key == queue.key and job.active()
     ]
     job_path_ms = ready_tasks.critical_path_ms(
         spec.steps, range(len(spec.steps))
--- a/bamboorouter/coordination/jobs/job_handler.py
+++ b/bamboorouter/coordination/jobs/job_handler.py
@@ -78,7 +78,10 @@
                 return self._refuse(job_id, queue, refusal)
         result = await self._accept(
             job_commands.AcceptSteps(
-                job=job_id, queue=queue.name, spec=message.spec
+                job=job_id,
+                queue=queue.name,
+                spec=message.spec,
+                key=queue.key,
             )
         )
         if not result.ok:
@@ -87,6 +90,8 @@
             events.JOB_ACCEPTED,
             job=job_id,
             queue=queue.name,
+            host=queue.host,
+            prefix=queue.prefix,
             version=state.version(),
             new=result.data["new"],
             tasks=sum(step.count for step in message.spec.steps),
@@ -102,7 +107,7 @@
         queue, job_id = found
         if job_id:
             return self._job_answer(job_id)
-        waiting = self.log.machine.stepped.waiting_jobs(queue.name)
+        waiting = self.log.machine.stepped.waiting_jobs(queue.key)
         return job_messages.JobAnswer(outcome="ok", waiting=waiting)
 
     async def cancel(
@@ -130,6 +135,9 @@
     ) -> job_messages.CurrentConfiguration:
         """Commits a configuration if it is newer than the one in force.
 
+        Replicas of earlier versions find the queue of a job by its name, so
+        the names are made unique.
+
         Returns:
             The version in force.
 
@@ -142,7 +150,7 @@
             await job_proposals.propose(
                 self.log,
                 job_commands.PutConfiguration(
-                    configuration=message.configuration
+                    configuration=message.configuration.with_unique_names()
                 ),
             )
         answer = self.configuration(with_document=False)
@@ -210,6 +218,8 @@
             events.JOB_REFUSED,
             job=job_id,
             queue=queue.name,
+            host=queue.host,
+            prefix=queue.prefix,
             version=self.log.machine.stepped.version(),
             reason=refusal.reason,
             wait_ms=refusal.wait_ms,
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -19,13 +19,17 @@
 
     Attributes:
         job: ID of the job.
-        queue: Name of the queue.
+        queue: Name of the queue. Replicas of earlier versions find the queue
+            by it.
         spec: The job.
+        key: Host and prefix of the queue; None from leaders of earlier
+            versions.
     """
 
     job: str
     queue: str
     spec: jobs.JobSpec
+    key: jobs.QueueKey | None = None
 
 
 class CancelSteps(base.Wire, frozen=True, kw_only=True, tag=22):
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -11,6 +11,8 @@
 from typing import Final
 from typing import Literal
 
+import msgspec
+
 from bamboorouter.protocol import base
 from bamboorouter.protocol import common
 
@@ -203,11 +205,19 @@
 ImagePair = tuple[str, str]
 
 
+# Host and path prefix of a queue, which identify it.
+QueueKey = tuple[str, str]
+
+
 class QueueSettings(base.Wire, frozen=True, kw_only=True):
     """A queue of jobs, as configured.
 
+    A queue is identified by its host and prefix. Its name is a label: other
+    queues may have the same one, and another configuration may give it to
+    another queue.
+
     Attributes:
-        name: Unique name.
+        name: Name for logs and the account.
         host: Host name under which callers reach the queue.
         prefix: Path prefix under which callers reach the queue.
         service: Service whose workers run the jobs.
@@ -234,6 +244,11 @@
     timeout_ms: int = 0
     advised: bool = False
 
+    @property
+    def key(self) -> QueueKey:
+        """Host and prefix, which identify the queue."""
+        return (self.host, self.prefix)
+
 
 class ServiceSettings(base.Wire, frozen=True, kw_only=True):
     """A service, which is a pool of workers, as configured.
@@ -266,6 +281,33 @@
     services: tuple[ServiceSettings, ...] = ()
     document: bytes = b""
 
+    def queue(self, key: QueueKey) -> QueueSettings | None:
+        """Returns the queue with a host and prefix; None if there is none."""
+        return next((queue for queue in self.queues if queue.key == key), None)
+
+    def first_queue_named(self, name: str) -> QueueSettings | None:
+        """Returns the first queue of a name; None if there is none."""
+        return next(
+            (queue for queue in self.queues if queue.name == name), None
+        )
+
+    def with_unique_names(self) -> "Configuration":
+        """Returns the configuration with a different name for each queue.
+
+        If several queues have the same name, all queues are named after their
+        hosts and prefixes. The document isn't changed.
+        """
+        names = {queue.name for queue in self.queues}
+        if len(names) == len(self.queues):
+            return self
+        return msgspec.structs.replace(
+            self,
+            queues=tuple(
+                msgspec.structs.replace(queue, name="".join(queue.key))
+                for queue in self.queues
+            ),
+        )
+
     def match(self, host: str, path: str) -> "tuple[QueueSettings, str] | None":
         """Finds the queue for a path by its longest matching prefix.
 
--- a/bamboorouter/state/account_jobs.py
+++ b/bamboorouter/state/account_jobs.py
@@ -79,6 +79,10 @@
         f" {command.queue}"
     )
     fields = {"job": command.job, "queue": command.queue}
+    if command.key is not None:
+        host, prefix = command.key
+        text += f" at {host}{prefix}"
+        fields |= {"host": host, "prefix": prefix}
     return (
         "job_sent_again" if known else "job_accepted",
         f"{text}: {steps}",
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -160,10 +160,10 @@
         """Whether any task of a task's gang is not assigned."""
         return any(task.status != "assigned" for _, task in self.group_of(ref))
 
-    def waiting_jobs(self, queue: str) -> int:
+    def waiting_jobs(self, queue: jobs.QueueKey) -> int:
         """Returns of how many active jobs of a queue no task has begun."""
         return sum(
-            job.queue.name == queue and not job.begun and job.active()
+            job.queue.key == queue and not job.begun and job.active()
             for job in self.jobs.values()
         )
 
@@ -187,7 +187,7 @@
         """Accepts a job; a job that is already known is left unchanged."""
         if command.job in self.jobs:
             return commands.Result(ok=True, data={"new": False})
-        queue = self._queue(command.queue)
+        queue = self._queue_of(command)
         if queue is None:
             return _refused(error_texts.NO_SUCH_QUEUE, queue=command.queue)
         if problem := job_limits.find_violation(command.spec):
@@ -448,9 +448,20 @@
                 del self.jobs[job_id]
         return commands.Result(ok=True)
 
-    def _queue(self, name: str) -> jobs.QueueSettings | None:
-        queues = self.configuration.queues if self.configuration else ()
-        return next((queue for queue in queues if queue.name == name), None)
+    def _queue_of(
+        self, command: job_commands.AcceptSteps
+    ) -> jobs.QueueSettings | None:
+        """Returns the queue in force for a job that is accepted.
+
+        A command of an earlier version has only the name of the queue, which
+        may be that of several. All replicas must apply it as that version did,
+        so the first of them is taken.
+        """
+        if self.configuration is None:
+            return None
+        if command.key is None:
+            return self.configuration.first_queue_named(command.queue)
+        return self.configuration.queue(command.key)
 
     def _group_key(self, ref: jobs.TaskRef) -> jobs.TaskRef:
         """Returns the first task of a task's gang, or the task itself."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -67,12 +67,14 @@
         started_ms: Start of the worker in ms since the epoch.
         started: Name and attempt of each started task.
         cpu: Announced processor time, in thousandths of a core.
+        service: Announced service.
     """
 
     def __init__(self, *, address: str, run_s: float = 0.02) -> None:
         self.address = address
         self.run_s = run_s
         self.cpu = 8000
+        self.service = "desk"
         self.started_ms = int(time.time() * 1000)
         self.started: list[tuple[str, int]] = []
         self._running: dict[str, tuple[int, float]] = {}
@@ -99,7 +101,7 @@
     ) -> dict[str, Any]:
         """Returns the announcement that the worker sends to its agent."""
         return {
-            "service": "desk",
+            "service": self.service,
             "addr": self.address,
             "zone": "z1",
             "version": "v1",
