Play queues that share and exchange names in the soak

The group "names" has two queues with a service each. Each version of the configuration draws their names and their order, and may add a queue to which nothing is submitted. Checked: the service of each start, and an upper bound of the pending jobs of each queue.

--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -34,6 +34,7 @@
   killed.
 - "stale": settings files are not rewritten when a replica is replaced.
 - "routes": configurations of hundreds of routes, with small disks.
+- "names": two queues with a service each, which share or exchange their names.
 
 With --freezes, freezes of agents and entries are the most frequent fault.
 """
@@ -61,10 +62,10 @@
 from devtools import soak_checks
 from devtools import soak_members
 from devtools import soak_odd
+from devtools import soak_queues
 from devtools import soak_schedule
 from devtools import soak_site
 
-HOST: Final = "desk.example"
 # After this timeout a caller submits the job again at a random entry.
 CALL_TIMEOUT_S: Final = 3.0
 CONFIGURE_INTERVAL_S: Final = 1.0
@@ -75,7 +76,14 @@
 
 
 # Off by default, so that recorded seeds keep their schedules.
-MORE_GROUPS: Final = ("members", "successors", "final", "stale", "routes")
+MORE_GROUPS: Final = (
+    "members",
+    "successors",
+    "final",
+    "stale",
+    "routes",
+    "names",
+)
 ROUTES: Final = 400
 PROBE_INTERVAL_S: Final = 0.2
 
@@ -111,6 +119,7 @@
             timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         )
         self._version = 0
+        self._seed = seed
         self._groups = groups
         self._routes = ROUTES if "routes" in groups else 1
         self.callers = soak_callers.Callers(
@@ -120,7 +129,8 @@
             seed=seed,
             cancels="cancellations" in groups,
             crashes="crashing" in groups,
-            large="capacity" in groups,
+            # The worker that stays grown serves only one of several queues.
+            large="capacity" in groups and "names" not in groups,
         )
 
     async def run(self) -> soak_checks.History:
@@ -225,10 +235,30 @@
         """Sends a request of a caller; see `soak_callers.Requester`."""
         number = entry or self._rng.randint(1, soak_site.ENTRIES)
         address = self.site.entry_address(number)
+        queue = self._queue_of(job)
         return await self._request(
-            method, f"http://{address}/forms/{job}", body
+            method, f"http://{address}{queue.prefix}{job}", body
         )
 
+    def _queue_of(self, job: str) -> soak_queues.Queue:
+        if "names" in self._groups:
+            return soak_queues.queue_of(job)
+        return soak_queues.FORMS
+
+    async def _check_pending(self, queue: soak_queues.Queue) -> None:
+        """Reads the number of pending jobs of a queue at a random entry."""
+        ended = self.site.history.ended_jobs()
+        address = self.site.entry_address(
+            self._rng.randint(1, soak_site.ENTRIES)
+        )
+        status, answer = await self._request(
+            "GET", f"http://{address}{queue.prefix}"
+        )
+        if status == soak_checks.OK:
+            self.site.history.record_pending(
+                queue.service, answer["pending"], ended=ended
+            )
+
     # --- Operator ------------------------------------------------------------
 
     async def _configure_once(self) -> None:
@@ -247,6 +277,9 @@
                 self._version += 1
             await self._put_configuration()
             await self._read_configuration(self._random_control())
+            if "names" in self._groups:
+                for queue in soak_queues.QUEUES:
+                    await self._check_pending(queue)
             if "routes" in self._groups:
                 used_mb = await asyncio.to_thread(self.site.disk_use_mb)
                 self.site.history.record_disk_use(
@@ -268,12 +301,23 @@
         status, _ = await self._request(
             "PUT",
             self._operator_url(self._random_control()),
-            _configuration(version, self._routes),
+            self._configuration(version),
         )
         if status == soak_checks.OK:
             self.site.history.record_configuration(version)
         return status == soak_checks.OK
 
+    def _configuration(self, version: int) -> dict[str, Any]:
+        document = _configuration(version, self._routes)
+        if "names" in self._groups:
+            settings, *others = document["routes"]
+            document["routes"] = [
+                *soak_queues.routes(self._seed, version, settings),
+                *others,
+            ]
+            document["services"] = soak_queues.services()
+        return document
+
     def _random_control(self) -> int:
         return self._rng.randint(1, len(self.site.controls()))
 
@@ -285,7 +329,7 @@
     ) -> tuple[int, Any]:
         try:
             async with self._session.request(
-                method, url, json=body, headers={"Host": HOST}
+                method, url, json=body, headers={"Host": soak_queues.HOST}
             ) as response:
                 answer = await response.json(content_type=None)
                 return response.status, answer
@@ -299,19 +343,23 @@
         "routes": [
             {
                 "name": "r-forms" if not number else f"r-forms-{number}",
-                "host": HOST,
-                "pathPrefix": "/forms/" if not number else f"/{number}/",
+                "host": soak_queues.HOST,
+                "pathPrefix": (
+                    f"/{number}/" if number else soak_queues.FORMS.prefix
+                ),
                 # Makes the content differ between versions.
                 "timeoutMs": 3000 + version,
                 "targetLatencyMs": 30_000,
                 "priority": 0,
-                "service": "desk",
+                "service": soak_queues.FORMS.service,
                 "maxAttempts": soak_attempts.MAX_ATTEMPTS,
                 "slackFactor": 20.0,
             }
             for number in range(routes)
         ],
-        "services": [{"name": "desk", "enforcesCapacity": False}],
+        "services": [
+            {"name": soak_queues.FORMS.service, "enforcesCapacity": False}
+        ],
     }
 
 
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -94,11 +94,24 @@
         lines: All observations in order, with the Unix time in s.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        service_of: Callable[[str], str] | None = None,
+    ) -> None:
+        """Creates an empty history.
+
+        Args:
+            clock: Returns the time in s.
+            service_of: Returns the service whose workers may run a job; None if
+                all workers may.
+        """
         self.violations: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
         self.lines: list[str] = []
         self._clock = clock
+        self._service_of = service_of
         self._jobs: dict[str, _Job] = {}
         # Runs by task, and by worker incarnation and attempt.
         self._running: dict[str, dict[tuple[str, int], _Run]] = {}
@@ -304,6 +317,36 @@
             if not job.state and not job.cancel_sent
         ]
 
+    def ended_jobs(self) -> frozenset[str]:
+        """Returns the jobs that callers know to have ended."""
+        return frozenset(
+            name
+            for name, job in self._jobs.items()
+            if job.state or job.cancelled_s is not None
+        )
+
+    def record_pending(
+        self, service: str, pending: int, *, ended: frozenset[str]
+    ) -> None:
+        """Records how many jobs of the queue of a service are pending.
+
+        Args:
+            service: The service.
+            pending: Number of jobs that were accepted and haven't begun.
+            ended: Jobs known to have ended before the number was requested.
+        """
+        assert self._service_of is not None
+        limit = sum(
+            name not in ended and self._service_of(name) == service
+            for name in self._jobs
+        )
+        self.counts["pending jobs read"] += 1
+        if pending > limit:
+            self._add_violation(
+                f"{pending} jobs of {service} are pending, of {limit} that"
+                " haven't ended"
+            )
+
     def unanswered_cancellations(self) -> list[str]:
         """Returns accepted jobs whose cancelling was not acknowledged."""
         return [
@@ -332,6 +375,7 @@
         spec: str,
         free: int,
         late: bool = False,
+        service: str = "",
     ) -> None:
         """Records the start of a task.
 
@@ -344,6 +388,7 @@
                 of all resources; negative if the worker is overcommitted.
                 Runs that are being stopped occupy their capacity.
             late: Whether the worker carried the order out late.
+            service: Service of the worker; empty if it doesn't matter.
         """
         self._log(f"{task} attempt {attempt} starts on {worker}, late: {late}")
         self.counts["starts"] += 1
@@ -358,6 +403,7 @@
         else:
             self._check_start(task, job, spec)
             self._check_cancelled_start(task, job, worker, late)
+            self._check_service(task, worker, service)
         if not late:
             self._check_draining(task, worker)
         if free < 0:
@@ -389,6 +435,15 @@
                     f"{task} was started before step {earlier} was done"
                 )
 
+    def _check_service(self, task: str, worker: str, service: str) -> None:
+        if self._service_of is None or not service:
+            return
+        wanted = self._service_of(task.partition(".")[0])
+        if service != wanted:
+            self._add_violation(
+                f"{task} of {wanted} was started on {worker} of {service}"
+            )
+
     def _check_cancelled_start(
         self, task: str, job: _Job, worker: str, late: bool
     ) -> None:
--- a/devtools/soak_site.py
+++ b/devtools/soak_site.py
@@ -20,6 +20,7 @@
 from devtools import soak_members
 from devtools import soak_odd
 from devtools import soak_process
+from devtools import soak_queues
 from devtools import soak_schedule
 from devtools import soak_worker
 
@@ -69,7 +70,11 @@
         controls: int = CONTROLS,
     ) -> None:
         self.path = path
-        self.history = soak_checks.History()
+        self.history = soak_checks.History(
+            service_of=(
+                soak_queues.service_of_job if "names" in groups else None
+            )
+        )
         self.processes: dict[str, soak_process.Process] = {}
         self.workers: dict[str, soak_worker.SoakWorker] = {}
         self.proxies: dict[str, proxy.FaultProxy] = {}
@@ -149,6 +154,11 @@
             agent=control,
             history=self.history,
             seed=self._seed + number,
+            service=(
+                soak_queues.service_of_worker(number)
+                if "names" in self._groups
+                else soak_queues.FORMS.service
+            ),
             failure_probability=soak_worker.FAILURE_PROBABILITY
             if "cancellations" not in self._groups or number % 4
             else soak_worker.HIGH_FAILURE_PROBABILITY,
--- a/devtools/soak_worker.py
+++ b/devtools/soak_worker.py
@@ -74,6 +74,7 @@
     Attributes:
         name: Name of its machine.
         agent: Address of its agent.
+        service: Service that it belongs to.
         announced: Address that it announces; may be that of a proxy.
         millicores: Its CPU capacity.
         rng: Random generator for failures and delays.
@@ -90,9 +91,11 @@
         history: soak_checks.History,
         seed: int,
         failure_probability: float = FAILURE_PROBABILITY,
+        service: str = "desk",
     ) -> None:
         self.name = name
         self.agent = agent
+        self.service = service
         self.announced = ""
         self.millicores = soak_capacity.Capacity(full=CAPACITY_MILLICORES)
         self.rng = random.Random(seed)
@@ -297,7 +300,7 @@
     def announcement(self) -> dict[str, Any]:
         """Returns the present announcement."""
         body: dict[str, Any] = {
-            "service": "desk",
+            "service": self.service,
             "addr": self.announced,
             "zone": "z1",
             "version": "v1",
@@ -427,6 +430,7 @@
                 CAPACITY_MB - sum(run.memory_mb for run in runs),
             ),
             late=late,
+            service=self.service,
         )
         return self._answer()
 
