Refuse a job under an ID that another queue has

Cause: leader and state machine know jobs by their IDs only, since the names of tasks have no room for the queue. A submission under a known ID counted as a copy of that job.

Change: the state machine refuses a job whose ID another queue has; the caller gets 429 with the reason and without Retry-After. Reads and cancellations at another queue find no job (410); `CancelSteps` carries the queue for a job that is accepted in between. Recent refusals and unconfirmed proposals are kept by queue and ID. A job that an earlier version accepted under an ambiguous name stays visible in all queues of this name while that configuration is in force.

--- a/bamboorouter/coordination/jobs/recent_submissions.py
+++ b/bamboorouter/coordination/jobs/recent_submissions.py
@@ -7,7 +7,8 @@
   over another connection.
 - A job isn't accepted while the withdrawal of its ID may still be committed.
 
-All are tracked for one term. Once the first entry of a new leader's term is
+Each is tracked by the queue and the ID of its job, since callers of several
+queues may choose the same ID. All are tracked for one term. Once the first entry of a new leader's term is
 committed, the log shows which proposals of earlier terms were committed; the
 others never will be.
 """
@@ -17,6 +18,7 @@
 from typing import Final
 
 from bamboorouter.coordination.jobs import admission
+from bamboorouter.protocol import jobs
 
 # Maximum delay of a duplicate: callers wait 3 s for an answer, and a partition
 # may delay a message by several seconds more.
@@ -47,9 +49,11 @@
 
     def __init__(self) -> None:
         self._term = 0
-        self._withdrawals: collections.Counter[str] = collections.Counter()
-        self._pending: set[str] = set()
-        self._refused: dict[str, _RecentRefusal] = {}
+        self._withdrawals: collections.Counter[jobs.JobKey] = (
+            collections.Counter()
+        )
+        self._pending: set[jobs.JobKey] = set()
+        self._refused: dict[jobs.JobKey, _RecentRefusal] = {}
 
     def enter_term(self, term: int) -> None:
         """Discards submissions of earlier terms."""
@@ -59,19 +63,19 @@
             self._pending.clear()
             self._refused.clear()
 
-    def add_pending(self, job: str) -> None:
+    def add_pending(self, job: jobs.JobKey) -> None:
         """Records that a job is being proposed."""
         self._pending.add(job)
 
-    def remove_pending(self, job: str) -> None:
+    def remove_pending(self, job: jobs.JobKey) -> None:
         """Records that the result of a job's proposal is known."""
         self._pending.discard(job)
 
-    def is_pending(self, job: str) -> bool:
+    def is_pending(self, job: jobs.JobKey) -> bool:
         """Whether a proposal of a job may still be committed."""
         return job in self._pending
 
-    def begin_withdrawal(self, job: str) -> int:
+    def begin_withdrawal(self, job: jobs.JobKey) -> int:
         """Records that the withdrawal of a job is being proposed.
 
         Returns:
@@ -80,11 +84,11 @@
         self._withdrawals[job] += 1
         return self._term
 
-    def end_withdrawal(self, job: str, term: int) -> None:
+    def end_withdrawal(self, job: jobs.JobKey, term: int) -> None:
         """Records that the result of a withdrawal is known.
 
         Args:
-            job: ID of the job.
+            job: Queue and ID of the job.
             term: Term in which the withdrawal was proposed.
         """
         if term != self._term:
@@ -93,12 +97,12 @@
         if not self._withdrawals[job]:
             del self._withdrawals[job]
 
-    def is_being_withdrawn(self, job: str) -> bool:
+    def is_being_withdrawn(self, job: jobs.JobKey) -> bool:
         """Whether a withdrawal of a job may still be committed."""
         return job in self._withdrawals
 
     def add_refusal(
-        self, job: str, refusal: admission.Refusal, now: int
+        self, job: jobs.JobKey, refusal: admission.Refusal, now: int
     ) -> None:
         """Records a refusal at a monotonic time in ms."""
         self._refused = {
@@ -108,7 +112,7 @@
         }
         self._refused[job] = _RecentRefusal(refusal=refusal, at_ms=now)
 
-    def refusal(self, job: str, now: int) -> admission.Refusal | None:
+    def refusal(self, job: jobs.JobKey, now: int) -> admission.Refusal | None:
         """Returns the refusal of a job that still applies, if any.
 
         Its `retry_after_ms` is reduced by the time since the refusal.
--- a/bamboorouter/error_texts.py
+++ b/bamboorouter/error_texts.py
@@ -27,6 +27,7 @@
 SHEET_INVALID: Final = "sheet_invalid"
 NO_SUCH_JOB: Final = "no_such_job"
 NO_SUCH_QUEUE: Final = "no_such_queue"
+JOB_ID_IN_USE: Final = "job_id_in_use"
 JOB_EXISTS: Final = "job_exists"
 JOB_INVALID: Final = "job_invalid"
 JOB_CANNOT_RUN: Final = "job_cannot_run"
@@ -106,6 +107,7 @@
     ),
     STALE_EPOCH: "epoch {epoch} of task {task!r} is not current",
     NO_SUCH_QUEUE: "queue {queue!r} does not exist",
+    JOB_ID_IN_USE: "another queue has a job with the ID {job!r}",
     JOB_INVALID: "job {job!r} is invalid: {problem}",
     JOB_AT_FAULT: "job {job!r} fails on every worker that runs it",
     STALE_ATTEMPT: "attempt {attempt!r} does not hold the reservation",
--- a/bamboorouter/protocol/job_commands.py
+++ b/bamboorouter/protocol/job_commands.py
@@ -15,7 +15,9 @@
 
 
 class AcceptSteps(base.Wire, frozen=True, kw_only=True, tag=21):
-    """Accepts a job for a queue; has no effect if the ID is known.
+    """Accepts a job for a queue; refused if another queue has its ID.
+
+    Has no effect if the job is known.
 
     Attributes:
         job: ID of the job.
@@ -40,10 +42,13 @@
         withdraw: Whether the ID of an unknown job is recorded, so that the job
             is refused if it is submitted later; False from leaders of earlier
             versions.
+        key: Host and prefix of the queue; a job of another queue isn't known.
+            None from leaders of earlier versions, for any queue.
     """
 
     job: str
     withdraw: bool = False
+    key: jobs.QueueKey | None = None
 
 
 class StartRuns(base.Wire, frozen=True, kw_only=True, tag=23):
--- a/bamboorouter/protocol/job_messages.py
+++ b/bamboorouter/protocol/job_messages.py
@@ -62,12 +62,14 @@
         waiting: Number of jobs in the queue of which no task has started.
         retry_after_ms: If "refused", time in ms after which a retry may be
             accepted; 0 if the job would be refused again.
+        reason: If "refused", why.
     """
 
     outcome: Literal["ok", "no_queue", "no_job", "refused", "unconfigured"]
     state: str = ""
     waiting: int = 0
     retry_after_ms: int = 0
+    reason: str = ""
 
 
 class OfferConfiguration(base.Wire, frozen=True, kw_only=True, tag=124):
--- a/bamboorouter/protocol/jobs.py
+++ b/bamboorouter/protocol/jobs.py
@@ -207,6 +207,8 @@
 
 # Host and path prefix of a queue, which identify it.
 QueueKey = tuple[str, str]
+# Queue and ID of a job.
+JobKey = tuple[QueueKey, str]
 
 
 class QueueSettings(base.Wire, frozen=True, kw_only=True):
--- a/bamboorouter/state/stepped_jobs.py
+++ b/bamboorouter/state/stepped_jobs.py
@@ -184,8 +184,15 @@
     def accept(
         self, command: job_commands.AcceptSteps, now_ms: int
     ) -> commands.Result:
-        """Accepts a job; a job that is already known is left unchanged."""
-        if command.job in self.jobs:
+        """Accepts a job; a job that is already known is left unchanged.
+
+        A job is refused if another queue has one with its ID, because the names
+        of tasks contain the ID only.
+        """
+        known = self.jobs.get(command.job)
+        if known is not None:
+            if command.key not in (None, known.queue.key):
+                return _refused(error_texts.JOB_ID_IN_USE, job=command.job)
             return commands.Result(ok=True, data={"new": False})
         queue = self._queue_of(command)
         if queue is None:
@@ -226,6 +233,8 @@
         job = self.jobs.get(command.job)
         if job is None:
             return self._withdraw(command)
+        if command.key not in (None, job.queue.key):
+            return _refused(error_texts.NO_SUCH_JOB, job=command.job)
         if job.open_tasks and not job.failed:
             job.cancelled = True
         return commands.Result(ok=True, data={"state": job.state()})
--- a/devtools/soak.py
+++ b/devtools/soak.py
@@ -34,7 +34,8 @@
   killed.
 - "stale": settings files are not rewritten when a replica is replaced.
 - "routes": configurations of hundreds of routes, with small disks.
-- "names": two queues with a service each, which share or exchange their names.
+- "names": two queues with a service each, which share or exchange their names,
+  and calls for a job at the wrong one of them.
 
 With --freezes, freezes of agents and entries are the most frequent fault.
 """
@@ -60,6 +61,7 @@
 from devtools import soak_attempts
 from devtools import soak_callers
 from devtools import soak_checks
+from devtools import soak_jobs
 from devtools import soak_members
 from devtools import soak_odd
 from devtools import soak_queues
@@ -240,6 +242,22 @@
             method, f"http://{address}{queue.prefix}{job}", body
         )
 
+    async def _call_other_queue(self) -> None:
+        """Calls the queue to which the newest accepted job doesn't belong."""
+        job = self.site.history.newest_accepted_job()
+        if job is None:
+            return
+        method = self._rng.choice(("POST", "GET", "DELETE"))
+        address = self.site.entry_address(
+            self._rng.randint(1, soak_site.ENTRIES)
+        )
+        status, _ = await self._request(
+            method,
+            f"http://{address}{soak_queues.other_queue(job).prefix}{job}",
+            soak_jobs.lasting_job(self._rng) if method == "POST" else None,
+        )
+        self.site.history.record_foreign_call(method, job, status)
+
     def _queue_of(self, job: str) -> soak_queues.Queue:
         if "names" in self._groups:
             return soak_queues.queue_of(job)
@@ -280,6 +298,7 @@
             if "names" in self._groups:
                 for queue in soak_queues.QUEUES:
                     await self._check_pending(queue)
+                await self._call_other_queue()
             if "routes" in self._groups:
                 used_mb = await asyncio.to_thread(self.site.disk_use_mb)
                 self.site.history.record_disk_use(
--- a/devtools/soak_checks.py
+++ b/devtools/soak_checks.py
@@ -347,6 +347,13 @@
                 " haven't ended"
             )
 
+    def record_foreign_call(self, method: str, job: str, status: int) -> None:
+        """Records a call for a job at a queue to which it doesn't belong."""
+        self._log(f"{method} of {job} at another queue answered {status}")
+        self.counts[f"{method} at another queue answered {status}"] += 1
+        if status == OK:
+            self._add_violation(f"{method} of {job} succeeds at another queue")
+
     def unanswered_cancellations(self) -> list[str]:
         """Returns accepted jobs whose cancelling was not acknowledged."""
         return [
--- a/devtools/soak_queues.py
+++ b/devtools/soak_queues.py
@@ -40,6 +40,11 @@
     return QUEUES[int(job, base=16) % len(QUEUES)]
 
 
+def other_queue(job: str) -> Queue:
+    """Returns the queue to which a job isn't submitted."""
+    return next(queue for queue in QUEUES if queue != queue_of(job))
+
+
 def service_of_job(job: str) -> str:
     """Returns the service whose workers run a job."""
     return queue_of(job).service
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -154,6 +154,14 @@
         self.assertEqual(self.error, {"error": "busy"})
         self.assertTrue(self.headers["Retry-After"])
 
+    async def test_refusal_says_why(self) -> None:
+        """Guards against a caller who can't tell what to change."""
+        reason = "another queue has a job with its ID"
+        self.answer = job_messages.JobAnswer(outcome="refused", reason=reason)
+        self.assertEqual(await self.send("POST"), 429)
+        self.assertEqual(self.error, {"error": reason})
+        self.assertNotIn("Retry-After", self.headers)
+
     async def test_read_is_answered_by_any_attempt(self) -> None:
         for outcome, status in (("no_queue", 404), ("unconfigured", 503)):
             with self.subTest(outcome=outcome):
--- a/tests/test_soak_queues.py
+++ b/tests/test_soak_queues.py
@@ -93,6 +93,12 @@
         self.history.record_pending("desk", 1, ended=ended)
         self.assertEqual(len(self.history.violations), 1)
 
+    def test_call_that_succeeds_at_another_queue(self) -> None:
+        self.history.record_foreign_call("GET", FORMS_JOB, 410)
+        self.assertEqual(self.history.violations, [])
+        self.history.record_foreign_call("GET", FORMS_JOB, soak_checks.OK)
+        self.assertEqual(len(self.history.violations), 1)
+
 
 class SeededRunTest(soak_case.SeededRunCase):
     """Real processes keep queues of one name apart under injected faults."""
