--- a/bamboorouter/coordination/jobs/recent_submissions.py
+++ b/bamboorouter/coordination/jobs/recent_submissions.py
@@ -8,9 +8,9 @@
 - A job isn't accepted while the withdrawal of its ID may still be committed.
 
 Each is tracked by the queue and the ID of its job, since callers of several
-queues may choose the same ID. All are tracked for one term. Once the first entry of a new leader's term is
-committed, the log shows which proposals of earlier terms were committed; the
-others never will be.
+queues may choose the same ID. All are tracked for one term. Once the first
+entry of a new leader's term is committed, the log shows which proposals of
+earlier terms were committed; the others never will be.
 """
 
 import collections
