--- a/tests/test_room_random.py
+++ b/tests/test_room_random.py
@@ -63,7 +63,9 @@
     """A worker that checks each start against its announced capacities.
 
     A start may exceed the current capacity only if it fitted a capacity that
-    was announced when the order was sent, or later.
+    was announced when the order was sent, or later. As the platform's workers,
+    it does nothing for an order with a lower fencing token or for an attempt
+    that has ended or was stopped there, also if it doesn't answer.
 
     Attributes:
         name: Name of the worker.
@@ -90,6 +92,8 @@
         self.choices = choices
         self.changes = [FULL]
         self.violations: list[str] = []
+        # Highest attempt that has ended or was stopped, by task.
+        self._ended_attempts: dict[jobs.TaskRef, int] = {}
         self._log = log
         self._choose = choose
         self._others = others
@@ -106,6 +110,7 @@
     async def start(self, order: worker_port.StartRun) -> None:
         sent = len(self.changes) - 1
         await asyncio.sleep(self._choose.uniform(0, MAX_ORDER_DELAY_S))
+        self._check_order(order)
         known = order.task in self.running
         await super().start(order)
         if not known:
@@ -115,12 +120,33 @@
         self, task: jobs.TaskRef, attempt: int, *, token: int
     ) -> None:
         self._check_token(token)
+        self._record_ended(task, attempt)
         if self.running.get(task) == attempt:
             delay_s = self._choose.uniform(0, MAX_STOP_S)
             asyncio.get_running_loop().call_later(
                 delay_s, self._stop_run, task, attempt
             )
 
+    def finish(self, task: jobs.TaskRef, outcome: jobs.RunOutcome) -> None:
+        self._record_ended(task, self.running[task])
+        super().finish(task, outcome)
+
+    def _record_ended(self, task: jobs.TaskRef, attempt: int) -> None:
+        highest = max(attempt, self._ended_attempts.get(task, 0))
+        self._ended_attempts[task] = highest
+
+    def _check_order(self, order: worker_port.StartRun) -> None:
+        """Raises an error if the order must not be carried out."""
+        ended = order.attempt <= self._ended_attempts.get(order.task, 0)
+        if order.token >= self.token and not ended:
+            return
+        if self.unanswered:
+            self.unanswered -= 1
+            raise self._no_answer_error()
+        raise worker_port.RejectedError(
+            reason="old" if ended else "fence", step="test", peer="worker"
+        )
+
     def _stop_run(self, task: jobs.TaskRef, attempt: int) -> None:
         if self.running.get(task) == attempt:
             self.finish(task, "stopped")
@@ -140,6 +166,67 @@
                 self.violations.append(f"{order.task} runs twice")
 
 
+class ModelWorkerTest(unittest.IsolatedAsyncioTestCase):
+    """The worker does nothing that the platform's workers wouldn't do."""
+
+    def setUp(self) -> None:
+        log = control_fakes.FakeLog(time=clock.SystemClock())
+        log.apply(
+            job_commands.PutConfiguration(configuration=make.configuration())
+        )
+        log.apply(
+            job_commands.AcceptSteps(
+                job="a",
+                queue="forms",
+                spec=jobs.JobSpec(spec="work", steps=(make.step(),)),
+            )
+        )
+        self.worker = ModelWorker(
+            "w1",
+            log=log,
+            choose=random.Random(1),
+            others={},
+            choices=CAPACITIES,
+        )
+        self.worker.token = 2
+
+    async def start(self, *, token: int = 2) -> None:
+        await self.worker.start(
+            worker_port.StartRun(
+                task=make.ref(),
+                attempt=1,
+                spec="work",
+                checkpoint="",
+                until_ms=self.worker.time.now() + 1000,
+                token=token,
+            )
+        )
+
+    async def test_unanswered_order_with_a_lower_token_is_not_executed(
+        self,
+    ) -> None:
+        """Guards against an order that an earlier agent has sent."""
+        self.worker.unanswered = 1
+        with self.assertRaises(worker_port.NoAnswerError):
+            await self.start(token=1)
+        self.assertEqual(self.worker.running, {})
+
+    async def test_attempt_that_has_ended_is_not_started_again(self) -> None:
+        """Guards against two runs under one attempt."""
+        await self.start()
+        self.worker.finish(make.ref(), "done")
+        with self.assertRaises(worker_port.RejectedError):
+            await self.start()
+        self.assertEqual(self.worker.running, {})
+
+    async def test_attempt_that_was_stopped_is_not_started(self) -> None:
+        """Guards against an order that arrives after the stop order."""
+        await self.worker.stop(make.ref(), 1, token=2)
+        with self.assertRaises(worker_port.RejectedError):
+            await self.start()
+        self.assertEqual(self.worker.running, {})
+
+
 class LeaderClient(fake_worker.LearnedReplicas):
     """Passes an agent's calls to the dispatcher, and its orders back."""
 
@@ -196,13 +283,16 @@
         )
         self.workers: dict[str, ModelWorker] = {}
         self.sessions: dict[str, agent_session.AgentSession] = {}
+        self.clients: dict[str, LeaderClient] = {}
         self.jobs = 0
 
     async def start_agent(self, worker: ModelWorker) -> None:
         previous = self.sessions.pop(worker.name, None)
         if previous is not None:
+            # A process that has ended gets no more orders.
+            self.clients[worker.name].link.closed.set()
             await previous.stop()
-        client = LeaderClient(self.leader)
+        client = self.clients[worker.name] = LeaderClient(self.leader)
         session = agent_session.AgentSession(
             worker=worker.name,
             client=cast(control_client.ControlClient, client),
