--- a/tests/test_shared_ids.py
+++ b/tests/test_shared_ids.py
@@ -187,7 +187,6 @@
         with self.assertRaises(errors.UnknownResultError):
             await self.submit_to(FORMS)
         self.log.postpones = False
-        self.log.followed_by = {}
         original = self.log.propose
 
         async def propose_after_the_job(
